--- /dev/null
+++ b/client/generate.go
@@ -0,0 +1,176 @@
+package client
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/failure"
+)
+
+// GenerateRequest is one generation. ID must be unique to the request.
+type GenerateRequest struct {
+	ID         string            `json:"id"`
+	Workspace  string            `json:"workspace"`
+	Service    string            `json:"service"`
+	Prompt     string            `json:"prompt"`
+	MaxTokens  int64             `json:"max_tokens"`
+	Seed       int64             `json:"seed"`
+	Priority   string            `json:"priority,omitempty"`
+	DeadlineMs int64             `json:"deadline_ms,omitempty"`
+	Labels     map[string]string `json:"labels,omitempty"`
+	Held       []string          `json:"held,omitempty"`
+}
+
+// Token is one accepted token and when it arrived.
+type Token struct {
+	Position int64
+	Text     string
+	At       time.Time
+}
+
+// Answer is the end of a generation.
+type Answer struct {
+	Tokens []string
+	// Moves is how often the answer went on at another daemon.
+	Moves int
+}
+
+// streamEnd tells how one daemon's stream ended.
+type streamEnd struct {
+	done bool
+	err  error
+}
+
+// Generate streams a generation through whichever daemons live, resuming from
+// the tokens it holds. onToken sees every position once and in order. On error
+// the tokens received so far are returned with it.
+func (c *Client) Generate(ctx context.Context, r GenerateRequest, onToken func(Token)) (Answer, error) {
+	s := &session{client: c, request: r, onToken: onToken}
+	var last error
+	for i := 0; i < c.settings.Attempts && ctx.Err() == nil; i++ {
+		addresses := c.Addresses(ctx)
+		end := s.follow(ctx, addresses[i%len(addresses)])
+		if end.done || final(end.err) {
+			return Answer{Tokens: s.request.Held, Moves: i}, end.err
+		}
+		last = end.err
+		if i >= len(addresses)-1 {
+			pause(ctx, time.Duration(i)*pauseStep)
+		}
+	}
+	if ctx.Err() != nil {
+		last = ctx.Err()
+	}
+	return Answer{Tokens: s.request.Held}, last
+}
+
+// final tells whether asking another daemon is no use.
+func final(err error) bool {
+	var f *failure.Error
+	if !errors.As(err, &f) {
+		return false
+	}
+	switch f.Code {
+	case failure.Draining, failure.Isolated, failure.UnknownResult, failure.Internal, failure.Canceled:
+		return false
+	}
+	return true
+}
+
+type session struct {
+	client  *Client
+	request GenerateRequest
+	cursor  string
+	onToken func(Token)
+}
+
+// follow reads one daemon's stream to its end, its loss or its silence.
+func (s *session) follow(ctx context.Context, address string) streamEnd {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(s.client.settings.Silence, cancel)
+	defer watchdog.Stop()
+	header := http.Header{}
+	if s.cursor != "" {
+		header.Set("Last-Event-ID", s.cursor)
+	}
+	resp, err := s.client.send(ctx, address, http.MethodPost, "/v1/generations", s.request, header)
+	if err != nil {
+		return streamEnd{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	var e serverEvent
+	for lines.Scan() {
+		watchdog.Reset(s.client.settings.Silence)
+		if !e.line(lines.Text()) {
+			continue
+		}
+		if end, over := s.take(e, address); over {
+			return end
+		}
+		e = serverEvent{}
+	}
+	return streamEnd{err: failure.New(failure.UnknownResult, failure.Unknown, "read stream", address, "stream lost")}
+}
+
+// serverEvent collects the fields of one server-sent event.
+type serverEvent struct{ id, kind, data string }
+
+// line takes one line and tells whether the event is complete.
+func (e *serverEvent) line(text string) bool {
+	name, value, _ := strings.Cut(text, ":")
+	value = strings.TrimPrefix(value, " ")
+	switch name {
+	case "id":
+		e.id = value
+	case "event":
+		e.kind = value
+	case "data":
+		e.data = value
+	case "":
+		return text == "" && e.kind != ""
+	}
+	return false
+}
+
+type eventData struct {
+	Position   int64  `json:"position"`
+	Text       string `json:"text"`
+	Code       string `json:"code"`
+	RetryAfter int64  `json:"retry_after_ms"`
+	Step       string `json:"step"`
+	Peer       string `json:"peer"`
+}
+
+func (s *session) take(e serverEvent, address string) (streamEnd, bool) {
+	var d eventData
+	if err := json.Unmarshal([]byte(e.data), &d); err != nil {
+		return streamEnd{err: errors.Wrap(err, "decode event from "+address)}, true
+	}
+	held := int64(len(s.request.Held))
+	switch e.kind {
+	case "token":
+		if d.Position < held {
+			return streamEnd{}, false
+		}
+		if d.Position > held {
+			return streamEnd{err: errors.Errorf("position %d from %s where %d was next", d.Position, address, held)}, true
+		}
+		s.request.Held = append(s.request.Held, d.Text)
+		s.cursor = e.id
+		s.onToken(Token{Position: d.Position, Text: d.Text, At: time.Now()})
+	case "done":
+		return streamEnd{done: true}, true
+	case "incomplete":
+		f := failure.New(failure.Code(d.Code), failure.Ran, d.Step, d.Peer, "answer incomplete")
+		return streamEnd{err: f.After(time.Duration(d.RetryAfter) * time.Millisecond)}, true
+	}
+	return streamEnd{}, false
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,69 @@
+// Command standin runs one stand-in of what stands outside the system. It is
+// for demos and tests only.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+)
+
+func main() {
+	root := &cobra.Command{Use: "standin", SilenceUsage: true}
+	root.AddCommand(platformCommand(), engineCommand(), bookingCommand(), checkCommand())
+	if err := root.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func serve(address string, h http.Handler) error {
+	const headerTimeout = 5 * time.Second
+	s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}
+	return s.ListenAndServe()
+}
+
+func platformCommand() *cobra.Command {
+	var listen string
+	c := &cobra.Command{Use: "platform", Short: "object API and VM list", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serve(listen, standin.NewPlatform().Handler()) }}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:7000", "address")
+	return c
+}
+
+func engineCommand() *cobra.Command {
+	var listen string
+	s := standin.DefaultEngineSettings()
+	c := &cobra.Command{Use: "engine", Short: "model engine", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			s.Crash = func() {
+				fmt.Fprintln(os.Stderr, "engine crashed by a request")
+				os.Exit(3)
+			}
+			return serve(listen, standin.NewEngine(s).Handler())
+		}}
+	f := c.Flags()
+	f.StringVar(&listen, "listen", "127.0.0.1:8000", "address")
+	f.IntVar(&s.Slots, "slots", s.Slots, "size of the batch")
+	f.DurationVar(&s.TokenInterval, "token-interval", s.TokenInterval, "time between two tokens")
+	f.Float64Var(&s.PrefillRate, "prefill-rate", s.PrefillRate, "prompt tokens a second")
+	f.DurationVar(&s.KeepAlive, "keep-alive", s.KeepAlive, "time between keep-alives")
+	f.DurationVar(&s.LoadLag, "load-lag", s.LoadLag, "age of load reports")
+	f.BoolVar(&s.ChecksFencing, "checks-fencing", s.ChecksFencing, "refuse orders with an old fencing number")
+	f.StringToStringVar(&s.Models, "models", s.Models, "model=version, ...")
+	return c
+}
+
+func bookingCommand() *cobra.Command {
+	var listen string
+	var delay time.Duration
+	c := &cobra.Command{Use: "booking", Short: "plain service with a ledger", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serve(listen, standin.NewBooking(delay).Handler()) }}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:9000", "address")
+	c.Flags().DurationVar(&delay, "delay", 5*time.Millisecond, "time a call takes")
+	return c
+}
--- /dev/null
+++ b/cmd/vanillaroad/calls.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaroad/vanillaroad/client"
+	"github.com/vanillaroad/vanillaroad/failure"
+)
+
+func printJSON(c *cobra.Command, v any) error {
+	enc := json.NewEncoder(c.OutOrStdout())
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func directoryCommand(o *options) *cobra.Command {
+	return &cobra.Command{Use: "directory", Short: "Show which daemons to use", Args: cobra.NoArgs,
+		Example: "  vanillaroad directory -a 10.0.1.1:7100 --place bloem-a",
+		RunE: func(c *cobra.Command, _ []string) error {
+			cl := o.client()
+			defer cl.Close()
+			addresses := cl.Addresses(c.Context())
+			if o.output == "json" {
+				return printJSON(c, addresses)
+			}
+			printf(c, "%s\n", strings.Join(addresses, "\n"))
+			return nil
+		}}
+}
+
+func generateCommand(o *options) *cobra.Command {
+	var r client.GenerateRequest
+	var promptFile string
+	c := &cobra.Command{Use: "generate", Short: "Stream a long answer", Args: cobra.NoArgs,
+		Example: "  vanillaroad generate --workspace fair --service pisar --prompt 'A stand profile' --max-tokens 400",
+		RunE: func(c *cobra.Command, _ []string) error {
+			if promptFile != "" {
+				b, err := os.ReadFile(promptFile)
+				if err != nil {
+					return errors.Wrap(errBadInput, err.Error())
+				}
+				r.Prompt = string(b)
+			}
+			return generate(c, o, r)
+		}}
+	f := c.Flags()
+	f.StringVar(&r.ID, "id", "", "request id; a new one if empty")
+	f.StringVar(&r.Workspace, "workspace", "", "workspace")
+	f.StringVar(&r.Service, "service", "", "service")
+	f.StringVar(&r.Prompt, "prompt", "", "prompt")
+	f.StringVar(&promptFile, "prompt-file", "", "file that holds the prompt")
+	f.Int64Var(&r.MaxTokens, "max-tokens", 256, "longest answer")
+	f.Int64Var(&r.Seed, "seed", 1, "sampling seed")
+	f.StringVar(&r.Priority, "priority", "", "urgent, normal or batch")
+	return c
+}
+
+func generate(c *cobra.Command, o *options, r client.GenerateRequest) error {
+	if r.ID == "" {
+		r.ID = fmt.Sprintf("cli-%016x", rand.Uint64())
+	}
+	cl := o.client()
+	defer cl.Close()
+	var widest time.Duration
+	var last time.Time
+	answer, err := cl.Generate(c.Context(), r, func(t client.Token) {
+		if !last.IsZero() {
+			widest = max(widest, t.At.Sub(last))
+		}
+		last = t.At
+		if o.output != "json" {
+			printf(c, "%s ", t.Text)
+		}
+	})
+	if o.output == "json" {
+		result := generateResult{r.ID, answer.Tokens, answer.Moves, widest.Milliseconds(), err == nil}
+		if perr := printJSON(c, result); perr != nil {
+			return perr
+		}
+		return err
+	}
+	printf(c, "\n")
+	return err
+}
+
+type generateResult struct {
+	ID          string   `json:"id"`
+	Tokens      []string `json:"tokens"`
+	Moves       int      `json:"moves"`
+	WidestGapMs int64    `json:"widest_gap_ms"`
+	Whole       bool     `json:"whole"`
+}
+
+func confirmCommand(o *options) *cobra.Command {
+	var r client.ConfirmRequest
+	c := &cobra.Command{Use: "confirm", Short: "Run a non-idempotent call at most once", Args: cobra.NoArgs,
+		Example: "  vanillaroad confirm --workspace fair --service sejemski-vpis --body 'stand 12'",
+		RunE: func(c *cobra.Command, _ []string) error {
+			cl := o.client()
+			defer cl.Close()
+			if r.Key == "" {
+				key, err := cl.IssueKey(c.Context())
+				if err != nil {
+					return err
+				}
+				r.Key = key
+			}
+			out, err := cl.Confirm(c.Context(), r)
+			if err != nil {
+				return err
+			}
+			return printOutcome(c, o, out)
+		}}
+	f := c.Flags()
+	f.StringVar(&r.Key, "key", "", "idempotency key; a new one if empty")
+	f.StringVar(&r.Workspace, "workspace", "", "workspace")
+	f.StringVar(&r.Service, "service", "", "service")
+	f.StringVar(&r.Body, "body", "", "request body")
+	return c
+}
+
+func printOutcome(c *cobra.Command, o *options, out client.Outcome) error {
+	if o.output == "json" {
+		if err := printJSON(c, out); err != nil {
+			return err
+		}
+	} else {
+		printf(c, "%s %s %s\n", out.Key, out.Outcome, out.Answer)
+	}
+	if out.Outcome == failure.Ran {
+		return nil
+	}
+	e := failure.New(failure.UnknownResult, out.Outcome, "confirm", "", "outcome %s", out.Outcome)
+	return e.After(time.Duration(out.RetryAfter) * time.Millisecond)
+}
+
+func outcomeCommand(o *options) *cobra.Command {
+	return &cobra.Command{Use: "outcome KEY", Short: "Look up the outcome of a confirmation", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			cl := o.client()
+			defer cl.Close()
+			var out client.Outcome
+			path := "/v1/confirmations/" + url.PathEscape(args[0])
+			if err := cl.Ask(c.Context(), o.addresses[0], http.MethodGet, path, nil, &out); err != nil {
+				return err
+			}
+			return printOutcome(c, o, out)
+		}}
+}
--- /dev/null
+++ b/failure/failure.go
@@ -0,0 +1,94 @@
+// Package failure defines the typed error that crosses slice and process
+// borders: a stable code, whether the request ran, when to come back, and the
+// step and peer at which the error arose.
+package failure
+
+import (
+	stderrors "errors"
+	"fmt"
+	"time"
+)
+
+// Outcome tells whether a request ran at a target.
+type Outcome string
+
+// Outcomes of a request. NotRun is only said when no target has seen the
+// request and none will.
+const (
+	Ran     Outcome = "ran"
+	NotRun  Outcome = "not_run"
+	Unknown Outcome = "unknown"
+)
+
+// Code is a stable machine-readable error code.
+type Code string
+
+// Error codes. They are part of the API and never change meaning.
+const (
+	BadRequest    Code = "bad_request"
+	NotFound      Code = "not_found"
+	Conflict      Code = "conflict"
+	Overloaded    Code = "overloaded"
+	Draining      Code = "draining"
+	NoTarget      Code = "no_target"
+	Isolated      Code = "isolated"
+	Quarantined   Code = "quarantined"
+	DeadlinePast  Code = "deadline_past"
+	TargetLost    Code = "target_lost"
+	PlatformDown  Code = "platform_unavailable"
+	UnknownResult Code = "unknown_outcome"
+	Canceled      Code = "canceled"
+	Internal      Code = "internal"
+)
+
+// Error is the typed error of the system. The zero RetryAfter means that
+// asking again is no use.
+type Error struct {
+	Code       Code
+	Message    string
+	Outcome    Outcome
+	RetryAfter time.Duration
+	Step       string
+	Peer       string
+	Addresses  []string
+	cause      error
+}
+
+// New returns an error that arose at step and peer. An empty peer means this
+// process.
+func New(code Code, outcome Outcome, step, peer, format string, args ...any) *Error {
+	return &Error{Code: code, Outcome: outcome, Step: step, Peer: peer, Message: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error with the given class whose cause is err.
+func Wrap(err error, code Code, outcome Outcome, step, peer string) *Error {
+	return &Error{Code: code, Outcome: outcome, Step: step, Peer: peer, Message: err.Error(), cause: err}
+}
+
+// After sets when the caller may ask again and returns e.
+func (e *Error) After(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	at := e.Step
+	if e.Peer != "" {
+		at += " at " + e.Peer
+	}
+	return fmt.Sprintf("%s: %s (%s, %s)", at, e.Message, e.Code, e.Outcome)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// From returns the typed error within err, or an internal error with an
+// unknown outcome that wraps it.
+func From(err error) *Error {
+	var e *Error
+	if stderrors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, Internal, Unknown, "unclassified", "")
+}
--- /dev/null
+++ b/generation/cursor.go
@@ -0,0 +1,43 @@
+package generation
+
+import (
+	"encoding/base64"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// ErrBadCursor is returned for a cursor that no daemon made.
+var ErrBadCursor = errors.New("bad cursor")
+
+// Cursor names the last event a caller received: how many tokens it holds, and
+// the target, version and attempt they came from. Callers treat it as opaque.
+type Cursor struct {
+	Held        int64  `json:"n"`
+	Target      string `json:"t,omitempty"`
+	Version     string `json:"v,omitempty"`
+	Attempt     int64  `json:"a,omitempty"`
+	Incarnation uint64 `json:"i,omitempty"`
+}
+
+// Encode returns the opaque text form.
+func (c Cursor) Encode() string {
+	b, _ := json.Marshal(c) // plain fields can't fail
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// DecodeCursor parses a cursor; the empty string is the zero cursor.
+func DecodeCursor(s string) (Cursor, error) {
+	var c Cursor
+	if s == "" {
+		return c, nil
+	}
+	b, err := base64.RawURLEncoding.DecodeString(s)
+	if err != nil {
+		return c, errors.Wrap(ErrBadCursor, err.Error())
+	}
+	if err := json.Unmarshal(b, &c); err != nil {
+		return c, errors.Wrap(ErrBadCursor, err.Error())
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/standin/booking.go
@@ -0,0 +1,71 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// Booking is a plain service that books once per call and keeps a ledger. It
+// does not remove duplicates: a key that reaches it twice runs twice.
+type Booking struct {
+	Delay time.Duration // how long a call takes
+
+	mu      sync.Mutex
+	ledger  map[string]int
+	running int
+}
+
+// NewBooking returns a service with an empty ledger.
+func NewBooking(delay time.Duration) *Booking {
+	return &Booking{Delay: delay, ledger: make(map[string]int)}
+}
+
+// Handler returns the HTTP interface.
+func (b *Booking) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /call", b.call)
+	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { answer(w, b.Ledger()) })
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { answer(w, b.load()) })
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { answer(w, b.load()) })
+	return mux
+}
+
+func (b *Booking) load() target.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return target.Load{Running: b.running}
+}
+
+// Ledger returns how often each key ran.
+func (b *Booking) Ledger() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]int, len(b.ledger))
+	for k, n := range b.ledger {
+		out[k] = n
+	}
+	return out
+}
+
+func (b *Booking) call(w http.ResponseWriter, r *http.Request) {
+	var c target.Call
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	b.mu.Lock()
+	b.ledger[c.Key]++
+	n := b.ledger[c.Key]
+	b.running++
+	b.mu.Unlock()
+	time.Sleep(b.Delay)
+	b.mu.Lock()
+	b.running--
+	b.mu.Unlock()
+	_, _ = fmt.Fprintf(w, "booked %s, run %d", c.Key, n)
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,255 @@
+package standin
+
+import (
+	"container/list"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// CrashPrompt makes the engine that runs it die, if it is within the prompt.
+const CrashPrompt = "CRASH-THE-ENGINE"
+
+// EngineSettings shape an engine stand-in.
+type EngineSettings struct {
+	Slots         int               // size of the batch
+	TokenInterval time.Duration     // between two tokens of one stream
+	PrefillRate   float64           // prompt tokens a second
+	KeepAlive     time.Duration     // between keep-alives while no token comes
+	CacheBlocks   int               // prefix cache, in blocks
+	LoadLag       time.Duration     // age of the load report
+	Models        map[string]string // name to version
+	ChecksFencing bool
+	// Crash ends the engine when it meets CrashPrompt.
+	Crash func()
+}
+
+// DefaultEngineSettings returns a small, quick engine.
+func DefaultEngineSettings() EngineSettings {
+	return EngineSettings{
+		Slots: 16, TokenInterval: 20 * time.Millisecond, PrefillRate: 20000,
+		KeepAlive: 200 * time.Millisecond, CacheBlocks: 4096, LoadLag: 500 * time.Millisecond,
+		Models: map[string]string{"writer": "1"}, Crash: func() {},
+	}
+}
+
+// Work counts what an engine did over its life.
+type Work struct {
+	PrefillTokens int64 `json:"prefill_tokens"`
+	CachedTokens  int64 `json:"cached_tokens"`
+	DecodeTokens  int64 `json:"decode_tokens"`
+	Streams       int64 `json:"streams"`
+	Canceled      int64 `json:"canceled"`
+	Orders        int64 `json:"orders"`
+	FencedOrders  int64 `json:"fenced_orders"`
+	PeakRunning   int   `json:"peak_running"`
+}
+
+// EngineFaults can be set while the stand-in runs, with PUT /faults.
+type EngineFaults struct {
+	// SilentStreams makes open streams send nothing more while new
+	// connections work.
+	SilentStreams bool `json:"silent_streams"`
+	Leaving       bool `json:"leaving"`
+}
+
+// Engine is a model engine that batches continuously and honours priorities.
+type Engine struct {
+	settings    EngineSettings
+	incarnation uint64
+
+	mu       sync.Mutex
+	faults   EngineFaults
+	silenced time.Time
+	streams  map[target.StreamID]*engineStream
+	waiting  []*engineStream
+	running  int
+	work     Work
+	models   map[string]string
+	role     string
+	fencing  int64
+	cache    map[uint64]*list.Element
+	recent   *list.List
+	events   []target.CacheEvent
+	report   target.Load
+	reported time.Time
+}
+
+// NewEngine returns an idle engine.
+func NewEngine(s EngineSettings) *Engine {
+	e := &Engine{
+		settings: s, incarnation: uint64(time.Now().UnixNano()), streams: make(map[target.StreamID]*engineStream),
+		models: make(map[string]string), cache: make(map[uint64]*list.Element), recent: list.New(),
+	}
+	for k, v := range s.Models {
+		e.models[k] = v
+	}
+	return e
+}
+
+// Handler returns the HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /generate", e.generate)
+	mux.HandleFunc("GET /streams/{request}/{attempt}", e.attach)
+	mux.HandleFunc("DELETE /streams/{request}/{attempt}", e.cancel)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { answer(w, e.load()) })
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { answer(w, e.laggedLoad()) })
+	mux.HandleFunc("GET /cache-events", e.cacheEvents)
+	mux.HandleFunc("POST /orders", e.order)
+	mux.HandleFunc("GET /work", func(w http.ResponseWriter, _ *http.Request) { answer(w, e.Work()) })
+	mux.HandleFunc("PUT /faults", e.setFaults)
+	return mux
+}
+
+// Work returns what the engine did so far.
+func (e *Engine) Work() Work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.work
+}
+
+// SetFaults replaces the faults in force.
+func (e *Engine) SetFaults(f EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.SilentStreams {
+		e.silenced = time.Now()
+	}
+	e.faults = f
+}
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f EngineFaults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+}
+
+func (e *Engine) load() target.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	models := make(map[string]string, len(e.models))
+	for k, v := range e.models {
+		models[k] = v
+	}
+	return target.Load{
+		Running: e.running, Queued: len(e.waiting), Slots: e.settings.Slots, Models: models, Role: e.role,
+		TokensPerSec: float64(e.running) / e.settings.TokenInterval.Seconds(),
+		Leaving:      e.faults.Leaving, Incarnation: e.incarnation, FencingNumber: e.fencing,
+	}
+}
+
+// laggedLoad answers with a report that is up to LoadLag old.
+func (e *Engine) laggedLoad() target.Load {
+	fresh := e.load()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Since(e.reported) > e.settings.LoadLag {
+		e.report, e.reported = fresh, time.Now()
+	}
+	l := e.report
+	l.AgeMillis = time.Since(e.reported).Milliseconds()
+	return l
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o target.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.work.Orders++
+	if o.FencingNumber < e.fencing {
+		e.work.FencedOrders++
+		if e.settings.ChecksFencing {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	e.fencing = max(e.fencing, o.FencingNumber)
+	e.models, e.role = o.Models, o.Role
+}
+
+// touch takes the prompt's blocks into the cache and returns how many led.
+func (e *Engine) touch(blocks []uint64) int {
+	var leading int
+	for i, b := range blocks {
+		if el := e.cache[b]; el != nil {
+			e.recent.MoveToFront(el)
+			if leading == i {
+				leading++
+			}
+			continue
+		}
+		e.cache[b] = e.recent.PushFront(b)
+		e.publish(target.CacheEvent{Block: b})
+	}
+	for e.recent.Len() > e.settings.CacheBlocks {
+		el := e.recent.Back()
+		b := e.recent.Remove(el).(uint64)
+		delete(e.cache, b)
+		e.publish(target.CacheEvent{Block: b, Dropped: true})
+	}
+	return leading
+}
+
+// keptEvents bounds the cache events that can still be read; older ones are a gap.
+const keptEvents = 4096
+
+func (e *Engine) publish(c target.CacheEvent) {
+	c.Sequence = 1
+	if n := len(e.events); n > 0 {
+		c.Sequence = e.events[n-1].Sequence + 1
+	}
+	e.events = append(e.events, c)
+	if len(e.events) > keptEvents {
+		e.events = append([]target.CacheEvent(nil), e.events[keptEvents/2:]...)
+	}
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	e.mu.Lock()
+	out := []target.CacheEvent{}
+	for _, c := range e.events {
+		if c.Sequence > after {
+			out = append(out, c)
+		}
+	}
+	e.mu.Unlock()
+	answer(w, out)
+}
+
+// schedule starts waiting streams, the highest priority first.
+func (e *Engine) schedule() {
+	for e.running < e.settings.Slots && len(e.waiting) > 0 {
+		best := 0
+		for i, s := range e.waiting {
+			if s.req.Priority > e.waiting[best].req.Priority {
+				best = i
+			}
+		}
+		s := e.waiting[best]
+		e.waiting = append(e.waiting[:best], e.waiting[best+1:]...)
+		e.running++
+		e.work.PeakRunning = max(e.work.PeakRunning, e.running)
+		go e.decode(s)
+	}
+}
+
+func newTag(r *rand.Rand) string {
+	const width = 8
+	s := strconv.FormatUint(uint64(r.Uint32()), 16)
+	return strings.Repeat("0", width-len(s)) + s
+}
--- /dev/null
+++ b/internal/standin/stream.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// engineStream is one attempt. It keeps its tokens so that callers can attach.
+type engineStream struct {
+	req target.GenerateRequest
+
+	mu      sync.Mutex
+	base    int64 // position of events[0]
+	events  []target.StreamEvent
+	ended   bool
+	stopped chan struct{}
+	changed chan struct{}
+}
+
+// charsPerToken relates prompt length to prefill work.
+const charsPerToken = 4
+
+// maxBlocks bounds the cached prefix of one prompt.
+const maxBlocks = 4096
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var req target.GenerateRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s := &engineStream{req: req, base: int64(len(req.Forced)), stopped: make(chan struct{}), changed: make(chan struct{})}
+	e.mu.Lock()
+	if e.models[req.Model] != req.Version {
+		e.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if old := e.streams[req.Stream]; old != nil {
+		e.mu.Unlock()
+		e.send(w, r, old, old.base)
+		return
+	}
+	e.streams[req.Stream] = s
+	e.work.Streams++
+	e.waiting = append(e.waiting, s)
+	e.schedule()
+	e.mu.Unlock()
+	e.send(w, r, s, s.base)
+}
+
+func streamID(r *http.Request) target.StreamID {
+	attempt, _ := strconv.ParseInt(r.PathValue("attempt"), 10, 64)
+	return target.StreamID{Request: r.PathValue("request"), Attempt: attempt}
+}
+
+func (e *Engine) attach(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	e.mu.Lock()
+	s := e.streams[streamID(r)]
+	e.mu.Unlock()
+	if s == nil || err != nil || from < s.base {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	e.send(w, r, s, from)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.streams[streamID(r)]
+	if s == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	e.work.Canceled++
+	delete(e.streams, s.req.Stream)
+	for i, o := range e.waiting {
+		if o == s {
+			e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
+			break
+		}
+	}
+	s.stop()
+}
+
+func (s *engineStream) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.stopped:
+	default:
+		close(s.stopped)
+	}
+}
+
+func (s *engineStream) add(e target.StreamEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, e)
+	s.ended = e.Kind != target.TokenEvent
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// read returns the events from a position and a channel that closes on more.
+func (s *engineStream) read(from int64) ([]target.StreamEvent, bool, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := min(from-s.base, int64(len(s.events)))
+	return s.events[i:], s.ended, s.changed
+}
+
+// send writes events and keep-alives until the stream ends or goes silent.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, s *engineStream, from int64) {
+	opened := time.Now()
+	out := json.NewEncoder(w)
+	flush := http.NewResponseController(w)
+	keepAlive := time.NewTicker(e.settings.KeepAlive)
+	defer keepAlive.Stop()
+	for {
+		events, ended, changed := s.read(from)
+		if e.silent(opened) {
+			<-r.Context().Done()
+			return
+		}
+		for _, ev := range events {
+			_ = out.Encode(ev)
+			from++
+		}
+		_ = flush.Flush()
+		if ended {
+			return
+		}
+		select {
+		case <-changed:
+		case <-s.stopped:
+			return
+		case <-r.Context().Done():
+			return
+		case <-keepAlive.C:
+			_ = out.Encode(target.StreamEvent{Kind: target.KeepAliveEvent, Position: from})
+			_ = flush.Flush()
+		}
+	}
+}
+
+func (e *Engine) silent(opened time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.SilentStreams && opened.Before(e.silenced)
+}
+
+// decode produces the tokens of one stream.
+func (e *Engine) decode(s *engineStream) {
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.running--
+		e.schedule()
+	}()
+	if !e.wait(s, e.prefill(s)) {
+		return
+	}
+	if strings.Contains(s.req.Prompt, CrashPrompt) {
+		e.settings.Crash()
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), uint64(s.req.Seed)))
+	previous := s.req.Forced
+	for p := s.base; p < s.req.MaxTokens; p++ {
+		if !e.wait(s, e.settings.TokenInterval) {
+			return
+		}
+		text := nextToken(random, s.req.Prompt, previous)
+		previous = []string{text}
+		e.mu.Lock()
+		e.work.DecodeTokens++
+		e.mu.Unlock()
+		s.add(target.StreamEvent{Kind: target.TokenEvent, Position: p, Text: text})
+	}
+	s.add(target.StreamEvent{Kind: target.DoneEvent, Position: s.req.MaxTokens})
+}
+
+func (e *Engine) wait(s *engineStream, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.stopped:
+		return false
+	}
+}
+
+// prefill returns how long reading the prompt and forced tokens takes.
+func (e *Engine) prefill(s *engineStream) time.Duration {
+	blocks := target.BlockHashes(s.req.Model, s.req.Version, s.req.Prompt, maxBlocks)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	leading := e.touch(blocks)
+	total := int64(len(s.req.Prompt)/charsPerToken + len(s.req.Forced))
+	cached := min(total, int64(leading*target.BlockChars/charsPerToken))
+	e.work.PrefillTokens += total - cached
+	e.work.CachedTokens += cached
+	return time.Duration(float64(total-cached) / e.settings.PrefillRate * float64(time.Second))
+}
+
+// A token is "own.previous.prompt": a random tag of its own, the tag of the
+// token before it, and a tag of the prompt. Every generation draws other tags,
+// so a checker sees tokens that are missing, repeated, mixed from two
+// generations, or from another request.
+func nextToken(random *rand.Rand, prompt string, previous []string) string {
+	before := firstTag
+	if n := len(previous); n > 0 {
+		before, _, _ = strings.Cut(previous[n-1], ".")
+	}
+	return fmt.Sprintf("%s.%s.%s", newTag(random), before, promptTag(prompt))
+}
+
+const firstTag = "start"
+
+func promptTag(prompt string) string {
+	return strconv.FormatUint(xxhash.Sum64String(prompt)&0xffff, 16)
+}
+
+// CheckAnswer returns an error unless tokens are one whole answer to prompt.
+func CheckAnswer(prompt string, tokens []string, length int64) error {
+	if int64(len(tokens)) != length {
+		return errors.Errorf("answer has %d tokens, not %d", len(tokens), length)
+	}
+	before := firstTag
+	for i, t := range tokens {
+		parts := strings.Split(t, ".")
+		if len(parts) != 3 {
+			return errors.Errorf("token %d is malformed: %q", i, t)
+		}
+		if parts[2] != promptTag(prompt) {
+			return errors.Errorf("token %d belongs to another request", i)
+		}
+		if parts[1] != before {
+			return errors.Errorf("token %d does not follow token %d", i, i-1)
+		}
+		before = parts[0]
+	}
+	return nil
+}
--- /dev/null
+++ b/node/api.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+
+	genconfirmations "github.com/vanillaroad/vanillaroad/gen/confirmations"
+	gendirectory "github.com/vanillaroad/vanillaroad/gen/directory"
+	gengenerations "github.com/vanillaroad/vanillaroad/gen/generations"
+	confirmationsserver "github.com/vanillaroad/vanillaroad/gen/http/confirmations/server"
+	directoryserver "github.com/vanillaroad/vanillaroad/gen/http/directory/server"
+	generationsserver "github.com/vanillaroad/vanillaroad/gen/http/generations/server"
+	operationsserver "github.com/vanillaroad/vanillaroad/gen/http/operations/server"
+	genoperations "github.com/vanillaroad/vanillaroad/gen/operations"
+)
+
+// headerTimeout bounds how long a caller may take to send its headers.
+const headerTimeout = 5 * time.Second
+
+// maxHeaderBytes and maxBodyBytes bound one request.
+const (
+	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 8 << 20
+)
+
+// newServer mounts the goa services.
+func (n *Node) newServer() *http.Server {
+	mux := goahttp.NewMuxer()
+	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
+	directoryserver.Mount(mux, directoryserver.New(gendirectory.NewEndpoints(&directoryAPI{n}), mux, dec, enc, nil, nil))
+	generationsserver.Mount(mux, generationsserver.New(gengenerations.NewEndpoints(&generationsAPI{n}), mux, dec, enc, nil, nil))
+	confirmationsserver.Mount(mux, confirmationsserver.New(genconfirmations.NewEndpoints(&confirmationsAPI{n}), mux, dec, enc, nil, nil))
+	operationsserver.Mount(mux, operationsserver.New(genoperations.NewEndpoints(&operationsAPI{n}), mux, dec, enc, nil, nil))
+	mux.Handle(http.MethodGet, "/metrics", n.serveMetrics)
+	return &http.Server{Handler: n.bound(mux), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+// bound counts requests, bounds bodies and puts a deadline on every write.
+func (n *Node) bound(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.requests.Add(1)
+		defer n.requests.Add(-1)
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		bw := newBoundedWriter(w)
+		next.ServeHTTP(bw, r.WithContext(withWriter(r.Context(), bw)))
+	})
+}
--- /dev/null
+++ b/node/api_failure.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"github.com/vanillaroad/vanillaroad/failure"
+)
+
+// status class names of the design's errors.
+const (
+	classBadRequest  = "bad_request"
+	classNotFound    = "not_found"
+	classConflict    = "conflict"
+	classOverloaded  = "overloaded"
+	classUnavailable = "unavailable"
+	classUnknown     = "unknown_outcome"
+)
+
+// class returns the design's error name for a code.
+func class(e *failure.Error) string {
+	switch e.Code {
+	case failure.BadRequest:
+		return classBadRequest
+	case failure.NotFound:
+		return classNotFound
+	case failure.Conflict:
+		return classConflict
+	case failure.Overloaded, failure.NoTarget, failure.DeadlinePast:
+		return classOverloaded
+	case failure.UnknownResult, failure.Internal:
+		return classUnknown
+	default:
+		return classUnavailable
+	}
+}
+
+// refusal returns why this daemon takes no new work, or nil.
+func (n *Node) refusal() *failure.Error {
+	view := n.view.Load()
+	switch {
+	case n.refusing.Load():
+		e := failure.New(failure.Draining, failure.NotRun, "accept", n.self.ID, "this daemon is stopping").After(retryAfter)
+		e.Addresses = view.Directory(n.self.Place, "")
+		return e
+	case view.Isolated:
+		return failure.New(failure.Isolated, failure.NotRun, "accept", n.self.ID, "this daemon is cut off").After(retryAfter)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/api_writer.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// callerWriteTimeout is the longest a caller may leave a write unread.
+const callerWriteTimeout = 10 * time.Second
+
+// boundedWriter sets a deadline before each write and keeps the first error,
+// because the generated event stream ignores write errors.
+type boundedWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+	err     error
+}
+
+func newBoundedWriter(w http.ResponseWriter) *boundedWriter {
+	return &boundedWriter{ResponseWriter: w, control: http.NewResponseController(w)}
+}
+
+// Write implements http.ResponseWriter.
+func (b *boundedWriter) Write(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	_ = b.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	n, err := b.ResponseWriter.Write(p)
+	b.err = err
+	return n, err
+}
+
+// FlushError flushes and keeps the error; http.ResponseController calls it.
+func (b *boundedWriter) FlushError() error {
+	if b.err == nil {
+		b.err = b.control.Flush()
+	}
+	return b.err
+}
+
+// Unwrap implements the interface of http.ResponseController.
+func (b *boundedWriter) Unwrap() http.ResponseWriter { return b.ResponseWriter }
+
+type writerKey struct{}
+
+func withWriter(ctx context.Context, w *boundedWriter) context.Context {
+	return context.WithValue(ctx, writerKey{}, w)
+}
+
+// writeError returns the first error of the caller's connection.
+func writeError(ctx context.Context) error {
+	if w, ok := ctx.Value(writerKey{}).(*boundedWriter); ok {
+		return w.err
+	}
+	return nil
+}
--- /dev/null
+++ b/node/dispatcher.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/confirmation"
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/routing"
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// dispatcher sends confirmations to plain services.
+type dispatcher struct{ n *Node }
+
+// Dispatch implements confirmation.Dispatcher.
+func (d *dispatcher) Dispatch(ctx context.Context, r confirmation.Request) confirmation.Record {
+	notRun := confirmation.Record{Key: r.Key, Outcome: failure.NotRun, RetryAfter: retryAfter}
+	svc, ok := d.n.snapshot.Load().Service(r.Service)
+	if !ok || svc.Kind != configuration.Plain {
+		return notRun
+	}
+	want := routing.Request{ID: r.Key, Service: svc, Labels: r.Labels, Pinned: svc.Side(r.Key), FromPlace: d.n.self.Place}
+	chosen, refused := d.n.pick(ctx, want)
+	if refused != nil {
+		return notRun
+	}
+	defer d.n.release(chosen.Target.Name)
+	d.n.events.Record(event.ConfirmationDispatched, r.Key, event.F("target", chosen.Target.Name))
+	reply, err := d.n.targets.client(chosen.Target.Address).Call(ctx, target.Call{Key: r.Key, Workspace: r.Workspace, Body: r.Body})
+	switch {
+	case errors.Is(err, target.ErrNotSent):
+		d.n.events.Record(event.ConfirmationNotRun, r.Key, event.F("target", chosen.Target.Name))
+		return notRun
+	case err != nil:
+		d.n.events.Record(event.ConfirmationUnknown, r.Key, event.F("target", chosen.Target.Name))
+		return confirmation.Record{Key: r.Key, Outcome: failure.Unknown}
+	}
+	d.n.events.Record(event.ConfirmationRan, r.Key, event.F("target", chosen.Target.Name))
+	return confirmation.Record{Key: r.Key, Outcome: failure.Ran, Status: reply.Status, Answer: reply.Body}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,160 @@
+// Package node builds one daemon out of the slices and runs it. It owns no
+// decision: it connects slices to sockets, clocks and each other.
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/confirmation"
+	"github.com/vanillaroad/vanillaroad/control"
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/generation"
+	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/peer"
+	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/settings"
+)
+
+// Node is one daemon.
+type Node struct {
+	settings  settings.Settings
+	self      peer.Identity
+	events    *event.Recorder
+	metrics   metrics.Registry
+	loop      *control.Loop
+	transport *peer.Transport
+	platform  *platform.Client
+	targets   *targetPool
+	hub       *generation.Hub
+	confirm   confirmation.Service
+
+	snapshot atomic.Pointer[configuration.Snapshot]
+	view     atomic.Pointer[membership.View]
+	draining atomic.Bool // out of the directory
+	refusing atomic.Bool // takes no new work
+	requests atomic.Int64
+
+	inFlight map[string]int // by target; owned by the control loop
+
+	listener net.Listener
+	server   *http.Server
+	wg       sync.WaitGroup
+}
+
+// New binds the daemon's addresses and connects its slices. Nothing runs yet.
+func New(s settings.Settings, logOutput io.Writer) (*Node, error) {
+	self := peer.Identity{
+		ID: s.ID, Incarnation: uint64(time.Now().UnixNano()), Place: s.Place, Region: s.Region,
+		APIAddress: s.APIAddress, PeerAddress: s.PeerAddress,
+	}
+	events := event.NewRecorder(s.ID, event.NewClock(time.Now), newLogger(logOutput, s), s.EventRing)
+	transport, err := peer.Listen(self, events)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", s.APIAddress)
+	if err != nil {
+		transport.Close()
+		return nil, errors.Wrapf(err, "listen for callers at %s", s.APIAddress)
+	}
+	n := &Node{
+		settings: s, self: self, events: events, metrics: metrics.NewRegistry(), loop: control.NewLoop(),
+		transport: transport, listener: listener, inFlight: make(map[string]int),
+	}
+	n.platform = platform.NewClient(s.Platform, n.metrics)
+	n.targets = newTargetPool()
+	n.hub = generation.NewHub(s.Generation, &router{n}, events)
+	n.confirm = confirmation.NewLocal(&dispatcher{n})
+	n.publishView(nil)
+	empty, _ := configuration.NewSnapshot(0, configuration.Document{})
+	n.snapshot.Store(empty)
+	n.server = n.newServer()
+	n.loop.Every(time.Second, func(now time.Time) { n.hub.Sweep(now) })
+	return n, nil
+}
+
+func newLogger(w io.Writer, s settings.Settings) log.Logger {
+	l := log.NewJSONLogger(log.NewSyncWriter(w))
+	l = log.With(l, "ts", log.DefaultTimestampUTC, "node", s.ID)
+	return level.NewFilter(l, level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
+}
+
+// Run serves until ctx ends, then stops gracefully: it leaves the directory,
+// serves on while old directory answers are kept, and finishes what runs.
+func (n *Node) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	n.spawn(func() { n.loop.Run(background) })
+	n.spawn(n.transport.Serve)
+	n.spawn(func() { n.watchConfiguration(background) })
+	n.spawn(func() { n.watchMembers(background) })
+	failed := make(chan error, 1)
+	n.spawn(func() { failed <- n.server.Serve(n.listener) })
+	n.events.Record(event.NodeStarted, "", event.F("api", n.settings.APIAddress), event.F("peer", n.settings.PeerAddress))
+	var err error
+	select {
+	case <-ctx.Done():
+		n.drain()
+	case err = <-failed:
+		n.events.Record(event.NodeFailed, "", event.F("error", err.Error()))
+	}
+	n.close(stop)
+	n.events.Record(event.NodeStopped, "")
+	return errors.Wrap(err, "serve callers")
+}
+
+func (n *Node) spawn(fn func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		fn()
+	}()
+}
+
+// Drain starts a planned stop without ending the process.
+func (n *Node) Drain() {
+	if n.draining.CompareAndSwap(false, true) {
+		n.events.Record(event.NodeDraining, "")
+	}
+}
+
+// drainPoll is how often a stopping daemon looks for running work.
+const drainPoll = 50 * time.Millisecond
+
+func (n *Node) drain() {
+	n.Drain()
+	time.Sleep(n.settings.Membership.DirectoryTTL.Std())
+	n.refusing.Store(true)
+	for n.requests.Load() > 0 || n.hub.Active() > 0 {
+		time.Sleep(drainPoll)
+	}
+}
+
+// closeTimeout bounds the wait for idle connections of callers.
+const closeTimeout = 2 * time.Second
+
+func (n *Node) close(stop context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if n.server.Shutdown(ctx) != nil {
+		_ = n.server.Close()
+	}
+	n.hub.Close()
+	stop()
+	n.transport.Close()
+	n.wg.Wait()
+	n.platform.Close()
+	n.targets.close()
+}
--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// maxFrameBytes bounds one frame. It exceeds the platform's largest value, one
+// megabyte, so that any platform object can be relayed.
+const maxFrameBytes = 4 << 20
+
+const headerBytes = 4
+
+// writeFrame writes one envelope with its length prefix in a single write.
+func writeFrame(w io.Writer, e *envelope) error {
+	body, err := msgpack.Marshal(e)
+	if err != nil {
+		return errors.Wrap(err, "encode frame")
+	}
+	if len(body) > maxFrameBytes {
+		return errors.WithStack(ErrFrameTooLarge)
+	}
+	buf := make([]byte, headerBytes+len(body))
+	binary.BigEndian.PutUint32(buf, uint32(len(body)))
+	copy(buf[headerBytes:], body)
+	_, err = w.Write(buf)
+	return errors.Wrap(err, "write frame")
+}
+
+// readFrame reads one envelope. It allocates no more than arrived plus one
+// chunk, so that a false length can't claim memory.
+func readFrame(r io.Reader) (*envelope, error) {
+	var head [headerBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, errors.Wrap(err, "read frame header")
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > maxFrameBytes {
+		return nil, errors.WithStack(ErrFrameTooLarge)
+	}
+	body, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err != nil {
+		return nil, errors.Wrap(err, "read frame body")
+	}
+	if len(body) < int(n) {
+		return nil, errors.Wrap(io.ErrUnexpectedEOF, "read frame body")
+	}
+	e := new(envelope)
+	if err := msgpack.Unmarshal(body, e); err != nil {
+		return nil, errors.Wrap(err, "decode frame")
+	}
+	return e, nil
+}
--- /dev/null
+++ b/peer/transport_test.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillaroad/vanillaroad/event"
+)
+
+func listen(id string) *Transport {
+	events := event.NewRecorder(id, event.NewClock(time.Now), log.NewNopLogger(), 16)
+	t, err := Listen(Identity{ID: id, Incarnation: 1, PeerAddress: "127.0.0.1:0"}, events)
+	So(err, ShouldBeNil)
+	t.self.PeerAddress = t.ln.Addr().String()
+	go t.Serve()
+	return t
+}
+
+const testKind Kind = 999
+
+func TestTransport(t *testing.T) {
+	Convey("Given two transports", t, func() {
+		a, b := listen("a"), listen("b")
+		Reset(func() {
+			a.Close()
+			b.Close()
+		})
+		b.handlers[testKind] = func(_ context.Context, from Identity, body []byte) (any, error) {
+			var s string
+			err := msgpack.Unmarshal(body, &s)
+			return from.ID + " said " + s, err
+		}
+		Convey("a call is answered, and the sender is known", func() {
+			var got string
+			So(a.Call(context.Background(), b.self.PeerAddress, testKind, "hello", &got), ShouldBeNil)
+			So(got, ShouldEqual, "a said hello")
+		})
+		Convey("a kind without a handler is an error that names the peer", func() {
+			err := a.Call(context.Background(), b.self.PeerAddress, 1000, "hello", nil)
+			So(err, ShouldHaveSameTypeAs, &RemoteError{})
+		})
+		Convey("a cut link fails calls in both directions and heals", func() {
+			a.Block(func(address string) bool { return address == b.self.PeerAddress })
+			So(a.Call(context.Background(), b.self.PeerAddress, testKind, "x", nil), ShouldNotBeNil)
+			a.Block(nil)
+			So(a.Call(context.Background(), b.self.PeerAddress, testKind, "x", nil), ShouldBeNil)
+		})
+	})
+}
+
+func FuzzReadFrame(f *testing.F) {
+	var good bytes.Buffer
+	if err := writeFrame(&good, &envelope{Kind: testKind, ID: 7, Body: []byte{0xc0}}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0, 0, 9, 1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e, err := readFrame(bytes.NewReader(b))
+		if err == nil && e == nil {
+			t.Fatal("no frame and no error")
+		}
+	})
+}
--- /dev/null
+++ b/routing/filter.go
@@ -0,0 +1,32 @@
+package routing
+
+import "github.com/vanillaroad/vanillaroad/configuration"
+
+// Available drops targets that are leaving, dead, or lost by this request.
+type Available struct{}
+
+// Keep implements Filter.
+func (Available) Keep(r Request, c Candidate) bool {
+	return !c.Leaving && !c.Down && !r.Exclude[c.Target.Name]
+}
+
+// SameVersion drops targets that report another version of the model than the
+// answer began with.
+type SameVersion struct{}
+
+// Keep implements Filter.
+func (SameVersion) Keep(r Request, c Candidate) bool {
+	return r.Version == "" || c.Version == "" || c.Version == r.Version
+}
+
+// Share keeps the side of a migration that the request belongs to.
+type Share struct{}
+
+// Keep implements Filter.
+func (Share) Keep(r Request, c Candidate) bool {
+	side := c.Target.System
+	if side == "" {
+		side = configuration.NewSystem
+	}
+	return side == r.Pinned
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,98 @@
+// Package settings reads the JSON settings of a daemon and names every fault
+// of them at once.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/admission"
+	"github.com/vanillaroad/vanillaroad/confirmation"
+	"github.com/vanillaroad/vanillaroad/generation"
+	"github.com/vanillaroad/vanillaroad/membership"
+)
+
+// Settings is the whole of a daemon's file.
+type Settings struct {
+	ID          string `json:"id" validate:"required,max=128"`
+	Place       string `json:"place" validate:"required"`
+	Region      string `json:"region" validate:"required"`
+	APIAddress  string `json:"api_address" validate:"required,hostname_port"`  // IP:port for callers and operators
+	PeerAddress string `json:"peer_address" validate:"required,hostname_port"` // IP:port for other daemons
+	Platform    string `json:"platform" validate:"required,url"`               // base URL of the platform
+	LogLevel    string `json:"log_level" validate:"oneof=debug info warn error"`
+	EventRing   int    `json:"event_ring" validate:"min=16,max=1000000"` // events kept for the time line
+
+	Membership   membership.Settings   `json:"membership"`
+	Admission    admission.Settings    `json:"admission"`
+	Generation   generation.Settings   `json:"generation"`
+	Confirmation confirmation.Settings `json:"confirmation"`
+}
+
+// Default returns settings with everything set that has a default.
+func Default() Settings {
+	return Settings{
+		LogLevel: "info", EventRing: 4096,
+		Membership: membership.DefaultSettings(), Admission: admission.DefaultSettings(),
+		Generation: generation.DefaultSettings(), Confirmation: confirmation.DefaultSettings(),
+	}
+}
+
+// Faults names every fault with the path of the setting.
+type Faults []string
+
+// Error implements error.
+func (f Faults) Error() string { return "bad settings: " + strings.Join(f, "; ") }
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	s, err := Parse(b)
+	return s, errors.Wrap(err, path)
+}
+
+// Parse reads settings over the defaults. Unknown keys are errors.
+func Parse(b []byte) (Settings, error) {
+	s := Default()
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return Settings{}, Faults{err.Error()}
+	}
+	return s, s.Check()
+}
+
+var validate = newValidator()
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(jsonName)
+	return v
+}
+
+// Check returns Faults of all faults, or nil.
+func (s Settings) Check() error {
+	var fields validator.ValidationErrors
+	err := validate.Struct(s)
+	if err == nil {
+		return nil
+	}
+	if !errors.As(err, &fields) {
+		return errors.WithStack(err)
+	}
+	var out Faults
+	for _, f := range fields {
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		out = append(out, fmt.Sprintf("%s: %v fails %q", path, f.Value(), strings.TrimSpace(f.Tag()+" "+f.Param())))
+	}
+	return out
+}
--- /dev/null
+++ b/target/block.go
@@ -0,0 +1,29 @@
+package target
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BlockChars is the length of one prefix-cache block, in characters of prompt.
+const BlockChars = 64
+
+// BlockHashes returns the hash of each whole block of a prompt, each chained to
+// the one before, so that equal hashes mean equal prefixes. limit bounds the
+// number of blocks.
+func BlockHashes(model, version, prompt string, limit int) []uint64 {
+	previous := xxhash.Sum64String(model + "\x00" + version)
+	var out []uint64
+	for len(prompt) >= BlockChars && len(out) < limit {
+		d := xxhash.New()
+		var b [8]byte
+		binary.LittleEndian.PutUint64(b[:], previous)
+		_, _ = d.Write(b[:])
+		_, _ = d.WriteString(prompt[:BlockChars])
+		previous = d.Sum64()
+		out = append(out, previous)
+		prompt = prompt[BlockChars:]
+	}
+	return out
+}
--- /dev/null
+++ b/target/client.go
@@ -0,0 +1,235 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds of a target client.
+const (
+	dialTimeout   = time.Second
+	answerTimeout = 2 * time.Second
+	maxLineBytes  = 1 << 20
+)
+
+// Client speaks to one target over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var (
+	_ Engine = (*Client)(nil)
+	_ Plain  = (*Client)(nil)
+)
+
+// NewClient returns a client of the target at address, an IP number and port.
+func NewClient(address string) *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     10 * time.Second,
+	}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+}
+
+// Close releases idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Generate implements Engine.
+func (c *Client) Generate(ctx context.Context, req GenerateRequest) (Stream, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return c.stream(ctx, http.MethodPost, "/generate", body)
+}
+
+// Attach implements Engine.
+func (c *Client) Attach(ctx context.Context, id StreamID, from int64) (Stream, error) {
+	return c.stream(ctx, http.MethodGet, fmt.Sprintf("%s?from=%d", streamPath(id), from), nil)
+}
+
+func streamPath(id StreamID) string {
+	return fmt.Sprintf("/streams/%s/%d", url.PathEscape(id.Request), id.Attempt)
+}
+
+func (c *Client) stream(ctx context.Context, method, path string, body []byte) (Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := c.send(ctx, method, path, body)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if err := statusError(resp); err != nil {
+		cancel()
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	sc := bufio.NewScanner(resp.Body)
+	sc.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	return &stream{body: resp.Body, scan: sc, cancel: cancel}, nil
+}
+
+// send separates requests that can't have been seen from those that may have:
+// once the first byte may have left, an error is ErrLost.
+func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	var wrote atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) },
+	})
+	var content io.Reader
+	if body != nil {
+		// A plain reader has no GetBody, so the transport can't resend it.
+		content = struct{ io.Reader }{bytes.NewReader(body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, content)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	req.ContentLength = int64(len(body))
+	resp, err := c.http.Do(req)
+	if err != nil && wrote.Load() {
+		return nil, errors.Wrap(ErrLost, err.Error())
+	}
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	return resp, nil
+}
+
+func statusError(resp *http.Response) error {
+	switch {
+	case resp.StatusCode < http.StatusMultipleChoices:
+		return nil
+	case resp.StatusCode == http.StatusNotFound:
+		return errors.WithStack(ErrNoStream)
+	case resp.StatusCode == http.StatusPreconditionFailed:
+		return errors.WithStack(ErrFenced)
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		return errors.Wrapf(ErrRefused, "status %d", resp.StatusCode)
+	default:
+		return errors.Wrapf(ErrLost, "status %d", resp.StatusCode)
+	}
+}
+
+type stream struct {
+	body   io.ReadCloser
+	scan   *bufio.Scanner
+	cancel context.CancelFunc
+}
+
+// Next implements Stream.
+func (s *stream) Next() (StreamEvent, error) {
+	if !s.scan.Scan() {
+		if err := s.scan.Err(); err != nil {
+			return StreamEvent{}, errors.Wrap(ErrLost, err.Error())
+		}
+		return StreamEvent{}, errors.Wrap(ErrLost, "stream ended early")
+	}
+	var e StreamEvent
+	if err := json.Unmarshal(s.scan.Bytes(), &e); err != nil {
+		return StreamEvent{}, errors.Wrap(ErrLost, "bad stream event: "+err.Error())
+	}
+	return e, nil
+}
+
+// Close implements Stream.
+func (s *stream) Close() error {
+	s.cancel()
+	return s.body.Close()
+}
+
+// Cancel implements Engine.
+func (c *Client) Cancel(ctx context.Context, id StreamID) error {
+	return c.exchange(ctx, http.MethodDelete, streamPath(id), nil, nil)
+}
+
+// Probe implements Engine. It always opens a connection of its own, because
+// open connections can be silent for good while new ones work.
+func (c *Client) Probe(ctx context.Context) (uint64, error) {
+	fresh := &Client{base: c.base, http: &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true,
+	}}}
+	var l Load
+	err := fresh.exchange(ctx, http.MethodGet, "/health", nil, &l)
+	return l.Incarnation, err
+}
+
+// Load implements Engine and Plain.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	var l Load
+	err := c.exchange(ctx, http.MethodGet, "/load", nil, &l)
+	return l, err
+}
+
+// CacheEvents implements Engine.
+func (c *Client) CacheEvents(ctx context.Context, after int64) ([]CacheEvent, error) {
+	var out []CacheEvent
+	err := c.exchange(ctx, http.MethodGet, fmt.Sprintf("/cache-events?after=%d", after), nil, &out)
+	return out, err
+}
+
+// Order implements Engine.
+func (c *Client) Order(ctx context.Context, o Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return c.exchange(ctx, http.MethodPost, "/orders", body, nil)
+}
+
+// exchange makes one short call with a deadline.
+func (c *Client) exchange(ctx context.Context, method, path string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	return c.answer(ctx, method, path, body, out)
+}
+
+func (c *Client) answer(ctx context.Context, method, path string, body []byte, out any) error {
+	resp, err := c.send(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := statusError(resp); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return errors.Wrap(ErrLost, err.Error())
+	}
+	return nil
+}
+
+// Call implements Plain. The caller's context bounds it.
+func (c *Client) Call(ctx context.Context, call Call) (Reply, error) {
+	body, err := json.Marshal(call)
+	if err != nil {
+		return Reply{}, errors.Wrap(ErrNotSent, err.Error())
+	}
+	resp, err := c.send(ctx, http.MethodPost, "/call", body)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxLineBytes))
+	if err != nil {
+		return Reply{}, errors.Wrap(ErrLost, err.Error())
+	}
+	return Reply{Status: resp.StatusCode, Body: string(b)}, nil
+}
