--- a/gen/generations/endpoints.go
+++ b/gen/generations/endpoints.go
@@ -3,7 +3,7 @@
 // generations endpoints
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package generations
 
--- a/gen/generations/service.go
+++ b/gen/generations/service.go
@@ -3,7 +3,7 @@
 // generations service
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package generations
 
--- a/gen/http/confirmations/client/cli.go
+++ b/gen/http/confirmations/client/cli.go
@@ -3,7 +3,7 @@
 // confirmations HTTP client CLI support package
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package client
 
--- a/gen/http/directory/client/client.go
+++ b/gen/http/directory/client/client.go
@@ -3,7 +3,7 @@
 // directory client HTTP transport
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package client
 
--- a/gen/http/directory/client/types.go
+++ b/gen/http/directory/client/types.go
@@ -3,7 +3,7 @@
 // directory HTTP client types
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package client
 
--- a/gen/http/generations/client/paths.go
+++ b/gen/http/generations/client/paths.go
@@ -3,7 +3,7 @@
 // HTTP request path constructors for the generations service.
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package client
 
--- a/gen/http/generations/server/sse.go
+++ b/gen/http/generations/server/sse.go
@@ -3,7 +3,7 @@
 // sse
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package server
 
--- a/gen/http/operations/client/client.go
+++ b/gen/http/operations/client/client.go
@@ -3,7 +3,7 @@
 // operations client HTTP transport
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package client
 
--- a/gen/http/operations/server/encode_decode.go
+++ b/gen/http/operations/server/encode_decode.go
@@ -3,7 +3,7 @@
 // operations HTTP server encoders and decoders
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package server
 
--- a/gen/operations/client.go
+++ b/gen/operations/client.go
@@ -3,7 +3,7 @@
 // operations client
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package operations
 
--- a/gen/operations/endpoints.go
+++ b/gen/operations/endpoints.go
@@ -3,7 +3,7 @@
 // operations endpoints
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package operations
 
--- a/gen/operations/service.go
+++ b/gen/operations/service.go
@@ -3,7 +3,7 @@
 // operations service
 //
 // Command:
-// $ goa gen github.com/vanillaroad/vanillaroad/design
+// $ goa gen github.com/vanillaroad/vanillaroad/design -o ..
 
 package operations
 
