--- a/membership/membership.go
+++ b/membership/membership.go
@@ -34,10 +34,14 @@
 	Gone    State = "gone"
 )
 
-// Member is one daemon.
+// Member is one daemon. Its Incarnation is 0 until this daemon has heard of it.
 type Member struct {
 	peer.Identity
 	State State
+	// Listed tells that the newest VM list that was read names it.
+	Listed bool
+	// Version is the configuration version in force on it, as last heard.
+	Version int64
 }
 
 // View is an immutable snapshot of the members, sorted by id, self included.
@@ -46,8 +50,25 @@
 	Members []Member
 	// Isolated tells that this daemon must take no new work.
 	Isolated bool
-	// LeavingVMs holds the ids and addresses of VMs that are going away.
+	// LeavingVMs holds the ids of VMs that the VM list marks as leaving.
 	LeavingVMs map[string]bool
+	// Departed holds the ids of VMs that were on the VM list and no longer are.
+	Departed map[string]bool
+}
+
+// Gone tells whether one run of a daemon has certainly ended: its VM was on the
+// VM list and has left it, or a later incarnation holds its address. Silence
+// alone is never enough, because a paused daemon wakes again.
+func (v *View) Gone(id string, incarnation uint64) bool {
+	if v.Departed[id] {
+		return true
+	}
+	for _, m := range v.Members {
+		if m.ID == id {
+			return m.Incarnation > incarnation
+		}
+	}
+	return false
 }
 
 // Live returns the members that take new work.
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -14,6 +14,15 @@
 // platformRetry is the pause after a failed platform call.
 const platformRetry = 500 * time.Millisecond
 
+func (n *Node) buildConfiguration() {
+	empty, _ := configuration.NewSnapshot(0, configuration.Document{}) // no selectors to fail on
+	n.snapshot.Store(empty)
+}
+
+func (n *Node) runConfiguration(ctx context.Context) {
+	n.spawn(func() { n.watchConfiguration(ctx) })
+}
+
 // watchConfiguration keeps the newest accepted version in force.
 func (n *Node) watchConfiguration(ctx context.Context) {
 	var since int64
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -16,6 +16,10 @@
 // dispatcher sends confirmations to plain services.
 type dispatcher struct{ n *Node }
 
+func (n *Node) buildConfirmations() { n.confirm = confirmation.NewLocal(&dispatcher{n}) }
+
+func (n *Node) runConfirmations(context.Context) {}
+
 // Dispatch implements confirmation.Dispatcher.
 func (d *dispatcher) Dispatch(ctx context.Context, r confirmation.Request) confirmation.Record {
 	notRun := confirmation.Record{Key: r.Key, Outcome: failure.NotRun, RetryAfter: retryAfter}
--- a/node/membership.go
+++ b/node/membership.go
@@ -20,6 +20,12 @@
 // EntryRole is the RoleLabel value of VMs that run a daemon.
 const EntryRole = "entry"
 
+func (n *Node) buildMembership() { n.publishView(nil) }
+
+func (n *Node) runMembership(ctx context.Context) {
+	n.spawn(func() { n.watchMembers(ctx) })
+}
+
 func (n *Node) watchMembers(ctx context.Context) {
 	for ctx.Err() == nil {
 		if vms, err := n.platform.VMs(ctx); err == nil {
@@ -31,7 +37,7 @@
 
 // publishView makes the view from the VM list and this daemon itself.
 func (n *Node) publishView(vms []platform.VM) {
-	v := &membership.View{Self: n.self, LeavingVMs: make(map[string]bool)}
+	v := &membership.View{Self: n.self, LeavingVMs: make(map[string]bool), Departed: make(map[string]bool)}
 	own := membership.Member{Identity: n.self, State: membership.Alive}
 	if n.draining.Load() {
 		own.State = membership.Leaving
@@ -51,7 +57,7 @@
 
 // member derives a daemon's addresses: all daemons use the same ports.
 func (n *Node) member(vm platform.VM) membership.Member {
-	m := membership.Member{State: membership.Alive, Identity: peer.Identity{
+	m := membership.Member{State: membership.Alive, Listed: true, Identity: peer.Identity{
 		ID: vm.ID, Place: vm.Place, Region: vm.Region,
 		APIAddress:  samePort(vm.Address, n.settings.APIAddress),
 		PeerAddress: samePort(vm.Address, n.settings.PeerAddress),
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/settings"
+	"github.com/vanillaroad/vanillaroad/trace"
 )
 
 // Node is one daemon.
@@ -33,6 +35,7 @@
 	self      peer.Identity
 	events    *event.Recorder
 	metrics   metrics.Registry
+	trace     *trace.Recorder // nil when off
 	loop      *control.Loop
 	transport *peer.Transport
 	platform  *platform.Client
@@ -73,15 +76,18 @@
 		settings: s, self: self, events: events, metrics: metrics.NewRegistry(), loop: control.NewLoop(),
 		transport: transport, listener: listener, inFlight: make(map[string]int),
 	}
+	if err := n.openTrace(s.TraceFile); err != nil {
+		transport.Close()
+		_ = listener.Close()
+		return nil, err
+	}
 	n.platform = platform.NewClient(s.Platform, n.metrics)
-	n.targets = newTargetPool()
-	n.hub = generation.NewHub(s.Generation, &router{n}, events)
-	n.confirm = confirmation.NewLocal(&dispatcher{n})
-	n.publishView(nil)
-	empty, _ := configuration.NewSnapshot(0, configuration.Document{})
-	n.snapshot.Store(empty)
+	n.buildMembership()
+	n.buildConfiguration()
+	n.buildRouting()
+	n.buildGenerations()
+	n.buildConfirmations()
 	n.server = n.newServer()
-	n.loop.Every(time.Second, func(now time.Time) { n.hub.Sweep(now) })
 	return n, nil
 }
 
@@ -91,6 +97,19 @@
 	return level.NewFilter(l, level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
 }
 
+// openTrace starts recording when path is not empty.
+func (n *Node) openTrace(path string) error {
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "open trace file")
+	}
+	n.trace, err = trace.NewRecorder(f, n.self.ID)
+	return err
+}
+
 // Run serves until ctx ends, then stops gracefully: it leaves the directory,
 // serves on while old directory answers are kept, and finishes what runs.
 func (n *Node) Run(ctx context.Context) error {
@@ -98,8 +117,10 @@
 	defer stop()
 	n.spawn(func() { n.loop.Run(background) })
 	n.spawn(n.transport.Serve)
-	n.spawn(func() { n.watchConfiguration(background) })
-	n.spawn(func() { n.watchMembers(background) })
+	n.runMembership(background)
+	n.runConfiguration(background)
+	n.runRouting(background)
+	n.runConfirmations(background)
 	failed := make(chan error, 1)
 	n.spawn(func() { failed <- n.server.Serve(n.listener) })
 	n.events.Record(event.NodeStarted, "", event.F("api", n.settings.APIAddress), event.F("peer", n.settings.PeerAddress))
--- a/node/router.go
+++ b/node/router.go
@@ -20,6 +20,10 @@
 // retryAfter is told to callers that were refused for want of capacity.
 const retryAfter = time.Second
 
+func (n *Node) buildRouting() { n.targets = newTargetPool() }
+
+func (n *Node) runRouting(context.Context) {}
+
 // Route implements generation.Router.
 func (r *router) Route(ctx context.Context, req generation.Request, _ int64, exclude []string, version string) (generation.Grant, *failure.Error) {
 	snapshot := r.n.snapshot.Load()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,7 @@
 	Platform    string `json:"platform" validate:"required,url"`               // base URL of the platform
 	LogLevel    string `json:"log_level" validate:"oneof=debug info warn error"`
 	EventRing   int    `json:"event_ring" validate:"min=16,max=1000000"` // events kept for the time line
+	TraceFile   string `json:"trace_file,omitempty"`                     // records decision inputs; off if empty
 
 	Membership   membership.Settings   `json:"membership"`
 	Admission    admission.Settings    `json:"admission"`
--- /dev/null
+++ b/trace/replay.go
@@ -0,0 +1,94 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of replay.
+var (
+	ErrFormat   = errors.New("not a trace file of a known version")
+	ErrDiverged = errors.New("replay decided otherwise")
+)
+
+// Machine replays one machine of a slice.
+type Machine interface {
+	// Replay decodes one input, takes it, and returns the decisions named.
+	Replay(at time.Time, input Named) ([]Named, error)
+}
+
+// Maker makes a slice's machine from the value of its "new" step.
+type Maker func(made json.RawMessage) (Machine, error)
+
+// maxLineBytes bounds one line of a trace.
+const maxLineBytes = 16 << 20
+
+// Read calls fn with each step of a trace.
+func Read(r io.Reader, fn func(Step) error) (Header, error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLineBytes)
+	var h Header
+	if !lines.Scan() || json.Unmarshal(lines.Bytes(), &h) != nil || h.Format != Format || h.Version != Version {
+		return h, errors.WithStack(ErrFormat)
+	}
+	for lines.Scan() {
+		var s Step
+		if err := json.Unmarshal(lines.Bytes(), &s); err != nil {
+			return h, errors.Wrap(err, "decode step")
+		}
+		if err := fn(s); err != nil {
+			return h, err
+		}
+	}
+	return h, errors.Wrap(lines.Err(), "read trace")
+}
+
+// Replay runs a trace through new machines and returns the number of steps, or
+// ErrDiverged at the first decision that differs. Steps of slices without a
+// maker are passed over.
+func Replay(r io.Reader, makers map[string]Maker) (int, error) {
+	machines := make(map[string]Machine)
+	steps := 0
+	_, err := Read(r, func(s Step) error {
+		make, known := makers[s.Slice]
+		if !known {
+			return nil
+		}
+		steps++
+		id := s.Slice + "\x00" + s.Key
+		if s.Input.Type == NewMachine {
+			m, err := make(s.Input.Value)
+			machines[id] = m
+			return err
+		}
+		return replayStep(machines[id], s, steps)
+	})
+	return steps, err
+}
+
+func replayStep(m Machine, s Step, number int) error {
+	if m == nil {
+		return errors.Errorf("step %d: %s %s was never made", number, s.Slice, s.Key)
+	}
+	got, err := m.Replay(time.Unix(0, s.At), s.Input)
+	if err != nil {
+		return errors.Wrapf(err, "step %d", number)
+	}
+	want, err := json.Marshal(s.Decisions)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	have, err := json.Marshal(got)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if !bytes.Equal(want, have) {
+		return errors.Wrapf(ErrDiverged, "step %d of %s %s: recorded %s, got %s", number, s.Slice, s.Key, want, have)
+	}
+	return nil
+}
