--- a/client/client.go
+++ b/client/client.go
@@ -50,6 +50,7 @@
 	mu      sync.Mutex
 	known   []string
 	expires time.Time
+	avoided map[string]time.Time // address to when it may be used again
 }
 
 // New returns a client.
@@ -61,7 +62,7 @@
 		s.Silence = defaultSilence
 	}
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 64}
-	return &Client{settings: s, http: &http.Client{Transport: transport}}
+	return &Client{settings: s, avoided: make(map[string]time.Time), http: &http.Client{Transport: transport}}
 }
 
 // Close releases idle connections.
@@ -90,6 +91,41 @@
 	return c.settings.Addresses
 }
 
+// avoidFor is how long a daemon that was lost or refused is asked last.
+const avoidFor = 2 * time.Second
+
+// avoid makes next prefer other daemons for a while.
+func (c *Client) avoid(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for a, until := range c.avoided {
+		if now.After(until) {
+			delete(c.avoided, a)
+		}
+	}
+	c.avoided[address] = now.Add(avoidFor)
+}
+
+// next returns the daemon to ask now: the first that is not avoided, or else
+// the one that is avoided the longest.
+func (c *Client) next(ctx context.Context) string {
+	addresses := c.Addresses(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	best := addresses[0]
+	for _, a := range addresses {
+		until, avoided := c.avoided[a]
+		if !avoided || time.Now().After(until) {
+			return a
+		}
+		if until.Before(c.avoided[best]) {
+			best = a
+		}
+	}
+	return best
+}
+
 type directoryAnswer struct {
 	Addresses []string `json:"addresses"`
 	TTLMillis int64    `json:"ttl_ms"`
--- a/client/generate.go
+++ b/client/generate.go
@@ -53,21 +53,25 @@
 func (c *Client) Generate(ctx context.Context, r GenerateRequest, onToken func(Token)) (Answer, error) {
 	s := &session{client: c, request: r, onToken: onToken}
 	var last error
+	moves := -1
+	// Attempts bounds the daemons asked since the last one that brought a token.
 	for i := 0; i < c.settings.Attempts && ctx.Err() == nil; i++ {
-		addresses := c.Addresses(ctx)
-		end := s.follow(ctx, addresses[i%len(addresses)])
+		moves++
+		held := len(s.request.Held)
+		end := s.follow(ctx, c.next(ctx))
 		if end.done || final(end.err) {
-			return Answer{Tokens: s.request.Held, Moves: i}, end.err
+			return Answer{Tokens: s.request.Held, Moves: moves}, end.err
 		}
 		last = end.err
-		if i >= len(addresses)-1 {
-			pause(ctx, time.Duration(i)*pauseStep)
+		if len(s.request.Held) > held {
+			i = 0
 		}
+		pause(ctx, time.Duration(i)*pauseStep)
 	}
 	if ctx.Err() != nil {
 		last = ctx.Err()
 	}
-	return Answer{Tokens: s.request.Held}, last
+	return Answer{Tokens: s.request.Held, Moves: max(moves, 0)}, last
 }
 
 // final tells whether asking another daemon is no use.
@@ -102,6 +106,7 @@
 	}
 	resp, err := s.client.send(ctx, address, http.MethodPost, "/v1/generations", s.request, header)
 	if err != nil {
+		s.client.avoid(address)
 		return streamEnd{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -117,6 +122,7 @@
 		}
 		e = serverEvent{}
 	}
+	s.client.avoid(address)
 	return streamEnd{err: failure.New(failure.UnknownResult, failure.Unknown, "read stream", address, "stream lost")}
 }
 
@@ -144,6 +150,8 @@
 	Position   int64  `json:"position"`
 	Text       string `json:"text"`
 	Code       string `json:"code"`
+	Message    string `json:"message"`
+	Outcome    string `json:"outcome"`
 	RetryAfter int64  `json:"retry_after_ms"`
 	Step       string `json:"step"`
 	Peer       string `json:"peer"`
@@ -169,7 +177,7 @@
 	case "done":
 		return streamEnd{done: true}, true
 	case "incomplete":
-		f := failure.New(failure.Code(d.Code), failure.Ran, d.Step, d.Peer, "answer incomplete")
+		f := failure.New(failure.Code(d.Code), failure.Outcome(d.Outcome), d.Step, d.Peer, "answer incomplete: %s", d.Message)
 		return streamEnd{err: f.After(time.Duration(d.RetryAfter) * time.Millisecond)}, true
 	}
 	return streamEnd{}, false
--- a/design/design.go
+++ b/design/design.go
@@ -88,6 +88,8 @@
 	Attribute("position", Int64, "Position of the token, or the number of tokens when the answer ends.")
 	Attribute("text", String, "Token text.")
 	Attribute("code", String, "Why the answer is incomplete.")
+	Attribute("message", String, "Explanation for a person.")
+	Attribute("outcome", String, "Whether the request ran at a target.", func() { Enum("ran", "not_run", "unknown") })
 	Attribute("retry_after_ms", Int64, "Milliseconds to wait before asking again.")
 	Attribute("step", String, "Step at which the answer stopped.")
 	Attribute("peer", String, "Peer at which the answer stopped.")
--- a/event/numbers_generation.go
+++ b/event/numbers_generation.go
@@ -15,6 +15,9 @@
 	RequestQuarantined  Number = 410
 	TargetProbed        Number = 411
 	GenerationContinued Number = 412
+	StreamAttached      Number = 413
+	GenerationTaken     Number = 414
+	RequestStruck       Number = 415
 )
 
 var generationEntries = []Entry{
@@ -31,4 +34,7 @@
 	{RequestQuarantined, "request_quarantined", Warn, "A request lost too many targets and is not run again.", "Release it in the configuration once mended."},
 	{TargetProbed, "target_probed", Debug, "A silent target was probed on a new connection.", ""},
 	{GenerationContinued, "generation_continued", Info, "A caller from another daemon goes on here from what it holds.", ""},
+	{StreamAttached, "stream_attached", Info, "A running stream of a target is read on a new connection; no work is repeated.", ""},
+	{GenerationTaken, "generation_taken", Info, "Another daemon goes on with an answer; its stream is left running here.", ""},
+	{RequestStruck, "request_struck", Info, "A target failed under a request; it is counted against the request.", ""},
 }
--- a/gen/generations/service.go
+++ b/gen/generations/service.go
@@ -117,6 +117,10 @@
 	Text *string
 	// Why the answer is incomplete.
 	Code *string
+	// Explanation for a person.
+	Message *string
+	// Whether the request ran at a target.
+	Outcome *string
 	// Milliseconds to wait before asking again.
 	RetryAfterMs *int64
 	// Step at which the answer stopped.
--- a/gen/http/generations/client/encode_decode.go
+++ b/gen/http/generations/client/encode_decode.go
@@ -337,6 +337,8 @@
 		Position:     *v.Position,
 		Text:         v.Text,
 		Code:         v.Code,
+		Message:      v.Message,
+		Outcome:      v.Outcome,
 		RetryAfterMs: v.RetryAfterMs,
 		Step:         v.Step,
 		Peer:         v.Peer,
--- a/gen/http/generations/server/encode_decode.go
+++ b/gen/http/generations/server/encode_decode.go
@@ -290,6 +290,8 @@
 		Position:     v.Position,
 		Text:         v.Text,
 		Code:         v.Code,
+		Message:      v.Message,
+		Outcome:      v.Outcome,
 		RetryAfterMs: v.RetryAfterMs,
 		Step:         v.Step,
 		Peer:         v.Peer,
--- a/gen/http/generations/server/types.go
+++ b/gen/http/generations/server/types.go
@@ -310,6 +310,10 @@
 	Text *string `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
 	// Why the answer is incomplete.
 	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Explanation for a person.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
 	// Milliseconds to wait before asking again.
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
 	// Step at which the answer stopped.
--- /dev/null
+++ b/generation/connection.go
@@ -0,0 +1,135 @@
+package generation
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+func (g *run) streamID(attempt int64) target.StreamID {
+	return target.StreamID{Request: g.request.ID, Attempt: attempt}
+}
+
+func (g *run) open(d Open) {
+	grant := g.grants[d.Attempt]
+	req := target.GenerateRequest{
+		Stream: g.streamID(d.Attempt),
+		Model:  grant.Model, Version: grant.Version, Prompt: g.request.Prompt,
+		Forced: d.Forced, Seed: g.request.Seed,
+		MaxTokens: g.request.MaxTokens, Priority: g.request.Priority, Workspace: g.request.Workspace,
+	}
+	g.Events.Record(event.AttemptStarted, g.request.ID, event.F("target", grant.Target), event.F("attempt", strconv.FormatInt(d.Attempt, 10)))
+	g.read(d.Attempt, d.Connection, func(ctx context.Context) (target.Stream, error) { return grant.Engine.Generate(ctx, req) })
+}
+
+func (g *run) attach(d Attach) {
+	engine, id := g.grants[d.Attempt].Engine, g.streamID(d.Attempt)
+	g.Events.Record(event.StreamAttached, g.request.ID, event.F("target", g.grants[d.Attempt].Target), event.F("position", strconv.FormatInt(d.From, 10)))
+	g.read(d.Attempt, d.Connection, func(ctx context.Context) (target.Stream, error) { return engine.Attach(ctx, id, d.From) })
+}
+
+// read replaces the attempt's connection and passes its events to the machine.
+func (g *run) read(attempt, connection int64, open func(context.Context) (target.Stream, error)) {
+	if stop := g.streams[attempt]; stop != nil {
+		stop()
+	}
+	ctx, stop := context.WithCancel(g.ctx)
+	g.streams[attempt] = stop
+	g.spawn(func() {
+		s, err := open(ctx)
+		if err != nil {
+			g.readFailed(ctx, attempt, connection, err)
+			return
+		}
+		defer func() { _ = s.Close() }()
+		for {
+			e, err := s.Next()
+			if err != nil {
+				g.readFailed(ctx, attempt, connection, err)
+				return
+			}
+			if ctx.Err() != nil || !g.tell(Received{attempt, connection, e}) {
+				return
+			}
+		}
+	})
+}
+
+func (g *run) readFailed(ctx context.Context, attempt, connection int64, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if errors.Is(err, target.ErrNoStream) {
+		g.tell(NoStream{attempt, connection})
+		return
+	}
+	g.tell(Broken{attempt, connection, breakCause(err)})
+}
+
+func (g *run) probe(d Probe) {
+	grant := g.grants[d.Attempt]
+	g.spawn(func() {
+		inc, err := grant.Engine.Probe(g.ctx)
+		g.Events.Record(event.TargetProbed, g.request.ID, event.F("target", grant.Target), event.F("alive", strconv.FormatBool(err == nil)))
+		g.tell(Probed{d.Attempt, d.Connection, err == nil, inc})
+	})
+}
+
+// end gives an attempt's hold of its target up.
+func (g *run) end(d End) {
+	if stop := g.streams[d.Attempt]; stop != nil {
+		stop()
+		delete(g.streams, d.Attempt)
+	}
+	grant, ok := g.grants[d.Attempt]
+	if !ok {
+		return
+	}
+	delete(g.grants, d.Attempt)
+	if d.Cause.Lost() {
+		g.Router.Lost(g.request.ID, grant.Target)
+		g.Guard.Lost(g.request, grant.Target, d.Attempt, d.Fresh)
+		g.Events.Record(event.TargetLost, g.request.ID, event.F("target", grant.Target), event.F("cause", string(d.Cause)))
+	}
+	switch d.Cause {
+	case EndCompleted, EndRefused, EndTakenOver:
+		grant.Release(true)
+		return
+	}
+	g.Events.Record(event.AttemptAbandoned, g.request.ID, event.F("target", grant.Target), event.F("cause", string(d.Cause)))
+	id := g.streamID(d.Attempt)
+	g.left(func(ctx context.Context) { leave(ctx, grant, id) })
+}
+
+// leavePause is the time between two tries to cancel a left attempt, and
+// leaveTries their number.
+const (
+	leavePause = time.Second
+	leaveTries = 60
+)
+
+// leave cancels an attempt and gives its permit back once its end is known. A
+// target that was only paused is told when it wakes.
+func leave(ctx context.Context, grant Grant, id target.StreamID) {
+	for range leaveTries {
+		err := grant.Engine.Cancel(ctx, id)
+		if err == nil || errors.Is(err, target.ErrNoStream) {
+			grant.Release(true)
+			return
+		}
+		pause := time.NewTimer(leavePause)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+			grant.Release(false)
+			return
+		}
+	}
+	grant.Release(false)
+}
--- a/generation/cursor.go
+++ b/generation/cursor.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -11,13 +12,16 @@
 var ErrBadCursor = errors.New("bad cursor")
 
 // Cursor names the last event a caller received: how many tokens it holds, and
-// the target, version and attempt they came from. Callers treat it as opaque.
+// the daemon, target, version and attempt they came from. Callers treat it as
+// opaque.
 type Cursor struct {
 	Held        int64  `json:"n"`
 	Target      string `json:"t,omitempty"`
 	Version     string `json:"v,omitempty"`
 	Attempt     int64  `json:"a,omitempty"`
 	Incarnation uint64 `json:"i,omitempty"`
+	Daemon      string `json:"d,omitempty"` // peer address of the daemon that sent it
+	Chain       uint64 `json:"c,omitempty"` // hash of the tokens held
 }
 
 // Encode returns the opaque text form.
@@ -41,3 +45,11 @@
 	}
 	return c, nil
 }
+
+// chain returns the hash of a token list from the hash of the list without its
+// last token, so that equal hashes mean equal tokens.
+func chain(previous uint64, text string) uint64 {
+	d := xxhash.NewWithSeed(previous)
+	_, _ = d.WriteString(text) // never fails
+	return d.Sum64()
+}
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -1,8 +1,3 @@
-// Package generation keeps one streamed answer whole while targets fail under
-// it: attempts, positions, resume, and retention for a caller that comes back.
-//
-// Machine is the pure decision logic: inputs and the time go in, decisions come
-// out. Run is the shell that carries the decisions out.
 package generation
 
 import (
@@ -10,201 +5,82 @@
 
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/failure"
-	"github.com/vanillaroad/vanillaroad/internal/jsontime"
 	"github.com/vanillaroad/vanillaroad/target"
 )
 
-// Settings bound one generation.
-type Settings struct {
-	// Silence is how long a stream may stay without any event before the
-	// target is suspected.
-	Silence jsontime.Duration `json:"silence" validate:"gt=0"`
-	// ResumeDeadline is the longest time from a loss to a final answer.
-	ResumeDeadline jsontime.Duration `json:"resume_deadline" validate:"gt=0"`
-	// MaxTargetsLost is the number of targets a request may lose before it is
-	// given up as a suspect.
-	MaxTargetsLost int `json:"max_targets_lost" validate:"min=1"`
-	// Retention is how long a finished or unwatched answer is kept.
-	Retention jsontime.Duration `json:"retention" validate:"gt=0"`
-}
-
-// DefaultSettings returns the settings of a daemon whose file names none.
-func DefaultSettings() Settings {
-	return Settings{
-		Silence:        jsontime.Duration(time.Second),
-		ResumeDeadline: jsontime.Duration(5 * time.Second),
-		MaxTargetsLost: 3,
-		Retention:      jsontime.Duration(30 * time.Second),
-	}
-}
-
-// Request is one caller's wish.
-type Request struct {
-	ID        string
-	Workspace string
-	Service   string
-	Prompt    string
-	MaxTokens int64
-	Seed      int64
-	Priority  target.Priority
-	Deadline  time.Duration // for the first token; 0 for the default
-	Labels    map[string]string
-	Held      []string // tokens that the caller holds already
-	Cursor    Cursor   // where the caller's last event came from
+// Setup is how a machine is made. It decodes to itself by JSON.
+type Setup struct {
+	Settings  Settings
 	Objective configuration.Objective
+	MaxTokens int64 // longest answer; 0 when not known
+	// Held are the tokens that the caller holds, Cursor where the last of them
+	// came from.
+	Held   []string
+	Cursor Cursor
+	// FirstAttempt numbers the first new attempt. No other attempt of the
+	// request may have a number from FirstAttempt on, at any daemon.
+	FirstAttempt int64
 }
 
-// Input is something the machine learns.
-type Input interface{ input() }
-
-// Routed: the router granted a target for an attempt.
-type Routed struct {
-	Attempt     int64
-	Target      string
-	Version     string
-	Incarnation uint64
-}
-
-// RouteFailed: no target within the deadline.
-type RouteFailed struct {
-	Attempt int64
-	Err     *failure.Error
-}
-
-// Received is one event of an attempt's stream.
-type Received struct {
-	Attempt int64
-	Event   target.StreamEvent
-}
-
-// Broken: the connection of an attempt failed or could not be opened.
-type Broken struct {
-	Attempt int64
-	Err     error
-}
-
-// Probed is the answer of a probe on a new connection.
-type Probed struct {
-	Attempt     int64
-	Alive       bool
-	Incarnation uint64
-}
-
-// NoStream: the target lives but does not know the attempt's stream.
-type NoStream struct{ Attempt int64 }
-
-// Tick lets time pass.
-type Tick struct{}
-
-func (Routed) input()      {}
-func (RouteFailed) input() {}
-func (Received) input()    {}
-func (Broken) input()      {}
-func (Probed) input()      {}
-func (NoStream) input()    {}
-func (Tick) input()        {}
-
-// Decision is something the shell must do.
-type Decision interface{ decision() }
-
-// Route asks for a target for an attempt.
-type Route struct {
-	Attempt int64
-	Exclude []string
-	Version string // model version to go on with; empty for any
-}
-
-// Open starts the attempt on its target with the forced prefix.
-type Open struct {
-	Attempt int64
-	Forced  []string
-}
-
-// Attach joins the attempt's stream on a new connection.
-type Attach struct {
-	Attempt int64
-	From    int64
-}
-
-// Probe asks the attempt's target on a new connection whether it lives.
-type Probe struct{ Attempt int64 }
-
-// Abandon leaves an attempt: cancel it, and keep its permit until its end is
-// known.
-type Abandon struct {
-	Attempt int64
-	Blame   bool // the target was lost under this request
-}
-
-// Emit passes a token on to the caller.
-type Emit struct {
-	Position int64
-	Text     string
-	Resumed  time.Duration // the caller's wait after a loss; 0 without one
-}
-
-// Drop counts a late, crossed or repeated token.
-type Drop struct{ Attempt, Position int64 }
-
-// Finish ends the answer. A nil Err means that it is whole.
-type Finish struct{ Err *failure.Error }
-
-func (Route) decision()   {}
-func (Open) decision()    {}
-func (Attach) decision()  {}
-func (Probe) decision()   {}
-func (Abandon) decision() {}
-func (Emit) decision()    {}
-func (Drop) decision()    {}
-func (Finish) decision()  {}
-
-// phase is the state of the current attempt.
-type phase int
-
-const (
-	routing phase = iota
-	streaming
-	probing
-	attaching
-	finished
-)
-
 // Machine decides for one generation. It is not safe for concurrent use.
 type Machine struct {
-	settings    Settings
-	phase       phase
-	attempt     int64
-	target      string
-	version     string
-	incarnation uint64
-	tokens      []string
-	lost        []string
-	heard       time.Time
-	lossAt      time.Time // zero while nothing is lost
+	setup      Setup
+	tokens     []string
+	version    string
+	next       int64 // number of the next attempt
+	connection int64 // number of the newest connection
+	current    *attempt
+	standby    *attempt // races with a suspected current one; nil without
+	excluded   []string
+	lastTarget string    // of the attempt before the current one
+	lossAt     time.Time // zero while nothing is lost
+	resuming   bool      // the loss made the answer move or attach again
+	retryAt    time.Time // of a pausing attempt's next Route
+	ran        bool      // a target may have run the request
+	finished   bool
 }
 
 // NewMachine returns a machine that continues after the tokens held.
-// firstAttempt must be greater than any attempt that ran for this request.
-func NewMachine(s Settings, held []string, version string, firstAttempt int64) *Machine {
-	return &Machine{settings: s, tokens: append([]string(nil), held...), version: version, attempt: firstAttempt - 1}
+func NewMachine(s Setup) *Machine {
+	return &Machine{
+		setup: s, tokens: append([]string(nil), s.Held...), version: s.Cursor.Version,
+		next: s.FirstAttempt, ran: len(s.Held) > 0,
+	}
 }
 
 // Tokens returns all accepted tokens. The caller must not change them.
 func (m *Machine) Tokens() []string { return m.tokens }
 
-// Start returns the first decisions.
-func (m *Machine) Start(now time.Time) []Decision { return m.nextAttempt(now) }
+func (m *Machine) position() int64 { return int64(len(m.tokens)) }
+
+// whole tells whether no further token can come.
+func (m *Machine) whole() bool { return m.setup.MaxTokens > 0 && m.position() >= m.setup.MaxTokens }
+
+// Start returns the first decisions. A caller that comes from another daemon
+// first joins the stream that still runs for it.
+func (m *Machine) Start(now time.Time) []Decision {
+	if m.whole() {
+		return m.finish(EndCompleted, nil)
+	}
+	c := m.setup.Cursor
+	if c.Target == "" || c.Attempt == 0 {
+		return m.nextAttempt(now)
+	}
+	m.lossAt, m.resuming = now, true
+	m.current = &attempt{number: c.Attempt, target: c.Target, incarnation: c.Incarnation}
+	return []Decision{Route{Attempt: c.Attempt, Target: c.Target, Version: m.version}}
+}
 
 // Step takes one input and returns what to do.
 func (m *Machine) Step(now time.Time, in Input) []Decision {
-	if m.phase == finished {
-		return nil
+	if m.finished {
+		return m.afterFinish(in)
 	}
 	switch in := in.(type) {
 	case Routed:
 		return m.routed(now, in)
 	case RouteFailed:
-		return m.routeFailed(in)
+		return m.routeFailed(now, in)
 	case Received:
 		return m.received(now, in)
 	case Broken:
@@ -213,145 +89,163 @@
 		return m.probed(now, in)
 	case NoStream:
 		return m.noStream(now, in)
+	case Cancel:
+		return m.finish(EndCanceled, in.Err)
+	case TakenOver:
+		err := failure.New(failure.Canceled, failure.Ran, "generate", in.By, "another daemon goes on with the answer")
+		return m.finish(EndTakenOver, err)
 	case Tick:
 		return m.tick(now)
 	}
 	return nil
 }
 
-func (m *Machine) nextAttempt(now time.Time) []Decision {
-	m.attempt++
-	m.phase, m.heard, m.target = routing, now, ""
-	return []Decision{Route{Attempt: m.attempt, Exclude: append([]string(nil), m.lost...), Version: m.version}}
+// afterFinish hands a late grant back.
+func (m *Machine) afterFinish(in Input) []Decision {
+	switch in := in.(type) {
+	case Routed:
+		return []Decision{End{Attempt: in.Attempt, Cause: EndSuperseded, Fresh: true}}
+	case Received:
+		return m.drop(in)
+	}
+	return nil
 }
 
-func (m *Machine) routed(now time.Time, in Routed) []Decision {
-	if in.Attempt != m.attempt || m.phase != routing {
+func (m *Machine) drop(in Received) []Decision {
+	if in.Event.Kind != target.TokenEvent {
 		return nil
 	}
-	m.phase, m.heard = streaming, now
-	m.target, m.version, m.incarnation = in.Target, in.Version, in.Incarnation
-	return []Decision{Open{Attempt: m.attempt, Forced: m.tokens}}
+	return []Decision{Drop{in.Attempt, in.Event.Position}}
 }
 
-func (m *Machine) routeFailed(in RouteFailed) []Decision {
-	if in.Attempt != m.attempt {
-		return nil
+// find returns the live attempt with the number, or nil.
+func (m *Machine) find(number int64) *attempt {
+	for _, a := range []*attempt{m.current, m.standby} {
+		if a != nil && a.number == number {
+			return a
+		}
 	}
-	return m.finish(in.Err)
+	return nil
 }
 
-func (m *Machine) finish(err *failure.Error) []Decision {
-	m.phase = finished
-	return []Decision{Finish{Err: err}}
+// newAttempt returns an attempt and the Route that asks for its target.
+func (m *Machine) newAttempt() (*attempt, Route) {
+	a := &attempt{number: m.next}
+	m.next++
+	return a, m.route(a)
 }
 
-func (m *Machine) received(now time.Time, in Received) []Decision {
-	if in.Attempt != m.attempt {
-		return []Decision{Drop{in.Attempt, in.Event.Position}}
-	}
-	m.heard = now
-	if m.phase == probing || m.phase == attaching {
-		m.phase = streaming
+func (m *Machine) route(a *attempt) Route {
+	a.phase = routing
+	return Route{Attempt: a.number, Exclude: append([]string(nil), m.excluded...), Version: m.version}
+}
+
+func (m *Machine) nextAttempt(now time.Time) []Decision {
+	if m.whole() {
+		return m.finish(EndCompleted, nil)
 	}
-	switch in.Event.Kind {
-	case target.TokenEvent:
-		return m.token(now, in)
-	case target.DoneEvent:
-		if in.Event.Position != int64(len(m.tokens)) {
-			return m.lose(now)
-		}
-		return m.finish(nil)
-	case target.ErrorEvent:
-		return m.lose(now)
+	if m.late(now) {
+		return m.giveUp()
 	}
-	return nil
+	a, r := m.newAttempt()
+	m.current = a
+	return []Decision{r}
 }
 
-func (m *Machine) token(now time.Time, in Received) []Decision {
-	if in.Event.Position < int64(len(m.tokens)) {
-		return []Decision{Drop{in.Attempt, in.Event.Position}}
+func (m *Machine) routed(now time.Time, in Routed) []Decision {
+	a := m.find(in.Attempt)
+	if a == nil || a.phase != routing {
+		return []Decision{End{Attempt: in.Attempt, Cause: EndSuperseded, Fresh: true}}
 	}
-	if in.Event.Position > int64(len(m.tokens)) {
-		// A gap on the stream itself: the engine still holds what is missing.
-		return m.attach(now)
+	joined := a.target != ""
+	a.target, a.version = in.Target, in.Version
+	if in.Incarnation != 0 {
+		a.incarnation = in.Incarnation
 	}
-	m.tokens = append(m.tokens, in.Event.Text)
-	e := Emit{Position: in.Event.Position, Text: in.Event.Text}
-	if !m.lossAt.IsZero() {
-		e.Resumed = now.Sub(m.lossAt)
-		m.lossAt = time.Time{}
+	a.phase, a.tokenAt = streaming, now
+	a.pulse.restart(now)
+	if a == m.current && m.version == "" {
+		m.version = in.Version
 	}
-	return []Decision{e}
-}
-
-func (m *Machine) attach(now time.Time) []Decision {
-	m.phase, m.heard = attaching, now
-	return []Decision{Attach{Attempt: m.attempt, From: int64(len(m.tokens))}}
+	if joined {
+		return m.attach(now, a)
+	}
+	if m.version != "" && in.Version != "" && in.Version != m.version {
+		// The router broke its word: going on here would mix two models.
+		return m.elsewhere(now, a, EndRefused)
+	}
+	m.connection++
+	a.connection = m.connection
+	return []Decision{Open{Attempt: a.number, Connection: a.connection, Forced: append([]string(nil), m.tokens...)}}
 }
 
-func (m *Machine) broken(now time.Time, in Broken) []Decision {
-	if in.Attempt != m.attempt || m.phase == routing {
+func (m *Machine) routeFailed(now time.Time, in RouteFailed) []Decision {
+	a := m.find(in.Attempt)
+	switch {
+	case a == nil || a.phase != routing:
 		return nil
-	}
-	return m.suspect(now)
+	case a == m.standby:
+		m.standby = nil
+		return nil
+	case a.target != "": // the target to join is gone
+		return m.nextAttempt(now)
+	case final(in.Err) || m.lossAt.IsZero():
+		return m.finish(EndCanceled, m.refusal(in.Err))
+	case m.late(now):
+		return m.giveUp()
+	}
+	a.phase = pausing
+	m.retryAt = now.Add(m.setup.Settings.RoutePause.Std())
+	// A target that was left may serve again, and may be the only one.
+	m.excluded = nil
+	return nil
 }
 
-// suspect probes the target on a new connection.
-func (m *Machine) suspect(now time.Time) []Decision {
-	if m.lossAt.IsZero() {
-		m.lossAt = m.heard
+// final tells whether asking for a target again is no use.
+func final(err *failure.Error) bool {
+	switch err.Code {
+	case failure.NoTarget, failure.Overloaded, failure.DeadlinePast, failure.Internal, failure.UnknownResult:
+		return false
 	}
-	if m.phase == probing {
-		return nil
-	}
-	m.phase, m.heard = probing, now
-	return []Decision{Probe{m.attempt}}
+	return true
 }
 
-func (m *Machine) probed(now time.Time, in Probed) []Decision {
-	if in.Attempt != m.attempt || m.phase != probing {
-		return nil
-	}
-	if in.Alive && (m.incarnation == 0 || in.Incarnation == m.incarnation) {
-		return m.attach(now)
+// refusal makes the outcome of a router's refusal true for the whole answer.
+func (m *Machine) refusal(err *failure.Error) *failure.Error {
+	if !m.ran {
+		return err
 	}
-	return m.lose(now)
+	e := *err
+	e.Outcome = failure.Ran
+	return &e
 }
 
-func (m *Machine) noStream(now time.Time, in NoStream) []Decision {
-	if in.Attempt != m.attempt {
-		return nil
-	}
-	return m.lose(now)
+// late tells whether the time to find a new target is over.
+func (m *Machine) late(now time.Time) bool {
+	return !m.lossAt.IsZero() && now.Sub(m.lossAt) >= m.setup.Settings.ResumeDeadline.Std()
 }
 
-// lose gives the current target up and goes on elsewhere.
-func (m *Machine) lose(now time.Time) []Decision {
-	if m.lossAt.IsZero() {
-		m.lossAt = now
-	}
-	out := []Decision{Abandon{Attempt: m.attempt, Blame: true}}
-	m.lost = append(m.lost, m.target)
-	if len(m.lost) >= m.settings.MaxTargetsLost {
-		err := failure.New(failure.Quarantined, failure.Ran, "resume", m.target, "request lost %d targets", len(m.lost))
-		return append(out, m.finish(err)...)
+// comeBackAfter is told to callers of an answer that found no target in time.
+const comeBackAfter = time.Second
+
+func (m *Machine) giveUp() []Decision {
+	peer := m.lastTarget
+	if m.current != nil && m.current.target != "" {
+		peer = m.current.target
 	}
-	return append(out, m.nextAttempt(now)...)
+	err := failure.New(failure.TargetLost, failure.Ran, "resume", peer, "no target took the answer over in time")
+	return m.finish(EndCanceled, err.After(comeBackAfter))
 }
 
-func (m *Machine) tick(now time.Time) []Decision {
-	if !m.lossAt.IsZero() && now.Sub(m.lossAt) > m.settings.ResumeDeadline.Std() {
-		err := failure.New(failure.TargetLost, failure.Ran, "resume", m.target, "no target took the answer over in time").After(time.Second)
-		return append([]Decision{Abandon{Attempt: m.attempt, Blame: true}}, m.finish(err)...)
+// finish ends every live attempt and the answer.
+func (m *Machine) finish(cause EndCause, err *failure.Error) []Decision {
+	var out []Decision
+	if m.standby != nil && m.standby.holds() {
+		out = append(out, m.standby.end(EndSuperseded))
 	}
-	silent := now.Sub(m.heard) > m.settings.Silence.Std()
-	switch {
-	case !silent || m.phase == routing:
-		return nil
-	case m.phase == streaming:
-		return m.suspect(now)
-	default:
-		return m.lose(now)
+	if m.current != nil && m.current.holds() {
+		out = append(out, m.current.end(cause))
 	}
+	m.finished, m.standby, m.current = true, nil, nil
+	return append(out, Finish{Position: m.position(), Err: err})
 }
--- a/generation/run.go
+++ b/generation/run.go
@@ -11,6 +11,7 @@
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/target"
+	"github.com/vanillaroad/vanillaroad/trace"
 )
 
 // Grant is a permit to run one attempt on a target.
@@ -25,76 +26,147 @@
 	Release func(ended bool)
 }
 
-// Router grants targets. Route blocks until there is a grant or a final refusal.
+// Router grants targets. Route blocks until there is a grant or a refusal.
 type Router interface {
+	// Route grants a target for a request that holds a number of tokens and
+	// must go on with a version, if one is given.
 	Route(ctx context.Context, r Request, held int64, exclude []string, version string) (Grant, *failure.Error)
 	// Lost tells that a request lost a target.
 	Lost(request, target string)
 }
 
+// Joiner grants the target on which an attempt of the request runs already.
+type Joiner interface {
+	Join(ctx context.Context, r Request, target string) (Grant, *failure.Error)
+}
+
+// Guard keeps requests that crash targets from running again.
+type Guard interface {
+	// Check returns why the request must not run, or nil.
+	Check(r Request) *failure.Error
+	// Lost tells that a target failed under an attempt of the request.
+	Lost(r Request, target string, attempt int64, fresh bool)
+	// Done tells that the request's answer is whole.
+	Done(r Request)
+}
+
+// Notifier tells the daemon of a cursor that its caller went on here.
+type Notifier interface {
+	TakeOver(ctx context.Context, request string, c Cursor) error
+}
+
+// Deps are what runs need of the rest of the daemon. Trace may be nil.
+type Deps struct {
+	Router   Router
+	Joiner   Joiner
+	Guard    Guard
+	Notifier Notifier
+	Events   *event.Recorder
+	Trace    *trace.Recorder
+	Self     string // this daemon's peer address
+}
+
 // tickPeriod is how often a run looks at the time.
 const tickPeriod = 50 * time.Millisecond
 
 // inputQueueLen bounds inputs that wait for the machine; readers wait then.
 const inputQueueLen = 64
 
-// run carries out one machine's decisions.
+// run carries out one machine's decisions. Its fields belong to the goroutine
+// of loop.
 type run struct {
+	Deps
 	request Request
-	router  Router
-	events  *event.Recorder
 	answer  *Answer
 	machine *Machine
+	key     string // of the trace
+	begin   time.Time
 	inputs  chan Input
 	ctx     context.Context
 	wg      sync.WaitGroup
+	left    func(func(context.Context)) // starts work that outlives the run
 
 	grants  map[int64]Grant
 	streams map[int64]context.CancelFunc
 	done    bool
 }
 
-// Run drives a generation to its end and fills answer. It returns when the
-// answer is final and every permit is handed on.
-func Run(ctx context.Context, s Settings, r Request, router Router, events *event.Recorder, answer *Answer) {
-	ctx, cancel := context.WithCancel(ctx)
+// follow drives the run to its end and fills the answer. It returns when the
+// answer is final and every permit is handed on. Inputs from outside come by
+// orders; the end of ctx cancels.
+func (g *run) follow(ctx context.Context, setup Setup, orders <-chan Input) {
+	var cancel context.CancelFunc
+	g.ctx, cancel = context.WithCancel(context.Background())
+	defer g.wg.Wait()
 	defer cancel()
-	g := &run{
-		request: r, router: router, events: events, answer: answer,
-		machine: NewMachine(s, r.Held, r.Cursor.Version, r.Cursor.Attempt+1),
-		inputs:  make(chan Input, inputQueueLen), ctx: ctx,
-		grants: make(map[int64]Grant), streams: make(map[int64]context.CancelFunc),
-	}
-	events.Record(event.GenerationStarted, r.ID, event.F("held", strconv.Itoa(len(r.Held))))
-	g.loop()
+	g.machine = NewMachine(setup)
+	g.inputs = make(chan Input, inputQueueLen)
+	g.grants, g.streams = make(map[int64]Grant), make(map[int64]context.CancelFunc)
+	g.begin = time.Now()
+	g.key = g.request.ID + "/" + strconv.FormatInt(setup.FirstAttempt, 10)
+	g.Events.Record(event.GenerationStarted, g.request.ID, event.F("held", strconv.Itoa(len(setup.Held))))
+	now := g.clock()
+	g.Trace.New(TraceSlice, g.key, now, setup)
+	first := g.machine.Start(now)
+	trace.Record(g.Trace, TraceSlice, g.key, now, Begin{}, first)
+	g.carryOut(first)
+	g.loop(ctx, orders)
 	cancel()
-	g.wg.Wait()
-	g.releaseAll()
+	g.drain()
 }
 
-func (g *run) loop() {
+func (g *run) loop(ctx context.Context, orders <-chan Input) {
 	tick := time.NewTicker(tickPeriod)
 	defer tick.Stop()
-	g.carryOut(g.machine.Start(time.Now()))
 	for !g.done {
 		select {
 		case in := <-g.inputs:
 			g.learn(in)
+		case in := <-orders:
+			g.step(in)
 		case <-tick.C:
-			g.carryOut(g.machine.Step(time.Now(), Tick{}))
-		case <-g.ctx.Done():
-			g.answer.finish(failure.New(failure.Canceled, failure.Ran, "generate", "", "canceled"))
+			g.step(Tick{})
+		case <-ctx.Done():
+			g.step(Cancel{failure.New(failure.Canceled, failure.Unknown, "generate", "", "canceled")})
+		}
+	}
+}
+
+// drain hands back grants that arrive after the end.
+func (g *run) drain() {
+	finished := make(chan struct{})
+	go func() {
+		g.wg.Wait()
+		close(finished)
+	}()
+	for {
+		select {
+		case in := <-g.inputs:
+			g.learn(in)
+		case <-finished:
+			for len(g.inputs) > 0 {
+				g.learn(<-g.inputs)
+			}
 			return
 		}
 	}
 }
 
+func (g *run) step(in Input) {
+	now := g.clock()
+	ds := g.machine.Step(now, in)
+	if _, idle := in.(Tick); !idle || len(ds) > 0 {
+		trace.Record(g.Trace, TraceSlice, g.key, now, in, ds)
+	}
+	g.carryOut(ds)
+}
+
 func (g *run) learn(in Input) {
 	if r, ok := in.(granted); ok {
 		g.grants[r.Attempt] = r.grant
 		in = r.Routed
 	}
-	g.carryOut(g.machine.Step(time.Now(), in))
+	g.step(in)
 }
 
 // granted is Routed together with the permit, which the machine must not see.
@@ -107,25 +179,31 @@
 	for _, d := range ds {
 		switch d := d.(type) {
 		case Route:
-			g.spawn(func() { g.route(d) })
+			g.route(d)
 		case Open:
 			g.open(d)
 		case Attach:
 			g.attach(d)
 		case Probe:
 			g.probe(d)
-		case Abandon:
-			g.abandon(d)
+		case End:
+			g.end(d)
 		case Emit:
 			g.emit(d)
 		case Drop:
-			g.events.Record(event.StaleTokenDropped, g.request.ID, event.F("attempt", strconv.FormatInt(d.Attempt, 10)))
+			g.Events.Record(event.StaleTokenDropped, g.request.ID, event.F("attempt", strconv.FormatInt(d.Attempt, 10)))
 		case Finish:
 			g.finish(d)
 		}
 	}
 }
 
+// clock returns the time without a monotonic reading, but advancing with the
+// monotonic clock, so that a replay computes the same differences.
+func (g *run) clock() time.Time {
+	return time.Unix(0, g.begin.UnixNano()).Add(time.Since(g.begin))
+}
+
 func (g *run) spawn(fn func()) {
 	g.wg.Add(1)
 	go func() {
@@ -144,113 +222,37 @@
 }
 
 func (g *run) route(d Route) {
-	grant, err := g.router.Route(g.ctx, g.request, int64(len(d.Exclude)), d.Exclude, d.Version)
-	if err != nil {
-		g.tell(RouteFailed{d.Attempt, err})
-		return
-	}
-	in := granted{Routed{d.Attempt, grant.Target, grant.Version, grant.Incarnation}, grant}
-	if !g.tell(in) {
-		grant.Release(true)
-	}
-}
-
-func (g *run) open(d Open) {
-	grant := g.grants[d.Attempt]
-	req := target.GenerateRequest{
-		Stream: target.StreamID{Request: g.request.ID, Attempt: d.Attempt},
-		Model:  grant.Model, Version: grant.Version, Prompt: g.request.Prompt,
-		Forced: append([]string(nil), d.Forced...), Seed: g.request.Seed,
-		MaxTokens: g.request.MaxTokens, Priority: g.request.Priority, Workspace: g.request.Workspace,
-	}
-	g.events.Record(event.AttemptStarted, g.request.ID, event.F("target", grant.Target), event.F("attempt", strconv.FormatInt(d.Attempt, 10)))
-	g.read(d.Attempt, func(ctx context.Context) (target.Stream, error) { return grant.Engine.Generate(ctx, req) })
-}
-
-func (g *run) attach(d Attach) {
-	grant := g.grants[d.Attempt]
-	id := target.StreamID{Request: g.request.ID, Attempt: d.Attempt}
-	g.read(d.Attempt, func(ctx context.Context) (target.Stream, error) { return grant.Engine.Attach(ctx, id, d.From) })
-}
-
-// read replaces the attempt's connection and passes its events to the machine.
-func (g *run) read(attempt int64, open func(context.Context) (target.Stream, error)) {
-	if stop := g.streams[attempt]; stop != nil {
-		stop()
-	}
-	ctx, stop := context.WithCancel(g.ctx)
-	g.streams[attempt] = stop
+	held := int64(len(g.machine.Tokens()))
 	g.spawn(func() {
-		s, err := open(ctx)
+		grant, err := g.grant(d, held)
 		if err != nil {
-			g.readFailed(ctx, attempt, err)
+			g.tell(RouteFailed{d.Attempt, err})
 			return
 		}
-		defer func() { _ = s.Close() }()
-		for {
-			e, err := s.Next()
-			if err != nil {
-				g.readFailed(ctx, attempt, err)
-				return
-			}
-			if ctx.Err() != nil || !g.tell(Received{attempt, e}) {
-				return
-			}
+		in := granted{Routed{d.Attempt, grant.Target, grant.Version, grant.Incarnation}, grant}
+		if !g.tell(in) {
+			grant.Release(true)
 		}
 	})
 }
 
-func (g *run) readFailed(ctx context.Context, attempt int64, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	if errors.Is(err, target.ErrNoStream) {
-		g.tell(NoStream{attempt})
-		return
-	}
-	g.tell(Broken{attempt, err})
-}
-
-func (g *run) probe(d Probe) {
-	grant := g.grants[d.Attempt]
-	g.spawn(func() {
-		inc, err := grant.Engine.Probe(g.ctx)
-		g.events.Record(event.TargetProbed, g.request.ID, event.F("target", grant.Target), event.F("alive", strconv.FormatBool(err == nil)))
-		g.tell(Probed{d.Attempt, err == nil, inc})
-	})
-}
-
-func (g *run) abandon(d Abandon) {
-	if stop := g.streams[d.Attempt]; stop != nil {
-		stop()
-		delete(g.streams, d.Attempt)
-	}
-	grant, ok := g.grants[d.Attempt]
-	if !ok {
-		return
+func (g *run) grant(d Route, held int64) (Grant, *failure.Error) {
+	if err := g.Guard.Check(g.request); err != nil {
+		return Grant{}, err
 	}
-	delete(g.grants, d.Attempt)
-	if d.Blame {
-		g.router.Lost(g.request.ID, grant.Target)
-		g.events.Record(event.TargetLost, g.request.ID, event.F("target", grant.Target))
+	if d.Target != "" {
+		return g.Joiner.Join(g.ctx, g.request, d.Target)
 	}
-	go leave(grant, target.StreamID{Request: g.request.ID, Attempt: d.Attempt})
-}
-
-// leave cancels an attempt and gives its permit back as far as its end is known.
-func leave(grant Grant, id target.StreamID) {
-	err := grant.Engine.Cancel(context.Background(), id)
-	grant.Release(err == nil || errors.Is(err, target.ErrNoStream))
+	return g.Router.Route(g.ctx, g.request, held, d.Exclude, d.Version)
 }
 
 func (g *run) emit(d Emit) {
-	grant := g.grants[g.machine.attempt]
+	grant := g.grants[d.Attempt]
 	g.answer.add(d.Text, Cursor{
-		Held: d.Position + 1, Target: grant.Target, Version: grant.Version,
-		Attempt: g.machine.attempt, Incarnation: grant.Incarnation,
+		Target: grant.Target, Version: d.Version, Attempt: d.Attempt, Incarnation: grant.Incarnation, Daemon: g.Self,
 	})
 	if d.Resumed > 0 {
-		g.events.Record(event.GenerationResumed, g.request.ID, event.F("target", grant.Target),
+		g.Events.Record(event.GenerationResumed, g.request.ID, event.F("target", grant.Target),
 			event.F("position", strconv.FormatInt(d.Position, 10)), event.F("resume_ms", strconv.FormatInt(d.Resumed.Milliseconds(), 10)))
 	}
 }
@@ -259,19 +261,21 @@
 	g.done = true
 	g.answer.finish(d.Err)
 	if d.Err != nil {
-		g.events.Record(event.GenerationStopped, g.request.ID, event.F("code", string(d.Err.Code)),
+		g.Events.Record(event.GenerationStopped, g.request.ID, event.F("code", string(d.Err.Code)),
 			event.F("step", d.Err.Step), event.F("peer", d.Err.Peer))
 		return
 	}
-	if grant, ok := g.grants[g.machine.attempt]; ok {
-		delete(g.grants, g.machine.attempt)
-		grant.Release(true)
-	}
-	g.events.Record(event.GenerationDone, g.request.ID, event.F("tokens", strconv.Itoa(len(g.machine.Tokens()))))
+	g.Guard.Done(g.request)
+	g.Events.Record(event.GenerationDone, g.request.ID, event.F("tokens", strconv.FormatInt(d.Position, 10)))
 }
 
-func (g *run) releaseAll() {
-	for attempt, grant := range g.grants {
-		go leave(grant, target.StreamID{Request: g.request.ID, Attempt: attempt})
+// breakCause classifies an error of a connection.
+func breakCause(err error) BreakCause {
+	switch {
+	case errors.Is(err, target.ErrNotSent):
+		return BreakNotSent
+	case errors.Is(err, target.ErrRefused):
+		return BreakRefused
 	}
+	return BreakLost
 }
--- a/node/api_generations.go
+++ b/node/api_generations.go
@@ -22,7 +22,7 @@
 
 var priorities = map[string]target.Priority{"urgent": target.Urgent, "normal": target.Normal, "batch": target.Batch}
 
-// Generate implements the generations service. Once the first event is out, an
+// Generate implements the generations service. Once the first byte is out, an
 // answer that can't be whole ends with an "incomplete" event.
 func (a *generationsAPI) Generate(ctx context.Context, p *gen.GeneratePayload, stream gen.GenerateServerStream) error {
 	if e := a.n.refusal(); e != nil {
@@ -32,53 +32,86 @@
 	if err != nil {
 		return generationFailure(failure.Wrap(err, failure.BadRequest, failure.NotRun, "decode cursor", ""))
 	}
-	answer := a.n.hub.Answer(generation.Request{
+	r := generation.Request{
 		ID: p.ID, Workspace: p.Workspace, Service: p.Service, Prompt: p.Prompt, MaxTokens: p.MaxTokens,
 		Seed: deref(p.Seed), Priority: priorities[p.Priority], Labels: p.Labels, Held: p.Held, Cursor: cursor,
 		Deadline: time.Duration(deref(p.DeadlineMs)) * time.Millisecond,
-	})
-	defer answer.Watch()()
-	return a.send(ctx, answer, int64(len(p.Held)), p.ID, stream)
+	}
+	if svc, ok := a.n.snapshot.Load().Service(p.Service); ok {
+		r.Objective = svc.Objective
+	}
+	reader, refused := a.n.hub.Answer(r)
+	if refused != nil {
+		return generationFailure(refused)
+	}
+	defer reader.Close()
+	s := &sender{api: a, reader: reader, position: reader.Position, id: p.ID, stream: stream}
+	return s.run(ctx)
 }
 
-func (a *generationsAPI) send(ctx context.Context, answer *generation.Answer, position int64, id string, stream gen.GenerateServerStream) error {
-	started := false
+// sender writes one answer to one caller.
+type sender struct {
+	api      *generationsAPI
+	reader   generation.Reader
+	position int64 // of the next token to send
+	id       string
+	stream   gen.GenerateServerStream
+	started  bool // a byte of the answer is out
+}
+
+func (s *sender) run(ctx context.Context) error {
+	n := s.api.n
+	keepAlive := n.settings.Generation.CallerKeepAlive.Std()
 	for {
-		s, err := answer.Next(ctx, position)
+		state, err := s.reader.Next(ctx, s.position, keepAlive)
+		if err == nil {
+			err = s.send(ctx, state)
+		}
 		if err != nil {
-			a.n.events.Record(event.CallerLost, id)
+			n.events.Record(event.CallerLost, s.id)
 			return nil
 		}
-		for _, text := range s.Tokens {
-			c := s.Cursor
-			c.Held = position + 1
-			data := &gen.GenerationData{Position: position, Text: &text}
-			_ = stream.Send(&gen.GenerationEvent{Cursor: c.Encode(), Kind: "token", Data: data})
-			started = true
-			position++
+		if state.Done {
+			return s.finish(state)
 		}
-		if writeError(ctx) != nil {
-			a.n.events.Record(event.CallerLost, id)
-			return nil
-		}
-		if s.Done {
-			return finish(s, position, started, stream)
+	}
+}
+
+// sendBatch bounds the tokens that are written between two checks of the
+// caller's connection.
+const sendBatch = 256
+
+func (s *sender) send(ctx context.Context, state generation.State) error {
+	if state.Idle {
+		s.started = true
+		return writeComment(ctx, "keep-alive")
+	}
+	for i, text := range state.Tokens {
+		cursor := s.reader.CursorAt(s.position + 1)
+		data := &gen.GenerationData{Position: s.position, Text: &text}
+		_ = s.stream.Send(&gen.GenerationEvent{Cursor: cursor.Encode(), Kind: "token", Data: data})
+		s.started = true
+		s.position++
+		if i%sendBatch == 0 && writeError(ctx) != nil {
+			break
 		}
 	}
+	return writeError(ctx)
 }
 
-func finish(s generation.State, position int64, started bool, stream gen.GenerateServerStream) error {
-	if s.Err != nil && !started {
-		return generationFailure(s.Err)
+func (s *sender) finish(state generation.State) error {
+	if state.Err != nil && !s.started {
+		return generationFailure(state.Err)
 	}
-	data := &gen.GenerationData{Position: position}
+	data := &gen.GenerationData{Position: s.position}
 	kind := "done"
-	if s.Err != nil {
+	if e := state.Err; e != nil {
 		kind = "incomplete"
-		code, ms := string(s.Err.Code), s.Err.RetryAfter.Milliseconds()
-		data.Code, data.RetryAfterMs, data.Step, data.Peer = &code, &ms, &s.Err.Step, &s.Err.Peer
+		code, outcome, ms := string(e.Code), string(e.Outcome), e.RetryAfter.Milliseconds()
+		data.Code, data.Message, data.Outcome = &code, &e.Message, &outcome
+		data.RetryAfterMs, data.Step, data.Peer = &ms, &e.Step, &e.Peer
 	}
-	return stream.Send(&gen.GenerationEvent{Cursor: s.Cursor.Encode(), Kind: kind, Data: data})
+	return s.stream.Send(&gen.GenerationEvent{Cursor: s.reader.CursorAt(s.position).Encode(), Kind: kind, Data: data})
 }
 
 // Cancel implements the generations service.
--- a/node/api_writer.go
+++ b/node/api_writer.go
@@ -14,6 +14,7 @@
 type boundedWriter struct {
 	http.ResponseWriter
 	control *http.ResponseController
+	began   bool // the status is out
 	err     error
 }
 
@@ -21,6 +22,16 @@
 	return &boundedWriter{ResponseWriter: w, control: http.NewResponseController(w)}
 }
 
+// WriteHeader implements http.ResponseWriter. Only the first call counts: a
+// keep-alive may go out before the generated stream sends its header.
+func (b *boundedWriter) WriteHeader(status int) {
+	if b.began {
+		return
+	}
+	b.began = true
+	b.ResponseWriter.WriteHeader(status)
+}
+
 // Write implements http.ResponseWriter.
 func (b *boundedWriter) Write(p []byte) (int, error) {
 	if b.err != nil {
@@ -56,3 +67,20 @@
 	}
 	return nil
 }
+
+// writeComment writes a comment of an event stream, which callers ignore. It
+// shows that the daemon lives.
+func writeComment(ctx context.Context, text string) error {
+	w, ok := ctx.Value(writerKey{}).(*boundedWriter)
+	if !ok {
+		return nil
+	}
+	h := w.Header()
+	if h.Get("Content-Type") == "" {
+		h.Set("Content-Type", "text/event-stream")
+		h.Set("Cache-Control", "no-cache")
+	}
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write([]byte(": " + text + "\n\n"))
+	return w.FlushError()
+}
--- /dev/null
+++ b/node/quarantine.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillaroad/vanillaroad/control"
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/generation"
+	"github.com/vanillaroad/vanillaroad/peer"
+	"github.com/vanillaroad/vanillaroad/quarantine"
+)
+
+// kindStrikes carries strikesMessage.
+const kindStrikes = peer.QuarantineBase
+
+// strikeFlushPeriod is how often strikes are sent to the other daemons;
+// maxStrikesQueued bounds those that wait and so one message.
+const (
+	strikeFlushPeriod = 100 * time.Millisecond
+	maxStrikesQueued  = 256
+)
+
+// strikesMessage reports strikes, or subjects that are cleared.
+type strikesMessage struct {
+	Strikes []quarantine.Strike  `msgpack:"s,omitempty"`
+	Cleared []quarantine.Subject `msgpack:"c,omitempty"`
+}
+
+// guard keeps the ledger on the control loop and shares it with the other
+// daemons.
+type guard struct {
+	n      *Node
+	ledger *quarantine.Ledger
+	out    strikesMessage // waits for the next flush
+}
+
+var _ generation.Guard = (*guard)(nil)
+
+func (n *Node) newGuard() *guard {
+	g := &guard{n: n, ledger: quarantine.NewLedger(n.settings.Quarantine)}
+	n.transport.Handle(kindStrikes, g.receive)
+	n.loop.Every(strikeFlushPeriod, g.flush)
+	return g
+}
+
+func subject(r generation.Request) quarantine.Subject {
+	return quarantine.Subject{ID: r.ID, Fingerprint: r.Fingerprint()}
+}
+
+// Check implements generation.Guard.
+func (g *guard) Check(r generation.Request) *failure.Error {
+	s := subject(r)
+	snapshot := g.n.snapshot.Load()
+	if snapshot.Released(s.ID) || snapshot.Released(fmt.Sprintf("%016x", s.Fingerprint)) {
+		return nil
+	}
+	refused, err := control.Ask(context.Background(), g.n.loop, func(now time.Time) *failure.Error { return g.ledger.Check(now, s) })
+	if err != nil {
+		return failure.Wrap(err, failure.Canceled, failure.NotRun, "quarantine", "")
+	}
+	if refused != nil {
+		g.n.events.Record(event.RequestQuarantined, r.ID, event.F("fingerprint", fmt.Sprintf("%016x", s.Fingerprint)), event.F("reason", refused.Message))
+	}
+	return refused
+}
+
+// Lost implements generation.Guard.
+func (g *guard) Lost(r generation.Request, target string, _ int64, fresh bool) {
+	s := quarantine.Strike{Subject: subject(r), Target: target, Fresh: fresh}
+	g.n.events.Record(event.RequestStruck, r.ID, event.F("target", target), event.F("fresh", fmt.Sprint(fresh)))
+	_ = g.n.loop.Post(func(now time.Time) {
+		g.out.Strikes = appendBounded(g.out.Strikes, g.ledger.Strike(now, s)...)
+	})
+}
+
+// Done implements generation.Guard.
+func (g *guard) Done(r generation.Request) {
+	s := subject(r)
+	_ = g.n.loop.Post(func(time.Time) {
+		if g.ledger.Clear(s) {
+			g.out.Cleared = appendBounded(g.out.Cleared, s)
+		}
+	})
+}
+
+// appendBounded keeps the newest.
+func appendBounded[T any](list []T, more ...T) []T {
+	list = append(list, more...)
+	if over := len(list) - maxStrikesQueued; over > 0 {
+		list = list[over:]
+	}
+	return list
+}
+
+// flush runs on the control loop.
+func (g *guard) flush(time.Time) {
+	m := g.out
+	if len(m.Strikes)+len(m.Cleared) == 0 {
+		return
+	}
+	g.out = strikesMessage{}
+	members := g.n.view.Load().Members
+	g.n.spawn(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peerSendTimeout)
+		defer cancel()
+		for _, d := range members {
+			if d.ID != g.n.self.ID {
+				_ = g.n.transport.Send(ctx, d.PeerAddress, kindStrikes, m)
+			}
+		}
+	})
+}
+
+// peerSendTimeout bounds the dials of one flush.
+const peerSendTimeout = 2 * time.Second
+
+func (g *guard) receive(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+	var m strikesMessage
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, errors.Wrap(err, "decode strikes")
+	}
+	return nil, g.n.loop.Post(func(now time.Time) {
+		for _, s := range m.Strikes {
+			g.ledger.Strike(now, s)
+		}
+		for _, s := range m.Cleared {
+			g.ledger.Clear(s)
+		}
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaroad/vanillaroad/confirmation"
 	"github.com/vanillaroad/vanillaroad/generation"
 	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/quarantine"
 )
 
 // Settings is the whole of a daemon's file.
@@ -33,6 +34,7 @@
 	Membership   membership.Settings   `json:"membership"`
 	Admission    admission.Settings    `json:"admission"`
 	Generation   generation.Settings   `json:"generation"`
+	Quarantine   quarantine.Settings   `json:"quarantine"`
 	Confirmation confirmation.Settings `json:"confirmation"`
 }
 
@@ -41,7 +43,8 @@
 	return Settings{
 		LogLevel: "info", EventRing: 4096,
 		Membership: membership.DefaultSettings(), Admission: admission.DefaultSettings(),
-		Generation: generation.DefaultSettings(), Confirmation: confirmation.DefaultSettings(),
+		Generation: generation.DefaultSettings(), Quarantine: quarantine.DefaultSettings(),
+		Confirmation: confirmation.DefaultSettings(),
 	}
 }
 
