--- a/client/client.go
+++ b/client/client.go
@@ -39,6 +39,7 @@
 	defaultSilence  = 3 * time.Second
 	dialTimeout     = time.Second
 	askTimeout      = 5 * time.Second
+	lookupTimeout   = time.Second
 	pauseStep       = 100 * time.Millisecond
 )
 
@@ -132,6 +133,8 @@
 }
 
 func (c *Client) lookup(ctx context.Context, address string) ([]string, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
 	q := url.Values{"place": {c.settings.Place}, "key": {c.settings.Key}}
 	var a directoryAnswer
 	if err := c.Ask(ctx, address, http.MethodGet, "/v1/directory?"+q.Encode(), nil, &a); err != nil {
--- /dev/null
+++ b/generation/property_test.go
@@ -0,0 +1,156 @@
+package generation
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// propertySeed makes every run of the property tests draw the same worlds.
+const propertySeed = "20261203"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", propertySeed); err != nil {
+		panic(err)
+	}
+	if code := m.Run(); code != 0 {
+		os.Exit(code)
+	}
+	if err := goleak.Find(); err != nil {
+		panic(err)
+	}
+}
+
+func TestAnswerStaysWholeInAnyWorld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		if err := newWorld(choose, nil).run(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// seededWorlds is how many fixed worlds each variant runs through.
+const seededWorlds = 3000
+
+func firstFailure(mutate *mutant) (seed uint64, err error) {
+	for seed = range uint64(seededWorlds) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		if err = newWorld(random.IntN, mutate).run(); err != nil {
+			return seed, err
+		}
+	}
+	return 0, nil
+}
+
+// mutant is a variant of the machine with one rule broken.
+type mutant struct {
+	name string
+	step func(m *Machine, now time.Time, in Input) []Decision
+}
+
+// without returns decisions that keep does not drop.
+func without(ds []Decision, drop func(Decision) bool) []Decision {
+	var out []Decision
+	for _, d := range ds {
+		if !drop(d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// asCurrent makes an event look as if it came from the current connection.
+func asCurrent(m *Machine, in Input) Input {
+	r, ok := in.(Received)
+	if ok && m.current != nil && m.current.holds() && r.Event.Kind == target.TokenEvent {
+		r.Attempt, r.Connection = m.current.number, m.current.connection
+	}
+	return r
+}
+
+var mutants = []*mutant{
+	{"accepts tokens of an old attempt", func(m *Machine, now time.Time, in Input) []Decision {
+		if _, ok := in.(Received); ok {
+			in = asCurrent(m, in)
+		}
+		return m.Step(now, in)
+	}},
+	{"starts again without the forced prefix", func(m *Machine, now time.Time, in Input) []Decision {
+		ds := m.Step(now, in)
+		for i, d := range ds {
+			if o, ok := d.(Open); ok {
+				o.Forced = nil
+				ds[i] = o
+			}
+		}
+		return ds
+	}},
+	{"accepts a gap in the positions", func(m *Machine, now time.Time, in Input) []Decision {
+		if r, ok := in.(Received); ok && r.Event.Kind == target.TokenEvent && r.Event.Position > m.position() {
+			r.Event.Position = m.position()
+			in = r
+		}
+		return m.Step(now, in)
+	}},
+	{"accepts a repeated position", func(m *Machine, now time.Time, in Input) []Decision {
+		if r, ok := in.(Received); ok && r.Event.Kind == target.TokenEvent && r.Event.Position < m.position() {
+			r.Event.Position = m.position()
+			in = r
+		}
+		return m.Step(now, in)
+	}},
+	{"keeps a standby whose prefix is old", func(m *Machine, now time.Time, in Input) []Decision {
+		s, c := m.standby, m.current
+		ds := m.Step(now, in)
+		if s != nil && s.holds() && m.standby == nil && m.current == c && !m.finished {
+			m.standby = s
+			return without(ds, func(d Decision) bool { e, ok := d.(End); return ok && e.Attempt == s.number })
+		}
+		return ds
+	}},
+	{"forgets the permit of a late grant", func(m *Machine, now time.Time, in Input) []Decision {
+		r, late := in.(Routed)
+		late = late && m.find(r.Attempt) == nil
+		return without(m.Step(now, in), func(d Decision) bool { _, ok := d.(End); return ok && late })
+	}},
+	{"forgets the permit of a target that died", func(m *Machine, now time.Time, in Input) []Decision {
+		return without(m.Step(now, in), func(d Decision) bool { e, ok := d.(End); return ok && e.Cause == EndDied })
+	}},
+	{"never looks at the time", func(m *Machine, now time.Time, in Input) []Decision {
+		if _, ok := in.(Tick); ok {
+			return nil
+		}
+		return m.Step(now, in)
+	}},
+	{"takes done at any position", func(m *Machine, now time.Time, in Input) []Decision {
+		if r, ok := in.(Received); ok && r.Event.Kind == target.DoneEvent {
+			r.Event.Position = m.position()
+			in = r
+		}
+		return m.Step(now, in)
+	}},
+}
+
+func TestBrokenVariantsAreCaught(t *testing.T) {
+	Convey("The machine passes every fixed world", t, func() {
+		_, err := firstFailure(nil)
+		So(err, ShouldBeNil)
+	})
+	for _, v := range mutants {
+		Convey("A machine that "+v.name+" is caught", t, func() {
+			seed, err := firstFailure(v)
+			So(err, ShouldNotBeNil)
+			t.Logf("%s: world %d: %v", v.name, seed, err)
+		})
+	}
+}
