--- /dev/null
+++ b/proof/gen-two-engines-killed.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Two engines are killed, the second while answers of the first resume.
+source "$(dirname "$0")/../scripts/lib.sh"
+source "$root/scripts/generations.sh"
+site 16 3 4 1
+start_answers 1 12 200
+sleep 1.5
+kill_process "engine-$(busiest_engine)"
+sleep 0.1
+kill_process "engine-$(busiest_engine)"
+check_answers 1 12 200
+lost=$(count_events target_lost)
+[ "$lost" -gt 0 ] || { echo "no answer lost its engine"; exit 1; }
+verdict "two engines killed 0.1 s apart, $lost losses, longest resume $(most_resume_ms) ms"
