generation: count a crash before the request goes on; callers leave a silent daemon sooner

Also a caller of a paused daemon asked that daemon's directory again (widest gap 4007 ms). Now a broken connection is probed for 50 ms before a standby is asked for, and daemons that were lost are asked last.

--- a/client/client.go
+++ b/client/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sort"
 	"sync"
 	"time"
 
@@ -36,7 +37,7 @@
 // Defaults of Settings.
 const (
 	defaultAttempts = 8
-	defaultSilence  = 3 * time.Second
+	defaultSilence  = 1500 * time.Millisecond
 	dialTimeout     = time.Second
 	askTimeout      = 5 * time.Second
 	lookupTimeout   = time.Second
@@ -78,7 +79,7 @@
 	if fresh {
 		return known
 	}
-	for _, a := range append(append([]string(nil), known...), c.settings.Addresses...) {
+	for _, a := range c.order(append(append([]string(nil), known...), c.settings.Addresses...)) {
 		if got, ttl, err := c.lookup(ctx, a); err == nil && len(got) > 0 {
 			c.mu.Lock()
 			c.known, c.expires = got, time.Now().Add(ttl)
@@ -108,23 +109,23 @@
 	c.avoided[address] = now.Add(avoidFor)
 }
 
-// next returns the daemon to ask now: the first that is not avoided, or else
-// the one that is avoided the longest.
-func (c *Client) next(ctx context.Context) string {
-	addresses := c.Addresses(ctx)
+// next returns the daemon to ask now.
+func (c *Client) next(ctx context.Context) string { return c.order(c.Addresses(ctx))[0] }
+
+// order puts daemons that are avoided last, those avoided the longest first.
+func (c *Client) order(addresses []string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	best := addresses[0]
-	for _, a := range addresses {
-		until, avoided := c.avoided[a]
-		if !avoided || time.Now().After(until) {
-			return a
-		}
-		if until.Before(c.avoided[best]) {
-			best = a
+	now := time.Now()
+	until := func(a string) time.Time {
+		if t := c.avoided[a]; t.After(now) {
+			return t
 		}
+		return time.Time{}
 	}
-	return best
+	out := append([]string(nil), addresses...)
+	sort.SliceStable(out, func(i, j int) bool { return until(out[i]).Before(until(out[j])) })
+	return out
 }
 
 type directoryAnswer struct {
--- a/generation/loss.go
+++ b/generation/loss.go
@@ -35,8 +35,13 @@
 	return append(m.leave(cause), m.nextAttempt(now)...)
 }
 
+// standbyAfter is how long the probe of a target whose connection failed may
+// take before a standby is asked for. Most answer at once; a request that
+// crashed the target is then counted before it goes to the next one.
+const standbyAfter = 50 * time.Millisecond
+
 // suspect probes the target on a new connection. With latency first a standby
-// is asked for meanwhile.
+// is asked for meanwhile, at once if the connection is silent.
 func (m *Machine) suspect(now time.Time) []Decision {
 	a := m.current
 	if a.phase == probing {
@@ -46,13 +51,21 @@
 	m.connection++
 	a.phase, a.probe, a.probeAt = probing, m.connection, now
 	out := []Decision{Probe{a.number, a.probe}}
-	if m.setup.Objective == configuration.ResourcesFirst || m.standby != nil || m.whole() {
+	if a.broken {
 		return out
 	}
-	m.exclude(a.target)
+	return append(out, m.raceStandby()...)
+}
+
+// raceStandby asks for a second target while the current one is probed.
+func (m *Machine) raceStandby() []Decision {
+	if m.setup.Objective == configuration.ResourcesFirst || m.standby != nil || m.whole() {
+		return nil
+	}
+	m.exclude(m.current.target)
 	s, r := m.newAttempt()
 	m.standby = s
-	return append(out, r)
+	return []Decision{r}
 }
 
 func (m *Machine) probed(now time.Time, in Probed) []Decision {
@@ -137,6 +150,9 @@
 		if now.Sub(a.probeAt) > s.ProbeTimeout.Std() {
 			return m.lose(now, EndSilent)
 		}
+		if now.Sub(a.probeAt) >= standbyAfter && !m.late(now) {
+			return m.raceStandby()
+		}
 	}
 	return nil
 }
--- a/generation/settings.go
+++ b/generation/settings.go
@@ -53,7 +53,7 @@
 		RoutePause:       jsontime.Duration(100 * time.Millisecond),
 		Retention:        jsontime.Duration(30 * time.Second),
 		Unwatched:        jsontime.Duration(10 * time.Second),
-		CallerKeepAlive:  jsontime.Duration(time.Second),
+		CallerKeepAlive:  jsontime.Duration(500 * time.Millisecond),
 		MaxRetained:      4096,
 		MaxRetainedBytes: 32 << 20,
 	}
