Orders to targets: a lease a service with fencing, and a planner

Cause: nothing ordered targets about. One daemon a service holds a lease in the platform; a pure planner orders only the difference between wanted and reported state, a few loads at a time, never the last able target. Ruled out: one lease for all (one node would read 10,000 reports), no lease.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "standin", SilenceUsage: true}
-	root.AddCommand(platformCommand(), engineCommand(), bookingCommand(), checkCommand())
+	root.AddCommand(platformCommand(), engineCommand(), bookingCommand(), weightsCommand(), checkCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -53,6 +53,8 @@
 	f.Float64Var(&s.PrefillRate, "prefill-rate", s.PrefillRate, "prompt tokens a second")
 	f.DurationVar(&s.KeepAlive, "keep-alive", s.KeepAlive, "time between keep-alives")
 	f.DurationVar(&s.LoadLag, "load-lag", s.LoadLag, "age of load reports")
+	f.DurationVar(&s.LoadTime, "load-time", s.LoadTime, "time to load the weights of an order")
+	f.StringVar(&s.WeightStore, "weight-store", "", "base URL of the weight store")
 	f.BoolVar(&s.ChecksFencing, "checks-fencing", s.ChecksFencing, "refuse orders with an old fencing number")
 	f.StringToStringVar(&s.Models, "models", s.Models, "model=version, ...")
 	return c
@@ -67,3 +69,13 @@
 	c.Flags().DurationVar(&delay, "delay", 5*time.Millisecond, "time a call takes")
 	return c
 }
+
+func weightsCommand() *cobra.Command {
+	var listen string
+	var limit int
+	c := &cobra.Command{Use: "weights", Short: "weight store that is rate-limited", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serve(listen, standin.NewWeightStore(limit).Handler()) }}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:7500", "address")
+	c.Flags().IntVar(&limit, "limit", 2, "fetches at once; more are refused")
+	return c
+}
--- a/configuration/document.go
+++ b/configuration/document.go
@@ -95,4 +95,6 @@
 	// Wanted is what the target should serve, model name to version; nil
 	// means that the target is not ordered about.
 	Wanted map[string]string `json:"wanted,omitempty"`
+	// WantedRole is the role the target should have; empty leaves it alone.
+	WantedRole string `json:"wanted_role,omitempty"`
 }
--- a/configuration/snapshot.go
+++ b/configuration/snapshot.go
@@ -150,3 +150,13 @@
 	}
 	return OldSystem
 }
+
+// Ordered tells whether some target of the service has a wanted state.
+func (v *ServiceView) Ordered() bool {
+	for _, t := range v.Targets {
+		if t.Wanted != nil && t.System != OldSystem {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -26,6 +26,8 @@
 	LoadLag       time.Duration     // age of the load report
 	Models        map[string]string // name to version
 	ChecksFencing bool
+	LoadTime      time.Duration // to load the weights of an order
+	WeightStore   string        // base URL to fetch weights from; none if empty
 	// Crash ends the engine when it meets CrashPrompt.
 	Crash func()
 }
@@ -178,7 +180,7 @@
 		}
 	}
 	e.fencing = max(e.fencing, o.FencingNumber)
-	e.models, e.role = o.Models, o.Role
+	go e.loadWeights(o)
 }
 
 // touch takes the prompt's blocks into the cache and returns how many led.
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,7 @@
 	platform  *platform.Client
 	targets   *targetPool
 	hub       *generation.Hub
+	orders    *orders
 	confirm   confirmation.Service
 
 	snapshot atomic.Pointer[configuration.Snapshot]
@@ -87,6 +88,7 @@
 	n.buildRouting()
 	n.buildGenerations()
 	n.buildConfirmations()
+	n.buildPlacement()
 	n.server = n.newServer()
 	return n, nil
 }
@@ -121,6 +123,7 @@
 	n.runConfiguration(background)
 	n.runRouting(background)
 	n.runConfirmations(background)
+	n.runPlacement(background)
 	failed := make(chan error, 1)
 	n.spawn(func() { failed <- n.server.Serve(n.listener) })
 	n.events.Record(event.NodeStarted, "", event.F("api", n.settings.APIAddress), event.F("peer", n.settings.PeerAddress))
@@ -156,6 +159,7 @@
 
 func (n *Node) drain() {
 	n.Drain()
+	n.orders.release()
 	time.Sleep(n.settings.Membership.DirectoryTTL.Std())
 	n.refusing.Store(true)
 	for n.requests.Load() > 0 || n.hub.Active() > 0 {
--- /dev/null
+++ b/placement/lease.go
@@ -0,0 +1,320 @@
+// Package placement orders targets to serve what operators want. One daemon a
+// service holds a lease in the platform, whose fencing number goes with every
+// order; the rest stand by.
+//
+// Lease and Planner are pure: the time and what was learned go in, decisions
+// come out.
+package placement
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/internal/jsontime"
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// Settings bound leases and orders.
+type Settings struct {
+	// LeaseDuration is how long a lease lasts after its renewal was sent.
+	LeaseDuration jsontime.Duration `json:"lease_duration" validate:"gt=0"`
+	// LeaseMargin is how long before its lease ends a holder stops ordering.
+	LeaseMargin jsontime.Duration `json:"lease_margin" validate:"gt=0,ltfield=LeaseDuration"`
+	// OrderTimeout is the longest an order can be under way. A new holder
+	// waits that long before it orders targets that ignore fencing numbers.
+	OrderTimeout jsontime.Duration `json:"order_timeout" validate:"gt=0"`
+	// LoadTimeout is how long a target may take to report what it was ordered.
+	LoadTimeout jsontime.Duration `json:"load_timeout" validate:"gt=0"`
+	// MaxLoads bounds the targets of the whole site that load weights at once.
+	MaxLoads int `json:"max_loads" validate:"min=1"`
+}
+
+// DefaultSettings returns the settings of a daemon whose file names none.
+func DefaultSettings() Settings {
+	return Settings{
+		LeaseDuration: jsontime.Duration(6 * time.Second),
+		LeaseMargin:   jsontime.Duration(2 * time.Second),
+		OrderTimeout:  jsontime.Duration(2 * time.Second),
+		LoadTimeout:   jsontime.Duration(5 * time.Minute),
+		MaxLoads:      4,
+	}
+}
+
+// renewalsPerLease is how often a holder renews within one duration.
+const renewalsPerLease = 3
+
+// Record is the value of a lease object. An empty Holder means released.
+type Record struct {
+	Holder      string `json:"holder"`
+	Incarnation uint64 `json:"incarnation"`
+	Fencing     int64  `json:"fencing"` // rises with every new holder
+	WriteID     int64  `json:"write_id"`
+}
+
+// Owner is the daemon that wants the lease.
+type Owner struct {
+	ID          string
+	Incarnation uint64
+}
+
+// LeaseInput is something a lease learns.
+type LeaseInput interface{ leaseInput() }
+
+// LeaseTick lets time pass. Rank is this daemon's place among the live
+// candidates of the service, 0 first; a negative rank is no candidate.
+type LeaseTick struct{ Rank int }
+
+// LeaseRead is the answer of a read. Found is false if there is no object.
+type LeaseRead struct {
+	Found   bool
+	Version int64
+	Record  Record
+	Failed  bool
+}
+
+// LeaseWritten is the answer of a write.
+type LeaseWritten struct {
+	WriteID int64
+	Version int64
+	Result  WriteResult
+}
+
+// WriteResult tells how a write ended.
+type WriteResult string
+
+// Results of a write.
+const (
+	Written     WriteResult = "written"
+	Conflicted  WriteResult = "conflict"    // another version won
+	NotWritten  WriteResult = "not_written" // the store refused or was not reached
+	Undecidable WriteResult = "unknown"     // the answer was lost
+)
+
+// ResultOf classifies the error of a store's write.
+func ResultOf(err error) WriteResult {
+	switch {
+	case err == nil:
+		return Written
+	case errors.Is(err, platform.ErrConflict):
+		return Conflicted
+	case errors.Is(err, platform.ErrUnavailable):
+		return NotWritten
+	default:
+		return Undecidable
+	}
+}
+
+func (LeaseTick) leaseInput()    {}
+func (LeaseRead) leaseInput()    {}
+func (LeaseWritten) leaseInput() {}
+
+// LeaseDecision is something the shell must do.
+type LeaseDecision interface{ leaseDecision() }
+
+// ReadLease asks for the lease object.
+type ReadLease struct{}
+
+// WriteLease writes the lease object if its version is Expected.
+type WriteLease struct {
+	Expected int64
+	Record   Record
+}
+
+// Taken tells that this daemon became the holder.
+type Taken struct{ Fencing int64 }
+
+// Dropped tells that this daemon is no longer the holder.
+type Dropped struct{}
+
+func (ReadLease) leaseDecision()  {}
+func (WriteLease) leaseDecision() {}
+func (Taken) leaseDecision()      {}
+func (Dropped) leaseDecision()    {}
+
+// Lease decides for one service on one daemon. Times are of this daemon's
+// monotonic clock; clocks of different daemons are never compared.
+type Lease struct {
+	settings Settings
+	owner    Owner
+
+	version int64     // newest object version seen
+	record  Record    // and its record
+	seenAt  time.Time // when that version was first seen here
+
+	rank      int
+	busy      bool // a call is under way
+	nextRead  time.Time
+	writes    int64
+	written   Record    // record of the last write
+	sentAt    time.Time // when that write was sent
+	unsettled bool      // the last write's answer was lost
+
+	fencing   int64     // of the lease held here; 0 when none is
+	until     time.Time // end of the lease held here
+	orderFrom time.Time // start of orders to targets that ignore fencing
+}
+
+// NewLease returns a lease that is not held.
+func NewLease(s Settings, o Owner) *Lease { return &Lease{settings: s, owner: o, rank: -1} }
+
+// Holds returns the fencing number while this daemon may order targets. It must
+// be asked just before each order is sent. unchecked tells whether targets that
+// ignore fencing numbers may be ordered too.
+func (l *Lease) Holds(now time.Time) (fencing int64, unchecked, ok bool) {
+	if l.fencing == 0 || !now.Before(l.until.Add(-l.settings.LeaseMargin.Std())) {
+		return 0, false, false
+	}
+	return l.fencing, !now.Before(l.orderFrom), true
+}
+
+// Step takes one input and returns what to do.
+func (l *Lease) Step(now time.Time, in LeaseInput) []LeaseDecision {
+	switch in := in.(type) {
+	case LeaseTick:
+		l.rank = in.Rank
+		return l.tick(now)
+	case LeaseRead:
+		l.busy = false
+		return l.read(now, in)
+	case LeaseWritten:
+		l.busy = false
+		return l.wrote(now, in)
+	}
+	return nil
+}
+
+func (l *Lease) renewEvery() time.Duration { return l.settings.LeaseDuration.Std() / renewalsPerLease }
+
+func (l *Lease) tick(now time.Time) []LeaseDecision {
+	var out []LeaseDecision
+	if l.fencing != 0 && !now.Before(l.until) {
+		out = append(out, l.drop()...)
+	}
+	if l.busy {
+		return out
+	}
+	if l.fencing != 0 && !l.unsettled {
+		if now.Sub(l.sentAt) >= l.renewEvery() {
+			out = append(out, l.write(now, l.fencing))
+		}
+		return out
+	}
+	if (l.rank < 0 && !l.unsettled) || now.Before(l.nextRead) {
+		return out
+	}
+	l.busy, l.nextRead = true, now.Add(l.renewEvery())
+	return append(out, ReadLease{})
+}
+
+// drop ends the lease held here. A renewal still under way is disowned, so that
+// holding again takes a new fencing number.
+func (l *Lease) drop() []LeaseDecision {
+	if l.fencing == 0 {
+		return nil
+	}
+	l.fencing, l.unsettled, l.written = 0, false, Record{}
+	return []LeaseDecision{Dropped{}}
+}
+
+// write sends this daemon's claim on top of the newest version seen.
+func (l *Lease) write(now time.Time, fencing int64) LeaseDecision {
+	l.writes++
+	l.busy, l.sentAt = true, now
+	l.written = Record{Holder: l.owner.ID, Incarnation: l.owner.Incarnation, Fencing: fencing, WriteID: l.writes}
+	return WriteLease{Expected: l.version, Record: l.written}
+}
+
+func (l *Lease) wrote(now time.Time, in LeaseWritten) []LeaseDecision {
+	if in.WriteID != l.written.WriteID {
+		return nil
+	}
+	switch in.Result {
+	case Written:
+		return l.won(now, in.Version)
+	case Conflicted:
+		l.nextRead = now
+		return l.drop()
+	case Undecidable: // read back
+		l.unsettled, l.nextRead = true, now
+	}
+	return nil
+}
+
+// won makes the last write's claim this daemon's. The lease counts from when
+// the write was sent: others count from when they saw it, which is later.
+func (l *Lease) won(now time.Time, version int64) []LeaseDecision {
+	l.version, l.record, l.seenAt = version, l.written, now
+	l.unsettled = false
+	until := l.sentAt.Add(l.settings.LeaseDuration.Std())
+	if !now.Before(until) {
+		return l.drop() // known too late to be of use
+	}
+	taken := l.fencing != l.written.Fencing
+	l.fencing, l.until = l.written.Fencing, until
+	if !taken {
+		return nil
+	}
+	l.orderFrom = now.Add(l.settings.OrderTimeout.Std())
+	return []LeaseDecision{Taken{l.fencing}}
+}
+
+func (l *Lease) read(now time.Time, in LeaseRead) []LeaseDecision {
+	if in.Failed {
+		return nil
+	}
+	if l.unsettled && in.Found && in.Record == l.written {
+		return l.won(now, in.Version)
+	}
+	l.unsettled = false
+	out := l.notOurs(in)
+	if in.Version < l.version {
+		return out // a late answer
+	}
+	if in.Version != l.version {
+		l.version, l.record, l.seenAt = in.Version, in.Record, now
+	}
+	if l.rank >= 0 && l.fencing == 0 && l.free(now, in) {
+		out = append(out, l.write(now, l.record.Fencing+1))
+	}
+	return out
+}
+
+// notOurs drops the lease if the object names another holder.
+func (l *Lease) notOurs(in LeaseRead) []LeaseDecision {
+	if l.fencing != 0 && in.Record.Fencing != l.fencing {
+		return l.drop()
+	}
+	return nil
+}
+
+// free tells whether the lease may be taken: there is none, it was released,
+// an earlier run of this daemon held it, or it was not renewed for a whole
+// duration since it was first seen here. Lower ranks go first.
+func (l *Lease) free(now time.Time, in LeaseRead) bool {
+	wait := time.Duration(l.rank) * l.renewEvery()
+	switch {
+	case !in.Found, in.Record.Holder == "":
+		return now.Sub(l.seenAt) >= wait
+	case in.Record.Holder == l.owner.ID && in.Record.Incarnation <= l.owner.Incarnation:
+		return true
+	default:
+		return now.Sub(l.seenAt) >= l.settings.LeaseDuration.Std()+wait
+	}
+}
+
+// Release returns the write that gives the lease up at a planned stop, if it
+// is held here. Nothing may be ordered afterwards.
+func (l *Lease) Release() []LeaseDecision {
+	if l.fencing == 0 || l.unsettled {
+		l.fencing = 0
+		return nil
+	}
+	r := Record{Fencing: l.fencing}
+	l.fencing, l.rank = 0, -1
+	return []LeaseDecision{WriteLease{Expected: l.version, Record: r}}
+}
+
+// Fencing returns the number of the lease that this daemon has, even when it is
+// too close to its end to order; 0 when it has none.
+func (l *Lease) Fencing() int64 { return l.fencing }
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,194 @@
+package placement
+
+import (
+	"maps"
+	"math/rand/v2"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// TargetState is one target with what it last reported.
+type TargetState struct {
+	Target  configuration.Target
+	Report  target.Load
+	Known   bool // a report was read lately
+	Leaving bool // from any source
+}
+
+// able tells whether the target can serve a generation service now.
+func (t TargetState) able(s *configuration.ServiceView) bool {
+	return t.Known && !t.Leaving && t.Report.Models[s.Model] == s.Version
+}
+
+// settled tells whether the target reports what is wanted.
+func (t TargetState) settled() bool {
+	return maps.Equal(t.Target.Wanted, t.Report.Models) && (t.Target.WantedRole == "" || t.Target.WantedRole == t.Report.Role)
+}
+
+// ordered tells whether the target is to be ordered about at all.
+func (t TargetState) ordered() bool {
+	return t.Target.Wanted != nil && t.Target.System != configuration.OldSystem && t.Known && !t.Leaving
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Service *configuration.ServiceView
+	Targets []TargetState // the service's targets, in document order
+	// Fencing is the number of the lease held; Unchecked tells whether targets
+	// that ignore it may be ordered.
+	Fencing   int64
+	Unchecked bool
+	// Loads bounds the targets of this service that load at once.
+	Loads int
+}
+
+// Send is one order to one target.
+type Send struct {
+	Target string
+	Order  target.Order
+}
+
+// Planner decides which orders to send for one service.
+type Planner struct {
+	settings Settings
+	loading  map[string]load
+	failures map[string]failures
+}
+
+// load is an order that was sent and is not yet reported as done.
+type load struct {
+	since       time.Time
+	wanted      map[string]string
+	incarnation uint64
+}
+
+type failures struct {
+	count     int
+	notBefore time.Time
+}
+
+// NewPlanner returns a planner that knows of no order.
+func NewPlanner(s Settings) *Planner {
+	return &Planner{settings: s, loading: make(map[string]load), failures: make(map[string]failures)}
+}
+
+// Plan returns the orders to send now. Only the difference between wanted and
+// reported state is ordered, a few targets at a time, and never the last target
+// able to serve.
+func (p *Planner) Plan(now time.Time, in Input, random *rand.Rand) []Send {
+	p.review(now, in, random)
+	able := p.countAble(in)
+	var out []Send
+	for _, t := range in.Targets {
+		if len(p.loading) >= in.Loads {
+			break
+		}
+		if !p.due(now, in, t) {
+			continue
+		}
+		if t.able(in.Service) && !keepsAble(in.Service, t) {
+			if able <= 1 {
+				continue
+			}
+			able--
+		}
+		p.loading[t.Target.Name] = load{since: now, wanted: t.Target.Wanted, incarnation: t.Report.Incarnation}
+		out = append(out, Send{t.Target.Name, target.Order{
+			FencingNumber: in.Fencing, Models: t.Target.Wanted, Role: t.Target.WantedRole,
+		}})
+	}
+	return out
+}
+
+// keepsAble tells whether the wanted state still serves the service.
+func keepsAble(s *configuration.ServiceView, t TargetState) bool {
+	return t.Target.Wanted[s.Model] == s.Version
+}
+
+// countAble counts the targets that can serve and are not being changed away.
+func (p *Planner) countAble(in Input) int {
+	var n int
+	for _, t := range in.Targets {
+		_, changing := p.loading[t.Target.Name]
+		if t.able(in.Service) && (!changing || keepsAble(in.Service, t)) {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Planner) due(now time.Time, in Input, t TargetState) bool {
+	if !t.ordered() || t.settled() || (!t.Target.ChecksFencing && !in.Unchecked) {
+		return false
+	}
+	if _, sent := p.loading[t.Target.Name]; sent {
+		return false
+	}
+	return !now.Before(p.failures[t.Target.Name].notBefore)
+}
+
+// review ends loads that were reported, that failed, or whose wish changed.
+func (p *Planner) review(now time.Time, in Input, random *rand.Rand) {
+	present := make(map[string]bool, len(in.Targets))
+	for _, t := range in.Targets {
+		name := t.Target.Name
+		present[name] = true
+		l, sent := p.loading[name]
+		switch {
+		case !sent:
+		case t.Known && t.settled():
+			delete(p.loading, name)
+			delete(p.failures, name)
+		case !maps.Equal(l.wanted, t.Target.Wanted):
+			delete(p.loading, name)
+		case now.Sub(l.since) >= p.settings.LoadTimeout.Std(), t.Known && t.Report.Incarnation != l.incarnation:
+			p.Failed(now, name, random)
+		}
+	}
+	for name := range p.loading {
+		if !present[name] {
+			delete(p.loading, name)
+		}
+	}
+	for name := range p.failures {
+		if !present[name] {
+			delete(p.failures, name)
+		}
+	}
+}
+
+// Bounds of the pause after a failed order.
+const (
+	backoffStart = 2 * time.Second
+	backoffMax   = 5 * time.Minute
+	backoffSteps = 8
+)
+
+// Failed tells that an order failed. The target is left alone for a while,
+// longer each time, with jitter so that targets don't come back together.
+func (p *Planner) Failed(now time.Time, name string, random *rand.Rand) {
+	delete(p.loading, name)
+	f := p.failures[name]
+	pause := min(backoffStart<<min(f.count, backoffSteps), backoffMax)
+	f.count++
+	f.notBefore = now.Add(pause/2 + time.Duration(random.Int64N(int64(pause/2)+1)))
+	p.failures[name] = f
+}
+
+// Reset forgets orders under way, for a daemon that became the holder.
+func (p *Planner) Reset() {
+	clear(p.loading)
+}
+
+// Share splits the site's bound on loads among its services by rank, so that
+// their holders need not talk to each other. Every service gets one at least:
+// a site with more ordered services than its bound loads one target for each.
+func Share(maxLoads, services, rank int) int {
+	share := maxLoads / services
+	if rank < maxLoads%services {
+		share++
+	}
+	return max(share, 1)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaroad/vanillaroad/confirmation"
 	"github.com/vanillaroad/vanillaroad/generation"
 	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/placement"
 )
 
 // Settings is the whole of a daemon's file.
@@ -34,6 +35,7 @@
 	Admission    admission.Settings    `json:"admission"`
 	Generation   generation.Settings   `json:"generation"`
 	Confirmation confirmation.Settings `json:"confirmation"`
+	Placement    placement.Settings    `json:"placement"`
 }
 
 // Default returns settings with everything set that has a default.
@@ -42,6 +44,7 @@
 		LogLevel: "info", EventRing: 4096,
 		Membership: membership.DefaultSettings(), Admission: admission.DefaultSettings(),
 		Generation: generation.DefaultSettings(), Confirmation: confirmation.DefaultSettings(),
+		Placement: placement.DefaultSettings(),
 	}
 }
 
