--- a/generation/connection.go
+++ b/generation/connection.go
@@ -114,10 +114,11 @@
 )
 
 // leave cancels an attempt and gives its permit back once its end is known. A
-// target that was only paused is told when it wakes.
+// target that was only paused is told when it wakes. It tries once even when
+// ctx has ended.
 func leave(ctx context.Context, grant Grant, id target.StreamID) {
 	for range leaveTries {
-		err := grant.Engine.Cancel(ctx, id)
+		err := grant.Engine.Cancel(context.WithoutCancel(ctx), id)
 		if err == nil || errors.Is(err, target.ErrNoStream) {
 			grant.Release(true)
 			return
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaroad/vanillaroad/generation"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/quarantine"
+	"github.com/vanillaroad/vanillaroad/placement"
 )
 
 // Settings is the whole of a daemon's file.
@@ -36,6 +37,7 @@
 	Generation   generation.Settings   `json:"generation"`
 	Quarantine   quarantine.Settings   `json:"quarantine"`
 	Confirmation confirmation.Settings `json:"confirmation"`
+	Placement    placement.Settings    `json:"placement"`
 }
 
 // Default returns settings with everything set that has a default.
@@ -45,6 +47,7 @@
 		Membership: membership.DefaultSettings(), Admission: admission.DefaultSettings(),
 		Generation: generation.DefaultSettings(), Quarantine: quarantine.DefaultSettings(),
 		Confirmation: confirmation.DefaultSettings(),
+		Placement: placement.DefaultSettings(),
 	}
 }
 
