--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,8 +16,8 @@
 	"github.com/vanillaroad/vanillaroad/confirmation"
 	"github.com/vanillaroad/vanillaroad/generation"
 	"github.com/vanillaroad/vanillaroad/membership"
-	"github.com/vanillaroad/vanillaroad/quarantine"
 	"github.com/vanillaroad/vanillaroad/placement"
+	"github.com/vanillaroad/vanillaroad/quarantine"
 )
 
 // Settings is the whole of a daemon's file.
@@ -47,7 +47,7 @@
 		Membership: membership.DefaultSettings(), Admission: admission.DefaultSettings(),
 		Generation: generation.DefaultSettings(), Quarantine: quarantine.DefaultSettings(),
 		Confirmation: confirmation.DefaultSettings(),
-		Placement: placement.DefaultSettings(),
+		Placement:    placement.DefaultSettings(),
 	}
 }
 
