--- a/generation/hub_test.go
+++ b/generation/hub_test.go
@@ -191,6 +191,7 @@
 			tokens, end := read(r, all)
 			So(end.Err, ShouldBeNil)
 			whole(tokens, 20)
+			h.Close()
 			So(s.done, ShouldEqual, 1)
 		})
 		Convey("an answer goes on when its engine is killed, and the trace replays", func() {
@@ -202,8 +203,8 @@
 			more, end := read(r, all)
 			So(end.Err, ShouldBeNil)
 			whole(append(tokens, more...), 100)
-			So(s.lost, ShouldResemble, []string{"engine-0"})
 			h.Close()
+			So(s.lost, ShouldResemble, []string{"engine-0"})
 			steps, err := trace.Replay(bytes.NewReader(s.tracing.Bytes()), map[string]trace.Maker{TraceSlice: Maker})
 			So(err, ShouldBeNil)
 			So(steps, ShouldBeGreaterThan, 100)
