--- a/generation/hub_test.go
+++ b/generation/hub_test.go
@@ -29,7 +29,7 @@
 	done    int
 	told    []TakeOver
 	refuse  *failure.Error // of the guard
-	tracing bytes.Buffer
+	traces  map[string]*bytes.Buffer // by daemon
 }
 
 type siteEngine struct {
@@ -40,7 +40,7 @@
 }
 
 func newSite(count int) *site {
-	s := &site{}
+	s := &site{traces: make(map[string]*bytes.Buffer)}
 	for i := range count {
 		es := standin.DefaultEngineSettings()
 		es.TokenInterval = 2 * time.Millisecond
@@ -66,7 +66,8 @@
 }
 
 func (s *site) hub(self string) *Hub {
-	recorder, err := trace.NewRecorder(&s.tracing, self)
+	s.traces[self] = &bytes.Buffer{}
+	recorder, err := trace.NewRecorder(s.traces[self], self)
 	So(err, ShouldBeNil)
 	settings := DefaultSettings()
 	settings.Silence, settings.SilenceMin = jsontime.Duration(500*time.Millisecond), jsontime.Duration(400*time.Millisecond)
@@ -205,7 +206,7 @@
 			whole(append(tokens, more...), 100)
 			h.Close()
 			So(s.lost, ShouldResemble, []string{"engine-0"})
-			steps, err := trace.Replay(bytes.NewReader(s.tracing.Bytes()), map[string]trace.Maker{TraceSlice: Maker})
+			steps, err := trace.Replay(bytes.NewReader(s.traces["daemon-a"].Bytes()), map[string]trace.Maker{TraceSlice: Maker})
 			So(err, ShouldBeNil)
 			So(steps, ShouldBeGreaterThan, 100)
 		})
