--- a/generation/hub_test.go
+++ b/generation/hub_test.go
@@ -28,7 +28,7 @@
 	lost    []string
 	done    int
 	told    []TakeOver
-	refuse  *failure.Error // of the guard
+	refuse  *failure.Error           // of the guard
 	traces  map[string]*bytes.Buffer // by daemon
 }
 
