--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -55,6 +55,7 @@
 		{"another request", poison, Subject{"q", 2}, 2 * minute, false},
 		{"new ids each time", []hit{{0, "p1", 1, "a", true}, {minute, "p2", 1, "b", true}, {2 * minute, "p3", 1, "c", true}}, Subject{"p4", 1}, 2 * minute, true},
 		{"strikes decayed", poison, Subject{"p", 1}, 11 * minute, false},
+		{"strikes told in another order decay all the same", []hit{poison[2], poison[1], poison[0]}, Subject{"p", 1}, 10*minute + time.Second, false},
 		{"one failure that several daemons report", []hit{{0, "p", 1, "a", true}, {time.Second, "p", 1, "a", true}, {2 * time.Second, "p", 1, "a", true}}, Subject{"p", 1}, minute, false},
 		{"one target that restarts and dies again", []hit{{0, "p", 1, "a", true}, {minute, "p", 1, "a", true}, {2 * minute, "p", 1, "a", true}}, Subject{"p", 1}, 2 * minute, true},
 		{"five targets lost while it ran well", []hit{
