--- a/client/generate.go
+++ b/client/generate.go
@@ -58,11 +58,13 @@
 	for i := 0; i < c.settings.Attempts && ctx.Err() == nil; i++ {
 		moves++
 		held := len(s.request.Held)
-		end := s.follow(ctx, c.next(ctx))
+		address := c.next(ctx)
+		end := s.follow(ctx, address)
 		if end.done || final(end.err) {
 			return Answer{Tokens: s.request.Held, Moves: moves}, end.err
 		}
 		last = end.err
+		c.avoid(address)
 		if len(s.request.Held) > held {
 			i = 0
 		}
@@ -106,7 +108,6 @@
 	}
 	resp, err := s.client.send(ctx, address, http.MethodPost, "/v1/generations", s.request, header)
 	if err != nil {
-		s.client.avoid(address)
 		return streamEnd{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -122,7 +123,6 @@
 		}
 		e = serverEvent{}
 	}
-	s.client.avoid(address)
 	return streamEnd{err: failure.New(failure.UnknownResult, failure.Unknown, "read stream", address, "stream lost")}
 }
 
