--- /dev/null
+++ b/proof/gen-plain-http.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Runs the examples of docs/callers.md as printed, with curl and no client of
+# ours: an answer is cut and goes on at another daemon.
+source "$(dirname "$0")/../scripts/lib.sh"
+source "$root/scripts/generations.sh"
+site 18 2 2 1
+export DAEMON=$(api_of 1) OTHER=$(api_of 2)
+cd "$dir"
+sed -n '/^```sh$/,/^```$/p' "$root/docs/callers.md" | grep -v '^```' >examples.sh
+bash -eu examples.sh >examples.out
+texts() { sed -n 's/^data: .*"text":\("[^"]*"\).*/\1/p' "$1"; }
+first=$(texts part.sse | wc -l) rest=$(texts rest.sse | wc -l)
+echo "{\"tokens\":[$(cat <(texts part.sse) <(texts rest.sse) | paste -sd, -)]}" >answer.json
+"$bin/standin" check --prompt "A stand profile" --length 200 answer.json
+grep -q '^event: done' rest.sse
+[ "$first" -gt 0 ] && [ "$rest" -gt 0 ]
+decoded=$(sum_work decode_tokens)
+[ "$decoded" -eq 200 ]
+echo "proof: $first tokens from one daemon and $rest from another are one whole answer; $decoded tokens decoded for 200"
