generation: a caller without a cursor is led to the run that goes on elsewhere

One daemon an id keeps the claim who runs it; a new run asks there first (one hop) and joins the running stream as a guest: it does not cancel what another daemon's caller still reads.

--- a/generation/answer.go
+++ b/generation/answer.go
@@ -67,6 +67,20 @@
 	a.wake()
 }
 
+// extend appends the tokens of a longer list that begins with the answer.
+func (a *Answer) extend(tokens []string, c Cursor) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(tokens) <= len(a.tokens) {
+		return
+	}
+	a.sources = append(a.sources, source{int64(len(a.tokens)), c})
+	for _, t := range tokens[len(a.tokens):] {
+		a.keep(t)
+	}
+	a.wake()
+}
+
 func (a *Answer) finish(err *failure.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/generation/claims.go
@@ -0,0 +1,55 @@
+package generation
+
+import "time"
+
+// Claims tells which daemon was the last to run each request. One daemon keeps
+// the claims of an id, so that a caller which comes to another daemon without
+// a cursor is led to the run that goes on. Losing a claim costs a second run
+// and nothing else. It is not safe for concurrent use.
+type Claims struct {
+	entries map[string]claim
+	order   []string // by first claim, oldest first
+}
+
+type claim struct {
+	daemon string // peer address
+	at     time.Time
+}
+
+// claimLife is how long a claim is kept, maxClaims how many at most.
+const (
+	claimLife = 10 * time.Minute
+	maxClaims = 1 << 16
+)
+
+// NewClaims returns no claims.
+func NewClaims() *Claims { return &Claims{entries: make(map[string]claim)} }
+
+// Len returns the number of claims kept.
+func (c *Claims) Len() int { return len(c.entries) }
+
+// Take names daemon as the one that runs the request and returns the one
+// before, or "".
+func (c *Claims) Take(now time.Time, request, daemon string) string {
+	before, known := c.entries[request]
+	if known && now.Sub(before.at) > claimLife {
+		before = claim{}
+	}
+	c.entries[request] = claim{daemon, now}
+	if !known {
+		c.order = append(c.order, request)
+	}
+	for len(c.order) > 0 && c.stale(now, c.order[0]) {
+		c.dropOldest()
+	}
+	return before.daemon
+}
+
+func (c *Claims) stale(now time.Time, request string) bool {
+	return len(c.entries) > maxClaims || now.Sub(c.entries[request].at) > claimLife
+}
+
+func (c *Claims) dropOldest() {
+	delete(c.entries, c.order[0])
+	c.order = c.order[1:]
+}
--- /dev/null
+++ b/generation/claims_test.go
@@ -0,0 +1,29 @@
+package generation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestClaims(t *testing.T) {
+	Convey("the daemon before is told, until its claim is too old", t, func() {
+		c := NewClaims()
+		now := time.Unix(1000, 0)
+		So(c.Take(now, "1", "a"), ShouldEqual, "")
+		So(c.Take(now, "1", "b"), ShouldEqual, "a")
+		So(c.Take(now.Add(claimLife+1), "1", "c"), ShouldEqual, "")
+	})
+	Convey("claims are bounded in number and time", t, func() {
+		c := NewClaims()
+		now := time.Unix(1000, 0)
+		for i := range maxClaims + 10 {
+			c.Take(now, fmt.Sprint(i), "a")
+		}
+		So(c.Len(), ShouldEqual, maxClaims)
+		c.Take(now.Add(claimLife+1), "new", "a")
+		So(c.Len(), ShouldEqual, 1)
+	})
+}
--- a/generation/hub.go
+++ b/generation/hub.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,8 +32,8 @@
 	answer      *Answer
 	fingerprint uint64
 	orders      chan Input
-	taken       bool      // another daemon goes on with it
-	ended       time.Time // zero while the run goes on
+	guest       atomic.Bool // the stream belongs to another daemon's run
+	ended       time.Time   // zero while the run goes on
 }
 
 // order tells the run something; only the first order counts.
@@ -43,6 +44,15 @@
 	}
 }
 
+// stop ends the run, and its stream too unless that belongs to another daemon.
+func (n *held) stop(err *failure.Error) {
+	if n.guest.Load() {
+		n.order(TakenOver{})
+		return
+	}
+	n.order(Cancel{err})
+}
+
 // supersede ends a run whose caller holds another or a longer answer. The
 // stream of the caller's cursor must stay.
 func (n *held) supersede(c Cursor, self string) {
@@ -116,22 +126,28 @@
 func (h *Hub) start(r Request, position int64) Reader {
 	n := &held{answer: NewAnswer(r.Held, r.Cursor), fingerprint: r.Fingerprint(), orders: make(chan Input, 1)}
 	h.runs[r.ID] = n
-	setup := Setup{
-		Settings: h.settings, Objective: r.Objective, MaxTokens: r.MaxTokens,
-		Held: r.Held, Cursor: r.Cursor, FirstAttempt: firstAttempt(),
-	}
-	g := &run{Deps: h.deps, request: r, answer: n.answer, left: h.spawn}
 	h.spawn(func(ctx context.Context) {
-		g.follow(ctx, setup, n.orders)
+		h.follow(ctx, h.locate(ctx, r), n)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		n.ended = time.Now()
 	})
+	return Reader{n.answer, position, n.answer.Watch()}
+}
+
+// follow runs the request, from wherever it was before, to its end.
+func (h *Hub) follow(ctx context.Context, r Request, n *held) {
 	if c := r.Cursor; c.Daemon != "" && c.Daemon != h.deps.Self {
 		h.deps.Events.Record(event.GenerationContinued, r.ID, event.F("from", c.Daemon))
-		h.spawn(func(ctx context.Context) { h.takeOver(ctx, r.ID, c, n.answer) })
+		h.spawn(func(ctx context.Context) { h.takeOver(ctx, r.ID, c.Daemon, n) })
 	}
-	return Reader{n.answer, position, n.answer.Watch()}
+	n.answer.extend(r.Held, r.Cursor)
+	setup := Setup{
+		Settings: h.settings, Objective: r.Objective, MaxTokens: r.MaxTokens,
+		Held: r.Held, Cursor: r.Cursor, FirstAttempt: firstAttempt(),
+	}
+	g := &run{Deps: h.deps, request: r, answer: n.answer, left: h.spawn}
+	g.follow(ctx, setup, n.orders)
 }
 
 func (h *Hub) spawn(fn func(context.Context)) {
@@ -150,7 +166,7 @@
 	if n == nil {
 		return false
 	}
-	n.order(Cancel{failure.New(failure.Canceled, failure.Unknown, "cancel", "", "canceled by the caller")})
+	n.stop(failure.New(failure.Canceled, failure.Unknown, "cancel", "", "canceled by the caller"))
 	return true
 }
 
@@ -197,12 +213,8 @@
 }
 
 func (h *Hub) sweepRun(now time.Time, n *held) {
-	idle := n.answer.unwatched(now)
-	switch {
-	case n.taken && idle > 0:
-		n.order(TakenOver{})
-	case idle > h.settings.Unwatched.Std():
-		n.order(Cancel{failure.New(failure.Canceled, failure.Ran, "generate", "", "no caller read the answer for %s", h.settings.Unwatched.Std())})
+	if limit := h.settings.Unwatched.Std(); n.answer.unwatched(now) > limit {
+		n.stop(failure.New(failure.Canceled, failure.Ran, "generate", "", "no caller read the answer for %s", limit))
 	}
 }
 
--- a/generation/run.go
+++ b/generation/run.go
@@ -50,20 +50,15 @@
 	Done(r Request)
 }
 
-// Notifier tells the daemon of a cursor that its caller went on here.
-type Notifier interface {
-	TakeOver(ctx context.Context, request string, c Cursor) error
-}
-
 // Deps are what runs need of the rest of the daemon. Trace may be nil.
 type Deps struct {
-	Router   Router
-	Joiner   Joiner
-	Guard    Guard
-	Notifier Notifier
-	Events   *event.Recorder
-	Trace    *trace.Recorder
-	Self     string // this daemon's peer address
+	Router Router
+	Joiner Joiner
+	Guard  Guard
+	Peers  Peers
+	Events *event.Recorder
+	Trace  *trace.Recorder
+	Self   string // this daemon's peer address
 }
 
 // tickPeriod is how often a run looks at the time.
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -7,14 +7,42 @@
 	"github.com/vanillaroad/vanillaroad/event"
 )
 
+// Peers is how a hub speaks to the hubs of other daemons.
+type Peers interface {
+	// Claim names this daemon as the one that runs the request and returns the
+	// peer address of the one before, or "".
+	Claim(ctx context.Context, request string) (string, error)
+	// Where asks a daemon for its answer so far.
+	Where(ctx context.Context, daemon string, w Where) (Location, error)
+	// TakeOver tells a daemon that a caller goes on here.
+	TakeOver(ctx context.Context, daemon string, t TakeOver) (Taken, error)
+}
+
+// Where asks for the answer of a request.
+type Where struct {
+	Request     string `msgpack:"r"`
+	Fingerprint uint64 `msgpack:"f"`
+}
+
+// Location is a running answer at a daemon, as far as it is there.
+type Location struct {
+	Here   bool     `msgpack:"h"` // the daemon runs it
+	Tokens []string `msgpack:"t"`
+	Cursor Cursor   `msgpack:"c"`
+}
+
 // TakeOver is the message by which a daemon tells another that a caller of the
 // other came to it.
 type TakeOver struct {
 	Request string `msgpack:"r"`
-	Attempt int64  `msgpack:"a"`
 	By      string `msgpack:"b"` // peer address of the daemon that goes on
 }
 
+// Taken answers TakeOver.
+type Taken struct {
+	Kept bool `msgpack:"k"` // a caller still reads it there: the stream stays its
+}
+
 // takeOverPause is the time between two notices, takeOverTimeout how long one
 // may take. A daemon that was paused is told when it wakes.
 const (
@@ -22,37 +50,113 @@
 	takeOverTimeout = time.Second
 )
 
-// takeOver tells the daemon that the caller left, until it knows or the answer
-// here is final. Otherwise it would cancel the stream that is now read here.
-func (h *Hub) takeOver(ctx context.Context, request string, c Cursor, answer *Answer) {
+// takeOver tells the daemon before that the caller came here, until that one
+// lets go or the answer here is final. Else it would cancel the stream that is
+// now read here. While it keeps the stream, this daemon must not cancel it.
+func (h *Hub) takeOver(ctx context.Context, request, daemon string, n *held) {
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, takeOverTimeout)
-		err := h.deps.Notifier.TakeOver(attempt, request, c)
+		taken, err := h.deps.Peers.TakeOver(attempt, daemon, TakeOver{request, h.deps.Self})
 		cancel()
-		if _, done, _ := answer.snapshot(); err == nil || done {
+		n.guest.Store(err == nil && taken.Kept)
+		if _, done, _ := n.answer.snapshot(); done || err == nil && !taken.Kept {
 			return
 		}
-		pause := time.NewTimer(takeOverPause)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
-		}
+		sleep(ctx, takeOverPause)
 	}
 }
 
-// TakenOver notes that another daemon goes on with a request. The run here ends
-// without canceling its stream as soon as no caller reads it.
-func (h *Hub) TakenOver(t TakeOver) {
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// TakenOver takes the notice that another daemon goes on with a request. A run
+// that no caller reads here ends without canceling its stream.
+func (h *Hub) TakenOver(t TakeOver) Taken {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := h.runs[t.Request]
 	if n == nil || !n.ended.IsZero() {
-		return
+		return Taken{}
+	}
+	if n.answer.Watched() {
+		return Taken{Kept: true}
 	}
-	n.taken = true
 	h.deps.Events.Record(event.GenerationTaken, t.Request, event.F("by", t.By))
-	if !n.answer.Watched() {
-		n.order(TakenOver{By: t.By})
+	n.order(TakenOver{By: t.By})
+	return Taken{}
+}
+
+// Located answers another daemon that asks for a running answer.
+func (h *Hub) Located(w Where) Location {
+	h.mu.Lock()
+	n := h.runs[w.Request]
+	h.mu.Unlock()
+	if n == nil || n.fingerprint != w.Fingerprint {
+		return Location{}
+	}
+	tokens, done, err := n.answer.snapshot()
+	if done && err != nil {
+		return Location{}
+	}
+	return Location{Here: true, Tokens: tokens, Cursor: n.answer.CursorAt(int64(len(tokens)))}
+}
+
+// Bounds of the search for a run elsewhere: what one call may take, and how
+// long a run that has no token yet is waited for.
+const (
+	claimTimeout = 200 * time.Millisecond
+	locatePause  = 100 * time.Millisecond
+	locateLimit  = time.Minute
+)
+
+// locate returns the request as it goes on from a run that another daemon has,
+// if one has. A caller with a cursor is known to come from there.
+func (h *Hub) locate(ctx context.Context, r Request) Request {
+	before, err := h.claim(ctx, r.ID)
+	if err != nil || before == "" || before == h.deps.Self || r.Cursor.Target != "" {
+		return r
+	}
+	for range locateLimit / locatePause {
+		call, cancel := context.WithTimeout(ctx, claimTimeout)
+		l, err := h.deps.Peers.Where(call, before, Where{r.ID, r.Fingerprint()})
+		cancel()
+		if err != nil || !l.Here || !l.extends(r.Held) {
+			return r
+		}
+		if len(l.Tokens) > 0 && l.Cursor.Target != "" {
+			r.Held, r.Cursor = l.Tokens, l.Cursor
+			return r
+		}
+		sleep(ctx, locatePause)
+	}
+	return r
+}
+
+func (h *Hub) claim(ctx context.Context, request string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return h.deps.Peers.Claim(ctx, request)
+}
+
+// extends tells whether the location begins with the tokens held, or has none
+// yet.
+func (l Location) extends(held []string) bool {
+	if len(l.Tokens) == 0 {
+		return len(held) == 0
+	}
+	if len(l.Tokens) < len(held) {
+		return false
+	}
+	for i, t := range held {
+		if l.Tokens[i] != t {
+			return false
+		}
 	}
+	return true
 }
