Load command: open load, checked answers, compared ledgers

vanillaroad-load plans a Poisson load from a seed, sends it through the daemons, straight to the targets, or both, and checks each answer and each confirmation.

--- /dev/null
+++ b/cmd/vanillaroad-load/main.go
@@ -0,0 +1,158 @@
+// Command vanillaroad-load sends an open load to a running site, checks every
+// answer and every confirmation, and prints what callers saw.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaroad/vanillaroad/internal/load"
+)
+
+// Modes of a run.
+const (
+	modeSystem = "system" // through the daemons
+	modeDirect = "direct" // straight to the targets
+	modeBoth   = "both"   // direct first, then through the daemons
+)
+
+// errFaults is returned when a check failed.
+var errFaults = errors.New("the load found faults")
+
+type options struct {
+	shape  load.Shape
+	site   load.Site
+	bounds load.Options
+	mode   string
+	json   string
+	whole  bool // every answer must be whole
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := newRoot().ExecuteContext(ctx); err != nil {
+		stop()
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cobra.Command {
+	o := &options{shape: load.DefaultShape()}
+	c := &cobra.Command{
+		Use: "vanillaroad-load", Short: "Measure a site under an open load", Args: cobra.NoArgs, SilenceUsage: true,
+		Example: "  vanillaroad-load -a 127.0.1.1:7100 --engines 127.0.2.1:8000 --bookings 127.0.3.1:9000",
+		RunE:    func(c *cobra.Command, _ []string) error { return run(c.Context(), o, c.OutOrStdout()) },
+	}
+	siteFlags(c, o)
+	shapeFlags(c, o)
+	return c
+}
+
+func siteFlags(c *cobra.Command, o *options) {
+	f := c.Flags()
+	f.StringVar(&o.mode, "mode", modeSystem, "system, direct or both")
+	f.BoolVar(&o.whole, "whole", false, "fail unless every answer is whole")
+	f.StringVar(&o.json, "json", "", "file for the result as JSON")
+	f.StringSliceVarP(&o.site.Daemons, "address", "a", []string{"127.0.0.1:7100"}, "daemons, IP:port")
+	f.StringSliceVar(&o.site.Places, "places", nil, "places of the callers, in turn")
+	f.StringSliceVar(&o.site.Engines, "engines", nil, "engines, IP:port: their work is read")
+	f.StringSliceVar(&o.site.Bookings, "bookings", nil, "booking services, IP:port: their ledgers are read")
+	f.StringVar(&o.site.Platform, "platform", "", "platform, IP:port: its counted calls are read")
+	f.StringVar(&o.site.Generation, "generation", "pisar", "generation service")
+	f.StringVar(&o.site.Plain, "plain", "sejemski-vpis", "plain service")
+	f.StringVar(&o.site.Model, "model", "writer", "model in direct mode")
+	f.StringVar(&o.site.ModelVersion, "model-version", "1", "model version in direct mode")
+	f.DurationVar(&o.bounds.Deadline, "deadline", time.Minute, "longest time of one request")
+	f.DurationVar(&o.bounds.Interruption, "interruption", 300*time.Millisecond, "gap from which an answer counts as interrupted")
+}
+
+func shapeFlags(c *cobra.Command, o *options) {
+	f, s := c.Flags(), &o.shape
+	f.Uint64Var(&s.Seed, "seed", s.Seed, "seed of the plan")
+	f.DurationVar(&s.Duration, "duration", s.Duration, "time of arrivals")
+	f.Float64Var(&s.Rate, "rate", s.Rate, "requests a second")
+	f.Float64Var(&s.ConfirmationShare, "confirmations", s.ConfirmationShare, "share of confirmations, 0 to 1")
+	f.StringSliceVar(&s.Workspaces, "workspaces", s.Workspaces, "workspaces, the largest first")
+	f.Int64Var(&s.MedianTokens, "median-tokens", s.MedianTokens, "median length of an ordinary answer")
+	f.Float64Var(&s.LongShare, "long", s.LongShare, "share of long answers, 0 to 1")
+	f.Int64Var(&s.LongMin, "long-min", s.LongMin, "tokens of the shortest long answer")
+	f.Int64Var(&s.LongMax, "long-max", s.LongMax, "tokens of the longest answer")
+	f.IntVar(&s.Prefixes, "prefixes", s.Prefixes, "shared prompt prefixes of a workspace")
+	f.IntVar(&s.PrefixChars, "prefix-chars", s.PrefixChars, "characters of a shared prefix")
+}
+
+func (o *options) check() error {
+	s := o.shape
+	switch {
+	case o.mode != modeSystem && o.mode != modeDirect && o.mode != modeBoth:
+		return errors.Errorf("mode %q is none of %s, %s, %s", o.mode, modeSystem, modeDirect, modeBoth)
+	case s.Rate <= 0 || s.Duration <= 0:
+		return errors.New("rate and duration must be above zero")
+	case len(s.Workspaces) == 0 || s.Prefixes < 1 || s.PrefixChars < 0:
+		return errors.New("a load needs a workspace and a prefix")
+	case s.LongMin < 1 || s.LongMax < s.LongMin:
+		return errors.New("long-max must be at least long-min")
+	case o.mode != modeSystem && (len(o.site.Engines) == 0 || len(o.site.Bookings) == 0):
+		return errors.New("direct mode needs --engines and --bookings")
+	}
+	return nil
+}
+
+func run(ctx context.Context, o *options, out io.Writer) error {
+	if err := o.check(); err != nil {
+		return err
+	}
+	var phases []load.Phase
+	if o.mode != modeSystem {
+		phases = append(phases, load.RunDirect(ctx, o.shape, o.site, o.bounds))
+	}
+	if o.mode != modeDirect {
+		phases = append(phases, load.Run(ctx, o.shape, o.site, o.bounds))
+	}
+	load.Write(out, phases...)
+	if err := writeJSON(o.json, phases); err != nil {
+		return err
+	}
+	return verdict(out, phases, o.whole)
+}
+
+func writeJSON(path string, phases []load.Phase) error {
+	if path == "" {
+		return nil
+	}
+	b, err := json.MarshalIndent(phases, "", "  ")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	const readable = 0o644
+	return errors.Wrap(os.WriteFile(path, append(b, '\n'), readable), "write result")
+}
+
+func verdict(out io.Writer, phases []load.Phase, whole bool) error {
+	found := false
+	for _, p := range phases {
+		_, _ = fmt.Fprintln(out, "summary:", p.Summary())
+		if n := p.NotWhole(); whole && n > 0 {
+			found = true
+			_, _ = fmt.Fprintf(out, "fault: %s: %d answers are not whole\n", p.Name, n)
+		}
+		for _, f := range p.Faults() {
+			found = true
+			_, _ = fmt.Fprintln(out, "fault:", f)
+		}
+	}
+	if found {
+		return errFaults
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/caller.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/client"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// caller sends one request and waits for its end.
+type caller interface {
+	generate(ctx context.Context, i Item, onToken func(time.Time)) (client.Answer, error)
+	// confirm returns the key that the request ran under, if it had one.
+	confirm(ctx context.Context, i Item) (string, failure.Outcome, error)
+	close()
+}
+
+// siteCaller calls through the daemons as several independent callers.
+type siteCaller struct {
+	site    Site
+	clients []*client.Client
+	next    atomic.Uint64
+}
+
+// callers is the number of independent callers, each with its own connections
+// and directory answers.
+const callers = 16
+
+func newSiteCaller(s Site) *siteCaller {
+	c := &siteCaller{site: s}
+	for i := range callers {
+		place := ""
+		if len(s.Places) > 0 {
+			place = s.Places[i%len(s.Places)]
+		}
+		first := i % len(s.Daemons)
+		addresses := append(append([]string(nil), s.Daemons[first:]...), s.Daemons[:first]...)
+		c.clients = append(c.clients, client.New(client.Settings{Addresses: addresses, Place: place, Key: "caller-" + strconv.Itoa(i)}))
+	}
+	return c
+}
+
+func (c *siteCaller) client() *client.Client { return c.clients[c.next.Add(1)%callers] }
+
+func (c *siteCaller) generate(ctx context.Context, i Item, onToken func(time.Time)) (client.Answer, error) {
+	r := client.GenerateRequest{
+		ID: i.ID, Workspace: i.Workspace, Service: c.site.Generation, Prompt: i.Prompt, MaxTokens: i.MaxTokens, Seed: 1,
+	}
+	return c.client().Generate(ctx, r, func(t client.Token) { onToken(t.At) })
+}
+
+func (c *siteCaller) confirm(ctx context.Context, i Item) (string, failure.Outcome, error) {
+	cl := c.client()
+	key, err := cl.IssueKey(ctx)
+	if err != nil {
+		return "", failure.NotRun, err
+	}
+	r := client.ConfirmRequest{Key: key, Workspace: i.Workspace, Service: c.site.Plain, Body: i.Body}
+	o, err := cl.Confirm(ctx, r)
+	if err == nil {
+		return key, o.Outcome, nil
+	}
+	var f *failure.Error
+	if errors.As(err, &f) {
+		return key, f.Outcome, err
+	}
+	return key, failure.Unknown, err
+}
+
+func (c *siteCaller) close() {
+	for _, cl := range c.clients {
+		cl.Close()
+	}
+}
+
+// directCaller calls the targets themselves in turn, for comparison.
+type directCaller struct {
+	site     Site
+	engines  []*target.Client
+	bookings []*target.Client
+	next     atomic.Uint64
+}
+
+func newDirectCaller(s Site) *directCaller {
+	return &directCaller{site: s, engines: targetClients(s.Engines), bookings: targetClients(s.Bookings)}
+}
+
+func targetClients(addresses []string) []*target.Client {
+	var out []*target.Client
+	for _, a := range addresses {
+		out = append(out, target.NewClient(a))
+	}
+	return out
+}
+
+func (c *directCaller) pick(from []*target.Client) *target.Client {
+	return from[c.next.Add(1)%uint64(len(from))]
+}
+
+func (c *directCaller) generate(ctx context.Context, i Item, onToken func(time.Time)) (client.Answer, error) {
+	var a client.Answer
+	s, err := c.pick(c.engines).Generate(ctx, target.GenerateRequest{
+		Stream: target.StreamID{Request: i.ID, Attempt: 1}, Model: c.site.Model, Version: c.site.ModelVersion,
+		Prompt: i.Prompt, Seed: 1, MaxTokens: i.MaxTokens, Priority: target.Normal, Workspace: i.Workspace,
+	})
+	if err != nil {
+		return a, err
+	}
+	defer func() { _ = s.Close() }()
+	for {
+		e, err := s.Next()
+		switch {
+		case err != nil:
+			return a, err
+		case e.Kind == target.TokenEvent:
+			a.Tokens = append(a.Tokens, e.Text)
+			onToken(time.Now())
+		case e.Kind == target.DoneEvent:
+			return a, nil
+		case e.Kind == target.ErrorEvent:
+			return a, errors.New(e.Message)
+		}
+	}
+}
+
+func (c *directCaller) confirm(ctx context.Context, i Item) (string, failure.Outcome, error) {
+	key := "direct-" + i.ID
+	_, err := c.pick(c.bookings).Call(ctx, target.Call{Key: key, Workspace: i.Workspace, Body: i.Body})
+	switch {
+	case err == nil:
+		return key, failure.Ran, nil
+	case errors.Is(err, target.ErrNotSent):
+		return key, failure.NotRun, err
+	default:
+		return key, failure.Unknown, err
+	}
+}
+
+func (c *directCaller) close() {
+	for _, t := range append(append([]*target.Client(nil), c.engines...), c.bookings...) {
+		t.Close()
+	}
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,154 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/vanillaroad/vanillaroad/client"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+)
+
+func TestPlan(t *testing.T) {
+	Convey("one shape gives one plan", t, func() {
+		s := DefaultShape()
+		So(Plan(s, "a"), ShouldResemble, Plan(s, "a"))
+		s.Seed++
+		So(Plan(s, "a"), ShouldNotResemble, Plan(DefaultShape(), "a"))
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		s := DefaultShape()
+		s.Seed = rapid.Uint64().Draw(t, "seed")
+		last := time.Duration(0)
+		for _, i := range Plan(s, "p") {
+			if i.At < last || i.At >= s.Duration {
+				t.Fatalf("%s arrives at %s after %s", i.ID, i.At, last)
+			}
+			if i.Kind == Generation && (i.MaxTokens < minTokens || i.MaxTokens > s.LongMax) {
+				t.Fatalf("%s has %d tokens", i.ID, i.MaxTokens)
+			}
+			last = i.At
+		}
+	})
+}
+
+func TestJudge(t *testing.T) {
+	const prompt = "p"
+	whole := answerOf(t, prompt, 4)
+	other := answerOf(t, prompt, 4)
+	refused := failure.New(failure.Overloaded, failure.NotRun, "admit", "", "full")
+	cases := []struct {
+		name   string
+		tokens []string
+		err    error
+		want   Generations
+	}{
+		{"whole", whole, nil, Generations{Whole: 1}},
+		{"a token is missing at the end", whole[:3], nil, Generations{Wrong: 1}},
+		{"a token is missing within", append(append([]string{}, whole[:1]...), whole[2:]...), nil, Generations{Wrong: 1}},
+		{"a token is repeated", append(append([]string{}, whole[:2]...), whole[1:3]...), nil, Generations{Wrong: 1}},
+		{"two generations are mixed", append(append([]string{}, whole[:2]...), other[2:]...), nil, Generations{Wrong: 1}},
+		{"another request's answer", answerOf(t, "q", 4), nil, Generations{Wrong: 1}},
+		{"an honest end", whole[:2], failure.New(failure.TargetLost, failure.Ran, "resume", "", "lost"), Generations{Incomplete: 1}},
+		{"an honest end after a mixed answer", append(append([]string{}, whole[:1]...), other[1]), refused, Generations{Wrong: 1}},
+		{"refused", nil, refused, Generations{Refused: 1}},
+		{"no end at all", whole[:2], errors.New("deadline"), Generations{Failed: 1}},
+		{"lost stream", whole[:2], failure.New(failure.UnknownResult, failure.Unknown, "read", "", "lost"), Generations{Failed: 1}},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			m := newMeter(time.Second)
+			m.answered(Item{Prompt: prompt, MaxTokens: 4}, time.Time{}, nil, client.Answer{Tokens: c.tokens}, c.err)
+			got := m.generations
+			got.Faults = nil
+			So(got, ShouldResemble, c.want)
+		})
+	}
+}
+
+// answerOf lets an engine stand-in generate an answer.
+func answerOf(t *testing.T, prompt string, length int64) []string {
+	site := newTargets(t)
+	c := newDirectCaller(site)
+	defer c.close()
+	a, err := c.generate(context.Background(), Item{ID: "a", Prompt: prompt, MaxTokens: length}, func(time.Time) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a.Tokens
+}
+
+// newTargets serves two quick engines and a booking service.
+func newTargets(t *testing.T) Site {
+	s := standin.DefaultEngineSettings()
+	s.TokenInterval = time.Millisecond
+	serve := func(h http.Handler) string {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	return Site{
+		Engines:  []string{serve(standin.NewEngine(s).Handler()), serve(standin.NewEngine(s).Handler())},
+		Bookings: []string{serve(standin.NewBooking(0).Handler())}, Model: "writer", ModelVersion: "1",
+	}
+}
+
+func TestCompare(t *testing.T) {
+	cases := []struct {
+		name string
+		told failure.Outcome
+		runs int
+		want Ledger
+	}{
+		{"ran once", failure.Ran, 1, Ledger{Read: true}},
+		{"ran twice", failure.Ran, 2, Ledger{Read: true, Doubled: 1}},
+		{"told as run, did not", failure.Ran, 0, Ledger{Read: true, FalseRan: 1}},
+		{"did not run", failure.NotRun, 0, Ledger{Read: true}},
+		{"told as not run, did", failure.NotRun, 1, Ledger{Read: true, FalseNotRun: 1}},
+		{"told as not run, ran twice", failure.NotRun, 2, Ledger{Read: true, Doubled: 1}},
+		{"unknown, did not run", failure.Unknown, 0, Ledger{Read: true}},
+		{"unknown, ran", failure.Unknown, 1, Ledger{Read: true, UnknownRan: 1}},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			So(compare(map[string]failure.Outcome{"k": c.told}, map[string]int{"k": c.runs}), ShouldResemble, c.want)
+		})
+	}
+	Convey("a ledger that was not read is a fault", t, func() {
+		p := Phase{Confirmations: Confirmations{Ran: 1}, Ledger: compare(nil, nil)}
+		So(p.Faults(), ShouldHaveLength, 1)
+	})
+}
+
+func TestCounters(t *testing.T) {
+	Convey("counters grow on over restarts of their process", t, func() {
+		c := newCounters()
+		for _, v := range []int64{5, 9, 2, 4, 1} {
+			c.see(map[string]int64{"n": v})
+		}
+		So(c.grown()["n"], ShouldEqual, (9-5)+4+1)
+	})
+}
+
+func TestRunDirect(t *testing.T) {
+	site := newTargets(t)
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	Convey("every answer is whole and every confirmation ran once", t, func() {
+		s := DefaultShape()
+		s.Duration, s.Rate, s.LongMin, s.LongMax = 200*time.Millisecond, 100, 20, 40
+		p := RunDirect(context.Background(), s, site, Options{Deadline: time.Minute, Interruption: time.Second})
+		So(p.Faults(), ShouldBeEmpty)
+		So(p.NotWhole(), ShouldEqual, 0)
+		So(p.Generations.Whole+p.Confirmations.Ran, ShouldEqual, p.Requests)
+		So(p.Work.DecodeTokens, ShouldEqual, p.Tokens)
+	})
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,195 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+)
+
+// Phase is what one load measured.
+type Phase struct {
+	Name          string           `json:"name"`
+	Requests      int              `json:"requests"`
+	Seconds       float64          `json:"seconds"`
+	Generations   Generations      `json:"generations"`
+	Confirmations Confirmations    `json:"confirmations"`
+	Codes         map[string]int   `json:"codes,omitempty"`
+	Tokens        int64            `json:"tokens"`
+	TokensPerSec  float64          `json:"tokens_per_second"`
+	FirstToken    Quantiles        `json:"first_token"`
+	BetweenTokens Quantiles        `json:"between_tokens"`
+	WidestGap     Quantiles        `json:"widest_gap"`
+	Resume        Quantiles        `json:"resume"` // gaps that interrupted an answer
+	Confirm       Quantiles        `json:"confirm"`
+	Work          standin.Work     `json:"work"`
+	ExtraDecode   float64          `json:"extra_decode"` // decoded beyond what callers got, as a share of it
+	Ledger        Ledger           `json:"ledger"`
+	Daemons       Daemons          `json:"daemons"`
+	TokensPerCore float64          `json:"tokens_per_core_second"`
+	PlatformCalls map[string]int64 `json:"platform_calls,omitempty"`
+}
+
+// Ledger compares the outcomes told with what the booking services ran.
+type Ledger struct {
+	Read        bool `json:"read"` // all ledgers were read
+	Doubled     int  `json:"doubled"`
+	FalseNotRun int  `json:"false_not_run"`
+	FalseRan    int  `json:"false_ran"`
+	// UnknownRan is how many of the unknown outcomes did run.
+	UnknownRan int `json:"unknown_ran"`
+}
+
+func newPhase(name string, requests int, took time.Duration, m *meter, s seen) Phase {
+	p := Phase{
+		Name: name, Requests: requests, Seconds: took.Seconds(), Generations: m.generations,
+		Confirmations: m.confirmations, Codes: m.codes, Tokens: m.tokens,
+		TokensPerSec: float64(m.tokens) / took.Seconds(), FirstToken: quantiles(m.first),
+		BetweenTokens: quantiles(m.between), WidestGap: quantiles(m.widest), Resume: quantiles(m.interrupted),
+		Confirm: quantiles(m.confirm), Work: s.work, Ledger: compare(m.outcomes, s.ledger),
+		Daemons: s.daemons, PlatformCalls: s.calls,
+	}
+	if m.tokens > 0 && s.work.DecodeTokens > 0 {
+		p.ExtraDecode = float64(s.work.DecodeTokens)/float64(m.tokens) - 1
+	}
+	if s.daemons.CPUSeconds > 0 {
+		p.TokensPerCore = float64(m.tokens) / s.daemons.CPUSeconds
+	}
+	return p
+}
+
+// compare holds outcomes against how often each key ran.
+func compare(outcomes map[string]failure.Outcome, ledger map[string]int) Ledger {
+	l := Ledger{Read: ledger != nil}
+	if !l.Read {
+		return l
+	}
+	for key, o := range outcomes {
+		runs := ledger[key]
+		switch {
+		case runs > 1:
+			l.Doubled++
+		case o == failure.NotRun && runs > 0:
+			l.FalseNotRun++
+		case o == failure.Ran && runs == 0:
+			l.FalseRan++
+		case o == failure.Unknown && runs > 0:
+			l.UnknownRan++
+		}
+	}
+	return l
+}
+
+// NotWhole returns how many generations got no whole answer.
+func (p Phase) NotWhole() int {
+	g := p.Generations
+	return g.Incomplete + g.Refused + g.Failed + g.Wrong
+}
+
+// Faults names what must never happen and did.
+func (p Phase) Faults() []string {
+	var out []string
+	add := func(n int, what string) {
+		if n > 0 {
+			out = append(out, fmt.Sprintf("%s: %d %s", p.Name, n, what))
+		}
+	}
+	add(p.Generations.Wrong, "answers with tokens missing, repeated or mixed")
+	add(p.Ledger.Doubled, "confirmations ran more than once")
+	add(p.Ledger.FalseNotRun, "confirmations ran though not_run was told")
+	add(p.Ledger.FalseRan, "confirmations did not run though ran was told")
+	if !p.Ledger.Read && p.Confirmations.Ran+p.Confirmations.NotRun+p.Confirmations.Unknown > 0 {
+		out = append(out, p.Name+": a ledger could not be read")
+	}
+	return append(out, p.Generations.Faults...)
+}
+
+// Summary tells a phase in one line.
+func (p Phase) Summary() string {
+	g := p.Generations
+	sent := g.Whole + g.Incomplete + g.Refused + g.Failed + g.Wrong
+	return fmt.Sprintf("%s: %d of %d answers whole, first token p95 %.1f ms, between tokens p95 %.1f ms, resume p50/p95/p99/max %.0f/%.0f/%.0f/%.0f ms (%d), extra decode %.2f %%, %.0f tokens/s per core",
+		p.Name, g.Whole, sent, p.FirstToken.P95, p.BetweenTokens.P95,
+		p.Resume.P50, p.Resume.P95, p.Resume.P99, p.Resume.Max, p.Resume.Count, 100*p.ExtraDecode, p.TokensPerCore)
+}
+
+// Write prints phases side by side as a table.
+func Write(w io.Writer, phases ...Phase) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	row := func(name string, cell func(Phase) string) {
+		_, _ = fmt.Fprintf(t, "%s\t", name)
+		for _, p := range phases {
+			_, _ = fmt.Fprintf(t, "%s\t", cell(p))
+		}
+		_, _ = fmt.Fprintln(t)
+	}
+	row("", func(p Phase) string { return p.Name })
+	row("requests", func(p Phase) string { return fmt.Sprint(p.Requests) })
+	row("generations whole/incomplete/refused/failed/wrong", func(p Phase) string {
+		g := p.Generations
+		return fmt.Sprintf("%d/%d/%d/%d/%d", g.Whole, g.Incomplete, g.Refused, g.Failed, g.Wrong)
+	})
+	row("answers moved to another daemon", func(p Phase) string { return fmt.Sprint(p.Generations.Moved) })
+	row("confirmations ran/not_run/unknown", func(p Phase) string {
+		return fmt.Sprintf("%d/%d/%d", p.Confirmations.Ran, p.Confirmations.NotRun, p.Confirmations.Unknown)
+	})
+	row("ledger doubled/false not_run/false ran", func(p Phase) string {
+		return fmt.Sprintf("%d/%d/%d", p.Ledger.Doubled, p.Ledger.FalseNotRun, p.Ledger.FalseRan)
+	})
+	times(row)
+	cost(row)
+	_ = t.Flush()
+	for _, p := range phases {
+		_, _ = fmt.Fprintf(w, "%s: codes %s; platform calls %s\n", p.Name, counts(p.Codes), counts(p.PlatformCalls))
+	}
+}
+
+type rowWriter func(name string, cell func(Phase) string)
+
+func times(row rowWriter) {
+	line := func(name string, of func(Phase) Quantiles) {
+		row(name+" ms p50/p95/p99/max (n)", func(p Phase) string {
+			q := of(p)
+			return fmt.Sprintf("%.1f/%.1f/%.1f/%.1f (%d)", q.P50, q.P95, q.P99, q.Max, q.Count)
+		})
+	}
+	line("first token", func(p Phase) Quantiles { return p.FirstToken })
+	line("between tokens", func(p Phase) Quantiles { return p.BetweenTokens })
+	line("widest gap of an answer", func(p Phase) Quantiles { return p.WidestGap })
+	line("resume latency", func(p Phase) Quantiles { return p.Resume })
+	line("confirmation", func(p Phase) Quantiles { return p.Confirm })
+}
+
+func cost(row rowWriter) {
+	const mebibyte = 1 << 20
+	row("tokens (a second)", func(p Phase) string { return fmt.Sprintf("%d (%.0f)", p.Tokens, p.TokensPerSec) })
+	row("engines prefill/cached/decode", func(p Phase) string {
+		return fmt.Sprintf("%d/%d/%d", p.Work.PrefillTokens, p.Work.CachedTokens, p.Work.DecodeTokens)
+	})
+	row("extra decode", func(p Phase) string { return fmt.Sprintf("%.2f %%", 100*p.ExtraDecode) })
+	row("daemons' processor s", func(p Phase) string { return fmt.Sprintf("%.2f", p.Daemons.CPUSeconds) })
+	row("daemons' memory MiB", func(p Phase) string {
+		return fmt.Sprintf("%.0f", float64(p.Daemons.ResidentBytes)/mebibyte)
+	})
+	row("tokens a second per core", func(p Phase) string { return fmt.Sprintf("%.0f", p.TokensPerCore) })
+}
+
+func counts[N int | int64](m map[string]N) string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	for i, k := range keys {
+		keys[i] = fmt.Sprintf("%s=%d", k, m[k])
+	}
+	if len(keys) == 0 {
+		return "none"
+	}
+	return strings.Join(keys, " ")
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,93 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Site names the processes that a load meets. All addresses are IP:port.
+type Site struct {
+	Daemons    []string
+	Places     []string // of the callers, in turn
+	Engines    []string // read for the work they did; called in direct mode
+	Bookings   []string // read for their ledgers; called in direct mode
+	Platform   string   // read for counted calls; empty for none
+	Generation string   // name of the generation service
+	Plain      string   // name of the plain service
+	// Model and ModelVersion are asked of engines in direct mode.
+	Model, ModelVersion string
+}
+
+// Options bound a run.
+type Options struct {
+	// Deadline bounds one request, its whole answer included.
+	Deadline time.Duration
+	// Interruption is the gap between two tokens from which an answer counts
+	// as interrupted.
+	Interruption time.Duration
+}
+
+// Run sends the load through the daemons and returns what it measured.
+func Run(ctx context.Context, s Shape, site Site, o Options) Phase {
+	return run(ctx, "system", Plan(s, "system"), newSiteCaller(site), site, o)
+}
+
+// RunDirect sends the load straight to the targets, in turn.
+func RunDirect(ctx context.Context, s Shape, site Site, o Options) Phase {
+	return run(ctx, "direct", Plan(s, "direct"), newDirectCaller(site), site, o)
+}
+
+func run(ctx context.Context, name string, plan []Item, c caller, site Site, o Options) Phase {
+	defer c.close()
+	m := newMeter(o.Interruption)
+	w := watchSite(ctx, site)
+	start := time.Now()
+	send(ctx, plan, c, m, o)
+	took := time.Since(start)
+	seen := w.end(ctx)
+	return newPhase(name, len(plan), took, m, seen)
+}
+
+// send starts each request at its time, however many still run.
+func send(ctx context.Context, plan []Item, c caller, m *meter, o Options) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	start := time.Now()
+	for _, i := range plan {
+		if !sleep(ctx, time.Until(start.Add(i.At))) {
+			return
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithTimeout(ctx, o.Deadline)
+			defer cancel()
+			call(ctx, i, c, m)
+		}()
+	}
+}
+
+func call(ctx context.Context, i Item, c caller, m *meter) {
+	sent := time.Now()
+	if i.Kind == Confirmation {
+		key, outcome, err := c.confirm(ctx, i)
+		m.confirmed(key, time.Since(sent), outcome, err)
+		return
+	}
+	var at []time.Time
+	answer, err := c.generate(ctx, i, func(t time.Time) { at = append(at, t) })
+	m.answered(i, sent, at, answer, err)
+}
+
+// sleep returns false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/load/site.go
@@ -0,0 +1,194 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+)
+
+const (
+	pollPeriod  = 200 * time.Millisecond // between two reads of counters
+	readTimeout = time.Second            // of one read
+)
+
+// seen is what the processes of a site counted while a load ran.
+type seen struct {
+	work    standin.Work
+	ledger  map[string]int
+	daemons Daemons
+	calls   map[string]int64
+}
+
+// Daemons is the processor time and memory that the daemons used.
+type Daemons struct {
+	CPUSeconds    float64 `json:"cpu_seconds"`
+	ResidentBytes int64   `json:"resident_bytes"` // of all daemons, highest reading
+}
+
+// reader reads a site's counters again and again. Counters of a process that
+// dies are kept as they were last read; one that starts again counts on top.
+type reader struct {
+	site   Site
+	http   *http.Client
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	work     map[string]*counters
+	cpu      map[string]*counters
+	calls    *counters
+	resident int64
+}
+
+func watchSite(ctx context.Context, site Site) *reader {
+	ctx, cancel := context.WithCancel(ctx)
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: readTimeout}).DialContext}
+	r := &reader{
+		site: site, http: &http.Client{Transport: transport, Timeout: readTimeout}, cancel: cancel,
+		work: make(map[string]*counters), cpu: make(map[string]*counters), calls: newCounters(),
+	}
+	r.poll(ctx)
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		for sleep(ctx, pollPeriod) {
+			r.poll(ctx)
+		}
+	}()
+	return r
+}
+
+func (r *reader) end(ctx context.Context) seen {
+	r.cancel()
+	r.wg.Wait()
+	r.poll(ctx)
+	defer r.http.CloseIdleConnections()
+	s := seen{ledger: r.ledger(ctx), calls: r.calls.grown()}
+	work := make(map[string]int64)
+	for _, c := range r.work {
+		for k, v := range c.grown() {
+			work[k] += v
+		}
+	}
+	s.work = standin.Work{
+		PrefillTokens: work["prefill_tokens"], CachedTokens: work["cached_tokens"], DecodeTokens: work["decode_tokens"],
+		Streams: work["streams"], Canceled: work["canceled"],
+	}
+	for _, c := range r.cpu {
+		s.daemons.CPUSeconds += float64(c.grown()[cpuMetric]) / microsPerSecond
+	}
+	s.daemons.ResidentBytes = r.resident
+	return s
+}
+
+// poll reads all processes at once, so that a paused one delays no other.
+func (r *reader) poll(ctx context.Context) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var resident int64
+	each(&wg, r.site.Engines, func(a string) {
+		now := make(map[string]int64)
+		if r.read(ctx, "http://"+a+"/work", &now) == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			countersOf(r.work, a).see(now)
+		}
+	})
+	each(&wg, r.site.Daemons, func(a string) {
+		cpu, bytes, err := r.process(ctx, a)
+		if err == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			countersOf(r.cpu, a).see(map[string]int64{cpuMetric: cpu})
+			resident += bytes
+		}
+	})
+	if r.site.Platform != "" {
+		now := make(map[string]int64)
+		if r.read(ctx, "http://"+r.site.Platform+"/calls", &now) == nil {
+			r.calls.see(now)
+		}
+	}
+	wg.Wait()
+	r.resident = max(r.resident, resident)
+}
+
+func each(wg *sync.WaitGroup, addresses []string, fn func(address string)) {
+	for _, a := range addresses {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			fn(a)
+		}()
+	}
+}
+
+func (r *reader) get(ctx context.Context, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	resp, err := r.http.Do(req)
+	return resp, errors.Wrap(err, url)
+}
+
+func (r *reader) read(ctx context.Context, url string, out any) error {
+	resp, err := r.get(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), url)
+}
+
+// Metrics of a daemon's own process.
+const (
+	cpuMetric       = "vanillaroad_process_cpu_micros"
+	residentMetric  = "vanillaroad_process_resident_bytes"
+	microsPerSecond = 1e6
+)
+
+// process reads a daemon's processor time in microseconds and its memory.
+func (r *reader) process(ctx context.Context, address string) (cpu, resident int64, err error) {
+	resp, err := r.get(ctx, "http://"+address+"/metrics")
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		n, _ := strconv.ParseInt(value, 10, 64)
+		switch name {
+		case cpuMetric:
+			cpu = n
+		case residentMetric:
+			resident = n
+		}
+	}
+	return cpu, resident, errors.Wrap(lines.Err(), address)
+}
+
+// ledger adds up the bookings' ledgers.
+func (r *reader) ledger(ctx context.Context) map[string]int {
+	out := make(map[string]int)
+	for _, a := range r.site.Bookings {
+		now := make(map[string]int)
+		if r.read(ctx, "http://"+a+"/ledger", &now) != nil {
+			return nil
+		}
+		for k, n := range now {
+			out[k] += n
+		}
+	}
+	return out
+}
