--- a/internal/standin/booking.go
+++ b/internal/standin/booking.go
@@ -10,6 +10,14 @@
 	"github.com/vanillaroad/vanillaroad/target"
 )
 
+// BookingFaults can be set while the stand-in runs, with PUT /faults.
+type BookingFaults struct {
+	Refuse      bool `json:"refuse"`       // answer 503 and run nothing
+	LoseAnswers bool `json:"lose_answers"` // run, then close the connection
+	Silent      bool `json:"silent"`       // run, then never answer
+	SlowMillis  int  `json:"slow_ms"`      // wait before each run
+}
+
 // Booking is a plain service that books once per call and keeps a ledger. It
 // does not remove duplicates: a key that reaches it twice runs twice.
 type Booking struct {
@@ -18,6 +26,7 @@
 	mu      sync.Mutex
 	ledger  map[string]int
 	running int
+	faults  BookingFaults
 }
 
 // NewBooking returns a service with an empty ledger.
@@ -32,9 +41,26 @@
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { answer(w, b.Ledger()) })
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { answer(w, b.load()) })
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { answer(w, b.load()) })
+	mux.HandleFunc("PUT /faults", b.setFaults)
 	return mux
 }
 
+// SetFaults replaces the faults in force.
+func (b *Booking) SetFaults(f BookingFaults) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.faults = f
+}
+
+func (b *Booking) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f BookingFaults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	b.SetFaults(f)
+}
+
 func (b *Booking) load() target.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -59,13 +85,34 @@
 		return
 	}
 	b.mu.Lock()
-	b.ledger[c.Key]++
-	n := b.ledger[c.Key]
+	f := b.faults
+	b.mu.Unlock()
+	time.Sleep(time.Duration(f.SlowMillis) * time.Millisecond)
+	if f.Refuse {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	n := b.run(c.Key)
+	switch {
+	case f.LoseAnswers:
+		panic(http.ErrAbortHandler)
+	case f.Silent:
+		<-r.Context().Done()
+		return
+	}
+	_, _ = fmt.Fprintf(w, "booked %s, run %d", c.Key, n)
+}
+
+// run books once and returns how often the key has run.
+func (b *Booking) run(key string) int {
+	b.mu.Lock()
+	b.ledger[key]++
+	n := b.ledger[key]
 	b.running++
 	b.mu.Unlock()
 	time.Sleep(b.Delay)
 	b.mu.Lock()
 	b.running--
 	b.mu.Unlock()
-	_, _ = fmt.Fprintf(w, "booked %s, run %d", c.Key, n)
+	return n
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -57,6 +57,10 @@
 	// connections work.
 	SilentStreams bool `json:"silent_streams"`
 	Leaving       bool `json:"leaving"`
+	// CacheLagMillis is how late cache events can be read.
+	CacheLagMillis int64 `json:"cache_lag_ms"`
+	// CacheGapEvery loses each so-many-th cache event; 0 loses none.
+	CacheGapEvery int64 `json:"cache_gap_every"`
 }
 
 // Engine is a model engine that batches continuously and honours priorities.
@@ -76,7 +80,9 @@
 	fencing  int64
 	cache    map[uint64]*list.Element
 	recent   *list.List
-	events   []target.CacheEvent
+	feed     cacheFeed
+	finished []target.StreamID // oldest first; kept for callers that attach
+	held     int64             // tokens in memory
 	report   target.Load
 	reported time.Time
 }
@@ -143,6 +149,7 @@
 	}
 	return target.Load{
 		Running: e.running, Queued: len(e.waiting), Slots: e.settings.Slots, Models: models, Role: e.role,
+		MemoryTokens: e.held,
 		TokensPerSec: float64(e.running) / e.settings.TokenInterval.Seconds(),
 		Leaving:      e.faults.Leaving, Incarnation: e.incarnation, FencingNumber: e.fencing,
 	}
@@ -181,56 +188,6 @@
 	e.models, e.role = o.Models, o.Role
 }
 
-// touch takes the prompt's blocks into the cache and returns how many led.
-func (e *Engine) touch(blocks []uint64) int {
-	var leading int
-	for i, b := range blocks {
-		if el := e.cache[b]; el != nil {
-			e.recent.MoveToFront(el)
-			if leading == i {
-				leading++
-			}
-			continue
-		}
-		e.cache[b] = e.recent.PushFront(b)
-		e.publish(target.CacheEvent{Block: b})
-	}
-	for e.recent.Len() > e.settings.CacheBlocks {
-		el := e.recent.Back()
-		b := e.recent.Remove(el).(uint64)
-		delete(e.cache, b)
-		e.publish(target.CacheEvent{Block: b, Dropped: true})
-	}
-	return leading
-}
-
-// keptEvents bounds the cache events that can still be read; older ones are a gap.
-const keptEvents = 4096
-
-func (e *Engine) publish(c target.CacheEvent) {
-	c.Sequence = 1
-	if n := len(e.events); n > 0 {
-		c.Sequence = e.events[n-1].Sequence + 1
-	}
-	e.events = append(e.events, c)
-	if len(e.events) > keptEvents {
-		e.events = append([]target.CacheEvent(nil), e.events[keptEvents/2:]...)
-	}
-}
-
-func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
-	e.mu.Lock()
-	out := []target.CacheEvent{}
-	for _, c := range e.events {
-		if c.Sequence > after {
-			out = append(out, c)
-		}
-	}
-	e.mu.Unlock()
-	answer(w, out)
-}
-
 // schedule starts waiting streams, the highest priority first.
 func (e *Engine) schedule() {
 	for e.running < e.settings.Slots && len(e.waiting) > 0 {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
@@ -23,6 +25,11 @@
 	Down        bool `json:"down"`         // refuse every call
 	LoseAnswers bool `json:"lose_answers"` // writes take effect, answers are lost
 	SlowMillis  int  `json:"slow_ms"`      // wait before each call
+	VMLagMillis int  `json:"vm_lag_ms"`    // how late a new VM list is seen
+	// ReadsPerSecond and WritesPerSecond are budgets; 0 means no bound. A call
+	// over its budget is answered with 429 and has no effect.
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+	WritesPerSecond float64 `json:"writes_per_second"`
 }
 
 // Platform is an object API and VM list in memory.
@@ -30,7 +37,9 @@
 	mu       sync.Mutex
 	objects  map[string]platform.Object
 	revision int64
-	vms      []platform.VM
+	vms      []vmList // oldest first
+	reads    *rate.Limiter
+	writes   *rate.Limiter
 	faults   PlatformFaults
 	calls    map[string]int64
 	changed  chan struct{}
@@ -38,7 +47,10 @@
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	return &Platform{objects: make(map[string]platform.Object), calls: make(map[string]int64), changed: make(chan struct{})}
+	return &Platform{
+		objects: make(map[string]platform.Object), calls: make(map[string]int64), changed: make(chan struct{}),
+		reads: budget(0), writes: budget(0),
+	}
 }
 
 // Handler returns the HTTP interface.
@@ -60,14 +72,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
+	p.reads, p.writes = budget(f.ReadsPerSecond), budget(f.WritesPerSecond)
 	p.wake()
 }
 
-// SetVMs replaces the VM list.
-func (p *Platform) SetVMs(vms []platform.VM) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.vms = vms
+// budget allows perSecond calls a second, all of one second at once.
+func budget(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
 
 func (p *Platform) wake() {
@@ -87,8 +101,15 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		p.mu.Lock()
 		p.calls[method]++
-		f := p.faults
+		f, limit := p.faults, p.writes
+		if r.Method == http.MethodGet {
+			limit = p.reads
+		}
 		p.mu.Unlock()
+		if !limit.Allow() {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
 		time.Sleep(time.Duration(f.SlowMillis) * time.Millisecond)
 		if f.Down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -224,22 +245,6 @@
 	}
 }
 
-func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	vms := append([]platform.VM{}, p.vms...)
-	p.mu.Unlock()
-	answer(w, vms)
-}
-
-func (p *Platform) setVMs(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.VM
-	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	p.SetVMs(vms)
-}
-
 func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f PlatformFaults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -18,7 +18,8 @@
 
 // engineStream is one attempt. It keeps its tokens so that callers can attach.
 type engineStream struct {
-	req target.GenerateRequest
+	req  target.GenerateRequest
+	held int64 // tokens in the engine's memory; guarded by the engine
 
 	mu      sync.Mutex
 	base    int64 // position of events[0]
@@ -169,6 +170,8 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.running--
+		e.held -= s.held
+		e.finish(s.req.Stream)
 		e.schedule()
 	}()
 	if !e.wait(s, e.prefill(s)) {
@@ -187,12 +190,31 @@
 		previous = []string{text}
 		e.mu.Lock()
 		e.work.DecodeTokens++
+		e.hold(s, 1)
 		e.mu.Unlock()
 		s.add(target.StreamEvent{Kind: target.TokenEvent, Position: p, Text: text})
 	}
 	s.add(target.StreamEvent{Kind: target.DoneEvent, Position: s.req.MaxTokens})
 }
 
+// keptStreams bounds the finished streams that callers can still attach to.
+const keptStreams = 4096
+
+// finish forgets the oldest finished stream once too many are kept.
+func (e *Engine) finish(id target.StreamID) {
+	e.finished = append(e.finished, id)
+	if len(e.finished) > keptStreams {
+		delete(e.streams, e.finished[0])
+		e.finished = e.finished[1:]
+	}
+}
+
+// hold counts tokens that a stream keeps in the engine's memory.
+func (e *Engine) hold(s *engineStream, tokens int64) {
+	s.held += tokens
+	e.held += tokens
+}
+
 func (e *Engine) wait(s *engineStream, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -214,6 +236,7 @@
 	cached := min(total, int64(leading*target.BlockChars/charsPerToken))
 	e.work.PrefillTokens += total - cached
 	e.work.CachedTokens += cached
+	e.hold(s, total)
 	return time.Duration(float64(total-cached) / e.settings.PrefillRate * float64(time.Second))
 }
 
--- /dev/null
+++ b/internal/standin/vms.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// vmList is the VM list as readers see it from a time on.
+type vmList struct {
+	from time.Time
+	vms  []platform.VM
+}
+
+// SetVMs replaces the VM list. Readers see it once the lag in force is over.
+func (p *Platform) SetVMs(vms []platform.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lag := time.Duration(p.faults.VMLagMillis) * time.Millisecond
+	p.vms = append(p.vms, vmList{time.Now().Add(lag), vms})
+}
+
+// visible returns the list that readers see at now and forgets those before it.
+func (p *Platform) visible(now time.Time) []platform.VM {
+	for len(p.vms) > 1 && !now.Before(p.vms[1].from) {
+		p.vms = p.vms[1:]
+	}
+	if len(p.vms) == 0 || now.Before(p.vms[0].from) {
+		return []platform.VM{}
+	}
+	return append([]platform.VM{}, p.vms[0].vms...)
+}
+
+func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	vms := p.visible(time.Now())
+	p.mu.Unlock()
+	answer(w, vms)
+}
+
+func (p *Platform) setVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []platform.VM
+	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.SetVMs(vms)
+}
