--- a/internal/standin/booking.go
+++ b/internal/standin/booking.go
@@ -16,6 +16,7 @@
 	LoseAnswers bool `json:"lose_answers"` // run, then close the connection
 	Silent      bool `json:"silent"`       // run, then never answer
 	SlowMillis  int  `json:"slow_ms"`      // wait before each run
+	Leaving     bool `json:"leaving"`
 }
 
 // Booking is a plain service that books once per call and keeps a ledger. It
@@ -23,6 +24,8 @@
 type Booking struct {
 	Delay time.Duration // how long a call takes
 
+	incarnation uint64
+
 	mu      sync.Mutex
 	ledger  map[string]int
 	running int
@@ -31,7 +34,7 @@
 
 // NewBooking returns a service with an empty ledger.
 func NewBooking(delay time.Duration) *Booking {
-	return &Booking{Delay: delay, ledger: make(map[string]int)}
+	return &Booking{Delay: delay, incarnation: uint64(time.Now().UnixNano()), ledger: make(map[string]int)}
 }
 
 // Handler returns the HTTP interface.
@@ -64,7 +67,7 @@
 func (b *Booking) load() target.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return target.Load{Running: b.running}
+	return target.Load{Running: b.running, Leaving: b.faults.Leaving, Incarnation: b.incarnation}
 }
 
 // Ledger returns how often each key ran.
--- /dev/null
+++ b/internal/standin/contract_engine_test.go
@@ -0,0 +1,361 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// engineVariable names an engine to test in place of the stand-in. It must
+// serve model "writer" version "1" with a batch of one.
+const engineVariable = "VANILLAROAD_TEST_ENGINE"
+
+func newEngine(t *testing.T, change func(*standin.EngineSettings)) (*target.Client, string) {
+	s := standin.DefaultEngineSettings()
+	s.Slots, s.TokenInterval, s.KeepAlive, s.LoadLag = 1, time.Millisecond, 5*time.Millisecond, 0
+	if change != nil {
+		change(&s)
+	}
+	base := baseURL(t, engineVariable, standin.NewEngine(s).Handler())
+	c := target.NewClient(host(base))
+	t.Cleanup(c.Close)
+	return c, base
+}
+
+// endless is more tokens than any test reads.
+const endless = 1 << 30
+
+func request(name string, tokens int64) target.GenerateRequest {
+	return target.GenerateRequest{
+		Stream: target.StreamID{Request: name, Attempt: 1}, Model: "writer", Version: "1",
+		Prompt: "prompt of " + name, Seed: 1, MaxTokens: tokens, Priority: target.Normal, Workspace: "w",
+	}
+}
+
+func open(c *target.Client, r target.GenerateRequest) target.Stream {
+	s, err := c.Generate(context.Background(), r)
+	So(err, ShouldBeNil)
+	return s
+}
+
+// next returns the next event of a kind.
+func next(s target.Stream, kind target.EventKind) target.StreamEvent {
+	for {
+		e, err := s.Next()
+		So(err, ShouldBeNil)
+		if e.Kind == kind {
+			return e
+		}
+	}
+}
+
+// rest reads a stream to its end and returns its tokens by position.
+func rest(s target.Stream) (map[int64]string, error) {
+	tokens := make(map[int64]string)
+	for {
+		e, err := s.Next()
+		switch {
+		case err != nil:
+			return tokens, err
+		case e.Kind == target.TokenEvent:
+			tokens[e.Position] = e.Text
+		case e.Kind == target.DoneEvent:
+			return tokens, nil
+		}
+	}
+}
+
+func whole(from, to int64, tokens map[int64]string) []string {
+	var out []string
+	for p := from; p < to; p++ {
+		text, ok := tokens[p]
+		So(ok, ShouldBeTrue)
+		out = append(out, text)
+	}
+	So(tokens, ShouldHaveLength, to-from)
+	return out
+}
+
+func TestEngineStream(t *testing.T) {
+	ctx := context.Background()
+	Convey("an engine", t, func() {
+		c, _ := newEngine(t, nil)
+		r := request("a", 5)
+		s := open(c, r)
+		tokens, err := rest(s)
+		So(err, ShouldBeNil)
+		first := whole(0, 5, tokens)
+
+		Convey("gives one whole answer, positions from 0", func() {
+			So(standin.CheckAnswer(r.Prompt, first, 5), ShouldBeNil)
+		})
+		Convey("continues after a forced prefix", func() {
+			f := r
+			f.Stream.Attempt, f.Forced, f.MaxTokens = 2, first[:3], 7
+			tokens, err := rest(open(c, f))
+			So(err, ShouldBeNil)
+			answer := append(append([]string{}, first[:3]...), whole(3, 7, tokens)...)
+			So(standin.CheckAnswer(r.Prompt, answer, 7), ShouldBeNil)
+		})
+		Convey("lets callers join a finished attempt, from any position", func() {
+			s, err := c.Attach(ctx, r.Stream, 2)
+			So(err, ShouldBeNil)
+			tokens, err := rest(s)
+			So(err, ShouldBeNil)
+			So(whole(2, 5, tokens), ShouldResemble, first[2:])
+		})
+		Convey("runs an attempt once, however often it is asked for", func() {
+			tokens, err := rest(open(c, r))
+			So(err, ShouldBeNil)
+			So(whole(0, 5, tokens), ShouldResemble, first)
+		})
+		Convey("does not know attempts that never ran", func() {
+			_, err := c.Attach(ctx, target.StreamID{Request: "a", Attempt: 9}, 0)
+			So(errors.Is(err, target.ErrNoStream), ShouldBeTrue)
+			So(errors.Is(c.Cancel(ctx, target.StreamID{Request: "b", Attempt: 1}), target.ErrNoStream), ShouldBeTrue)
+		})
+		Convey("does not give tokens from before the forced prefix", func() {
+			f := r
+			f.Stream.Attempt, f.Forced = 3, first[:3]
+			_, err := rest(open(c, f))
+			So(err, ShouldBeNil)
+			_, err = c.Attach(ctx, f.Stream, 1)
+			So(errors.Is(err, target.ErrNoStream), ShouldBeTrue)
+		})
+		Convey("refuses a version that it does not serve", func() {
+			f := request("v", 1)
+			f.Version = "2"
+			_, err := c.Generate(ctx, f)
+			So(errors.Is(err, target.ErrRefused), ShouldBeTrue)
+		})
+	})
+}
+
+func TestEngineRunningStream(t *testing.T) {
+	ctx := context.Background()
+	Convey("a running attempt", t, func() {
+		c, base := newEngine(t, nil)
+		r := request("a", endless)
+		s := open(c, r)
+		begin := next(s, target.TokenEvent)
+		Reset(func() { _ = c.Cancel(ctx, r.Stream) })
+
+		Convey("goes on without its caller, and can be joined", func() {
+			So(s.Close(), ShouldBeNil)
+			again, err := c.Attach(ctx, r.Stream, 0)
+			So(err, ShouldBeNil)
+			So(next(again, target.TokenEvent), ShouldResemble, begin)
+		})
+		Convey("ends at a cancel without done", func() {
+			So(c.Cancel(ctx, r.Stream), ShouldBeNil)
+			_, err := rest(s)
+			So(errors.Is(err, target.ErrLost), ShouldBeTrue)
+			_, err = c.Attach(ctx, r.Stream, 0)
+			So(errors.Is(err, target.ErrNoStream), ShouldBeTrue)
+			eventually(func() bool {
+				l, err := c.Load(ctx)
+				return err == nil && l.Running == 0
+			})
+		})
+		Convey("keeps queued ones waiting with keep-alives", func() {
+			q := request("q", 1)
+			waiting := open(c, q)
+			e, err := waiting.Next()
+			So(err, ShouldBeNil)
+			So(e, ShouldResemble, target.StreamEvent{Kind: target.KeepAliveEvent})
+		})
+		Convey("may fall silent on its connection while new ones work", func() {
+			setFaults(t, base, `{"silent_streams":true}`)
+			decoded := decodeTokens(t, base)
+			seen := make(chan int64)
+			go func() { // reads the silent connection until it is closed
+				last := int64(-1)
+				for {
+					e, err := s.Next()
+					if err != nil {
+						seen <- last
+						return
+					}
+					last = max(last, e.Position)
+				}
+			}()
+			fresh, err := c.Attach(ctx, r.Stream, decoded+100)
+			So(err, ShouldBeNil)
+			So(next(fresh, target.TokenEvent).Position, ShouldEqual, decoded+100)
+			So(s.Close(), ShouldBeNil)
+			So(<-seen, ShouldBeLessThan, decoded+100)
+		})
+	})
+}
+
+func decodeTokens(t *testing.T, base string) int64 {
+	_, body := send(t, http.MethodGet, base+"/work", "")
+	var w standin.Work
+	if err := json.Unmarshal([]byte(body), &w); err != nil {
+		t.Fatal(err)
+	}
+	return w.DecodeTokens
+}
+
+func TestEnginePriority(t *testing.T) {
+	ctx := context.Background()
+	Convey("waiting attempts start in order of priority, then of arrival", t, func() {
+		c, _ := newEngine(t, nil)
+		busy := request("busy", endless)
+		next(open(c, busy), target.TokenEvent)
+		started := make(chan string)
+		queue := func(name string, p target.Priority, position int) {
+			r := request(name, endless)
+			r.Priority = p
+			s := open(c, r)
+			go func() {
+				for {
+					e, err := s.Next()
+					if err != nil || e.Kind == target.TokenEvent {
+						started <- name
+						return
+					}
+				}
+			}()
+			eventually(func() bool {
+				l, err := c.Load(ctx)
+				return err == nil && l.Queued == position
+			})
+		}
+		queue("batch", target.Batch, 1)
+		queue("normal-1", target.Normal, 2)
+		queue("normal-2", target.Normal, 3)
+		queue("urgent", target.Urgent, 4)
+		running := "busy"
+		for _, want := range []string{"urgent", "normal-1", "normal-2", "batch"} {
+			So(c.Cancel(ctx, request(running, 0).Stream), ShouldBeNil)
+			running = <-started
+			So(running, ShouldEqual, want)
+		}
+		So(c.Cancel(ctx, request(running, 0).Stream), ShouldBeNil)
+	})
+}
+
+func TestEngineLoadReport(t *testing.T) {
+	ctx := context.Background()
+	Convey("a load report lags; a probe tells the present", t, func() {
+		c, base := newEngine(t, func(s *standin.EngineSettings) { s.LoadLag = time.Hour })
+		idle, err := c.Load(ctx)
+		So(err, ShouldBeNil)
+		r := request("a", endless)
+		next(open(c, r), target.TokenEvent)
+		lagged, err := c.Load(ctx)
+		So(err, ShouldBeNil)
+		So(lagged.Running, ShouldEqual, idle.Running)
+		So(lagged.AgeMillis, ShouldBeGreaterThanOrEqualTo, 0)
+		var now target.Load
+		_, body := send(t, http.MethodGet, base+"/health", "")
+		So(json.Unmarshal([]byte(body), &now), ShouldBeNil)
+		So(now.Running, ShouldEqual, 1)
+		So(now.MemoryTokens, ShouldBeGreaterThan, 0)
+		incarnation, err := c.Probe(ctx)
+		So(err, ShouldBeNil)
+		So(incarnation, ShouldEqual, now.Incarnation)
+		setFaults(t, base, `{"leaving":true}`)
+		_, body = send(t, http.MethodGet, base+"/health", "")
+		So(json.Unmarshal([]byte(body), &now), ShouldBeNil)
+		So(now.Leaving, ShouldBeTrue)
+		So(c.Cancel(ctx, r.Stream), ShouldBeNil)
+	})
+}
+
+func TestEngineCacheEvents(t *testing.T) {
+	ctx := context.Background()
+	Convey("cache events", t, func() {
+		c, base := newEngine(t, func(s *standin.EngineSettings) { s.CacheBlocks = 4 })
+		run := func(name string, blocks int) target.GenerateRequest {
+			r := request(name, 1)
+			for len(r.Prompt) < blocks*target.BlockChars {
+				r.Prompt += fmt.Sprintf(" %s %d", name, len(r.Prompt))
+			}
+			r.Prompt = r.Prompt[:blocks*target.BlockChars]
+			_, err := rest(open(c, r))
+			So(err, ShouldBeNil)
+			return r
+		}
+		Convey("tell each block that came and went, in sequence", func() {
+			r := run("a", 4)
+			run("b", 1)
+			events, err := c.CacheEvents(ctx, 0)
+			So(err, ShouldBeNil)
+			hashes := target.BlockHashes(r.Model, r.Version, r.Prompt, 10)
+			So(hashes, ShouldHaveLength, 4)
+			for i, h := range hashes {
+				So(events[i], ShouldResemble, target.CacheEvent{Sequence: int64(i) + 1, Block: h})
+			}
+			So(events[5], ShouldResemble, target.CacheEvent{Sequence: 6, Block: hashes[0], Dropped: true})
+			later, err := c.CacheEvents(ctx, 4)
+			So(err, ShouldBeNil)
+			So(later, ShouldResemble, events[4:])
+		})
+		Convey("may come late", func() {
+			setFaults(t, base, `{"cache_lag_ms":3600000}`)
+			run("a", 3)
+			events, err := c.CacheEvents(ctx, 0)
+			So(err, ShouldBeNil)
+			So(events, ShouldBeEmpty)
+			setFaults(t, base, `{}`)
+			events, err = c.CacheEvents(ctx, 0)
+			So(err, ShouldBeNil)
+			So(events, ShouldHaveLength, 3)
+		})
+		Convey("may be lost, which shows as a gap in the sequence", func() {
+			setFaults(t, base, `{"cache_gap_every":2}`)
+			run("a", 4)
+			events, err := c.CacheEvents(ctx, 0)
+			So(err, ShouldBeNil)
+			So(events, ShouldHaveLength, 2)
+			So([]int64{events[0].Sequence, events[1].Sequence}, ShouldResemble, []int64{1, 3})
+		})
+	})
+}
+
+func TestEngineOrders(t *testing.T) {
+	ctx := context.Background()
+	for _, checks := range []bool{true, false} {
+		Convey(fmt.Sprintf("an engine that checks fencing numbers: %v", checks), t, func() {
+			c, _ := newEngine(t, func(s *standin.EngineSettings) { s.ChecksFencing = checks })
+			order := func(number int64, version string) error {
+				return c.Order(ctx, target.Order{FencingNumber: number, Models: map[string]string{"writer": version}})
+			}
+			serves := func(version string) {
+				eventually(func() bool {
+					l, err := c.Load(ctx)
+					return err == nil && l.Models["writer"] == version
+				})
+			}
+			So(order(5, "2"), ShouldBeNil)
+			serves("2")
+			l, err := c.Load(ctx)
+			So(err, ShouldBeNil)
+			So(l.FencingNumber, ShouldEqual, 5)
+			So(order(5, "2"), ShouldBeNil)
+			err = order(4, "1")
+			if checks {
+				So(errors.Is(err, target.ErrFenced), ShouldBeTrue)
+				serves("2")
+			} else {
+				So(err, ShouldBeNil)
+				serves("1")
+			}
+			So(order(6, "3"), ShouldBeNil)
+			serves("3")
+			_, err = c.Generate(ctx, request("old", 1))
+			So(errors.Is(err, target.ErrRefused), ShouldBeTrue)
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/contract_plain_test.go
@@ -0,0 +1,96 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// plainVariable names a plain service to test in place of the stand-in.
+const plainVariable = "VANILLAROAD_TEST_PLAIN"
+
+func newPlain(t *testing.T) (*target.Client, string) {
+	base := baseURL(t, plainVariable, standin.NewBooking(0).Handler())
+	c := target.NewClient(host(base))
+	t.Cleanup(c.Close)
+	t.Cleanup(func() { setFaults(t, base, `{}`) })
+	return c, base
+}
+
+func runs(t *testing.T, base, key string) int {
+	_, body := send(t, http.MethodGet, base+"/ledger", "")
+	var ledger map[string]int
+	if err := json.Unmarshal([]byte(body), &ledger); err != nil {
+		t.Fatal(err)
+	}
+	return ledger[key]
+}
+
+func TestPlainService(t *testing.T) {
+	ctx := context.Background()
+	cases := []struct {
+		name, faults string
+		status       int   // of the answer; 0: none
+		err          error // when there is no answer
+		runs         int
+	}{
+		{"runs", `{}`, http.StatusOK, nil, 1},
+		{"runs late", `{"slow_ms":1}`, http.StatusOK, nil, 1},
+		{"refuses, and runs nothing", `{"refuse":true}`, http.StatusServiceUnavailable, nil, 0},
+		{"runs, and its answer is lost", `{"lose_answers":true}`, 0, target.ErrLost, 1},
+	}
+	for _, s := range cases {
+		Convey("a plain service "+s.name, t, func() {
+			c, base := newPlain(t)
+			setFaults(t, base, s.faults)
+			reply, err := c.Call(ctx, target.Call{Key: s.name, Workspace: "w", Body: "b"})
+			So(errors.Is(err, s.err), ShouldBeTrue)
+			So(reply.Status, ShouldEqual, s.status)
+			So(runs(t, base, s.name), ShouldEqual, s.runs)
+		})
+	}
+	Convey("a plain service does not remove duplicates", t, func() {
+		c, base := newPlain(t)
+		for range 2 {
+			_, err := c.Call(ctx, target.Call{Key: "twice"})
+			So(err, ShouldBeNil)
+		}
+		So(runs(t, base, "twice"), ShouldEqual, 2)
+	})
+	Convey("a plain service that never answers has run the call", t, func() {
+		c, base := newPlain(t)
+		setFaults(t, base, `{"silent":true}`)
+		bounded, cancel := context.WithCancel(ctx)
+		ended := make(chan error)
+		go func() {
+			_, err := c.Call(bounded, target.Call{Key: "silent"})
+			ended <- err
+		}()
+		eventually(func() bool { return runs(t, base, "silent") == 1 })
+		cancel()
+		So(errors.Is(<-ended, target.ErrLost), ShouldBeTrue)
+	})
+	Convey("a plain service that can't be reached has not run the call", t, func() {
+		l, err := net.Listen("tcp", "127.90.9.1:0")
+		So(err, ShouldBeNil)
+		address := l.Addr().String()
+		So(l.Close(), ShouldBeNil)
+		_, err = target.NewClient(address).Call(ctx, target.Call{Key: "k"})
+		So(errors.Is(err, target.ErrNotSent), ShouldBeTrue)
+	})
+	Convey("a plain service tells its load and that it is leaving", t, func() {
+		c, base := newPlain(t)
+		setFaults(t, base, `{"leaving":true}`)
+		l, err := c.Load(ctx)
+		So(err, ShouldBeNil)
+		So(l.Leaving, ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/internal/standin/contract_platform_test.go
@@ -0,0 +1,253 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// platformVariable names an object API to test in place of the stand-in.
+const platformVariable = "VANILLAROAD_TEST_PLATFORM"
+
+func newPlatform(t *testing.T) (*platform.Client, string) {
+	base := baseURL(t, platformVariable, standin.NewPlatform().Handler())
+	c := platform.NewClient(base, metrics.NewRegistry())
+	t.Cleanup(c.Close)
+	t.Cleanup(func() { setFaults(t, base, `{}`) })
+	return c, base
+}
+
+func TestObjectAPIConditionalWrites(t *testing.T) {
+	ctx := context.Background()
+	c, _ := newPlatform(t)
+	const kind = "contract-write"
+	cases := []struct {
+		name     string
+		object   string
+		expected int64
+		delete   bool
+		want     error
+		version  int64 // of the object afterwards; 0: none
+	}{
+		{"a new object is made", "a", 0, false, nil, 1},
+		{"an object that exists is not made again", "a", 0, false, platform.ErrConflict, 1},
+		{"the current version is replaced", "a", 1, false, nil, 2},
+		{"an old version is not replaced", "a", 1, false, platform.ErrConflict, 2},
+		{"a version to come is not replaced", "a", 3, false, platform.ErrConflict, 2},
+		{"an absent object is not replaced", "b", 1, false, platform.ErrConflict, 0},
+		{"an old version is not deleted", "a", 1, true, platform.ErrConflict, 2},
+		{"the current version is deleted", "a", 2, true, nil, 0},
+		{"a deleted object is not replaced", "a", 2, false, platform.ErrConflict, 0},
+		{"a deleted object is made anew, with a higher version", "a", 0, false, nil, 4},
+	}
+	for n, s := range cases {
+		Convey(s.name, t, func() {
+			var err error
+			if s.delete {
+				err = c.Delete(ctx, kind, s.object, s.expected)
+			} else {
+				_, err = c.Put(ctx, kind, s.object, json.RawMessage(fmt.Sprint(n)), s.expected)
+			}
+			So(errors.Is(err, s.want), ShouldBeTrue)
+			o, err := c.Get(ctx, kind, s.object)
+			if s.version == 0 {
+				So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+				return
+			}
+			So(err, ShouldBeNil)
+			So(o.Version, ShouldEqual, s.version)
+		})
+	}
+}
+
+func TestObjectAPIRefusesBadWrites(t *testing.T) {
+	_, base := newPlatform(t)
+	cases := []struct{ name, body, version string }{
+		{"a value that is not JSON", "{", "0"},
+		{"a value above a mebibyte", `"` + strings.Repeat("x", platform.MaxValueBytes) + `"`, "0"},
+		{"a write without the expected version", "1", ""},
+	}
+	for _, s := range cases {
+		Convey(s.name, t, func() {
+			status, _ := send(t, http.MethodPut, base+"/objects/contract-bad/a", s.body, "If-Match", s.version)
+			So(status, ShouldEqual, http.StatusBadRequest)
+			status, _ = send(t, http.MethodGet, base+"/objects/contract-bad/a", "")
+			So(status, ShouldEqual, http.StatusNotFound)
+		})
+	}
+}
+
+func TestObjectAPIWatch(t *testing.T) {
+	ctx := context.Background()
+	const kind = "contract-watch"
+	Convey("a watch returns what changed after its revision, in order, deletions too", t, func() {
+		c, _ := newPlatform(t)
+		put := func(name string, expected int64) platform.Object {
+			o, err := c.Put(ctx, kind, name, json.RawMessage(`1`), expected)
+			So(err, ShouldBeNil)
+			return o
+		}
+		first := put("a", 0)
+		put("b", 0)
+		put("a", 1)
+		So(c.Delete(ctx, kind, "b", 1), ShouldBeNil)
+		list, revision, err := c.Watch(ctx, kind, first.Revision)
+		So(err, ShouldBeNil)
+		So(list, ShouldHaveLength, 2)
+		So([]string{list[0].Name, list[1].Name}, ShouldResemble, []string{"a", "b"})
+		So(list[1].Deleted, ShouldBeTrue)
+		So(revision, ShouldEqual, list[1].Revision)
+
+		Convey("and waits for the next change", func() {
+			got := make(chan []platform.Object)
+			go func() {
+				l, _, _ := c.Watch(ctx, kind, revision)
+				got <- l
+			}()
+			put("c", 0)
+			So((<-got)[0].Name, ShouldEqual, "c")
+		})
+		Convey("and is not woken by other kinds", func() {
+			got := make(chan []platform.Object)
+			go func() {
+				l, _, _ := c.Watch(ctx, kind, revision)
+				got <- l
+			}()
+			_, err := c.Put(ctx, kind+"-other", "x", json.RawMessage(`1`), 0)
+			So(err, ShouldBeNil)
+			put("d", 0)
+			So((<-got)[0].Name, ShouldEqual, "d")
+		})
+		Convey("and a list leaves deleted objects out", func() {
+			objects, _, err := c.List(ctx, kind)
+			So(err, ShouldBeNil)
+			for _, o := range objects {
+				So(o.Name, ShouldNotEqual, "b")
+			}
+		})
+	})
+}
+
+func TestObjectAPIFaults(t *testing.T) {
+	ctx := context.Background()
+	cases := []struct {
+		name, faults string
+		want         error
+		written      bool
+	}{
+		{"outage", `{"down":true}`, platform.ErrUnavailable, false},
+		{"answer lost after the write took effect", `{"lose_answers":true}`, platform.ErrUnknown, true},
+		{"over the budget of writes", `{"writes_per_second":0.000001}`, platform.ErrUnavailable, false},
+		{"slow", `{"slow_ms":1}`, nil, true},
+	}
+	for _, s := range cases {
+		Convey(s.name, t, func() {
+			c, base := newPlatform(t)
+			setFaults(t, base, s.faults)
+			if strings.Contains(s.faults, "writes") {
+				_, err := c.Put(ctx, "contract-fault", "budget", json.RawMessage(`1`), 0)
+				So(err, ShouldBeNil)
+			}
+			_, err := c.Put(ctx, "contract-fault", s.name, json.RawMessage(`1`), 0)
+			So(errors.Is(err, s.want), ShouldBeTrue)
+			setFaults(t, base, `{}`)
+			_, err = c.Get(ctx, "contract-fault", s.name)
+			So(err == nil, ShouldEqual, s.written)
+		})
+	}
+	Convey("a watch ends at an outage", t, func() {
+		c, base := newPlatform(t)
+		before := calls(t, base)["watch"]
+		ended := make(chan error)
+		go func() {
+			_, _, err := c.Watch(ctx, "contract-outage", 0)
+			ended <- err
+		}()
+		eventually(func() bool { return calls(t, base)["watch"] == before+1 })
+		setFaults(t, base, `{"down":true}`)
+		So(errors.Is(<-ended, platform.ErrUnavailable), ShouldBeTrue)
+	})
+	Convey("reads over their budget are refused", t, func() {
+		c, base := newPlatform(t)
+		setFaults(t, base, `{"reads_per_second":0.000001}`)
+		_, _, err := c.List(ctx, "contract-budget")
+		So(err, ShouldBeNil)
+		_, _, err = c.List(ctx, "contract-budget")
+		So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+	})
+}
+
+func calls(t *testing.T, base string) map[string]int64 {
+	_, body := send(t, http.MethodGet, base+"/calls", "")
+	var out map[string]int64
+	if err := json.Unmarshal([]byte(body), &out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestObjectAPICountsCalls(t *testing.T) {
+	ctx := context.Background()
+	Convey("each call counts once, refused ones and a waiting watch too", t, func() {
+		c, base := newPlatform(t)
+		before := calls(t, base)
+		o, _ := c.Put(ctx, "contract-count", "a", json.RawMessage(`1`), 0)
+		_, _ = c.Put(ctx, "contract-count", "a", json.RawMessage(`1`), 0)
+		_, _ = c.Get(ctx, "contract-count", "a")
+		_, _, _ = c.List(ctx, "contract-count")
+		_, _, _ = c.Watch(ctx, "contract-count", o.Revision-1)
+		_, _ = c.VMs(ctx)
+		_ = c.Delete(ctx, "contract-count", "a", 1)
+		after := calls(t, base)
+		for method, n := range map[string]int64{"put": 2, "get": 1, "list": 1, "watch": 1, "vms": 1, "delete": 1} {
+			So(after[method]-before[method], ShouldEqual, n)
+		}
+	})
+}
+
+func TestVMList(t *testing.T) {
+	ctx := context.Background()
+	const old = `[{"id":"vm-1","address":"127.0.0.1","place":"p","region":"r"}]`
+	const leaving = `[{"id":"vm-1","address":"127.0.0.1","place":"p","region":"r","leaving":true}]`
+	Convey("the list names live and leaving VMs", t, func() {
+		c, base := newPlatform(t)
+		put := func(list string) {
+			status, _ := send(t, http.MethodPut, base+"/vms", list)
+			So(status, ShouldEqual, http.StatusOK)
+		}
+		read := func() platform.VM {
+			vms, err := c.VMs(ctx)
+			So(err, ShouldBeNil)
+			So(vms, ShouldHaveLength, 1)
+			return vms[0]
+		}
+		put(old)
+		So(read(), ShouldResemble, platform.VM{ID: "vm-1", Address: "127.0.0.1", Place: "p", Region: "r"})
+		Convey("and shows a change late", func() {
+			setFaults(t, base, `{"vm_lag_ms":3600000}`)
+			put(leaving)
+			So(read().Leaving, ShouldBeFalse)
+			setFaults(t, base, `{"vm_lag_ms":1}`)
+		})
+		Convey("and shows it in the end", func() {
+			setFaults(t, base, `{"vm_lag_ms":1}`)
+			put(leaving)
+			eventually(func() bool { return read().Leaving })
+		})
+		Convey("and can be down", func() {
+			setFaults(t, base, `{"down":true}`)
+			_, err := c.VMs(ctx)
+			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -17,8 +17,8 @@
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
-// watchWait is how long a watch waits for a change.
-const watchWait = 5 * time.Second
+// defaultWatchWait is how long a watch waits for a change.
+const defaultWatchWait = 5 * time.Second
 
 // PlatformFaults can be set while the stand-in runs, with PUT /faults.
 type PlatformFaults struct {
@@ -34,6 +34,8 @@
 
 // Platform is an object API and VM list in memory.
 type Platform struct {
+	watchWait time.Duration
+
 	mu       sync.Mutex
 	objects  map[string]platform.Object
 	revision int64
@@ -49,7 +51,7 @@
 func NewPlatform() *Platform {
 	return &Platform{
 		objects: make(map[string]platform.Object), calls: make(map[string]int64), changed: make(chan struct{}),
-		reads: budget(0), writes: budget(0),
+		watchWait: defaultWatchWait, reads: budget(0), writes: budget(0),
 	}
 }
 
@@ -100,7 +102,7 @@
 func (p *Platform) guard(method string, h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		p.mu.Lock()
-		p.calls[method]++
+		p.calls[callName(method, r)]++
 		f, limit := p.faults, p.writes
 		if r.Method == http.MethodGet {
 			limit = p.reads
@@ -123,6 +125,15 @@
 	}
 }
 
+// callName tells a watch, which counts as one call however long it waits, from
+// a list.
+func callName(method string, r *http.Request) string {
+	if r.URL.Query().Get("watch") != "" {
+		return "watch"
+	}
+	return method
+}
+
 // discard is a response that nobody reads.
 type discard struct{}
 
@@ -222,7 +233,7 @@
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request, since int64) {
-	end := time.NewTimer(watchWait)
+	end := time.NewTimer(p.watchWait)
 	defer end.Stop()
 	for {
 		l, changed := p.since(r.PathValue("kind"), since)
