--- a/cmd/vanillaroad/main.go
+++ b/cmd/vanillaroad/main.go
@@ -53,7 +53,7 @@
 	f.StringVar(&o.place, "place", "", "place to prefer daemons of")
 	root.AddCommand(
 		directoryCommand(o), generateCommand(o), confirmCommand(o), outcomeCommand(o),
-		applyCommand(o), getCommand(o), statusCommand(o), drainCommand(o), timelineCommand(o), settingsCommand(),
+		applyCommand(o), getCommand(o), statusCommand(o), drainCommand(o), timelineCommand(o), settingsCommand(), traceCommand(o),
 	)
 	return root
 }
--- /dev/null
+++ b/cmd/vanillaroad/trace.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaroad/vanillaroad/trace"
+	"github.com/vanillaroad/vanillaroad/trace/replayers"
+)
+
+func traceCommand(o *options) *cobra.Command {
+	c := &cobra.Command{Use: "trace", Short: "Show and replay what a daemon's decisions were made from"}
+	c.AddCommand(traceShowCommand(o), traceReplayCommand())
+	return c
+}
+
+func traceShowCommand(o *options) *cobra.Command {
+	var slice, key string
+	c := &cobra.Command{Use: "show FILE", Short: "Print the steps of a trace", Args: cobra.ExactArgs(1),
+		Example: "  vanillaroad trace show vm-1.trace --slice generation --key r-17",
+		RunE: func(c *cobra.Command, args []string) error {
+			f, err := openTrace(args[0])
+			if err != nil {
+				return err
+			}
+			defer func() { _ = f.Close() }()
+			_, err = trace.Read(f, func(s trace.Step) error {
+				if (slice != "" && s.Slice != slice) || (key != "" && s.Key != key) {
+					return nil
+				}
+				return showStep(c, o, s)
+			})
+			return badTrace(err)
+		}}
+	c.Flags().StringVar(&slice, "slice", "", "only steps of this slice")
+	c.Flags().StringVar(&key, "key", "", "only steps of this machine")
+	return c
+}
+
+func openTrace(path string) (*os.File, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(errBadInput, err.Error())
+	}
+	return f, nil
+}
+
+// badTrace marks a file that is no trace as bad input.
+func badTrace(err error) error {
+	if errors.Is(err, trace.ErrFormat) {
+		return errors.Wrap(errBadInput, err.Error())
+	}
+	return err
+}
+
+func showStep(c *cobra.Command, o *options, s trace.Step) error {
+	if o.output == "json" {
+		return printJSON(c, s)
+	}
+	at := time.Unix(0, s.At).UTC().Format("15:04:05.000000")
+	printf(c, "%s %s %s %s %s\n", at, s.Slice, s.Key, s.Input.Type, s.Input.Value)
+	for _, d := range s.Decisions {
+		printf(c, "    %s %s\n", d.Type, d.Value)
+	}
+	return nil
+}
+
+func traceReplayCommand() *cobra.Command {
+	var stated string
+	c := &cobra.Command{Use: "replay FILE", Short: "Run a trace through this program's decision logic", Args: cobra.ExactArgs(1),
+		Long: "Run a trace through this program's decision logic. Exit status 1 means that it\n" +
+			"decided otherwise than recorded, or that the outcome differs from the stated one.",
+		Example: "  vanillaroad trace replay vm-1.trace --outcome vm-1.json",
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := replayTrace(c, args[0]); err != nil {
+				return badTrace(err)
+			}
+			if stated == "" {
+				return nil
+			}
+			return checkOutcome(c, args[0], stated)
+		}}
+	c.Flags().StringVar(&stated, "outcome", "", "file that states the outcome, JSON")
+	return c
+}
+
+func replayTrace(c *cobra.Command, path string) error {
+	f, err := openTrace(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	steps, err := trace.Replay(f, replayers.All())
+	if err != nil {
+		return err
+	}
+	printf(c, "%d steps replayed to the same decisions\n", steps)
+	return printDecisions(c, path)
+}
+
+// printDecisions prints how often each decision was taken.
+func printDecisions(c *cobra.Command, path string) error {
+	f, err := openTrace(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	counts, _, err := trace.Decided(f)
+	if err != nil {
+		return err
+	}
+	names := make([]string, 0, len(counts))
+	for n := range counts {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		printf(c, "%8d %s\n", counts[n], n)
+	}
+	return nil
+}
+
+func checkOutcome(c *cobra.Command, path, stated string) error {
+	b, err := os.ReadFile(stated)
+	if err != nil {
+		return errors.Wrap(errBadInput, err.Error())
+	}
+	var o trace.Outcome
+	if err := json.Unmarshal(b, &o); err != nil {
+		return errors.Wrap(errBadInput, err.Error())
+	}
+	f, err := openTrace(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	if err := o.Check(f); err != nil {
+		return err
+	}
+	printf(c, "the outcome is as stated: %s\n", o.About)
+	return nil
+}
--- a/control/loop.go
+++ b/control/loop.go
@@ -74,6 +74,11 @@
 
 // Post queues fn and returns at once. It blocks only while the mailbox is full.
 func (l *Loop) Post(fn func(now time.Time)) error {
+	select {
+	case <-l.done:
+		return ErrStopped
+	default:
+	}
 	select {
 	case l.mail <- fn:
 		return nil
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -1,15 +1,37 @@
 package event
 
+import "sort"
+
 // unknownEntry describes numbers that are missing from the catalogue.
 var unknownEntry = Entry{Name: "unknown", Severity: Error, Meaning: "An event without a catalogue entry.", Action: "Report a bug."}
 
-var catalogue = build(nodeEntries, membershipEntries, configurationEntries, generationEntries,
-	confirmationEntries, admissionEntries, placementEntries, platformEntries)
+// group is a range of numbers that belongs to one duty.
+type group struct {
+	title   string
+	first   Number // of the numbers kept for the group
+	entries []Entry
+}
+
+// groupSize is how many numbers each group has.
+const groupSize Number = 100
+
+var groups = []group{
+	{"Daemon", 100, nodeEntries},
+	{"Membership and directory", 200, membershipEntries},
+	{"Configuration", 300, configurationEntries},
+	{"Generations", 400, generationEntries},
+	{"Confirmations", 500, confirmationEntries},
+	{"Admission", 600, admissionEntries},
+	{"Orders to targets", 800, placementEntries},
+	{"Platform and peers", 900, platformEntries},
+}
+
+var catalogue = build()
 
-func build(groups ...[]Entry) map[Number]Entry {
+func build() map[Number]Entry {
 	m := make(map[Number]Entry)
 	for _, g := range groups {
-		for _, e := range g {
+		for _, e := range g.entries {
 			m[e.Number] = e
 		}
 	}
@@ -24,11 +46,12 @@
 	return unknownEntry
 }
 
-// Catalogue returns all entries, unordered.
+// Catalogue returns all entries by number.
 func Catalogue() []Entry {
 	out := make([]Entry, 0, len(catalogue))
 	for _, e := range catalogue {
 		out = append(out, e)
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Number < out[j].Number })
 	return out
 }
--- /dev/null
+++ b/internal/eventpage/main.go
@@ -0,0 +1,17 @@
+// Command eventpage writes the page of the event catalogue to a file.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/vanillaroad/vanillaroad/event"
+)
+
+func main() {
+	const readable = 0o644
+	if err := os.WriteFile(os.Args[1], []byte(event.Document()), readable); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/trace/outcome.go
@@ -0,0 +1,70 @@
+package trace
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// ErrOutcome is returned when a trace does not hold what was stated of it.
+var ErrOutcome = errors.New("trace has another outcome than stated")
+
+// Outcome states what must have come out of a trace.
+type Outcome struct {
+	// About tells in a sentence what happened while the trace was recorded.
+	About string `json:"about"`
+	// Decisions is how often each decision was taken, as "slice.Type". Those
+	// that are not listed are not held against the trace.
+	Decisions map[string]int `json:"decisions"`
+	// Last lists the last decision of some machines.
+	Last []LastDecision `json:"last,omitempty"`
+}
+
+// LastDecision is the last decision that a machine took.
+type LastDecision struct {
+	Slice    string `json:"slice"`
+	Key      string `json:"key"`
+	Decision Named  `json:"decision"`
+}
+
+// Check compares a trace with what was stated of it.
+func (o Outcome) Check(r io.Reader) error {
+	counts, last, err := Decided(r)
+	if err != nil {
+		return err
+	}
+	for name, n := range o.Decisions {
+		if counts[name] != n {
+			return errors.Wrapf(ErrOutcome, "%s was decided %d times, not %d", name, counts[name], n)
+		}
+	}
+	for _, want := range o.Last {
+		got := last[want.Slice+"\x00"+want.Key]
+		if got.Type != want.Decision.Type || !sameJSON(got.Value, want.Decision.Value) {
+			return errors.Wrapf(ErrOutcome, "%s %s decided %s %s last", want.Slice, want.Key, got.Type, got.Value)
+		}
+	}
+	return nil
+}
+
+// sameJSON compares values without regard to space.
+func sameJSON(a, b json.RawMessage) bool {
+	var x, y bytes.Buffer
+	return json.Compact(&x, a) == nil && json.Compact(&y, b) == nil && bytes.Equal(x.Bytes(), y.Bytes())
+}
+
+// Decided counts a trace's decisions as "slice.Type" and returns the last one
+// of each machine, by slice and key with a zero byte between them.
+func Decided(r io.Reader) (map[string]int, map[string]Named, error) {
+	counts, last := make(map[string]int), make(map[string]Named)
+	_, err := Read(r, func(s Step) error {
+		for _, d := range s.Decisions {
+			counts[s.Slice+"."+d.Type]++
+			last[s.Slice+"\x00"+s.Key] = d
+		}
+		return nil
+	})
+	return counts, last, err
+}
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -28,7 +28,8 @@
 // maxLineBytes bounds one line of a trace.
 const maxLineBytes = 16 << 20
 
-// Read calls fn with each step of a trace.
+// Read calls fn with each step of a trace. A last line that is cut short, as a
+// killed daemon leaves it, is passed over.
 func Read(r io.Reader, fn func(Step) error) (Header, error) {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLineBytes)
@@ -39,6 +40,9 @@
 	for lines.Scan() {
 		var s Step
 		if err := json.Unmarshal(lines.Bytes(), &s); err != nil {
+			if !lines.Scan() {
+				break
+			}
 			return h, errors.Wrap(err, "decode step")
 		}
 		if err := fn(s); err != nil {
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,137 @@
+package trace
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// sum is a machine that adds up what it is told and decides the total.
+type sum struct{ total, step int }
+
+type add struct{ N int }
+
+type total struct{ N int }
+
+func (s *sum) take(a add) []total {
+	s.total += a.N * s.step
+	return []total{{s.total}}
+}
+
+// Replay implements Machine.
+func (s *sum) Replay(_ time.Time, input Named) ([]Named, error) {
+	var a add
+	if err := json.Unmarshal(input.Value, &a); err != nil {
+		return nil, err
+	}
+	return Names(s.take(a))
+}
+
+// maker returns a maker of machines that err by bias.
+func maker(bias int) map[string]Maker {
+	return map[string]Maker{"sum": func(made json.RawMessage) (Machine, error) {
+		s := &sum{}
+		err := json.Unmarshal(made, &s.step)
+		s.step += bias
+		return s, err
+	}}
+}
+
+// recorded returns a trace of two machines.
+func recorded() string {
+	var out bytes.Buffer
+	r, err := NewRecorder(&out, "vm-1")
+	So(err, ShouldBeNil)
+	at := time.Unix(1, 0)
+	machines := map[string]*sum{"a": {step: 1}, "b": {step: 2}}
+	for _, key := range []string{"a", "b"} {
+		r.New("sum", key, at, machines[key].step)
+	}
+	for i, key := range []string{"a", "b", "a", "b"} {
+		in := add{i}
+		Record(r, "sum", key, at, in, machines[key].take(in))
+	}
+	So(r.Err(), ShouldBeNil)
+	return out.String()
+}
+
+func TestReplay(t *testing.T) {
+	Convey("a recorded trace", t, func() {
+		text := recorded()
+		lines := strings.SplitAfter(text, "\n")
+		Convey("replays to the same decisions", func() {
+			steps, err := Replay(strings.NewReader(text), maker(0))
+			So(err, ShouldBeNil)
+			So(steps, ShouldEqual, 6)
+		})
+		Convey("is passed over where a slice has no maker", func() {
+			steps, err := Replay(strings.NewReader(text), nil)
+			So(err, ShouldBeNil)
+			So(steps, ShouldEqual, 0)
+		})
+		Convey("that was cut short replays up to there", func() {
+			steps, err := Replay(strings.NewReader(text[:len(text)-5]), maker(0))
+			So(err, ShouldBeNil)
+			So(steps, ShouldEqual, 5)
+		})
+		broken := []struct {
+			name, text string
+			bias       int
+			want       error
+		}{
+			{"logic that decides otherwise", text, 1, ErrDiverged},
+			{"an input that was changed", strings.Replace(text, `"value":{"N":2}`, `"value":{"N":7}`, 1), 0, ErrDiverged},
+			{"an input that is missing", strings.Join(append(append([]string{}, lines[:4]...), lines[5:]...), ""), 0, ErrDiverged},
+			{"inputs in another order", strings.Join([]string{lines[0], lines[1], lines[2], lines[5], lines[3]}, ""), 0, ErrDiverged},
+			{"another format", `{"format":"x","version":1}`, 0, ErrFormat},
+			{"another version", `{"format":"vanillaroad-trace","version":0}`, 0, ErrFormat},
+			{"an empty file", "", 0, ErrFormat},
+		}
+		for _, c := range broken {
+			Convey(c.name+" is told", func() {
+				_, err := Replay(strings.NewReader(c.text), maker(c.bias))
+				So(errors.Is(err, c.want), ShouldBeTrue)
+			})
+		}
+		Convey("with a step of a machine that was never made is an error", func() {
+			_, err := Replay(strings.NewReader(lines[0]+lines[3]), maker(0))
+			So(err, ShouldNotBeNil)
+		})
+		Convey("with a bad line in the middle is an error", func() {
+			_, err := Replay(strings.NewReader(lines[0]+lines[1]+"{\n"+lines[2]), maker(0))
+			So(err, ShouldNotBeNil)
+		})
+	})
+	Convey("a recorder that is off records nothing", t, func() {
+		var r *Recorder
+		r.New("sum", "a", time.Time{}, 1)
+		Record(r, "sum", "a", time.Time{}, add{1}, []total{{1}})
+	})
+}
+
+func TestOutcome(t *testing.T) {
+	Convey("an outcome is held against a trace", t, func() {
+		text := recorded()
+		last := func(key, value string) []LastDecision {
+			return []LastDecision{{"sum", key, Named{"total", json.RawMessage(value)}}}
+		}
+		cases := []struct {
+			name string
+			o    Outcome
+			want error
+		}{
+			{"as it was", Outcome{Decisions: map[string]int{"sum.total": 4, "sum.none": 0}, Last: last("b", `{ "N": 8 }`)}, nil},
+			{"another count", Outcome{Decisions: map[string]int{"sum.total": 3}}, ErrOutcome},
+			{"another last decision", Outcome{Last: last("a", `{"N":3}`)}, ErrOutcome},
+			{"a machine that was not there", Outcome{Last: last("c", `{"N":2}`)}, ErrOutcome},
+		}
+		for _, c := range cases {
+			So(errors.Is(c.o.Check(strings.NewReader(text)), c.want), ShouldBeTrue)
+		}
+	})
+}
