--- a/cmd/vanillaroad-load/main.go
+++ b/cmd/vanillaroad-load/main.go
@@ -34,7 +34,14 @@
 	bounds load.Options
 	mode   string
 	json   string
-	whole  bool // every answer must be whole
+	limits limits
+}
+
+// limits are demands on a run beyond those that always hold.
+type limits struct {
+	whole  bool          // every answer must be whole
+	final  bool          // every answer must be whole or have a final end
+	resume time.Duration // no answer may be interrupted for longer; 0: no limit
 }
 
 func main() {
@@ -61,7 +68,9 @@
 func siteFlags(c *cobra.Command, o *options) {
 	f := c.Flags()
 	f.StringVar(&o.mode, "mode", modeSystem, "system, direct or both")
-	f.BoolVar(&o.whole, "whole", false, "fail unless every answer is whole")
+	f.BoolVar(&o.limits.whole, "whole", false, "fail unless every answer is whole")
+	f.BoolVar(&o.limits.final, "final", false, "fail unless every answer is whole or has a typed, final end")
+	f.DurationVar(&o.limits.resume, "resume-within", 0, "fail if an answer was interrupted for longer")
 	f.StringVar(&o.json, "json", "", "file for the result as JSON")
 	f.StringSliceVarP(&o.site.Daemons, "address", "a", []string{"127.0.0.1:7100"}, "daemons, IP:port")
 	f.StringSliceVar(&o.site.Places, "places", nil, "places of the callers, in turn")
@@ -123,7 +132,7 @@
 	if err := writeJSON(o.json, phases); err != nil {
 		return err
 	}
-	return verdict(out, phases, o.whole)
+	return verdict(out, phases, o.limits)
 }
 
 func writeJSON(path string, phases []load.Phase) error {
@@ -138,15 +147,11 @@
 	return errors.Wrap(os.WriteFile(path, append(b, '\n'), readable), "write result")
 }
 
-func verdict(out io.Writer, phases []load.Phase, whole bool) error {
+func verdict(out io.Writer, phases []load.Phase, l limits) error {
 	found := false
 	for _, p := range phases {
 		_, _ = fmt.Fprintln(out, "summary:", p.Summary())
-		if n := p.NotWhole(); whole && n > 0 {
-			found = true
-			_, _ = fmt.Fprintf(out, "fault: %s: %d answers are not whole\n", p.Name, n)
-		}
-		for _, f := range p.Faults() {
+		for _, f := range append(l.faults(p), p.Faults()...) {
 			found = true
 			_, _ = fmt.Fprintln(out, "fault:", f)
 		}
@@ -156,3 +161,18 @@
 	}
 	return nil
 }
+
+// faults names the demands that a phase did not meet.
+func (l limits) faults(p load.Phase) []string {
+	var out []string
+	if n := p.NotWhole(); l.whole && n > 0 {
+		out = append(out, fmt.Sprintf("%s: %d answers are not whole", p.Name, n))
+	}
+	if n := p.Generations.Failed; l.final && n > 0 {
+		out = append(out, fmt.Sprintf("%s: %d answers have no final end", p.Name, n))
+	}
+	if limit := float64(l.resume.Milliseconds()); limit > 0 && p.Resume.Max > limit {
+		out = append(out, fmt.Sprintf("%s: an answer was interrupted for %.0f ms", p.Name, p.Resume.Max))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settingspage/comments.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// fieldComments returns the comments of a struct's fields by field name.
+func fieldComments(dir, structName string) (map[string]string, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	out := make(map[string]string)
+	for _, file := range files {
+		f, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ParseComments)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			spec, ok := n.(*ast.TypeSpec)
+			if !ok || spec.Name.Name != structName {
+				return true
+			}
+			if s, ok := spec.Type.(*ast.StructType); ok {
+				collect(s, out)
+			}
+			return false
+		})
+	}
+	return out, nil
+}
+
+func collect(s *ast.StructType, out map[string]string) {
+	for _, field := range s.Fields.List {
+		text := field.Doc.Text()
+		if text == "" {
+			text = field.Comment.Text()
+		}
+		for _, name := range field.Names {
+			out[name.Name] = sentence(name.Name, text)
+		}
+	}
+}
+
+// sentence drops the field's name that a comment may start with.
+func sentence(name, text string) string {
+	text = strings.Join(strings.Fields(text), " ")
+	for _, start := range []string{name + " is ", name + " are ", name + " "} {
+		if rest, ok := strings.CutPrefix(text, start); ok {
+			return rest
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/internal/settingspage/page.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"reflect"
+	"strings"
+
+	"github.com/vanillaroad/vanillaroad/internal/jsontime"
+	"github.com/vanillaroad/vanillaroad/settings"
+)
+
+const modulePath = "github.com/vanillaroad/vanillaroad"
+
+const head = `# Settings of a daemon
+
+Generated from package ` + "`settings`" + ` by ` + "`go generate ./settings`" + `; do not edit.
+
+One JSON file a daemon, named with ` + "`vanillaroadd -settings FILE`" + `. Unknown keys are
+errors, and every fault is named at once: ` + "`vanillaroad settings check FILE`" + `.
+` + "`vanillaroad settings defaults`" + ` prints the defaults. A setting without a default
+must be given. Durations are strings with a unit, such as "1.5s".
+
+| setting | default | bounds | meaning |
+|---|---|---|---|
+`
+
+// page returns the reference; root is the module's directory.
+func page(root string) (string, error) {
+	w := &writer{root: root, comments: make(map[reflect.Type]map[string]string)}
+	w.text.WriteString(head)
+	err := w.fields(reflect.ValueOf(settings.Default()), "")
+	return w.text.String(), err
+}
+
+type writer struct {
+	root     string
+	comments map[reflect.Type]map[string]string
+	text     strings.Builder
+}
+
+// fields writes a row for each setting of a struct.
+func (w *writer) fields(v reflect.Value, prefix string) error {
+	t := v.Type()
+	docs, err := w.docs(t)
+	if err != nil {
+		return err
+	}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		if f.Type.Kind() == reflect.Struct {
+			if err := w.fields(v.Field(i), prefix+name+"."); err != nil {
+				return err
+			}
+			continue
+		}
+		_, _ = fmt.Fprintf(&w.text, "| `%s%s` | %s | %s | %s |\n", prefix, name, value(v.Field(i)), strings.ReplaceAll(f.Tag.Get("validate"), ",", ", "), docs[f.Name])
+	}
+	return nil
+}
+
+func value(v reflect.Value) string {
+	if v.IsZero() && v.Type() != reflect.TypeFor[jsontime.Duration]() {
+		return ""
+	}
+	b, err := json.Marshal(v.Interface())
+	if err != nil {
+		return err.Error()
+	}
+	return "`" + string(b) + "`"
+}
+
+func (w *writer) docs(t reflect.Type) (map[string]string, error) {
+	if d := w.comments[t]; d != nil {
+		return d, nil
+	}
+	dir := strings.TrimPrefix(t.PkgPath(), modulePath)
+	d, err := fieldComments(filepath.Join(w.root, dir), t.Name())
+	w.comments[t] = d
+	return d, err
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,17 +19,19 @@
 	"github.com/vanillaroad/vanillaroad/placement"
 )
 
+//go:generate go run ../internal/settingspage ../docs/operators/settings.md
+
 // Settings is the whole of a daemon's file.
 type Settings struct {
-	ID          string `json:"id" validate:"required,max=128"`
-	Place       string `json:"place" validate:"required"`
-	Region      string `json:"region" validate:"required"`
-	APIAddress  string `json:"api_address" validate:"required,hostname_port"`  // IP:port for callers and operators
-	PeerAddress string `json:"peer_address" validate:"required,hostname_port"` // IP:port for other daemons
-	Platform    string `json:"platform" validate:"required,url"`               // base URL of the platform
-	LogLevel    string `json:"log_level" validate:"oneof=debug info warn error"`
-	EventRing   int    `json:"event_ring" validate:"min=16,max=1000000"` // events kept for the time line
-	TraceFile   string `json:"trace_file,omitempty"`                     // records decision inputs; off if empty
+	ID          string `json:"id" validate:"required,max=128"`                   // the VM's id on the VM list
+	Place       string `json:"place" validate:"required"`                        // failure domain
+	Region      string `json:"region" validate:"required"`                       // region of the place
+	APIAddress  string `json:"api_address" validate:"required,hostname_port"`    // IP:port for callers and operators
+	PeerAddress string `json:"peer_address" validate:"required,hostname_port"`   // IP:port for other daemons
+	Platform    string `json:"platform" validate:"required,url"`                 // base URL of the platform
+	LogLevel    string `json:"log_level" validate:"oneof=debug info warn error"` // least severe events that are logged
+	EventRing   int    `json:"event_ring" validate:"min=16,max=1000000"`         // events kept for the time line
+	TraceFile   string `json:"trace_file,omitempty"`                             // records decision inputs; off if empty
 
 	Membership   membership.Settings   `json:"membership"`
 	Admission    admission.Settings    `json:"admission"`
