--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaroad/vanillaroad/generation"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/placement"
+	"github.com/vanillaroad/vanillaroad/quarantine"
 )
 
 //go:generate go run ../internal/settingspage ../docs/operators/settings.md
@@ -36,6 +37,7 @@
 	Membership   membership.Settings   `json:"membership"`
 	Admission    admission.Settings    `json:"admission"`
 	Generation   generation.Settings   `json:"generation"`
+	Quarantine   quarantine.Settings   `json:"quarantine"`
 	Confirmation confirmation.Settings `json:"confirmation"`
 	Placement    placement.Settings    `json:"placement"`
 }
@@ -45,8 +47,9 @@
 	return Settings{
 		LogLevel: "info", EventRing: 4096,
 		Membership: membership.DefaultSettings(), Admission: admission.DefaultSettings(),
-		Generation: generation.DefaultSettings(), Confirmation: confirmation.DefaultSettings(),
-		Placement: placement.DefaultSettings(),
+		Generation: generation.DefaultSettings(), Quarantine: quarantine.DefaultSettings(),
+		Confirmation: confirmation.DefaultSettings(),
+		Placement:    placement.DefaultSettings(),
 	}
 }
 
