peer: connections nobody uses cost nothing

Every dialed connection was pinged each 500 ms for good, so gossip over 760 daemons would have become a mesh of pings. Pings now go out only while calls wait or within 3 s of a use; a connection idle for 10 s is retired, and a call that meets a retired one is sent on a new one (it never left). Silence of a connection in use is still found in 2 to 2.5 s. Bytes are counted by slice.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -17,10 +17,20 @@
 	writeTimeout = 2 * time.Second
 	pingInterval = 500 * time.Millisecond
 	silenceLimit = 2 * time.Second
+	// useWindow is how long after its last request a dialed connection is
+	// pinged; after idleClose it is closed. A connection nobody uses costs
+	// nothing.
+	useWindow = 3 * time.Second
+	idleClose = 10 * time.Second
+	// idleLimit is how long an accepted connection may stay silent.
+	idleLimit    = 2 * idleClose
 	sendQueueLen = 1024
 	maxHandlers  = 512
 )
 
+// errRetired tells that a connection closed for idleness before it took a call.
+var errRetired = errors.New("connection retired")
+
 // conn is one open connection. Calls go out on connections that this side
 // dialed; replies come back on the same connection.
 type conn struct {
@@ -32,10 +42,15 @@
 	once   sync.Once
 	slots  chan struct{}
 
-	mu    sync.Mutex
-	err   error
-	calls map[uint64]chan *envelope
-	next  uint64
+	dialed bool // this side dialed, pings and retires it
+
+	mu         sync.Mutex
+	err        error
+	calls      map[uint64]chan *envelope
+	next       uint64
+	used       time.Time
+	unanswered time.Time // first ping since the last frame that arrived
+	retired    bool
 }
 
 func newConn(t *Transport, nc net.Conn, remote Identity) *conn {
@@ -45,9 +60,18 @@
 		done:  make(chan struct{}),
 		slots: make(chan struct{}, maxHandlers),
 		calls: make(map[uint64]chan *envelope),
+		used:  time.Now(),
 	}
 }
 
+// touch marks a use. It returns false when the connection was retired.
+func (c *conn) touch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used = time.Now()
+	return !c.retired
+}
+
 // run serves the connection until it fails or closes.
 func (c *conn) run() {
 	c.t.wg.Add(1)
@@ -69,6 +93,13 @@
 	})
 }
 
+// gone tells that the connection takes no further call.
+func (c *conn) gone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired || c.err != nil
+}
+
 func (c *conn) cause() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -76,15 +107,26 @@
 }
 
 func (c *conn) write() {
-	ping := time.NewTicker(pingInterval)
-	defer ping.Stop()
+	pings := time.NewTicker(pingInterval)
+	defer pings.Stop()
 	for {
 		var e *envelope
 		select {
 		case <-c.done:
 			return
 		case e = <-c.out:
-		case <-ping.C:
+		case <-pings.C:
+			if !c.dialed {
+				continue
+			}
+			ping, err := c.tick(time.Now())
+			if err != nil {
+				c.close(err)
+				return
+			}
+			if !ping {
+				continue
+			}
 			e = &envelope{Kind: kindPing}
 		}
 		if err := c.writeOne(e); err != nil {
@@ -99,30 +141,83 @@
 	if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return errors.WithStack(err)
 	}
-	return writeFrame(c.nc, e)
+	n, err := writeFrame(c.nc, e)
+	c.t.count(e.Kind, n)
+	return err
 }
 
 func (c *conn) read() {
 	r := bufio.NewReaderSize(c.nc, 32<<10)
 	for {
-		if err := c.nc.SetReadDeadline(time.Now().Add(silenceLimit)); err != nil {
-			c.close(errors.WithStack(err))
+		if err := c.awaitFrame(r); err != nil {
+			c.close(err)
 			return
 		}
 		e, err := readFrame(r)
 		if err != nil {
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Timeout() {
-				err = errors.WithStack(ErrSilent)
-			}
-			c.close(err)
+			c.close(silent(err))
 			return
 		}
+		c.answered()
+		c.t.count(e.Kind, e.size)
 		c.t.observe(e.Time)
 		c.receive(e)
 	}
 }
 
+// awaitFrame waits for the first byte of a frame and sets the deadline for the
+// rest of it. Silence of a dialed connection is judged by its pings.
+func (c *conn) awaitFrame(r *bufio.Reader) error {
+	var until time.Time
+	if !c.dialed {
+		until = time.Now().Add(idleLimit)
+	}
+	if err := c.nc.SetReadDeadline(until); err != nil {
+		return errors.WithStack(err)
+	}
+	if _, err := r.Peek(1); err != nil {
+		return silent(err)
+	}
+	return errors.WithStack(c.nc.SetReadDeadline(time.Now().Add(silenceLimit)))
+}
+
+// tick runs once a pingInterval on a dialed connection. It returns whether to
+// ping, or an error that ends the connection.
+func (c *conn) tick(now time.Time) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := now.Sub(c.used)
+	switch {
+	case !c.unanswered.IsZero() && now.Sub(c.unanswered) >= silenceLimit:
+		return false, errors.WithStack(ErrSilent)
+	case len(c.calls) > 0 || idle < useWindow:
+		if c.unanswered.IsZero() {
+			c.unanswered = now
+		}
+		return true, nil
+	case idle >= idleClose:
+		c.retired = true
+		return false, errors.WithStack(errRetired)
+	}
+	return false, nil
+}
+
+// answered notes that the other side lives.
+func (c *conn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = time.Time{}
+}
+
+// silent names a read deadline that passed.
+func silent(err error) error {
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return errors.WithStack(ErrSilent)
+	}
+	return err
+}
+
 func (c *conn) receive(e *envelope) {
 	switch {
 	case e.Kind == kindPing:
@@ -185,6 +280,11 @@
 func (c *conn) call(ctx context.Context, kind Kind, body []byte) (*envelope, error) {
 	ch := make(chan *envelope, 1)
 	c.mu.Lock()
+	if c.retired {
+		c.mu.Unlock()
+		return nil, errors.WithStack(errRetired)
+	}
+	c.used = time.Now()
 	c.next++
 	id := c.next
 	c.calls[id] = ch
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -15,19 +15,19 @@
 const headerBytes = 4
 
 // writeFrame writes one envelope with its length prefix in a single write.
-func writeFrame(w io.Writer, e *envelope) error {
+func writeFrame(w io.Writer, e *envelope) (int, error) {
 	body, err := msgpack.Marshal(e)
 	if err != nil {
-		return errors.Wrap(err, "encode frame")
+		return 0, errors.Wrap(err, "encode frame")
 	}
 	if len(body) > maxFrameBytes {
-		return errors.WithStack(ErrFrameTooLarge)
+		return 0, errors.WithStack(ErrFrameTooLarge)
 	}
 	buf := make([]byte, headerBytes+len(body))
 	binary.BigEndian.PutUint32(buf, uint32(len(body)))
 	copy(buf[headerBytes:], body)
-	_, err = w.Write(buf)
-	return errors.Wrap(err, "write frame")
+	n, err := w.Write(buf)
+	return n, errors.Wrap(err, "write frame")
 }
 
 // readFrame reads one envelope. It allocates no more than arrived plus one
@@ -49,6 +49,7 @@
 		return nil, errors.Wrap(io.ErrUnexpectedEOF, "read frame body")
 	}
 	e := new(envelope)
+	e.size = headerBytes + int(n)
 	if err := msgpack.Unmarshal(body, e); err != nil {
 		return nil, errors.Wrap(err, "decode frame")
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -65,4 +65,6 @@
 	Error string             `msgpack:"e,omitempty"`
 	Time  int64              `msgpack:"t,omitempty"`
 	Body  msgpack.RawMessage `msgpack:"b,omitempty"`
+
+	size int // bytes of the frame it arrived in
 }
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,6 +33,22 @@
 	inbound  map[*conn]struct{}
 	dialing  map[string]*dial
 	blocked  func(address string) bool
+
+	traffic [kindRanges]atomic.Int64
+}
+
+// kindRanges is the number of ranges of message kinds, rangeSize their size.
+const (
+	kindRanges = 8
+	rangeSize  = 100
+)
+
+// Traffic returns the bytes of frames sent and received in the range of kind.
+// Replies count in the range of their request.
+func (t *Transport) Traffic(kind Kind) int64 { return t.traffic[int(kind/rangeSize)%kindRanges].Load() }
+
+func (t *Transport) count(kind Kind, bytes int) {
+	t.traffic[int(kind/rangeSize)%kindRanges].Add(int64(bytes))
 }
 
 type dial struct {
@@ -115,7 +132,7 @@
 	if err != nil {
 		return Identity{}, errors.WithStack(err)
 	}
-	if err := writeFrame(nc, &envelope{Kind: kindHello, Body: body, Time: t.stamp()}); err != nil {
+	if _, err := writeFrame(nc, &envelope{Kind: kindHello, Body: body, Time: t.stamp()}); err != nil {
 		return Identity{}, err
 	}
 	e, err := readFrame(nc)
@@ -139,11 +156,10 @@
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
-	c, err := t.conn(ctx, address)
-	if err != nil {
-		return err
+	e, err := t.callOnce(ctx, address, kind, body)
+	if errors.Is(err, errRetired) {
+		e, err = t.callOnce(ctx, address, kind, body) // it never left: dial anew
 	}
-	e, err := c.call(ctx, kind, body)
 	if err != nil {
 		return errors.Wrapf(err, "call %d at %s", kind, address)
 	}
@@ -156,6 +172,14 @@
 	return errors.Wrap(msgpack.Unmarshal(e.Body, resp), "decode reply")
 }
 
+func (t *Transport) callOnce(ctx context.Context, address string, kind Kind, body []byte) (*envelope, error) {
+	c, err := t.conn(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return c.call(ctx, kind, body)
+}
+
 // RemoteError is an error that the peer's handler returned.
 type RemoteError struct {
 	Address string
@@ -175,6 +199,11 @@
 	if err != nil {
 		return err
 	}
+	if !c.touch() {
+		if c, err = t.conn(ctx, address); err != nil {
+			return err
+		}
+	}
 	if !c.enqueue(&envelope{Kind: kind, Body: body}) {
 		return errors.WithStack(ErrQueueFull)
 	}
@@ -188,7 +217,7 @@
 		return nil, errors.Wrapf(ErrSilent, "link to %s is cut", address)
 	}
 	t.mu.Lock()
-	if c := t.conns[address]; c != nil {
+	if c := t.conns[address]; c != nil && !c.gone() {
 		t.mu.Unlock()
 		return c, nil
 	}
@@ -239,7 +268,9 @@
 		_ = nc.Close()
 		return nil, errors.Wrapf(err, "greet peer %s", address)
 	}
-	return newConn(t, nc, remote), nil
+	c := newConn(t, nc, remote)
+	c.dialed = true
+	return c, nil
 }
 
 func (t *Transport) dispatch(ctx context.Context, from Identity, kind Kind, body []byte) (any, error) {
--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -56,7 +56,7 @@
 
 func FuzzReadFrame(f *testing.F) {
 	var good bytes.Buffer
-	if err := writeFrame(&good, &envelope{Kind: testKind, ID: 7, Body: []byte{0xc0}}); err != nil {
+	if _, err := writeFrame(&good, &envelope{Kind: testKind, ID: 7, Body: []byte{0xc0}}); err != nil {
 		f.Fatal(err)
 	}
 	f.Add(good.Bytes())
