--- a/client/generate.go
+++ b/client/generate.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	switch f.Code {
-	case failure.Draining, failure.Isolated, failure.UnknownResult, failure.Internal, failure.Canceled:
+	case failure.Draining, failure.Starting, failure.Isolated, failure.UnknownResult, failure.Internal, failure.Canceled:
 		return false
 	}
 	return true
--- /dev/null
+++ b/configuration/delta.go
@@ -0,0 +1,204 @@
+package configuration
+
+import (
+	"encoding/json"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Delta is the difference between two documents, entry by entry.
+type Delta struct {
+	From       int64       `json:"from"` // version it applies to
+	Services   []Service   `json:"services,omitempty"`
+	Workspaces []Workspace `json:"workspaces,omitempty"`
+	Targets    []Target    `json:"targets,omitempty"`
+	// Removed names entries that are no more, by kind.
+	Removed map[string][]string `json:"removed,omitempty"`
+	// Released replaces the whole list when ReleasedChanged.
+	Released        []string `json:"released,omitempty"`
+	ReleasedChanged bool     `json:"released_changed,omitempty"`
+}
+
+// Kinds of entries, as in Delta.Removed and in paths of faults.
+const (
+	serviceEntry   = "service"
+	workspaceEntry = "workspace"
+	targetEntry    = "target"
+	releasedEntry  = "released"
+)
+
+// Canonical returns the document with its lists sorted by name. Accepted
+// documents are canonical, so that equal ones are equal byte for byte.
+func (d Document) Canonical() Document {
+	d.Services = sorted(d.Services, Service.key)
+	d.Workspaces = sorted(d.Workspaces, Workspace.key)
+	d.Targets = sorted(d.Targets, Target.key)
+	d.Released = sorted(d.Released, func(s string) string { return s })
+	return d
+}
+
+func (s Service) key() string   { return s.Name }
+func (w Workspace) key() string { return w.Name }
+func (t Target) key() string    { return t.Name }
+
+func sorted[T any](in []T, key func(T) string) []T {
+	out := append([]T(nil), in...)
+	sort.SliceStable(out, func(i, j int) bool { return key(out[i]) < key(out[j]) })
+	return out
+}
+
+// Diff returns what turns the canonical document a into b.
+func Diff(a, b Document) Delta {
+	d := Delta{Removed: make(map[string][]string)}
+	d.Services, d.Removed[serviceEntry] = changes(a.Services, b.Services, Service.key)
+	d.Workspaces, d.Removed[workspaceEntry] = changes(a.Workspaces, b.Workspaces, Workspace.key)
+	d.Targets, d.Removed[targetEntry] = changes(a.Targets, b.Targets, Target.key)
+	if encode(a.Released) != encode(b.Released) {
+		d.Released, d.ReleasedChanged = b.Released, true
+	}
+	for kind, names := range d.Removed {
+		if len(names) == 0 {
+			delete(d.Removed, kind)
+		}
+	}
+	return d
+}
+
+// Names lists the entries that a delta touches, kind and name, sorted.
+func (d Delta) Names() []string {
+	var out []string
+	for _, s := range d.Services {
+		out = append(out, serviceEntry+" "+s.Name)
+	}
+	for _, w := range d.Workspaces {
+		out = append(out, workspaceEntry+" "+w.Name)
+	}
+	for _, t := range d.Targets {
+		out = append(out, targetEntry+" "+t.Name)
+	}
+	for kind, names := range d.Removed {
+		for _, n := range names {
+			out = append(out, kind+" "+n+" (removed)")
+		}
+	}
+	if d.ReleasedChanged {
+		out = append(out, releasedEntry)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Apply returns a with the delta's changes.
+func (d Delta) Apply(a Document) Document {
+	out := Document{
+		Services:   merge(a.Services, d.Services, d.Removed[serviceEntry], Service.key),
+		Workspaces: merge(a.Workspaces, d.Workspaces, d.Removed[workspaceEntry], Workspace.key),
+		Targets:    merge(a.Targets, d.Targets, d.Removed[targetEntry], Target.key),
+		Released:   a.Released,
+	}
+	if d.ReleasedChanged {
+		out.Released = d.Released
+	}
+	return out
+}
+
+// changes walks two sorted lists.
+func changes[T any](a, b []T, key func(T) string) (changed []T, removed []string) {
+	i := 0
+	for _, next := range b {
+		for i < len(a) && key(a[i]) < key(next) {
+			removed = append(removed, key(a[i]))
+			i++
+		}
+		if i < len(a) && key(a[i]) == key(next) {
+			if encode(a[i]) != encode(next) {
+				changed = append(changed, next)
+			}
+			i++
+			continue
+		}
+		changed = append(changed, next)
+	}
+	for ; i < len(a); i++ {
+		removed = append(removed, key(a[i]))
+	}
+	return changed, removed
+}
+
+func merge[T any](a, changed []T, removed []string, key func(T) string) []T {
+	if len(changed) == 0 && len(removed) == 0 {
+		return a
+	}
+	drop := make(map[string]bool, len(removed))
+	for _, r := range removed {
+		drop[r] = true
+	}
+	out := make([]T, 0, len(a)+len(changed))
+	i := 0
+	for _, old := range a {
+		for i < len(changed) && key(changed[i]) < key(old) {
+			out = append(out, changed[i])
+			i++
+		}
+		switch {
+		case i < len(changed) && key(changed[i]) == key(old):
+			out = append(out, changed[i])
+			i++
+		case !drop[key(old)]:
+			out = append(out, old)
+		}
+	}
+	return append(out, changed[i:]...)
+}
+
+func encode(v any) string {
+	b, _ := json.Marshal(v) // documents hold nothing that can't be encoded
+	return string(b)
+}
+
+func entryHash(kind string, v any) uint64 { return xxhash.Sum64String(kind + "\x00" + encode(v)) }
+
+// Sum returns a checksum of the document that a delta changes at the cost of
+// its own size.
+func (d Document) Sum() uint64 {
+	sum := entryHash(releasedEntry, d.Released)
+	for _, s := range d.Services {
+		sum ^= entryHash(serviceEntry, s)
+	}
+	for _, w := range d.Workspaces {
+		sum ^= entryHash(workspaceEntry, w)
+	}
+	for _, t := range d.Targets {
+		sum ^= entryHash(targetEntry, t)
+	}
+	return sum
+}
+
+// sumAfter returns the checksum of a changed by d, where sum is that of a.
+func (d Delta) sumAfter(a Document, sum uint64) uint64 {
+	if d.ReleasedChanged {
+		sum ^= entryHash(releasedEntry, a.Released) ^ entryHash(releasedEntry, d.Released)
+	}
+	sum ^= sumOf(serviceEntry, a.Services, d.Services, d.Removed[serviceEntry], Service.key)
+	sum ^= sumOf(workspaceEntry, a.Workspaces, d.Workspaces, d.Removed[workspaceEntry], Workspace.key)
+	return sum ^ sumOf(targetEntry, a.Targets, d.Targets, d.Removed[targetEntry], Target.key)
+}
+
+func sumOf[T any](kind string, a, changed []T, removed []string, key func(T) string) uint64 {
+	var sum uint64
+	old := func(name string) {
+		i := sort.Search(len(a), func(i int) bool { return key(a[i]) >= name })
+		if i < len(a) && key(a[i]) == name {
+			sum ^= entryHash(kind, a[i])
+		}
+	}
+	for _, c := range changed {
+		old(key(c))
+		sum ^= entryHash(kind, c)
+	}
+	for _, r := range removed {
+		old(r)
+	}
+	return sum
+}
--- /dev/null
+++ b/configuration/load.go
@@ -0,0 +1,157 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// ErrNoVersion is returned for a version that the history does not hold.
+var ErrNoVersion = errors.New("version is not in the accepted history")
+
+func readPart(ctx context.Context, store platform.Store, r Ref) ([]byte, error) {
+	o, err := store.Get(ctx, PartKind, r.Name)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read part %s", r.Name)
+	}
+	if r.Digest != 0 && xxhash.Sum64(o.Value) != r.Digest {
+		return nil, errors.Wrap(ErrCorrupt, r.Name)
+	}
+	return o.Value, nil
+}
+
+func readManifest(ctx context.Context, store platform.Store, r Ref) (Manifest, error) {
+	var m Manifest
+	b, err := readPart(ctx, store, r)
+	if err != nil {
+		return m, err
+	}
+	return m, errors.Wrap(json.Unmarshal(b, &m), "decode manifest")
+}
+
+// readVersion reads the manifest and document that r names. Parts that have,
+// a document known already, holds too are not read.
+func readVersion(ctx context.Context, store platform.Store, r Ref, have *Document) (Manifest, Document, error) {
+	m, err := readManifest(ctx, store, r)
+	if err != nil {
+		return m, Document{}, err
+	}
+	known := make([][]byte, len(m.Parts))
+	if have != nil {
+		if known, err = Split(*have, m.Layout); err != nil {
+			return m, Document{}, err
+		}
+	}
+	for i, p := range m.Parts {
+		if known[i] != nil && xxhash.Sum64(known[i]) == p.Digest {
+			continue
+		}
+		if known[i], err = readPart(ctx, store, p); err != nil {
+			return m, Document{}, err
+		}
+	}
+	d, err := Join(known)
+	return m, d, err
+}
+
+// Load makes the snapshot of head from the one that is known: by the head's
+// delta, or by reading the parts that differ.
+func Load(ctx context.Context, store platform.Store, head Head, have *Snapshot) (*Snapshot, error) {
+	if s, err := have.Next(head); err == nil {
+		return s, nil
+	}
+	_, d, err := readVersion(ctx, store, head.Manifest, &have.Document)
+	if err != nil {
+		return nil, err
+	}
+	return Adopt(head, d)
+}
+
+// History returns the accepted versions, newest first.
+func History(ctx context.Context, store platform.Store) ([]Entry, error) {
+	head, _, err := ReadHead(ctx, store)
+	if err != nil || head.Version == 0 {
+		return nil, err
+	}
+	m, err := readManifest(ctx, store, head.Manifest)
+	return m.History, err
+}
+
+// ReadVersion returns the document of an accepted version, or ErrNoVersion.
+func ReadVersion(ctx context.Context, store platform.Store, version int64) (Document, error) {
+	entries, err := History(ctx, store)
+	if err != nil {
+		return Document{}, err
+	}
+	for _, e := range entries {
+		if e.Version == version {
+			_, d, err := readVersion(ctx, store, Ref{Name: e.Manifest}, nil)
+			return d, err
+		}
+	}
+	return Document{}, errors.Wrapf(ErrNoVersion, "version %d", version)
+}
+
+// sweepMax bounds the parts that one Sweep removes.
+const sweepMax = 256
+
+// Sweep removes parts that no kept version refers to: those of writers that
+// died under way. It returns how many it removed.
+func Sweep(ctx context.Context, store platform.Store) (int, error) {
+	head, _, err := ReadHead(ctx, store)
+	if err != nil || head.Version == 0 {
+		return 0, err
+	}
+	m, err := readManifest(ctx, store, head.Manifest)
+	if err != nil {
+		return 0, err
+	}
+	objects, _, err := store.List(ctx, PartKind)
+	if err != nil {
+		return 0, err
+	}
+	removed := 0
+	for _, name := range orphans(objects, m, head.Version) {
+		if removed == sweepMax {
+			break
+		}
+		const firstVersion = 1
+		if err := store.Delete(ctx, PartKind, name, firstVersion); err != nil {
+			return removed, err
+		}
+		removed++
+	}
+	return removed, nil
+}
+
+// orphans returns the names of old parts that m's versions don't refer to. A
+// younger part may belong to a write that is under way.
+func orphans(objects []platform.Object, m Manifest, version int64) []string {
+	used := make(map[string]bool)
+	for _, p := range m.Parts {
+		used[p.Name] = true
+	}
+	for _, e := range m.History {
+		used[e.Manifest] = true
+		for _, d := range e.Dropped {
+			used[d] = true
+		}
+	}
+	var out []string
+	for _, o := range objects {
+		number, _, _ := strings.Cut(o.Name, ".")
+		v, err := strconv.ParseInt(number, 10, 64)
+		if err == nil && v <= version-HistoryLen && !used[o.Name] {
+			out = append(out, o.Name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/configuration/parts.go
@@ -0,0 +1,208 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// ErrCorrupt is returned when stored parts don't match their digests.
+var ErrCorrupt = errors.New("configuration parts don't match their digest")
+
+// entriesPerPart is the number of entries that a part holds on average.
+const entriesPerPart = 32
+
+// Layout is the number of parts a document is split into. Part 0 holds
+// services and releases; then come workspaces, then targets.
+type Layout struct {
+	Workspaces int `json:"workspaces" msgpack:"w"`
+	Targets    int `json:"targets" msgpack:"t"`
+}
+
+func (l Layout) parts() int { return 1 + l.Workspaces + l.Targets }
+
+// layoutFor keeps the old layout while it is within a factor of two, so that
+// growth rewrites all parts only now and then.
+func layoutFor(d Document, old Layout) Layout {
+	return Layout{shards(len(d.Workspaces), old.Workspaces), shards(len(d.Targets), old.Targets)}
+}
+
+func shards(entries, old int) int {
+	want := 1
+	for want*entriesPerPart < entries {
+		want *= 2
+	}
+	if old > 0 && want <= old*2 && old <= want*2 && want != old*2 {
+		return old
+	}
+	return want
+}
+
+// part is the content of one part.
+type part struct {
+	Services   []Service   `json:"services,omitempty"`
+	Released   []string    `json:"released,omitempty"`
+	Workspaces []Workspace `json:"workspaces,omitempty"`
+	Targets    []Target    `json:"targets,omitempty"`
+}
+
+func shardOf(name string, n int) int { return int(xxhash.Sum64String(name) % uint64(n)) }
+
+// Split encodes the canonical document as parts.
+func Split(d Document, l Layout) ([][]byte, error) {
+	parts := make([]part, l.parts())
+	parts[0].Services, parts[0].Released = d.Services, d.Released
+	for _, w := range d.Workspaces {
+		p := &parts[1+shardOf(w.Name, l.Workspaces)]
+		p.Workspaces = append(p.Workspaces, w)
+	}
+	for _, t := range d.Targets {
+		p := &parts[1+l.Workspaces+shardOf(t.Name, l.Targets)]
+		p.Targets = append(p.Targets, t)
+	}
+	out := make([][]byte, len(parts))
+	for i := range parts {
+		b, err := json.Marshal(parts[i])
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		out[i] = b
+	}
+	return out, nil
+}
+
+// Join decodes parts into a canonical document.
+func Join(parts [][]byte) (Document, error) {
+	var d Document
+	for _, b := range parts {
+		var p part
+		if err := json.Unmarshal(b, &p); err != nil {
+			return Document{}, errors.Wrap(err, "decode part")
+		}
+		d.Services = append(d.Services, p.Services...)
+		d.Released = append(d.Released, p.Released...)
+		d.Workspaces = append(d.Workspaces, p.Workspaces...)
+		d.Targets = append(d.Targets, p.Targets...)
+	}
+	return d.Canonical(), nil
+}
+
+// Digests returns the digest of each part.
+func Digests(parts [][]byte) []uint64 {
+	out := make([]uint64, len(parts))
+	for i, b := range parts {
+		out[i] = xxhash.Sum64(b)
+	}
+	return out
+}
+
+// Ref names a stored part. Names are used once, by one write of one version.
+type Ref struct {
+	Name   string `json:"name" msgpack:"n"`
+	Digest uint64 `json:"digest,string" msgpack:"d"`
+}
+
+func partName(version int64, writeID string, index int) string {
+	return fmt.Sprintf("%d.%s.%d", version, writeID, index)
+}
+
+// manifestIndex is the index in the name of a manifest.
+const manifestIndex = -1
+
+// Manifest lists the parts of one version and the accepted history.
+type Manifest struct {
+	Layout Layout `json:"layout"`
+	Parts  []Ref  `json:"parts"`
+	// History holds the newest accepted versions, this one first.
+	History []Entry `json:"history"`
+}
+
+// Entry is one accepted version.
+type Entry struct {
+	Version  int64     `json:"version"`
+	WriteID  string    `json:"write_id"`
+	Author   string    `json:"author"`
+	At       time.Time `json:"at"`
+	Manifest string    `json:"manifest"` // name of its manifest
+	// Dropped names the parts that no version from this one on refers to.
+	Dropped []string `json:"dropped,omitempty"`
+}
+
+// HistoryLen is the number of accepted versions that are kept.
+const HistoryLen = 32
+
+// next returns the manifest of the version after m, and the indexes of the
+// parts that must be written.
+func (m Manifest) next(e Entry, l Layout, digests []uint64) (Manifest, []int) {
+	out := Manifest{Layout: l, Parts: make([]Ref, len(digests))}
+	var write []int
+	for i, d := range digests {
+		if l == m.Layout && m.Parts[i].Digest == d {
+			out.Parts[i] = m.Parts[i]
+			continue
+		}
+		out.Parts[i] = Ref{partName(e.Version, e.WriteID, i), d}
+		write = append(write, i)
+	}
+	e.Dropped = dropped(m.Parts, out.Parts)
+	out.History = append([]Entry{e}, m.History...)
+	return out, write
+}
+
+func dropped(before, after []Ref) []string {
+	kept := make(map[string]bool, len(after))
+	for _, r := range after {
+		kept[r.Name] = true
+	}
+	var out []string
+	for _, r := range before {
+		if !kept[r.Name] {
+			out = append(out, r.Name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// trim cuts the history to HistoryLen and returns the names of parts that no
+// kept version refers to any more.
+func (m *Manifest) trim() []string {
+	if len(m.History) <= HistoryLen {
+		return nil
+	}
+	var out []string
+	// A part that version v dropped was last used by version v-1, so it goes
+	// with the oldest kept version being v.
+	out = append(out, m.History[HistoryLen-1].Dropped...)
+	for _, e := range m.History[HistoryLen:] {
+		out = append(out, e.Manifest)
+		out = append(out, e.Dropped...)
+	}
+	m.History[HistoryLen-1].Dropped = nil
+	m.History = m.History[:HistoryLen]
+	return out
+}
+
+// Head is the value of the head object, and what daemons tell each other of a
+// version.
+type Head struct {
+	Version  int64     `json:"version"`
+	WriteID  string    `json:"write_id"`
+	Author   string    `json:"author"`
+	At       time.Time `json:"at"`
+	Manifest Ref       `json:"manifest"`
+	// Sum is the checksum of the document.
+	Sum uint64 `json:"sum,string"`
+	// Delta is the change from the version before, unless it is large.
+	Delta *Delta `json:"delta,omitempty"`
+}
+
+// maxDeltaBytes bounds the encoded delta in a head.
+const maxDeltaBytes = 4 << 10
+
+// LayoutOf returns the layout of a document that was never split.
+func LayoutOf(d Document) Layout { return layoutFor(d, Layout{}) }
--- a/configuration/snapshot.go
+++ b/configuration/snapshot.go
@@ -13,6 +13,8 @@
 type Snapshot struct {
 	Version    int64
 	Document   Document
+	Head       Head   // as accepted; zero in a snapshot made from a document alone
+	sum        uint64 // of the document, when it was adopted from a head
 	services   map[string]*ServiceView
 	workspaces map[string]Workspace
 	targets    map[string]Target
@@ -55,6 +57,101 @@
 	return s, nil
 }
 
+// Adopt makes the snapshot of an accepted version from its canonical document.
+func Adopt(head Head, d Document) (*Snapshot, error) {
+	if d.Sum() != head.Sum {
+		return nil, errors.Wrapf(ErrCorrupt, "version %d", head.Version)
+	}
+	s, err := NewSnapshot(head.Version, d)
+	if err != nil {
+		return nil, err
+	}
+	s.Head, s.sum = head, head.Sum
+	return s, nil
+}
+
+// ErrNotNext is returned when a head's delta does not apply to a snapshot.
+var ErrNotNext = errors.New("the delta does not apply to this version")
+
+// Next returns the snapshot after s by the delta of head. What the delta does
+// not touch is shared with s.
+func (s *Snapshot) Next(head Head) (*Snapshot, error) {
+	delta := head.Delta
+	if delta == nil || delta.From != s.Version || (s.Version > 0 && s.Head.Version == 0) {
+		return nil, errors.WithStack(ErrNotNext)
+	}
+	sum := s.sum
+	if s.Version == 0 {
+		sum = s.Document.Sum()
+	}
+	if delta.sumAfter(s.Document, sum) != head.Sum {
+		return nil, errors.Wrapf(ErrCorrupt, "delta to version %d", head.Version)
+	}
+	out := &Snapshot{Version: head.Version, Document: delta.Apply(s.Document), Head: head, sum: head.Sum,
+		services: make(map[string]*ServiceView), workspaces: s.workspaces, targets: s.targets, released: s.released}
+	if len(delta.Workspaces) > 0 || len(delta.Removed[workspaceEntry]) > 0 {
+		out.workspaces = index(out.Document.Workspaces, Workspace.key)
+	}
+	if len(delta.Targets) > 0 || len(delta.Removed[targetEntry]) > 0 {
+		out.targets = index(out.Document.Targets, Target.key)
+	}
+	if delta.ReleasedChanged {
+		out.released = make(map[string]bool)
+		for _, r := range out.Document.Released {
+			out.released[r] = true
+		}
+	}
+	return out, out.resolveAfter(s, *delta)
+}
+
+func index[T any](list []T, key func(T) string) map[string]T {
+	out := make(map[string]T, len(list))
+	for _, v := range list {
+		out[key(v)] = v
+	}
+	return out
+}
+
+// resolveAfter resolves only the services whose targets the delta can change.
+func (s *Snapshot) resolveAfter(old *Snapshot, delta Delta) error {
+	changed := make(map[string]bool)
+	for _, svc := range delta.Services {
+		changed[svc.Name] = true
+	}
+	for _, svc := range s.Document.Services {
+		if v := old.services[svc.Name]; v != nil && !changed[svc.Name] && !v.touched(old, delta) {
+			s.services[svc.Name] = v
+			continue
+		}
+		v, err := resolve(svc, s.Document.Targets)
+		if err != nil {
+			return err
+		}
+		s.services[svc.Name] = v
+	}
+	return nil
+}
+
+// touched tells whether a changed target was or is one of the service's.
+func (v *ServiceView) touched(old *Snapshot, delta Delta) bool {
+	sel, err := labels.Parse(v.Selector)
+	if err != nil {
+		return true
+	}
+	picked := func(t Target) bool { return sel.Matches(labels.Set(t.Labels)) }
+	for _, t := range delta.Targets {
+		if picked(t) || picked(old.targets[t.Name]) {
+			return true
+		}
+	}
+	for _, name := range delta.Removed[targetEntry] {
+		if picked(old.targets[name]) {
+			return true
+		}
+	}
+	return false
+}
+
 func resolve(svc Service, targets []Target) (*ServiceView, error) {
 	sel, err := labels.Parse(svc.Selector)
 	if err != nil {
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -3,62 +3,286 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
-// Kind and name of the platform object that holds the newest version.
+// Kinds and name of the platform objects that hold accepted versions. Heads
+// have a kind of their own, so that a watch of it brings nothing else.
 const (
 	ObjectKind = "vanillaroad-configuration"
 	HeadName   = "head"
+	PartKind   = "vanillaroad-configuration-part"
 )
 
-// Stored is the value of the head object.
-type Stored struct {
+// Retry of a write whose outcome is not known.
+const (
+	settlePause    = 100 * time.Millisecond
+	settlePauseMax = 2 * time.Second
+	collectTimeout = 10 * time.Second
+)
+
+// Change is what an operator asks to put in force.
+type Change struct {
 	// WriteID is drawn anew for each write, so that a lost answer can be
 	// settled by reading back.
-	WriteID  string    `json:"write_id"`
-	Author   string    `json:"author"`
-	At       time.Time `json:"at"`
-	Document Document  `json:"document"`
+	WriteID  string
+	Author   string
+	At       time.Time
+	Document Document // canonical and valid
+	Base     int64    // version that the change was made from
+}
+
+// ConflictError tells which version won. It wraps platform.ErrConflict.
+type ConflictError struct{ Winner Head }
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("version %d by %q won at %s", e.Winner.Version, e.Winner.Author, e.Winner.At.Format(time.RFC3339))
+}
+
+// Unwrap lets errors.Is find platform.ErrConflict.
+func (e *ConflictError) Unwrap() error { return platform.ErrConflict }
+
+// ReadHead returns the newest accepted head and the version of its object, or
+// a zero head when there is none.
+func ReadHead(ctx context.Context, store platform.Store) (Head, int64, error) {
+	o, err := store.Get(ctx, ObjectKind, HeadName)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, err
+	}
+	h, err := DecodeHead(o.Value)
+	return h, o.Version, err
+}
+
+// DecodeHead decodes the value of a head object.
+func DecodeHead(value []byte) (Head, error) {
+	var h Head
+	err := json.Unmarshal(value, &h)
+	return h, errors.Wrap(err, "decode head")
 }
 
-// Write puts a new version on top of base. It returns platform.ErrConflict when
-// another version won.
-func Write(ctx context.Context, store platform.Store, s Stored, base int64) (int64, error) {
-	value, err := json.Marshal(s)
+// Write puts a new version on top of c.Base. Its errors wrap
+// platform.ErrConflict (a ConflictError; nothing was accepted),
+// platform.ErrUnavailable (nothing was accepted) or platform.ErrUnknown.
+func Write(ctx context.Context, store platform.Store, c Change) (Head, error) {
+	old, object, err := ReadHead(ctx, store)
 	if err != nil {
-		return 0, errors.WithStack(err)
+		return Head{}, errors.Wrap(err, "read head")
 	}
-	o, err := store.Put(ctx, ObjectKind, HeadName, value, base)
-	if err == nil {
-		return o.Version, nil
+	w := &writing{store: store, change: c, object: object}
+	if old.Version != c.Base {
+		return w.repeated(ctx, old)
 	}
-	if errors.Is(err, platform.ErrUnknown) {
-		return settle(ctx, store, s.WriteID, base)
+	if err := w.prepare(ctx, old); err != nil {
+		w.discard(ctx)
+		return Head{}, err
 	}
-	return 0, err
+	head, err := w.putHead(ctx)
+	switch {
+	case err == nil:
+		w.collect(ctx, w.garbage)
+	case errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable):
+		w.discard(ctx)
+	}
+	return head, err
 }
 
-// settle reads back after a lost answer.
-func settle(ctx context.Context, store platform.Store, writeID string, base int64) (int64, error) {
-	o, err := store.Get(ctx, ObjectKind, HeadName)
+// repeated answers a change whose base is not the newest version: it may be
+// that very change, sent again after a lost answer.
+func (w *writing) repeated(ctx context.Context, now Head) (Head, error) {
+	if now.WriteID == w.change.WriteID {
+		return now, nil
+	}
+	if now.Version <= w.change.Base {
+		return Head{}, &ConflictError{now}
+	}
+	manifest, err := readManifest(ctx, w.store, now.Manifest)
+	if err != nil {
+		return Head{}, notAccepted(err)
+	}
+	for _, e := range manifest.History {
+		if e.WriteID == w.change.WriteID {
+			return Head{Version: e.Version, WriteID: e.WriteID, Author: e.Author, At: e.At}, nil
+		}
+	}
+	return Head{}, &ConflictError{now}
+}
+
+// writing is one write under way.
+type writing struct {
+	store   platform.Store
+	change  Change
+	object  int64 // version of the head object to replace
+	head    Head
+	written []string // parts put for this write
+	garbage []string // parts that are no longer needed once it is accepted
+}
+
+// prepare stores the changed parts and the manifest. Nobody sees them before
+// the head names them, so that a failure here accepts nothing.
+func (w *writing) prepare(ctx context.Context, old Head) error {
+	var before Manifest
+	var oldDoc Document
+	if old.Version > 0 {
+		var err error
+		if before, oldDoc, err = readVersion(ctx, w.store, old.Manifest, nil); err != nil {
+			return notAccepted(err)
+		}
+	}
+	layout := layoutFor(w.change.Document, before.Layout)
+	parts, err := Split(w.change.Document, layout)
+	if err != nil {
+		return err
+	}
+	entry := Entry{Version: old.Version + 1, WriteID: w.change.WriteID, Author: w.change.Author, At: w.change.At}
+	entry.Manifest = partName(entry.Version, entry.WriteID, manifestIndex)
+	manifest, changed := before.next(entry, layout, Digests(parts))
+	w.garbage = manifest.trim()
+	for _, i := range changed {
+		if err := w.putPart(ctx, manifest.Parts[i].Name, parts[i]); err != nil {
+			return err
+		}
+	}
+	b, err := json.Marshal(manifest)
 	if err != nil {
-		return 0, errors.Wrap(platform.ErrUnknown, err.Error())
+		return errors.WithStack(err)
+	}
+	w.head = Head{Version: entry.Version, WriteID: entry.WriteID, Author: entry.Author, At: entry.At,
+		Manifest: Ref{entry.Manifest, xxhash.Sum64(b)}, Sum: w.change.Document.Sum()}
+	delta := Diff(oldDoc, w.change.Document)
+	if delta.From = old.Version; len(encode(delta)) <= maxDeltaBytes {
+		w.head.Delta = &delta
+	}
+	return w.putPart(ctx, entry.Manifest, b)
+}
+
+// notAccepted turns an error from before the head was put into one that says so.
+func notAccepted(err error) error {
+	if errors.Is(err, platform.ErrUnknown) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, platform.ErrNotFound) {
+		return errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
-	var s Stored
-	if err := json.Unmarshal(o.Value, &s); err != nil {
-		return 0, errors.Wrap(platform.ErrUnknown, err.Error())
+	return err
+}
+
+// putPart stores one part. A conflict means that an earlier try took effect,
+// because nobody else uses the name.
+func (w *writing) putPart(ctx context.Context, name string, value []byte) error {
+	w.written = append(w.written, name)
+	for pause := settlePause; ; pause = min(2*pause, settlePauseMax) {
+		_, err := w.store.Put(ctx, PartKind, name, value, 0)
+		switch {
+		case err == nil || errors.Is(err, platform.ErrConflict):
+			return nil
+		case !errors.Is(err, platform.ErrUnknown) || !wait(ctx, pause):
+			return notAccepted(errors.Wrap(err, "put part"))
+		}
 	}
+}
+
+// putHead makes the version the accepted one. After a lost answer it reads
+// back, and puts again when nothing changed: the condition lets at most one of
+// the tries take effect, and only another try can exclude that an earlier one
+// is still on its way.
+func (w *writing) putHead(ctx context.Context) (Head, error) {
+	value, err := json.Marshal(w.head)
+	if err != nil {
+		return Head{}, errors.WithStack(err)
+	}
+	unsure, lost := false, false
+	for pause := settlePause; ; pause = min(2*pause, settlePauseMax) {
+		_, err := w.store.Put(ctx, ObjectKind, HeadName, value, w.object)
+		switch {
+		case err == nil:
+			return w.head, nil
+		case errors.Is(err, platform.ErrConflict):
+			lost = lost || !unsure // no earlier try can have taken effect
+			if done, err := w.settle(ctx); done {
+				return w.settled(err)
+			}
+		case errors.Is(err, platform.ErrUnavailable) && !unsure && !lost:
+			return Head{}, errors.Wrap(err, "put head")
+		case errors.Is(err, platform.ErrUnknown):
+			unsure = true
+			if done, err := w.settle(ctx); done {
+				return w.settled(err)
+			}
+		}
+		if wait(ctx, pause) {
+			continue
+		}
+		if lost {
+			return Head{}, errors.Wrap(platform.ErrConflict, "another version won")
+		}
+		return Head{}, errors.Wrap(platform.ErrUnknown, "the platform did not tell before the deadline")
+	}
+}
+
+func (w *writing) settled(err error) (Head, error) {
+	if err != nil {
+		return Head{}, err
+	}
+	return w.head, nil
+}
+
+// settle reads back. It returns whether the outcome is certain, and the
+// conflict if another version won.
+func (w *writing) settle(ctx context.Context) (bool, error) {
+	now, object, err := ReadHead(ctx, w.store)
 	switch {
-	case s.WriteID == writeID:
-		return o.Version, nil
-	case o.Version == base:
-		return 0, errors.WithStack(platform.ErrUnavailable)
-	default:
-		return 0, errors.WithStack(platform.ErrConflict)
+	case err != nil:
+		return false, nil
+	case now.WriteID == w.change.WriteID:
+		return true, nil
+	case object == w.object:
+		return false, nil
+	}
+	// Another version is the newest. It may stand on top of this one.
+	manifest, err := readManifest(ctx, w.store, now.Manifest)
+	if err != nil {
+		return false, nil
+	}
+	for _, e := range manifest.History {
+		if e.WriteID == w.change.WriteID {
+			return true, nil
+		}
+		if e.Version <= w.change.Base {
+			return true, &ConflictError{now}
+		}
+	}
+	return false, nil // the history does not reach back so far
+}
+
+// discard removes the parts of a write that was not accepted.
+func (w *writing) discard(ctx context.Context) { w.collect(ctx, w.written) }
+
+// collect removes parts. What it can't remove now stays until Sweep.
+func (w *writing) collect(ctx context.Context, names []string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), collectTimeout)
+	defer cancel()
+	const firstVersion = 1 // parts are written once
+	for _, n := range names {
+		if err := w.store.Delete(ctx, PartKind, n, firstVersion); errors.Is(err, platform.ErrUnavailable) {
+			return
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
--- a/design/design.go
+++ b/design/design.go
@@ -207,6 +207,7 @@
 var ApplyResult = Type("ApplyResult", func() {
 	Attribute("version", Int64, "Accepted configuration version.")
 	Attribute("lagging", ArrayOf(String), "Live daemons on which the version is not yet in force.")
+	Attribute("changes", ArrayOf(String), "Entries that a dry run would change.")
 	Required("version")
 })
 
@@ -220,6 +221,10 @@
 			Attribute("dry_run", Boolean, "Validate only.")
 			Attribute("wait_ms", Int64, "Milliseconds to wait until the version is in force on all live daemons.")
 			Attribute("author", String, "Who applies it.")
+			Attribute("write_id", String, "Unique name of this change. The same change sent again under it is accepted at most once.", func() {
+				MaxLength(96)
+				Pattern("^[A-Za-z0-9_-]*$")
+			})
 			Required("document", "base_version")
 		})
 		Result(ApplyResult)
--- a/failure/failure.go
+++ b/failure/failure.go
@@ -30,6 +30,7 @@
 	Conflict      Code = "conflict"
 	Overloaded    Code = "overloaded"
 	Draining      Code = "draining"
+	Starting      Code = "starting"
 	NoTarget      Code = "no_target"
 	Isolated      Code = "isolated"
 	Quarantined   Code = "quarantined"
--- a/gen/http/cli/vanillaroadd/cli.go
+++ b/gen/http/cli/vanillaroadd/cli.go
@@ -35,10 +35,10 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "directory lookup --place \"Corporis asperiores.\" --key \"Nulla praesentium iste voluptatem minima dolor.\"" + "\n" +
+	return os.Args[0] + " " + "directory lookup --place \"Facere laborum illum neque et.\" --key \"In neque nobis consequatur quia debitis ipsa.\"" + "\n" +
 		os.Args[0] + " " + "generations generate --body '{\n      \"deadline_ms\": 4757264153645697470,\n      \"held\": [\n         \"Laudantium accusantium accusamus quibusdam dolor deserunt.\",\n         \"Nihil soluta enim qui totam.\"\n      ],\n      \"id\": \"a\",\n      \"labels\": {\n         \"Odit dolore ea veniam.\": \"Quod quod et atque.\"\n      },\n      \"max_tokens\": 481813,\n      \"priority\": \"batch\",\n      \"prompt\": \"Officia quidem ab ut dicta.\",\n      \"seed\": 6843840809878783217,\n      \"service\": \"Provident quis qui reiciendis maxime praesentium illum.\",\n      \"workspace\": \"Eos quia animi consequatur.\"\n   }' --last-event-id \"Odit totam reiciendis voluptas quaerat alias aut.\"" + "\n" +
 		os.Args[0] + " " + "confirmations confirm --body '{\n      \"body\": \"Cumque qui velit voluptates aut quasi.\",\n      \"deadline_ms\": 8667051483534281543,\n      \"key\": \"g\",\n      \"labels\": {\n         \"Assumenda et.\": \"Ut rerum.\",\n         \"Dolorum quis quaerat nobis necessitatibus ipsam nihil.\": \"Hic magni eum ratione ut officiis necessitatibus.\",\n         \"Eaque vero quidem nulla autem rerum ipsum.\": \"Explicabo repudiandae excepturi dolor accusantium quia odio.\"\n      },\n      \"service\": \"Doloribus laboriosam provident.\",\n      \"workspace\": \"Cupiditate dolor iusto voluptatum cupiditate.\"\n   }'" + "\n" +
-		os.Args[0] + " " + "operations apply --body '{\n      \"author\": \"Consequatur ab nulla qui porro reiciendis.\",\n      \"base_version\": 6201333198834133047,\n      \"document\": \"Perspiciatis quos et reprehenderit.\",\n      \"dry_run\": true,\n      \"wait_ms\": 8410679533322469006\n   }'" + "\n" +
+		os.Args[0] + " " + "operations apply --body '{\n      \"author\": \"Consequatur ab nulla qui porro reiciendis.\",\n      \"base_version\": 6201333198834133047,\n      \"document\": \"Perspiciatis quos et reprehenderit.\",\n      \"dry_run\": true,\n      \"wait_ms\": 8410679533322469006,\n      \"write_id\": \"lw1\"\n   }'" + "\n" +
 		""
 }
 
@@ -310,7 +310,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "directory lookup --place \"Corporis asperiores.\" --key \"Nulla praesentium iste voluptatem minima dolor.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "directory lookup --place \"Facere laborum illum neque et.\" --key \"In neque nobis consequatur quia debitis ipsa.\"")
 }
 
 // generationsUsage displays the usage of the generations command and its
@@ -459,7 +459,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operations apply --body '{\n      \"author\": \"Consequatur ab nulla qui porro reiciendis.\",\n      \"base_version\": 6201333198834133047,\n      \"document\": \"Perspiciatis quos et reprehenderit.\",\n      \"dry_run\": true,\n      \"wait_ms\": 8410679533322469006\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operations apply --body '{\n      \"author\": \"Consequatur ab nulla qui porro reiciendis.\",\n      \"base_version\": 6201333198834133047,\n      \"document\": \"Perspiciatis quos et reprehenderit.\",\n      \"dry_run\": true,\n      \"wait_ms\": 8410679533322469006,\n      \"write_id\": \"lw1\"\n   }'")
 }
 
 func operationsConfigurationUsage() {
--- a/gen/http/operations/client/cli.go
+++ b/gen/http/operations/client/cli.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"unicode/utf8"
 
 	operations "github.com/vanillaroad/vanillaroad/gen/operations"
 	goa "goa.design/goa/v3/pkg"
@@ -24,11 +25,19 @@
 	{
 		err = json.Unmarshal([]byte(operationsApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Consequatur ab nulla qui porro reiciendis.\",\n      \"base_version\": 6201333198834133047,\n      \"document\": \"Perspiciatis quos et reprehenderit.\",\n      \"dry_run\": true,\n      \"wait_ms\": 8410679533322469006\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Consequatur ab nulla qui porro reiciendis.\",\n      \"base_version\": 6201333198834133047,\n      \"document\": \"Perspiciatis quos et reprehenderit.\",\n      \"dry_run\": true,\n      \"wait_ms\": 8410679533322469006,\n      \"write_id\": \"lw1\"\n   }'")
 		}
 		if body.Document == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("document", "body"))
 		}
+		if body.WriteID != nil {
+			err = goa.MergeErrors(err, goa.ValidatePattern("body.write_id", *body.WriteID, "^[A-Za-z0-9_-]*$"))
+		}
+		if body.WriteID != nil {
+			if utf8.RuneCountInString(*body.WriteID) > 96 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("body.write_id", *body.WriteID, utf8.RuneCountInString(*body.WriteID), 96, false))
+			}
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -39,6 +48,7 @@
 		DryRun:      body.DryRun,
 		WaitMs:      body.WaitMs,
 		Author:      body.Author,
+		WriteID:     body.WriteID,
 	}
 
 	return v, nil
--- a/gen/http/operations/client/types.go
+++ b/gen/http/operations/client/types.go
@@ -26,6 +26,9 @@
 	WaitMs *int64 `form:"wait_ms,omitempty" json:"wait_ms,omitempty" xml:"wait_ms,omitempty"`
 	// Who applies it.
 	Author *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
+	// Unique name of this change. The same change sent again under it is accepted
+	// at most once.
+	WriteID *string `form:"write_id,omitempty" json:"write_id,omitempty" xml:"write_id,omitempty"`
 }
 
 // ApplyResponseBody is the type of the "operations" service "apply" endpoint
@@ -35,6 +38,8 @@
 	Version *int64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
 	// Live daemons on which the version is not yet in force.
 	Lagging []string `form:"lagging,omitempty" json:"lagging,omitempty" xml:"lagging,omitempty"`
+	// Entries that a dry run would change.
+	Changes []string `form:"changes,omitempty" json:"changes,omitempty" xml:"changes,omitempty"`
 }
 
 // ConfigurationResponseBody is the type of the "operations" service
@@ -834,6 +839,7 @@
 		DryRun:      p.DryRun,
 		WaitMs:      p.WaitMs,
 		Author:      p.Author,
+		WriteID:     p.WriteID,
 	}
 	return body
 }
@@ -850,6 +856,12 @@
 			v.Lagging[i] = val
 		}
 	}
+	if body.Changes != nil {
+		v.Changes = make([]string, len(body.Changes))
+		for i, val := range body.Changes {
+			v.Changes[i] = val
+		}
+	}
 
 	return v
 }
--- a/gen/http/operations/server/types.go
+++ b/gen/http/operations/server/types.go
@@ -8,6 +8,8 @@
 package server
 
 import (
+	"unicode/utf8"
+
 	operations "github.com/vanillaroad/vanillaroad/gen/operations"
 	goa "goa.design/goa/v3/pkg"
 )
@@ -26,6 +28,9 @@
 	WaitMs *int64 `form:"wait_ms,omitempty" json:"wait_ms,omitempty" xml:"wait_ms,omitempty"`
 	// Who applies it.
 	Author *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
+	// Unique name of this change. The same change sent again under it is accepted
+	// at most once.
+	WriteID *string `form:"write_id,omitempty" json:"write_id,omitempty" xml:"write_id,omitempty"`
 }
 
 // ApplyResponseBody is the type of the "operations" service "apply" endpoint
@@ -35,6 +40,8 @@
 	Version int64 `form:"version" json:"version" xml:"version"`
 	// Live daemons on which the version is not yet in force.
 	Lagging []string `form:"lagging,omitempty" json:"lagging,omitempty" xml:"lagging,omitempty"`
+	// Entries that a dry run would change.
+	Changes []string `form:"changes,omitempty" json:"changes,omitempty" xml:"changes,omitempty"`
 }
 
 // ConfigurationResponseBody is the type of the "operations" service
@@ -845,6 +852,12 @@
 			body.Lagging[i] = val
 		}
 	}
+	if res.Changes != nil {
+		body.Changes = make([]string, len(res.Changes))
+		for i, val := range res.Changes {
+			body.Changes[i] = val
+		}
+	}
 	return body
 }
 
@@ -1650,6 +1663,7 @@
 		DryRun:      body.DryRun,
 		WaitMs:      body.WaitMs,
 		Author:      body.Author,
+		WriteID:     body.WriteID,
 	}
 
 	return v
@@ -1681,5 +1695,13 @@
 	if body.BaseVersion == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("base_version", "body"))
 	}
+	if body.WriteID != nil {
+		err = goa.MergeErrors(err, goa.ValidatePattern("body.write_id", *body.WriteID, "^[A-Za-z0-9_-]*$"))
+	}
+	if body.WriteID != nil {
+		if utf8.RuneCountInString(*body.WriteID) > 96 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.write_id", *body.WriteID, utf8.RuneCountInString(*body.WriteID), 96, false))
+		}
+	}
 	return
 }
--- a/gen/operations/service.go
+++ b/gen/operations/service.go
@@ -57,6 +57,9 @@
 	WaitMs *int64
 	// Who applies it.
 	Author *string
+	// Unique name of this change. The same change sent again under it is accepted
+	// at most once.
+	WriteID *string
 }
 
 // ApplyResult is the result type of the operations service apply method.
@@ -65,6 +68,8 @@
 	Version int64
 	// Live daemons on which the version is not yet in force.
 	Lagging []string
+	// Entries that a dry run would change.
+	Changes []string
 }
 
 // ConfigurationPayload is the payload type of the operations service
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -16,11 +16,16 @@
 type Settings struct {
 	// DirectoryTTL is how long callers may keep a directory answer.
 	DirectoryTTL jsontime.Duration `json:"directory_ttl" validate:"gt=0"`
+	// DrainLimit bounds the wait of a planned stop for running work.
+	DrainLimit jsontime.Duration `json:"drain_limit" validate:"gt=0"`
+	// Seeds are peer addresses, IP:port, that a daemon asks for the members
+	// when it starts and the platform does not answer.
+	Seeds []string `json:"seeds,omitempty" validate:"dive,hostname_port"`
 }
 
 // DefaultSettings returns the settings of a daemon whose file names none.
 func DefaultSettings() Settings {
-	return Settings{DirectoryTTL: jsontime.Duration(3 * time.Second)}
+	return Settings{DirectoryTTL: jsontime.Duration(3 * time.Second), DrainLimit: jsontime.Duration(30 * time.Minute)}
 }
 
 // State is the health of a daemon as seen from here.
@@ -28,10 +33,11 @@
 
 // States of a member.
 const (
-	Alive   State = "alive"
-	Suspect State = "suspect"
-	Leaving State = "leaving"
-	Gone    State = "gone"
+	Alive    State = "alive"
+	Starting State = "starting" // it has no configuration yet and takes no work
+	Suspect  State = "suspect"
+	Leaving  State = "leaving"
+	Gone     State = "gone"
 )
 
 // Member is one daemon. Its Incarnation is 0 until this daemon has heard of it.
@@ -75,27 +81,74 @@
 func (v *View) Live() []Member {
 	var out []Member
 	for _, m := range v.Members {
-		if m.State == Alive {
+		if m.State == Alive && !(v.Isolated && m.ID == v.Self.ID) {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
+// Serving returns the members other than this daemon that need to know what is
+// in force: those that take work, finish what they have, or are starting.
+func (v *View) Serving() []Member {
+	var out []Member
+	for _, m := range v.Members {
+		if (m.State == Alive || m.State == Leaving || m.State == Starting) && m.ID != v.Self.ID && m.Incarnation != 0 {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Address returns the peer address of a member.
+func (v *View) Address(id string) (string, bool) {
+	for _, m := range v.Members {
+		if m.ID == id {
+			return m.PeerAddress, true
+		}
+	}
+	return "", false
+}
+
+// Bounds of a directory answer.
+const (
+	directoryLen   = 16
+	directoryLocal = 8 // of them in the caller's own place, if others have any
+)
+
 // Directory returns the API addresses for a caller: members of its place
-// first, then by a stable hash of key, so that callers spread evenly.
+// first, then others, each by a stable hash of key, so that callers spread
+// evenly and still reach another place when their own is lost.
 func (v *View) Directory(place, key string) []string {
-	live := v.Live()
-	rank := func(m Member) uint64 { return xxhash.Sum64String(key + "\x00" + m.ID) }
-	sort.Slice(live, func(i, j int) bool {
-		if a, b := live[i].Place == place, live[j].Place == place; a != b {
-			return a
+	var local, remote []Member
+	for _, m := range v.Live() {
+		if m.Place == place {
+			local = append(local, m)
+		} else {
+			remote = append(remote, m)
 		}
-		return rank(live[i]) < rank(live[j])
-	})
-	out := make([]string, 0, len(live))
-	for _, m := range live {
+	}
+	Rank(local, key)
+	Rank(remote, key)
+	nearby := min(len(local), max(directoryLocal, directoryLen-len(remote)))
+	all := append(local[:nearby:nearby], remote...)
+	all = all[:min(len(all), directoryLen)]
+	out := make([]string, 0, len(all))
+	for _, m := range all {
 		out = append(out, m.APIAddress)
 	}
 	return out
 }
+
+// Rank sorts members by rendezvous hash: every daemon with the same members
+// gets the same order, and a member that goes moves no other.
+func Rank(members []Member, key string) {
+	weight := make(map[string]uint64, len(members))
+	for _, m := range members {
+		weight[m.ID] = xxhash.Sum64String(key + "\x00" + m.ID)
+	}
+	sort.Slice(members, func(i, j int) bool {
+		a, b := weight[members[i].ID], weight[members[j].ID]
+		return a > b || a == b && members[i].ID < members[j].ID
+	})
+}
--- /dev/null
+++ b/membership/spread.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"encoding/binary"
+	"math"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fanout is the number of daemons that one daemon relays a message to.
+const Fanout = 4
+
+// Arc is a part of the hash ring that all members lie on, ends included.
+type Arc struct {
+	Lo uint64 `msgpack:"l"`
+	Hi uint64 `msgpack:"h"`
+}
+
+// WholeRing is the arc of all members.
+func WholeRing() Arc { return Arc{0, math.MaxUint64} }
+
+// Branch is a member and the arc it relays to next.
+type Branch struct {
+	Member Member
+	Rest   Arc
+	// More tells that other members lie on Rest.
+	More bool
+}
+
+// Branches splits the members that serve on an arc into at most Fanout
+// branches. Each relays within its own arc by its own view, so views that
+// differ lose or repeat single members only. salt gives each message its own
+// order, so that no daemon relays more than others in the long run.
+func (v *View) Branches(salt uint64, arc Arc) []Branch {
+	type point struct {
+		at     uint64
+		member Member
+	}
+	var points []point
+	for _, m := range v.Serving() {
+		if at := ringPoint(salt, m.ID); at >= arc.Lo && at <= arc.Hi {
+			points = append(points, point{at, m})
+		}
+	}
+	sort.Slice(points, func(i, j int) bool { return points[i].at < points[j].at })
+	size := (len(points) + Fanout - 1) / Fanout
+	var out []Branch
+	for i := 0; i < len(points); i += size {
+		end := arc.Hi
+		if i+size < len(points) {
+			end = points[i+size].at - 1
+		}
+		more := min(i+size, len(points))-i > 1
+		out = append(out, Branch{points[i].member, Arc{points[i].at + 1, end}, more})
+	}
+	return out
+}
+
+func ringPoint(salt uint64, id string) uint64 {
+	return xxhash.Sum64(append(binary.LittleEndian.AppendUint64(nil, salt), id...))
+}
+
+// readerCandidates bounds the daemons that are asked in one poll.
+const readerCandidates = 3
+
+// Readers returns the daemons that read the platform for this one, best first:
+// the first of its place, then others of its region, then anyone. It may name
+// this daemon itself.
+func (v *View) Readers() []Member {
+	live := v.Live()
+	Rank(live, "platform reader")
+	distance := func(m Member) int {
+		switch {
+		case m.Place == v.Self.Place:
+			return 0
+		case m.Region == v.Self.Region:
+			return 1
+		}
+		return 2
+	}
+	sort.SliceStable(live, func(i, j int) bool { return distance(live[i]) < distance(live[j]) })
+	var first, rest []Member
+	places := make(map[string]bool)
+	for _, m := range live {
+		if places[m.Place] {
+			rest = append(rest, m)
+		} else {
+			first = append(first, m)
+		}
+		places[m.Place] = true
+	}
+	all := append(first, rest...)
+	return all[:min(len(all), readerCandidates)]
+}
--- a/node/api_failure.go
+++ b/node/api_failure.go
@@ -40,6 +40,10 @@
 		e := failure.New(failure.Draining, failure.NotRun, "accept", n.self.ID, "this daemon is stopping").After(retryAfter)
 		e.Addresses = view.Directory(n.self.Place, "")
 		return e
+	case n.snapshot.Load().Version == 0:
+		e := failure.New(failure.Starting, failure.NotRun, "accept", n.self.ID, "this daemon has no configuration yet").After(retryAfter)
+		e.Addresses = view.Directory(n.self.Place, "")
+		return e
 	case view.Isolated:
 		return failure.New(failure.Isolated, failure.NotRun, "accept", n.self.ID, "this daemon is cut off").After(retryAfter)
 	}
--- a/node/api_operations.go
+++ b/node/api_operations.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,9 @@
 	}
 }
 
+// writeTimeout bounds a write with the settling of lost answers.
+const writeTimeout = 10 * time.Second
+
 // Apply implements the operations service.
 func (a *operationsAPI) Apply(ctx context.Context, p *gen.ApplyPayload) (*gen.ApplyResult, error) {
 	doc, err := decodeDocument(p.Document)
@@ -35,17 +39,39 @@
 		return nil, operationFailure(failure.Wrap(err, failure.BadRequest, failure.NotRun, "validate", ""))
 	}
 	if deref(p.DryRun) {
-		return &gen.ApplyResult{Version: p.BaseVersion}, nil
+		changes := configuration.Diff(a.n.snapshot.Load().Document, doc).Names()
+		return &gen.ApplyResult{Version: p.BaseVersion, Changes: changes}, nil
+	}
+	change := configuration.Change{
+		WriteID: deref(p.WriteID), Author: deref(p.Author), At: time.Now().UTC(), Document: doc, Base: p.BaseVersion,
 	}
-	stored := configuration.Stored{
-		WriteID: fmt.Sprintf("%s-%016x", a.n.self.ID, rand.Uint64()), Author: deref(p.Author), At: time.Now().UTC(), Document: doc,
+	if change.WriteID == "" {
+		change.WriteID = fmt.Sprintf("%s-%016x", a.n.self.ID, rand.Uint64())
 	}
-	version, err := configuration.Write(ctx, a.n.platform, stored, p.BaseVersion)
+	head, err := a.write(ctx, change)
 	if err != nil {
-		return nil, operationFailure(a.writeFailure(err))
+		return nil, operationFailure(a.writeFailure(err, doc))
 	}
-	a.n.events.Record(event.ConfigurationAccepted, "", event.F("version", strconv.FormatInt(version, 10)), event.F("author", stored.Author))
-	return &gen.ApplyResult{Version: version}, nil
+	a.n.events.Record(event.ConfigurationAccepted, "", event.F("version", strconv.FormatInt(head.Version, 10)), event.F("author", head.Author))
+	out := &gen.ApplyResult{Version: head.Version}
+	if wait := deref(p.WaitMs); wait > 0 {
+		out.Lagging = a.n.versions.awaitInForce(ctx, head.Version, time.Duration(wait)*time.Millisecond)
+	}
+	return out, nil
+}
+
+// write stores a change and puts it in force here at once.
+func (a *operationsAPI) write(ctx context.Context, c configuration.Change) (configuration.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	head, err := configuration.Write(ctx, a.n.platform, c)
+	if err != nil {
+		return head, err
+	}
+	if err := a.n.versions.load(ctx, head); err != nil {
+		a.n.versions.tell(configuration.Told{Version: head.Version})
+	}
+	return head, nil
 }
 
 func decodeDocument(v any) (configuration.Document, error) {
@@ -57,12 +83,18 @@
 	if err != nil {
 		return doc, err
 	}
-	return doc, doc.Validate()
+	return doc.Canonical(), doc.Validate()
 }
 
-func (a *operationsAPI) writeFailure(err error) *failure.Error {
+func (a *operationsAPI) writeFailure(err error, doc configuration.Document) *failure.Error {
 	const step = "write configuration"
+	var conflict *configuration.ConflictError
 	switch {
+	case errors.As(err, &conflict):
+		a.n.events.Record(event.ConfigurationConflict, "")
+		e := failure.Wrap(err, failure.Conflict, failure.NotRun, step, "platform")
+		e.Message += a.difference(conflict.Winner, doc)
+		return e
 	case errors.Is(err, platform.ErrConflict):
 		a.n.events.Record(event.ConfigurationConflict, "")
 		return failure.Wrap(err, failure.Conflict, failure.NotRun, step, "platform")
@@ -73,18 +105,61 @@
 	}
 }
 
+// differenceMax bounds the entries that a conflict names.
+const differenceMax = 20
+
+// difference tells in what the winning version differs from doc.
+func (a *operationsAPI) difference(winner configuration.Head, doc configuration.Document) string {
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	s, err := configuration.Load(ctx, a.n.platform, winner, a.n.snapshot.Load())
+	if err != nil {
+		return ""
+	}
+	names := configuration.Diff(doc, s.Document).Names()
+	more := ""
+	if len(names) > differenceMax {
+		more = fmt.Sprintf(" and %d more", len(names)-differenceMax)
+		names = names[:differenceMax]
+	}
+	if len(names) == 0 {
+		return "; it equals the document applied"
+	}
+	return "; it differs from the document applied in: " + strings.Join(names, ", ") + more
+}
+
 // Configuration implements the operations service.
-func (a *operationsAPI) Configuration(_ context.Context, p *gen.ConfigurationPayload) (*gen.ConfigurationResult, error) {
+func (a *operationsAPI) Configuration(ctx context.Context, p *gen.ConfigurationPayload) (*gen.ConfigurationResult, error) {
 	s := a.n.snapshot.Load()
-	if v := deref(p.Version); v != 0 && v != s.Version {
-		return nil, operationFailure(failure.New(failure.NotFound, failure.NotRun, "read configuration", "", "version %d is not in force here", v))
+	version := deref(p.Version)
+	if version == 0 || version == s.Version {
+		return &gen.ConfigurationResult{Version: s.Version, Document: s.Document}, nil
 	}
-	return &gen.ConfigurationResult{Version: s.Version, Document: s.Document}, nil
+	doc, err := configuration.ReadVersion(ctx, a.n.platform, version)
+	if err != nil {
+		return nil, operationFailure(readFailure(err, "read configuration"))
+	}
+	return &gen.ConfigurationResult{Version: version, Document: doc}, nil
+}
+
+func readFailure(err error, step string) *failure.Error {
+	if errors.Is(err, configuration.ErrNoVersion) {
+		return failure.Wrap(err, failure.NotFound, failure.NotRun, step, "platform")
+	}
+	return failure.Wrap(err, failure.PlatformDown, failure.NotRun, step, "platform").After(retryAfter)
 }
 
 // History implements the operations service.
-func (a *operationsAPI) History(context.Context) ([]*gen.HistoryEntry, error) {
-	return nil, operationFailure(failure.New(failure.NotFound, failure.NotRun, "history", "", "not kept yet"))
+func (a *operationsAPI) History(ctx context.Context) ([]*gen.HistoryEntry, error) {
+	entries, err := configuration.History(ctx, a.n.platform)
+	if err != nil {
+		return nil, operationFailure(readFailure(err, "read history"))
+	}
+	out := make([]*gen.HistoryEntry, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, &gen.HistoryEntry{Version: e.Version, Author: e.Author, AtMs: e.At.UnixMilli()})
+	}
+	return out, nil
 }
 
 // Status is what one daemon tells of itself.
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -2,43 +2,206 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math/rand/v2"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/trace"
+)
+
+// Message kinds of configuration.
+const (
+	kindPush    = peer.ConfigurationBase + iota // pushRequest
+	kindHeads                                   // headsRequest, answered by headsReply
+	kindPart                                    // partRequest, answered by bytes
+	kindInForce                                 // inForceRequest, answered by []string
 )
 
-// platformRetry is the pause after a failed platform call.
-const platformRetry = 500 * time.Millisecond
+// Timing of the configuration's spread.
+const (
+	watchRetry    = 500 * time.Millisecond
+	watchRetryMax = 5 * time.Second
+	// roleCheck is how often a daemon that does not read looks whether it should.
+	roleCheck = 500 * time.Millisecond
+	// fetchTimeout bounds one fetch of a version, parts included.
+	fetchTimeout = 10 * time.Second
+)
+
+// headsKept is the number of newest heads that are kept for peers that lag.
+const headsKept = 64
+
+// versions connects the configuration's spread to platform and peers.
+type versions struct {
+	n      *Node
+	spread *configuration.Spread // owned by the control loop
+
+	mu    sync.Mutex // held while a version is put in force
+	heads []configuration.Head
+	split splitCache
+}
 
 func (n *Node) buildConfiguration() {
 	empty, _ := configuration.NewSnapshot(0, configuration.Document{}) // no selectors to fail on
 	n.snapshot.Store(empty)
+	made := configuration.SpreadMade{Seed: rand.Uint64()}
+	v := &versions{n: n, spread: configuration.NewSpread(made)}
+	n.versions = v
+	n.trace.New(configuration.Slice, n.self.ID, time.Now(), made)
+	n.transport.Handle(kindPush, v.servePush)
+	n.transport.Handle(kindHeads, v.serveHeads)
+	n.transport.Handle(kindPart, v.servePart)
+	n.transport.Handle(kindInForce, v.serveInForce)
+	n.loop.Every(configuration.TickPeriod, func(now time.Time) { v.step(now, configuration.SpreadTick{}) })
 }
 
 func (n *Node) runConfiguration(ctx context.Context) {
-	n.spawn(func() { n.watchConfiguration(ctx) })
+	n.spawn(func() { n.versions.watch(ctx) })
 }
 
-// watchConfiguration keeps the newest accepted version in force.
-func (n *Node) watchConfiguration(ctx context.Context) {
+// step runs on the control loop.
+func (v *versions) step(now time.Time, in configuration.SpreadInput) {
+	decisions := v.spread.Step(now, in)
+	if _, quiet := in.(configuration.SpreadTick); !quiet || len(decisions) > 0 {
+		trace.Record(v.n.trace, configuration.Slice, v.n.self.ID, now, in, decisions)
+	}
+	for _, d := range decisions {
+		switch d := d.(type) {
+		case configuration.Fetch:
+			v.n.members.run(func(ctx context.Context) { v.fetch(ctx, d.Peer) })
+		case configuration.Relay:
+			v.n.members.run(func(ctx context.Context) { v.push(ctx, v.n.snapshot.Load().Head, membership.WholeRing()) })
+		}
+	}
+}
+
+func (v *versions) tell(in configuration.SpreadInput) {
+	_ = v.n.loop.Post(func(now time.Time) { v.step(now, in) })
+}
+
+// learnVersion notes that the daemon at address has a version in force.
+func (n *Node) learnVersion(version int64, address string) {
+	if version > n.snapshot.Load().Version {
+		n.versions.tell(configuration.Told{Version: version, Peer: address})
+	}
+}
+
+// watch reads heads from the platform while this daemon is a reader.
+func (v *versions) watch(ctx context.Context) {
 	var since int64
+	pause := watchRetry
 	for ctx.Err() == nil {
-		objects, revision, err := n.platform.Watch(ctx, configuration.ObjectKind, since)
+		if !v.n.members.listing.reading() {
+			sleep(ctx, roleCheck)
+			continue
+		}
+		objects, revision, err := v.n.platform.Watch(ctx, configuration.ObjectKind, since)
+		if ctx.Err() != nil {
+			return
+		}
+		v.n.notePlatform(err)
 		if err != nil {
-			sleep(ctx, platformRetry)
+			sleep(ctx, jitter(pause))
+			pause = min(2*pause, watchRetryMax)
 			continue
 		}
-		since = revision
+		since, pause = revision, watchRetry
+		v.n.members.tell(membership.PlatformSeen{})
 		for _, o := range objects {
-			if o.Name == configuration.HeadName {
-				n.adopt(o)
-			}
+			v.readHead(ctx, o)
+		}
+	}
+}
+
+func (v *versions) readHead(ctx context.Context, o platform.Object) {
+	if o.Name != configuration.HeadName || o.Deleted {
+		return
+	}
+	head, err := configuration.DecodeHead(o.Value)
+	if err == nil {
+		err = v.load(ctx, head)
+	}
+	if err != nil {
+		v.refuse(err)
+		v.tell(configuration.Told{Version: head.Version})
+	}
+}
+
+func (v *versions) refuse(err error) {
+	v.n.events.Record(event.ConfigurationRefused, "", event.F("error", err.Error()))
+}
+
+// load puts the version of head in force, reading from the platform what the
+// head's delta does not tell.
+func (v *versions) load(ctx context.Context, head configuration.Head) error {
+	have := v.n.snapshot.Load()
+	if head.Version <= have.Version {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	s, err := configuration.Load(ctx, v.n.platform, head, have)
+	if err != nil {
+		return err
+	}
+	v.adopt(s, true)
+	return nil
+}
+
+// adopt puts a snapshot in force unless a newer one is. It returns whether it did.
+func (v *versions) adopt(s *configuration.Snapshot, root bool) bool {
+	v.mu.Lock()
+	newer := s.Version > v.n.snapshot.Load().Version
+	if newer {
+		v.n.snapshot.Store(s)
+		v.heads = append(v.heads, s.Head)
+		if len(v.heads) > headsKept {
+			v.heads = append([]configuration.Head(nil), v.heads[len(v.heads)-headsKept:]...)
 		}
 	}
+	v.mu.Unlock()
+	if newer {
+		v.n.events.Record(event.ConfigurationInForce, "", event.F("version", strconv.FormatInt(s.Version, 10)))
+		v.n.members.tell(membership.InForce{Version: s.Version})
+		v.tell(configuration.Arrived{Version: s.Version, Root: root})
+	}
+	return newer
+}
+
+// fetch gets the newest version from a peer, or from the platform.
+func (v *versions) fetch(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var err error
+	before := v.n.snapshot.Load().Version
+	if address != "" {
+		err = v.fetchPeer(ctx, address)
+	} else {
+		err = v.fetchPlatform(ctx)
+	}
+	if err != nil && ctx.Err() == nil && !errors.Is(err, platform.ErrUnavailable) {
+		v.refuse(errors.Wrapf(err, "fetch from %q", address))
+	}
+	if v.n.snapshot.Load().Version == before {
+		v.tell(configuration.FetchEnded{})
+	}
+}
+
+func (v *versions) fetchPlatform(ctx context.Context) error {
+	head, _, err := configuration.ReadHead(ctx, v.n.platform)
+	v.n.notePlatform(err)
+	if err != nil {
+		return err
+	}
+	return v.load(ctx, head)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -50,21 +213,18 @@
 	}
 }
 
-// adopt puts a version in force unless a newer one is.
-func (n *Node) adopt(o platform.Object) {
-	if o.Version <= n.snapshot.Load().Version {
-		return
-	}
-	var stored configuration.Stored
-	if err := json.Unmarshal(o.Value, &stored); err != nil {
-		n.events.Record(event.ConfigurationRefused, "", event.F("error", err.Error()))
+// platformState remembers whether the platform answered last.
+type platformState struct{ down atomic.Bool }
+
+// notePlatform records when the platform is lost and when it is back.
+func (n *Node) notePlatform(err error) {
+	down := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown)
+	if n.platformState.down.Swap(down) == down {
 		return
 	}
-	s, err := configuration.NewSnapshot(o.Version, stored.Document)
-	if err != nil {
-		n.events.Record(event.ConfigurationRefused, "", event.F("error", err.Error()))
-		return
+	if down {
+		n.events.Record(event.PlatformLost, "", event.F("error", err.Error()))
+	} else {
+		n.events.Record(event.PlatformBack, "")
 	}
-	n.snapshot.Store(s)
-	n.events.Record(event.ConfigurationInForce, "", event.F("version", strconv.FormatInt(o.Version, 10)))
 }
--- /dev/null
+++ b/node/configuration_peers.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/peer"
+)
+
+// errMovedOn is returned to a peer that asks for parts of a version that is no
+// longer the one in force.
+var errMovedOn = errors.New("another version is in force")
+
+// pushRequest brings a head and the arc that the receiver relays it to. Heads
+// travel as JSON, in which documents are defined.
+type pushRequest struct {
+	Head []byte         `msgpack:"h"`
+	Rest membership.Arc `msgpack:"a"`
+	More bool           `msgpack:"m,omitempty"`
+}
+
+// push relays a head to the daemons on an arc.
+func (v *versions) push(ctx context.Context, head configuration.Head, arc membership.Arc) {
+	encoded, err := encodeHead(head)
+	if err != nil {
+		v.refuse(err)
+		return
+	}
+	v.n.relay(ctx, uint64(head.Version), arc, func(ctx context.Context, b membership.Branch) error {
+		return v.n.transport.Call(ctx, b.Member.PeerAddress, kindPush, pushRequest{encoded, b.Rest, b.More}, nil)
+	})
+}
+
+func (v *versions) servePush(_ context.Context, from peer.Identity, body []byte) (any, error) {
+	var req pushRequest
+	if err := msgpack.Unmarshal(body, &req); err != nil {
+		return nil, errors.Wrap(err, "decode push")
+	}
+	head, err := configuration.DecodeHead(req.Head)
+	if err != nil {
+		return nil, err
+	}
+	have := v.n.snapshot.Load()
+	if head.Version <= have.Version {
+		return true, nil // whoever brought it relays it
+	}
+	if s, err := have.Next(head); err == nil {
+		v.adopt(s, false)
+	} else {
+		v.n.learnVersion(head.Version, from.PeerAddress)
+	}
+	if req.More {
+		v.n.members.run(func(ctx context.Context) { v.push(ctx, head, req.Rest) })
+	}
+	return true, nil
+}
+
+// headsRequest asks for what follows a version.
+type headsRequest struct {
+	Have int64 `msgpack:"v"`
+}
+
+// headsReply holds the heads from there on, oldest first, or, when they are no
+// longer kept or have no deltas, the newest one and the digests of its parts.
+type headsReply struct {
+	Heads   [][]byte             `msgpack:"h"`
+	Layout  configuration.Layout `msgpack:"l"`
+	Digests []uint64             `msgpack:"d"`
+}
+
+func (v *versions) serveHeads(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+	var req headsRequest
+	if err := msgpack.Unmarshal(body, &req); err != nil {
+		return nil, errors.Wrap(err, "decode heads request")
+	}
+	v.mu.Lock()
+	heads := chain(v.heads, req.Have)
+	s := v.n.snapshot.Load()
+	v.mu.Unlock()
+	if len(heads) > 0 {
+		return encodeHeads(heads)
+	}
+	if s.Version <= req.Have {
+		return headsReply{}, nil
+	}
+	parts, layout, err := v.split.of(s)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := encodeHeads([]configuration.Head{s.Head})
+	reply.Layout, reply.Digests = layout, configuration.Digests(parts)
+	return reply, err
+}
+
+// chain returns the heads after version have if each has a delta to the next.
+func chain(heads []configuration.Head, have int64) []configuration.Head {
+	for i, h := range heads {
+		if h.Delta == nil || h.Delta.From != have {
+			continue
+		}
+		for j := i + 1; j < len(heads); j++ {
+			if heads[j].Delta == nil || heads[j].Delta.From != heads[j-1].Version {
+				return nil
+			}
+		}
+		return slices.Clone(heads[i:])
+	}
+	return nil
+}
+
+func encodeHeads(heads []configuration.Head) (headsReply, error) {
+	var reply headsReply
+	for _, h := range heads {
+		b, err := encodeHead(h)
+		if err != nil {
+			return reply, err
+		}
+		reply.Heads = append(reply.Heads, b)
+	}
+	return reply, nil
+}
+
+// fetchPeer brings this daemon to the version of a peer.
+func (v *versions) fetchPeer(ctx context.Context, address string) error {
+	s := v.n.snapshot.Load()
+	var reply headsReply
+	if err := v.n.transport.Call(ctx, address, kindHeads, headsRequest{s.Version}, &reply); err != nil {
+		return err
+	}
+	for _, b := range reply.Heads {
+		head, err := configuration.DecodeHead(b)
+		if err != nil {
+			return err
+		}
+		if len(reply.Digests) > 0 {
+			return v.fetchParts(ctx, address, head, reply)
+		}
+		if s, err = s.Next(head); err != nil {
+			return err
+		}
+	}
+	if len(reply.Heads) > 0 {
+		v.adopt(s, false)
+	}
+	return nil
+}
+
+func (v *versions) fetchParts(ctx context.Context, address string, head configuration.Head, reply headsReply) error {
+	parts, err := configuration.Split(v.n.snapshot.Load().Document, reply.Layout)
+	if err != nil || len(parts) != len(reply.Digests) {
+		return errors.Wrap(configuration.ErrCorrupt, "layout of a peer")
+	}
+	for i, digest := range reply.Digests {
+		if xxhash.Sum64(parts[i]) == digest {
+			continue
+		}
+		var b []byte
+		if err := v.n.transport.Call(ctx, address, kindPart, partRequest{head.Version, i}, &b); err != nil {
+			return err
+		}
+		parts[i] = b
+	}
+	d, err := configuration.Join(parts)
+	if err != nil {
+		return err
+	}
+	s, err := configuration.Adopt(head, d)
+	if err != nil {
+		return err
+	}
+	v.adopt(s, false)
+	return nil
+}
+
+type partRequest struct {
+	Version int64 `msgpack:"v"`
+	Index   int   `msgpack:"i"`
+}
+
+func (v *versions) servePart(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+	var req partRequest
+	if err := msgpack.Unmarshal(body, &req); err != nil {
+		return nil, errors.Wrap(err, "decode part request")
+	}
+	s := v.n.snapshot.Load()
+	if s.Version != req.Version {
+		if kept, ok := v.split.kept(req.Version); ok {
+			s = kept
+		} else {
+			return nil, errors.WithStack(errMovedOn)
+		}
+	}
+	parts, _, err := v.split.of(s)
+	if err != nil || req.Index < 0 || req.Index >= len(parts) {
+		return nil, errors.Wrapf(errMovedOn, "part %d", req.Index)
+	}
+	return parts[req.Index], nil
+}
+
+// splitKeep is how long the parts of a version are kept for peers that fetch it.
+const splitKeep = fetchTimeout
+
+// splitCache keeps the parts of one version while peers fetch them. It is safe
+// for concurrent use.
+type splitCache struct {
+	mu       sync.Mutex
+	snapshot *configuration.Snapshot
+	layout   configuration.Layout
+	parts    [][]byte
+	at       time.Time
+}
+
+// of returns the parts of s.
+func (c *splitCache) of(s *configuration.Snapshot) ([][]byte, configuration.Layout, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.snapshot != nil && c.snapshot.Version == s.Version {
+		return c.parts, c.layout, nil
+	}
+	layout := configuration.LayoutOf(s.Document)
+	parts, err := configuration.Split(s.Document, layout)
+	if err == nil {
+		c.snapshot, c.layout, c.parts, c.at = s, layout, parts, time.Now()
+	}
+	return parts, layout, err
+}
+
+// kept returns the snapshot of the version whose parts are kept.
+func (c *splitCache) kept(version int64) (*configuration.Snapshot, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.snapshot == nil || c.snapshot.Version != version || time.Since(c.at) > splitKeep {
+		return nil, false
+	}
+	return c.snapshot, true
+}
--- a/node/membership.go
+++ b/node/membership.go
@@ -2,73 +2,257 @@
 
 import (
 	"context"
-	"net"
-	"sort"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillaroad/vanillaroad/control"
+	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/peer"
-	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/trace"
 )
 
-// vmPollPeriod is how often the VM list is read.
-const vmPollPeriod = time.Second
-
-// RoleLabel marks entry VMs in the VM list.
-const RoleLabel = "role"
+// Message kinds of membership.
+const (
+	kindProbe   = peer.MembershipKinds + iota // Message, answered by Message
+	kindRelay                                 // probeRequest, answered by bool
+	kindSync                                  // Digest, answered by []Rumor
+	kindListing                               // listingRequest, answered by listingReply
+	kindNotice                                // notice
+)
 
-// EntryRole is the RoleLabel value of VMs that run a daemon.
-const EntryRole = "entry"
+// members connects the membership machine to the transport.
+type members struct {
+	n        *Node
+	machine  *membership.Machine // owned by the control loop
+	revision int64               // of the published view; owned by the control loop
+	listing  listingReader
+	ctx      atomic.Pointer[context.Context]
+	work     sync.WaitGroup
+}
 
-func (n *Node) buildMembership() { n.publishView(nil) }
+func (n *Node) buildMembership() {
+	made := membership.Made{Self: n.self, Settings: n.settings.Membership, Seed: rand.Uint64()}
+	m := &members{n: n, machine: membership.New(made), revision: -1}
+	m.listing.init(n)
+	n.members = m
+	n.trace.New(membership.Slice, n.self.ID, time.Now(), made)
+	n.view.Store(m.machine.View())
+	n.transport.Handle(kindProbe, m.serveProbe)
+	n.transport.Handle(kindRelay, m.serveRelay)
+	n.transport.Handle(kindSync, m.serveSync)
+	n.transport.Handle(kindListing, m.listing.serve)
+	n.transport.Handle(kindNotice, m.serveNotice)
+	n.loop.Every(membership.ProbePeriod, func(now time.Time) { m.step(now, membership.Tick{}) })
+}
 
 func (n *Node) runMembership(ctx context.Context) {
-	n.spawn(func() { n.watchMembers(ctx) })
+	n.members.ctx.Store(&ctx)
+	n.spawn(func() { n.members.listing.run(ctx) })
+	n.spawn(func() { n.members.askSeeds(ctx) })
 }
 
-func (n *Node) watchMembers(ctx context.Context) {
-	for ctx.Err() == nil {
-		if vms, err := n.platform.VMs(ctx); err == nil {
-			n.publishView(vms)
+// step runs on the control loop: it feeds the machine, publishes the view and
+// starts what was decided. It returns the reply that was decided, if any.
+func (m *members) step(now time.Time, in membership.Input) *membership.Message {
+	decisions := m.machine.Step(now, in)
+	trace.Record(m.n.trace, membership.Slice, m.n.self.ID, now, in, decisions)
+	if r := m.machine.Revision(); r != m.revision {
+		m.revision = r
+		m.n.view.Store(m.machine.View())
+	}
+	var reply *membership.Message
+	for _, d := range decisions {
+		if r, ok := d.(membership.Reply); ok {
+			reply = &r.Message
+			continue
 		}
-		sleep(ctx, vmPollPeriod)
+		m.carryOut(d)
 	}
+	return reply
 }
 
-// publishView makes the view from the VM list and this daemon itself.
-func (n *Node) publishView(vms []platform.VM) {
-	v := &membership.View{Self: n.self, LeavingVMs: make(map[string]bool), Departed: make(map[string]bool)}
-	own := membership.Member{Identity: n.self, State: membership.Alive}
-	if n.draining.Load() {
-		own.State = membership.Leaving
-	}
-	v.Members = append(v.Members, own)
-	for _, vm := range vms {
-		if vm.Leaving {
-			v.LeavingVMs[vm.ID] = true
+// tell posts an input to the control loop.
+func (m *members) tell(in membership.Input) {
+	_ = m.n.loop.Post(func(now time.Time) { m.step(now, in) })
+}
+
+func (m *members) carryOut(d membership.Decision) {
+	switch d := d.(type) {
+	case membership.Probe:
+		m.run(func(ctx context.Context) { m.probe(ctx, d) })
+	case membership.ProbeVia:
+		m.run(func(ctx context.Context) { m.probeVia(ctx, d) })
+	case membership.Sync:
+		m.run(func(ctx context.Context) { m.sync(ctx, d.Address) })
+	case membership.Changed:
+		m.record(d)
+		if d.What == membership.Ready {
+			self := m.machine.Self()
+			m.run(func(ctx context.Context) { m.notify(ctx, self, membership.WholeRing()) })
 		}
-		if vm.Labels[RoleLabel] == EntryRole && vm.ID != n.self.ID {
-			v.Members = append(v.Members, n.member(vm))
+	}
+}
+
+// run starts work off the control loop; before Run and after Close there is none.
+func (m *members) run(fn func(ctx context.Context)) {
+	ctx := m.ctx.Load()
+	if ctx == nil || (*ctx).Err() != nil {
+		return
+	}
+	m.n.spawn(func() { fn(*ctx) })
+}
+
+var changeEvents = map[membership.Change]event.Number{
+	membership.Joined: event.MemberJoined, membership.Suspected: event.MemberLost,
+	membership.Returned: event.MemberReturned, membership.Left: event.MemberLeaving,
+	membership.Ready: event.MemberReady, membership.Ended: event.MemberEnded, membership.CutOff: event.Isolated, membership.Rejoined: event.Rejoined,
+}
+
+func (m *members) record(c membership.Changed) {
+	m.n.events.Record(changeEvents[c.What], "", event.F("member", c.ID))
+}
+
+func (m *members) probe(ctx context.Context, p membership.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, membership.ProbeTimeout)
+	defer cancel()
+	var reply membership.Message
+	err := m.n.transport.Call(ctx, p.Address, kindProbe, p.Message, &reply)
+	if err == nil {
+		m.hear(reply)
+	}
+	m.tell(membership.Probed{ID: p.ID, OK: err == nil})
+}
+
+// hear takes a message that needs no answer.
+func (m *members) hear(msg membership.Message) {
+	m.tell(membership.Heard{Message: msg})
+	m.n.learnVersion(msg.From.Version, msg.From.PeerAddress)
+}
+
+// probeRequest asks a daemon to probe another one.
+type probeRequest struct {
+	ID      string `msgpack:"i"`
+	Address string `msgpack:"a"`
+}
+
+func (m *members) probeVia(ctx context.Context, p membership.ProbeVia) {
+	ctx, cancel := context.WithTimeout(ctx, membership.IndirectTimeout)
+	defer cancel()
+	var ok bool
+	err := m.n.transport.Call(ctx, p.ViaAddress, kindRelay, probeRequest{p.ID, p.Address}, &ok)
+	m.tell(membership.Probed{ID: p.ID, Via: p.Via, Asked: err == nil, OK: err == nil && ok})
+}
+
+func (m *members) sync(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, membership.IndirectTimeout)
+	defer cancel()
+	digest, err := control.Ask(ctx, m.n.loop, func(time.Time) membership.Digest { return m.machine.Digest() })
+	if err != nil {
+		return false
+	}
+	var rumors []membership.Rumor
+	if err := m.n.transport.Call(ctx, address, kindSync, digest, &rumors); err != nil {
+		return false
+	}
+	m.tell(membership.Synced{Rumors: rumors})
+	return true
+}
+
+// seedRetry is the pause between two rounds of asking the seeds.
+const seedRetry = 2 * time.Second
+
+// askSeeds asks the configured seeds for the members until one answered or
+// the platform's VM list named some.
+func (m *members) askSeeds(ctx context.Context) {
+	for ctx.Err() == nil && len(m.n.view.Load().Members) < 2 {
+		for _, s := range m.n.settings.Membership.Seeds {
+			if s != m.n.self.PeerAddress && m.sync(ctx, s) {
+				return
+			}
 		}
+		sleep(ctx, seedRetry)
+	}
+}
+
+func (m *members) serveProbe(ctx context.Context, from peer.Identity, body []byte) (any, error) {
+	var msg membership.Message
+	if err := msgpack.Unmarshal(body, &msg); err != nil {
+		return nil, errors.Wrap(err, "decode probe")
 	}
-	sort.Slice(v.Members, func(i, j int) bool { return v.Members[i].ID < v.Members[j].ID })
-	n.view.Store(v)
+	m.n.learnVersion(msg.From.Version, from.PeerAddress)
+	return control.Ask(ctx, m.n.loop, func(now time.Time) *membership.Message {
+		return m.step(now, membership.Heard{Message: msg})
+	})
 }
 
-// member derives a daemon's addresses: all daemons use the same ports.
-func (n *Node) member(vm platform.VM) membership.Member {
-	m := membership.Member{State: membership.Alive, Listed: true, Identity: peer.Identity{
-		ID: vm.ID, Place: vm.Place, Region: vm.Region,
-		APIAddress:  samePort(vm.Address, n.settings.APIAddress),
-		PeerAddress: samePort(vm.Address, n.settings.PeerAddress),
-	}}
-	if vm.Leaving {
-		m.State = membership.Leaving
+func (m *members) serveRelay(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
+	var req probeRequest
+	if err := msgpack.Unmarshal(body, &req); err != nil {
+		return nil, errors.Wrap(err, "decode probe request")
+	}
+	ctx, cancel := context.WithTimeout(ctx, membership.ProbeTimeout)
+	defer cancel()
+	own, err := control.Ask(ctx, m.n.loop, func(time.Time) membership.Message {
+		return membership.Message{From: m.machine.Self()}
+	})
+	if err != nil {
+		return nil, err
+	}
+	var reply membership.Message
+	if m.n.transport.Call(ctx, req.Address, kindProbe, own, &reply) != nil {
+		return false, nil
 	}
-	return m
+	m.hear(reply)
+	return reply.From.ID == req.ID, nil
 }
 
-func samePort(ip, own string) string {
-	_, port, _ := net.SplitHostPort(own)
-	return net.JoinHostPort(ip, port)
+func (m *members) serveSync(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
+	var theirs membership.Digest
+	if err := msgpack.Unmarshal(body, &theirs); err != nil {
+		return nil, errors.Wrap(err, "decode digest")
+	}
+	return control.Ask(ctx, m.n.loop, func(time.Time) []membership.Rumor { return m.machine.Differing(theirs) })
+}
+
+// notice spreads what a daemon says of itself to the members on an arc.
+type notice struct {
+	Rumor membership.Rumor `msgpack:"r"`
+	Rest  membership.Arc   `msgpack:"a"`
+	More  bool             `msgpack:"m,omitempty"`
+}
+
+func (m *members) serveNotice(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+	var msg notice
+	if err := msgpack.Unmarshal(body, &msg); err != nil {
+		return nil, errors.Wrap(err, "decode notice")
+	}
+	m.tell(membership.Synced{Rumors: []membership.Rumor{msg.Rumor}})
+	if msg.More {
+		m.run(func(ctx context.Context) { m.notify(ctx, msg.Rumor, msg.Rest) })
+	}
+	return true, nil
+}
+
+func (m *members) notify(ctx context.Context, r membership.Rumor, arc membership.Arc) {
+	m.n.relay(ctx, r.Incarnation+r.Counter, arc, func(ctx context.Context, b membership.Branch) error {
+		return m.n.transport.Call(ctx, b.Member.PeerAddress, kindNotice, notice{r, b.Rest, b.More}, nil)
+	})
+}
+
+// leave announces a planned stop to every member and returns when each has
+// answered or failed to.
+func (m *members) leave(ctx context.Context) {
+	own, err := control.Ask(ctx, m.n.loop, func(now time.Time) membership.Rumor {
+		m.step(now, membership.Leave{})
+		return m.machine.Self()
+	})
+	if err == nil {
+		m.notify(ctx, own, membership.WholeRing())
+	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -42,11 +42,16 @@
 	targets   *targetPool
 	hub       *generation.Hub
 	confirm   confirmation.Service
+	members   *members
+	versions  *versions
+
+	platformState platformState
 
 	snapshot atomic.Pointer[configuration.Snapshot]
 	view     atomic.Pointer[membership.View]
-	draining atomic.Bool // out of the directory
-	refusing atomic.Bool // takes no new work
+	draining atomic.Bool   // out of the directory
+	refusing atomic.Bool   // takes no new work
+	refused  chan struct{} // closed once refusing
 	requests atomic.Int64
 
 	inFlight map[string]int // by target; owned by the control loop
@@ -74,7 +79,7 @@
 	}
 	n := &Node{
 		settings: s, self: self, events: events, metrics: metrics.NewRegistry(), loop: control.NewLoop(),
-		transport: transport, listener: listener, inFlight: make(map[string]int),
+		transport: transport, listener: listener, inFlight: make(map[string]int), refused: make(chan struct{}),
 	}
 	if err := n.openTrace(s.TraceFile); err != nil {
 		transport.Close()
@@ -144,25 +149,6 @@
 	}()
 }
 
-// Drain starts a planned stop without ending the process.
-func (n *Node) Drain() {
-	if n.draining.CompareAndSwap(false, true) {
-		n.events.Record(event.NodeDraining, "")
-	}
-}
-
-// drainPoll is how often a stopping daemon looks for running work.
-const drainPoll = 50 * time.Millisecond
-
-func (n *Node) drain() {
-	n.Drain()
-	time.Sleep(n.settings.Membership.DirectoryTTL.Std())
-	n.refusing.Store(true)
-	for n.requests.Load() > 0 || n.hub.Active() > 0 {
-		time.Sleep(drainPoll)
-	}
-}
-
 // closeTimeout bounds the wait for idle connections of callers.
 const closeTimeout = 2 * time.Second
 
