--- a/node/drain.go
+++ b/node/drain.go
@@ -42,7 +42,9 @@
 // drain limit of the settings. A caller that hangs is cut then, or when a
 // write to it or a read from it has timed out.
 func (n *Node) drain() {
-	<-n.Drain()
+	refused := n.Drain()
+	n.orders.release()
+	<-refused
 	limit := time.Now().Add(n.settings.Membership.DrainLimit.Std())
 	for n.requests.Load() > 0 || n.hub.Active() > 0 {
 		if time.Now().After(limit) {
--- a/node/membership.go
+++ b/node/membership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,7 +32,6 @@
 	revision int64               // of the published view; owned by the control loop
 	listing  listingReader
 	ctx      atomic.Pointer[context.Context]
-	work     sync.WaitGroup
 }
 
 func (n *Node) buildMembership() {
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,7 @@
 	platform  *platform.Client
 	targets   *targetPool
 	hub       *generation.Hub
+	orders    *orders
 	confirm   confirmation.Service
 	members   *members
 	versions  *versions
@@ -92,6 +93,7 @@
 	n.buildRouting()
 	n.buildGenerations()
 	n.buildConfirmations()
+	n.buildPlacement()
 	n.server = n.newServer()
 	return n, nil
 }
@@ -126,6 +128,7 @@
 	n.runConfiguration(background)
 	n.runRouting(background)
 	n.runConfirmations(background)
+	n.runPlacement(background)
 	failed := make(chan error, 1)
 	n.spawn(func() { failed <- n.server.Serve(n.listener) })
 	n.events.Record(event.NodeStarted, "", event.F("api", n.settings.APIAddress), event.F("peer", n.settings.PeerAddress))
