--- a/client/client.go
+++ b/client/client.go
@@ -7,10 +7,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,7 +28,8 @@
 	Addresses []string
 	// Place prefers daemons near the caller.
 	Place string
-	// Key spreads callers over daemons; a stable name of this caller.
+	// Key spreads callers over daemons: a stable name of this caller, drawn by
+	// chance if empty.
 	Key string
 	// Attempts bounds the daemons asked for one request.
 	Attempts int
@@ -39,6 +43,7 @@
 	defaultSilence  = 3 * time.Second
 	dialTimeout     = time.Second
 	askTimeout      = 5 * time.Second
+	lookupTimeout   = time.Second // of one daemon's directory
 	pauseStep       = 100 * time.Millisecond
 )
 
@@ -57,6 +62,9 @@
 	if s.Attempts == 0 {
 		s.Attempts = defaultAttempts
 	}
+	if s.Key == "" {
+		s.Key = fmt.Sprintf("%016x", rand.Uint64())
+	}
 	if s.Silence == 0 {
 		s.Silence = defaultSilence
 	}
@@ -96,6 +104,8 @@
 }
 
 func (c *Client) lookup(ctx context.Context, address string) ([]string, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
 	q := url.Values{"place": {c.settings.Place}, "key": {c.settings.Key}}
 	var a directoryAnswer
 	if err := c.Ask(ctx, address, http.MethodGet, "/v1/directory?"+q.Encode(), nil, &a); err != nil {
@@ -151,11 +161,45 @@
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		defer func() { _ = resp.Body.Close() }()
-		return nil, refusal(resp, address)
+		e := refusal(resp, address)
+		c.redirect(e, address)
+		return nil, e
 	}
 	return resp, nil
 }
 
+// redirect takes the addresses that a stopping or starting daemon names in
+// place of the directory answer that led there.
+func (c *Client) redirect(e *failure.Error, from string) {
+	if e.Code != failure.Draining && e.Code != failure.Starting && e.Code != failure.Isolated {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := e.Addresses
+	if len(known) == 0 {
+		known = c.known
+	}
+	c.known = slices.DeleteFunc(slices.Clone(known), func(a string) bool { return a == from })
+	c.expires = time.Time{} // ask the directory again, there first
+}
+
+// AskAny makes one JSON call that may be repeated at the configured daemons in
+// turn until one answers; each gets at most timeout. A typed refusal other
+// than of a daemon that takes no work is final.
+func (c *Client) AskAny(ctx context.Context, timeout time.Duration, method, path string, in, out any) error {
+	var last error
+	for _, a := range c.settings.Addresses {
+		one, cancel := context.WithTimeout(ctx, timeout)
+		last = c.exchange(one, a, method, path, in, out)
+		cancel()
+		if last == nil || final(last) || ctx.Err() != nil {
+			return last
+		}
+	}
+	return last
+}
+
 type wireFailure struct {
 	Code       string   `json:"code"`
 	Message    string   `json:"message"`
--- a/cmd/vanillaroad/main.go
+++ b/cmd/vanillaroad/main.go
@@ -20,6 +20,8 @@
 	exitRefused    = 4 // refused for now; nothing ran
 	exitUnknown    = 5 // nobody can tell whether it ran
 	exitIncomplete = 6 // an answer ended before it was whole
+	exitLagging    = 7 // accepted, but not in force everywhere when the wait was over
+	exitDiffers    = 8 // diff found differences
 )
 
 // options are the flags that all commands share.
@@ -53,7 +55,8 @@
 	f.StringVar(&o.place, "place", "", "place to prefer daemons of")
 	root.AddCommand(
 		directoryCommand(o), generateCommand(o), confirmCommand(o), outcomeCommand(o),
-		applyCommand(o), getCommand(o), statusCommand(o), drainCommand(o), timelineCommand(o), settingsCommand(),
+		applyCommand(o), diffCommand(o), getCommand(o), describeCommand(o), historyCommand(o), rollbackCommand(o),
+		statusCommand(o), membersCommand(o), drainCommand(o), timelineCommand(o), settingsCommand(),
 	)
 	return root
 }
@@ -61,11 +64,21 @@
 // errBadInput marks errors of the person who typed the command.
 var errBadInput = errors.New("bad input")
 
+// Results that are no failures but that scripts tell apart by exit code.
+var (
+	errLagging = errors.New("not in force on all live daemons")
+	errDiffers = errors.New("the documents differ")
+)
+
 func exitCode(err error) int {
 	var f *failure.Error
 	switch {
 	case errors.Is(err, errBadInput):
 		return exitBadInput
+	case errors.Is(err, errLagging):
+		return exitLagging
+	case errors.Is(err, errDiffers):
+		return exitDiffers
 	case !errors.As(err, &f):
 		return exitFailed
 	}
--- a/configuration/validate.go
+++ b/configuration/validate.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -21,7 +23,17 @@
 // Unwrap lets errors.Is find ErrInvalid.
 func (f FaultList) Unwrap() error { return ErrInvalid }
 
-var validate = validator.New(validator.WithRequiredStructEnabled())
+var validate = newValidator()
+
+// newValidator names fields as in the document.
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	return v
+}
 
 // Validate returns a FaultList of all faults, or nil.
 func (d Document) Validate() error {
@@ -29,11 +41,14 @@
 	var fields validator.ValidationErrors
 	if err := validate.Struct(d); errors.As(err, &fields) {
 		for _, f := range fields {
-			faults = append(faults, fmt.Sprintf("%s: fails %s %s", f.Namespace(), f.Tag(), f.Param()))
+			_, path, _ := strings.Cut(f.Namespace(), ".")
+			faults = append(faults, fmt.Sprintf("%s: %v fails %q", path, f.Value(), strings.TrimSpace(f.Tag()+" "+f.Param())))
 		}
 	}
 	faults = append(faults, d.duplicates()...)
-	faults = append(faults, d.unserved()...)
+	for i, s := range d.Services {
+		faults = append(faults, d.serviceFaults(fmt.Sprintf("services[%d]", i), s)...)
+	}
 	if len(faults) == 0 {
 		return nil
 	}
@@ -42,43 +57,69 @@
 
 func (d Document) duplicates() FaultList {
 	var faults FaultList
-	seen := make(map[string]bool)
-	check := func(kind, name string) {
-		key := kind + " " + name
-		if seen[key] {
-			faults = append(faults, key+": named twice")
+	seen := make(map[string]string)
+	check := func(list string, i int, name string) {
+		path := fmt.Sprintf("%s[%d].name", list, i)
+		key := list + " " + name
+		if first, twice := seen[key]; twice {
+			faults = append(faults, fmt.Sprintf("%s: %q is the name of %s already", path, name, first))
+			return
 		}
-		seen[key] = true
+		seen[key] = path
 	}
-	for _, s := range d.Services {
-		check("service", s.Name)
+	for i, s := range d.Services {
+		check("services", i, s.Name)
 	}
-	for _, w := range d.Workspaces {
-		check("workspace", w.Name)
+	for i, w := range d.Workspaces {
+		check("workspaces", i, w.Name)
 	}
-	for _, t := range d.Targets {
-		check("target", t.Name)
+	for i, t := range d.Targets {
+		check("targets", i, t.Name)
 	}
 	return faults
 }
 
-// unserved names services that would be left with no target.
-func (d Document) unserved() FaultList {
+// serviceFaults names selectors that don't parse, and services and rules that
+// would be left with no target.
+func (d Document) serviceFaults(path string, s Service) FaultList {
 	var faults FaultList
-	for _, s := range d.Services {
-		sel, err := labels.Parse(s.Selector)
+	add := func(field, format string, args ...any) {
+		faults = append(faults, path+field+": "+fmt.Sprintf(format, args...))
+	}
+	sel, err := labels.Parse(s.Selector)
+	if err != nil {
+		add(".selector", "%v", err)
+		return append(faults, d.ruleFaults(path, s, nil)...)
+	}
+	var able []Target
+	for _, t := range d.Targets {
+		if sel.Matches(labels.Set(t.Labels)) && !t.Leaving {
+			able = append(able, t)
+		}
+	}
+	if len(able) == 0 {
+		add(".selector", "service %q: %q picks no target that stays", s.Name, s.Selector)
+	}
+	return append(faults, d.ruleFaults(path, s, able)...)
+}
+
+// ruleFaults checks the rules of a service against its targets that stay; nil
+// targets mean that they are not known.
+func (d Document) ruleFaults(path string, s Service, able []Target) FaultList {
+	var faults FaultList
+	for i, r := range s.Rules {
+		at := fmt.Sprintf("%s.rules[%d]", path, i)
+		if _, err := labels.Parse(r.Match); err != nil {
+			faults = append(faults, fmt.Sprintf("%s.match: %v", at, err))
+		}
+		pick, err := labels.Parse(r.Selector)
 		if err != nil {
-			faults = append(faults, fmt.Sprintf("service %s selector: %v", s.Name, err))
+			faults = append(faults, fmt.Sprintf("%s.selector: %v", at, err))
 			continue
 		}
-		var able int
-		for _, t := range d.Targets {
-			if sel.Matches(labels.Set(t.Labels)) && !t.Leaving {
-				able++
-			}
-		}
-		if able == 0 {
-			faults = append(faults, fmt.Sprintf("service %s: selector %q picks no target that stays", s.Name, s.Selector))
+		picks := func(t Target) bool { return pick.Matches(labels.Set(t.Labels)) }
+		if able != nil && !slices.ContainsFunc(able, picks) {
+			faults = append(faults, fmt.Sprintf("%s.selector: %q picks no target of service %q that stays", at, r.Selector, s.Name))
 		}
 	}
 	return faults
--- a/node/api.go
+++ b/node/api.go
@@ -42,7 +42,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.requests.Add(1)
 		defer n.requests.Add(-1)
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		body := boundedBody{r.Body, http.NewResponseController(w)}
+		r.Body = http.MaxBytesReader(w, body, maxBodyBytes)
 		bw := newBoundedWriter(w)
 		next.ServeHTTP(bw, r.WithContext(withWriter(r.Context(), bw)))
 	})
--- a/node/api_writer.go
+++ b/node/api_writer.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // callerWriteTimeout is the longest a caller may leave a write unread.
@@ -56,3 +59,23 @@
 	}
 	return nil
 }
+
+// bodyTimeout is the longest pause of a caller that sends a request's body.
+const bodyTimeout = 10 * time.Second
+
+// boundedBody sets a deadline before each read of a request's body, so that a
+// caller that stalls is cut, and none once the body was read.
+type boundedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b boundedBody) Read(p []byte) (int, error) {
+	_ = b.control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
