--- a/membership/reach.go
+++ b/membership/reach.go
@@ -97,6 +97,9 @@
 	}
 	all, ok := m.reach.counts(now)
 	const half = 2
+	if m.lost()*half > len(m.ids)+1 {
+		return true
+	}
 	switch {
 	case all < reachMin:
 		return m.isolated && ok == 0 // no verdict yet: stay as it is
@@ -105,3 +108,15 @@
 	}
 	return ok*half < all
 }
+
+// lost returns the number of daemons that were heard of once and are not
+// reached now.
+func (m *Machine) lost() int {
+	n := 0
+	for _, r := range m.members {
+		if r.rumor.Suspect && r.rumor.Incarnation != 0 {
+			n++
+		}
+	}
+	return n
+}
