--- /dev/null
+++ b/configuration/document_test.go
@@ -0,0 +1,205 @@
+package configuration
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/vanillaroad/vanillaroad/trace"
+)
+
+var documents = rapid.Custom(func(t *rapid.T) Document {
+	var d Document
+	for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 30), 0, 12, rapid.ID).Draw(t, "targets") {
+		group := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "group")
+		d.Targets = append(d.Targets, Target{Name: fmt.Sprint("t", n), Permits: rapid.IntRange(1, 3).Draw(t, "permits"), Labels: map[string]string{"g": group}})
+	}
+	for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 9), 0, 5, rapid.ID).Draw(t, "workspaces") {
+		d.Workspaces = append(d.Workspaces, Workspace{Name: fmt.Sprint("w", n), Weight: rapid.IntRange(0, 3).Draw(t, "weight")})
+	}
+	for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 4), 0, 3, rapid.ID).Draw(t, "services") {
+		d.Services = append(d.Services, Service{Name: fmt.Sprint("s", n), Selector: "g=" + rapid.SampledFrom([]string{"a", "b"}).Draw(t, "selector")})
+	}
+	if rapid.Bool().Draw(t, "released") {
+		d.Released = []string{"r"}
+	}
+	return d.Canonical()
+})
+
+// same compares documents as they are stored.
+func same(a, b Document) bool {
+	return len(Diff(a, b).Names()) == 0 && a.Sum() == b.Sum()
+}
+
+func TestDeltasAndParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := documents.Draw(t, "a"), documents.Draw(t, "b")
+		d := Diff(a, b)
+		d.From = 1
+		if !same(d.Apply(a), b) {
+			t.Fatal("a delta does not lead to its document")
+		}
+		sa, err := Adopt(Head{Version: 1, Sum: a.Sum()}, a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next, err := sa.Next(Head{Version: 2, Sum: b.Sum(), Delta: &d})
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole, err := Adopt(Head{Version: 2, Sum: b.Sum()}, b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, s := range b.Services {
+			x, _ := next.Service(s.Name)
+			y, _ := whole.Service(s.Name)
+			if encode(x.Targets) != encode(y.Targets) || encode(x.Service) != encode(y.Service) {
+				t.Fatalf("service %s by delta %s, whole %s", s.Name, encode(x), encode(y))
+			}
+		}
+		if len(next.targets) != len(whole.targets) || len(next.workspaces) != len(whole.workspaces) {
+			t.Fatal("indexes differ")
+		}
+		parts, err := Split(b, LayoutOf(b))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if joined, err := Join(parts); err != nil || !same(joined, b) {
+			t.Fatal("parts don't join to their document", err)
+		}
+	})
+}
+
+func TestWrongDeltasAreRefused(t *testing.T) {
+	Convey("Given version 3", t, func() {
+		d := document(3)
+		s, err := Adopt(Head{Version: 3, Sum: d.Sum()}, d)
+		So(err, ShouldBeNil)
+		after := document(4)
+		delta := Diff(d, after)
+		delta.From = 3
+		Convey("a delta that leads to another document is corrupt", func() {
+			_, err := s.Next(Head{Version: 4, Sum: d.Sum(), Delta: &delta})
+			So(errors.Is(err, ErrCorrupt), ShouldBeTrue)
+		})
+		Convey("a delta of another version does not apply", func() {
+			delta.From = 2
+			_, err := s.Next(Head{Version: 4, Sum: after.Sum(), Delta: &delta})
+			So(errors.Is(err, ErrNotNext), ShouldBeTrue)
+		})
+		Convey("a document that does not fit its head is corrupt", func() {
+			_, err := Adopt(Head{Version: 4, Sum: 1}, after)
+			So(errors.Is(err, ErrCorrupt), ShouldBeTrue)
+		})
+	})
+}
+
+func TestValidate(t *testing.T) {
+	good := func() Document {
+		d := document(2)
+		d.Workspaces = []Workspace{{Name: "fair"}}
+		return d
+	}
+	cases := []struct {
+		name   string
+		change func(d *Document)
+		faults []string
+	}{
+		{"is good", func(*Document) {}, nil},
+		{"has a selector that does not parse", func(d *Document) { d.Services[0].Selector = "a in (" }, []string{"services[0].selector: "}},
+		{"has a service without target", func(d *Document) { d.Services[0].Selector = "s=none" }, []string{`services[0].selector: service "pisar"`}},
+		{"has a service whose targets all leave", func(d *Document) { d.Targets[0].Leaving, d.Targets[1].Leaving = true, true }, []string{`services[0].selector: service "pisar"`}},
+		{"has rules that don't parse or pick nothing", func(d *Document) {
+			d.Services[0].Rules = []Rule{{Match: "=", Selector: "s=pisar"}, {Match: "a=b", Selector: "s=no"}, {Match: "a=b", Selector: "("}}
+		}, []string{"services[0].rules[0].match: ", "services[0].rules[1].selector: ", "services[0].rules[2].selector: "}},
+		{"names things twice", func(d *Document) {
+			d.Workspaces = append(d.Workspaces, d.Workspaces[0])
+			d.Targets[1].Name = d.Targets[0].Name
+		}, []string{"workspaces[1].name: ", "targets[1].name: "}},
+		{"breaks bounds of several fields", func(d *Document) {
+			d.Services[0].NewShare = 101
+			d.Services[0].Kind = "other"
+			d.Targets[0].Permits = 0
+			d.Targets[0].Address = "nowhere"
+			d.Workspaces[0].Weight = -1
+		}, []string{"services[0].new_share: 101", "services[0].kind: other", "targets[0].permits: 0", "targets[0].address: nowhere", "workspaces[0].weight: -1"}},
+	}
+	for _, c := range cases {
+		Convey("A document that "+c.name, t, func() {
+			d := good()
+			c.change(&d)
+			err := d.Validate()
+			if c.faults == nil {
+				So(err, ShouldBeNil)
+				return
+			}
+			So(errors.Is(err, ErrInvalid), ShouldBeTrue)
+			for _, f := range c.faults {
+				So(err.Error(), ShouldContainSubstring, f)
+			}
+		})
+	}
+}
+
+func TestSpread(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	Convey("Given a daemon with version 5", t, func() {
+		s := NewSpread(SpreadMade{Seed: 1})
+		So(s.Step(now, Arrived{Version: 5}), ShouldBeEmpty)
+		Convey("older news starts nothing", func() {
+			So(s.Step(now, Told{Version: 5, Peer: "a"}), ShouldBeEmpty)
+			So(s.Step(now, Told{Version: 4, Peer: "a"}), ShouldBeEmpty)
+		})
+		Convey("newer news is fetched from who told it, one fetch at a time", func() {
+			So(s.Step(now, Told{Version: 7, Peer: "a"}), ShouldResemble, []SpreadDecision{Fetch{"a"}})
+			So(s.Step(now, Told{Version: 7, Peer: "b"}), ShouldBeEmpty)
+			Convey("then from another one that told it", func() {
+				So(s.Step(now, FetchEnded{}), ShouldResemble, []SpreadDecision{Fetch{"b"}})
+			})
+			Convey("then from the platform, with pauses that grow", func() {
+				So(s.Step(now, FetchEnded{}), ShouldResemble, []SpreadDecision{Fetch{"b"}})
+				So(s.Step(now, FetchEnded{}), ShouldBeEmpty)
+				reads := 0
+				for range 240 {
+					now = now.Add(TickPeriod)
+					if len(s.Step(now, SpreadTick{})) > 0 {
+						reads++
+						s.Step(now, FetchEnded{})
+					}
+				}
+				So(reads, ShouldBeBetween, 4, 20)
+			})
+			Convey("an older version that arrives late changes nothing", func() {
+				s.Step(now, Arrived{Version: 7})
+				So(s.Step(now, Arrived{Version: 6, Root: true}), ShouldBeEmpty)
+				So(s.Step(now, Told{Version: 7, Peer: "c"}), ShouldBeEmpty)
+			})
+		})
+		Convey("a version read from the platform is relayed once", func() {
+			So(s.Step(now, Arrived{Version: 6, Root: true}), ShouldResemble, []SpreadDecision{Relay{6}})
+			So(s.Step(now, Arrived{Version: 6, Root: true}), ShouldBeEmpty)
+		})
+	})
+	Convey("A recorded run replays to the same decisions", t, func() {
+		var file bytes.Buffer
+		rec, err := trace.NewRecorder(&file, "vm-1")
+		So(err, ShouldBeNil)
+		s := NewSpread(SpreadMade{Seed: 3})
+		rec.New(Slice, "vm-1", now, SpreadMade{Seed: 3})
+		for i := range int64(100) {
+			now = now.Add(TickPeriod)
+			for _, in := range []SpreadInput{Told{Version: i, Peer: fmt.Sprint("p", i%7)}, FetchEnded{}, SpreadTick{}, Arrived{Version: i / 2, Root: i%3 == 0}} {
+				trace.Record(rec, Slice, "vm-1", now, in, s.Step(now, in))
+			}
+		}
+		steps, err := trace.Replay(&file, map[string]trace.Maker{Slice: NewReplay})
+		So(err, ShouldBeNil)
+		So(steps, ShouldEqual, 401)
+	})
+}
--- /dev/null
+++ b/configuration/store_test.go
@@ -0,0 +1,359 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// fault is what happens to one write call of a store.
+type fault string
+
+const (
+	none        fault = "none"
+	unavailable fault = "unavailable"
+	loseAnswer  fault = "lose answer"
+	loseRequest fault = "lose request"
+	delay       fault = "delay"   // takes effect after the next write call
+	compete     fault = "compete" // another operator's write comes first
+	blind       fault = "blind"   // the next reads are refused too
+)
+
+// memoryStore is a store with scripted faults.
+type memoryStore struct {
+	objects map[string]platform.Object
+	script  []fault
+	late    []func()
+	deaf    int // reads still to refuse
+	rival   func()
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]platform.Object)} }
+
+func (m *memoryStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+	if m.deaf > 0 {
+		m.deaf--
+		return platform.Object{}, errors.WithStack(platform.ErrUnavailable)
+	}
+	o, ok := m.objects[kind+"/"+name]
+	if !ok {
+		return o, errors.WithStack(platform.ErrNotFound)
+	}
+	return o, nil
+}
+
+func (m *memoryStore) List(_ context.Context, kind string) ([]platform.Object, int64, error) {
+	var out []platform.Object
+	for _, o := range m.objects {
+		if o.Kind == kind {
+			out = append(out, o)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out, 0, nil
+}
+
+func (m *memoryStore) Watch(context.Context, string, int64) ([]platform.Object, int64, error) {
+	return nil, 0, errors.WithStack(platform.ErrUnavailable)
+}
+
+func (m *memoryStore) Put(_ context.Context, kind, name string, value json.RawMessage, expected int64) (platform.Object, error) {
+	late := m.late
+	m.late = nil
+	f := none
+	if len(m.script) > 0 {
+		f, m.script = m.script[0], m.script[1:]
+	}
+	defer func() {
+		for _, fn := range late {
+			fn()
+		}
+	}()
+	effect := func() (platform.Object, error) {
+		key := kind + "/" + name
+		if m.objects[key].Version != expected {
+			return platform.Object{}, errors.WithStack(platform.ErrConflict)
+		}
+		m.objects[key] = platform.Object{Kind: kind, Name: name, Version: expected + 1, Value: value}
+		return m.objects[key], nil
+	}
+	switch f {
+	case unavailable:
+		return platform.Object{}, errors.WithStack(platform.ErrUnavailable)
+	case loseAnswer:
+		_, _ = effect()
+		return platform.Object{}, errors.WithStack(platform.ErrUnknown)
+	case loseRequest:
+		return platform.Object{}, errors.WithStack(platform.ErrUnknown)
+	case delay:
+		m.late = append(m.late, func() { _, _ = effect() })
+		return platform.Object{}, errors.WithStack(platform.ErrUnknown)
+	case blind:
+		m.deaf = 3
+		_, _ = effect()
+		return platform.Object{}, errors.WithStack(platform.ErrUnknown)
+	case compete:
+		if rival := m.rival; rival != nil {
+			script := m.script
+			m.rival, m.script = nil, nil
+			rival()
+			m.rival, m.script = rival, script
+		}
+	}
+	return effect()
+}
+
+func (m *memoryStore) Delete(_ context.Context, kind, name string, expected int64) error {
+	if m.objects[kind+"/"+name].Version != expected {
+		return errors.WithStack(platform.ErrNotFound)
+	}
+	delete(m.objects, kind+"/"+name)
+	return nil
+}
+
+// calm ends all faults: what is under way arrives.
+func (m *memoryStore) calm() {
+	m.script, m.deaf = nil, 0
+	for _, fn := range m.late {
+		fn()
+	}
+	m.late = nil
+}
+
+func document(n int) Document {
+	d := Document{Services: []Service{{Name: "pisar", Kind: Generation, Selector: "s=pisar", NewShare: 100}}}
+	for i := range n {
+		d.Targets = append(d.Targets, Target{Name: fmt.Sprintf("t%05d", i), Address: "10.0.0.1:80", Place: "p", Permits: 1, Labels: map[string]string{"s": "pisar"}})
+	}
+	return d.Canonical()
+}
+
+type writer func(ctx context.Context, store platform.Store, c Change) (Head, error)
+
+// outcome is how one write ended.
+type outcome struct {
+	id   string
+	head Head
+	err  error
+}
+
+// race runs writes of two operators under faults and returns the first broken
+// promise.
+func race(write writer, store *memoryStore, scripts [][]fault) error {
+	ctx := context.Background()
+	var results []outcome
+	run := func(id string, f func(ctx context.Context) (Head, error)) {
+		ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		head, err := f(ctx)
+		results = append(results, outcome{id, head, err})
+	}
+	change := func(id string, base int64) Change {
+		return Change{WriteID: id, Author: id, At: time.Unix(1, 0).UTC(), Document: document(len(results) + 1), Base: base}
+	}
+	rivals := 0
+	store.rival = func() {
+		rivals++
+		id := fmt.Sprintf("rival-%d", rivals)
+		head, _, _ := ReadHead(ctx, store)
+		run(id, func(ctx context.Context) (Head, error) { return Write(ctx, store, change(id, head.Version)) })
+	}
+	for i, script := range scripts {
+		store.calm()
+		head, _, err := ReadHead(ctx, store)
+		if err != nil {
+			return err
+		}
+		store.script = script
+		id := fmt.Sprintf("operator-%d", i)
+		run(id, func(ctx context.Context) (Head, error) { return write(ctx, store, change(id, head.Version)) })
+	}
+	store.calm()
+	return promises(ctx, store, results)
+}
+
+func promises(ctx context.Context, store platform.Store, results []outcome) error {
+	entries, err := History(ctx, store)
+	if err != nil {
+		return err
+	}
+	accepted := make(map[string]int64)
+	for i, e := range entries {
+		if e.Version != entries[0].Version-int64(i) {
+			return errors.Errorf("version %d follows %d", entries[i].Version, entries[i-1].Version)
+		}
+		accepted[e.WriteID] = e.Version
+	}
+	for _, r := range results {
+		version, in := accepted[r.id]
+		switch {
+		case r.err == nil && version != r.head.Version:
+			return errors.Errorf("%s was told version %d, the history says %d", r.id, r.head.Version, version)
+		case (errors.Is(r.err, platform.ErrConflict) || errors.Is(r.err, platform.ErrUnavailable)) && in:
+			return errors.Errorf("%s was told %v, but its version %d was accepted", r.id, r.err, version)
+		}
+	}
+	for _, e := range entries {
+		if _, err := ReadVersion(ctx, store, e.Version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var faultScripts = rapid.SliceOfN(rapid.SliceOfN(rapid.SampledFrom(
+	[]fault{none, none, unavailable, loseAnswer, loseRequest, delay, compete, blind}), 0, 12), 1, 5)
+
+func TestRacingWritersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		scripts := faultScripts.Draw(r, "scripts")
+		var broken error
+		synctest.Test(t, func(*testing.T) { broken = race(Write, newMemoryStore(), scripts) })
+		if broken != nil {
+			r.Fatal(broken)
+		}
+	})
+}
+
+// unconditional is a store that ignores the expected version of heads.
+type unconditional struct{ *memoryStore }
+
+func (u unconditional) Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (platform.Object, error) {
+	if kind == ObjectKind {
+		expected = u.objects[kind+"/"+name].Version
+	}
+	return u.memoryStore.Put(ctx, kind, name, value, expected)
+}
+
+// onePut is a store on which a lost answer counts as not written when one
+// read back shows no change.
+type onePut struct{ *memoryStore }
+
+func (s onePut) Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (platform.Object, error) {
+	o, err := s.memoryStore.Put(ctx, kind, name, value, expected)
+	if errors.Is(err, platform.ErrUnknown) && s.objects[kind+"/"+name].Version == expected {
+		return o, errors.WithStack(platform.ErrUnavailable)
+	}
+	return o, err
+}
+
+func TestBrokenWritersAreCaught(t *testing.T) {
+	mutants := map[string]writer{
+		"calls an unknown outcome not run": func(ctx context.Context, store platform.Store, c Change) (Head, error) {
+			head, err := Write(ctx, store, c)
+			if errors.Is(err, platform.ErrUnknown) {
+				err = platform.ErrUnavailable
+			}
+			return head, err
+		},
+		"writes without condition": func(ctx context.Context, store platform.Store, c Change) (Head, error) {
+			return Write(ctx, unconditional{store.(*memoryStore)}, c)
+		},
+		"trusts one read back": func(ctx context.Context, store platform.Store, c Change) (Head, error) {
+			return Write(ctx, onePut{store.(*memoryStore)}, c)
+		},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		const tries = 300
+		for name, m := range mutants {
+			var caught error
+			for seed := 0; seed < tries && caught == nil; seed++ {
+				caught = race(m, newMemoryStore(), faultScripts.Example(seed))
+			}
+			if caught == nil {
+				t.Errorf("a writer that %s is not caught", name)
+			}
+		}
+	})
+}
+
+func TestWrite(t *testing.T) {
+	ctx := context.Background()
+	write := func(store platform.Store, id string, base int64, d Document) (Head, error) {
+		return Write(ctx, store, Change{WriteID: id, Author: id, Document: d, Base: base})
+	}
+	Convey("Given a store with one version", t, func() {
+		store := newMemoryStore()
+		_, err := write(store, "ana", 0, document(500))
+		So(err, ShouldBeNil)
+		Convey("a change on an old base is a conflict that names the winner", func() {
+			_, err := write(store, "bor", 0, document(1))
+			var conflict *ConflictError
+			So(errors.As(err, &conflict), ShouldBeTrue)
+			So(conflict.Winner.Author, ShouldEqual, "ana")
+			So(err.Error(), ShouldContainSubstring, `version 1 by "ana"`)
+		})
+		Convey("the same change sent again is accepted once", func() {
+			head, err := write(store, "ana", 0, document(500))
+			So(err, ShouldBeNil)
+			So(head.Version, ShouldEqual, 1)
+		})
+		Convey("a change of one target writes one part, the manifest and the head", func() {
+			before := len(store.objects)
+			d := document(500)
+			d.Targets[7].Permits = 2
+			_, err := write(store, "ana-2", 1, d)
+			So(err, ShouldBeNil)
+			So(len(store.objects)-before, ShouldEqual, 2)
+		})
+		Convey("after many versions the store holds the kept ones only, all readable", func() {
+			for v := int64(1); v < 100; v++ {
+				d := document(500)
+				d.Targets[v].Permits = 2
+				_, err := write(store, fmt.Sprint("w", v), v, d)
+				So(err, ShouldBeNil)
+			}
+			entries, err := History(ctx, store)
+			So(err, ShouldBeNil)
+			So(len(entries), ShouldEqual, HistoryLen)
+			for _, e := range entries {
+				d, err := ReadVersion(ctx, store, e.Version)
+				So(err, ShouldBeNil)
+				So(d.Targets[e.Version-1].Permits, ShouldEqual, 2)
+			}
+			m, _ := readManifest(ctx, store, Ref{Name: entries[0].Manifest})
+			So(len(store.objects), ShouldBeLessThanOrEqualTo, 1+len(m.Parts)+HistoryLen*3)
+			_, err = ReadVersion(ctx, store, 1)
+			So(errors.Is(err, ErrNoVersion), ShouldBeTrue)
+			Convey("and parts of writers that died are swept, young ones are not", func() {
+				for _, name := range []string{partName(2, "dead", 0), partName(99, "young", 0)} {
+					_, err := store.Put(ctx, PartKind, name, []byte(`{}`), 0)
+					So(err, ShouldBeNil)
+				}
+				n, err := Sweep(ctx, store)
+				So(err, ShouldBeNil)
+				So(n, ShouldEqual, 1)
+				_, err = ReadVersion(ctx, store, entries[0].Version)
+				So(err, ShouldBeNil)
+			})
+		})
+	})
+	Convey("A document of 10,000 targets and 9,200 workspaces exceeds one value and is stored", t, func() {
+		store := newMemoryStore()
+		d := document(10_000)
+		for i := range 9200 {
+			d.Workspaces = append(d.Workspaces, Workspace{Name: fmt.Sprintf("w%05d", i), Weight: 1})
+		}
+		d = d.Canonical()
+		So(len(encode(d)), ShouldBeGreaterThan, platform.MaxValueBytes)
+		head, err := write(store, "ana", 0, d)
+		So(err, ShouldBeNil)
+		for _, o := range store.objects {
+			So(len(o.Value) < platform.MaxValueBytes, ShouldBeTrue)
+		}
+		empty, _ := NewSnapshot(0, Document{})
+		s, err := Load(ctx, store, head, empty)
+		So(err, ShouldBeNil)
+		So(s.Document.Sum(), ShouldEqual, d.Sum())
+	})
+}
