--- a/gen/http/confirmations/client/cli.go
+++ b/gen/http/confirmations/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(confirmationsConfirmBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Cumque qui velit voluptates aut quasi.\",\n      \"deadline_ms\": 8667051483534281543,\n      \"key\": \"g\",\n      \"labels\": {\n         \"Assumenda et.\": \"Ut rerum.\",\n         \"Dolorum quis quaerat nobis necessitatibus ipsam nihil.\": \"Hic magni eum ratione ut officiis necessitatibus.\",\n         \"Eaque vero quidem nulla autem rerum ipsum.\": \"Explicabo repudiandae excepturi dolor accusantium quia odio.\"\n      },\n      \"service\": \"Doloribus laboriosam provident.\",\n      \"workspace\": \"Cupiditate dolor iusto voluptatum cupiditate.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Non perspiciatis laborum.\",\n      \"deadline_ms\": 5664861439921386720,\n      \"key\": \"y\",\n      \"labels\": {\n         \"Eligendi inventore modi sapiente non sint aliquid.\": \"Doloremque quia saepe voluptas.\",\n         \"Fugiat aut dolores et.\": \"Labore itaque nihil in blanditiis omnis.\"\n      },\n      \"service\": \"Natus numquam aut.\",\n      \"workspace\": \"Unde omnis facere qui unde animi qui.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Key) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.key", body.Key, utf8.RuneCountInString(body.Key), 1, true))
