--- /dev/null
+++ b/confirmation/assignment.go
@@ -0,0 +1,157 @@
+package confirmation
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// The platform object that holds the Map.
+const (
+	ObjectKind = "confirmation-map"
+	ObjectName = "shards"
+)
+
+// defaultShards is the number of shards of a new map.
+const defaultShards = 256
+
+// Ref names one run of a daemon and where other daemons reach it.
+type Ref struct {
+	ID          string `json:"id" msgpack:"id"`
+	Incarnation uint64 `json:"inc" msgpack:"inc"`
+	Address     string `json:"addr" msgpack:"addr"`
+	Place       string `json:"place" msgpack:"place"`
+	Region      string `json:"region" msgpack:"region"`
+}
+
+// Same tells whether both name the same run.
+func (r Ref) Same(o Ref) bool { return r.ID == o.ID && r.Incarnation == o.Incarnation }
+
+// Shard assigns one shard to an ordered pair of daemons for one epoch. Third
+// keeps no record: it grants one of the two, once, to go on without the other.
+type Shard struct {
+	Number int   `json:"n" msgpack:"n"`
+	Epoch  int64 `json:"e" msgpack:"e"`
+	First  Ref   `json:"f" msgpack:"f"`
+	Second Ref   `json:"s" msgpack:"s"`
+	Third  Ref   `json:"t" msgpack:"t"`
+	// Floor is the epoch in which records were last lost. A key issued before
+	// it of which the pair has no record may have run.
+	Floor int64 `json:"floor" msgpack:"floor"`
+}
+
+// has tells whether a run is one of the pair.
+func (s Shard) has(r Ref) bool { return s.First.Same(r) || s.Second.Same(r) }
+
+// partner returns the other one of the pair.
+func (s Shard) partner(r Ref) Ref {
+	if s.First.Same(r) {
+		return s.Second
+	}
+	return s.First
+}
+
+// Map assigns every shard. It is one object of the platform and changes by
+// conditional update only; a shard's epoch only rises.
+type Map struct {
+	Shards []Shard `json:"shards"`
+}
+
+// DecodeMap reads a map.
+func DecodeMap(b []byte) (Map, error) {
+	var m Map
+	if err := json.Unmarshal(b, &m); err != nil {
+		return Map{}, errors.Wrap(err, "decode shard map")
+	}
+	for i, s := range m.Shards {
+		if s.Number != i {
+			return Map{}, errors.Errorf("decode shard map: shard %d stands at %d", s.Number, i)
+		}
+	}
+	return m, nil
+}
+
+// load counts how many places in pairs each daemon holds.
+func (m Map) load() map[string]int {
+	out := make(map[string]int)
+	for _, s := range m.Shards {
+		out[s.First.ID]++
+		out[s.Second.ID]++
+	}
+	return out
+}
+
+// Choose picks one more daemon for a shard: in a place that holds none of the
+// shard's yet before others, in the first's region before others, then the least
+// load, then the lowest id. ok is false when there is no other daemon.
+func Choose(have []Ref, candidates []Ref, load map[string]int) (best Ref, ok bool) {
+	for _, c := range candidates {
+		if holds(have, c) {
+			continue
+		}
+		if !ok || better(have, c, best, load) {
+			best, ok = c, true
+		}
+	}
+	return best, ok
+}
+
+func holds(have []Ref, c Ref) bool {
+	for _, h := range have {
+		if h.ID == c.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func better(have []Ref, a, b Ref, load map[string]int) bool {
+	if x, y := newPlace(have, a), newPlace(have, b); x != y {
+		return x
+	}
+	if x, y := a.Region == have[0].Region, b.Region == have[0].Region; x != y {
+		return x
+	}
+	if load[a.ID] != load[b.ID] {
+		return load[a.ID] < load[b.ID]
+	}
+	return a.ID < b.ID
+}
+
+func newPlace(have []Ref, c Ref) bool {
+	for _, h := range have {
+		if h.Place == c.Place {
+			return false
+		}
+	}
+	return true
+}
+
+// Staff fills Second and Third of a shard that has its First. ok is false when
+// there is no other daemon; a missing third only leaves less room for losses.
+func Staff(s Shard, candidates []Ref, load map[string]int) (Shard, bool) {
+	var ok bool
+	if s.Second, ok = Choose([]Ref{s.First}, candidates, load); !ok {
+		return s, false
+	}
+	s.Third, _ = Choose([]Ref{s.First, s.Second}, candidates, load)
+	return s, true
+}
+
+// NewMap spreads the shards over pairs of daemons. It needs two daemons. The
+// epoch must be greater than any that a lost map may have had.
+func NewMap(daemons []Ref, epoch int64) (Map, error) {
+	if len(daemons) < 2 {
+		return Map{}, errors.Errorf("a pair needs two daemons, not %d", len(daemons))
+	}
+	m := Map{Shards: make([]Shard, defaultShards)}
+	load := make(map[string]int)
+	for i := range m.Shards {
+		first := daemons[i%len(daemons)]
+		load[first.ID]++
+		s, _ := Staff(Shard{Number: i, Epoch: epoch, First: first, Floor: epoch}, daemons, load)
+		load[s.Second.ID]++
+		m.Shards[i] = s
+	}
+	return m, nil
+}
--- /dev/null
+++ b/confirmation/pairs.go
@@ -0,0 +1,164 @@
+package confirmation
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/vanillaroad/vanillaroad/control"
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/peer"
+	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/trace"
+)
+
+// Periods and bounds of a daemon's part in pairs.
+const (
+	tickPeriod      = 50 * time.Millisecond
+	probePeriod     = 200 * time.Millisecond
+	probeTimeout    = 300 * time.Millisecond
+	silentProbes    = 2 // probes in a row without an answer
+	resendWait      = 150 * time.Millisecond
+	copyWait        = 200 * time.Millisecond
+	grantWait       = 500 * time.Millisecond
+	retryAfter      = time.Second
+	dispatchTimeout = 30 * time.Second // longest call of a target
+	sendTimeout     = time.Second
+	mapReadPeriod   = time.Second // at most one read of the map in this time
+)
+
+// Config connects Pairs to the rest of a daemon.
+type Config struct {
+	Self       peer.Identity
+	Settings   Settings
+	Loop       *control.Loop
+	Transport  *peer.Transport
+	Store      platform.Store
+	View       func() *membership.View
+	Dispatcher Dispatcher
+	Events     *event.Recorder
+	Trace      *trace.Recorder
+}
+
+// Pairs is the Service over pairs of daemons. Its control state belongs to the
+// control loop; callers read the published map and send asks to the loop.
+type Pairs struct {
+	Config
+	self    Ref
+	limits  Limits
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	shards  atomic.Pointer[Map]
+	own     atomic.Pointer[[]Shard] // those whose first this daemon is and acts
+	leaving atomic.Bool
+	reads   *rate.Limiter
+	wake    chan struct{}
+
+	// Owned by the control loop.
+	replicas  map[int]*Replica
+	waiting   map[uint64]chan Answer
+	token     uint64
+	peers     map[string]*health
+	proposals map[int]Shard
+	fetching  map[int]bool
+	stuck     map[int]time.Time
+}
+
+var _ Service = (*Pairs)(nil)
+
+// NewPairs registers the handlers of this slice. It must be called before the
+// transport serves and before the loop runs.
+func NewPairs(c Config) *Pairs {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Pairs{
+		Config: c, self: refOf(c.Self), ctx: ctx, cancel: cancel,
+		limits: Limits{
+			Retention: c.Settings.Retention.Std(), Skew: c.Settings.Skew.Std(), GrantWait: grantWait,
+			Resend: resendWait, CopyWait: copyWait, RetryAfter: retryAfter,
+		},
+		reads: rate.NewLimiter(rate.Every(mapReadPeriod), 1), wake: make(chan struct{}, 1),
+		replicas: make(map[int]*Replica), waiting: make(map[uint64]chan Answer), peers: make(map[string]*health),
+		proposals: make(map[int]Shard), fetching: make(map[int]bool), stuck: make(map[int]time.Time),
+	}
+	p.own.Store(&[]Shard{})
+	p.registerQueries()
+	p.registerMessages()
+	c.Loop.Every(tickPeriod, p.tick)
+	return p
+}
+
+func refOf(i peer.Identity) Ref {
+	return Ref{ID: i.ID, Incarnation: i.Incarnation, Address: i.PeerAddress, Place: i.Place, Region: i.Region}
+}
+
+// Run works until ctx ends.
+func (p *Pairs) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, p.cancel)
+	defer stop()
+	p.spawn(p.probePeers)
+	p.spawn(p.writeProposals)
+	<-p.ctx.Done()
+	p.wg.Wait()
+}
+
+func (p *Pairs) spawn(fn func()) {
+	p.wg.Add(1)
+	go func() {
+		defer p.wg.Done()
+		fn()
+	}()
+}
+
+// tick runs on the loop.
+func (p *Pairs) tick(now time.Time) {
+	var own []Shard
+	for _, n := range sortedNumbers(p.replicas) {
+		r := p.replicas[n]
+		if p.leaving.Load() && !r.leaving {
+			p.step(now, n, Leave{})
+		}
+		if r.Shard().has(p.self) || len(r.late) > 0 {
+			p.step(now, n, Tick{})
+		}
+		if r.isFirst() && r.acting() && !r.leaving && !(r.partner.silent && !r.alone) {
+			own = append(own, r.Shard())
+		}
+	}
+	p.own.Store(&own)
+}
+
+// Leave begins to hand all shards over.
+func (p *Pairs) Leave() { p.leaving.Store(true) }
+
+// Free tells whether every shard of a leaving daemon is in other hands, or
+// there is nobody to take one.
+func (p *Pairs) Free(ctx context.Context) bool {
+	free, err := control.Ask(ctx, p.Loop, func(time.Time) bool {
+		return p.allFree() || p.lonely()
+	})
+	return err != nil || free
+}
+
+func (p *Pairs) allFree() bool {
+	for _, r := range p.replicas {
+		if !r.Free() {
+			return false
+		}
+	}
+	return true
+}
+
+// lonely tells whether no other daemon has answered a probe of late.
+func (p *Pairs) lonely() bool {
+	for _, h := range p.peers {
+		if h.failed < silentProbes && !h.leaving {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/confirmation/pairs_probe.go
@@ -0,0 +1,137 @@
+package confirmation
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/control"
+)
+
+// health is what is known of another daemon from probes.
+type health struct {
+	ref     Ref // the run that answered last
+	failed  int // probes in a row without an answer
+	leaving bool
+}
+
+// probePeers asks the other daemons of this one's shards whether they answer.
+func (p *Pairs) probePeers() {
+	ticker := time.NewTicker(probePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		targets, err := control.Ask(p.ctx, p.Loop, func(time.Time) []Ref { return p.probed() })
+		if err != nil {
+			return
+		}
+		var wg sync.WaitGroup
+		for _, t := range targets {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				p.probeOne(t)
+			}()
+		}
+		wg.Wait()
+	}
+}
+
+// probed returns one run of each daemon that shares a pair with this one, and
+// the thirds of its own shards.
+func (p *Pairs) probed() []Ref {
+	seen := make(map[string]bool)
+	var out []Ref
+	for _, n := range sortedNumbers(p.replicas) {
+		r := p.replicas[n]
+		if !r.Shard().has(p.self) {
+			continue
+		}
+		want := []Ref{r.Shard().partner(p.self)}
+		if r.isFirst() && r.Shard().Third.ID != "" {
+			want = append(want, r.Shard().Third)
+		}
+		for _, ref := range want {
+			if !seen[ref.ID] {
+				seen[ref.ID] = true
+				out = append(out, ref)
+			}
+		}
+	}
+	return out
+}
+
+// probe asks the daemon at an address who it is.
+func (p *Pairs) probe(ctx context.Context, address string) (probeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var reply probeReply
+	err := p.Transport.Call(ctx, address, kindProbe, struct{}{}, &reply)
+	return reply, err
+}
+
+func (p *Pairs) probeOne(t Ref) {
+	reply, err := p.probe(p.ctx, t.Address)
+	if p.ctx.Err() != nil {
+		return
+	}
+	_ = p.Loop.Post(func(now time.Time) { p.probeEnded(now, t.ID, reply, err) })
+}
+
+// probeEnded tells the replicas what a probe found. It runs on the loop.
+func (p *Pairs) probeEnded(now time.Time, id string, reply probeReply, err error) {
+	h := p.peers[id]
+	if h == nil {
+		h = new(health)
+		p.peers[id] = h
+	}
+	if err != nil {
+		h.failed++
+	} else {
+		h.ref, h.failed, h.leaving = reply.Ref, 0, reply.Leaving
+	}
+	for _, n := range sortedNumbers(p.replicas) {
+		p.tellHealth(now, n, id, h)
+	}
+}
+
+func (p *Pairs) tellHealth(now time.Time, n int, id string, h *health) {
+	s := p.replicas[n].Shard()
+	if !s.has(p.self) {
+		return
+	}
+	if partner := s.partner(p.self); partner.ID == id {
+		if p.gone(partner, h) {
+			p.step(now, n, Lost{partner})
+		}
+		if silent := h.failed >= silentProbes; silent || p.replicas[n].partner.silent {
+			p.step(now, n, Reach{Peer: partner, Silent: silent})
+		}
+	}
+	if s.First.Same(p.self) && (s.Third.ID == id && p.thirdMissing(s.Third, h) || s.Third.ID == "") && p.spare(s) {
+		p.step(now, n, Repair{})
+	}
+}
+
+// gone tells whether a run has certainly ended.
+func (p *Pairs) gone(r Ref, h *health) bool {
+	return h.ref.ID == r.ID && h.ref.Incarnation > r.Incarnation || p.View().Gone(r.ID, r.Incarnation)
+}
+
+func (p *Pairs) thirdMissing(third Ref, h *health) bool {
+	return h.failed > 2*silentProbes || h.leaving || h.ref.ID == third.ID && h.ref.Incarnation != third.Incarnation
+}
+
+// spare tells whether another daemon could be the third of a shard.
+func (p *Pairs) spare(s Shard) bool {
+	for id, h := range p.peers {
+		if h.failed == 0 && !h.leaving && id != s.First.ID && id != s.Second.ID && h.ref != s.Third {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/confirmation/wire.go
@@ -0,0 +1,81 @@
+package confirmation
+
+import (
+	"github.com/vanillaroad/vanillaroad/peer"
+)
+
+// Kinds of peer messages of this slice.
+const (
+	kindAsk peer.Kind = peer.ConfirmationBase + iota
+	kindProbe
+	kindMap
+	kindShard
+	kindPush
+	kindIntent
+	kindIntentAck
+	kindSealed
+	kindCopy
+	kindCopyAck
+	kindSync
+	kindSyncAck
+	kindClaim
+	kindGranted
+	kindRenew
+	kindHandOver
+	kindRetire
+)
+
+// askMessage carries a caller's call to one of the pair.
+type askMessage struct {
+	Request    Request `msgpack:"request"`
+	FirstLost  bool    `msgpack:"first_lost"`
+	LookupOnly bool    `msgpack:"lookup_only"`
+}
+
+// probeReply names the run that answers a probe.
+type probeReply struct {
+	Ref     Ref  `msgpack:"ref"`
+	Leaving bool `msgpack:"leaving"`
+}
+
+// shardRequest asks for what a daemon knows of one shard.
+type shardRequest struct {
+	Number int `msgpack:"number"`
+}
+
+// shardsMessage carries assignments; older epochs are ignored.
+type shardsMessage struct {
+	Shards []Shard `msgpack:"shards"`
+}
+
+// head returns the shard, epoch and sender of a message between the two of a
+// pair, and the kind it travels as.
+func head(m Input) (shard int, epoch int64, from Ref, kind peer.Kind) {
+	switch m := m.(type) {
+	case Intent:
+		return m.Shard, m.Epoch, m.From, kindIntent
+	case IntentAck:
+		return m.Shard, m.Epoch, m.From, kindIntentAck
+	case Sealed:
+		return m.Shard.Number, m.Epoch, m.From, kindSealed
+	case Copy:
+		return m.Shard, m.Epoch, m.From, kindCopy
+	case CopyAck:
+		return m.Shard, m.Epoch, m.From, kindCopyAck
+	case Sync:
+		return m.Shard, m.Epoch, m.From, kindSync
+	case SyncAck:
+		return m.Shard, m.Epoch, m.From, kindSyncAck
+	case Claim:
+		return m.Shard.Number, m.Shard.Epoch, m.From, kindClaim
+	case Granted:
+		return m.Shard, m.Epoch, m.From, kindGranted
+	case Renew:
+		return m.Shard, m.Epoch, m.From, kindRenew
+	case HandOver:
+		return m.Shard, m.Epoch, m.From, kindHandOver
+	case Retire:
+		return m.Shard, m.Epoch, m.From, kindRetire
+	}
+	return 0, 0, Ref{}, 0
+}
--- /dev/null
+++ b/confirmation/writes.go
@@ -0,0 +1,91 @@
+package confirmation
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// RecordKind is the kind of the platform objects that Writes keeps.
+const RecordKind = "confirmation"
+
+// Writes is the alternative that pairs are measured against: it writes one
+// platform object before each dispatch and the outcome after it. It stands still
+// while the platform is out, and its cost in platform calls grows with traffic.
+type Writes struct {
+	store      platform.Store
+	dispatcher Dispatcher
+}
+
+var _ Service = (*Writes)(nil)
+
+// written is the value of one object.
+type written struct {
+	Digest string `json:"digest"`
+	Record Record `json:"record"`
+}
+
+// NewWrites returns a service that keeps its records in store.
+func NewWrites(store platform.Store, d Dispatcher) *Writes {
+	return &Writes{store: store, dispatcher: d}
+}
+
+// IssueKey implements Service.
+func (w *Writes) IssueKey(context.Context) (string, *failure.Error) {
+	return FormatKey(time.Now(), 1, fmt.Sprintf("%016x", rand.Uint64())), nil
+}
+
+// Confirm implements Service.
+func (w *Writes) Confirm(ctx context.Context, r Request) (Record, *failure.Error) {
+	if _, err := ParseKey(r.Key); err != nil {
+		return Record{}, failure.Wrap(err, failure.BadRequest, failure.NotRun, "parse key", "")
+	}
+	v := written{Digest: digestOf(r), Record: Record{Key: r.Key, Outcome: failure.Unknown, RetryAfter: retryAfter}}
+	object, err := w.put(ctx, r.Key, v, 0)
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		return w.read(ctx, r.Key, v.Digest)
+	case err != nil:
+		return Record{}, failure.Wrap(err, failure.PlatformDown, failure.Unknown, "write intent", "platform").After(retryAfter)
+	}
+	v.Record = w.dispatcher.Dispatch(ctx, r)
+	if _, err := w.put(ctx, r.Key, v, object.Version); err != nil && v.Record.Outcome == failure.NotRun {
+		return Record{Key: r.Key, Outcome: failure.Unknown}, nil
+	}
+	return v.Record, nil
+}
+
+func (w *Writes) put(ctx context.Context, key string, v written, version int64) (platform.Object, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return platform.Object{}, errors.WithStack(err)
+	}
+	return w.store.Put(ctx, RecordKind, key, b, version)
+}
+
+// Lookup implements Service.
+func (w *Writes) Lookup(ctx context.Context, key string) (Record, *failure.Error) {
+	return w.read(ctx, key, "")
+}
+
+func (w *Writes) read(ctx context.Context, key, digest string) (Record, *failure.Error) {
+	o, err := w.store.Get(ctx, RecordKind, key)
+	if err != nil {
+		return Record{}, failure.Wrap(err, failure.PlatformDown, failure.Unknown, "read outcome", "platform").After(retryAfter)
+	}
+	var v written
+	if err := json.Unmarshal(o.Value, &v); err != nil {
+		return Record{}, failure.Wrap(err, failure.Internal, failure.Unknown, "read outcome", "platform")
+	}
+	if digest != "" && v.Digest != digest {
+		return Record{}, failure.New(failure.Conflict, failure.NotRun, "confirm", "", "key %s was used with another body", key)
+	}
+	return v.Record, nil
+}
--- a/node/api_confirmations.go
+++ b/node/api_confirmations.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/confirmation"
@@ -20,9 +18,19 @@
 	}
 }
 
+// confirmRefusal returns why this daemon takes no calls, or nil. It can't say
+// that the key did not run: the caller may have asked another daemon before.
+func (n *Node) confirmRefusal() *failure.Error {
+	e := n.refusal()
+	if e != nil {
+		e.Outcome = failure.Unknown
+	}
+	return e
+}
+
 // Confirm implements the confirmations service.
 func (a *confirmationsAPI) Confirm(ctx context.Context, p *gen.ConfirmPayload) (*gen.ConfirmationOutcome, error) {
-	if e := a.n.refusal(); e != nil {
+	if e := a.n.confirmRefusal(); e != nil {
 		return nil, confirmationFailure(e)
 	}
 	deadline := time.Duration(deref(p.DeadlineMs)) * time.Millisecond
@@ -31,7 +39,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
-	record, e := a.n.confirm.Confirm(ctx, confirmation.Request{
+	confirm := a.n.confirmations.service.Confirm
+	if a.n.idempotent(p.Service) {
+		confirm = a.n.callIdempotent
+	}
+	record, e := confirm(ctx, confirmation.Request{
 		Key: p.Key, Workspace: p.Workspace, Service: p.Service, Body: p.Body, Deadline: deadline, Labels: p.Labels,
 	})
 	if e != nil {
@@ -47,15 +59,20 @@
 
 // Outcome implements the confirmations service.
 func (a *confirmationsAPI) Outcome(ctx context.Context, p *gen.OutcomePayload) (*gen.ConfirmationOutcome, error) {
-	record, e := a.n.confirm.Lookup(ctx, p.Key)
+	ctx, cancel := context.WithTimeout(ctx, a.n.settings.Confirmation.Deadline.Std())
+	defer cancel()
+	record, e := a.n.confirmations.service.Lookup(ctx, p.Key)
 	if e != nil {
 		return nil, confirmationFailure(e)
 	}
 	return outcome(record), nil
 }
 
-// Issue implements the confirmations service. A key carries its time of issue
-// in Unix milliseconds before the first dash.
-func (a *confirmationsAPI) Issue(context.Context) (*gen.IssueResult, error) {
-	return &gen.IssueResult{Key: fmt.Sprintf("%d-%016x", time.Now().UnixMilli(), rand.Uint64())}, nil
+// Issue implements the confirmations service.
+func (a *confirmationsAPI) Issue(ctx context.Context) (*gen.IssueResult, error) {
+	key, e := a.n.confirmations.service.IssueKey(ctx)
+	if e != nil {
+		return nil, confirmationFailure(e)
+	}
+	return &gen.IssueResult{Key: key}, nil
 }
--- /dev/null
+++ b/node/confirmations_idempotent.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/confirmation"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// idempotentTries bounds the targets tried for one idempotent call.
+const idempotentTries = 3
+
+// idempotent tells whether a service's calls may be repeated.
+func (n *Node) idempotent(service string) bool {
+	svc, ok := n.snapshot.Load().Service(service)
+	return ok && svc.Idempotent
+}
+
+// callIdempotent calls a plain service and repeats a lost call on another
+// target while the daemon's retry budget lasts. Nothing is recorded.
+func (n *Node) callIdempotent(ctx context.Context, r confirmation.Request) (confirmation.Record, *failure.Error) {
+	exclude := make(map[string]bool)
+	last := failure.New(failure.NoTarget, failure.Unknown, "call", n.self.ID, "no target answered").After(retryAfter)
+	for try := range idempotentTries {
+		if try > 0 && !n.confirmations.retries.Allow() {
+			break
+		}
+		chosen, refused := n.pickPlain(ctx, r, exclude)
+		if refused != nil {
+			return confirmation.Record{}, refused
+		}
+		reply, err := n.targets.client(chosen.Target.Address).Call(ctx, target.Call{Key: r.Key, Workspace: r.Workspace, Body: r.Body})
+		n.release(chosen.Target.Name)
+		if err == nil {
+			return confirmation.Record{Key: r.Key, Outcome: failure.Ran, Status: reply.Status, Answer: reply.Body}, nil
+		}
+		outcome := failure.Unknown
+		if errors.Is(err, target.ErrNotSent) {
+			outcome = failure.NotRun
+		}
+		last = failure.Wrap(err, failure.TargetLost, outcome, "call", chosen.Target.Name).After(retryAfter)
+		exclude[chosen.Target.Name] = true
+	}
+	return confirmation.Record{}, last
+}
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -16,33 +16,62 @@
 // dispatcher sends confirmations to plain services.
 type dispatcher struct{ n *Node }
 
-func (n *Node) buildConfirmations() { n.confirm = confirmation.NewLocal(&dispatcher{n}) }
+var _ confirmation.Dispatcher = (*dispatcher)(nil)
 
-func (n *Node) runConfirmations(context.Context) {}
+// dispatchTries bounds the targets tried for one call. Another one is tried only
+// after a target that can't have seen the call.
+const dispatchTries = 3
 
 // Dispatch implements confirmation.Dispatcher.
 func (d *dispatcher) Dispatch(ctx context.Context, r confirmation.Request) confirmation.Record {
-	notRun := confirmation.Record{Key: r.Key, Outcome: failure.NotRun, RetryAfter: retryAfter}
-	svc, ok := d.n.snapshot.Load().Service(r.Service)
-	if !ok || svc.Kind != configuration.Plain {
-		return notRun
+	exclude := make(map[string]bool)
+	for range dispatchTries {
+		record, name, again := d.try(ctx, r, exclude)
+		if !again {
+			return record
+		}
+		exclude[name] = true
 	}
-	want := routing.Request{ID: r.Key, Service: svc, Labels: r.Labels, Pinned: svc.Side(r.Key), FromPlace: d.n.self.Place}
-	chosen, refused := d.n.pick(ctx, want)
+	return notRun(r)
+}
+
+func notRun(r confirmation.Request) confirmation.Record {
+	return confirmation.Record{Key: r.Key, Outcome: failure.NotRun}
+}
+
+// try sends r to one target. again tells that the named target can't have seen
+// it, so that another may be tried.
+func (d *dispatcher) try(ctx context.Context, r confirmation.Request, exclude map[string]bool) (record confirmation.Record, name string, again bool) {
+	chosen, refused := d.n.pickPlain(ctx, r, exclude)
 	if refused != nil {
-		return notRun
+		d.n.events.Record(event.ConfirmationNotRun, r.Key, event.F("error", refused.Error()))
+		return notRun(r), "", false
 	}
-	defer d.n.release(chosen.Target.Name)
-	d.n.events.Record(event.ConfirmationDispatched, r.Key, event.F("target", chosen.Target.Name))
+	name = chosen.Target.Name
+	defer d.n.release(name)
+	d.n.events.Record(event.ConfirmationDispatched, r.Key, event.F("target", name))
 	reply, err := d.n.targets.client(chosen.Target.Address).Call(ctx, target.Call{Key: r.Key, Workspace: r.Workspace, Body: r.Body})
 	switch {
 	case errors.Is(err, target.ErrNotSent):
-		d.n.events.Record(event.ConfirmationNotRun, r.Key, event.F("target", chosen.Target.Name))
-		return notRun
+		d.n.events.Record(event.ConfirmationNotRun, r.Key, event.F("target", name))
+		return notRun(r), name, true
 	case err != nil:
-		d.n.events.Record(event.ConfirmationUnknown, r.Key, event.F("target", chosen.Target.Name))
-		return confirmation.Record{Key: r.Key, Outcome: failure.Unknown}
+		d.n.events.Record(event.ConfirmationUnknown, r.Key, event.F("target", name))
+		return confirmation.Record{Key: r.Key, Outcome: failure.Unknown}, name, false
+	}
+	d.n.events.Record(event.ConfirmationRan, r.Key, event.F("target", name))
+	return confirmation.Record{Key: r.Key, Outcome: failure.Ran, Status: reply.Status, Answer: reply.Body}, name, false
+}
+
+// pickPlain takes a permit of a target for r, within its deadline.
+func (n *Node) pickPlain(ctx context.Context, r confirmation.Request, exclude map[string]bool) (routing.Candidate, *failure.Error) {
+	svc, ok := n.snapshot.Load().Service(r.Service)
+	if !ok || svc.Kind != configuration.Plain {
+		return routing.Candidate{}, failure.New(failure.NotFound, failure.NotRun, "route", n.self.ID, "no plain service %q", r.Service)
 	}
-	d.n.events.Record(event.ConfirmationRan, r.Key, event.F("target", chosen.Target.Name))
-	return confirmation.Record{Key: r.Key, Outcome: failure.Ran, Status: reply.Status, Answer: reply.Body}
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline)
+	defer cancel()
+	return n.pick(ctx, routing.Request{
+		ID: r.Key, Service: svc, Labels: r.Labels, Exclude: exclude, Pinned: svc.Side(r.Key), FromPlace: n.self.Place,
+	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -18,7 +18,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/vanillaroad/vanillaroad/configuration"
-	"github.com/vanillaroad/vanillaroad/confirmation"
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/generation"
@@ -41,7 +40,6 @@
 	platform  *platform.Client
 	targets   *targetPool
 	hub       *generation.Hub
-	confirm   confirmation.Service
 
 	snapshot atomic.Pointer[configuration.Snapshot]
 	view     atomic.Pointer[membership.View]
@@ -49,6 +47,8 @@
 	refusing atomic.Bool // takes no new work
 	requests atomic.Int64
 
+	confirmations confirmations
+
 	inFlight map[string]int // by target; owned by the control loop
 
 	listener net.Listener
@@ -156,8 +156,10 @@
 
 func (n *Node) drain() {
 	n.Drain()
+	n.leaveConfirmations()
 	time.Sleep(n.settings.Membership.DirectoryTTL.Std())
 	n.refusing.Store(true)
+	n.awaitConfirmations()
 	for n.requests.Load() > 0 || n.hub.Active() > 0 {
 		time.Sleep(drainPoll)
 	}
