confirmation: a first that was deposed keeps the keys it declined

Cause: it dropped them; staying first in the next epoch it could run a key that the second had closed as not run.

--- a/confirmation/replica_ask.go
+++ b/confirmation/replica_ask.go
@@ -80,6 +80,7 @@
 		return r.refuse(in, failure.Isolated, failure.Unknown, r.limits.RetryAfter, "the second of the pair does not answer")
 	}
 	e := &entry{
+		acked:  r.alone || r.isSecond(),
 		digest: in.Digest, holder: r.self, request: in.Request, issued: key.Issued,
 		deadline: now.Add(in.Request.Deadline), sent: now, waiters: []uint64{in.Token},
 	}
--- a/confirmation/replica_epoch.go
+++ b/confirmation/replica_epoch.go
@@ -45,12 +45,11 @@
 	var out []Decision
 	for _, key := range r.openKeys() {
 		e := r.entries[key]
-		if e.phase != phaseSent {
-			continue
-		}
-		if retired {
+		if e.phase == phaseSent && retired {
 			e.sent = now
 			out = append(out, r.send(r.intentOf(key, e)))
+		}
+		if e.acked || retired {
 			continue
 		}
 		e.phase, e.record, e.closed = phaseDone, Record{Outcome: failure.Unknown}, now
@@ -67,8 +66,12 @@
 		switch e.phase {
 		case phaseSent:
 			out = append(out, e.release(Answer{NotOwner: true, Shard: r.shard})...)
-		case phaseDispatched, phaseClosing:
+		case phaseDispatched:
 			r.late[key] = e
+		case phaseClosing:
+			if e.acked {
+				r.late[key] = e
+			}
 		}
 	}
 	r.forget()
--- a/confirmation/replica_pair.go
+++ b/confirmation/replica_pair.go
@@ -142,13 +142,13 @@
 		}
 		delete(r.late, in.Key)
 	}
-	e.phase = phaseDone
+	e.phase, e.acked = phaseDone, true
 	return e.release(Answer{Record: withKey(e.record, in.Key)})
 }
 
 // deposed learns that the second has taken over. Keys that were not dispatched
-// never will be by this daemon; the second is told, so that it can close those
-// it has on record.
+// never will be by this daemon in this epoch; the second is told, so that it can
+// close those it has on record.
 func (r *Replica) deposed(now time.Time, in Sealed) []Decision {
 	if in.Shard.Epoch > r.shard.Epoch {
 		return r.assigned(now, in.Shard)
@@ -167,10 +167,9 @@
 		if e.phase != phaseSent {
 			continue
 		}
-		e.record = Record{Outcome: failure.NotRun}
-		out = append(out, r.send(r.copyOf(key, e)))
 		out = append(out, e.release(Answer{NotOwner: true, Shard: r.shard})...)
-		delete(r.entries, key)
+		e.phase, e.record = phaseClosing, Record{Outcome: failure.NotRun}
+		out = append(out, r.send(r.copyOf(key, e)))
 	}
 	return out
 }
