--- a/node/drain.go
+++ b/node/drain.go
@@ -43,8 +43,10 @@
 // write to it or a read from it has timed out.
 func (n *Node) drain() {
 	refused := n.Drain()
+	n.leaveConfirmations()
 	n.orders.release()
 	<-refused
+	n.awaitConfirmations()
 	limit := time.Now().Add(n.settings.Membership.DrainLimit.Std())
 	for n.requests.Load() > 0 || n.hub.Active() > 0 {
 		if time.Now().After(limit) {
--- a/node/node.go
+++ b/node/node.go
@@ -18,7 +18,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/vanillaroad/vanillaroad/configuration"
-	"github.com/vanillaroad/vanillaroad/confirmation"
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/generation"
@@ -42,7 +41,6 @@
 	targets   *targetPool
 	hub       *generation.Hub
 	orders    *orders
-	confirm   confirmation.Service
 	members   *members
 	versions  *versions
 
@@ -55,6 +53,8 @@
 	refused  chan struct{} // closed once refusing
 	requests atomic.Int64
 
+	confirmations confirmations
+
 	inFlight map[string]int // by target; owned by the control loop
 
 	listener net.Listener
