Admission: pure controller of permits and queues, shares among daemons

Cause: permits were counted per daemon and a full target refused at once. Ruled out: a platform call or a peer call per request. Shares are split by rendezvous hash; growth waits longer than views take to converge.

--- /dev/null
+++ b/admission/conservation_test.go
@@ -0,0 +1,316 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// breakage spoils a controller around one message; nil means none.
+type breakage func(c *Controller, m Message) Message
+
+// model checks one controller against what it was told.
+type model struct {
+	c       *Controller
+	limits  map[string]TargetLimit
+	most    map[string]int    // permits that may be taken: the limit, or what was taken when it was lowered
+	most1   map[string]int    // the same for requests that are not urgent
+	ended   map[uint64]string // decision or cancel of each ticket
+	holding map[uint64]Grant
+	tickets map[uint64]Ticket
+	spoil   breakage
+	now     time.Time
+	next    uint64
+}
+
+func newModel(spoil breakage) *model {
+	s := DefaultSettings()
+	s.MaxQueued, s.RetryBurst = 12, 2
+	names := []string{"e1", "e2", "e3"}
+	return &model{
+		c: NewController(s, firstFree{order: names}), now: start, spoil: spoil,
+		limits: make(map[string]TargetLimit), most: make(map[string]int), most1: make(map[string]int),
+		ended: make(map[uint64]string), holding: make(map[uint64]Grant), tickets: make(map[uint64]Ticket),
+	}
+}
+
+func (m *model) step(msg Message) error {
+	if m.spoil != nil {
+		msg = m.spoil(m.c, msg)
+	}
+	if msg == nil {
+		return m.check()
+	}
+	for _, d := range m.c.Step(m.now, msg) {
+		switch d := d.(type) {
+		case Grant:
+			if m.ended[d.ID] != "" {
+				return fmt.Errorf("ticket %d granted after %s", d.ID, m.ended[d.ID])
+			}
+			m.ended[d.ID] = "grant"
+			m.holding[d.ID] = d
+		case Refuse:
+			if m.ended[d.ID] != "" {
+				return fmt.Errorf("ticket %d refused after %s", d.ID, m.ended[d.ID])
+			}
+			m.ended[d.ID] = "refusal"
+		}
+	}
+	return m.check()
+}
+
+// check compares the controller with the permits that are known to be held.
+func (m *model) check() error {
+	taken, ordinary := make(map[string]int), make(map[string]int)
+	for id, g := range m.holding {
+		taken[g.Target]++
+		t := m.tickets[id]
+		if !t.urgent() {
+			ordinary[g.Target]++
+		}
+	}
+	for name, l := range m.limits {
+		m.most[name] = max(l.Permits, min(m.most[name], taken[name]))
+		m.most1[name] = max(l.Permits-l.Reserved, min(m.most1[name], ordinary[name]))
+		if taken[name] > m.most[name] || ordinary[name] > m.most1[name] {
+			return fmt.Errorf("%s: %d taken (%d ordinary) over %+v", name, taken[name], ordinary[name], l)
+		}
+		if got := m.c.InFlight(name); got != taken[name] {
+			return fmt.Errorf("%s: controller counts %d, held are %d", name, got, taken[name])
+		}
+	}
+	if got := m.c.Stats().Taken; got != len(m.holding) {
+		return fmt.Errorf("controller holds %d permits, held are %d", got, len(m.holding))
+	}
+	return m.checkQueue()
+}
+
+// checkQueue: no ticket is forgotten, and none waits while it could run.
+func (m *model) checkQueue() error {
+	for id := range m.tickets {
+		if m.ended[id] == "" && m.c.queued[id] == nil {
+			return fmt.Errorf("ticket %d vanished", id)
+		}
+	}
+	for id, w := range m.c.queued {
+		if m.ended[id] != "" {
+			return fmt.Errorf("ticket %d waits after %s", id, m.ended[id])
+		}
+		if w.MaxInFlight > 0 {
+			continue
+		}
+		for name := range m.limits {
+			if m.c.targets[name].free(w.urgent()) {
+				return fmt.Errorf("ticket %d waits though %s is free", id, name)
+			}
+		}
+	}
+	return nil
+}
+
+func (m *model) configure(t *rapid.T) error {
+	c := Configure{Lanes: map[string][]string{}}
+	m.limits = make(map[string]TargetLimit)
+	for _, name := range []string{"e1", "e2", "e3"} {
+		l := TargetLimit{Name: name, Permits: rapid.IntRange(0, 4).Draw(t, "permits")}
+		if l.Permits > 1 {
+			l.Reserved = rapid.IntRange(0, l.Permits-1).Draw(t, "reserved")
+		}
+		c.Targets = append(c.Targets, l)
+		c.Lanes[testLane] = append(c.Lanes[testLane], name)
+		m.limits[name] = l
+	}
+	return m.step(c)
+}
+
+func (m *model) submit(t *rapid.T) error {
+	m.next++
+	ticket := Ticket{
+		ID: m.next, Request: fmt.Sprint(m.next), Lane: testLane, Bytes: 10, Weight: 1, MaxQueued: 6,
+		Workspace: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"),
+		Priority:  target.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
+		Retry:     rapid.Bool().Draw(t, "retry"),
+		Deadline:  m.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "deadline")) * time.Millisecond),
+	}
+	if ticket.Workspace == "a" {
+		ticket.MaxInFlight = 2
+	}
+	m.tickets[ticket.ID] = ticket
+	return m.step(Submit{ticket})
+}
+
+func (m *model) anyID(t *rapid.T) uint64 { return rapid.Uint64Range(1, m.next+1).Draw(t, "id") }
+
+func (m *model) release(t *rapid.T) error {
+	r := Release{ID: m.anyID(t), Ended: rapid.Bool().Draw(t, "ended")}
+	if r.Ended {
+		delete(m.holding, r.ID)
+	}
+	return m.step(r)
+}
+
+func (m *model) cancel(t *rapid.T) error {
+	id := m.anyID(t)
+	if m.ended[id] == "" && m.c.queued[id] != nil {
+		m.ended[id] = "cancel"
+	}
+	return m.step(Cancel{id})
+}
+
+func (m *model) gone(t *rapid.T) error {
+	name := rapid.SampledFrom([]string{"e1", "e2", "e3"}).Draw(t, "target")
+	for id, g := range m.holding {
+		if g.Target == name && m.c.permits[id].left {
+			delete(m.holding, id)
+		}
+	}
+	return m.step(Gone{name})
+}
+
+// end releases everything and lets every deadline pass.
+func (m *model) end() error {
+	m.now = m.now.Add(time.Minute)
+	if err := m.step(Tick{}); err != nil {
+		return err
+	}
+	for id := uint64(1); id <= m.next; id++ {
+		if _, held := m.holding[id]; held {
+			delete(m.holding, id)
+			if err := m.step(Release{id, true}); err != nil {
+				return err
+			}
+		}
+	}
+	s := m.c.Stats()
+	if s.Queued != 0 || s.QueuedBytes != 0 || s.Taken != 0 || s.Left != 0 || len(m.c.workspaces) != 0 || len(m.c.lanes[testLane].flows) != 0 {
+		return fmt.Errorf("left over at the end: %+v", s)
+	}
+	return nil
+}
+
+func (m *model) run(t *rapid.T) error {
+	if err := m.configure(t); err != nil {
+		return err
+	}
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		var err error
+		switch rapid.IntRange(0, 9).Draw(t, "step") {
+		case 0:
+			err = m.configure(t)
+		case 1, 2, 3, 4:
+			err = m.submit(t)
+		case 5, 6:
+			err = m.release(t)
+		case 7:
+			err = m.cancel(t)
+		case 8:
+			err = m.gone(t)
+		case 9:
+			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			err = m.step(Tick{})
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return m.end()
+}
+
+func TestConservation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := newModel(nil).run(t); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+var breakages = map[string]breakage{
+	"a left attempt's permit is freed at once": func(_ *Controller, m Message) Message {
+		if r, ok := m.(Release); ok {
+			r.Ended = true
+			return r
+		}
+		return m
+	},
+	"a double release counts twice": func(c *Controller, m Message) Message {
+		if r, ok := m.(Release); ok && r.Ended && c.permits[r.ID] == nil && c.targets["e1"] != nil {
+			c.targets["e1"].taken--
+		}
+		return m
+	},
+	"a release is lost": func(_ *Controller, m Message) Message {
+		if r, ok := m.(Release); ok && r.Ended {
+			return nil
+		}
+		return m
+	},
+	"a cancel frees a granted permit": func(c *Controller, m Message) Message {
+		if x, ok := m.(Cancel); ok && c.permits[x.ID] != nil {
+			return Release{x.ID, true}
+		}
+		return m
+	},
+	"reserved permits are given to all": func(_ *Controller, m Message) Message {
+		if x, ok := m.(Configure); ok {
+			x.Targets = append([]TargetLimit(nil), x.Targets...)
+			for i := range x.Targets {
+				x.Targets[i].Reserved = 0
+			}
+			return x
+		}
+		return m
+	},
+	"a lower limit is ignored": func(c *Controller, m Message) Message {
+		if x, ok := m.(Configure); ok {
+			x.Targets = append([]TargetLimit(nil), x.Targets...)
+			for i, l := range x.Targets {
+				if old := c.targets[l.Name]; old != nil {
+					x.Targets[i].Permits = max(l.Permits, old.limit)
+				}
+			}
+			return x
+		}
+		return m
+	},
+	"a ticket is dropped without an answer": func(c *Controller, m Message) Message {
+		if x, ok := m.(Submit); ok && len(c.queued) > 1 && x.Ticket.ID%2 == 0 {
+			return nil
+		}
+		return m
+	},
+	"a ticket is dropped from the queue as time passes": func(c *Controller, m Message) Message {
+		if _, ok := m.(Tick); ok {
+			for _, w := range c.queued {
+				c.dequeue(w)
+				break
+			}
+		}
+		return m
+	},
+}
+
+// TestConservationFindsBreakage shows that the property fails for each way to
+// break it.
+func TestConservationFindsBreakage(t *testing.T) {
+	const tries = 2000
+	for name, spoil := range breakages {
+		t.Run(name, func(t *testing.T) {
+			run := rapid.Custom(func(t *rapid.T) string {
+				if err := newModel(spoil).run(t); err != nil {
+					return err.Error()
+				}
+				return ""
+			})
+			for seed := range tries {
+				if run.Example(seed) != "" {
+					return
+				}
+			}
+			t.Fatalf("not found in %d runs", tries)
+		})
+	}
+}
--- /dev/null
+++ b/admission/lane.go
@@ -0,0 +1,190 @@
+package admission
+
+import (
+	"sort"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// class orders waiting tickets; a smaller one goes first.
+type class int
+
+// Classes.
+const (
+	urgentClass class = iota
+	retryClass
+	normalClass
+	batchClass
+	classes
+)
+
+func (t *Ticket) urgent() bool { return t.Priority >= target.Urgent }
+
+func (t *Ticket) class() class {
+	switch {
+	case t.urgent():
+		return urgentClass
+	case t.Priority == target.Batch && !t.Retry:
+		return batchClass
+	}
+	return normalClass
+}
+
+// waiting is a ticket in a queue.
+type waiting struct {
+	Ticket
+	class   class
+	arrived time.Time // at the daemon
+	since   time.Time // in its class
+}
+
+// flow is what one workspace has in one lane.
+type flow struct {
+	workspace string
+	weight    int
+	inFlight  int
+	served    uint64 // lane's count of grants at the last grant of this flow
+	queues    [classes][]*waiting
+	queued    int
+}
+
+// load is the flow's use in relation to its weight.
+func (f *flow) load() float64 { return float64(f.inFlight) / float64(max(1, f.weight)) }
+
+// lane is the queue of one set of targets.
+type lane struct {
+	targets []string
+	flows   map[string]*flow
+	queued  [classes]int
+	total   int
+	grants  uint64
+	delayed int // attempts after a loss that wait with new work
+	streak  int // urgent grants in a row while others waited
+	hold    holdTime
+}
+
+func newLane() *lane { return &lane{flows: make(map[string]*flow)} }
+
+func (l *lane) flow(t *Ticket) *flow {
+	f := l.flows[t.Workspace]
+	if f == nil {
+		f = &flow{workspace: t.Workspace}
+		l.flows[t.Workspace] = f
+	}
+	f.weight = t.Weight
+	return f
+}
+
+func (l *lane) push(w *waiting) {
+	f := l.flow(&w.Ticket)
+	f.queues[w.class] = append(f.queues[w.class], w)
+	f.queued++
+	l.queued[w.class]++
+	l.total++
+	if w.Retry && w.class == normalClass {
+		l.delayed++
+	}
+}
+
+func (l *lane) remove(w *waiting) {
+	f := l.flows[w.Workspace]
+	q := f.queues[w.class]
+	for i, o := range q {
+		if o == w {
+			copy(q[i:], q[i+1:])
+			q[len(q)-1] = nil
+			f.queues[w.class] = q[:len(q)-1]
+			f.queued--
+			l.queued[w.class]--
+			l.total--
+			if w.Retry && w.class == normalClass {
+				l.delayed--
+			}
+			break
+		}
+	}
+	l.forget(f)
+}
+
+func (l *lane) forget(f *flow) {
+	if f.queued == 0 && f.inFlight == 0 {
+		delete(l.flows, f.workspace)
+	}
+}
+
+// order returns the flows that wait in a class: the least used in relation to
+// their weight first, then the one served longest ago.
+func (l *lane) order(c class) []*flow {
+	out := make([]*flow, 0, len(l.flows))
+	for _, f := range l.flows {
+		if len(f.queues[c]) > 0 {
+			out = append(out, f)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
+	return out
+}
+
+func (f *flow) before(o *flow) bool {
+	if a, b := f.load(), o.load(); a != b {
+		return a < b
+	}
+	if f.served != o.served {
+		return f.served < o.served
+	}
+	return f.workspace < o.workspace
+}
+
+// ahead returns how many tickets of the lane are expected to be granted before
+// a new ticket of a flow in a class.
+func (l *lane) ahead(t *Ticket, c class) int {
+	var before int
+	for i := urgentClass; i < c; i++ {
+		before += l.queued[i]
+	}
+	own, weight := 0, max(1, t.Weight)
+	if f := l.flows[t.Workspace]; f != nil {
+		own = len(f.queues[c])
+	}
+	turns := float64(own+1) / float64(weight)
+	for _, f := range l.flows {
+		if f.workspace != t.Workspace {
+			before += min(len(f.queues[c]), int(turns*float64(max(1, f.weight))+0.5))
+		}
+	}
+	return before + own
+}
+
+// age moves tickets up that waited a step in their class: batch work joins
+// normal work, and attempts over the retry budget join those within it. Only
+// confirmations are ever urgent.
+func (l *lane) age(now time.Time, step time.Duration) {
+	for _, c := range []class{normalClass, batchClass} {
+		if l.queued[c] == 0 || (c == normalClass && l.delayed == 0) {
+			continue
+		}
+		for _, f := range l.order(c) {
+			for _, w := range f.aged(now, c, step) {
+				l.remove(w)
+				w.class, w.since = c-1, now
+				l.push(w)
+			}
+		}
+	}
+}
+
+// aged returns the tickets of a flow that move up. Tickets of a class are in
+// the order of their times in it.
+func (f *flow) aged(now time.Time, c class, step time.Duration) []*waiting {
+	var out []*waiting
+	for _, w := range f.queues[c] {
+		if now.Sub(w.since) < step {
+			break
+		}
+		if c != normalClass || w.Retry {
+			out = append(out, w)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/admission/shares.go
@@ -0,0 +1,156 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of a target's home set: every daemon of a small fleet is home of every
+// target, so that each can serve each caller alone; in a large one a few homes
+// a target keep what one daemon polls and holds bounded.
+const (
+	smallFleet     = 8
+	largeFleetHome = 4
+)
+
+// Homes returns how many daemons share a target's permits.
+func Homes(live, permits int) int {
+	homes := live
+	if live > smallFleet {
+		homes = largeFleetHome
+	}
+	return min(homes, permits)
+}
+
+// Share is one daemon's part of a target's permits.
+type Share struct {
+	Permits  int
+	Reserved int
+}
+
+// Fleet is a set of daemons whose hashes are worked out once.
+type Fleet struct {
+	self   int
+	hashes []uint64
+	ids    []string
+}
+
+// NewFleet returns the fleet of the live daemons, of which self is one or not.
+func NewFleet(self string, live []string) *Fleet {
+	f := &Fleet{self: -1, ids: live}
+	for i, id := range live {
+		if id == self {
+			f.self = i
+		}
+		f.hashes = append(f.hashes, xxhash.Sum64String(id))
+	}
+	return f
+}
+
+// Share returns self's part. All daemons that see the same fleet and limits
+// work out parts that add up to the limits exactly: the homes are the daemons
+// with the highest rendezvous hashes, and remainders go to the first of them.
+func (f *Fleet) Share(target string, permits, reserved int) Share {
+	if f.self < 0 {
+		return Share{}
+	}
+	homes := Homes(len(f.ids), permits)
+	rank := f.rank(xxhash.Sum64String(target), homes)
+	if rank >= homes {
+		return Share{}
+	}
+	return Share{Permits: part(permits, homes, rank), Reserved: part(reserved, homes, rank)}
+}
+
+// rank returns how many daemons come before self, counted up to limit.
+func (f *Fleet) rank(target uint64, limit int) int {
+	own := mix(target ^ f.hashes[f.self])
+	var rank int
+	for i, h := range f.hashes {
+		w := mix(target ^ h)
+		if w > own || (w == own && f.ids[i] < f.ids[f.self]) {
+			if rank++; rank >= limit {
+				return rank
+			}
+		}
+	}
+	return rank
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func part(total, parts, rank int) int {
+	n := total / parts
+	if rank < total%parts {
+		n++
+	}
+	return n
+}
+
+// Shares turns wanted shares into those in use: a smaller one at once, a
+// greater one when it has been wanted for the delay, so that daemons whose
+// views differ for less than the delay never use more than the limit together.
+type Shares struct {
+	delay time.Duration
+	held  map[string]*heldShare
+}
+
+type heldShare struct {
+	use, want Share
+	since     time.Time // of want
+}
+
+// NewShares returns a daemon's shares, which are all empty.
+func NewShares(delay time.Duration) *Shares {
+	return &Shares{delay: delay, held: make(map[string]*heldShare)}
+}
+
+// Update takes the shares wanted now and returns whether one in use changed.
+// Targets that are not named lose their share at once.
+func (s *Shares) Update(now time.Time, want map[string]Share) bool {
+	changed := false
+	for name, h := range s.held {
+		if _, ok := want[name]; !ok {
+			delete(s.held, name)
+			changed = changed || h.use != Share{}
+		}
+	}
+	for name, w := range want {
+		h := s.held[name]
+		if h == nil {
+			h = &heldShare{want: w, since: now}
+			s.held[name] = h
+		}
+		changed = h.update(now, w, s.delay) || changed
+	}
+	return changed
+}
+
+func (h *heldShare) update(now time.Time, want Share, delay time.Duration) bool {
+	if want != h.want {
+		h.want, h.since = want, now
+	}
+	use := Share{Permits: min(h.use.Permits, want.Permits), Reserved: min(h.use.Reserved, want.Reserved)}
+	if now.Sub(h.since) >= delay {
+		use = want
+	}
+	changed := use != h.use
+	h.use = use
+	return changed
+}
+
+// Use returns the share in use of a target.
+func (s *Shares) Use(target string) Share {
+	if h := s.held[target]; h != nil {
+		return h.use
+	}
+	return Share{}
+}
--- /dev/null
+++ b/admission/shares_test.go
@@ -0,0 +1,130 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func daemons(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprint("vm-", i)
+	}
+	return out
+}
+
+// TestSharesAddUp: daemons that see the same fleet use the limits exactly, and
+// every target has a home.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		live := daemons(rapid.IntRange(1, 40).Draw(t, "live"))
+		permits := rapid.IntRange(1, 200).Draw(t, "permits")
+		reserved := rapid.IntRange(0, permits-1).Draw(t, "reserved")
+		name := rapid.StringN(1, 8, 8).Draw(t, "target")
+		var sum Share
+		homes := 0
+		for _, id := range live {
+			s := NewFleet(id, live).Share(name, permits, reserved)
+			sum.Permits += s.Permits
+			sum.Reserved += s.Reserved
+			if s.Permits > 0 {
+				homes++
+			}
+			if s.Reserved > s.Permits {
+				t.Fatalf("%d of %d permits reserved", s.Reserved, s.Permits)
+			}
+		}
+		if sum.Permits != permits || sum.Reserved != reserved {
+			t.Fatalf("shares add up to %+v, not %d and %d", sum, permits, reserved)
+		}
+		if homes != Homes(len(live), permits) || homes == 0 {
+			t.Fatalf("%d homes", homes)
+		}
+	})
+}
+
+func TestOutsiderHasNoShare(t *testing.T) {
+	if s := NewFleet("vm-9", daemons(3)).Share("e1", 16, 2); s != (Share{}) {
+		t.Fatalf("a daemon that is not live has %+v", s)
+	}
+}
+
+// fleetModel runs daemons whose views of a changing fleet lag by up to a bound.
+type fleetModel struct {
+	delay time.Duration
+	lag   time.Duration
+	all   []string
+	use   map[string]*Shares
+}
+
+type change struct {
+	at   time.Duration
+	live []string
+}
+
+// view returns what a daemon whose view lags sees.
+func view(changes []change, at time.Duration) []string {
+	seen := changes[0].live
+	for _, c := range changes {
+		if c.at <= at {
+			seen = c.live
+		}
+	}
+	return seen
+}
+
+// total returns the permits in use by all daemons at a time.
+func (m *fleetModel) total(t *rapid.T, changes []change, at time.Duration, name string, permits int) int {
+	var sum int
+	for _, id := range m.all {
+		lag := time.Duration(rapid.Int64Range(0, int64(m.lag)).Draw(t, "lag"))
+		want := NewFleet(id, view(changes, at-lag)).Share(name, permits, 0)
+		m.use[id].Update(start.Add(at), map[string]Share{name: want})
+		sum += m.use[id].Use(name).Permits
+	}
+	return sum
+}
+
+// churn returns the greatest sum of shares in use while the fleet changes.
+func churn(t *rapid.T, delay, lag time.Duration) int {
+	const permits, step = 16, 100 * time.Millisecond
+	m := &fleetModel{delay: delay, lag: lag, all: daemons(12), use: make(map[string]*Shares)}
+	for _, id := range m.all {
+		m.use[id] = NewShares(delay)
+	}
+	changes := []change{{0, m.all[:rapid.IntRange(1, 12).Draw(t, "live")]}}
+	for i := range rapid.IntRange(1, 4).Draw(t, "changes") {
+		at := time.Duration(i+1) * time.Duration(rapid.IntRange(1, 40).Draw(t, "gap")) * step
+		from := rapid.IntRange(0, 11).Draw(t, "from")
+		changes = append(changes, change{at, m.all[from:rapid.IntRange(from+1, 12).Draw(t, "to")]})
+	}
+	most := 0
+	for at := time.Duration(0); at < 8*time.Second; at += step {
+		most = max(most, m.total(t, changes, at, "e1", permits))
+	}
+	return most
+}
+
+// TestSharesUnderChurn: a delay above the lag of views keeps the sum within the
+// limit at all times, however the fleet changes.
+func TestSharesUnderChurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if most := churn(t, 2*time.Second, time.Second); most > 16 {
+			t.Fatalf("%d of 16 permits in use", most)
+		}
+	})
+}
+
+// TestSharesNeedTheDelay shows that the property fails without it.
+func TestSharesNeedTheDelay(t *testing.T) {
+	run := rapid.Custom(func(t *rapid.T) int { return churn(t, 0, time.Second) })
+	for seed := range 200 {
+		if run.Example(seed) > 16 {
+			return
+		}
+	}
+	t.Fatal("growing at once never exceeded the limit")
+}
--- /dev/null
+++ b/admission/stats.go
@@ -0,0 +1,37 @@
+package admission
+
+// Stats are the sizes of a controller's state.
+type Stats struct {
+	Queued      int
+	QueuedBytes int64
+	Taken       int // permits, left ones included
+	Left        int
+	Permits     int // this daemon's share of all targets' permits
+}
+
+// Stats returns the sizes now.
+func (c *Controller) Stats() Stats {
+	s := Stats{Queued: len(c.queued), QueuedBytes: c.bytes, Taken: len(c.permits)}
+	for _, l := range c.targets {
+		s.Left += l.left
+		s.Permits += l.limit
+	}
+	return s
+}
+
+// InFlight returns the permits of a target that are taken on this daemon.
+func (c *Controller) InFlight(target string) int {
+	if l := c.targets[target]; l != nil {
+		return l.taken
+	}
+	return 0
+}
+
+// HoldSeconds returns the mean time that a lane's permits are held, in
+// seconds, or 0 while it is not known.
+func (c *Controller) HoldSeconds(lane string) float64 {
+	if l := c.lanes[lane]; l != nil {
+		return l.hold.mean.Seconds()
+	}
+	return 0
+}
