Routing: filters, balancer, one scorer a file, cache and load views, offline comparison

Cause: routing knew its own requests only. Ruled out by comparison: the newest report as it is (all daemons move to the same target), best of two. Reports enter as a slow mean of what others run.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "standin", SilenceUsage: true}
-	root.AddCommand(platformCommand(), engineCommand(), bookingCommand(), checkCommand())
+	root.AddCommand(platformCommand(), engineCommand(), bookingCommand(), checkCommand(), routeCompareCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
--- /dev/null
+++ b/routing/compare/run.go
@@ -0,0 +1,265 @@
+package compare
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/routing"
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// Policy is one way to route, with the sources that it may use.
+type Policy struct {
+	Name      string
+	Scheduler routing.Scheduler
+	Reports   Reports
+}
+
+// Reports is how a policy uses load reports.
+type Reports int
+
+// Uses of load reports.
+const (
+	Unused   Reports = iota
+	Newest           // the newest report as it is
+	Smoothed         // own requests and the smoothed part of others, see routing.Loads
+)
+
+// Policies returns the steps of routing, each added to the one before.
+func Policies() []Policy {
+	base := []routing.Filter{routing.Available{}, routing.SameVersion{}, routing.Share{}}
+	own := routing.Weighted{Scorer: routing.LeastInFlight{}, Weight: 1}
+	load := routing.Weighted{Scorer: routing.LeastLoad{}, Weight: 1}
+	prefix := routing.Weighted{Scorer: routing.CachedPrefix{}, Weight: 1}
+	step := func(name string, reports Reports, p routing.Picker, scorers ...routing.Weighted) Policy {
+		return Policy{Name: name, Reports: reports, Scheduler: routing.Scheduler{Filters: base, Scorers: scorers, Picker: p}}
+	}
+	return []Policy{
+		step("random", Unused, routing.Best{}),
+		step("least own requests", Unused, routing.Best{}, own),
+		step("newest report alone", Newest, routing.Best{}, load),
+		step("newest report, best of two", Newest, routing.Choices{Count: 2}, load),
+		step("+ load reports", Smoothed, routing.Best{}, load),
+		step("+ prefix cache", Smoothed, routing.Best{}, load, prefix),
+		{Name: "+ bounded imbalance (default)", Reports: Smoothed, Scheduler: routing.Default()},
+	}
+}
+
+// Result is what a policy did with a trace.
+type Result struct {
+	Policy        string
+	FirstToken    *hdrhistogram.Histogram // microseconds
+	PrefillTokens int64
+	CachedTokens  int64
+	PeakLoad      float64 // greatest running and waiting of one engine over its slots
+}
+
+type eventKind int
+
+const (
+	arrives eventKind = iota
+	prefilled
+	ends
+	polls
+)
+
+type event struct {
+	at      time.Duration
+	order   int
+	kind    eventKind
+	request *request
+	daemon  int
+	engine  int
+}
+
+type eventQueue []event
+
+// Len implements heap.Interface.
+func (q eventQueue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].order < q[j].order
+}
+
+// Swap implements heap.Interface.
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+type daemon struct {
+	loads    *routing.Loads
+	prefixes *routing.Prefixes
+	inFlight []int
+}
+
+type evaluation struct {
+	site    Site
+	policy  Policy
+	random  *rand.Rand
+	queue   eventQueue
+	pushed  int
+	left    int // requests that have not ended
+	engines []*engine
+	daemons []*daemon
+	names   []string
+	targets []configuration.Target
+	sizes   map[uint64]int
+	result  Result
+}
+
+const maxFirstToken = int64(time.Hour / time.Microsecond)
+
+// Run routes a trace by one policy.
+func Run(site Site, trace []Arrival, p Policy, seed uint64) Result {
+	v := &evaluation{
+		site: site, policy: p, random: rand.New(rand.NewPCG(seed, 2)), left: len(trace), sizes: make(map[uint64]int),
+		result: Result{Policy: p.Name, FirstToken: hdrhistogram.New(1, maxFirstToken, 3)},
+	}
+	for i := range site.Engines {
+		name := strconv.Itoa(i)
+		v.names = append(v.names, name)
+		v.engines = append(v.engines, newEngine())
+		v.targets = append(v.targets, configuration.Target{Name: name, Permits: site.Slots})
+	}
+	for d := range site.Daemons {
+		v.daemons = append(v.daemons, &daemon{routing.NewLoads(), routing.NewPrefixes(), make([]int, site.Engines)})
+		for e := range site.Engines {
+			v.push(event{at: time.Duration(v.random.Int64N(int64(site.PollPeriod))), kind: polls, daemon: d, engine: e})
+		}
+	}
+	for _, a := range trace {
+		v.sizes[a.Prefix] = a.Shared
+		v.push(event{at: a.At, kind: arrives, request: &request{Arrival: a, daemon: uneven(v.random, site.Daemons)}})
+	}
+	for v.left > 0 {
+		v.step(heap.Pop(&v.queue).(event))
+	}
+	return v.result
+}
+
+func (v *evaluation) push(e event) {
+	e.order = v.pushed
+	v.pushed++
+	heap.Push(&v.queue, e)
+}
+
+func clock(at time.Duration) time.Time { return time.Unix(0, 0).Add(time.Hour + at) }
+
+func (v *evaluation) step(e event) {
+	switch e.kind {
+	case arrives:
+		v.route(e.at, e.request)
+	case prefilled:
+		v.firstToken(e.at, e.request)
+	case ends:
+		v.end(e.at, e.request)
+	case polls:
+		v.poll(e)
+	}
+}
+
+func (v *evaluation) route(now time.Duration, r *request) {
+	d := v.daemons[r.daemon]
+	blocks := blocksOf(&r.Arrival)
+	candidates := make([]routing.Candidate, 0, len(v.engines))
+	for i, name := range v.names {
+		report, _ := d.loads.Report(name)
+		candidates = append(candidates, routing.Candidate{
+			Target: v.targets[i], Free: true, InFlight: d.inFlight[i], Estimated: v.estimate(d, i),
+			Slots: report.Slots, CachedBlocks: d.prefixes.Leading(clock(now), name, blocks),
+		})
+	}
+	chosen, err := v.policy.Scheduler.Pick(&routing.Request{Blocks: blocks, Pinned: configuration.NewSystem}, candidates, v.random)
+	if err != nil {
+		return
+	}
+	r.engine, _ = strconv.Atoi(chosen.Target.Name)
+	d.inFlight[r.engine]++
+	v.changed(now, r, 1)
+	e := v.engines[r.engine]
+	e.waiting = append(e.waiting, r)
+	v.result.PeakLoad = max(v.result.PeakLoad, float64(e.running+len(e.waiting))/float64(v.site.Slots))
+	v.start(now, e)
+}
+
+func (v *evaluation) estimate(d *daemon, e int) float64 {
+	switch v.policy.Reports {
+	case Newest:
+		report, _ := d.loads.Report(v.names[e])
+		return float64(report.Running + report.Queued)
+	case Smoothed:
+		return d.loads.Estimate(v.names[e])
+	default:
+		return float64(d.inFlight[e])
+	}
+}
+
+func (v *evaluation) changed(now time.Duration, r *request, delta int) {
+	v.daemons[r.daemon].loads.Changed(clock(now), v.names[r.engine], delta)
+}
+
+// start prefills waiting requests while the batch has room.
+func (v *evaluation) start(now time.Duration, e *engine) {
+	for len(e.waiting) > 0 && e.running < v.site.Slots {
+		r := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		e.running++
+		tokens := int64(r.Shared+r.Own) * blockTokens
+		var cached int64
+		if e.touch(&r.Arrival) {
+			cached = int64(r.Shared) * blockTokens
+		}
+		e.evict(v.site.CacheBlocks, v.sizes)
+		v.result.PrefillTokens += tokens - cached
+		v.result.CachedTokens += cached
+		e.prefill = max(e.prefill, now) + time.Duration(float64(tokens-cached)/v.site.PrefillRate*float64(time.Second))
+		v.push(event{at: e.prefill, kind: prefilled, request: r})
+	}
+}
+
+func (v *evaluation) firstToken(now time.Duration, r *request) {
+	_ = v.result.FirstToken.RecordValue(max(1, int64((now-r.At)/time.Microsecond)))
+	v.push(event{at: now + time.Duration(r.Tokens)*v.site.TokenInterval, kind: ends, request: r})
+}
+
+func (v *evaluation) end(now time.Duration, r *request) {
+	v.left--
+	v.daemons[r.daemon].inFlight[r.engine]--
+	v.changed(now, r, -1)
+	e := v.engines[r.engine]
+	e.running--
+	v.start(now, e)
+}
+
+func (v *evaluation) poll(p event) {
+	e, d := v.engines[p.engine], v.daemons[p.daemon]
+	if p.at-e.reported > v.site.LoadLag {
+		e.report = target.Load{Running: e.running, Queued: len(e.waiting), Slots: v.site.Slots}
+		e.reported = p.at
+	}
+	report := e.report
+	report.AgeMillis = (p.at - e.reported).Milliseconds()
+	name := v.names[p.engine]
+	d.loads.Polled(clock(p.at), name, report)
+	d.prefixes.Apply(clock(p.at), name, e.events[d.prefixes.After(name):])
+	p.at += v.site.PollPeriod/2 + time.Duration(v.random.Int64N(int64(v.site.PollPeriod)))
+	v.push(p)
+}
--- a/routing/filter.go
+++ b/routing/filter.go
@@ -6,7 +6,7 @@
 type Available struct{}
 
 // Keep implements Filter.
-func (Available) Keep(r Request, c Candidate) bool {
+func (Available) Keep(r *Request, c *Candidate) bool {
 	return !c.Leaving && !c.Down && !r.Exclude[c.Target.Name]
 }
 
@@ -15,7 +15,7 @@
 type SameVersion struct{}
 
 // Keep implements Filter.
-func (SameVersion) Keep(r Request, c Candidate) bool {
+func (SameVersion) Keep(r *Request, c *Candidate) bool {
 	return r.Version == "" || c.Version == "" || c.Version == r.Version
 }
 
@@ -23,10 +23,12 @@
 type Share struct{}
 
 // Keep implements Filter.
-func (Share) Keep(r Request, c Candidate) bool {
-	side := c.Target.System
-	if side == "" {
-		side = configuration.NewSystem
+func (Share) Keep(r *Request, c *Candidate) bool { return SideOf(&c.Target) == r.Pinned }
+
+// SideOf returns the side of a migration that a target belongs to.
+func SideOf(t *configuration.Target) configuration.System {
+	if t.System == "" {
+		return configuration.NewSystem
 	}
-	return side == r.Pinned
+	return t.System
 }
--- /dev/null
+++ b/routing/loads.go
@@ -0,0 +1,148 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// othersWeight is the weight of the newest report in the mean of what others
+// run on a target. All daemons see the same reports; a small weight keeps them
+// from moving to the same target together and back.
+const othersWeight = 0.1
+
+// maxChanges bounds the own changes kept per target between two reports.
+const maxChanges = 512
+
+// Loads is what a daemon knows of its targets' load. It is not safe for
+// concurrent use.
+type Loads struct {
+	targets map[string]*targetLoad
+}
+
+type targetLoad struct {
+	report  target.Load
+	at      time.Time // when the report was true; zero before the first
+	oldSeen time.Time // last start of a poll that saw the incarnation before
+	polled  time.Time // start of the newest poll that succeeded
+	down    bool
+	own     int      // own requests now
+	others  float64  // mean of what others run and wait for
+	changes []change // own, since the report was true
+}
+
+// change is an own grant (+1) or release (-1).
+type change struct {
+	at    time.Time
+	delta int
+}
+
+// NewLoads returns loads without targets.
+func NewLoads() *Loads { return &Loads{targets: make(map[string]*targetLoad)} }
+
+func (l *Loads) target(name string) *targetLoad {
+	t := l.targets[name]
+	if t == nil {
+		t = &targetLoad{}
+		l.targets[name] = t
+	}
+	return t
+}
+
+// Changed notes an own grant (+1) or release (-1).
+func (l *Loads) Changed(now time.Time, name string, delta int) {
+	t := l.target(name)
+	t.own += delta
+	if len(t.changes) == maxChanges {
+		t.changes[1].delta += t.changes[0].delta
+		t.changes = append(t.changes[:0], t.changes[1:]...)
+	}
+	t.changes = append(t.changes, change{now, delta})
+}
+
+// Polled takes the report of a poll that was sent at asked. It returns whether
+// the target was down, and whether it runs anew since the last report.
+func (l *Loads) Polled(asked time.Time, name string, report target.Load) (back, restarted bool) {
+	t := l.target(name)
+	back, t.down = t.down, false
+	restarted = t.report.Incarnation != 0 && report.Incarnation != t.report.Incarnation
+	if restarted {
+		t.oldSeen = t.polled
+	}
+	t.polled = asked
+	t.report = report
+	first := t.at.IsZero()
+	t.at = asked.Add(-time.Duration(report.AgeMillis) * time.Millisecond)
+	t.prune()
+	t.learn(first || restarted)
+	return back, restarted
+}
+
+// learn takes the part of the report that is not this daemon's.
+func (t *targetLoad) learn(anew bool) {
+	then := t.own
+	for _, c := range t.changes {
+		then -= c.delta
+	}
+	others := float64(max(0, t.report.Running+t.report.Queued-then))
+	if anew {
+		t.others = others
+		return
+	}
+	t.others += othersWeight * (others - t.others)
+}
+
+// prune forgets the changes that the report contains.
+func (t *targetLoad) prune() {
+	for i, c := range t.changes {
+		if c.at.After(t.at) {
+			t.changes = append(t.changes[:0], t.changes[i:]...)
+			return
+		}
+	}
+	t.changes = t.changes[:0]
+}
+
+// Failed notes that a poll, a probe or an open found the target dead.
+func (l *Loads) Failed(name string) { l.target(name).down = true }
+
+// Down tells whether the target was seen dead and no poll succeeded since.
+func (l *Loads) Down(name string) bool {
+	t := l.targets[name]
+	return t != nil && t.down
+}
+
+// Report returns the newest report and when it was true.
+func (l *Loads) Report(name string) (target.Load, time.Time) {
+	if t := l.targets[name]; t != nil {
+		return t.report, t.at
+	}
+	return target.Load{}, time.Time{}
+}
+
+// RestartedAfter returns a time before which everything granted on the target
+// ran on the incarnation before the reported one; zero if there was none.
+func (l *Loads) RestartedAfter(name string) time.Time {
+	if t := l.targets[name]; t != nil {
+		return t.oldSeen
+	}
+	return time.Time{}
+}
+
+// Estimate returns the requests that run and wait on the target: the own ones,
+// and the mean of what reports tell of others.
+func (l *Loads) Estimate(name string) float64 {
+	if t := l.targets[name]; t != nil {
+		return float64(t.own) + t.others
+	}
+	return 0
+}
+
+// Keep forgets the targets for which fn returns false.
+func (l *Loads) Keep(fn func(name string) bool) {
+	for name := range l.targets {
+		if !fn(name) {
+			delete(l.targets, name)
+		}
+	}
+}
--- /dev/null
+++ b/routing/loads_test.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestLoads(t *testing.T) {
+	Convey("Given a daemon's loads", t, func() {
+		l := NewLoads()
+		at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+		report := func(ms, age, running int, incarnation uint64) (bool, bool) {
+			return l.Polled(at(ms), "e", target.Load{Running: running, AgeMillis: int64(age), Incarnation: incarnation})
+		}
+		Convey("own requests count at once", func() {
+			l.Changed(at(0), "e", 1)
+			l.Changed(at(1), "e", 1)
+			l.Changed(at(2), "e", -1)
+			So(l.Estimate("e"), ShouldEqual, 1)
+		})
+		Convey("own requests that a report contains are not counted twice", func() {
+			l.Changed(at(0), "e", 1)
+			report(100, 50, 4, 1)
+			So(l.Estimate("e"), ShouldEqual, 4)
+		})
+		Convey("own requests after the time of a lagging report count on top of it", func() {
+			l.Changed(at(90), "e", 1)
+			report(100, 50, 4, 1)
+			So(l.Estimate("e"), ShouldEqual, 5)
+			l.Changed(at(110), "e", 1)
+			So(l.Estimate("e"), ShouldEqual, 6)
+		})
+		Convey("what others run is smoothed", func() {
+			report(100, 0, 10, 1)
+			report(200, 0, 0, 1)
+			So(l.Estimate("e"), ShouldAlmostEqual, 10*(1-othersWeight))
+		})
+		Convey("a restart is seen and its report taken as it is", func() {
+			report(100, 0, 10, 1)
+			_, restarted := report(200, 0, 0, 2)
+			So(restarted, ShouldBeTrue)
+			So(l.Estimate("e"), ShouldEqual, 0)
+			So(l.RestartedAfter("e"), ShouldEqual, at(100))
+		})
+		Convey("a dead target is down until a poll succeeds", func() {
+			report(100, 0, 1, 1)
+			l.Failed("e")
+			So(l.Down("e"), ShouldBeTrue)
+			back, _ := report(200, 0, 1, 1)
+			So(back, ShouldBeTrue)
+			So(l.Down("e"), ShouldBeFalse)
+		})
+		Convey("memory is bounded without reports, and the count stays right", func() {
+			for i := range 3 * maxChanges {
+				l.Changed(at(i), "e", 1)
+			}
+			So(len(l.targets["e"].changes), ShouldBeLessThanOrEqualTo, maxChanges)
+			So(l.Estimate("e"), ShouldEqual, 3*maxChanges)
+		})
+		Convey("targets that left are forgotten", func() {
+			report(100, 0, 1, 1)
+			l.Keep(func(string) bool { return false })
+			So(l.targets, ShouldBeEmpty)
+		})
+	})
+}
--- /dev/null
+++ b/routing/pick.go
@@ -0,0 +1,38 @@
+package routing
+
+import "math/rand/v2"
+
+// Best picks the highest score; equal ones by chance.
+type Best struct{}
+
+// Pick implements Picker.
+func (Best) Pick(scores []float64, random *rand.Rand) int {
+	best, ties := 0, 1
+	for i := 1; i < len(scores); i++ {
+		switch {
+		case scores[i] > scores[best]:
+			best, ties = i, 1
+		case scores[i] == scores[best]:
+			ties++
+			if random.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// Choices picks the best of a few candidates drawn by chance, so that daemons
+// that share a view do not all pick the same target.
+type Choices struct{ Count int }
+
+// Pick implements Picker.
+func (p Choices) Pick(scores []float64, random *rand.Rand) int {
+	best := random.IntN(len(scores))
+	for range p.Count - 1 {
+		if i := random.IntN(len(scores)); scores[i] > scores[best] {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/routing/prefix_test.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+func added(sequence int64, block uint64) target.CacheEvent {
+	return target.CacheEvent{Sequence: sequence, Block: block}
+}
+
+func TestPrefixes(t *testing.T) {
+	Convey("Given a view that holds blocks 1 to 3 of a target", t, func() {
+		p := NewPrefixes()
+		p.Apply(start, "e", []target.CacheEvent{added(1, 1), added(2, 2), added(3, 3)})
+		leading := func(blocks ...uint64) int { return p.Leading(start, "e", blocks) }
+		So(leading(1, 2, 3, 4), ShouldEqual, 3)
+		cases := []struct {
+			name   string
+			events []target.CacheEvent
+			gap    bool
+			want   int // leading blocks of 1 2 3 4
+		}{
+			{"a block that is gained counts", []target.CacheEvent{added(4, 4)}, false, 4},
+			{"a last block that is dropped does not", []target.CacheEvent{{Sequence: 4, Block: 3, Dropped: true}}, false, 2},
+			{"without its first block a prompt is not held", []target.CacheEvent{{Sequence: 4, Block: 1, Dropped: true}}, false, 0},
+			{"a cleared cache holds nothing", []target.CacheEvent{{Sequence: 4, Cleared: true}}, false, 0},
+			{"late repeats change nothing", []target.CacheEvent{{Sequence: 2, Block: 2, Dropped: true}, added(3, 3)}, false, 3},
+			{"a gap forgets what may have been dropped", []target.CacheEvent{added(6, 4)}, true, 0},
+			{"after a gap the view heals", []target.CacheEvent{added(6, 1), added(7, 2)}, true, 2},
+		}
+		for _, c := range cases {
+			Convey(c.name, func() {
+				So(p.Apply(start, "e", c.events), ShouldEqual, c.gap)
+				So(leading(1, 2, 3, 4), ShouldEqual, c.want)
+			})
+		}
+		Convey("another prompt finds nothing", func() { So(leading(9, 2, 3), ShouldEqual, 0) })
+		Convey("an old view is not trusted", func() {
+			So(p.Leading(start.Add(maxViewAge+time.Second), "e", []uint64{1}), ShouldEqual, 0)
+		})
+		Convey("a target that restarted starts anew", func() {
+			p.Forget("e")
+			So(p.After("e"), ShouldEqual, 0)
+			So(leading(1), ShouldEqual, 0)
+		})
+	})
+}
+
+// TestPrefixViewNeverOutlivesADrop: whatever events are lost, a block that the
+// target dropped is not believed to be held once a later event arrived.
+func TestPrefixViewNeverOutlivesADrop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPrefixes()
+		held := make(map[uint64]bool)
+		for sequence := int64(1); sequence < 60; sequence++ {
+			e := target.CacheEvent{Sequence: sequence, Block: rapid.Uint64Range(1, 5).Draw(t, "block"), Dropped: rapid.Bool().Draw(t, "dropped")}
+			held[e.Block] = !e.Dropped
+			if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+				continue
+			}
+			p.Apply(start, "e", []target.CacheEvent{e})
+			for b := range p.targets["e"].blocks {
+				if !held[b] {
+					t.Fatalf("block %d is believed to be held after event %d", b, sequence)
+				}
+			}
+		}
+	})
+}
+
+func TestPrefixViewIsBounded(t *testing.T) {
+	p := NewPrefixes()
+	var sequence int64
+	for i := range uint64(20 * maxViewBlocks) {
+		sequence++
+		p.Apply(start, "e", []target.CacheEvent{added(sequence, i)})
+		if i%3 == 0 {
+			sequence++
+			p.Apply(start, "e", []target.CacheEvent{{Sequence: sequence, Block: i, Dropped: true}})
+		}
+	}
+	v := p.targets["e"]
+	if len(v.blocks) > maxViewBlocks || len(v.order) > 2*maxViewBlocks+1 {
+		t.Fatalf("%d blocks, %d in order", len(v.blocks), len(v.order))
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,6 +1,7 @@
-// Package routing picks the target of a request in three steps: filters drop
-// targets that must not be used, scorers rate the rest, and a picker chooses.
-// All of it is pure: the view and the random source are inputs.
+// Package routing picks the target of a request in four steps: filters drop
+// targets that must not be used, a balancer drops those that are far more
+// loaded than the others, scorers rate the rest, and a picker chooses. All of
+// it is pure: the view and the random source are inputs.
 package routing
 
 import (
@@ -14,39 +15,68 @@
 // ErrNoTarget is returned when no target passes the filters.
 var ErrNoTarget = errors.New("no target passes the filters")
 
+// ErrBusy is returned when targets pass the filters and none has a free permit.
+var ErrBusy = errors.New("no target has a free permit")
+
 // Request is what routing needs to know of a request.
 type Request struct {
-	ID        string
-	Service   *configuration.ServiceView
-	Labels    map[string]string
-	Blocks    []uint64        // prompt prefix blocks, see target.BlockHashes
-	Version   string          // model version the answer must go on with
-	Exclude   map[string]bool // targets that this request lost
-	Pinned    configuration.System
-	FromPlace string
+	ID        string                     `json:"id"`
+	Service   *configuration.ServiceView `json:"-"`
+	Labels    map[string]string          `json:"-"`
+	Blocks    []uint64                   `json:"blocks,omitempty"`  // prompt prefix blocks, see target.BlockHashes
+	Version   string                     `json:"version,omitempty"` // model version the answer must go on with
+	Exclude   map[string]bool            `json:"exclude,omitempty"` // targets that this request lost
+	Pinned    configuration.System       `json:"pinned"`
+	FromPlace string                     `json:"from_place"`
 }
 
+// Near tells how far a target is.
+type Near int
+
+// Distances.
+const (
+	Far Near = iota
+	SameRegion
+	SamePlace
+)
+
 // Candidate is one target with what is known of it now.
 type Candidate struct {
 	Target       configuration.Target
+	Free         bool    // this daemon has a free permit
 	InFlight     int     // own requests, exact
-	Reported     int     // running and queued, from a load report that lags
-	Slots        int     // size of the engine's batch
+	Estimated    float64 // all requests, see Loads.Estimate
+	Slots        int     // size of the engine's batch, 0 if not reported
 	Version      string  // reported version of the service's model, if any
 	Leaving      bool    // from any source
 	Down         bool    // seen dead
 	CachedBlocks int     // leading blocks of the prompt found in its cache view
-	WaitSeconds  float64 // expected time before new work starts
+	Near         Near
+}
+
+// Load is the target's requests in relation to what it runs at once.
+func (c *Candidate) Load() float64 {
+	size := c.Slots
+	if size <= 0 {
+		size = max(1, c.Target.Permits)
+	}
+	return max(float64(c.InFlight), c.Estimated) / float64(size)
 }
 
 // Filter keeps the candidates that may be used.
 type Filter interface {
-	Keep(r Request, c Candidate) bool
+	Keep(r *Request, c *Candidate) bool
+}
+
+// Balancer drops candidates that are loaded far beyond the others. It keeps at
+// least one.
+type Balancer interface {
+	Balance(candidates []Candidate) []Candidate
 }
 
 // Scorer rates a candidate from 0 (worst) to 1 (best).
 type Scorer interface {
-	Score(r Request, c Candidate) float64
+	Score(r *Request, c *Candidate) float64
 }
 
 // Weighted is a scorer with its weight.
@@ -55,39 +85,56 @@
 	Weight float64
 }
 
-// Picker chooses among scored candidates.
+// Picker chooses among candidates with their scores.
 type Picker interface {
-	Pick(r Request, scored []Scored, random *rand.Rand) int
-}
-
-// Scored is a candidate with its weighted score.
-type Scored struct {
-	Candidate
-	Score float64
+	Pick(scores []float64, random *rand.Rand) int
 }
 
-// Scheduler is one combination of filters, scorers and a picker.
+// Scheduler is one combination of filters, a balancer, scorers and a picker.
 type Scheduler struct {
-	Filters []Filter
-	Scorers []Weighted
-	Picker  Picker
+	Filters  []Filter
+	Balancer Balancer // nil for none
+	Scorers  []Weighted
+	Picker   Picker
 }
 
-// Pick returns the target for r, or ErrNoTarget.
-func (s Scheduler) Pick(r Request, candidates []Candidate, random *rand.Rand) (Candidate, error) {
-	var scored []Scored
-	for _, c := range candidates {
-		if s.keep(r, c) {
-			scored = append(scored, Scored{c, s.score(r, c)})
+// Pick returns the target for r, ErrBusy or ErrNoTarget. It reorders and
+// overwrites candidates.
+func (s Scheduler) Pick(r *Request, candidates []Candidate, random *rand.Rand) (Candidate, error) {
+	kept := candidates[:0]
+	for i := range candidates {
+		if s.keep(r, &candidates[i]) {
+			kept = append(kept, candidates[i])
 		}
 	}
-	if len(scored) == 0 {
+	if len(kept) == 0 {
 		return Candidate{}, errors.WithStack(ErrNoTarget)
 	}
-	return scored[s.Picker.Pick(r, scored, random)].Candidate, nil
+	kept = free(kept)
+	if len(kept) == 0 {
+		return Candidate{}, errors.WithStack(ErrBusy)
+	}
+	if s.Balancer != nil {
+		kept = s.Balancer.Balance(kept)
+	}
+	scores := make([]float64, len(kept))
+	for i := range kept {
+		scores[i] = s.score(r, &kept[i])
+	}
+	return kept[s.Picker.Pick(scores, random)], nil
+}
+
+func free(candidates []Candidate) []Candidate {
+	kept := candidates[:0]
+	for _, c := range candidates {
+		if c.Free {
+			kept = append(kept, c)
+		}
+	}
+	return kept
 }
 
-func (s Scheduler) keep(r Request, c Candidate) bool {
+func (s Scheduler) keep(r *Request, c *Candidate) bool {
 	for _, f := range s.Filters {
 		if !f.Keep(r, c) {
 			return false
@@ -96,7 +143,7 @@
 	return true
 }
 
-func (s Scheduler) score(r Request, c Candidate) float64 {
+func (s Scheduler) score(r *Request, c *Candidate) float64 {
 	var sum float64
 	for _, w := range s.Scorers {
 		sum += w.Weight * w.Scorer.Score(r, c)
--- /dev/null
+++ b/routing/score_test.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func TestScorers(t *testing.T) {
+	Convey("Scores lie between 0 and 1 and rise with what a scorer prefers", t, func() {
+		r := &Request{Blocks: []uint64{1, 2, 3, 4}}
+		cases := []struct {
+			scorer      Scorer
+			worse, best Candidate
+		}{
+			{LeastLoad{}, engine("a", loaded(5)), engine("b", loaded(4))},
+			{LeastInFlight{}, engine("a", func(c *Candidate) { c.InFlight = 2 }), engine("b", nil)},
+			{CachedPrefix{}, engine("a", nil), engine("b", func(c *Candidate) { c.CachedBlocks = 3 })},
+			{Nearest{}, engine("a", nil), engine("b", func(c *Candidate) { c.Near = SameRegion })},
+		}
+		for _, c := range cases {
+			worse, best := c.scorer.Score(r, &c.worse), c.scorer.Score(r, &c.best)
+			So(worse, ShouldBeLessThan, best)
+			So(worse, ShouldBeGreaterThanOrEqualTo, 0)
+			So(best, ShouldBeLessThanOrEqualTo, 1)
+		}
+		So(CachedPrefix{}.Score(&Request{}, &cases[2].best), ShouldEqual, 0)
+	})
+}
+
+func TestBoundedKeepsOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var cs []Candidate
+		for range rapid.IntRange(1, 9).Draw(t, "candidates") {
+			cs = append(cs, engine("e", loaded(float64(rapid.IntRange(0, 40).Draw(t, "load")))))
+		}
+		if len(Bounded{1, 0}.Balance(cs)) == 0 {
+			t.Fatal("no candidate left")
+		}
+	})
+}
+
+func TestPickers(t *testing.T) {
+	Convey("Given scores", t, func() {
+		random := rand.New(rand.NewPCG(1, 1))
+		Convey("Best picks the highest and spreads over equal ones", func() {
+			seen := make(map[int]bool)
+			for range 100 {
+				seen[Best{}.Pick([]float64{1, 3, 2, 3}, random)] = true
+			}
+			So(seen, ShouldResemble, map[int]bool{1: true, 3: true})
+		})
+		Convey("Choices prefers higher ones", func() {
+			counts := make([]int, 2)
+			for range 1000 {
+				counts[Choices{2}.Pick([]float64{1, 2}, random)]++
+			}
+			So(counts[1], ShouldBeGreaterThan, 2*counts[0])
+		})
+	})
+}
