Node: requests wait for permits; targets are polled, left attempts reconciled

Cause: node.pick refused when all permits were taken, and knew no target's load. The permit side of the dispatcher and of joined streams goes the same way. Known: a daemon that just started grants nothing for grow_delay.

--- a/admission/conservation_test.go
+++ b/admission/conservation_test.go
@@ -143,6 +143,18 @@
 	return m.step(Submit{ticket})
 }
 
+// adopt takes a permit for an attempt that runs already, over the limit or not.
+func (m *model) adopt(t *rapid.T) error {
+	m.next++
+	a := Adopt{Target: rapid.SampledFrom([]string{"e1", "e2", "e3"}).Draw(t, "target")}
+	a.Ticket = Ticket{ID: m.next, Workspace: "a", Lane: testLane, Priority: target.Normal}
+	m.tickets[m.next], m.ended[m.next] = a.Ticket, "adoption"
+	m.holding[m.next] = Grant{ID: m.next, Target: a.Target}
+	m.most[a.Target]++
+	m.most1[a.Target]++
+	return m.step(a)
+}
+
 func (m *model) anyID(t *rapid.T) uint64 { return rapid.Uint64Range(1, m.next+1).Draw(t, "id") }
 
 func (m *model) release(t *rapid.T) error {
@@ -198,7 +210,7 @@
 	}
 	for range rapid.IntRange(1, 60).Draw(t, "steps") {
 		var err error
-		switch rapid.IntRange(0, 9).Draw(t, "step") {
+		switch rapid.IntRange(0, 10).Draw(t, "step") {
 		case 0:
 			err = m.configure(t)
 		case 1, 2, 3, 4:
@@ -210,6 +222,8 @@
 		case 8:
 			err = m.gone(t)
 		case 9:
+			err = m.adopt(t)
+		case 10:
 			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			err = m.step(Tick{})
 		}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -52,6 +52,8 @@
 		c.dispatchAll(now)
 	case Submit:
 		c.submit(now, m.Ticket)
+	case Adopt:
+		c.adopt(now, m)
 	case Cancel:
 		c.cancel(m.ID)
 	case Release:
@@ -208,6 +210,26 @@
 	c.usage(w.Workspace).queued--
 }
 
+func (c *Controller) adopt(now time.Time, m Adopt) {
+	if c.queued[m.Ticket.ID] != nil || c.permits[m.Ticket.ID] != nil {
+		return
+	}
+	if c.targets[m.Target] == nil {
+		c.targets[m.Target] = &ledger{}
+	}
+	l := c.lane(m.Ticket.Lane)
+	c.take(now, l, l.flow(&m.Ticket), &m.Ticket, m.Target)
+}
+
+// take counts a permit for a ticket.
+func (c *Controller) take(now time.Time, l *lane, f *flow, t *Ticket, name string) {
+	f.inFlight++
+	c.usage(t.Workspace).inFlight++
+	l.hold.start(now)
+	c.targets[name].take(t.urgent())
+	c.permits[t.ID] = &permit{ticket: *t, target: name, granted: now}
+}
+
 func (c *Controller) cancel(id uint64) {
 	if w := c.queued[id]; w != nil {
 		c.dequeue(w)
--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -68,17 +68,13 @@
 }
 
 func (c *Controller) grant(now time.Time, l *lane, f *flow, w *waiting, name string) {
-	f.inFlight++ // before dequeue, so that the flow is kept
+	c.take(now, l, f, &w.Ticket, name) // before dequeue, so that the flow is kept
 	c.dequeue(w)
-	c.usage(w.Workspace).inFlight++
 	l.grants++
 	f.served = l.grants
 	l.streak++
 	if !w.urgent() || l.total == l.queued[urgentClass] {
 		l.streak = 0
 	}
-	l.hold.start(now)
-	c.targets[name].take(w.urgent())
-	c.permits[w.ID] = &permit{ticket: w.Ticket, target: name, granted: now}
 	c.out = append(c.out, Grant{ID: w.ID, Target: name, Waited: now.Sub(w.arrived)})
 }
--- a/admission/message.go
+++ b/admission/message.go
@@ -25,6 +25,14 @@
 // unless it is cancelled first.
 type Submit struct{ Ticket Ticket }
 
+// Adopt takes a permit for an attempt that runs on a target already, such as one
+// whose caller came from another daemon. It may exceed the limit; no new work is
+// granted on the target until it is back within it.
+type Adopt struct {
+	Ticket Ticket
+	Target string
+}
+
 // Cancel tells that the caller of a ticket went away. A ticket that was granted
 // already is not affected; its permit is released as any other.
 type Cancel struct{ ID uint64 }
@@ -54,6 +62,7 @@
 
 func (Configure) message() {}
 func (Submit) message()    {}
+func (Adopt) message()     {}
 func (Cancel) message()    {}
 func (Release) message()   {}
 func (Restarted) message() {}
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -48,6 +48,15 @@
 	return f
 }
 
+// ID differs between fleets of different daemons.
+func (f *Fleet) ID() uint64 {
+	var id uint64
+	for _, h := range f.hashes {
+		id ^= mix(h)
+	}
+	return id
+}
+
 // Share returns self's part. All daemons that see the same fleet and limits
 // work out parts that add up to the limits exactly: the homes are the daemons
 // with the highest rendezvous hashes, and remainders go to the first of them.
@@ -96,61 +105,46 @@
 }
 
 // Shares turns wanted shares into those in use: a smaller one at once, a
-// greater one when it has been wanted for the delay, so that daemons whose
-// views differ for less than the delay never use more than the limit together.
+// greater one when the fleet has not changed for the delay, so that daemons
+// whose views differ for less than the delay never use more than the limit
+// together.
 type Shares struct {
 	delay time.Duration
-	held  map[string]*heldShare
-}
-
-type heldShare struct {
-	use, want Share
-	since     time.Time // of want
+	fleet uint64
+	since time.Time // when the fleet last changed
+	use   map[string]Share
 }
 
 // NewShares returns a daemon's shares, which are all empty.
 func NewShares(delay time.Duration) *Shares {
-	return &Shares{delay: delay, held: make(map[string]*heldShare)}
+	return &Shares{delay: delay, use: make(map[string]Share)}
 }
 
-// Update takes the shares wanted now and returns whether one in use changed.
-// Targets that are not named lose their share at once.
-func (s *Shares) Update(now time.Time, want map[string]Share) bool {
+// Update takes the shares wanted now in a fleet, see Fleet.ID, and returns
+// whether one in use changed.
+func (s *Shares) Update(now time.Time, fleet uint64, want map[string]Share) bool {
+	if s.since.IsZero() || fleet != s.fleet {
+		s.fleet, s.since = fleet, now
+	}
+	settled := now.Sub(s.since) >= s.delay
 	changed := false
-	for name, h := range s.held {
+	for name, use := range s.use {
 		if _, ok := want[name]; !ok {
-			delete(s.held, name)
-			changed = changed || h.use != Share{}
+			delete(s.use, name)
+			changed = changed || use != Share{}
 		}
 	}
 	for name, w := range want {
-		h := s.held[name]
-		if h == nil {
-			h = &heldShare{want: w, since: now}
-			s.held[name] = h
+		use := s.use[name]
+		next := w
+		if !settled {
+			next = Share{Permits: min(use.Permits, w.Permits), Reserved: min(use.Reserved, w.Reserved)}
 		}
-		changed = h.update(now, w, s.delay) || changed
+		changed = changed || next != use
+		s.use[name] = next
 	}
 	return changed
 }
 
-func (h *heldShare) update(now time.Time, want Share, delay time.Duration) bool {
-	if want != h.want {
-		h.want, h.since = want, now
-	}
-	use := Share{Permits: min(h.use.Permits, want.Permits), Reserved: min(h.use.Reserved, want.Reserved)}
-	if now.Sub(h.since) >= delay {
-		use = want
-	}
-	changed := use != h.use
-	h.use = use
-	return changed
-}
-
 // Use returns the share in use of a target.
-func (s *Shares) Use(target string) Share {
-	if h := s.held[target]; h != nil {
-		return h.use
-	}
-	return Share{}
-}
+func (s *Shares) Use(target string) Share { return s.use[target] }
--- a/admission/shares_test.go
+++ b/admission/shares_test.go
@@ -81,8 +81,8 @@
 	var sum int
 	for _, id := range m.all {
 		lag := time.Duration(rapid.Int64Range(0, int64(m.lag)).Draw(t, "lag"))
-		want := NewFleet(id, view(changes, at-lag)).Share(name, permits, 0)
-		m.use[id].Update(start.Add(at), map[string]Share{name: want})
+		fleet := NewFleet(id, view(changes, at-lag))
+		m.use[id].Update(start.Add(at), fleet.ID(), map[string]Share{name: fleet.Share(name, permits, 0)})
 		sum += m.use[id].Use(name).Permits
 	}
 	return sum
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -35,3 +35,6 @@
 	}
 	return 0
 }
+
+// Holds tells whether a permit is taken.
+func (c *Controller) Holds(id uint64) bool { return c.permits[id] != nil }
--- /dev/null
+++ b/node/admission.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/vanillaroad/vanillaroad/admission"
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/routing"
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// admissionPeriod is how often queued requests age and expire.
+const admissionPeriod = 100 * time.Millisecond
+
+// admitter connects the admission controller and routing's views to the daemon.
+// All its fields belong to the control loop.
+type admitter struct {
+	n          *Node
+	controller *admission.Traced
+	scheduler  routing.Scheduler
+	loads      *routing.Loads
+	prefixes   *routing.Prefixes
+	shares     *admission.Shares
+	plan       *plan
+	planning   bool
+	pending    map[uint64]*pending
+	left       map[uint64]*leftAttempt
+	polls      map[string]*pollState
+	lastID     uint64
+	base       time.Time // carries the monotonic reading that clock is made from
+}
+
+// ask is a request for a permit.
+type ask struct {
+	want      routing.Request
+	workspace string
+	priority  target.Priority
+	bytes     int64
+	retry     bool
+	wait      time.Duration // longest time until the grant
+}
+
+// pending is an ask that waits for its answer.
+type pending struct {
+	ask
+	id      uint64
+	allowed map[string]bool // by the service's rules; nil for all
+	reply   chan admitted   // of one
+	permit  *permit         // once granted
+}
+
+type admitted struct {
+	permit  *permit
+	refused *failure.Error
+}
+
+func (n *Node) buildRouting() {
+	n.targets = newTargetPool()
+	now := time.Now()
+	a := &admitter{
+		n: n, scheduler: routing.Default(), loads: routing.NewLoads(), prefixes: routing.NewPrefixes(),
+		shares: admission.NewShares(n.settings.Admission.GrowDelay.Std()), plan: &plan{},
+		pending: make(map[uint64]*pending), left: make(map[uint64]*leftAttempt),
+		polls: make(map[string]*pollState), base: now,
+	}
+	a.controller = admission.NewTraced(n.trace, a.clock(now), n.settings.Admission, a)
+	n.trace.New(routing.TraceSlice, "", a.clock(now), routing.Made{Scheduler: "default"})
+	n.admission = a
+	n.loop.Every(admissionPeriod, a.tick)
+	n.loop.Every(planPeriod, a.replan)
+	n.loop.Every(pollTick, a.poll)
+	n.loop.Every(reconcilePeriod, a.reconcile)
+}
+
+func (n *Node) runRouting(context.Context) {}
+
+// clock returns now without its monotonic reading, on a wall clock that runs as
+// evenly as the monotonic one, so that a trace replays to the same decisions.
+func (a *admitter) clock(now time.Time) time.Time { return a.base.Round(0).Add(now.Sub(a.base)) }
+
+// admit waits until a request has a permit, is refused, or ctx ends.
+func (n *Node) admit(ctx context.Context, q ask) (*permit, *failure.Error) {
+	p := &pending{ask: q, allowed: allowed(q.want), reply: make(chan admitted, 1)}
+	if err := n.loop.Post(func(now time.Time) { n.admission.submit(now, p) }); err != nil {
+		return nil, failure.Wrap(err, failure.Canceled, failure.NotRun, "admit", "")
+	}
+	select {
+	case r := <-p.reply:
+		return r.permit, r.refused
+	case <-ctx.Done():
+		_ = n.loop.Post(func(now time.Time) { n.admission.cancel(now, p) })
+		return nil, failure.Wrap(ctx.Err(), failure.Canceled, p.outcome(), "admit", "")
+	}
+}
+
+// adoptPermit takes a permit for an attempt that runs on a target already.
+func (n *Node) adoptPermit(q ask, t configuration.Target) *permit {
+	p := &permit{n: n, target: t}
+	_ = n.loop.Post(func(now time.Time) {
+		a := n.admission
+		ticket := a.ticket(a.clock(now), &pending{ask: q})
+		p.id = ticket.ID
+		a.loads.Changed(now, t.Name, 1)
+		a.step(now, admission.Adopt{Ticket: ticket, Target: t.Name})
+	})
+	return p
+}
+
+// outcome is what is certain of an ask that was refused: a new one did not run;
+// one after a loss ran before.
+func (q *ask) outcome() failure.Outcome {
+	if q.retry {
+		return failure.Unknown
+	}
+	return failure.NotRun
+}
+
+func (a *admitter) ticket(now time.Time, p *pending) admission.Ticket {
+	a.lastID++
+	p.id = a.lastID
+	w, _ := a.n.snapshot.Load().Workspace(p.workspace)
+	t := admission.Ticket{
+		ID: p.id, Request: p.want.ID, Workspace: p.workspace, Lane: laneOf(p.want.Service.Name, p.want.Pinned),
+		Priority: p.priority, Deadline: now.Add(p.wait), Bytes: p.bytes, Retry: p.retry,
+		Weight: max(1, w.Weight), MaxInFlight: a.plan.part(w.MaxInFlight), MaxQueued: a.plan.part(w.MaxQueued),
+	}
+	if t.MaxQueued == 0 {
+		t.MaxQueued = a.n.settings.Admission.MaxWorkspaceQueued
+	}
+	return t
+}
+
+func (a *admitter) submit(now time.Time, p *pending) {
+	t := a.ticket(a.clock(now), p)
+	a.pending[p.id] = p
+	a.step(now, admission.Submit{Ticket: t})
+}
+
+func (a *admitter) cancel(now time.Time, p *pending) {
+	if p.permit != nil {
+		p.permit.release(true)
+		return
+	}
+	delete(a.pending, p.id)
+	a.step(now, admission.Cancel{ID: p.id})
+}
+
+func (a *admitter) tick(now time.Time) {
+	a.step(now, admission.Tick{})
+	s := a.controller.Stats()
+	gauge := func(name string, v int64) {
+		metrics.GetOrRegisterGauge("admission."+name, a.n.metrics).Update(v)
+	}
+	gauge("queued", int64(s.Queued))
+	gauge("queued_bytes", s.QueuedBytes)
+	gauge("permits", int64(s.Permits))
+	gauge("permits_taken", int64(s.Taken))
+	gauge("permits_left", int64(s.Left))
+}
+
+// step passes a message to the controller and carries its decisions out.
+func (a *admitter) step(now time.Time, m admission.Message) {
+	for _, d := range a.controller.Step(a.clock(now), m) {
+		switch d := d.(type) {
+		case admission.Grant:
+			a.granted(now, d)
+		case admission.Refuse:
+			a.refused(d)
+		case admission.Delayed:
+			a.n.events.Record(event.RetryDenied, a.pending[d.ID].want.ID)
+		}
+	}
+}
+
+func (a *admitter) granted(now time.Time, d admission.Grant) {
+	p := a.pending[d.ID]
+	delete(a.pending, d.ID)
+	a.loads.Changed(now, d.Target, 1)
+	p.permit = &permit{n: a.n, id: d.ID, target: a.plan.targets[d.Target]}
+	p.reply <- admitted{permit: p.permit}
+	metrics.GetOrRegisterCounter("admission.granted", a.n.metrics).Inc(1)
+}
+
+// refusals maps reasons to codes and texts.
+var refusals = map[admission.Reason]struct {
+	code failure.Code
+	text string
+}{
+	admission.QueueFull:     {failure.Overloaded, "the daemon's queue is full"},
+	admission.WorkspaceFull: {failure.Overloaded, "the workspace's queue is full"},
+	admission.TooLate:       {failure.DeadlinePast, "the expected wait exceeds the deadline"},
+	admission.Expired:       {failure.DeadlinePast, "the deadline passed in the queue"},
+	admission.NoTarget:      {failure.NoTarget, "no target can run the request"},
+}
+
+func (a *admitter) refused(d admission.Refuse) {
+	p := a.pending[d.ID]
+	delete(a.pending, d.ID)
+	r := refusals[d.Reason]
+	p.reply <- admitted{refused: failure.New(r.code, p.outcome(), "admit", "", "%s", r.text).After(d.RetryAfter)}
+	number := event.RequestRefused
+	if d.Reason == admission.QueueFull || d.Reason == admission.WorkspaceFull {
+		number = event.QueueFull
+	}
+	a.n.events.Record(number, p.want.ID, event.F("reason", string(d.Reason)), event.F("workspace", p.workspace),
+		event.F("retry_after_ms", milliseconds(d.RetryAfter)))
+	metrics.GetOrRegisterCounter("admission.refused."+string(d.Reason), a.n.metrics).Inc(1)
+}
--- a/node/api_confirmations.go
+++ b/node/api_confirmations.go
@@ -25,6 +25,9 @@
 	if e := a.n.refusal(); e != nil {
 		return nil, confirmationFailure(e)
 	}
+	if _, e := a.n.workspace(p.Workspace); e != nil {
+		return nil, confirmationFailure(e)
+	}
 	deadline := time.Duration(deref(p.DeadlineMs)) * time.Millisecond
 	if deadline <= 0 {
 		deadline = a.n.settings.Confirmation.Deadline.Std()
--- a/node/generations.go
+++ b/node/generations.go
@@ -10,6 +10,7 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/generation"
 	"github.com/vanillaroad/vanillaroad/peer"
+	"github.com/vanillaroad/vanillaroad/routing"
 )
 
 // kindTakeOver carries generation.TakeOver.
@@ -27,8 +28,8 @@
 	n.loop.Every(sweepPeriod, n.hub.Sweep)
 }
 
-// joiner grants targets on which an attempt runs already. Its permit is the one
-// that the daemon before took: the target does no more work than it did.
+// joiner grants targets on which an attempt runs already. The target does no
+// more work than it did, so that the permit is taken at once, whatever is free.
 type joiner struct{ n *Node }
 
 var _ generation.Joiner = (*joiner)(nil)
@@ -41,10 +42,10 @@
 	if !known || !served {
 		return generation.Grant{}, failure.New(failure.NoTarget, failure.NotRun, "join", name, "target or service is not configured")
 	}
-	return generation.Grant{
-		Target: name, Model: svc.Model, Version: r.Cursor.Version,
-		Engine: j.n.targets.client(t.Address), Release: func(bool) {},
-	}, nil
+	p := j.n.adoptPermit(ask{
+		want: routing.Request{ID: r.ID, Service: svc, Pinned: routing.SideOf(&t)}, workspace: r.Workspace, priority: r.Priority,
+	}, t)
+	return j.n.grant(p, svc, r.Cursor.Version), nil
 }
 
 // notifier tells other daemons that their callers came here.
--- a/node/node.go
+++ b/node/node.go
@@ -50,7 +50,7 @@
 	refusing atomic.Bool // takes no new work
 	requests atomic.Int64
 
-	inFlight map[string]int // by target; owned by the control loop
+	admission *admitter // owned by the control loop
 
 	listener net.Listener
 	server   *http.Server
@@ -75,7 +75,7 @@
 	}
 	n := &Node{
 		settings: s, self: self, events: events, metrics: metrics.NewRegistry(), loop: control.NewLoop(),
-		transport: transport, listener: listener, inFlight: make(map[string]int),
+		transport: transport, listener: listener,
 	}
 	if err := n.openTrace(s.TraceFile); err != nil {
 		transport.Close()
--- /dev/null
+++ b/node/placing.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/admission"
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/routing"
+	"github.com/vanillaroad/vanillaroad/trace"
+)
+
+var _ admission.Placer = (*admitter)(nil)
+
+// allowed returns the targets that the service's rules leave to a request, nil
+// if they leave all.
+func allowed(want routing.Request) map[string]bool {
+	picked := want.Service.For(want.Labels)
+	if len(picked) == len(want.Service.Targets) {
+		return nil
+	}
+	out := make(map[string]bool, len(picked))
+	for _, t := range picked {
+		out[t.Name] = true
+	}
+	return out
+}
+
+// Place implements admission.Placer by the scheduler.
+func (a *admitter) Place(now time.Time, t admission.Ticket, free func(string) bool) (string, admission.Placement) {
+	p := a.pending[t.ID]
+	if p == nil {
+		return "", admission.None
+	}
+	if a.plan.snapshot != a.n.snapshot.Load() && len(a.plan.lanes[t.Lane]) == 0 {
+		return "", admission.Busy // the plan of this version is being made
+	}
+	c := routing.Choose{Request: p.want, Candidates: a.candidates(now, t.Lane, p, free), Seed: t.ID<<32 ^ uint64(now.UnixNano())}
+	picked, err := c.Pick(a.scheduler)
+	if a.n.trace != nil {
+		trace.Record(a.n.trace, routing.TraceSlice, "", now, c, []routing.Chosen{routing.NewChosen(picked, err)})
+	}
+	switch {
+	case errors.Is(err, routing.ErrBusy):
+		return "", admission.Busy
+	case err != nil:
+		return "", admission.None
+	}
+	return picked.Target.Name, admission.Placed
+}
+
+func (a *admitter) candidates(now time.Time, lane string, p *pending, free func(string) bool) []routing.Candidate {
+	targets := a.plan.lanes[lane]
+	out := make([]routing.Candidate, 0, len(targets))
+	for i := range targets {
+		if p.allowed == nil || p.allowed[targets[i].Name] {
+			out = append(out, a.candidate(now, &targets[i], p, free))
+		}
+	}
+	return out
+}
+
+func (a *admitter) candidate(now time.Time, t *configuration.Target, p *pending, free func(string) bool) routing.Candidate {
+	report, _ := a.loads.Report(t.Name)
+	return routing.Candidate{
+		Target: *t, Free: free(t.Name), InFlight: a.controller.InFlight(t.Name), Estimated: a.loads.Estimate(t.Name),
+		Slots: report.Slots, Version: report.Models[p.want.Service.Model], Leaving: a.leaving(t, report.Leaving),
+		Down: a.loads.Down(t.Name), CachedBlocks: a.prefixes.Leading(now, t.Name, p.want.Blocks),
+		Near: a.near(t.Place),
+	}
+}
+
+// leaving tells whether any source says that a target leaves: the operators,
+// the VM list or the target itself.
+func (a *admitter) leaving(t *configuration.Target, reported bool) bool {
+	return reported || t.Leaving || (t.VM != "" && a.n.view.Load().LeavingVMs[t.VM])
+}
+
+func (a *admitter) near(place string) routing.Near {
+	switch {
+	case place == a.n.self.Place:
+		return routing.SamePlace
+	case a.plan.regions[place] == a.n.self.Region:
+		return routing.SameRegion
+	}
+	return routing.Far
+}
--- a/node/router.go
+++ b/node/router.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/configuration"
-	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/generation"
 	"github.com/vanillaroad/vanillaroad/routing"
+	"github.com/vanillaroad/vanillaroad/target"
 )
 
 // router grants targets to generations.
@@ -17,79 +16,77 @@
 
 var _ generation.Router = (*router)(nil)
 
-// retryAfter is told to callers that were refused for want of capacity.
+// retryAfter is told to callers when nothing better is known.
 const retryAfter = time.Second
 
-func (n *Node) buildRouting() { n.targets = newTargetPool() }
-
-func (n *Node) runRouting(context.Context) {}
+// maxPrefixBlocks bounds the blocks of a prompt that are looked up in caches.
+const maxPrefixBlocks = 512
 
 // Route implements generation.Router.
-func (r *router) Route(ctx context.Context, req generation.Request, _ int64, exclude []string, version string) (generation.Grant, *failure.Error) {
+func (r *router) Route(ctx context.Context, req generation.Request, held int64, exclude []string, version string) (generation.Grant, *failure.Error) {
 	snapshot := r.n.snapshot.Load()
 	svc, ok := snapshot.Service(req.Service)
 	if !ok || svc.Kind != configuration.Generation {
 		return generation.Grant{}, failure.New(failure.NotFound, failure.NotRun, "route", "", "no generation service %q", req.Service)
 	}
-	want := routing.Request{
-		ID: req.ID, Service: svc, Labels: req.Labels, Version: version,
-		Exclude: make(map[string]bool), Pinned: svc.Side(req.ID), FromPlace: r.n.self.Place,
+	workspace, refused := r.n.workspace(req.Workspace)
+	if refused != nil {
+		return generation.Grant{}, refused
+	}
+	q := ask{
+		want: routing.Request{
+			ID: req.ID, Service: svc, Labels: req.Labels, Version: version, Exclude: make(map[string]bool),
+			Pinned: svc.Side(req.ID), FromPlace: r.n.self.Place,
+			Blocks: target.BlockHashes(svc.Model, svc.Version, req.Prompt, maxPrefixBlocks),
+		},
+		workspace: req.Workspace, priority: req.Priority, bytes: int64(len(req.Prompt)),
+		retry: held > 0 || len(exclude) > 0, wait: r.n.firstTokenWait(req.Deadline, workspace),
+	}
+	if q.retry {
+		q.wait = r.n.settings.Generation.ResumeDeadline.Std()
 	}
 	for _, t := range exclude {
-		want.Exclude[t] = true
+		q.want.Exclude[t] = true
 	}
-	chosen, err := r.n.pick(ctx, want)
-	if err != nil {
-		return generation.Grant{}, err
+	p, refused := r.n.admit(ctx, q)
+	if refused != nil {
+		return generation.Grant{}, refused
 	}
-	return generation.Grant{
-		Target: chosen.Target.Name, Model: svc.Model, Version: svc.Version,
-		Engine:  r.n.targets.client(chosen.Target.Address),
-		Release: func(bool) { r.n.release(chosen.Target.Name) },
-	}, nil
+	return r.n.grant(p, svc, version), nil
 }
 
-// Lost implements generation.Router.
-func (r *router) Lost(string, string) {}
-
-// pick chooses a target with a free permit and takes the permit.
-func (n *Node) pick(ctx context.Context, want routing.Request) (routing.Candidate, *failure.Error) {
-	type picked struct {
-		candidate routing.Candidate
-		err       error
+// grant makes a generation's grant of a permit.
+func (n *Node) grant(p *permit, svc *configuration.ServiceView, version string) generation.Grant {
+	if version == "" {
+		version = svc.Version
 	}
-	p, err := control.Ask(ctx, n.loop, func(time.Time) picked {
-		c, err := routing.Default().Pick(want, n.candidates(want), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-		if err == nil {
-			n.inFlight[c.Target.Name]++
-		}
-		return picked{c, err}
-	})
-	if err != nil {
-		return routing.Candidate{}, failure.Wrap(err, failure.Canceled, failure.NotRun, "route", "")
-	}
-	if p.err != nil {
-		return routing.Candidate{}, failure.Wrap(p.err, failure.NoTarget, failure.NotRun, "route", "").After(retryAfter)
+	return generation.Grant{
+		Target: p.target.Name, Model: svc.Model, Version: version,
+		Engine:  &grantedEngine{Engine: n.targets.client(p.target.Address), permit: p},
+		Release: p.release,
 	}
-	return p.candidate, nil
 }
 
-// candidates runs on the control loop.
-func (n *Node) candidates(want routing.Request) []routing.Candidate {
-	view := n.view.Load()
-	var out []routing.Candidate
-	for _, t := range want.Service.For(want.Labels) {
-		if n.inFlight[t.Name] >= t.Permits {
-			continue
-		}
-		out = append(out, routing.Candidate{
-			Target: t, InFlight: n.inFlight[t.Name],
-			Leaving: t.Leaving || (t.VM != "" && view.LeavingVMs[t.VM]),
-		})
+// Lost implements generation.Router.
+func (r *router) Lost(_, name string) { r.n.suspect(name) }
+
+// workspace returns the named workspace, or a refusal if there is none.
+func (n *Node) workspace(name string) (configuration.Workspace, *failure.Error) {
+	w, ok := n.snapshot.Load().Workspace(name)
+	if !ok {
+		return w, failure.New(failure.BadRequest, failure.NotRun, "admit", "", "no workspace %q", name)
 	}
-	return out
+	return w, nil
 }
 
-func (n *Node) release(name string) {
-	_ = n.loop.Post(func(time.Time) { n.inFlight[name]-- })
+// firstTokenWait is how long a request may wait: what it asks for, what its
+// workspace says, or the daemon's setting.
+func (n *Node) firstTokenWait(asked time.Duration, w configuration.Workspace) time.Duration {
+	switch {
+	case asked > 0:
+		return asked
+	case w.Deadline > 0:
+		return w.Deadline.Std()
+	}
+	return n.settings.Admission.FirstTokenDeadline.Std()
 }
--- a/routing/loads.go
+++ b/routing/loads.go
@@ -138,10 +138,11 @@
 	return 0
 }
 
-// Keep forgets the targets for which fn returns false.
+// Keep forgets the targets for which fn returns false and on which nothing of
+// this daemon runs.
 func (l *Loads) Keep(fn func(name string) bool) {
-	for name := range l.targets {
-		if !fn(name) {
+	for name, t := range l.targets {
+		if t.own == 0 && !fn(name) {
 			delete(l.targets, name)
 		}
 	}
--- a/trace/replayers/replayers.go
+++ b/trace/replayers/replayers.go
@@ -2,10 +2,15 @@
 package replayers
 
 import (
+	"github.com/vanillaroad/vanillaroad/admission"
+	"github.com/vanillaroad/vanillaroad/routing"
 	"github.com/vanillaroad/vanillaroad/trace"
 )
 
 // All returns the makers by slice.
 func All() map[string]trace.Maker {
-	return map[string]trace.Maker{}
+	return map[string]trace.Maker{
+		admission.TraceSlice: admission.Replay,
+		routing.TraceSlice:   routing.Replay,
+	}
 }
