--- a/node/confirmations_idempotent.go
+++ b/node/confirmations_idempotent.go
@@ -28,12 +28,12 @@
 		if try > 0 && !n.confirmations.retries.Allow() {
 			break
 		}
-		chosen, refused := n.pickPlain(ctx, r, exclude)
+		permit, refused := n.admitPlain(ctx, r, exclude)
 		if refused != nil {
 			return confirmation.Record{}, refused
 		}
-		reply, err := n.targets.client(chosen.Target.Address).Call(ctx, target.Call{Key: r.Key, Workspace: r.Workspace, Body: r.Body})
-		n.release(chosen.Target.Name)
+		reply, err := n.targets.client(permit.target.Address).Call(ctx, target.Call{Key: r.Key, Workspace: r.Workspace, Body: r.Body})
+		permit.release(err == nil || errors.Is(err, target.ErrNotSent))
 		if err == nil {
 			return confirmation.Record{Key: r.Key, Outcome: failure.Ran, Status: reply.Status, Answer: reply.Body}, nil
 		}
@@ -41,8 +41,8 @@
 		if errors.Is(err, target.ErrNotSent) {
 			outcome = failure.NotRun
 		}
-		last = failure.Wrap(err, failure.TargetLost, outcome, "call", chosen.Target.Name).After(retryAfter)
-		exclude[chosen.Target.Name] = true
+		last = failure.Wrap(err, failure.TargetLost, outcome, "call", permit.target.Name).After(retryAfter)
+		exclude[permit.target.Name] = true
 	}
 	return confirmation.Record{}, last
 }
