--- a/generation/run.go
+++ b/generation/run.go
@@ -22,7 +22,8 @@
 	Incarnation uint64
 	Engine      target.Engine
 	// Release gives the permit back. ended tells that the attempt is known to
-	// have ended; otherwise the permit stays taken until the target's end.
+	// have ended; otherwise the permit stays taken, and the router goes on
+	// canceling the attempt until its end is known.
 	Release func(ended bool)
 }
 
