--- a/cmd/vanillaroad-load/main.go
+++ b/cmd/vanillaroad-load/main.go
@@ -23,6 +23,7 @@
 	modeSystem = "system" // through the daemons
 	modeDirect = "direct" // straight to the targets
 	modeBoth   = "both"   // direct first, then through the daemons
+	modeIdle   = "idle"   // no load: what the daemons cost alone
 )
 
 // errFaults is returned when a check failed.
@@ -67,7 +68,7 @@
 
 func siteFlags(c *cobra.Command, o *options) {
 	f := c.Flags()
-	f.StringVar(&o.mode, "mode", modeSystem, "system, direct or both")
+	f.StringVar(&o.mode, "mode", modeSystem, "system, direct, both or idle")
 	f.BoolVar(&o.limits.whole, "whole", false, "fail unless every answer is whole")
 	f.BoolVar(&o.limits.final, "final", false, "fail unless every answer is whole or has a typed, final end")
 	f.DurationVar(&o.limits.resume, "resume-within", 0, "fail if an answer was interrupted for longer")
@@ -102,16 +103,17 @@
 
 func (o *options) check() error {
 	s := o.shape
+	known := map[string]bool{modeSystem: true, modeDirect: true, modeBoth: true, modeIdle: true}
 	switch {
-	case o.mode != modeSystem && o.mode != modeDirect && o.mode != modeBoth:
-		return errors.Errorf("mode %q is none of %s, %s, %s", o.mode, modeSystem, modeDirect, modeBoth)
+	case !known[o.mode]:
+		return errors.Errorf("mode %q is none of %s, %s, %s, %s", o.mode, modeSystem, modeDirect, modeBoth, modeIdle)
 	case s.Rate <= 0 || s.Duration <= 0:
 		return errors.New("rate and duration must be above zero")
 	case len(s.Workspaces) == 0 || s.Prefixes < 1 || s.PrefixChars < 0:
 		return errors.New("a load needs a workspace and a prefix")
 	case s.LongMin < 1 || s.LongMax < s.LongMin:
 		return errors.New("long-max must be at least long-min")
-	case o.mode != modeSystem && (len(o.site.Engines) == 0 || len(o.site.Bookings) == 0):
+	case (o.mode == modeDirect || o.mode == modeBoth) && (len(o.site.Engines) == 0 || len(o.site.Bookings) == 0):
 		return errors.New("direct mode needs --engines and --bookings")
 	}
 	return nil
@@ -121,6 +123,11 @@
 	if err := o.check(); err != nil {
 		return err
 	}
+	if o.mode == modeIdle {
+		p := load.RunIdle(ctx, o.shape.Duration, o.site)
+		_, _ = fmt.Fprintln(out, p.IdleSummary(len(o.site.Daemons)))
+		return writeJSON(o.json, []load.Phase{p})
+	}
 	var phases []load.Phase
 	if o.mode != modeSystem {
 		phases = append(phases, load.RunDirect(ctx, o.shape, o.site, o.bounds))
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -85,6 +85,21 @@
 	return l
 }
 
+// IdleSummary tells in one line what one of n daemons cost without load, and
+// what the platform's calls were a second.
+func (p Phase) IdleSummary(n int) string {
+	const mebibyte, kibibyte = 1 << 20, 1 << 10
+	calls := int64(0)
+	for _, c := range p.PlatformCalls {
+		calls += c
+	}
+	each := 1 / float64(n)
+	return fmt.Sprintf("%d daemons, each: %.3f %% of a core, %.1f MiB, %.2f KiB/s read, %.2f KiB/s written; platform %.2f calls/s",
+		n, 100*p.Daemons.CPUSeconds/p.Seconds*each, float64(p.Daemons.ResidentBytes)/mebibyte*each,
+		float64(p.Daemons.ReadBytes)/kibibyte/p.Seconds*each, float64(p.Daemons.WrittenBytes)/kibibyte/p.Seconds*each,
+		float64(calls)/p.Seconds)
+}
+
 // NotWhole returns how many generations got no whole answer.
 func (p Phase) NotWhole() int {
 	g := p.Generations
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -38,10 +38,19 @@
 	return run(ctx, "direct", Plan(s, "direct"), newDirectCaller(site), site, o)
 }
 
+// RunIdle sends nothing for a while and returns what the site cost.
+func RunIdle(ctx context.Context, d time.Duration, site Site) Phase {
+	w := watchSite(ctx, site, 0)
+	start := time.Now()
+	sleep(ctx, d)
+	took := time.Since(start)
+	return newPhase("idle", 0, took, newMeter(0), w.end(ctx))
+}
+
 func run(ctx context.Context, name string, plan []Item, c caller, site Site, o Options) Phase {
 	defer c.close()
 	m := newMeter(o.Interruption)
-	w := watchSite(ctx, site)
+	w := watchSite(ctx, site, pollPeriod)
 	start := time.Now()
 	send(ctx, plan, c, m, o)
 	took := time.Since(start)
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -33,6 +33,8 @@
 type Daemons struct {
 	CPUSeconds    float64 `json:"cpu_seconds"`
 	ResidentBytes int64   `json:"resident_bytes"` // of all daemons, highest reading
+	ReadBytes     int64   `json:"read_bytes"`
+	WrittenBytes  int64   `json:"written_bytes"`
 }
 
 // reader reads a site's counters again and again. Counters of a process that
@@ -44,23 +46,27 @@
 	wg     sync.WaitGroup
 
 	work     map[string]*counters
-	cpu      map[string]*counters
+	process  map[string]*counters
 	calls    *counters
 	resident int64
 }
 
-func watchSite(ctx context.Context, site Site) *reader {
+// watchSite starts to read; without a period it reads at the start and the end.
+func watchSite(ctx context.Context, site Site, period time.Duration) *reader {
 	ctx, cancel := context.WithCancel(ctx)
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: readTimeout}).DialContext}
 	r := &reader{
 		site: site, http: &http.Client{Transport: transport, Timeout: readTimeout}, cancel: cancel,
-		work: make(map[string]*counters), cpu: make(map[string]*counters), calls: newCounters(),
+		work: make(map[string]*counters), process: make(map[string]*counters), calls: newCounters(),
 	}
 	r.poll(ctx)
+	if period == 0 {
+		return r
+	}
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
-		for sleep(ctx, pollPeriod) {
+		for sleep(ctx, period) {
 			r.poll(ctx)
 		}
 	}()
@@ -83,8 +89,11 @@
 		PrefillTokens: work["prefill_tokens"], CachedTokens: work["cached_tokens"], DecodeTokens: work["decode_tokens"],
 		Streams: work["streams"], Canceled: work["canceled"],
 	}
-	for _, c := range r.cpu {
-		s.daemons.CPUSeconds += float64(c.grown()[cpuMetric]) / microsPerSecond
+	for _, c := range r.process {
+		grown := c.grown()
+		s.daemons.CPUSeconds += float64(grown[cpuMetric]) / microsPerSecond
+		s.daemons.ReadBytes += grown[readMetric]
+		s.daemons.WrittenBytes += grown[writtenMetric]
 	}
 	s.daemons.ResidentBytes = r.resident
 	return s
@@ -104,12 +113,13 @@
 		}
 	})
 	each(&wg, r.site.Daemons, func(a string) {
-		cpu, bytes, err := r.process(ctx, a)
+		now, err := r.metrics(ctx, a)
 		if err == nil {
 			mu.Lock()
 			defer mu.Unlock()
-			countersOf(r.cpu, a).see(map[string]int64{cpuMetric: cpu})
-			resident += bytes
+			resident += now[residentMetric]
+			delete(now, residentMetric)
+			countersOf(r.process, a).see(now)
 		}
 	})
 	if r.site.Platform != "" {
@@ -154,28 +164,29 @@
 const (
 	cpuMetric       = "vanillaroad_process_cpu_micros"
 	residentMetric  = "vanillaroad_process_resident_bytes"
+	readMetric      = "vanillaroad_process_read_bytes"
+	writtenMetric   = "vanillaroad_process_written_bytes"
 	microsPerSecond = 1e6
 )
 
-// process reads a daemon's processor time in microseconds and its memory.
-func (r *reader) process(ctx context.Context, address string) (cpu, resident int64, err error) {
+// metrics reads the metrics of a daemon's own process.
+func (r *reader) metrics(ctx context.Context, address string) (map[string]int64, error) {
 	resp, err := r.get(ctx, "http://"+address+"/metrics")
 	if err != nil {
-		return 0, 0, err
+		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	out := make(map[string]int64)
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
 		name, value, _ := strings.Cut(lines.Text(), " ")
-		n, _ := strconv.ParseInt(value, 10, 64)
 		switch name {
-		case cpuMetric:
-			cpu = n
-		case residentMetric:
-			resident = n
+		case cpuMetric, residentMetric, readMetric, writtenMetric:
+			n, _ := strconv.ParseInt(value, 10, 64)
+			out[name] = n
 		}
 	}
-	return cpu, resident, errors.Wrap(lines.Err(), address)
+	return out, errors.Wrap(lines.Err(), address)
 }
 
 // ledger adds up the bookings' ledgers.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -4,10 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
-	"syscall"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -75,6 +72,9 @@
 	gauge("members", len(view.Members))
 	writeValue(out, metricPrefix+"process_cpu_micros", "counter", processMicros())
 	gauge("process_resident_bytes", residentBytes())
+	read, written := transferred()
+	writeValue(out, metricPrefix+"process_read_bytes", "counter", read)
+	writeValue(out, metricPrefix+"process_written_bytes", "counter", written)
 }
 
 func flag(b bool) int {
@@ -83,29 +83,3 @@
 	}
 	return 0
 }
-
-// processMicros returns the processor time of this process in microseconds.
-func processMicros() int64 {
-	var u syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	const microsPerSecond = 1e6
-	return (int64(u.Utime.Sec)+int64(u.Stime.Sec))*microsPerSecond + int64(u.Utime.Usec) + int64(u.Stime.Usec)
-}
-
-// residentBytes returns the resident memory of this process, or 0 where the
-// system doesn't tell.
-func residentBytes() int64 {
-	b, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
-		return 0
-	}
-	fields := strings.Fields(string(b))
-	const residentField = 1
-	if len(fields) <= residentField {
-		return 0
-	}
-	pages, _ := strconv.ParseInt(fields[residentField], 10, 64)
-	return pages * int64(os.Getpagesize())
-}
