--- a/client/client.go
+++ b/client/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sort"
 	"sync"
 	"time"
 
@@ -36,9 +37,10 @@
 // Defaults of Settings.
 const (
 	defaultAttempts = 8
-	defaultSilence  = 3 * time.Second
+	defaultSilence  = 1500 * time.Millisecond
 	dialTimeout     = time.Second
 	askTimeout      = 5 * time.Second
+	lookupTimeout   = time.Second
 	pauseStep       = 100 * time.Millisecond
 )
 
@@ -50,6 +52,7 @@
 	mu      sync.Mutex
 	known   []string
 	expires time.Time
+	avoided map[string]time.Time // address to when it may be used again
 }
 
 // New returns a client.
@@ -61,7 +64,7 @@
 		s.Silence = defaultSilence
 	}
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 64}
-	return &Client{settings: s, http: &http.Client{Transport: transport}}
+	return &Client{settings: s, avoided: make(map[string]time.Time), http: &http.Client{Transport: transport}}
 }
 
 // Close releases idle connections.
@@ -76,7 +79,7 @@
 	if fresh {
 		return known
 	}
-	for _, a := range append(append([]string(nil), known...), c.settings.Addresses...) {
+	for _, a := range c.order(append(append([]string(nil), known...), c.settings.Addresses...)) {
 		if got, ttl, err := c.lookup(ctx, a); err == nil && len(got) > 0 {
 			c.mu.Lock()
 			c.known, c.expires = got, time.Now().Add(ttl)
@@ -90,12 +93,49 @@
 	return c.settings.Addresses
 }
 
+// avoidFor is how long a daemon that was lost or refused is asked last.
+const avoidFor = 2 * time.Second
+
+// avoid makes next prefer other daemons for a while.
+func (c *Client) avoid(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for a, until := range c.avoided {
+		if now.After(until) {
+			delete(c.avoided, a)
+		}
+	}
+	c.avoided[address] = now.Add(avoidFor)
+}
+
+// next returns the daemon to ask now.
+func (c *Client) next(ctx context.Context) string { return c.order(c.Addresses(ctx))[0] }
+
+// order puts daemons that are avoided last, those avoided the longest first.
+func (c *Client) order(addresses []string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	until := func(a string) time.Time {
+		if t := c.avoided[a]; t.After(now) {
+			return t
+		}
+		return time.Time{}
+	}
+	out := append([]string(nil), addresses...)
+	sort.SliceStable(out, func(i, j int) bool { return until(out[i]).Before(until(out[j])) })
+	return out
+}
+
 type directoryAnswer struct {
 	Addresses []string `json:"addresses"`
 	TTLMillis int64    `json:"ttl_ms"`
 }
 
 func (c *Client) lookup(ctx context.Context, address string) ([]string, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
 	q := url.Values{"place": {c.settings.Place}, "key": {c.settings.Key}}
 	var a directoryAnswer
 	if err := c.Ask(ctx, address, http.MethodGet, "/v1/directory?"+q.Encode(), nil, &a); err != nil {
