--- a/gen/http/cli/vanillaroadd/cli.go
+++ b/gen/http/cli/vanillaroadd/cli.go
@@ -35,10 +35,10 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "directory lookup --place \"Accusantium non mollitia.\" --key \"Quas repellat magni ea aut non.\"" + "\n" +
-		os.Args[0] + " " + "generations generate --body '{\n      \"deadline_ms\": 4757264153645697470,\n      \"held\": [\n         \"Laudantium accusantium accusamus quibusdam dolor deserunt.\",\n         \"Nihil soluta enim qui totam.\"\n      ],\n      \"id\": \"a\",\n      \"labels\": {\n         \"Odit dolore ea veniam.\": \"Quod quod et atque.\"\n      },\n      \"max_tokens\": 481813,\n      \"priority\": \"batch\",\n      \"prompt\": \"Officia quidem ab ut dicta.\",\n      \"seed\": 6843840809878783217,\n      \"service\": \"Provident quis qui reiciendis maxime praesentium illum.\",\n      \"workspace\": \"Eos quia animi consequatur.\"\n   }' --last-event-id \"Odit totam reiciendis voluptas quaerat alias aut.\"" + "\n" +
-		os.Args[0] + " " + "confirmations confirm --body '{\n      \"body\": \"Cumque qui velit voluptates aut quasi.\",\n      \"deadline_ms\": 8667051483534281543,\n      \"key\": \"g\",\n      \"labels\": {\n         \"Assumenda et.\": \"Ut rerum.\",\n         \"Dolorum quis quaerat nobis necessitatibus ipsam nihil.\": \"Hic magni eum ratione ut officiis necessitatibus.\",\n         \"Eaque vero quidem nulla autem rerum ipsum.\": \"Explicabo repudiandae excepturi dolor accusantium quia odio.\"\n      },\n      \"service\": \"Doloribus laboriosam provident.\",\n      \"workspace\": \"Cupiditate dolor iusto voluptatum cupiditate.\"\n   }'" + "\n" +
-		os.Args[0] + " " + "operations apply --body '{\n      \"author\": \"Consequatur ab nulla qui porro reiciendis.\",\n      \"base_version\": 6201333198834133047,\n      \"document\": \"Perspiciatis quos et reprehenderit.\",\n      \"dry_run\": true,\n      \"wait_ms\": 8410679533322469006\n   }'" + "\n" +
+	return os.Args[0] + " " + "directory lookup --place \"Voluptatum fuga.\" --key \"Quam iusto.\"" + "\n" +
+		os.Args[0] + " " + "generations generate --body '{\n      \"deadline_ms\": 8426458802696833736,\n      \"held\": [\n         \"Et dolor voluptatibus id exercitationem.\",\n         \"Qui culpa possimus esse omnis error.\",\n         \"Consequuntur vel.\",\n         \"Officia ullam aut alias ut necessitatibus enim.\"\n      ],\n      \"id\": \"sgn\",\n      \"labels\": {\n         \"Corporis aut quasi deserunt nemo alias autem.\": \"Sed quasi omnis sint eos quia.\",\n         \"Cumque ipsa.\": \"Quaerat aut harum doloribus at quos.\",\n         \"Nihil nobis.\": \"Soluta est nisi ipsam ipsa fuga eum.\"\n      },\n      \"max_tokens\": 845910,\n      \"priority\": \"normal\",\n      \"prompt\": \"Excepturi dolores dolorem.\",\n      \"seed\": 8775409491475691997,\n      \"service\": \"Voluptatem beatae exercitationem sunt incidunt.\",\n      \"workspace\": \"Quaerat alias aut.\"\n   }' --last-event-id \"Commodi delectus aperiam mollitia omnis molestiae.\"" + "\n" +
+		os.Args[0] + " " + "confirmations confirm --body '{\n      \"body\": \"Non perspiciatis laborum.\",\n      \"deadline_ms\": 5664861439921386720,\n      \"key\": \"y\",\n      \"labels\": {\n         \"Eligendi inventore modi sapiente non sint aliquid.\": \"Doloremque quia saepe voluptas.\",\n         \"Fugiat aut dolores et.\": \"Labore itaque nihil in blanditiis omnis.\"\n      },\n      \"service\": \"Natus numquam aut.\",\n      \"workspace\": \"Unde omnis facere qui unde animi qui.\"\n   }'" + "\n" +
+		os.Args[0] + " " + "operations apply --body '{\n      \"author\": \"Quo voluptatem et ducimus non ipsa.\",\n      \"base_version\": 9001748542905865061,\n      \"document\": \"Autem quo possimus quia architecto.\",\n      \"dry_run\": true,\n      \"wait_ms\": 2158537002447427160,\n      \"write_id\": \"mic\"\n   }'" + "\n" +
 		""
 }
 
@@ -310,7 +310,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "directory lookup --place \"Accusantium non mollitia.\" --key \"Quas repellat magni ea aut non.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "directory lookup --place \"Voluptatum fuga.\" --key \"Quam iusto.\"")
 }
 
 // generationsUsage displays the usage of the generations command and its
@@ -342,7 +342,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "generations generate --body '{\n      \"deadline_ms\": 4757264153645697470,\n      \"held\": [\n         \"Laudantium accusantium accusamus quibusdam dolor deserunt.\",\n         \"Nihil soluta enim qui totam.\"\n      ],\n      \"id\": \"a\",\n      \"labels\": {\n         \"Odit dolore ea veniam.\": \"Quod quod et atque.\"\n      },\n      \"max_tokens\": 481813,\n      \"priority\": \"batch\",\n      \"prompt\": \"Officia quidem ab ut dicta.\",\n      \"seed\": 6843840809878783217,\n      \"service\": \"Provident quis qui reiciendis maxime praesentium illum.\",\n      \"workspace\": \"Eos quia animi consequatur.\"\n   }' --last-event-id \"Odit totam reiciendis voluptas quaerat alias aut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "generations generate --body '{\n      \"deadline_ms\": 8426458802696833736,\n      \"held\": [\n         \"Et dolor voluptatibus id exercitationem.\",\n         \"Qui culpa possimus esse omnis error.\",\n         \"Consequuntur vel.\",\n         \"Officia ullam aut alias ut necessitatibus enim.\"\n      ],\n      \"id\": \"sgn\",\n      \"labels\": {\n         \"Corporis aut quasi deserunt nemo alias autem.\": \"Sed quasi omnis sint eos quia.\",\n         \"Cumque ipsa.\": \"Quaerat aut harum doloribus at quos.\",\n         \"Nihil nobis.\": \"Soluta est nisi ipsam ipsa fuga eum.\"\n      },\n      \"max_tokens\": 845910,\n      \"priority\": \"normal\",\n      \"prompt\": \"Excepturi dolores dolorem.\",\n      \"seed\": 8775409491475691997,\n      \"service\": \"Voluptatem beatae exercitationem sunt incidunt.\",\n      \"workspace\": \"Quaerat alias aut.\"\n   }' --last-event-id \"Commodi delectus aperiam mollitia omnis molestiae.\"")
 }
 
 func generationsCancelUsage() {
@@ -360,7 +360,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "generations cancel --id \"Officiis laboriosam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "generations cancel --id \"Voluptatibus velit itaque at.\"")
 }
 
 // confirmationsUsage displays the usage of the confirmations command and its
@@ -391,7 +391,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "confirmations confirm --body '{\n      \"body\": \"Cumque qui velit voluptates aut quasi.\",\n      \"deadline_ms\": 8667051483534281543,\n      \"key\": \"g\",\n      \"labels\": {\n         \"Assumenda et.\": \"Ut rerum.\",\n         \"Dolorum quis quaerat nobis necessitatibus ipsam nihil.\": \"Hic magni eum ratione ut officiis necessitatibus.\",\n         \"Eaque vero quidem nulla autem rerum ipsum.\": \"Explicabo repudiandae excepturi dolor accusantium quia odio.\"\n      },\n      \"service\": \"Doloribus laboriosam provident.\",\n      \"workspace\": \"Cupiditate dolor iusto voluptatum cupiditate.\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "confirmations confirm --body '{\n      \"body\": \"Non perspiciatis laborum.\",\n      \"deadline_ms\": 5664861439921386720,\n      \"key\": \"y\",\n      \"labels\": {\n         \"Eligendi inventore modi sapiente non sint aliquid.\": \"Doloremque quia saepe voluptas.\",\n         \"Fugiat aut dolores et.\": \"Labore itaque nihil in blanditiis omnis.\"\n      },\n      \"service\": \"Natus numquam aut.\",\n      \"workspace\": \"Unde omnis facere qui unde animi qui.\"\n   }'")
 }
 
 func confirmationsOutcomeUsage() {
@@ -409,7 +409,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "confirmations outcome --key \"Eaque rerum voluptates sed.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "confirmations outcome --key \"Distinctio quod et consequatur harum.\"")
 }
 
 func confirmationsIssueUsage() {
@@ -459,7 +459,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operations apply --body '{\n      \"author\": \"Consequatur ab nulla qui porro reiciendis.\",\n      \"base_version\": 6201333198834133047,\n      \"document\": \"Perspiciatis quos et reprehenderit.\",\n      \"dry_run\": true,\n      \"wait_ms\": 8410679533322469006\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operations apply --body '{\n      \"author\": \"Quo voluptatem et ducimus non ipsa.\",\n      \"base_version\": 9001748542905865061,\n      \"document\": \"Autem quo possimus quia architecto.\",\n      \"dry_run\": true,\n      \"wait_ms\": 2158537002447427160,\n      \"write_id\": \"mic\"\n   }'")
 }
 
 func operationsConfigurationUsage() {
@@ -477,7 +477,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operations configuration --version 7557855636145242374")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operations configuration --version 6350116118074033823")
 }
 
 func operationsHistoryUsage() {
@@ -545,5 +545,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operations events --request \"Dolores quod.\" --since 8658200975293418540")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operations events --request \"Vel eos incidunt reiciendis nostrum.\" --since 8116188870472780209")
 }
