--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -12,6 +12,7 @@
 places=(paviljon-jug paviljon-sever velika-dvorana preddverje)
 engine_flags=()   # extra flags of every engine
 booking_flags=()  # extra flags of every booking service
+permits=16        # of every engine
 daemon_settings='"membership":{"directory_ttl":"1s"}' # extra settings of every daemon, JSON members
 
 cleanup() {
@@ -74,7 +75,7 @@
 site_document() { # the configuration document of the site
 	local i targets=""
 	for i in $(seq "$engines"); do
-		targets+="{\"name\":\"engine-$i\",\"address\":\"127.$subnet.2.$i:8000\",\"place\":\"$(place_of "$i")\",\"labels\":{\"service\":\"pisar\"},\"permits\":16},"
+		targets+="{\"name\":\"engine-$i\",\"address\":\"127.$subnet.2.$i:8000\",\"place\":\"$(place_of "$i")\",\"labels\":{\"service\":\"pisar\"},\"permits\":$permits},"
 	done
 	for i in $(seq "$bookings"); do
 		targets+="{\"name\":\"booking-$i\",\"address\":\"127.$subnet.3.$i:9000\",\"place\":\"$(place_of "$i")\",\"labels\":{\"service\":\"sejemski-vpis\"},\"permits\":64},"
