--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -42,20 +42,24 @@
 // try sends r to one target. again tells that the named target can't have seen
 // it, so that another may be tried.
 func (d *dispatcher) try(ctx context.Context, r confirmation.Request, exclude map[string]bool) (record confirmation.Record, name string, again bool) {
-	chosen, refused := d.n.pickPlain(ctx, r, exclude)
+	permit, refused := d.n.admitPlain(ctx, r, exclude)
 	if refused != nil {
 		d.n.events.Record(event.ConfirmationNotRun, r.Key, event.F("error", refused.Error()))
-		return notRun(r), "", false
+		record = notRun(r)
+		record.RetryAfter = refused.RetryAfter
+		return record, "", false
 	}
-	name = chosen.Target.Name
-	defer d.n.release(name)
+	name = permit.target.Name
+	ended := true
+	defer func() { permit.release(ended) }()
 	d.n.events.Record(event.ConfirmationDispatched, r.Key, event.F("target", name))
-	reply, err := d.n.targets.client(chosen.Target.Address).Call(ctx, target.Call{Key: r.Key, Workspace: r.Workspace, Body: r.Body})
+	reply, err := d.n.targets.client(permit.target.Address).Call(ctx, target.Call{Key: r.Key, Workspace: r.Workspace, Body: r.Body})
 	switch {
 	case errors.Is(err, target.ErrNotSent):
 		d.n.events.Record(event.ConfirmationNotRun, r.Key, event.F("target", name))
 		return notRun(r), name, true
 	case err != nil:
+		ended = false
 		d.n.events.Record(event.ConfirmationUnknown, r.Key, event.F("target", name))
 		return confirmation.Record{Key: r.Key, Outcome: failure.Unknown}, name, false
 	}
@@ -63,15 +67,21 @@
 	return confirmation.Record{Key: r.Key, Outcome: failure.Ran, Status: reply.Status, Answer: reply.Body}, name, false
 }
 
-// pickPlain takes a permit of a target for r, within its deadline.
-func (n *Node) pickPlain(ctx context.Context, r confirmation.Request, exclude map[string]bool) (routing.Candidate, *failure.Error) {
+// admitPlain waits for a permit of a target for r, within its deadline.
+func (n *Node) admitPlain(ctx context.Context, r confirmation.Request, exclude map[string]bool) (*permit, *failure.Error) {
 	svc, ok := n.snapshot.Load().Service(r.Service)
 	if !ok || svc.Kind != configuration.Plain {
-		return routing.Candidate{}, failure.New(failure.NotFound, failure.NotRun, "route", n.self.ID, "no plain service %q", r.Service)
+		return nil, failure.New(failure.NotFound, failure.NotRun, "route", n.self.ID, "no plain service %q", r.Service)
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.Deadline)
-	defer cancel()
-	return n.pick(ctx, routing.Request{
-		ID: r.Key, Service: svc, Labels: r.Labels, Exclude: exclude, Pinned: svc.Side(r.Key), FromPlace: n.self.Place,
+	workspace, refused := n.workspace(r.Workspace)
+	if refused != nil {
+		return nil, refused
+	}
+	return n.admit(ctx, ask{
+		want: routing.Request{
+			ID: r.Key, Service: svc, Labels: r.Labels, Exclude: exclude, Pinned: svc.Side(r.Key), FromPlace: n.self.Place,
+		},
+		workspace: r.Workspace, priority: target.Urgent, bytes: int64(len(r.Body)),
+		wait: n.firstTokenWait(r.Deadline, workspace),
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -55,7 +55,7 @@
 
 	confirmations confirmations
 
-	inFlight map[string]int // by target; owned by the control loop
+	admission *admitter // owned by the control loop
 
 	listener net.Listener
 	server   *http.Server
@@ -80,7 +80,7 @@
 	}
 	n := &Node{
 		settings: s, self: self, events: events, metrics: metrics.NewRegistry(), loop: control.NewLoop(),
-		transport: transport, listener: listener, inFlight: make(map[string]int), refused: make(chan struct{}),
+		transport: transport, listener: listener, refused: make(chan struct{}),
 	}
 	if err := n.openTrace(s.TraceFile); err != nil {
 		transport.Close()
