--- a/trace/replayers/replayers.go
+++ b/trace/replayers/replayers.go
@@ -3,6 +3,10 @@
 
 import (
 	"github.com/vanillaroad/vanillaroad/admission"
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/confirmation"
+	"github.com/vanillaroad/vanillaroad/generation"
+	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/routing"
 	"github.com/vanillaroad/vanillaroad/trace"
 )
@@ -10,7 +14,11 @@
 // All returns the makers by slice.
 func All() map[string]trace.Maker {
 	return map[string]trace.Maker{
-		admission.TraceSlice: admission.Replay,
-		routing.TraceSlice:   routing.Replay,
+		generation.TraceSlice:   generation.Maker,
+		confirmation.TraceSlice: confirmation.Maker,
+		configuration.Slice:     configuration.NewReplay,
+		membership.Slice:        membership.NewReplay,
+		admission.TraceSlice:    admission.Replay,
+		routing.TraceSlice:      routing.Replay,
 	}
 }
