--- a/configuration/store.go
+++ b/configuration/store.go
@@ -173,8 +173,8 @@
 	return err
 }
 
-// putPart stores one part. A conflict means that an earlier try took effect,
-// because nobody else uses the name.
+// putPart stores one part. A conflict, or a part that reads back, means that an
+// earlier try took effect, because nobody else uses the name.
 func (w *writing) putPart(ctx context.Context, name string, value []byte) error {
 	w.written = append(w.written, name)
 	for pause := settlePause; ; pause = min(2*pause, settlePauseMax) {
@@ -182,7 +182,13 @@
 		switch {
 		case err == nil || errors.Is(err, platform.ErrConflict):
 			return nil
-		case !errors.Is(err, platform.ErrUnknown) || !wait(ctx, pause):
+		case !errors.Is(err, platform.ErrUnknown):
+			return notAccepted(errors.Wrap(err, "put part"))
+		}
+		if _, read := w.store.Get(ctx, PartKind, name); read == nil {
+			return nil
+		}
+		if !wait(ctx, pause) {
 			return notAccepted(errors.Wrap(err, "put part"))
 		}
 	}
