--- /dev/null
+++ b/node/fleet_bench_test.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/peer"
+)
+
+// Load of one measured fleet.
+const (
+	benchTargets = 500
+	benchChanges = 40
+	benchIdle    = 20 * time.Second
+	// benchPause paces changes as 75,000 changes a day do.
+	benchPause = 1152 * time.Millisecond
+)
+
+// cost is what a fleet has spent so far.
+type cost struct {
+	at     time.Time
+	cpu    time.Duration
+	member int64
+	config int64
+	calls  map[string]int64
+}
+
+func (f *fleet) cost() cost {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	c := cost{at: time.Now(), cpu: time.Duration(u.Utime.Nano() + u.Stime.Nano()), calls: f.platform.Calls()}
+	for _, n := range f.nodes {
+		c.member += n.transport.Traffic(peer.MembershipKinds)
+		c.config += n.transport.Traffic(peer.ConfigurationBase)
+		c.member += n.transport.Traffic(0) // hellos and pings
+	}
+	return c
+}
+
+func report(b *testing.B, phase string, nodes int, from, to cost) {
+	seconds := to.at.Sub(from.at).Seconds()
+	each := seconds * float64(nodes)
+	b.ReportMetric(float64(to.cpu-from.cpu)/1e6/each, phase+"-cpu-ms/s/node")
+	b.ReportMetric(float64(to.member-from.member)/each, phase+"-membership-B/s/node")
+	b.ReportMetric(float64(to.config-from.config)/each, phase+"-configuration-B/s/node")
+	for _, kind := range []string{"get", "list", "vms", "put", "delete"} {
+		b.ReportMetric(float64(to.calls[kind]-from.calls[kind])/seconds, phase+"-"+kind+"-calls/s")
+	}
+}
+
+// BenchmarkFleet measures what daemons spend when idle and while the
+// configuration changes 75,000 times a day, and the time until a change is in
+// force on all: go test ./node -run '^$' -bench Fleet -benchtime 1x
+func BenchmarkFleet(b *testing.B) {
+	for i, n := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchFleet(b, 60+i, n) })
+	}
+}
+
+func benchFleet(b *testing.B, subnet, n int) {
+	f, err := newFleet(subnet, n)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.close()
+	if _, err := f.apply(0, f.document(benchTargets), 0, 0); err != nil {
+		b.Fatal(err)
+	}
+	await(func() bool { return f.inForce(1) && f.acquainted() })
+	for b.Loop() {
+		before := f.cost()
+		time.Sleep(benchIdle)
+		idle := f.cost()
+		report(b, "idle", n, before, idle)
+		spans := f.change(b)
+		report(b, "changes", n, idle, f.cost())
+		slices.Sort(spans)
+		b.ReportMetric(float64(spans[len(spans)/2].Microseconds())/1000, "in-force-p50-ms")
+		b.ReportMetric(float64(spans[len(spans)-1].Microseconds())/1000, "in-force-max-ms")
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		b.ReportMetric(float64(mem.HeapInuse)/float64(n)/(1<<20), "heap-MB/node")
+	}
+}
+
+// change applies changes through the daemons in turn and returns the time from
+// asking until in force on all, each.
+func (f *fleet) change(b *testing.B) []time.Duration {
+	var spans []time.Duration
+	d := f.document(benchTargets)
+	version := f.nodes[0].snapshot.Load().Version
+	for i := range benchChanges {
+		d.Targets[i].Labels = map[string]string{"s": "pisar", "n": strings.Repeat("x", 1+int(version)%50)}
+		began := time.Now()
+		if _, err := f.apply(i%len(f.nodes), d, version, 0); err != nil {
+			b.Fatal(err)
+		}
+		version++
+		await(func() bool { return f.inForce(version) })
+		spans = append(spans, time.Since(began))
+		time.Sleep(benchPause - time.Since(began))
+	}
+	return spans
+}
+
+// BenchmarkNext measures how a change of one target is put in force at the size
+// of docs/ROADMAP.md.
+func BenchmarkNext(b *testing.B) {
+	for _, targets := range []int{1000, 5000, 10000} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			d := (&fleet{}).document(targets)
+			s, err := configuration.Adopt(configuration.Head{Version: 1, Sum: d.Sum()}, d)
+			if err != nil {
+				b.Fatal(err)
+			}
+			after := d
+			after.Targets = slices.Clone(d.Targets)
+			after.Targets[targets/2].Permits = 7
+			delta := configuration.Diff(d, after)
+			delta.From = 1
+			head := configuration.Head{Version: 2, Sum: after.Sum(), Delta: &delta}
+			for b.Loop() {
+				if _, err := s.Next(head); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/vanillaroad/vanillaroad/configuration"
+	gen "github.com/vanillaroad/vanillaroad/gen/operations"
+	"github.com/vanillaroad/vanillaroad/internal/jsontime"
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/settings"
+)
+
+// fleet is daemons in one process before a stand-in of the platform.
+type fleet struct {
+	platform *standin.Platform
+	server   *httptest.Server
+	nodes    []*Node
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	deaf     []atomic.Bool // daemons that the platform refuses
+}
+
+// handler serves each daemon under a path of its own, so that the platform can
+// be cut from single ones.
+func (f *fleet) handler(w http.ResponseWriter, r *http.Request) {
+	var i int
+	if _, err := fmt.Sscanf(r.URL.Path, "/%d/", &i); err != nil || f.deaf[i].Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	http.StripPrefix(fmt.Sprintf("/%d", i), f.platform.Handler()).ServeHTTP(w, r)
+}
+
+func newFleet(subnet, n int) (*fleet, error) {
+	f := &fleet{platform: standin.NewPlatform(), deaf: make([]atomic.Bool, n)}
+	f.server = httptest.NewServer(http.HandlerFunc(f.handler))
+	var vms []platform.VM
+	for i := range n {
+		vms = append(vms, platform.VM{ID: fmt.Sprintf("vm-%d", i), Address: fleetIP(subnet, i), Place: fmt.Sprint("place-", i%4),
+			Region: "region", Labels: map[string]string{RoleLabel: EntryRole}})
+	}
+	f.platform.SetVMs(vms)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	for i, vm := range vms {
+		s := settings.Default()
+		s.ID, s.Place, s.Region, s.Platform = vm.ID, vm.Place, vm.Region, fmt.Sprintf("%s/%d", f.server.URL, i)
+		s.APIAddress, s.PeerAddress = vm.Address+":7100", vm.Address+":7200"
+		s.EventRing, s.LogLevel = 1024, "error"
+		s.Membership.DirectoryTTL = jsontime.Duration(100 * time.Millisecond)
+		node, err := New(s, io.Discard)
+		if err != nil {
+			f.close()
+			return nil, err
+		}
+		f.nodes = append(f.nodes, node)
+		f.wg.Go(func() { _ = f.nodes[i].Run(ctx) })
+	}
+	return f, nil
+}
+
+func fleetIP(subnet, i int) string { return fmt.Sprintf("127.%d.%d.%d", subnet, i/200, 1+i%200) }
+
+func (f *fleet) close() {
+	f.cancel()
+	f.wg.Wait()
+	f.server.Close()
+}
+
+func (f *fleet) document(targets int) configuration.Document {
+	d := configuration.Document{Services: []configuration.Service{{Name: "pisar", Kind: configuration.Generation, Selector: "s=pisar", NewShare: 100}}}
+	for i := range targets {
+		d.Targets = append(d.Targets, configuration.Target{Name: fmt.Sprintf("t%05d", i), Address: "127.0.0.1:1", Place: "p", Permits: 1, Labels: map[string]string{"s": "pisar"}})
+	}
+	return d
+}
+
+func (f *fleet) apply(node int, d configuration.Document, base int64, wait time.Duration) (*gen.ApplyResult, error) {
+	ms := wait.Milliseconds()
+	api := &operationsAPI{f.nodes[node]}
+	return api.Apply(context.Background(), &gen.ApplyPayload{Document: d, BaseVersion: base, WaitMs: &ms})
+}
+
+// await returns once ok holds; the test's own limit ends a wait in vain.
+func await(ok func() bool) {
+	for !ok() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (f *fleet) all(ok func(n *Node) bool) bool {
+	for _, n := range f.nodes {
+		if !ok(n) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) inForce(version int64) bool {
+	return f.all(func(n *Node) bool { return n.snapshot.Load().Version >= version })
+}
+
+// acquainted tells whether all daemons see all as alive.
+func (f *fleet) acquainted() bool {
+	return f.all(func(n *Node) bool { return len(n.view.Load().Live()) == len(f.nodes) })
+}
+
+func TestFleet(t *testing.T) {
+	Convey("Given five daemons with a configuration", t, func() {
+		leaks := goleak.IgnoreCurrent()
+		f, err := newFleet(57, 5)
+		So(err, ShouldBeNil)
+		Reset(func() {
+			f.close()
+			So(goleak.Find(leaks), ShouldBeNil)
+		})
+		_, err = f.apply(0, f.document(100), 0, 0)
+		So(err, ShouldBeNil)
+		await(func() bool { return f.inForce(1) && f.acquainted() })
+
+		Convey("a change is in force on all when the wait returns", func() {
+			out, err := f.apply(3, f.document(101), 1, time.Minute)
+			So(err, ShouldBeNil)
+			So(out.Lagging, ShouldBeEmpty)
+			So(f.inForce(2), ShouldBeTrue)
+		})
+		Convey("a daemon cut off from platform and peers refuses new work until it is back", func() {
+			lone := f.nodes[4]
+			f.cut(4, true)
+			await(func() bool { return lone.view.Load().Isolated })
+			e := lone.refusal()
+			So(string(e.Code), ShouldEqual, "isolated")
+			So(string(e.Outcome), ShouldEqual, "not_run")
+			So(e.RetryAfter, ShouldBeGreaterThan, 0)
+			So(f.nodes[0].refusal(), ShouldBeNil)
+			f.cut(4, false)
+			await(func() bool { return !lone.view.Load().Isolated && f.acquainted() })
+			So(lone.refusal(), ShouldBeNil)
+		})
+		Convey("a daemon that missed versions and deltas catches up from peers in an outage", func() {
+			f.cut(4, true)
+			const versions = headsKept + 20
+			for v := int64(1); v < versions; v++ {
+				_, err := f.apply(0, f.document(100+int(v)), v, 0)
+				So(err, ShouldBeNil)
+				await(func() bool { return f.nodes[1].snapshot.Load().Version == v+1 })
+			}
+			f.platform.SetFaults(standin.PlatformFaults{Down: true})
+			f.cut(4, false)
+			await(func() bool { return f.inForce(versions) })
+			So(len(f.nodes[4].snapshot.Load().Document.Targets), ShouldEqual, 100+versions-1)
+		})
+		Convey("a daemon that is stopped is in nobody's answers once it has told, and refuses later", func() {
+			refused := f.nodes[2].Drain()
+			away := f.nodes[2].self.APIAddress
+			await(func() bool {
+				return f.all(func(n *Node) bool { return !slices.Contains(n.view.Load().Directory("", "k"), away) })
+			})
+			<-refused
+			e := f.nodes[2].refusal()
+			So(string(e.Code), ShouldEqual, "draining")
+			So(string(e.Outcome), ShouldEqual, "not_run")
+			So(e.Addresses, ShouldNotContain, away)
+			So(len(e.Addresses), ShouldEqual, 4)
+		})
+		Convey("the mark of a target's VM reaches every daemon", func() {
+			vms := f.vms()
+			f.platform.SetVMs(append(vms, platform.VM{ID: "e-1", Leaving: true}))
+			await(func() bool { return f.all(func(n *Node) bool { return n.view.Load().LeavingVMs["e-1"] }) })
+			f.platform.SetVMs(vms)
+			await(func() bool { return f.all(func(n *Node) bool { return n.view.Load().Departed["e-1"] }) })
+		})
+	})
+}
+
+// cut cuts one daemon from the platform and all others, or heals that.
+func (f *fleet) cut(lone int, on bool) {
+	f.deaf[lone].Store(on)
+	for i, n := range f.nodes {
+		n.transport.Block(func(address string) bool {
+			return on && (i == lone || address == f.nodes[lone].self.PeerAddress)
+		})
+	}
+}
+
+func (f *fleet) vms() []platform.VM {
+	var out []platform.VM
+	for _, m := range f.nodes[0].view.Load().Members {
+		ip := m.APIAddress[:len(m.APIAddress)-len(":7100")]
+		out = append(out, platform.VM{ID: m.ID, Address: ip, Place: m.Place, Region: m.Region, Labels: map[string]string{RoleLabel: EntryRole}})
+	}
+	return out
+}
