--- a/cmd/vanillaroad/main.go
+++ b/cmd/vanillaroad/main.go
@@ -56,7 +56,7 @@
 	root.AddCommand(
 		directoryCommand(o), generateCommand(o), confirmCommand(o), outcomeCommand(o),
 		applyCommand(o), diffCommand(o), getCommand(o), describeCommand(o), historyCommand(o), rollbackCommand(o),
-		statusCommand(o), membersCommand(o), drainCommand(o), timelineCommand(o), settingsCommand(),
+		statusCommand(o), membersCommand(o), drainCommand(o), timelineCommand(o), settingsCommand(), traceCommand(o),
 	)
 	return root
 }
--- a/gen/http/operations/client/cli.go
+++ b/gen/http/operations/client/cli.go
@@ -25,7 +25,7 @@
 	{
 		err = json.Unmarshal([]byte(operationsApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Consequatur ab nulla qui porro reiciendis.\",\n      \"base_version\": 6201333198834133047,\n      \"document\": \"Perspiciatis quos et reprehenderit.\",\n      \"dry_run\": true,\n      \"wait_ms\": 8410679533322469006,\n      \"write_id\": \"lw1\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"Quo voluptatem et ducimus non ipsa.\",\n      \"base_version\": 9001748542905865061,\n      \"document\": \"Autem quo possimus quia architecto.\",\n      \"dry_run\": true,\n      \"wait_ms\": 2158537002447427160,\n      \"write_id\": \"mic\"\n   }'")
 		}
 		if body.Document == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("document", "body"))
--- a/node/node.go
+++ b/node/node.go
@@ -18,7 +18,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/vanillaroad/vanillaroad/configuration"
-	"github.com/vanillaroad/vanillaroad/confirmation"
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/generation"
@@ -42,7 +41,6 @@
 	targets   *targetPool
 	hub       *generation.Hub
 	orders    *orders
-	confirm   confirmation.Service
 	members   *members
 	versions  *versions
 
@@ -55,7 +53,9 @@
 	refused  chan struct{} // closed once refusing
 	requests atomic.Int64
 
-	inFlight map[string]int // by target; owned by the control loop
+	confirmations confirmations
+
+	admission *admitter // owned by the control loop
 
 	listener net.Listener
 	server   *http.Server
@@ -80,7 +80,7 @@
 	}
 	n := &Node{
 		settings: s, self: self, events: events, metrics: metrics.NewRegistry(), loop: control.NewLoop(),
-		transport: transport, listener: listener, inFlight: make(map[string]int), refused: make(chan struct{}),
+		transport: transport, listener: listener, refused: make(chan struct{}),
 	}
 	if err := n.openTrace(s.TraceFile); err != nil {
 		transport.Close()
