--- a/trace/replayers/replayers.go
+++ b/trace/replayers/replayers.go
@@ -3,6 +3,8 @@
 
 import (
 	"github.com/vanillaroad/vanillaroad/admission"
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/routing"
 	"github.com/vanillaroad/vanillaroad/trace"
 )
@@ -12,5 +14,7 @@
 	return map[string]trace.Maker{
 		admission.TraceSlice: admission.Replay,
 		routing.TraceSlice:   routing.Replay,
+		configuration.Slice:  configuration.NewReplay,
+		membership.Slice:     membership.NewReplay,
 	}
 }
