--- a/client/confirm.go
+++ b/client/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,7 +21,9 @@
 	Labels     map[string]string `json:"labels,omitempty"`
 }
 
-// Outcome is what is known of a key.
+// Outcome is what is known of a key. An unknown outcome with a RetryAfter, in
+// milliseconds, may become known: ask again with the same key. Without one it is
+// final: nobody in the system can tell, so ask the service that was called.
 type Outcome struct {
 	Key        string          `json:"key"`
 	Outcome    failure.Outcome `json:"outcome"`
@@ -29,6 +32,12 @@
 	RetryAfter int64           `json:"retry_after_ms"`
 }
 
+// final tells whether asking again is no use.
+func (o Outcome) final() bool { return o.Outcome != failure.Unknown || o.RetryAfter == 0 }
+
+// confirmPause bounds the wait between two asks for one key.
+const confirmPause = 500 * time.Millisecond
+
 // IssueKey asks a daemon for a fresh idempotency key.
 func (c *Client) IssueKey(ctx context.Context) (string, error) {
 	var out struct {
@@ -41,13 +50,71 @@
 }
 
 // Confirm runs a call at most once. It asks again with the same key, at other
-// daemons too, until there is an outcome or ctx ends.
+// daemons too, until the outcome is final or ctx ends; it never uses a second
+// key. When nothing is known at the end, the outcome is unknown and the error
+// says why. A call that is refused with an outcome of not_run never ran, and
+// the key will never run it.
 func (c *Client) Confirm(ctx context.Context, r ConfirmRequest) (Outcome, error) {
-	var out Outcome
-	err := c.anywhere(ctx, func(address string) error {
-		return c.exchange(ctx, address, http.MethodPost, "/v1/confirmations", r, &out)
+	return c.settle(ctx, r.Key, func(ctx context.Context, address string, out *Outcome) error {
+		return c.exchange(ctx, address, http.MethodPost, "/v1/confirmations", r, out)
+	})
+}
+
+// Outcome looks up what is known of a key until that is final or ctx ends. It
+// never runs anything.
+func (c *Client) Outcome(ctx context.Context, key string) (Outcome, error) {
+	return c.settle(ctx, key, func(ctx context.Context, address string, out *Outcome) error {
+		return c.exchange(ctx, address, http.MethodGet, "/v1/confirmations/"+url.PathEscape(key), nil, out)
 	})
-	return out, err
+}
+
+// settle asks until the outcome is final.
+func (c *Client) settle(ctx context.Context, key string, ask func(context.Context, string, *Outcome) error) (Outcome, error) {
+	last := Outcome{Key: key, Outcome: failure.Unknown, RetryAfter: confirmPause.Milliseconds()}
+	var err error
+	for i := 0; ctx.Err() == nil; i++ {
+		addresses := c.Addresses(ctx)
+		if len(addresses) == 0 {
+			return last, errors.New("no daemon address is known")
+		}
+		var out Outcome
+		err = c.confirmOnce(ctx, addresses[i%len(addresses)], &out, ask)
+		switch {
+		case err == nil && out.final():
+			return out, nil
+		case err == nil:
+			last = out
+		case refused(err):
+			return Outcome{Key: key, Outcome: failure.From(err).Outcome}, err
+		}
+		pause(ctx, min(time.Duration(i+1)*pauseStep, confirmPause))
+	}
+	if err == nil {
+		return last, nil
+	}
+	return last, err
+}
+
+// confirmOnce asks one daemon, for no longer than its own deadline and a margin.
+func (c *Client) confirmOnce(ctx context.Context, address string, out *Outcome, ask func(context.Context, string, *Outcome) error) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*askTimeout)
+	defer cancel()
+	return ask(ctx, address, out)
+}
+
+// refused tells whether a daemon refused a call for good.
+func refused(err error) bool {
+	var f *failure.Error
+	if !errors.As(err, &f) {
+		return false
+	}
+	switch f.Code {
+	case failure.BadRequest, failure.Conflict:
+		return f.RetryAfter == 0
+	case failure.NotFound:
+		return true
+	}
+	return f.Outcome == failure.NotRun && f.RetryAfter == 0
 }
 
 // anywhere tries daemons in turn until one gives a final answer.
--- a/cmd/vanillaroad/calls.go
+++ b/cmd/vanillaroad/calls.go
@@ -1,11 +1,10 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -103,25 +102,29 @@
 
 func confirmCommand(o *options) *cobra.Command {
 	var r client.ConfirmRequest
+	var wait time.Duration
 	c := &cobra.Command{Use: "confirm", Short: "Run a non-idempotent call at most once", Args: cobra.NoArgs,
 		Example: "  vanillaroad confirm --workspace fair --service sejemski-vpis --body 'stand 12'",
 		RunE: func(c *cobra.Command, _ []string) error {
 			cl := o.client()
 			defer cl.Close()
+			ctx, cancel := context.WithTimeout(c.Context(), wait)
+			defer cancel()
 			if r.Key == "" {
-				key, err := cl.IssueKey(c.Context())
+				key, err := cl.IssueKey(ctx)
 				if err != nil {
 					return err
 				}
 				r.Key = key
 			}
-			out, err := cl.Confirm(c.Context(), r)
+			out, err := cl.Confirm(ctx, r)
 			if err != nil {
 				return err
 			}
 			return printOutcome(c, o, out)
 		}}
 	f := c.Flags()
+	f.DurationVar(&wait, "wait", 30*time.Second, "longest wait for an outcome")
 	f.StringVar(&r.Key, "key", "", "idempotency key; a new one if empty")
 	f.StringVar(&r.Workspace, "workspace", "", "workspace")
 	f.StringVar(&r.Service, "service", "", "service")
@@ -144,14 +147,18 @@
 	return e.After(time.Duration(out.RetryAfter) * time.Millisecond)
 }
 
+// outcomeWait bounds the look-up of an outcome.
+const outcomeWait = 10 * time.Second
+
 func outcomeCommand(o *options) *cobra.Command {
 	return &cobra.Command{Use: "outcome KEY", Short: "Look up the outcome of a confirmation", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			cl := o.client()
 			defer cl.Close()
-			var out client.Outcome
-			path := "/v1/confirmations/" + url.PathEscape(args[0])
-			if err := cl.Ask(c.Context(), o.addresses[0], http.MethodGet, path, nil, &out); err != nil {
+			ctx, cancel := context.WithTimeout(c.Context(), outcomeWait)
+			defer cancel()
+			out, err := cl.Outcome(ctx, args[0])
+			if err != nil {
 				return err
 			}
 			return printOutcome(c, o, out)
--- a/confirmation/explore_test.go
+++ b/confirmation/explore_test.go
@@ -12,6 +12,7 @@
 // faults break one rule each; the exploration must catch every one that a
 // mutant sets.
 type faults struct {
+	forgetEarly        bool // records are forgotten before their keys are refused
 	ackAfterSeal       bool // the second acknowledges all intents, also after it took over
 	sameIncarnation    bool // a restarted daemon passes for its former run
 	retryAfterReset    bool // a call whose connection broke passes for not sent
@@ -117,6 +118,9 @@
 	if m, ok := in.(Intent); ok && w.faults.ackAfterSeal {
 		decisions = []Decision{Send{m.From, IntentAck{Epoch: m.Epoch, From: r.self, Key: m.Key}}}
 	}
+	if _, ok := in.(Tick); ok && w.faults.forgetEarly {
+		r.forgetOlder(w.now, r.limits.Retention/4)
+	}
 	if w.faults.onAfterHandOver && r.shard.Epoch == epoch && r.handed && !handed {
 		r.handed = false
 	}
@@ -125,6 +129,14 @@
 	}
 }
 
+func (r *Replica) forgetOlder(now time.Time, age time.Duration) {
+	for key, e := range r.entries {
+		if now.Sub(e.issued) > age {
+			delete(r.entries, key)
+		}
+	}
+}
+
 func (w *world) decide(i int, d Decision) {
 	switch d := d.(type) {
 	case Send:
--- a/confirmation/replica.go
+++ b/confirmation/replica.go
@@ -106,6 +106,14 @@
 	return r.isFirst() && r.sealSeen && len(r.openKeys()) == 0
 }
 
+// idle tells whether a tick has nothing to do but to forget old records.
+func (r *Replica) idle() bool {
+	if len(r.open) > 0 || len(r.late) > 0 || r.leaving || r.isFirst() && !r.sync.done {
+		return false
+	}
+	return !r.sealed && !r.alone && !r.partner.silent && !r.partner.retired
+}
+
 func (r *Replica) isFirst() bool  { return r.shard.Epoch > 0 && r.shard.First.Same(r.self) }
 func (r *Replica) isSecond() bool { return r.shard.Epoch > 0 && r.shard.Second.Same(r.self) }
 
--- a/confirmation/replica_grant.go
+++ b/confirmation/replica_grant.go
@@ -7,7 +7,7 @@
 )
 
 // reach notes whether the partner answers. Callers that wait for a
-// second that does not are told at once that nothing is known yet.
+// second that does not are told that nothing is known yet, unless a grant comes soon.
 func (r *Replica) reach(now time.Time, in Reach) []Decision {
 	if !r.shard.has(r.self) || !r.shard.partner(r.self).Same(in.Peer) {
 		return nil
@@ -17,7 +17,11 @@
 		r.wanted, r.claimed = false, time.Time{}
 		return nil
 	}
-	return append(r.releaseSent(), r.claim(now)...)
+	out := r.claim(now)
+	if r.isFirst() && !r.alone && now.Sub(r.claimed) >= r.limits.GrantWait {
+		out = append(out, r.releaseSent()...)
+	}
+	return out
 }
 
 func (r *Replica) releaseSent() []Decision {
--- a/node/node.go
+++ b/node/node.go
@@ -40,6 +40,7 @@
 	platform  *platform.Client
 	targets   *targetPool
 	hub       *generation.Hub
+	orders    *orders
 
 	snapshot atomic.Pointer[configuration.Snapshot]
 	view     atomic.Pointer[membership.View]
@@ -87,6 +88,7 @@
 	n.buildRouting()
 	n.buildGenerations()
 	n.buildConfirmations()
+	n.buildPlacement()
 	n.server = n.newServer()
 	return n, nil
 }
@@ -121,6 +123,7 @@
 	n.runConfiguration(background)
 	n.runRouting(background)
 	n.runConfirmations(background)
+	n.runPlacement(background)
 	failed := make(chan error, 1)
 	n.spawn(func() { failed <- n.server.Serve(n.listener) })
 	n.events.Record(event.NodeStarted, "", event.F("api", n.settings.APIAddress), event.F("peer", n.settings.PeerAddress))
@@ -148,6 +151,7 @@
 func (n *Node) Drain() {
 	if n.draining.CompareAndSwap(false, true) {
 		n.events.Record(event.NodeDraining, "")
+		n.leaveConfirmations()
 	}
 }
 
@@ -156,7 +160,7 @@
 
 func (n *Node) drain() {
 	n.Drain()
-	n.leaveConfirmations()
+	n.orders.release()
 	time.Sleep(n.settings.Membership.DirectoryTTL.Std())
 	n.refusing.Store(true)
 	n.awaitConfirmations()
