--- /dev/null
+++ b/client/confirm_test.go
@@ -0,0 +1,108 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/failure"
+)
+
+// confirmer is a daemon that answers confirmations from a list.
+type confirmer struct {
+	mu      sync.Mutex
+	answers []string // JSON bodies; a leading status such as "503 " makes it an error
+	keys    map[string]bool
+	server  *httptest.Server
+}
+
+func newConfirmer(answers ...string) *confirmer {
+	c := &confirmer{answers: answers, keys: make(map[string]bool)}
+	c.server = httptest.NewServer(http.HandlerFunc(c.serve))
+	Reset(c.server.Close)
+	return c
+}
+
+func (c *confirmer) address() string { return strings.TrimPrefix(c.server.URL, "http://") }
+
+func (c *confirmer) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/directory" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var in ConfirmRequest
+	_ = json.NewDecoder(r.Body).Decode(&in)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keys[in.Key] = true
+	answer := c.answers[0]
+	if len(c.answers) > 1 {
+		c.answers = c.answers[1:]
+	}
+	switch {
+	case answer == "cut":
+		panic(http.ErrAbortHandler)
+	case strings.HasPrefix(answer, "503 "):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case strings.HasPrefix(answer, "409 "):
+		w.WriteHeader(http.StatusConflict)
+	}
+	_, _ = w.Write([]byte(strings.TrimPrefix(strings.TrimPrefix(answer, "503 "), "409 ")))
+}
+
+func TestConfirm(t *testing.T) {
+	const (
+		ran      = `{"key":"k","outcome":"ran","status":200,"answer":"booked"}`
+		notRun   = `{"key":"k","outcome":"not_run"}`
+		unsure   = `{"key":"k","outcome":"unknown","retry_after_ms":10}`
+		nobody   = `{"key":"k","outcome":"unknown","retry_after_ms":0}`
+		away     = `503 {"code":"isolated","outcome":"unknown","retry_after_ms":10}`
+		conflict = `409 {"code":"conflict","outcome":"not_run"}`
+	)
+	cases := []struct {
+		name    string
+		answers []string
+		outcome failure.Outcome
+		fails   bool
+	}{
+		{"ran at once", []string{ran}, failure.Ran, false},
+		{"not run is final", []string{notRun, ran}, failure.NotRun, false},
+		{"unknown for now is asked again", []string{unsure, unsure, ran}, failure.Ran, false},
+		{"a cut connection is asked again", []string{"cut", ran}, failure.Ran, false},
+		{"a refusal that can pass is asked again", []string{away, away, ran}, failure.Ran, false},
+		{"unknown for good is told", []string{unsure, nobody, ran}, failure.Unknown, false},
+		{"another body is refused", []string{conflict, ran}, failure.NotRun, true},
+	}
+	Convey("Given daemons with their answers", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				d := newConfirmer(c.answers...)
+				cl := New(Settings{Addresses: []string{d.address()}})
+				defer cl.Close()
+				out, err := cl.Confirm(context.Background(), ConfirmRequest{Key: "k"})
+				So(out.Outcome, ShouldEqual, c.outcome)
+				So(err != nil, ShouldEqual, c.fails)
+				So(d.keys, ShouldResemble, map[string]bool{"k": true})
+			})
+		}
+		Convey("the end of the caller's patience leaves it unknown, with more to come", func() {
+			d := newConfirmer(away)
+			cl := New(Settings{Addresses: []string{d.address()}})
+			defer cl.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			out, err := cl.Confirm(ctx, ConfirmRequest{Key: "k"})
+			So(out.Outcome, ShouldEqual, failure.Unknown)
+			So(out.RetryAfter, ShouldBeGreaterThan, 0)
+			So(err, ShouldNotBeNil)
+			So(d.keys, ShouldResemble, map[string]bool{"k": true})
+		})
+	})
+}
--- a/confirmation/explore_test.go
+++ b/confirmation/explore_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/trace"
 )
 
 // faults break one rule each; the exploration must catch every one that a
@@ -60,7 +61,8 @@
 	keys      []string
 	log       []string
 	crashes   int
-	calm      bool // nothing fails; daemons stop as planned
+	tracing   *trace.Recorder // nil when off
+	calm      bool            // nothing fails; daemons stop as planned
 	token     uint64
 	asked     map[uint64]string
 	violation string
@@ -74,14 +76,18 @@
 const simNodes = 4
 
 func newWorld(seed uint64, f faults, limits Limits) *world {
+	return newTracedWorld(seed, f, limits, nil)
+}
+
+func newTracedWorld(seed uint64, f faults, limits Limits, tracing *trace.Recorder) *world {
 	w := &world{
-		rnd: rand.New(rand.NewPCG(seed, 1)), faults: f, now: time.UnixMilli(1_700_000_000_000),
+		tracing: tracing, rnd: rand.New(rand.NewPCG(seed, 1)), faults: f, now: time.UnixMilli(1_700_000_000_000),
 		ledger: make(map[string]int), told: make(map[string]Record), asked: make(map[uint64]string),
 	}
 	for i := range simNodes {
 		n := &simNode{inc: 1, skew: time.Duration(w.rnd.Int64N(int64(limits.Skew))) - limits.Skew/2}
 		w.nodes = append(w.nodes, n)
-		n.replica = NewReplica(w.ref(i), limits)
+		w.begin(i, limits)
 	}
 	w.shard = Shard{Epoch: 1, Floor: 1, First: w.ref(0), Second: w.ref(1), Third: w.ref(2)}
 	for i := range w.nodes {
@@ -90,6 +96,13 @@
 	return w
 }
 
+// begin starts a daemon with no memory.
+func (w *world) begin(i int, limits Limits) {
+	w.nodes[i].replica = NewReplica(w.ref(i), limits)
+	key := fmt.Sprint(w.ref(i).ID, w.ref(i).Incarnation)
+	w.tracing.New(TraceSlice, key, w.now, made{w.ref(i), limits})
+}
+
 func (w *world) ref(i int) Ref { return Ref{ID: string(rune('A' + i)), Incarnation: w.nodes[i].inc} }
 
 func (w *world) index(r Ref) (int, bool) {
@@ -115,6 +128,7 @@
 	}
 	epoch := r.shard.Epoch
 	decisions := r.Step(w.now.Add(n.skew), in)
+	trace.Record(w.tracing, TraceSlice, fmt.Sprint(r.self.ID, r.self.Incarnation), w.now.Add(n.skew), in, decisions)
 	if m, ok := in.(Intent); ok && w.faults.ackAfterSeal {
 		decisions = []Decision{Send{m.From, IntentAck{Epoch: m.Epoch, From: r.self, Key: m.Key}}}
 	}
@@ -381,7 +395,7 @@
 		n.inc++
 	}
 	w.note("%s restarts", w.ref(i).ID)
-	n.replica = NewReplica(w.ref(i), n.replica.limits)
+	w.begin(i, n.replica.limits)
 	if w.faults.sameIncarnation {
 		w.step(i, Assigned{w.shard})
 	}
--- a/trace/replayers/replayers.go
+++ b/trace/replayers/replayers.go
@@ -2,10 +2,11 @@
 package replayers
 
 import (
+	"github.com/vanillaroad/vanillaroad/confirmation"
 	"github.com/vanillaroad/vanillaroad/trace"
 )
 
 // All returns the makers by slice.
 func All() map[string]trace.Maker {
-	return map[string]trace.Maker{}
+	return map[string]trace.Maker{confirmation.TraceSlice: confirmation.Maker}
 }
