--- a/confirmation/explore_test.go
+++ b/confirmation/explore_test.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/trace"
 )
 
 // faults break one rule each; the exploration must catch every one that a
 // mutant sets.
 type faults struct {
+	forgetEarly        bool // records are forgotten before their keys are refused
 	ackAfterSeal       bool // the second acknowledges all intents, also after it took over
 	sameIncarnation    bool // a restarted daemon passes for its former run
 	retryAfterReset    bool // a call whose connection broke passes for not sent
@@ -59,7 +61,8 @@
 	keys      []string
 	log       []string
 	crashes   int
-	calm      bool // nothing fails; daemons stop as planned
+	tracing   *trace.Recorder // nil when off
+	calm      bool            // nothing fails; daemons stop as planned
 	token     uint64
 	asked     map[uint64]string
 	violation string
@@ -73,14 +76,18 @@
 const simNodes = 4
 
 func newWorld(seed uint64, f faults, limits Limits) *world {
+	return newTracedWorld(seed, f, limits, nil)
+}
+
+func newTracedWorld(seed uint64, f faults, limits Limits, tracing *trace.Recorder) *world {
 	w := &world{
-		rnd: rand.New(rand.NewPCG(seed, 1)), faults: f, now: time.UnixMilli(1_700_000_000_000),
+		tracing: tracing, rnd: rand.New(rand.NewPCG(seed, 1)), faults: f, now: time.UnixMilli(1_700_000_000_000),
 		ledger: make(map[string]int), told: make(map[string]Record), asked: make(map[uint64]string),
 	}
 	for i := range simNodes {
 		n := &simNode{inc: 1, skew: time.Duration(w.rnd.Int64N(int64(limits.Skew))) - limits.Skew/2}
 		w.nodes = append(w.nodes, n)
-		n.replica = NewReplica(w.ref(i), limits)
+		w.begin(i, limits)
 	}
 	w.shard = Shard{Epoch: 1, Floor: 1, First: w.ref(0), Second: w.ref(1), Third: w.ref(2)}
 	for i := range w.nodes {
@@ -89,6 +96,13 @@
 	return w
 }
 
+// begin starts a daemon with no memory.
+func (w *world) begin(i int, limits Limits) {
+	w.nodes[i].replica = NewReplica(w.ref(i), limits)
+	key := fmt.Sprint(w.ref(i).ID, w.ref(i).Incarnation)
+	w.tracing.New(TraceSlice, key, w.now, made{w.ref(i), limits})
+}
+
 func (w *world) ref(i int) Ref { return Ref{ID: string(rune('A' + i)), Incarnation: w.nodes[i].inc} }
 
 func (w *world) index(r Ref) (int, bool) {
@@ -114,9 +128,13 @@
 	}
 	epoch := r.shard.Epoch
 	decisions := r.Step(w.now.Add(n.skew), in)
+	trace.Record(w.tracing, TraceSlice, fmt.Sprint(r.self.ID, r.self.Incarnation), w.now.Add(n.skew), in, decisions)
 	if m, ok := in.(Intent); ok && w.faults.ackAfterSeal {
 		decisions = []Decision{Send{m.From, IntentAck{Epoch: m.Epoch, From: r.self, Key: m.Key}}}
 	}
+	if _, ok := in.(Tick); ok && w.faults.forgetEarly {
+		r.forgetOlder(w.now, r.limits.Retention/4)
+	}
 	if w.faults.onAfterHandOver && r.shard.Epoch == epoch && r.handed && !handed {
 		r.handed = false
 	}
@@ -125,6 +143,14 @@
 	}
 }
 
+func (r *Replica) forgetOlder(now time.Time, age time.Duration) {
+	for key, e := range r.entries {
+		if now.Sub(e.issued) > age {
+			delete(r.entries, key)
+		}
+	}
+}
+
 func (w *world) decide(i int, d Decision) {
 	switch d := d.(type) {
 	case Send:
@@ -369,7 +395,7 @@
 		n.inc++
 	}
 	w.note("%s restarts", w.ref(i).ID)
-	n.replica = NewReplica(w.ref(i), n.replica.limits)
+	w.begin(i, n.replica.limits)
 	if w.faults.sameIncarnation {
 		w.step(i, Assigned{w.shard})
 	}
--- a/confirmation/pairs.go
+++ b/confirmation/pairs.go
@@ -19,6 +19,7 @@
 // Periods and bounds of a daemon's part in pairs.
 const (
 	tickPeriod      = 50 * time.Millisecond
+	idleTickPeriod  = time.Second // of a shard with nothing under way
 	probePeriod     = 200 * time.Millisecond
 	probeTimeout    = 300 * time.Millisecond
 	silentProbes    = 2 // probes in a row without an answer
@@ -67,6 +68,8 @@
 	proposals map[int]Shard
 	fetching  map[int]bool
 	stuck     map[int]time.Time
+	moved     moves
+	ticked    map[int]time.Time
 }
 
 var _ Service = (*Pairs)(nil)
@@ -83,7 +86,7 @@
 		},
 		reads: rate.NewLimiter(rate.Every(mapReadPeriod), 1), wake: make(chan struct{}, 1),
 		replicas: make(map[int]*Replica), waiting: make(map[uint64]chan Answer), peers: make(map[string]*health),
-		proposals: make(map[int]Shard), fetching: make(map[int]bool), stuck: make(map[int]time.Time),
+		proposals: make(map[int]Shard), fetching: make(map[int]bool), ticked: make(map[int]time.Time), stuck: make(map[int]time.Time),
 	}
 	p.own.Store(&[]Shard{})
 	p.registerQueries()
@@ -122,7 +125,8 @@
 		if p.leaving.Load() && !r.leaving {
 			p.step(now, n, Leave{})
 		}
-		if r.Shard().has(p.self) || len(r.late) > 0 {
+		if r.Shard().has(p.self) && !r.idle() || len(r.late) > 0 || now.Sub(p.ticked[n]) >= idleTickPeriod {
+			p.ticked[n] = now
 			p.step(now, n, Tick{})
 		}
 		if r.isFirst() && r.acting() && !r.leaving && !(r.partner.silent && !r.alone) {
@@ -130,6 +134,7 @@
 		}
 	}
 	p.own.Store(&own)
+	p.reportMoves()
 }
 
 // Leave begins to hand all shards over.
--- a/confirmation/replica_test.go
+++ b/confirmation/replica_test.go
@@ -42,6 +42,8 @@
 			short.Retention, short.Skew = 500*time.Millisecond, 100*time.Millisecond
 			v, _, _ := explore(faults{}, short, worlds, steps)
 			So(v, ShouldBeEmpty)
+			v, _, _ = explore(faults{forgetEarly: true}, short, worlds, steps)
+			So(v, ShouldNotBeEmpty)
 		})
 		mutants := map[string]faults{
 			"second acknowledges after sealing":             {ackAfterSeal: true},
--- a/node/drain.go
+++ b/node/drain.go
@@ -26,6 +26,7 @@
 		return n.refused
 	}
 	n.events.Record(event.NodeDraining, "")
+	n.leaveConfirmations()
 	n.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 		defer cancel()
@@ -43,7 +44,6 @@
 // write to it or a read from it has timed out.
 func (n *Node) drain() {
 	refused := n.Drain()
-	n.leaveConfirmations()
 	n.orders.release()
 	<-refused
 	n.awaitConfirmations()
