--- a/admission/controller.go
+++ b/admission/controller.go
@@ -161,7 +161,7 @@
 		return "", 0
 	case u != nil && u.queued >= w.MaxQueued:
 		return WorkspaceFull, wait
-	case now.Add(wait).After(w.Deadline):
+	case now.Add(wait + time.Duration(waitMargin*float64(wait))).After(w.Deadline):
 		return TooLate, wait
 	}
 	return "", 0
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -15,8 +15,12 @@
 // holdWeight is the weight of the newest sample in the mean hold time.
 const holdWeight = 1.0 / 32
 
+// waitMargin is by what part the actual wait may exceed the expected one before
+// a request that was let in misses its deadline.
+const waitMargin = 0.1
+
 // holdTime estimates how long a permit is held: the mean over those given back
-// and, while there are few of them, the age of those still held.
+// and, while there are few of them, twice the age of those still held.
 type holdTime struct {
 	mean    time.Duration
 	samples int
@@ -47,7 +51,7 @@
 		return h.mean
 	}
 	age := time.Duration(int64(now.Sub(h.base)) - h.starts/int64(h.held))
-	return max(h.mean, age)
+	return max(h.mean, 2*age)
 }
 
 // retryAfter spreads callers that were told the same wait: each comes back up
