--- /dev/null
+++ b/proof/adm-priority.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# Drafts fill every permit that they may have and queue up behind; confirmations
+# and urgent requests still go through at once, and no draft is lost.
+source "$(dirname "$0")/../scripts/lib.sh"
+source "$(dirname "$0")/../scripts/admission.sh"
+engine_flags=(--slots 64)
+site 72 3 2 1
+change_document 's/"permits":16/"permits":6,"reserved":3/g'
+settle
+drafts=() urgent=()
+for i in $(seq 30); do # 6 permits for drafts in all, 1 s each
+	drafts+=("draft-$i")
+	ask_behind "draft-$i" $((i % daemons + 1)) fair 50 '"priority":"batch","deadline_ms":20000'
+done
+sleep 0.5
+for i in $(seq 12); do
+	urgent+=("urgent-$i")
+	ask_behind "urgent-$i" $((i % daemons + 1)) school 10 '"priority":"urgent"'
+	curl -sS -o "$dir/confirm-$i.json" -w '%{http_code} %{time_starttransfer} %{time_total}\n' -H 'Content-Type: application/json' \
+		"http://$(api_of $((i % daemons + 1)))/v1/confirmations" \
+		-d "{\"key\":\"$(date +%s%3N)-$i\",\"workspace\":\"school\",\"service\":\"sejemski-vpis\",\"body\":\"stand $i\"}" >"$dir/confirm-$i.http"
+	sleep 0.2
+done
+wait_callers
+
+ran=$(grep -l '"outcome":"ran"' "$dir"/confirm-*.json | wc -l)
+confirm_max=$(cut -d ' ' -f 3 "$dir"/confirm-*.http | awk '{ printf "%d\n", $1 * 1000 }' | quantile 100)
+urgent_whole=$(count_whole 10 "${urgent[@]}")
+urgent_max=$(first_token_ms "${urgent[@]}" | quantile 100)
+draft_whole=$(count_whole 50 "${drafts[@]}")
+slowest=$(for d in "${drafts[@]}"; do cut -d ' ' -f 3 "$dir/$d.http"; done | awk '{ printf "%d\n", $1 * 1000 }' | quantile 100)
+echo "proof: beside 30 queued drafts, $ran of 12 confirmations ran, slowest $confirm_max ms; $urgent_whole of 12 urgent answers whole, first token at most $urgent_max ms;" \
+	"$draft_whole of 30 drafts whole, the last after $slowest ms"
+[ "$ran" -eq 12 ] && [ "$urgent_whole" -eq 12 ] && [ "$draft_whole" -eq 30 ] && [ "$confirm_max" -lt 500 ] && [ "$urgent_max" -lt 500 ] && [ "$slowest" -gt 3000 ]
