--- a/admission/controller.go
+++ b/admission/controller.go
@@ -62,6 +62,11 @@
 		c.end(now, func(p *permit) bool { return p.target == m.Target && p.granted.Before(m.Before) })
 	case Gone:
 		c.end(now, func(p *permit) bool { return p.target == m.Target })
+	case Block:
+		if l := c.targets[m.Target]; l != nil {
+			l.blocked = m.Blocked
+		}
+		c.dispatchAll(now)
 	case Wake:
 		c.dispatchAll(now)
 	case Tick:
@@ -72,7 +77,7 @@
 
 func (c *Controller) configure(m Configure) {
 	for _, l := range c.targets {
-		l.limit, l.reserved = 0, 0
+		l.limit, l.reserved, l.blocked = 0, 0, false
 	}
 	for _, t := range m.Targets {
 		l := c.targets[t.Name]
@@ -182,9 +187,7 @@
 func (c *Controller) expectedWait(now time.Time, l *lane, w *waiting) time.Duration {
 	var permits int
 	for _, name := range l.targets {
-		if t := c.targets[name]; t != nil {
-			permits += max(0, t.limit-t.left)
-		}
+		permits += c.targets[name].usable()
 	}
 	if permits == 0 {
 		return 0
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -263,6 +263,22 @@
 			b.step(Configure{Lanes: map[string][]string{testLane: nil}})
 			b.step(Release{1, true})
 		}, []uint64{1}, nil, 0},
+		{"a blocked target gets nothing until it is back", []TargetLimit{one}, func(b *bench) {
+			b.step(Block{"e1", true})
+			b.submit(1, nil)
+			b.submit(2, urgent)
+			b.step(Block{"e1", false})
+		}, []uint64{2}, nil, 0},
+		{"a blocked target shortens no expected wait", []TargetLimit{one, {Name: "e2", Permits: 1}}, func(b *bench) {
+			b.submit(1, nil)
+			b.now = b.now.Add(4 * time.Second)
+			b.step(Release{1, true})
+			b.step(Block{"e2", true})
+			b.submit(2, nil)
+			b.submit(3, nil) // 4 s expected
+			b.submit(4, nil) // 8 s expected
+			b.submit(5, nil) // 12 s expected, 6 s if the blocked one counted
+		}, []uint64{1, 2}, map[uint64]Reason{5: TooLate}, 0},
 		{"the same ticket twice is one", []TargetLimit{{Name: "e1", Permits: 2}}, func(b *bench) {
 			b.submit(1, nil)
 			b.submit(1, nil)
--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -17,16 +17,25 @@
 	taken    int // of them left: left
 	ordinary int // taken by requests that are not urgent
 	left     int
+	blocked  bool
 }
 
 // free tells whether a request may take a permit.
 func (l *ledger) free(urgent bool) bool {
-	if l == nil || l.taken >= l.limit {
+	if l == nil || l.blocked || l.taken >= l.limit {
 		return false
 	}
 	return urgent || l.ordinary < l.limit-l.reserved
 }
 
+// usable returns the permits that serve waiting requests sooner or later.
+func (l *ledger) usable() int {
+	if l == nil || l.blocked {
+		return 0
+	}
+	return max(0, l.limit-l.left)
+}
+
 func (l *ledger) take(urgent bool) {
 	l.taken++
 	if !urgent {
--- a/admission/message.go
+++ b/admission/message.go
@@ -54,7 +54,14 @@
 // Gone tells that a target's VM is gone and nothing can run on it.
 type Gone struct{ Target string }
 
-// Wake tells that targets may be usable that were not.
+// Block tells that a target must not be used, because it is dead or leaving, or
+// that it may be used again. Its permits don't count for expected waits.
+type Block struct {
+	Target  string
+	Blocked bool
+}
+
+// Wake tells that tickets may find targets that they did not before.
 type Wake struct{}
 
 // Tick lets time pass.
@@ -67,6 +74,7 @@
 func (Release) message()   {}
 func (Restarted) message() {}
 func (Gone) message()      {}
+func (Block) message()     {}
 func (Wake) message()      {}
 func (Tick) message()      {}
 
--- a/admission/replay.go
+++ b/admission/replay.go
@@ -112,7 +112,7 @@
 // decoders decode each type of message by its name.
 var decoders = map[string]func([]byte) (Message, error){
 	"Configure": decode[Configure], "Submit": decode[Submit], "Adopt": decode[Adopt], "Cancel": decode[Cancel], "Release": decode[Release],
-	"Restarted": decode[Restarted], "Gone": decode[Gone], "Wake": decode[Wake], "Tick": decode[Tick],
+	"Restarted": decode[Restarted], "Gone": decode[Gone], "Block": decode[Block], "Wake": decode[Wake], "Tick": decode[Tick],
 }
 
 func decode[M Message](b []byte) (Message, error) {
--- a/node/admission.go
+++ b/node/admission.go
@@ -31,6 +31,7 @@
 	pending    map[uint64]*pending
 	left       map[uint64]*leftAttempt
 	polls      map[string]*pollState
+	blocked    map[string]bool // targets that are dead or leaving
 	lastID     uint64
 	base       time.Time // carries the monotonic reading that clock is made from
 }
@@ -66,7 +67,7 @@
 		n: n, scheduler: routing.Default(), loads: routing.NewLoads(), prefixes: routing.NewPrefixes(),
 		shares: admission.NewShares(n.settings.Admission.GrowDelay.Std()), plan: &plan{},
 		pending: make(map[uint64]*pending), left: make(map[uint64]*leftAttempt),
-		polls: make(map[string]*pollState), base: now,
+		polls: make(map[string]*pollState), blocked: make(map[string]bool), base: now,
 	}
 	a.controller = admission.NewTraced(n.trace, a.clock(now), n.settings.Admission, a)
 	n.trace.New(routing.TraceSlice, "", a.clock(now), routing.Made{Scheduler: "default"})
@@ -151,6 +152,7 @@
 }
 
 func (a *admitter) tick(now time.Time) {
+	a.block(now)
 	a.step(now, admission.Tick{})
 	s := a.controller.Stats()
 	gauge := func(name string, v int64) {
--- a/node/permit.go
+++ b/node/permit.go
@@ -143,7 +143,7 @@
 
 // freeIdle gives back the left permits of a target that reports to run nothing.
 func (a *admitter) freeIdle(now time.Time, name string, l target.Load) {
-	if l.Running+l.Queued > 0 {
+	if l.Running+l.Queued > 0 || !a.anyLeft(name) {
 		return
 	}
 	_, at := a.loads.Report(name)
@@ -151,4 +151,13 @@
 	a.forgetEnded(now)
 }
 
+func (a *admitter) anyLeft(name string) bool {
+	for _, l := range a.left {
+		if l.permit.target.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 func milliseconds(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- a/node/plan.go
+++ b/node/plan.go
@@ -123,4 +123,6 @@
 		}
 	}
 	a.step(now, m)
+	a.blocked = make(map[string]bool)
+	a.block(now)
 }
--- a/node/poll.go
+++ b/node/poll.go
@@ -113,6 +113,19 @@
 	}
 }
 
+// block tells the controller which targets became dead or leaving, or are no
+// longer.
+func (a *admitter) block(now time.Time) {
+	for name, t := range a.plan.targets {
+		report, _ := a.loads.Report(name)
+		blocked := a.loads.Down(name) || a.leaving(&t, report.Leaving)
+		if blocked != a.blocked[name] {
+			a.blocked[name] = blocked
+			a.step(now, admission.Block{Target: name, Blocked: blocked})
+		}
+	}
+}
+
 // down notes that a target was found dead, and polls it soon.
 func (a *admitter) down(name string) {
 	if a.loads.Down(name) {
