--- a/node/node.go
+++ b/node/node.go
@@ -18,7 +18,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/vanillaroad/vanillaroad/configuration"
-	"github.com/vanillaroad/vanillaroad/confirmation"
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/generation"
@@ -42,14 +41,20 @@
 	targets   *targetPool
 	hub       *generation.Hub
 	orders    *orders
-	confirm   confirmation.Service
+	members   *members
+	versions  *versions
+
+	platformState platformState
 
 	snapshot atomic.Pointer[configuration.Snapshot]
 	view     atomic.Pointer[membership.View]
-	draining atomic.Bool // out of the directory
-	refusing atomic.Bool // takes no new work
+	draining atomic.Bool   // out of the directory
+	refusing atomic.Bool   // takes no new work
+	refused  chan struct{} // closed once refusing
 	requests atomic.Int64
 
+	confirmations confirmations
+
 	admission *admitter // owned by the control loop
 
 	listener net.Listener
@@ -75,7 +80,7 @@
 	}
 	n := &Node{
 		settings: s, self: self, events: events, metrics: metrics.NewRegistry(), loop: control.NewLoop(),
-		transport: transport, listener: listener,
+		transport: transport, listener: listener, refused: make(chan struct{}),
 	}
 	if err := n.openTrace(s.TraceFile); err != nil {
 		transport.Close()
@@ -147,26 +152,6 @@
 	}()
 }
 
-// Drain starts a planned stop without ending the process.
-func (n *Node) Drain() {
-	if n.draining.CompareAndSwap(false, true) {
-		n.events.Record(event.NodeDraining, "")
-	}
-}
-
-// drainPoll is how often a stopping daemon looks for running work.
-const drainPoll = 50 * time.Millisecond
-
-func (n *Node) drain() {
-	n.Drain()
-	n.orders.release()
-	time.Sleep(n.settings.Membership.DirectoryTTL.Std())
-	n.refusing.Store(true)
-	for n.requests.Load() > 0 || n.hub.Active() > 0 {
-		time.Sleep(drainPoll)
-	}
-}
-
 // closeTimeout bounds the wait for idle connections of callers.
 const closeTimeout = 2 * time.Second
 
