--- /dev/null
+++ b/admission/bench_test.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/target"
+)
+
+// spread places a ticket on the first free target from a point that moves, so
+// that the placer costs little.
+type spread struct {
+	names []string
+	next  int
+}
+
+func (s *spread) Place(_ time.Time, _ Ticket, free func(string) bool) (string, Placement) {
+	for i := range s.names {
+		if name := s.names[(s.next+i)%len(s.names)]; free(name) {
+			s.next += i + 1
+			return name, Placed
+		}
+	}
+	return "", Busy
+}
+
+// loaded returns a controller whose permits are all taken and whose queue holds
+// tickets of a number of workspaces.
+func loaded(targets, workspaces, queued int) (*Controller, uint64) {
+	s := DefaultSettings()
+	s.MaxQueued, s.MaxQueuedBytes = 1<<30, 1<<50
+	p := &spread{}
+	m := Configure{Lanes: make(map[string][]string)}
+	for i := range targets {
+		name := fmt.Sprint("e", i)
+		p.names = append(p.names, name)
+		m.Targets = append(m.Targets, TargetLimit{Name: name, Permits: 4})
+	}
+	m.Lanes[testLane] = p.names
+	c := NewController(s, p)
+	c.Step(start, m)
+	var id uint64
+	for range 4*targets + queued {
+		id++
+		c.Step(start, Submit{benchTicket(id, workspaces)})
+	}
+	return c, id
+}
+
+func benchTicket(id uint64, workspaces int) Ticket {
+	return Ticket{
+		ID: id, Request: "r", Workspace: fmt.Sprint("w", id%uint64(workspaces)), Lane: testLane, Priority: target.Normal,
+		Deadline: start.Add(time.Hour), Bytes: 1000, Weight: 1, MaxQueued: 1 << 30,
+	}
+}
+
+// BenchmarkGrant measures one request under load: submit, queue, release of
+// another one, grant.
+func BenchmarkGrant(b *testing.B) {
+	for _, targets := range []int{24, 53, 106} {
+		for _, workspaces := range []int{10, 100, 1000} {
+			b.Run(fmt.Sprintf("targets=%d/workspaces=%d", targets, workspaces), func(b *testing.B) {
+				c, id := loaded(targets, workspaces, 2000)
+				oldest := uint64(1)
+				b.ReportAllocs()
+				for b.Loop() {
+					id++
+					c.Step(start, Submit{benchTicket(id, workspaces)})
+					for c.permits[oldest] == nil {
+						oldest = anyPermit(c)
+					}
+					c.Step(start, Release{oldest, true})
+				}
+			})
+		}
+	}
+}
+
+func anyPermit(c *Controller) uint64 {
+	for id := range c.permits {
+		return id
+	}
+	return 0
+}
+
+// BenchmarkTick measures the look at the time with a queue.
+func BenchmarkTick(b *testing.B) {
+	for _, queued := range []int{0, 500, 4096} {
+		b.Run(fmt.Sprint("queued=", queued), func(b *testing.B) {
+			c, _ := loaded(53, 100, queued)
+			for b.Loop() {
+				c.Step(start, Tick{})
+			}
+		})
+	}
+}
+
+// BenchmarkShares measures the work after a change of the fleet.
+func BenchmarkShares(b *testing.B) {
+	for _, fleet := range []int{8, 190, 760} {
+		b.Run(fmt.Sprintf("daemons=%d/targets=10000", fleet), func(b *testing.B) {
+			live := daemons(fleet)
+			for b.Loop() {
+				f := NewFleet("vm-0", live)
+				for i := range 10000 {
+					f.Share(fmt.Sprint("e", i), 16, 2)
+				}
+			}
+		})
+	}
+}
+
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkMemory reports bytes per queued ticket, target and workspace.
+func BenchmarkMemory(b *testing.B) {
+	cases := []struct {
+		name                       string
+		targets, workspaces, queue int
+		per                        float64
+	}{
+		{"B/ticket", 1, 1, 20000, 20000},
+		{"B/target", 10000, 1, 0, 10000},
+		{"B/queued-workspace", 1, 10000, 10000, 10000},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			var kept *Controller
+			for b.Loop() {
+				kept = nil
+				before := heap()
+				kept, _ = loaded(c.targets, c.workspaces, c.queue)
+				b.ReportMetric((heap()-before)/c.per, c.name)
+			}
+			runtime.KeepAlive(kept)
+		})
+	}
+}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -9,6 +9,9 @@
 // finds no target, such as one that must not go back to the target it lost.
 const headScan = 4
 
+// maxFlows is how many flows one search tries in a class before it gives up.
+const maxFlows = 32
+
 // maxStreak is how many urgent grants in a row a lane makes while others wait.
 const maxStreak = 16
 
--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -39,13 +39,16 @@
 // grantFrom grants one ticket of class first or of those after it.
 func (c *Controller) grantFrom(now time.Time, l *lane, first class) bool {
 	for k := first; k < classes; k++ {
-		if l.queued[k] == 0 {
-			continue
-		}
-		for _, f := range l.order(k) {
+		l.rounds++
+		for range maxFlows {
+			f := l.next(k)
+			if f == nil {
+				break
+			}
 			if c.grantOf(now, l, f, k) {
 				return true
 			}
+			f.tried = l.rounds
 		}
 	}
 	return false
--- a/admission/lane.go
+++ b/admission/lane.go
@@ -7,6 +7,10 @@
 	"github.com/vanillaroad/vanillaroad/target"
 )
 
+// vainRounds is for how many searches a flow whose tickets found no target comes
+// after the others.
+const vainRounds = 64
+
 // class orders waiting tickets; a smaller one goes first.
 type class int
 
@@ -45,6 +49,7 @@
 	weight    int
 	inFlight  int
 	served    uint64 // lane's count of grants at the last grant of this flow
+	tried     uint64 // lane's round in which nothing could be granted
 	queues    [classes][]*waiting
 	queued    int
 }
@@ -59,6 +64,7 @@
 	queued  [classes]int
 	total   int
 	grants  uint64
+	rounds  uint64 // searches for a ticket to grant
 	delayed int // attempts after a loss that wait with new work
 	streak  int // urgent grants in a row while others waited
 	hold    holdTime
@@ -113,8 +119,7 @@
 	}
 }
 
-// order returns the flows that wait in a class: the least used in relation to
-// their weight first, then the one served longest ago.
+// order returns the flows that wait in a class, sorted by workspace.
 func (l *lane) order(c class) []*flow {
 	out := make([]*flow, 0, len(l.flows))
 	for _, f := range l.flows {
@@ -122,10 +127,36 @@
 			out = append(out, f)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
+	sort.Slice(out, func(i, j int) bool { return out[i].workspace < out[j].workspace })
 	return out
 }
 
+// next returns the flow that is to be served in a class: the least used in
+// relation to its weight, then the one served longest ago. Those that were
+// tried in vain in this round are passed over, those of the last rounds come
+// after the others.
+func (l *lane) next(c class) *flow {
+	var best *flow
+	for _, f := range l.flows {
+		if len(f.queues[c]) == 0 || f.tried == l.rounds {
+			continue
+		}
+		if best == nil || l.precedes(f, best) {
+			best = f
+		}
+	}
+	return best
+}
+
+func (l *lane) precedes(f, o *flow) bool {
+	if a, b := l.vain(f), l.vain(o); a != b {
+		return b
+	}
+	return f.before(o)
+}
+
+func (l *lane) vain(f *flow) bool { return f.tried > 0 && l.rounds-f.tried < vainRounds }
+
 func (f *flow) before(o *flow) bool {
 	if a, b := f.load(), o.load(); a != b {
 		return a < b
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -48,6 +48,9 @@
 	return f
 }
 
+// Size returns the number of daemons.
+func (f *Fleet) Size() int { return len(f.ids) }
+
 // ID differs between fleets of different daemons.
 func (f *Fleet) ID() uint64 {
 	var id uint64
--- a/node/plan.go
+++ b/node/plan.go
@@ -39,16 +39,11 @@
 		targets: make(map[string]configuration.Target), lanes: make(map[string][]configuration.Target),
 		kinds: make(map[string]configuration.ServiceKind), regions: make(map[string]string),
 	}
-	var present []string
 	for _, m := range view.Members {
-		if m.State != membership.Gone {
-			present = append(present, m.ID)
-			p.regions[m.Place] = m.Region
-		}
+		p.regions[m.Place] = m.Region
 	}
-	p.daemons = len(present)
-	fleet := admission.NewFleet(view.Self.ID, present)
-	p.fleet = fleet.ID()
+	fleet := fleetOf(view)
+	p.daemons, p.fleet = fleet.Size(), fleet.ID()
 	for _, t := range snapshot.Document.Targets {
 		if s := fleet.Share(t.Name, t.Permits, t.Reserved); s.Permits > 0 {
 			p.wanted[t.Name], p.targets[t.Name] = s, t
@@ -60,6 +55,19 @@
 	return p
 }
 
+// fleetOf returns the daemons that may hold permits: all but those that have
+// certainly ended. One that is only silent may be paused and wake up with its
+// permits, so that its share is not given to others.
+func fleetOf(view *membership.View) *admission.Fleet {
+	var present []string
+	for _, m := range view.Members {
+		if m.State != membership.Gone {
+			present = append(present, m.ID)
+		}
+	}
+	return admission.NewFleet(view.Self.ID, present)
+}
+
 func (p *plan) addLanes(service string) {
 	svc, _ := p.snapshot.Service(service)
 	for _, t := range svc.Targets {
@@ -77,22 +85,34 @@
 	return (limit + max(1, p.daemons) - 1) / max(1, p.daemons)
 }
 
-// replan starts working out a plan when configuration or view changed, and puts
+// replan starts working out a plan when configuration or fleet changed, and puts
 // shares in use that have been wanted for long enough.
 func (a *admitter) replan(now time.Time) {
-	snapshot, view := a.n.snapshot.Load(), a.n.view.Load()
-	if !a.planning && (a.plan.snapshot != snapshot || a.plan.view != view) {
-		a.planning = true
-		a.n.spawn(func() {
-			next := newPlan(snapshot, view)
-			_ = a.n.loop.Post(func(now time.Time) { a.adopt(now, next) })
-		})
-	}
+	a.follow(now)
 	if a.shares.Update(now, a.plan.fleet, a.plan.wanted) {
 		a.configure(now)
 	}
 }
 
+func (a *admitter) follow(now time.Time) {
+	snapshot, view := a.n.snapshot.Load(), a.n.view.Load()
+	if a.planning || (a.plan.snapshot == snapshot && a.plan.view == view) {
+		return
+	}
+	if a.plan.snapshot == snapshot && a.plan.fleet == fleetOf(view).ID() {
+		next := *a.plan
+		next.view = view
+		a.plan = &next
+		a.freeGone(now)
+		return
+	}
+	a.planning = true
+	a.n.spawn(func() {
+		next := newPlan(snapshot, view)
+		_ = a.n.loop.Post(func(now time.Time) { a.adopt(now, next) })
+	})
+}
+
 func (a *admitter) adopt(now time.Time, next *plan) {
 	a.planning = false
 	changed := a.plan.snapshot != next.snapshot
