--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -72,7 +73,12 @@
 	return f, nil
 }
 
-func fleetIP(subnet, i int) string { return fmt.Sprintf("127.%d.%d.%d", subnet, i/200, 1+i%200) }
+// fleetIP gives daemons ports of their own: two runs of the tests at once use
+// different addresses.
+func fleetIP(subnet, i int) string {
+	const runs, last = 250, 250
+	return fmt.Sprintf("127.%d.%d.%d", subnet+i/last, os.Getpid()%runs, 1+i%last)
+}
 
 func (f *fleet) close() {
 	f.cancel()
