confirmation: a planned stop waits for nobody when nobody can take over

Cause: make demo took 45 s. The last two of three daemons waited the whole 20 s hand-over limit each: a second waited to be replaced though no third daemon was left, and probes that had ended kept a stopped daemon as alive. Ruled out: the directory's time (1.5 s), running requests (none). Before: stops of 1.5, 21.5 and 21.5 s.

--- a/confirmation/explore_test.go
+++ b/confirmation/explore_test.go
@@ -386,7 +386,7 @@
 // crash ends a run; the daemon comes back empty and learns of nothing by itself.
 func (w *world) crash(i int) {
 	n := w.nodes[i]
-	planned := n.replica.leaving && n.replica.Free()
+	planned := n.replica.leaving && n.replica.Free(true)
 	if (w.crashes >= simCrashes || w.calm) && !planned {
 		return
 	}
@@ -419,7 +419,7 @@
 			w.step(i, Tick{})
 			w.tell(i)
 			w.lost(i)
-			if w.nodes[i].replica.leaving && w.nodes[i].replica.Free() {
+			if w.nodes[i].replica.leaving && w.nodes[i].replica.Free(true) {
 				w.crash(i)
 			}
 		}
--- /dev/null
+++ b/confirmation/free_test.go
@@ -0,0 +1,26 @@
+package confirmation
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestFree(t *testing.T) {
+	Convey("Given the second of a pair that is asked to stop", t, func() {
+		now := time.Unix(1000, 0)
+		first, second := Ref{ID: "a", Incarnation: 1}, Ref{ID: "b", Incarnation: 1}
+		r := NewReplica(second, Limits{Retention: time.Minute})
+		r.Step(now, Assigned{Shard{Epoch: 1, First: first, Second: second}})
+		So(r.Free(true), ShouldBeFalse)
+		So(r.Free(false), ShouldBeFalse)
+		r.Step(now, Leave{})
+		Convey("it waits for the daemon that replaces it", func() {
+			So(r.Free(true), ShouldBeFalse)
+		})
+		Convey("it waits for nobody when there is no such daemon", func() {
+			So(r.Free(false), ShouldBeTrue)
+		})
+	})
+}
--- a/confirmation/pairs.go
+++ b/confirmation/pairs.go
@@ -140,30 +140,32 @@
 // Leave begins to hand all shards over.
 func (p *Pairs) Leave() { p.leaving.Store(true) }
 
-// Free tells whether every shard of a leaving daemon is in other hands, or
-// there is nobody to take one.
+// Free tells whether this daemon may stop: every shard of a leaving daemon is in
+// other hands, or there is nobody to take one.
 func (p *Pairs) Free(ctx context.Context) bool {
 	free, err := control.Ask(ctx, p.Loop, func(time.Time) bool {
-		return p.allFree() || p.lonely()
+		n := p.staying()
+		return n == 0 || p.allFree(n > 1)
 	})
 	return err != nil || free
 }
 
-func (p *Pairs) allFree() bool {
+func (p *Pairs) allFree(spare bool) bool {
 	for _, r := range p.replicas {
-		if !r.Free() {
+		if !r.Free(spare) {
 			return false
 		}
 	}
 	return true
 }
 
-// lonely tells whether no other daemon has answered a probe of late.
-func (p *Pairs) lonely() bool {
-	for _, h := range p.peers {
-		if h.failed < silentProbes && !h.leaving {
-			return false
+// staying counts the other daemons that live and stay.
+func (p *Pairs) staying() int {
+	var n int
+	for _, m := range p.View().Live() {
+		if m.ID != p.self.ID {
+			n++
 		}
 	}
-	return true
+	return n
 }
--- a/confirmation/replica.go
+++ b/confirmation/replica.go
@@ -95,14 +95,19 @@
 func (r *Replica) Shard() Shard { return r.shard }
 
 // Free tells whether the daemon may stop without losing a record: the shard is
-// in other hands and no answer of a target is awaited.
-func (r *Replica) Free() bool {
+// in other hands and no answer of a target is awaited. Without a spare daemon
+// that could replace it, a second may stop once it has promised never to take
+// over, because the first has all records.
+func (r *Replica) Free(spare bool) bool {
 	if len(r.late) > 0 {
 		return false
 	}
 	if !r.shard.has(r.self) {
 		return true
 	}
+	if r.isSecond() && r.retired && !spare {
+		return true
+	}
 	return r.isFirst() && r.sealSeen && len(r.openKeys()) == 0
 }
 
