--- a/cmd/vanillaroad-load/main.go
+++ b/cmd/vanillaroad-load/main.go
@@ -136,6 +136,9 @@
 		phases = append(phases, load.Run(ctx, o.shape, o.site, o.bounds))
 	}
 	load.Write(out, phases...)
+	if o.mode == modeBoth {
+		_, _ = fmt.Fprintln(out, "cost:", phases[1].Against(phases[0]))
+	}
 	if err := writeJSON(o.json, phases); err != nil {
 		return err
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -57,7 +57,7 @@
 	if m.tokens > 0 && s.work.DecodeTokens > 0 {
 		p.ExtraDecode = float64(s.work.DecodeTokens)/float64(m.tokens) - 1
 	}
-	if s.daemons.CPUSeconds > 0 {
+	if name == systemPhase && s.daemons.CPUSeconds > 0 {
 		p.TokensPerCore = float64(m.tokens) / s.daemons.CPUSeconds
 	}
 	return p
@@ -85,6 +85,18 @@
 	return l
 }
 
+// Against tells in one line what the way through the daemons cost beyond the
+// direct one. The daemons' idle cost is taken from the direct phase.
+func (p Phase) Against(direct Phase) string {
+	idle := direct.Daemons.CPUSeconds / direct.Seconds * p.Seconds
+	micros := (p.Daemons.CPUSeconds - idle) / float64(max(p.Tokens, 1)) * microsPerSecond
+	return fmt.Sprintf("beyond direct calls: first token p50 %+.1f p95 %+.1f ms, between tokens p50 %+.1f p95 %+.1f ms, confirmation p50 %+.1f p95 %+.1f ms, %.0f us of a core a token, prefill %+.0f %%",
+		p.FirstToken.P50-direct.FirstToken.P50, p.FirstToken.P95-direct.FirstToken.P95,
+		p.BetweenTokens.P50-direct.BetweenTokens.P50, p.BetweenTokens.P95-direct.BetweenTokens.P95,
+		p.Confirm.P50-direct.Confirm.P50, p.Confirm.P95-direct.Confirm.P95, micros,
+		100*(float64(p.Work.PrefillTokens)/float64(max(direct.Work.PrefillTokens, 1))-1))
+}
+
 // IdleSummary tells in one line what one of n daemons cost without load, and
 // what the platform's calls were a second.
 func (p Phase) IdleSummary(n int) string {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -28,14 +28,21 @@
 	Interruption time.Duration
 }
 
+// Names of phases.
+const (
+	systemPhase = "system"
+	directPhase = "direct"
+	idlePhase   = "idle"
+)
+
 // Run sends the load through the daemons and returns what it measured.
 func Run(ctx context.Context, s Shape, site Site, o Options) Phase {
-	return run(ctx, "system", Plan(s, "system"), newSiteCaller(site), site, o)
+	return run(ctx, systemPhase, Plan(s, systemPhase), newSiteCaller(site), site, o)
 }
 
 // RunDirect sends the load straight to the targets, in turn.
 func RunDirect(ctx context.Context, s Shape, site Site, o Options) Phase {
-	return run(ctx, "direct", Plan(s, "direct"), newDirectCaller(site), site, o)
+	return run(ctx, directPhase, Plan(s, directPhase), newDirectCaller(site), site, o)
 }
 
 // RunIdle sends nothing for a while and returns what the site cost.
@@ -44,7 +51,7 @@
 	start := time.Now()
 	sleep(ctx, d)
 	took := time.Since(start)
-	return newPhase("idle", 0, took, newMeter(0), w.end(ctx))
+	return newPhase(idlePhase, 0, took, newMeter(0), w.end(ctx))
 }
 
 func run(ctx context.Context, name string, plan []Item, c caller, site Site, o Options) Phase {
--- a/proof/load-undisturbed.sh
+++ b/proof/load-undisturbed.sh
@@ -7,4 +7,4 @@
 
 site 90 8 12 2
 load --mode both --whole --seed "${SEED:-1}" --duration "${DURATION:-15s}" --rate "${RATE:-40}" ${OUT:+--json "$OUT"} | tee "$dir/load.txt"
-echo "proof: $(sed -n 's/^summary: //p' "$dir/load.txt" | paste -sd';')"
+echo "proof: $(sed -n 's/^summary: system: //p' "$dir/load.txt"); $(sed -n 's/^cost: //p' "$dir/load.txt")"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -107,6 +107,10 @@
 	local i
 	subnet=$1 daemons=$2 engines=$3 bookings=$4
 	platform=127.$subnet.0.1:7000
+	if curl -s -o /dev/null --max-time 1 "http://$platform/vms"; then
+		echo "subnet 127.$subnet is in use: another run of this script?" >&2
+		exit 77
+	fi
 	start platform "$bin/standin" platform --listen "$platform"
 	for i in $(seq "$engines"); do start_engine "$i"; done
 	for i in $(seq "$bookings"); do start_booking "$i"; done
