--- /dev/null
+++ b/cmd/standin/confirm_load.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaroad/vanillaroad/client"
+)
+
+// confirmed is what callers were told of one key.
+type confirmed struct {
+	Key     string           `json:"key"`
+	Told    []client.Outcome `json:"told"`
+	Errors  []string         `json:"errors,omitempty"`
+	WaitMs  float64          `json:"wait_ms"` // until the first caller had an outcome
+	Started int64            `json:"started"` // Unix milliseconds
+}
+
+type confirmLoad struct {
+	addresses []string
+	service   string
+	workspace string
+	callers   int
+	duration  time.Duration
+	pause     time.Duration
+	patience  time.Duration
+	resend    float64
+	seed      uint64
+	out       string
+	again     string
+
+	mu   sync.Mutex
+	done []confirmed
+}
+
+// confirmLoadCommand drives confirmations and writes what callers were told.
+func confirmLoadCommand() *cobra.Command {
+	l := &confirmLoad{}
+	c := &cobra.Command{Use: "confirm-load", Short: "drive confirmations by callers that resend", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if l.again != "" {
+				return l.askAgain(c.Context())
+			}
+			return l.run(c.Context())
+		}}
+	f := c.Flags()
+	f.StringSliceVar(&l.addresses, "addresses", nil, "daemons to ask")
+	f.StringVar(&l.service, "service", "sejemski-vpis", "plain service")
+	f.StringVar(&l.workspace, "workspace", "fair", "workspace")
+	f.IntVar(&l.callers, "callers", 16, "callers at once")
+	f.DurationVar(&l.duration, "duration", 10*time.Second, "time to start new confirmations")
+	f.DurationVar(&l.pause, "pause", 20*time.Millisecond, "longest pause of a caller between two confirmations")
+	f.DurationVar(&l.patience, "patience", 15*time.Second, "longest wait for one outcome")
+	f.Float64Var(&l.resend, "resend", 0.2, "share of keys that a second caller sends too, at another daemon")
+	f.Uint64Var(&l.seed, "seed", 1, "random seed")
+	f.StringVar(&l.out, "out", "outcomes.json", "file to write")
+	f.StringVar(&l.again, "again", "", "only look up the keys of this file once more")
+	return c
+}
+
+func (l *confirmLoad) client(shift int) *client.Client {
+	n := len(l.addresses)
+	rotated := append(append([]string(nil), l.addresses[shift%n:]...), l.addresses[:shift%n]...)
+	return client.New(client.Settings{Addresses: rotated, Key: fmt.Sprint("caller-", shift)})
+}
+
+func (l *confirmLoad) run(ctx context.Context) error {
+	end := time.Now().Add(l.duration)
+	var wg sync.WaitGroup
+	for i := range l.callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rnd := rand.New(rand.NewPCG(l.seed, uint64(i)))
+			c, other := l.client(i), l.client(i+1)
+			defer c.Close()
+			defer other.Close()
+			for time.Now().Before(end) {
+				l.confirmOne(ctx, rnd, c, other)
+				time.Sleep(time.Duration(rnd.Int64N(int64(l.pause) + 1)))
+			}
+		}()
+	}
+	wg.Wait()
+	return l.write()
+}
+
+// confirmOne confirms one key, sometimes by two callers at once.
+func (l *confirmLoad) confirmOne(ctx context.Context, rnd *rand.Rand, c, other *client.Client) {
+	ctx, cancel := context.WithTimeout(ctx, l.patience)
+	defer cancel()
+	key, err := c.IssueKey(ctx)
+	if err != nil {
+		return
+	}
+	r := client.ConfirmRequest{Key: key, Workspace: l.workspace, Service: l.service, Body: "stand for " + key, DeadlineMs: 3000}
+	k := confirmed{Key: key, Started: time.Now().UnixMilli()}
+	callers := []*client.Client{c}
+	if rnd.Float64() < l.resend {
+		callers = append(callers, other)
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	began := time.Now()
+	for _, caller := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			out, err := caller.Confirm(ctx, r)
+			mu.Lock()
+			defer mu.Unlock()
+			if k.WaitMs == 0 {
+				k.WaitMs = float64(time.Since(began).Microseconds()) / 1000
+			}
+			k.Told = append(k.Told, out)
+			if err != nil {
+				k.Errors = append(k.Errors, err.Error())
+			}
+		}()
+	}
+	wg.Wait()
+	l.mu.Lock()
+	l.done = append(l.done, k)
+	l.mu.Unlock()
+}
+
+// askAgain looks up every key of a file at one daemon or another.
+func (l *confirmLoad) askAgain(ctx context.Context) error {
+	b, err := os.ReadFile(l.again)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if err := json.Unmarshal(b, &l.done); err != nil {
+		return errors.Wrap(err, "decode outcomes")
+	}
+	var wg sync.WaitGroup
+	for i := range l.callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := l.client(i)
+			defer c.Close()
+			for j := i; j < len(l.done); j += l.callers {
+				l.lookUp(ctx, c, &l.done[j])
+			}
+		}()
+	}
+	wg.Wait()
+	return l.write()
+}
+
+func (l *confirmLoad) lookUp(ctx context.Context, c *client.Client, k *confirmed) {
+	ctx, cancel := context.WithTimeout(ctx, l.patience)
+	defer cancel()
+	out, err := c.Outcome(ctx, k.Key)
+	k.Told = append(k.Told, out)
+	if err != nil {
+		k.Errors = append(k.Errors, "again: "+err.Error())
+	}
+}
+
+func (l *confirmLoad) write() error {
+	b, err := json.Marshal(l.done)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(os.WriteFile(l.out, b, 0o644))
+}
--- a/event/numbers_confirmation.go
+++ b/event/numbers_confirmation.go
@@ -15,6 +15,6 @@
 	{ConfirmationRan, "confirmation_ran", Debug, "A confirmation ran.", ""},
 	{ConfirmationNotRun, "confirmation_not_run", Info, "A confirmation was refused; no target saw it and none will.", ""},
 	{ConfirmationUnknown, "confirmation_unknown", Warn, "Nobody can tell whether a confirmation ran.", "Look it up at the booking service by its key."},
-	{ShardSealed, "shard_sealed", Warn, "The second of a pair took over a shard.", ""},
-	{ShardMoved, "shard_moved", Info, "A shard has a new pair.", ""},
+	{ShardSealed, "shard_sealed", Warn, "This daemon goes on with shards without the other daemon of their pairs.", ""},
+	{ShardMoved, "shard_moved", Info, "Shards of this daemon have new pairs; unsure ones answer unknown for older keys without a record.", ""},
 }
