--- a/event/event.go
+++ b/event/event.go
@@ -4,6 +4,7 @@
 package event
 
 import (
+	"maps"
 	"sort"
 	"sync"
 
@@ -60,12 +61,13 @@
 	ring  []Event
 	next  int
 	full  bool
+	count map[Number]int64
 }
 
 // NewRecorder returns a recorder that keeps size events of the named node and
 // writes each to logger.
 func NewRecorder(node string, clock *Clock, logger log.Logger, size int) *Recorder {
-	return &Recorder{node: node, clock: clock, log: logger, ring: make([]Event, size)}
+	return &Recorder{node: node, clock: clock, log: logger, ring: make([]Event, size), count: make(map[Number]int64)}
 }
 
 // Clock returns the recorder's hybrid clock.
@@ -93,6 +95,7 @@
 func (r *Recorder) keep(e Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.count[e.Number]++
 	r.ring[r.next] = e
 	r.next++
 	if r.next == len(r.ring) {
@@ -100,6 +103,13 @@
 	}
 }
 
+// Counts returns how often each event was recorded.
+func (r *Recorder) Counts() map[Number]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.count)
+}
+
 func leveled(l log.Logger, s Severity) log.Logger {
 	switch s {
 	case Debug:
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -94,6 +94,9 @@
 			}
 			So(r.Events("", events[1].Time), ShouldResemble, events[2:])
 		})
+		Convey("counts all events, those that it no longer keeps too", func() {
+			So(r.Counts(), ShouldResemble, map[Number]int64{GenerationDone: 6})
+		})
 		Convey("finds the events of one request", func() {
 			events := r.Events("a", 0)
 			So(events, ShouldHaveLength, 2)
--- a/node/api_generations.go
+++ b/node/api_generations.go
@@ -45,7 +45,7 @@
 		return generationFailure(refused)
 	}
 	defer reader.Close()
-	s := &sender{api: a, reader: reader, position: reader.Position, id: p.ID, stream: stream}
+	s := &sender{api: a, reader: reader, position: reader.Position, id: p.ID, stream: stream, pace: newPace(a.n.metrics, reader.Position > 0)}
 	return s.run(ctx)
 }
 
@@ -57,6 +57,7 @@
 	id       string
 	stream   gen.GenerateServerStream
 	started  bool // a byte of the answer is out
+	pace     *pace
 }
 
 func (s *sender) run(ctx context.Context) error {
@@ -86,6 +87,7 @@
 		s.started = true
 		return writeComment(ctx, "keep-alive")
 	}
+	s.pace.sent(len(state.Tokens))
 	for i, text := range state.Tokens {
 		cursor := s.reader.CursorAt(s.position + 1)
 		data := &gen.GenerationData{Position: s.position, Text: &text}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,10 +3,14 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/vanillaroad/vanillaroad/event"
 )
 
 // metricPrefix starts the name of every metric.
@@ -15,16 +19,30 @@
 // quantiles of histograms and timers that are written out.
 var quantiles = []float64{0.5, 0.95, 0.99}
 
-// serveMetrics writes the registry in the Prometheus text format. Timers are
-// in nanoseconds.
+// serveMetrics writes the registry in the Prometheus text format.
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	var out bytes.Buffer
 	n.gauges(&out)
-	n.metrics.Each(func(name string, m any) { writeMetric(&out, metricName(name), m) })
+	n.eventCounts(&out)
+	all := make(map[string]any)
+	n.metrics.Each(func(name string, m any) { all[name] = m })
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		writeMetric(&out, metricName(name), all[name])
+	}
 	_, _ = w.Write(out.Bytes())
 }
 
+// eventCounts writes how often each event was recorded.
+func (n *Node) eventCounts(out *bytes.Buffer) {
+	const name = metricPrefix + "events_total"
+	_, _ = fmt.Fprintf(out, "# TYPE %s counter\n", name)
+	counts := n.events.Counts()
+	for _, number := range slices.Sorted(maps.Keys(counts)) {
+		_, _ = fmt.Fprintf(out, "%s{number=\"%d\",name=\"%s\"} %d\n", name, number, event.Lookup(number).Name, counts[number])
+	}
+}
+
 func metricName(name string) string {
 	return metricPrefix + strings.NewReplacer(".", "_", "-", "_", "/", "_").Replace(name)
 }
@@ -37,14 +55,9 @@
 		writeValue(out, name, "gauge", m.Value())
 	case metrics.GaugeFloat64:
 		writeValue(out, name, "gauge", m.Value())
-	case metrics.Meter:
-		writeValue(out, name, "counter", m.Count())
 	case metrics.Histogram:
 		h := m.Snapshot()
 		writeSummary(out, name, h.Count(), float64(h.Sum()), h.Percentiles(quantiles))
-	case metrics.Timer:
-		t := m.Snapshot()
-		writeSummary(out, name, t.Count(), float64(t.Sum()), t.Percentiles(quantiles))
 	}
 }
 
