--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -13,6 +13,7 @@
 engine_flags=()   # extra flags of every engine
 booking_flags=()  # extra flags of every booking service
 permits=16        # of every engine
+objective=latency # of the generation service: latency or resources
 daemon_settings='"membership":{"directory_ttl":"1s"}' # extra settings of every daemon, JSON members
 
 cleanup() {
@@ -82,7 +83,7 @@
 	done
 	cat <<JSON
 {"services":[
-  {"name":"pisar","kind":"generation","selector":"service=pisar","model":"writer","version":"1","new_share":100},
+  {"name":"pisar","kind":"generation","selector":"service=pisar","model":"writer","version":"1","objective":"$objective","new_share":100},
   {"name":"sejemski-vpis","kind":"plain","selector":"service=sejemski-vpis","new_share":100}],
  "workspaces":[{"name":"fair"},{"name":"school"}],
  "targets":[${targets%,}]}
