--- a/client/client.go
+++ b/client/client.go
@@ -222,21 +222,26 @@
 }
 
 // AskAny makes one JSON call that may be repeated at the configured daemons in
-// turn until one answers; each gets at most timeout. A typed refusal other
-// than of a daemon that takes no work is final.
+// turn until one answers; each gets at most timeout. A typed refusal is final,
+// unless the daemon takes no work or does not reach the platform.
 func (c *Client) AskAny(ctx context.Context, timeout time.Duration, method, path string, in, out any) error {
 	var last error
 	for _, a := range c.settings.Addresses {
 		one, cancel := context.WithTimeout(ctx, timeout)
 		last = c.exchange(one, a, method, path, in, out)
 		cancel()
-		if last == nil || final(last) || ctx.Err() != nil {
+		if last == nil || final(last) && !platformDown(last) || ctx.Err() != nil {
 			return last
 		}
 	}
 	return last
 }
 
+func platformDown(err error) bool {
+	var f *failure.Error
+	return errors.As(err, &f) && f.Code == failure.PlatformDown
+}
+
 type wireFailure struct {
 	Code       string   `json:"code"`
 	Message    string   `json:"message"`
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,76 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/failure"
+)
+
+// daemon is a fake that answers every path with status and body.
+func daemon(status int, body any) (*httptest.Server, string) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+	}))
+	return s, strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestAddresses(t *testing.T) {
+	good, goodAddress := daemon(http.StatusOK, map[string]any{"addresses": []string{"other"}, "ttl_ms": 60000})
+	defer good.Close()
+	dead, deadAddress := daemon(http.StatusOK, nil)
+	dead.Close()
+	ctx := context.Background()
+	Convey("A client whose first daemon is dead", t, func() {
+		c := New(Settings{Addresses: []string{deadAddress, goodAddress}})
+		Reset(c.Close)
+		Convey("asks the next one for the directory", func() {
+			So(c.Addresses(ctx), ShouldResemble, []string{"other"})
+		})
+		Convey("asks the next one in a call that may be repeated", func() {
+			var out map[string]any
+			So(c.AskAny(ctx, time.Minute, http.MethodGet, "/", nil, &out), ShouldBeNil)
+			So(out["ttl_ms"], ShouldEqual, 60000)
+		})
+	})
+	cases := []struct {
+		name   string
+		code   failure.Code
+		asksOn bool
+	}{
+		{"is stopping", failure.Draining, true},
+		{"has no configuration", failure.Starting, true},
+		{"is cut off", failure.Isolated, true},
+		{"says that another version won", failure.Conflict, false},
+		{"names faults", failure.BadRequest, false},
+		{"does not reach the platform", failure.PlatformDown, true},
+	}
+	for _, k := range cases {
+		Convey("A daemon that "+k.name, t, func() {
+			s, address := daemon(http.StatusServiceUnavailable, map[string]any{"code": k.code, "outcome": "not_run", "addresses": []string{"third"}})
+			Reset(s.Close)
+			c := New(Settings{Addresses: []string{address, goodAddress}})
+			Reset(c.Close)
+			err := c.AskAny(ctx, time.Minute, http.MethodPost, "/", nil, nil)
+			So(err == nil, ShouldEqual, k.asksOn)
+		})
+	}
+	Convey("The addresses that a stopping daemon names replace the answer that led there", t, func() {
+		s, address := daemon(http.StatusServiceUnavailable, map[string]any{"code": failure.Draining, "outcome": "not_run", "addresses": []string{"third"}})
+		Reset(s.Close)
+		c := New(Settings{Addresses: []string{address}})
+		Reset(c.Close)
+		c.known, c.expires = []string{address, "other"}, time.Now().Add(time.Hour)
+		_ = c.Ask(ctx, address, http.MethodGet, "/", nil, nil)
+		So(c.known, ShouldResemble, []string{"third"})
+		So(c.expires.IsZero(), ShouldBeTrue)
+	})
+}
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -68,7 +68,12 @@
 // the first of its place, then others of its region, then anyone. It may name
 // this daemon itself.
 func (v *View) Readers() []Member {
-	live := v.Live()
+	var live []Member
+	for _, m := range v.Members {
+		if m.State == Alive || m.State == Starting {
+			live = append(live, m)
+		}
+	}
 	Rank(live, "platform reader")
 	distance := func(m Member) int {
 		switch {
--- a/node/api_operations.go
+++ b/node/api_operations.go
@@ -68,12 +68,26 @@
 	if err != nil {
 		return head, err
 	}
+	if head.Version%sweepEvery == 0 {
+		a.n.members.run(a.sweep)
+	}
 	if err := a.n.versions.load(ctx, head); err != nil {
 		a.n.versions.tell(configuration.Told{Version: head.Version})
 	}
 	return head, nil
 }
 
+// sweepEvery is the number of versions between two sweeps of parts that
+// writers left behind.
+const sweepEvery = 256
+
+func (a *operationsAPI) sweep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := configuration.Sweep(ctx, a.n.platform)
+	a.n.notePlatform(err)
+}
+
 func decodeDocument(v any) (configuration.Document, error) {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -44,8 +44,10 @@
 	http.StripPrefix(fmt.Sprintf("/%d", i), f.platform.Handler()).ServeHTTP(w, r)
 }
 
-func newFleet(subnet, n int) (*fleet, error) {
-	f := &fleet{platform: standin.NewPlatform(), deaf: make([]atomic.Bool, n)}
+func newFleet(subnet, n int) (*fleet, error) { return newFleetOn(standin.NewPlatform(), subnet, n) }
+
+func newFleetOn(p *standin.Platform, subnet, n int) (*fleet, error) {
+	f := &fleet{platform: p, deaf: make([]atomic.Bool, n)}
 	f.server = httptest.NewServer(http.HandlerFunc(f.handler))
 	var vms []platform.VM
 	for i := range n {
@@ -197,6 +199,36 @@
 	}
 }
 
+func TestColdStart(t *testing.T) {
+	Convey("Daemons that all start again put the accepted version in force", t, func() {
+		f, err := newFleet(66, 4)
+		So(err, ShouldBeNil)
+		_, err = f.apply(0, f.document(100), 0, 0)
+		So(err, ShouldBeNil)
+		f.close()
+		again, err := newFleetOn(f.platform, 66, 4)
+		So(err, ShouldBeNil)
+		Reset(again.close)
+		await(func() bool { return again.inForce(1) && again.acquainted() })
+		So(len(again.nodes[3].snapshot.Load().Document.Targets), ShouldEqual, 100)
+	})
+}
+
+func TestWaitNamesLaggards(t *testing.T) {
+	Convey("A wait that ends early names the live daemons that lag", t, func() {
+		f, err := newFleet(67, 4)
+		So(err, ShouldBeNil)
+		Reset(f.close)
+		_, err = f.apply(0, f.document(10), 0, 0)
+		So(err, ShouldBeNil)
+		await(func() bool { return f.inForce(1) && f.acquainted() })
+		f.cut(3, true)
+		out, err := f.apply(0, f.document(11), 1, 300*time.Millisecond)
+		So(err, ShouldBeNil)
+		So(out.Lagging, ShouldResemble, []string{"vm-3"})
+	})
+}
+
 func (f *fleet) vms() []platform.VM {
 	var out []platform.VM
 	for _, m := range f.nodes[0].view.Load().Members {
--- /dev/null
+++ b/peer/conn_test.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestTick(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	after := func(d time.Duration) time.Time { return start.Add(d) }
+	Convey("Given a dialed connection that was just used", t, func() {
+		c := newConn(&Transport{}, nil, Identity{})
+		c.dialed, c.used = true, start
+		Convey("it is pinged for a while, then left alone, then retired", func() {
+			ping, err := c.tick(after(useWindow / 2))
+			So(ping, ShouldBeTrue)
+			So(err, ShouldBeNil)
+			c.answered()
+			ping, err = c.tick(after(useWindow + time.Second))
+			So(ping, ShouldBeFalse)
+			So(err, ShouldBeNil)
+			_, err = c.tick(after(idleClose))
+			So(errors.Is(err, errRetired), ShouldBeTrue)
+			_, err = c.call(context.Background(), testKind, nil)
+			So(errors.Is(err, errRetired), ShouldBeTrue)
+		})
+		Convey("while a call waits it is pinged and never retired", func() {
+			c.calls[1] = make(chan *envelope, 1)
+			ping, err := c.tick(after(10 * idleClose))
+			So(ping, ShouldBeTrue)
+			So(err, ShouldBeNil)
+			Convey("and an unanswered ping ends it", func() {
+				_, err := c.tick(after(10*idleClose + silenceLimit))
+				So(errors.Is(err, ErrSilent), ShouldBeTrue)
+			})
+		})
+	})
+	Convey("A call after the connection was retired goes out on a new one", t, func() {
+		a, b := listen("a"), listen("b")
+		Reset(func() {
+			a.Close()
+			b.Close()
+		})
+		b.handlers[testKind] = func(context.Context, Identity, []byte) (any, error) { return "here", nil }
+		So(a.Call(context.Background(), b.self.PeerAddress, testKind, "x", nil), ShouldBeNil)
+		c, err := a.conn(context.Background(), b.self.PeerAddress)
+		So(err, ShouldBeNil)
+		c.mu.Lock()
+		c.retired = true
+		c.mu.Unlock()
+		So(a.Call(context.Background(), b.self.PeerAddress, testKind, "x", nil), ShouldBeNil)
+		c.close(errRetired)
+	})
+}
