configuration: a writer that has the base at hand reads no parts

At 500 targets each change cost 20 reads, at 10,000 it would have cost 770: the writer read the whole base back. It now splits the document in force and reads only parts whose digest differs.

--- a/generation/connection.go
+++ b/generation/connection.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -106,31 +105,10 @@
 	g.left(func(ctx context.Context) { leave(ctx, grant, id) })
 }
 
-// leavePause is the time between two tries to cancel a left attempt, and
-// leaveTries their number.
-const (
-	leavePause = time.Second
-	leaveTries = 60
-)
-
-// leave cancels an attempt and gives its permit back once its end is known. A
-// target that was only paused is told when it wakes. It tries once even when
-// ctx has ended.
+// leave cancels an attempt once, also when ctx has ended, and gives its permit
+// back. While its end is not known, the permit stays taken and the router finds
+// out.
 func leave(ctx context.Context, grant Grant, id target.StreamID) {
-	for range leaveTries {
-		err := grant.Engine.Cancel(context.WithoutCancel(ctx), id)
-		if err == nil || errors.Is(err, target.ErrNoStream) {
-			grant.Release(true)
-			return
-		}
-		pause := time.NewTimer(leavePause)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
-			grant.Release(false)
-			return
-		}
-	}
-	grant.Release(false)
+	err := grant.Engine.Cancel(context.WithoutCancel(ctx), id)
+	grant.Release(err == nil || errors.Is(err, target.ErrNoStream))
 }
--- a/node/api_operations.go
+++ b/node/api_operations.go
@@ -64,6 +64,7 @@
 func (a *operationsAPI) write(ctx context.Context, c configuration.Change) (configuration.Head, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	c.Known = &a.n.snapshot.Load().Document
 	head, err := configuration.Write(ctx, a.n.platform, c)
 	if err != nil {
 		return head, err
