--- a/configuration/store.go
+++ b/configuration/store.go
@@ -36,6 +36,9 @@
 	At       time.Time
 	Document Document // canonical and valid
 	Base     int64    // version that the change was made from
+	// Known is a document that is at hand, if any: parts of the base that it
+	// holds too are not read.
+	Known *Document
 }
 
 // ConflictError tells which version won. It wraps platform.ErrConflict.
@@ -134,7 +137,7 @@
 	var oldDoc Document
 	if old.Version > 0 {
 		var err error
-		if before, oldDoc, err = readVersion(ctx, w.store, old.Manifest, nil); err != nil {
+		if before, oldDoc, err = readVersion(ctx, w.store, old.Manifest, w.change.Known); err != nil {
 			return notAccepted(err)
 		}
 	}
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -36,11 +36,13 @@
 	late    []func()
 	deaf    int // reads still to refuse
 	rival   func()
+	reads   int
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]platform.Object)} }
 
 func (m *memoryStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+	m.reads++
 	if m.deaf > 0 {
 		m.deaf--
 		return platform.Object{}, errors.WithStack(platform.ErrUnavailable)
@@ -305,6 +307,12 @@
 			_, err := write(store, "ana-2", 1, d)
 			So(err, ShouldBeNil)
 			So(len(store.objects)-before, ShouldEqual, 2)
+			Convey("and reads the head and the manifest only, with the base at hand", func() {
+				store.reads = 0
+				_, err := Write(ctx, store, Change{WriteID: "w", Document: document(500), Base: 2, Known: &d})
+				So(err, ShouldBeNil)
+				So(store.reads, ShouldEqual, 2)
+			})
 		})
 		Convey("after many versions the store holds the kept ones only, all readable", func() {
 			for v := int64(1); v < 100; v++ {
