--- a/client/confirm.go
+++ b/client/confirm.go
@@ -87,7 +87,9 @@
 		case refused(err):
 			return Outcome{Key: key, Outcome: failure.From(err).Outcome}, err
 		}
-		pause(ctx, min(time.Duration(i+1)*pauseStep, confirmPause))
+		if err == nil || i >= len(addresses)-1 {
+			pause(ctx, min(time.Duration(i+1)*pauseStep, confirmPause))
+		}
 	}
 	if err == nil {
 		return last, nil
--- a/confirmation/assignment.go
+++ b/confirmation/assignment.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -83,13 +85,14 @@
 
 // Choose picks one more daemon for a shard: in a place that holds none of the
 // shard's yet before others, in the first's region before others, then the least
-// load, then the lowest id. ok is false when there is no other daemon.
-func Choose(have []Ref, candidates []Ref, load map[string]int) (best Ref, ok bool) {
+// load, then by a hash that spreads the shards of one daemon over the others. ok
+// is false when there is no other daemon.
+func Choose(number int, have, candidates []Ref, load map[string]int) (best Ref, ok bool) {
 	for _, c := range candidates {
 		if holds(have, c) {
 			continue
 		}
-		if !ok || better(have, c, best, load) {
+		if !ok || better(number, have, c, best, load) {
 			best, ok = c, true
 		}
 	}
@@ -105,7 +108,7 @@
 	return false
 }
 
-func better(have []Ref, a, b Ref, load map[string]int) bool {
+func better(number int, have []Ref, a, b Ref, load map[string]int) bool {
 	if x, y := newPlace(have, a), newPlace(have, b); x != y {
 		return x
 	}
@@ -115,9 +118,16 @@
 	if load[a.ID] != load[b.ID] {
 		return load[a.ID] < load[b.ID]
 	}
+	if x, y := rank(number, a), rank(number, b); x != y {
+		return x < y
+	}
 	return a.ID < b.ID
 }
 
+func rank(number int, r Ref) uint64 {
+	return xxhash.Sum64String(strconv.Itoa(number) + "\x00" + r.ID)
+}
+
 func newPlace(have []Ref, c Ref) bool {
 	for _, h := range have {
 		if h.Place == c.Place {
@@ -131,10 +141,10 @@
 // there is no other daemon; a missing third only leaves less room for losses.
 func Staff(s Shard, candidates []Ref, load map[string]int) (Shard, bool) {
 	var ok bool
-	if s.Second, ok = Choose([]Ref{s.First}, candidates, load); !ok {
+	if s.Second, ok = Choose(s.Number, []Ref{s.First}, candidates, load); !ok {
 		return s, false
 	}
-	s.Third, _ = Choose([]Ref{s.First, s.Second}, candidates, load)
+	s.Third, _ = Choose(s.Number, []Ref{s.First, s.Second}, candidates, load)
 	return s, true
 }
 
@@ -145,13 +155,9 @@
 		return Map{}, errors.Errorf("a pair needs two daemons, not %d", len(daemons))
 	}
 	m := Map{Shards: make([]Shard, defaultShards)}
-	load := make(map[string]int)
 	for i := range m.Shards {
 		first := daemons[i%len(daemons)]
-		load[first.ID]++
-		s, _ := Staff(Shard{Number: i, Epoch: epoch, First: first, Floor: epoch}, daemons, load)
-		load[s.Second.ID]++
-		m.Shards[i] = s
+		m.Shards[i], _ = Staff(Shard{Number: i, Epoch: epoch, First: first, Floor: epoch}, daemons, nil)
 	}
 	return m, nil
 }
--- a/confirmation/assignment_test.go
+++ b/confirmation/assignment_test.go
@@ -45,6 +45,15 @@
 				t.Fatalf("shard %d is in one place", s.Number)
 			}
 		}
+		seconds := make(map[string]bool)
+		for _, s := range m.Shards {
+			if s.First.ID == daemons[0].ID {
+				seconds[s.Second.ID] = true
+			}
+		}
+		if len(daemons) > 10 && len(daemons) < 30 && len(seconds) < 2 {
+			t.Fatal("all shards of a daemon have the same second")
+		}
 		for _, d := range daemons {
 			if load[d.ID] == 0 {
 				t.Fatalf("%s has no shard", d.ID)
