--- a/admission/lane.go
+++ b/admission/lane.go
@@ -65,8 +65,8 @@
 	total   int
 	grants  uint64
 	rounds  uint64 // searches for a ticket to grant
-	delayed int // attempts after a loss that wait with new work
-	streak  int // urgent grants in a row while others waited
+	delayed int    // attempts after a loss that wait with new work
+	streak  int    // urgent grants in a row while others waited
 	hold    holdTime
 }
 
