generation: a caller that trickles a final answer is let go; tests of the sender

Proofs wait until answers are under way: since routing came in, a cold daemon's first answers start later than the 1.5 s that the scripts slept.

--- a/generation/settings.go
+++ b/generation/settings.go
@@ -37,6 +37,9 @@
 	Unwatched jsontime.Duration `json:"unwatched" validate:"gt=0"`
 	// CallerKeepAlive is the longest a caller's stream stays without a byte.
 	CallerKeepAlive jsontime.Duration `json:"caller_keep_alive" validate:"gt=0"`
+	// CallerLag is the longest a caller may take to read what is left of an
+	// answer once that is final.
+	CallerLag jsontime.Duration `json:"caller_lag" validate:"gt=0"`
 	// MaxRetained and MaxRetainedBytes bound the final answers kept.
 	MaxRetained      int   `json:"max_retained" validate:"min=1"`
 	MaxRetainedBytes int64 `json:"max_retained_bytes" validate:"min=1"`
@@ -54,6 +57,7 @@
 		Retention:        jsontime.Duration(30 * time.Second),
 		Unwatched:        jsontime.Duration(10 * time.Second),
 		CallerKeepAlive:  jsontime.Duration(500 * time.Millisecond),
+		CallerLag:        jsontime.Duration(30 * time.Second),
 		MaxRetained:      4096,
 		MaxRetainedBytes: 32 << 20,
 	}
--- a/node/api_generations.go
+++ b/node/api_generations.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	gen "github.com/vanillaroad/vanillaroad/gen/generations"
@@ -56,9 +58,13 @@
 	position int64 // of the next token to send
 	id       string
 	stream   gen.GenerateServerStream
-	started  bool // a byte of the answer is out
+	started  bool      // a byte of the answer is out
+	until    time.Time // the rest of a final answer must be out; zero before
 }
 
+// errSlowCaller ends the stream of a caller that takes a final answer too slowly.
+var errSlowCaller = errors.New("caller reads too slowly")
+
 func (s *sender) run(ctx context.Context) error {
 	n := s.api.n
 	keepAlive := n.settings.Generation.CallerKeepAlive.Std()
@@ -86,7 +92,13 @@
 		s.started = true
 		return writeComment(ctx, "keep-alive")
 	}
+	if state.Done && s.until.IsZero() {
+		s.until = time.Now().Add(s.api.n.settings.Generation.CallerLag.Std())
+	}
 	for i, text := range state.Tokens {
+		if state.Done && time.Now().After(s.until) {
+			return errSlowCaller
+		}
 		cursor := s.reader.CursorAt(s.position + 1)
 		data := &gen.GenerationData{Position: s.position, Text: &text}
 		_ = s.stream.Send(&gen.GenerationEvent{Cursor: cursor.Encode(), Kind: "token", Data: data})
--- /dev/null
+++ b/node/api_generations_test.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/failure"
+	gen "github.com/vanillaroad/vanillaroad/gen/generations"
+	generationsserver "github.com/vanillaroad/vanillaroad/gen/http/generations/server"
+	"github.com/vanillaroad/vanillaroad/generation"
+	"github.com/vanillaroad/vanillaroad/internal/jsontime"
+	"github.com/vanillaroad/vanillaroad/settings"
+)
+
+// recordingStream writes events as the generated stream does.
+type recordingStream struct {
+	gen.GenerateServerStream
+	w    *boundedWriter
+	sent []*gen.GenerationEvent
+}
+
+func (s *recordingStream) Send(e *gen.GenerationEvent) error {
+	s.sent = append(s.sent, e)
+	s.w.WriteHeader(200)
+	body := generationsserver.NewGenerateResponseBody(e)
+	_, err := io.WriteString(s.w, "event: "+body.Kind+"\n\n")
+	return err
+}
+
+// grantAll is the rest of a daemon whose router refuses after a while.
+type grantAll struct{ wait chan struct{} }
+
+func (g grantAll) Route(ctx context.Context, _ generation.Request, _ int64, _ []string, _ string) (generation.Grant, *failure.Error) {
+	select {
+	case <-g.wait:
+	case <-ctx.Done():
+	}
+	return generation.Grant{}, failure.New(failure.NoTarget, failure.NotRun, "route", "", "none").After(time.Second)
+}
+
+func (grantAll) Lost(string, string) {}
+
+func (g grantAll) Join(ctx context.Context, r generation.Request, _ string) (generation.Grant, *failure.Error) {
+	return g.Route(ctx, r, 0, nil, "")
+}
+
+type noGuard struct{}
+
+func (noGuard) Check(generation.Request) *failure.Error       { return nil }
+func (noGuard) Lost(generation.Request, string, int64, bool)  {}
+func (noGuard) Done(generation.Request)                       {}
+func (noGuard) Claim(context.Context, string) (string, error) { return "", nil }
+func (noGuard) Where(context.Context, string, generation.Where) (generation.Location, error) {
+	return generation.Location{}, nil
+}
+func (noGuard) TakeOver(context.Context, string, generation.TakeOver) (generation.Taken, error) {
+	return generation.Taken{}, nil
+}
+
+func TestSender(t *testing.T) {
+	Convey("Given a daemon and a caller", t, func() {
+		s := settings.Default()
+		s.Generation.CallerKeepAlive = jsontime.Duration(time.Millisecond)
+		events := event.NewRecorder("vm-1", event.NewClock(time.Now), log.NewNopLogger(), 16)
+		router := grantAll{make(chan struct{})}
+		hub := generation.NewHub(s.Generation, generation.Deps{Router: router, Joiner: router, Guard: noGuard{}, Peers: noGuard{}, Events: events})
+		n := &Node{settings: s, events: events, hub: hub}
+		Reset(hub.Close)
+		w := httptest.NewRecorder()
+		stream := &recordingStream{w: newBoundedWriter(w)}
+		ctx := withWriter(context.Background(), stream.w)
+		begin := func() *sender {
+			reader, err := hub.Answer(generation.Request{ID: "1", MaxTokens: 5})
+			So(err, ShouldBeNil)
+			return &sender{api: &generationsAPI{n}, reader: reader, id: "1", stream: stream}
+		}
+		Convey("a refusal before the first byte is an HTTP error", func() {
+			close(router.wait)
+			n.settings.Generation.CallerKeepAlive = jsontime.Duration(time.Minute)
+			snd := begin()
+			defer snd.reader.Close()
+			err := snd.run(ctx)
+			f, typed := err.(*gen.Failure)
+			So(typed, ShouldBeTrue)
+			So(f.Code, ShouldEqual, string(failure.NoTarget))
+			So(f.Outcome, ShouldEqual, string(failure.NotRun))
+			So(f.RetryAfterMs, ShouldEqual, 1000)
+			So(w.Body.Len(), ShouldEqual, 0)
+		})
+		Convey("an idle stream gets keep-alives, and a later refusal is an event that is as true", func() {
+			snd := begin()
+			defer snd.reader.Close()
+			state, err := snd.reader.Next(ctx, 0, time.Millisecond)
+			So(err, ShouldBeNil)
+			So(state.Idle, ShouldBeTrue)
+			So(snd.send(ctx, state), ShouldBeNil)
+			close(router.wait)
+			So(snd.run(ctx), ShouldBeNil)
+			So(w.Body.String(), ShouldStartWith, ": keep-alive\n\n")
+			So(w.Header().Get("Content-Type"), ShouldEqual, "text/event-stream")
+			last := stream.sent[len(stream.sent)-1]
+			So(last.Kind, ShouldEqual, "incomplete")
+			So(*last.Data.Outcome, ShouldEqual, string(failure.NotRun))
+			So(*last.Data.RetryAfterMs, ShouldEqual, 1000)
+			So(strings.Count(w.Body.String(), "event: "), ShouldEqual, 1)
+		})
+		Convey("each token has the cursor of a caller that holds it and those before", func() {
+			snd := begin()
+			defer snd.reader.Close()
+			So(snd.send(ctx, generation.State{Tokens: []string{"a", "b"}}), ShouldBeNil)
+			for i, e := range stream.sent {
+				c, err := generation.DecodeCursor(e.Cursor)
+				So(err, ShouldBeNil)
+				So(c.Held, ShouldEqual, i+1)
+			}
+		})
+		Convey("a caller that takes a final answer too slowly is let go", func() {
+			n.settings.Generation.CallerLag = 0
+			snd := begin()
+			defer snd.reader.Close()
+			So(snd.send(ctx, generation.State{Tokens: []string{"a"}, Done: true}), ShouldEqual, errSlowCaller)
+		})
+		Convey("a caller that vanished ends the stream", func() {
+			gone, cancel := context.WithCancel(ctx)
+			cancel()
+			n.settings.Generation.CallerKeepAlive = jsontime.Duration(time.Minute)
+			snd := begin()
+			defer snd.reader.Close()
+			So(snd.run(gone), ShouldBeNil)
+			So(stream.sent, ShouldBeEmpty)
+		})
+	})
+}
--- a/proof/gen-both-killed.sh
+++ b/proof/gen-both-killed.sh
@@ -4,7 +4,7 @@
 source "$root/scripts/generations.sh"
 site 15 3 4 1
 start_answers 1 12 200
-sleep 1.5
+wait_underway 12
 engine=$(busiest_engine) daemon=$(busiest_daemon)
 kill_process "engine-$engine"
 kill_process "vm-$daemon"
--- a/proof/gen-engine-killed.sh
+++ b/proof/gen-engine-killed.sh
@@ -4,7 +4,7 @@
 source "$root/scripts/generations.sh"
 site 10 3 4 1
 start_answers 1 12 200
-sleep 1.5
+wait_underway 12
 victim=$(busiest_engine)
 kill_process "engine-$victim"
 check_answers 1 12 200
--- a/proof/gen-engine-paused.sh
+++ b/proof/gen-engine-paused.sh
@@ -5,7 +5,7 @@
 source "$root/scripts/generations.sh"
 site 11 3 4 1
 start_answers 1 12 350
-sleep 1.5
+wait_underway 12
 victim=$(busiest_engine)
 pause_process "engine-$victim"
 sleep 3
--- a/proof/gen-plain-http.sh
+++ b/proof/gen-plain-http.sh
@@ -4,6 +4,7 @@
 source "$(dirname "$0")/../scripts/lib.sh"
 source "$root/scripts/generations.sh"
 site 18 2 2 1
+warm_up
 export DAEMON=$(api_of 1) OTHER=$(api_of 2)
 cd "$dir"
 sed -n '/^```sh$/,/^```$/p' "$root/docs/callers.md" | grep -v '^```' >examples.sh
@@ -14,6 +15,6 @@
 "$bin/standin" check --prompt "A stand profile" --length 200 answer.json
 grep -q '^event: done' rest.sse
 [ "$first" -gt 0 ] && [ "$rest" -gt 0 ]
-decoded=$(sum_work decode_tokens)
+decoded=$(($(sum_work decode_tokens) - daemons))
 [ "$decoded" -eq 200 ]
 echo "proof: $first tokens from one daemon and $rest from another are one whole answer; $decoded tokens decoded for 200"
--- a/proof/gen-poison.sh
+++ b/proof/gen-poison.sh
@@ -6,7 +6,7 @@
 source "$root/scripts/generations.sh"
 site 17 3 8 1
 start_answers 1 24 400
-sleep 1.5
+wait_underway 24
 poison() { # poison ID DAEMON
 	"$bin/vanillaroad" -a "$(api_of "$2")" -o json generate --id "$1" --workspace fair --service pisar \
 		--prompt "stand 7 CRASH-THE-ENGINE" --max-tokens 50 2>&1 || true
--- a/proof/gen-resend.sh
+++ b/proof/gen-resend.sh
@@ -12,6 +12,7 @@
 		"http://$(api_of "$1")/v1/generations" | sed -n 's/^data: .*"text":\("[^"]*"\).*/\1/p' >"$dir/$3"
 }
 for i in $(seq 8); do generate_at 1 "$i" "first-$i" & waits[$i]=$!; done
+wait_underway 8
 sleep 1.5
 for i in $(seq 8); do generate_at 2 "$i" "second-$i" & again[$i]=$!; done
 whole=0 failed=0 widest=0
--- a/proof/gen-silent-connection.sh
+++ b/proof/gen-silent-connection.sh
@@ -9,7 +9,7 @@
 "${road[@]}" apply -f "$dir/site.json" --base 1 --author proof >/dev/null
 wait_in_force 2 1 2 3
 start_answers 1 12 200
-sleep 1.5
+wait_underway 12
 for i in 1 2 3 4; do set_faults "127.12.2.$i:8000" '{"silent_streams":true}'; done
 check_answers 1 12 200
 attached=$(count_events stream_attached)
--- a/proof/gen-two-engines-killed.sh
+++ b/proof/gen-two-engines-killed.sh
@@ -4,7 +4,7 @@
 source "$root/scripts/generations.sh"
 site 16 3 4 1
 start_answers 1 12 200
-sleep 1.5
+wait_underway 12
 kill_process "engine-$(busiest_engine)"
 sleep 0.1
 kill_process "engine-$(busiest_engine)"
--- a/scripts/generations.sh
+++ b/scripts/generations.sh
@@ -62,3 +62,23 @@
 	echo "proof: $whole whole, $failed not; widest gap a caller saw $widest ms; $1"
 	[ "$failed" -eq 0 ]
 }
+
+wait_underway() { # wait_underway STREAMS: until so many run on engines and brought 20 tokens each
+	local _ streams tokens
+	for _ in $(seq 100); do
+		streams=$(sum_work streams) tokens=$(sum_work decode_tokens)
+		[ "$streams" -ge "$1" ] && [ "$tokens" -ge $(($1 * 20)) ] && return 0
+		sleep 0.1
+	done
+	echo "only $streams streams and $tokens tokens came under way"
+	exit 1
+}
+
+warm_up() { # one short answer by each daemon, so that none starts cold
+	local i
+	for i in $(seq "$daemons"); do
+		curl -sSN -H 'Content-Type: application/json' \
+			-d "{\"id\":\"warm-$i\",\"workspace\":\"fair\",\"service\":\"pisar\",\"prompt\":\"w\",\"max_tokens\":1,\"seed\":1}" \
+			"http://$(api_of "$i")/v1/generations" >/dev/null
+	done
+}
