quarantine: a request lost at its start waits for strikes of others and runs alone

Now a request that was lost right at its start waits 300 ms and then runs one at a time on a daemon until it brings tokens. Ruled out: holding identical prompts back before the first loss, which would delay innocent ones.

--- a/generation/hub_test.go
+++ b/generation/hub_test.go
@@ -139,7 +139,9 @@
 // siteGuard keeps the guard's methods apart from the router's Lost.
 type siteGuard struct{ s *site }
 
-func (g siteGuard) Check(Request) *failure.Error {
+func (siteGuard) Proven(Request) {}
+
+func (g siteGuard) Check(context.Context, Request) *failure.Error {
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
 	return g.s.refuse
--- a/generation/run.go
+++ b/generation/run.go
@@ -43,10 +43,12 @@
 
 // Guard keeps requests that crash targets from running again.
 type Guard interface {
-	// Check returns why the request must not run, or nil.
-	Check(r Request) *failure.Error
+	// Check returns why the request must not run, or nil. It may wait.
+	Check(ctx context.Context, r Request) *failure.Error
 	// Lost tells that a target failed under an attempt of the request.
 	Lost(r Request, target string, attempt int64, fresh bool)
+	// Proven tells that an attempt of the request brought tokens.
+	Proven(r Request)
 	// Done tells that the request's answer is whole.
 	Done(r Request)
 }
@@ -82,6 +84,7 @@
 	wg      sync.WaitGroup
 	left    func(func(context.Context)) // starts work that outlives the run
 
+	brought map[int64]int // tokens by attempt
 	grants  map[int64]Grant
 	streams map[int64]context.CancelFunc
 	done    bool
@@ -97,6 +100,7 @@
 	defer cancel()
 	g.machine = NewMachine(setup)
 	g.inputs = make(chan Input, inputQueueLen)
+	g.brought = make(map[int64]int)
 	g.grants, g.streams = make(map[int64]Grant), make(map[int64]context.CancelFunc)
 	g.begin = time.Now()
 	g.key = g.request.ID + "/" + strconv.FormatInt(setup.FirstAttempt, 10)
@@ -233,7 +237,7 @@
 }
 
 func (g *run) grant(d Route, held int64) (Grant, *failure.Error) {
-	if err := g.Guard.Check(g.request); err != nil {
+	if err := g.Guard.Check(g.ctx, g.request); err != nil {
 		return Grant{}, err
 	}
 	if d.Target != "" {
@@ -247,6 +251,9 @@
 	g.answer.add(d.Text, Cursor{
 		Target: grant.Target, Version: d.Version, Attempt: d.Attempt, Incarnation: grant.Incarnation, Daemon: g.Self,
 	})
+	if g.brought[d.Attempt]++; g.brought[d.Attempt] == freshTokens {
+		g.Guard.Proven(g.request)
+	}
 	if d.Resumed > 0 {
 		g.Events.Record(event.GenerationResumed, g.request.ID, event.F("target", grant.Target),
 			event.F("position", strconv.FormatInt(d.Position, 10)), event.F("resume_ms", strconv.FormatInt(d.Resumed.Milliseconds(), 10)))
--- a/node/api_generations_test.go
+++ b/node/api_generations_test.go
@@ -54,10 +54,11 @@
 
 type noGuard struct{}
 
-func (noGuard) Check(generation.Request) *failure.Error       { return nil }
-func (noGuard) Lost(generation.Request, string, int64, bool)  {}
-func (noGuard) Done(generation.Request)                       {}
-func (noGuard) Claim(context.Context, string) (string, error) { return "", nil }
+func (noGuard) Check(context.Context, generation.Request) *failure.Error { return nil }
+func (noGuard) Lost(generation.Request, string, int64, bool)             {}
+func (noGuard) Proven(generation.Request)                                {}
+func (noGuard) Done(generation.Request)                                  {}
+func (noGuard) Claim(context.Context, string) (string, error)            { return "", nil }
 func (noGuard) Where(context.Context, string, generation.Where) (generation.Location, error) {
 	return generation.Location{}, nil
 }
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -22,7 +22,7 @@
 // strikeFlushPeriod is how often strikes are sent to the other daemons;
 // maxStrikesQueued bounds those that wait and so one message.
 const (
-	strikeFlushPeriod = 100 * time.Millisecond
+	strikeFlushPeriod = 50 * time.Millisecond
 	maxStrikesQueued  = 256
 )
 
@@ -54,20 +54,31 @@
 }
 
 // Check implements generation.Guard.
-func (g *guard) Check(r generation.Request) *failure.Error {
+func (g *guard) Check(ctx context.Context, r generation.Request) *failure.Error {
 	s := subject(r)
 	snapshot := g.n.snapshot.Load()
 	if snapshot.Released(s.ID) || snapshot.Released(fmt.Sprintf("%016x", s.Fingerprint)) {
 		return nil
 	}
-	refused, err := control.Ask(context.Background(), g.n.loop, func(now time.Time) *failure.Error { return g.ledger.Check(now, s) })
-	if err != nil {
-		return failure.Wrap(err, failure.Canceled, failure.NotRun, "quarantine", "")
-	}
-	if refused != nil {
-		g.n.events.Record(event.RequestQuarantined, r.ID, event.F("fingerprint", fmt.Sprintf("%016x", s.Fingerprint)), event.F("reason", refused.Message))
+	for {
+		v, err := control.Ask(ctx, g.n.loop, func(now time.Time) quarantine.Verdict { return g.ledger.Check(now, s) })
+		if err != nil {
+			return failure.Wrap(err, failure.Canceled, failure.NotRun, "quarantine", "")
+		}
+		if v.Refused != nil {
+			g.n.events.Record(event.RequestQuarantined, r.ID, event.F("fingerprint", fmt.Sprintf("%016x", s.Fingerprint)), event.F("reason", v.Refused.Message))
+		}
+		if v.Wait == 0 {
+			return v.Refused
+		}
+		sleep(ctx, v.Wait)
 	}
-	return refused
+}
+
+// Proven implements generation.Guard.
+func (g *guard) Proven(r generation.Request) {
+	s := subject(r)
+	_ = g.n.loop.Post(func(time.Time) { g.ledger.Proven(s) })
 }
 
 // Lost implements generation.Guard.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -30,6 +30,12 @@
 	// SameFailure is the longest time between two reports of one failure of a
 	// target.
 	SameFailure jsontime.Duration `json:"same_failure" validate:"gt=0"`
+	// Settle is how long a request waits after it was lost with a target right
+	// at its start, so that strikes of other daemons arrive.
+	Settle jsontime.Duration `json:"settle" validate:"gt=0"`
+	// Trial is how long such a request then runs alone on this daemon, unless
+	// it is proven or struck before.
+	Trial jsontime.Duration `json:"trial" validate:"gt=0"`
 	// MaxRequests bounds the requests remembered.
 	MaxRequests int `json:"max_requests" validate:"min=1"`
 }
@@ -38,7 +44,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Targets: 3, Extra: 2, Decay: jsontime.Duration(10 * time.Minute),
-		SameFailure: jsontime.Duration(10 * time.Second), MaxRequests: 4096,
+		SameFailure: jsontime.Duration(10 * time.Second),
+		Settle:      jsontime.Duration(300 * time.Millisecond), Trial: jsontime.Duration(2 * time.Second), MaxRequests: 4096,
 	}
 }
 
@@ -74,6 +81,7 @@
 type entry struct {
 	failures    []failed // oldest first
 	fingerprint uint64
+	trialUntil  time.Time // one request of it runs alone until then
 }
 
 func (e *entry) last() time.Time { return e.failures[len(e.failures)-1].at }
@@ -137,6 +145,7 @@
 
 // add counts one failure once, however many report it.
 func (e *entry) add(f failed, s Settings) {
+	e.trialUntil = time.Time{}
 	for i, known := range e.failures {
 		if known.same(f, s) {
 			e.failures[i].weight = max(known.weight, f.weight)
@@ -204,8 +213,65 @@
 	return shared
 }
 
-// Check returns why a request must not run, or nil.
-func (l *Ledger) Check(now time.Time, s Subject) *failure.Error {
+// Proven takes note that a request brought tokens: what was held against its
+// start counts half, and its trial is over.
+func (l *Ledger) Proven(s Subject) {
+	for _, e := range []*entry{l.byID[s.ID], l.byFingerprint[s.Fingerprint]} {
+		if e == nil {
+			continue
+		}
+		e.trialUntil = time.Time{}
+		for i := range e.failures {
+			e.failures[i].weight = runningWeight
+		}
+	}
+}
+
+// Verdict is the answer to whether a request may run.
+type Verdict struct {
+	Refused *failure.Error // why it must not, or nil
+	Wait    time.Duration  // ask again then; 0 when it may run
+}
+
+// maxWait bounds the time until a request on trial is asked about again.
+const maxWait = 50 * time.Millisecond
+
+// Check tells whether a request may run now. A request that was lost with a
+// target right at its start is let through one at a time.
+func (l *Ledger) Check(now time.Time, s Subject) Verdict {
+	if err := l.refusal(now, s); err != nil {
+		return Verdict{Refused: err}
+	}
+	e := l.byFingerprint[s.Fingerprint]
+	if e == nil {
+		return Verdict{}
+	}
+	fresh, ok := e.lastFresh()
+	if !ok {
+		return Verdict{}
+	}
+	if until := fresh.Add(l.settings.Settle.Std()); now.Before(until) {
+		return Verdict{Wait: until.Sub(now)}
+	}
+	if now.Before(e.trialUntil) {
+		return Verdict{Wait: min(e.trialUntil.Sub(now), maxWait)}
+	}
+	e.trialUntil = now.Add(l.settings.Trial.Std())
+	return Verdict{}
+}
+
+// lastFresh returns the time of the last failure at the start of a request.
+func (e *entry) lastFresh() (at time.Time, ok bool) {
+	for _, f := range e.failures {
+		if f.weight == freshWeight {
+			at, ok = f.at, true
+		}
+	}
+	return at, ok
+}
+
+// refusal returns why a request must not run at all, or nil.
+func (l *Ledger) refusal(now time.Time, s Subject) *failure.Error {
 	l.expire(now)
 	for _, e := range []*entry{l.byID[s.ID], l.byFingerprint[s.Fingerprint]} {
 		if e != nil && l.guilty(e) {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -86,7 +86,7 @@
 			for _, h := range c.hits {
 				strike(l, h)
 			}
-			err := l.Check(at(c.after), c.ask)
+			err := l.Check(at(c.after), c.ask).Refused
 			So(err != nil, ShouldEqual, c.refused)
 			if err != nil {
 				So(err.RetryAfter, ShouldEqual, 0)
@@ -99,7 +99,32 @@
 			strike(l, h)
 		}
 		So(l.Clear(Subject{"p", 1}), ShouldBeTrue)
-		So(l.Check(at(2*minute), Subject{"p", 1}), ShouldBeNil)
+		So(l.Check(at(2*minute), Subject{"p", 1}), ShouldResemble, Verdict{})
+	})
+	Convey("a request lost at its start waits for strikes of others, then runs alone until it is proven", t, func() {
+		l := NewLedger(DefaultSettings())
+		strike(l, hit{0, "p", 1, "a", true})
+		So(l.Check(at(0), Subject{"p", 1}).Wait, ShouldEqual, 300*time.Millisecond)
+		now := at(300 * time.Millisecond)
+		So(l.Check(now, Subject{"p", 1}).Wait, ShouldEqual, 0)
+		So(l.Check(now, Subject{"q", 1}).Wait, ShouldEqual, maxWait)
+		So(l.Check(now, Subject{"q", 2}).Wait, ShouldEqual, 0)
+		Convey("then all of it may run, and its strikes count half", func() {
+			l.Proven(Subject{"p", 1})
+			So(l.Check(now, Subject{"q", 1}).Wait, ShouldEqual, 0)
+			So(l.Check(now, Subject{"r", 1}).Wait, ShouldEqual, 0)
+			strike(l, hit{minute, "p", 1, "b", true})
+			strike(l, hit{2 * minute, "p", 1, "c", true})
+			So(l.Check(at(2*minute), Subject{"p", 1}).Refused, ShouldBeNil)
+		})
+		Convey("or until its trial is over", func() {
+			So(l.Check(now.Add(2*time.Second), Subject{"q", 1}).Wait, ShouldEqual, 0)
+		})
+		Convey("or until the next strike, after which the next waits anew", func() {
+			strike(l, hit{time.Second, "p", 1, "b", true})
+			So(l.Check(at(time.Second), Subject{"q", 1}).Wait, ShouldEqual, 300*time.Millisecond)
+			So(l.Check(at(1300*time.Millisecond), Subject{"q", 1}).Wait, ShouldEqual, 0)
+		})
 	})
 	Convey("a first strike against a request that ran well is not told to others", t, func() {
 		l := NewLedger(DefaultSettings())
@@ -153,7 +178,7 @@
 		}
 		for f := uint64(1); f <= 4; f++ {
 			who := Subject{fmt.Sprint(f), f}
-			a, b := inOrder.Check(now, who), crossed.Check(now, who)
+			a, b := inOrder.Check(now, who).Refused, crossed.Check(now, who).Refused
 			if (a == nil) != (b == nil) {
 				t.Fatalf("request %d: %v in order, %v crossed", f, a, b)
 			}
@@ -197,7 +222,7 @@
 			where[i] = rapid.IntRange(0, targets-1).Draw(t, "place")
 		}
 		crashes := 0
-		for l.Check(at(time.Duration(crashes)*minute), Subject{"p", 0}) == nil {
+		for l.Check(at(time.Duration(crashes)*minute), Subject{"p", 0}).Refused == nil {
 			if crashes == s.Targets+s.Extra {
 				t.Fatalf("the request still runs after %d targets", crashes)
 			}
@@ -214,7 +239,7 @@
 			}
 		}
 		for i := range where {
-			if beside[i] < s.Targets && l.Check(at(time.Duration(crashes)*minute), Subject{fmt.Sprint(i), uint64(i + 1)}) != nil {
+			if beside[i] < s.Targets && l.Check(at(time.Duration(crashes)*minute), Subject{fmt.Sprint(i), uint64(i + 1)}).Refused != nil {
 				t.Fatalf("innocent request %d is blamed", i)
 			}
 		}
