Relay: one tree whoever begins it, arcs relayed once each; nested time for questions

A push stopped at daemons that had the version already. Two daemons that began to spread one version cut off parts of each other's trees, which only probes mended, up to a second later (max 1003 ms at 16 daemons). Ruled out: suspected members (no such events) and retired connections. A question to the fleet named daemons whose answer was under way when the wait ended; each level now gets less time than the one above.

--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -274,7 +274,7 @@
 }
 
 func TestBranches(t *testing.T) {
-	Convey("A tree of branches covers every serving member once", t, func() {
+	Convey("A tree of branches covers every serving member once, its root included", t, func() {
 		l := newLink(40)
 		l.run(20)
 		view := l.machines["vm-0"].View()
@@ -290,7 +290,7 @@
 				}
 			}
 			cover(Arc{0, math.MaxUint64})
-			So(len(seen), ShouldEqual, 39)
+			So(len(seen), ShouldEqual, 40)
 			for _, times := range seen {
 				So(times, ShouldEqual, 1)
 			}
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,17 +29,19 @@
 	More bool
 }
 
-// Branches splits the members that serve on an arc into at most Fanout
-// branches. Each relays within its own arc by its own view, so views that
-// differ lose or repeat single members only. salt gives each message its own
-// order, so that no daemon relays more than others in the long run.
+// Branches splits the members that serve on an arc, this daemon included, into
+// at most Fanout branches. Each relays within its own arc by its own view, so
+// views that differ lose or repeat single members only. The tree does not
+// depend on who begins it: of several daemons that spread one message, each
+// goes on where another one stopped. salt gives each message its own order, so
+// that no daemon relays more than others in the long run.
 func (v *View) Branches(salt uint64, arc Arc) []Branch {
 	type point struct {
 		at     uint64
 		member Member
 	}
 	var points []point
-	for _, m := range v.Serving() {
+	for _, m := range append(v.Serving(), Member{Identity: v.Self}) {
 		if at := ringPoint(salt, m.ID); at >= arc.Lo && at <= arc.Hi {
 			points = append(points, point{at, m})
 		}
@@ -57,6 +60,29 @@
 	return out
 }
 
+// Claims remembers which arcs a daemon has relayed the newest message on, so
+// that it relays each only once. It goes by relays, not by whether the daemon
+// has the message already: it may have got it in another way.
+type Claims struct {
+	number int64
+	arcs   []Arc
+}
+
+// Claim returns whether to relay message number on an arc.
+func (c *Claims) Claim(number int64, arc Arc) bool {
+	if number < c.number {
+		return false
+	}
+	if number > c.number {
+		c.number, c.arcs = number, nil
+	}
+	if slices.Contains(c.arcs, arc) {
+		return false
+	}
+	c.arcs = append(c.arcs, arc)
+	return true
+}
+
 func ringPoint(salt uint64, id string) uint64 {
 	return xxhash.Sum64(append(binary.LittleEndian.AppendUint64(nil, salt), id...))
 }
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -44,9 +44,10 @@
 	n      *Node
 	spread *configuration.Spread // owned by the control loop
 
-	mu    sync.Mutex // held while a version is put in force
-	heads []configuration.Head
-	split splitCache
+	mu     sync.Mutex // held while a version is put in force
+	heads  []configuration.Head
+	claims membership.Claims // arcs of pushes
+	split  splitCache
 }
 
 func (n *Node) buildConfiguration() {
@@ -78,11 +79,19 @@
 		case configuration.Fetch:
 			v.n.members.run(func(ctx context.Context) { v.fetch(ctx, d.Peer) })
 		case configuration.Relay:
-			v.n.members.run(func(ctx context.Context) { v.push(ctx, v.n.snapshot.Load().Head, membership.WholeRing()) })
+			v.n.members.run(v.pushAll)
 		}
 	}
 }
 
+// pushAll pushes the version in force to all daemons.
+func (v *versions) pushAll(ctx context.Context) {
+	head := v.n.snapshot.Load().Head
+	if v.claim(head.Version, membership.WholeRing()) {
+		v.push(ctx, head, membership.WholeRing())
+	}
+}
+
 func (v *versions) tell(in configuration.SpreadInput) {
 	_ = v.n.loop.Post(func(now time.Time) { v.step(now, in) })
 }
--- a/node/configuration_peers.go
+++ b/node/configuration_peers.go
@@ -34,11 +34,17 @@
 		v.refuse(err)
 		return
 	}
-	v.n.relay(ctx, uint64(head.Version), arc, func(ctx context.Context, b membership.Branch) error {
+	v.n.relay(ctx, uint64(head.Version), arc, relayTimeout, func(ctx context.Context, b membership.Branch) error {
 		return v.n.transport.Call(ctx, b.Member.PeerAddress, kindPush, pushRequest{encoded, b.Rest, b.More}, nil)
 	})
 }
 
+func (v *versions) claim(version int64, arc membership.Arc) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.claims.Claim(version, arc)
+}
+
 func (v *versions) servePush(_ context.Context, from peer.Identity, body []byte) (any, error) {
 	var req pushRequest
 	if err := msgpack.Unmarshal(body, &req); err != nil {
@@ -49,15 +55,14 @@
 		return nil, err
 	}
 	have := v.n.snapshot.Load()
-	if head.Version <= have.Version {
-		return true, nil // whoever brought it relays it
-	}
-	if s, err := have.Next(head); err == nil {
-		v.adopt(s, false)
-	} else {
-		v.n.learnVersion(head.Version, from.PeerAddress)
+	if head.Version > have.Version {
+		if s, err := have.Next(head); err == nil {
+			v.adopt(s, false)
+		} else {
+			v.n.learnVersion(head.Version, from.PeerAddress)
+		}
 	}
-	if req.More {
+	if req.More && v.claim(head.Version, req.Rest) {
 		v.n.members.run(func(ctx context.Context) { v.push(ctx, head, req.Rest) })
 	}
 	return true, nil
--- a/node/configuration_wait.go
+++ b/node/configuration_wait.go
@@ -21,6 +21,8 @@
 	// inForceHold is how long a daemon holds the question back while it has
 	// not the version itself.
 	inForceHold = 200 * time.Millisecond
+	// inForceBudget is the time that a question to the whole fleet may take.
+	inForceBudget = 2 * time.Second
 )
 
 func encodeHead(h configuration.Head) ([]byte, error) {
@@ -34,6 +36,9 @@
 	Version int64          `msgpack:"v"`
 	Rest    membership.Arc `msgpack:"a"`
 	More    bool           `msgpack:"m,omitempty"`
+	// Budget is how long the asker waits; the receiver gives less to those it
+	// asks, so that its own answer is in time.
+	Budget time.Duration `msgpack:"t"`
 }
 
 func (v *versions) serveInForce(ctx context.Context, from peer.Identity, body []byte) (any, error) {
@@ -44,9 +49,9 @@
 	v.n.learnVersion(req.Version, from.PeerAddress)
 	var lagging []string
 	if req.More {
-		lagging = v.lagging(ctx, req.Version, req.Rest)
+		lagging = v.lagging(ctx, req.Version, req.Rest, req.Budget*3/4)
 	}
-	for end := time.Now().Add(inForceHold); v.n.snapshot.Load().Version < req.Version && time.Now().Before(end); {
+	for end := time.Now().Add(min(inForceHold, req.Budget/8)); v.n.snapshot.Load().Version < req.Version && time.Now().Before(end); {
 		sleep(ctx, inForceHold/10)
 	}
 	if v.n.snapshot.Load().Version < req.Version {
@@ -57,7 +62,7 @@
 
 // lagging asks the daemons on an arc and returns those that lag behind version
 // or did not answer.
-func (v *versions) lagging(ctx context.Context, version int64, arc membership.Arc) []string {
+func (v *versions) lagging(ctx context.Context, version int64, arc membership.Arc, budget time.Duration) []string {
 	var mu sync.Mutex
 	var out []string
 	add := func(ids ...string) {
@@ -65,9 +70,9 @@
 		defer mu.Unlock()
 		out = append(out, ids...)
 	}
-	v.n.relay(ctx, uint64(version), arc, func(ctx context.Context, b membership.Branch) error {
+	v.n.relay(ctx, uint64(version), arc, budget, func(ctx context.Context, b membership.Branch) error {
 		var part []string
-		err := v.n.transport.Call(ctx, b.Member.PeerAddress, kindInForce, inForceRequest{version, b.Rest, b.More}, &part)
+		err := v.n.transport.Call(ctx, b.Member.PeerAddress, kindInForce, inForceRequest{version, b.Rest, b.More, budget}, &part)
 		if err != nil {
 			add(b.Member.ID)
 		}
@@ -78,16 +83,16 @@
 }
 
 // awaitInForce waits until version is in force on all live daemons or the wait
-// is over, and names the live daemons where it is not.
+// is over, and names the live daemons where it is not. The last question may
+// end inForceBudget after the wait.
 func (v *versions) awaitInForce(ctx context.Context, version int64, wait time.Duration) []string {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
+	end := time.Now().Add(wait)
 	for {
-		lagging := v.live(v.lagging(ctx, version, membership.WholeRing()))
+		lagging := v.live(v.lagging(ctx, version, membership.WholeRing(), inForceBudget))
 		if v.n.snapshot.Load().Version < version {
 			lagging = append(lagging, v.n.self.ID)
 		}
-		if len(lagging) == 0 || ctx.Err() != nil {
+		if len(lagging) == 0 || time.Now().After(end) || ctx.Err() != nil {
 			sort.Strings(lagging)
 			return lagging
 		}
--- a/node/membership.go
+++ b/node/membership.go
@@ -238,7 +238,7 @@
 }
 
 func (m *members) notify(ctx context.Context, r membership.Rumor, arc membership.Arc) {
-	m.n.relay(ctx, r.Incarnation+r.Counter, arc, func(ctx context.Context, b membership.Branch) error {
+	m.n.relay(ctx, r.Incarnation+r.Counter, arc, relayTimeout, func(ctx context.Context, b membership.Branch) error {
 		return m.n.transport.Call(ctx, b.Member.PeerAddress, kindNotice, notice{r, b.Rest, b.More}, nil)
 	})
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -11,22 +11,31 @@
 // relayTimeout bounds one call of a relayed message.
 const relayTimeout = time.Second
 
+// branchCall sends a message to one branch.
+type branchCall func(context.Context, membership.Branch) error
+
 // relay sends a message to the members on an arc through a tree: each branch
 // covers its own arc. This daemon covers the arc of a branch that failed.
-func (n *Node) relay(ctx context.Context, salt uint64, arc membership.Arc, send func(context.Context, membership.Branch) error) {
+func (n *Node) relay(ctx context.Context, salt uint64, arc membership.Arc, timeout time.Duration, send branchCall) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, b := range n.view.Load().Branches(salt, arc) {
 		wg.Go(func() {
-			if n.sendBranch(ctx, b, send) != nil && b.More && ctx.Err() == nil {
-				n.relay(ctx, salt, b.Rest, send)
+			if b.Member.ID == n.self.ID {
+				if b.More {
+					n.relay(ctx, salt, b.Rest, timeout, send)
+				}
+				return
+			}
+			if sendBranch(ctx, b, timeout, send) != nil && b.More && ctx.Err() == nil {
+				n.relay(ctx, salt, b.Rest, timeout, send)
 			}
 		})
 	}
 }
 
-func (n *Node) sendBranch(ctx context.Context, b membership.Branch, send func(context.Context, membership.Branch) error) error {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+func sendBranch(ctx context.Context, b membership.Branch, timeout time.Duration, send branchCall) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return send(ctx, b)
 }
