--- a/admission/controller.go
+++ b/admission/controller.go
@@ -9,6 +9,9 @@
 // finds no target, such as one that must not go back to the target it lost.
 const headScan = 4
 
+// maxFlows is how many flows one search tries in a class before it gives up.
+const maxFlows = 32
+
 // maxStreak is how many urgent grants in a row a lane makes while others wait.
 const maxStreak = 16
 
@@ -62,6 +65,11 @@
 		c.end(now, func(p *permit) bool { return p.target == m.Target && p.granted.Before(m.Before) })
 	case Gone:
 		c.end(now, func(p *permit) bool { return p.target == m.Target })
+	case Block:
+		if l := c.targets[m.Target]; l != nil {
+			l.blocked = m.Blocked
+		}
+		c.dispatchAll(now)
 	case Wake:
 		c.dispatchAll(now)
 	case Tick:
@@ -72,7 +80,7 @@
 
 func (c *Controller) configure(m Configure) {
 	for _, l := range c.targets {
-		l.limit, l.reserved = 0, 0
+		l.limit, l.reserved, l.blocked = 0, 0, false
 	}
 	for _, t := range m.Targets {
 		l := c.targets[t.Name]
@@ -161,7 +169,7 @@
 		return "", 0
 	case u != nil && u.queued >= w.MaxQueued:
 		return WorkspaceFull, wait
-	case now.Add(wait).After(w.Deadline):
+	case now.Add(wait + time.Duration(waitMargin*float64(wait))).After(w.Deadline):
 		return TooLate, wait
 	}
 	return "", 0
@@ -182,9 +190,7 @@
 func (c *Controller) expectedWait(now time.Time, l *lane, w *waiting) time.Duration {
 	var permits int
 	for _, name := range l.targets {
-		if t := c.targets[name]; t != nil {
-			permits += max(0, t.limit-t.left)
-		}
+		permits += c.targets[name].usable()
 	}
 	if permits == 0 {
 		return 0
--- /dev/null
+++ b/cmd/standin/confirm_check.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaroad/vanillaroad/client"
+	"github.com/vanillaroad/vanillaroad/failure"
+)
+
+// ErrFalseOutcome is returned when a caller was told what is not true.
+var ErrFalseOutcome = errors.New("false outcomes")
+
+// confirmReport sums up a load run against the ledgers.
+type confirmReport struct {
+	Keys        int     `json:"keys"`
+	Ran         int     `json:"ran"`
+	NotRun      int     `json:"not_run"`
+	Unknown     int     `json:"unknown"`       // last thing told
+	UnknownRan  int     `json:"unknown_ran"`   // of these, how many did run
+	TwiceRun    int     `json:"twice_run"`     // must be 0
+	FalseNotRun int     `json:"false_not_run"` // must be 0
+	FalseRan    int     `json:"false_ran"`     // must be 0
+	TwoOutcomes int     `json:"two_outcomes"`  // must be 0
+	Forgotten   int     `json:"forgotten"`     // told an outcome, and unknown when asked again
+	P50Ms       float64 `json:"p50_ms"`
+	P99Ms       float64 `json:"p99_ms"`
+	MaxMs       float64 `json:"max_ms"`
+}
+
+// confirmCheckCommand compares what callers were told with what targets ran.
+func confirmCheckCommand() *cobra.Command {
+	var ledgers []string
+	c := &cobra.Command{Use: "confirm-check OUTCOMES", Short: "compare outcomes with ledgers", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			runs, err := readLedgers(ledgers)
+			if err != nil {
+				return err
+			}
+			b, err := os.ReadFile(args[0])
+			if err != nil {
+				return errors.WithStack(err)
+			}
+			var told []confirmed
+			if err := json.Unmarshal(b, &told); err != nil {
+				return errors.Wrap(err, "decode outcomes")
+			}
+			r := report(told, runs)
+			out, err := json.Marshal(r)
+			fmt.Println(string(out))
+			if r.TwiceRun+r.FalseNotRun+r.FalseRan+r.TwoOutcomes > 0 {
+				return ErrFalseOutcome
+			}
+			return err
+		}}
+	c.Flags().StringSliceVar(&ledgers, "ledgers", nil, "journals of the booking services")
+	return c
+}
+
+// readLedgers counts how often each key ran at any target.
+func readLedgers(files []string) (map[string]int, error) {
+	runs := make(map[string]int)
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		lines := bufio.NewScanner(f)
+		for lines.Scan() {
+			runs[lines.Text()]++
+		}
+		_ = f.Close()
+	}
+	return runs, nil
+}
+
+func report(all []confirmed, runs map[string]int) confirmReport {
+	r := confirmReport{Keys: len(all)}
+	for _, n := range runs {
+		if n > 1 {
+			r.TwiceRun++
+		}
+	}
+	var waits []float64
+	for _, k := range all {
+		r.add(k, runs[k.Key])
+		waits = append(waits, k.WaitMs)
+	}
+	sort.Float64s(waits)
+	if n := len(waits); n > 0 {
+		r.P50Ms, r.P99Ms, r.MaxMs = waits[n/2], waits[n*99/100], waits[n-1]
+	}
+	return r
+}
+
+func (r *confirmReport) add(k confirmed, runs int) {
+	var known *client.Outcome
+	two := false
+	for i, t := range k.Told {
+		if t.Outcome != failure.Ran && t.Outcome != failure.NotRun {
+			continue
+		}
+		if known != nil && (known.Outcome != t.Outcome || known.Answer != t.Answer) {
+			two = true
+		}
+		known = &k.Told[i]
+	}
+	if two {
+		r.TwoOutcomes++
+	}
+	last := k.Told[len(k.Told)-1].Outcome
+	switch {
+	case known == nil:
+		r.Unknown++
+		r.UnknownRan += min(runs, 1)
+		return
+	case last != known.Outcome:
+		r.Forgotten++
+	}
+	r.addKnown(known.Outcome, runs)
+}
+
+func (r *confirmReport) addKnown(o failure.Outcome, runs int) {
+	if o == failure.Ran {
+		r.Ran++
+		if runs == 0 {
+			r.FalseRan++
+		}
+		return
+	}
+	r.NotRun++
+	if runs > 0 {
+		r.FalseNotRun++
+	}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,7 +15,8 @@
 
 func main() {
 	root := &cobra.Command{Use: "standin", SilenceUsage: true}
-	root.AddCommand(platformCommand(), engineCommand(), bookingCommand(), weightsCommand(), checkCommand(), routeCompareCommand())
+	root.AddCommand(platformCommand(), engineCommand(), bookingCommand(), weightsCommand(), checkCommand(),
+		routeCompareCommand(), confirmLoadCommand(), confirmCheckCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -63,10 +64,22 @@
 func bookingCommand() *cobra.Command {
 	var listen string
 	var delay time.Duration
+	var journal string
 	c := &cobra.Command{Use: "booking", Short: "plain service with a ledger", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return serve(listen, standin.NewBooking(delay).Handler()) }}
+		RunE: func(*cobra.Command, []string) error {
+			b := standin.NewBooking(delay)
+			if journal != "" {
+				f, err := os.OpenFile(journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+				if err != nil {
+					return err
+				}
+				b.Journal = f
+			}
+			return serve(listen, b.Handler())
+		}}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:9000", "address")
 	c.Flags().DurationVar(&delay, "delay", 5*time.Millisecond, "time a call takes")
+	c.Flags().StringVar(&journal, "journal", "", "file that each key is added to before it runs")
 	return c
 }
 
--- a/confirmation/pairs_step.go
+++ b/confirmation/pairs_step.go
@@ -44,7 +44,7 @@
 	decisions := r.Step(now, in)
 	trace.Record(p.Trace, TraceSlice, fmt.Sprint(n), now, in, decisions)
 	if r.sealed && !sealed || r.alone && !alone {
-		p.Events.Record(event.ShardSealed, "", event.F("shard", fmt.Sprint(n)), event.F("epoch", fmt.Sprint(r.shard.Epoch)))
+		p.moved.alone++
 	}
 	for _, d := range decisions {
 		p.execute(n, d)
@@ -70,6 +70,24 @@
 	}
 }
 
+// moves counts what happened to shards between two ticks.
+type moves struct {
+	alone  int // shards this daemon went on with alone
+	count  int // new epochs with this daemon as first
+	unsure int // of these, epochs that don't vouch for older keys
+}
+
+// reportMoves records one event for all shards of a tick.
+func (p *Pairs) reportMoves() {
+	if p.moved.alone > 0 {
+		p.Events.Record(event.ShardSealed, "", event.F("shards", fmt.Sprint(p.moved.alone)))
+	}
+	if p.moved.count > 0 {
+		p.Events.Record(event.ShardMoved, "", event.F("shards", fmt.Sprint(p.moved.count)), event.F("unsure", fmt.Sprint(p.moved.unsure)))
+	}
+	p.moved = moves{}
+}
+
 func (p *Pairs) wakeWriter() {
 	select {
 	case p.wake <- struct{}{}:
--- a/internal/standin/booking.go
+++ b/internal/standin/booking.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -22,7 +23,8 @@
 // Booking is a plain service that books once per call and keeps a ledger. It
 // does not remove duplicates: a key that reaches it twice runs twice.
 type Booking struct {
-	Delay time.Duration // how long a call takes
+	Delay   time.Duration // how long a call takes
+	Journal io.Writer     // gets each key before its call runs, if not nil
 
 	incarnation uint64
 
@@ -109,6 +111,9 @@
 // run books once and returns how often the key has run.
 func (b *Booking) run(key string) int {
 	b.mu.Lock()
+	if b.Journal != nil {
+		_, _ = fmt.Fprintln(b.Journal, key)
+	}
 	b.ledger[key]++
 	n := b.ledger[key]
 	b.running++
