peer: no goroutine starts once Close waits; test races mended

Cause: go test -race ./... failed in node: Send dialed (WaitGroup.Add) while Close was in Wait. Ruled out: the loop (it had stopped posting).

--- a/node/api_generations_test.go
+++ b/node/api_generations_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/vanillaroad/vanillaroad/event"
@@ -73,7 +74,7 @@
 		events := event.NewRecorder("vm-1", event.NewClock(time.Now), log.NewNopLogger(), 16)
 		router := grantAll{make(chan struct{})}
 		hub := generation.NewHub(s.Generation, generation.Deps{Router: router, Joiner: router, Guard: noGuard{}, Peers: noGuard{}, Events: events})
-		n := &Node{settings: s, events: events, hub: hub}
+		n := &Node{settings: s, events: events, hub: hub, metrics: metrics.NewRegistry()}
 		Reset(hub.Close)
 		w := httptest.NewRecorder()
 		stream := &recordingStream{w: newBoundedWriter(w)}
@@ -81,7 +82,7 @@
 		begin := func() *sender {
 			reader, err := hub.Answer(generation.Request{ID: "1", MaxTokens: 5})
 			So(err, ShouldBeNil)
-			return &sender{api: &generationsAPI{n}, reader: reader, id: "1", stream: stream}
+			return &sender{api: &generationsAPI{n}, reader: reader, id: "1", stream: stream, pace: newPace(n.metrics, false)}
 		}
 		Convey("a refusal before the first byte is an HTTP error", func() {
 			close(router.wait)
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -70,7 +70,7 @@
 			return nil, err
 		}
 		f.nodes = append(f.nodes, node)
-		f.wg.Go(func() { _ = f.nodes[i].Run(ctx) })
+		f.wg.Go(func() { _ = node.Run(ctx) })
 	}
 	return f, nil
 }
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -33,6 +33,7 @@
 	inbound  map[*conn]struct{}
 	dialing  map[string]*dial
 	blocked  func(address string) bool
+	closed   bool // no goroutine is added to wg from now on
 
 	traffic [kindRanges]atomic.Int64
 }
@@ -98,7 +99,10 @@
 		if err != nil {
 			return
 		}
-		t.wg.Add(1)
+		if !t.begin() {
+			_ = nc.Close()
+			return
+		}
 		go func() {
 			defer t.wg.Done()
 			t.accept(nc)
@@ -217,6 +221,10 @@
 		return nil, errors.Wrapf(ErrSilent, "link to %s is cut", address)
 	}
 	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return nil, errors.WithStack(ErrClosed)
+	}
 	if c := t.conns[address]; c != nil && !c.gone() {
 		t.mu.Unlock()
 		return c, nil
@@ -226,7 +234,7 @@
 		d = &dial{done: make(chan struct{})}
 		t.dialing[address] = d
 		t.wg.Add(1)
-		go t.dial(address, d)
+		go t.dial(address, d) // under mu and not closed: Close has not begun to wait
 	}
 	t.mu.Unlock()
 	select {
@@ -308,11 +316,22 @@
 	}
 }
 
+// begin counts one more goroutine unless the transport is closed.
+func (t *Transport) begin() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.closed {
+		t.wg.Add(1)
+	}
+	return !t.closed
+}
+
 // Close ends all connections and waits for every goroutine of the transport.
 func (t *Transport) Close() {
 	t.cancel()
 	_ = t.ln.Close()
 	t.mu.Lock()
+	t.closed = true
 	all := make([]*conn, 0, len(t.conns)+len(t.inbound))
 	for _, c := range t.conns {
 		all = append(all, c)
--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -69,3 +71,18 @@
 		}
 	})
 }
+
+func TestCallsAfterClose(t *testing.T) {
+	Convey("A closed transport refuses calls, also those that race with its end", t, func() {
+		a, b := listen("a"), listen("b")
+		var calls sync.WaitGroup
+		for range 50 {
+			calls.Go(func() { _ = a.Send(context.Background(), b.self.PeerAddress, testKind, "x") })
+		}
+		a.Close()
+		calls.Wait()
+		err := a.Send(context.Background(), b.self.PeerAddress, testKind, "x")
+		So(errors.Is(err, ErrClosed), ShouldBeTrue)
+		b.Close()
+	})
+}
