--- a/configuration/store.go
+++ b/configuration/store.go
@@ -36,6 +36,9 @@
 	At       time.Time
 	Document Document // canonical and valid
 	Base     int64    // version that the change was made from
+	// Known is a document that is at hand, if any: parts of the base that it
+	// holds too are not read.
+	Known *Document
 }
 
 // ConflictError tells which version won. It wraps platform.ErrConflict.
@@ -134,7 +137,7 @@
 	var oldDoc Document
 	if old.Version > 0 {
 		var err error
-		if before, oldDoc, err = readVersion(ctx, w.store, old.Manifest, nil); err != nil {
+		if before, oldDoc, err = readVersion(ctx, w.store, old.Manifest, w.change.Known); err != nil {
 			return notAccepted(err)
 		}
 	}
@@ -173,8 +176,8 @@
 	return err
 }
 
-// putPart stores one part. A conflict means that an earlier try took effect,
-// because nobody else uses the name.
+// putPart stores one part. A conflict, or a part that reads back, means that an
+// earlier try took effect, because nobody else uses the name.
 func (w *writing) putPart(ctx context.Context, name string, value []byte) error {
 	w.written = append(w.written, name)
 	for pause := settlePause; ; pause = min(2*pause, settlePauseMax) {
@@ -182,7 +185,13 @@
 		switch {
 		case err == nil || errors.Is(err, platform.ErrConflict):
 			return nil
-		case !errors.Is(err, platform.ErrUnknown) || !wait(ctx, pause):
+		case !errors.Is(err, platform.ErrUnknown):
+			return notAccepted(errors.Wrap(err, "put part"))
+		}
+		if _, read := w.store.Get(ctx, PartKind, name); read == nil {
+			return nil
+		}
+		if !wait(ctx, pause) {
 			return notAccepted(errors.Wrap(err, "put part"))
 		}
 	}
--- a/confirmation/pairs_map.go
+++ b/confirmation/pairs_map.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/platform"
@@ -56,8 +54,10 @@
 	}
 	p.step(now, s.Number, Assigned{s})
 	if s.First.Same(p.self) {
-		p.Events.Record(event.ShardMoved, "", event.F("shard", fmt.Sprint(s.Number)), event.F("epoch", fmt.Sprint(s.Epoch)),
-			event.F("second", s.Second.ID), event.F("third", s.Third.ID), event.F("floor", fmt.Sprint(s.Floor)))
+		p.moved.count++
+		if s.Floor == s.Epoch {
+			p.moved.unsure++
+		}
 	}
 }
 
--- a/node/api_generations.go
+++ b/node/api_generations.go
@@ -47,7 +47,7 @@
 		return generationFailure(refused)
 	}
 	defer reader.Close()
-	s := &sender{api: a, reader: reader, position: reader.Position, id: p.ID, stream: stream}
+	s := &sender{api: a, reader: reader, position: reader.Position, id: p.ID, stream: stream, pace: newPace(a.n.metrics, reader.Position > 0)}
 	return s.run(ctx)
 }
 
@@ -60,6 +60,7 @@
 	stream   gen.GenerateServerStream
 	started  bool      // a byte of the answer is out
 	until    time.Time // the rest of a final answer must be out; zero before
+	pace     *pace
 }
 
 // errSlowCaller ends the stream of a caller that takes a final answer too slowly.
@@ -92,6 +93,7 @@
 		s.started = true
 		return writeComment(ctx, "keep-alive")
 	}
+	s.pace.sent(len(state.Tokens))
 	if state.Done && s.until.IsZero() {
 		s.until = time.Now().Add(s.api.n.settings.Generation.CallerLag.Std())
 	}
