--- a/node/api_generations_test.go
+++ b/node/api_generations_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/vanillaroad/vanillaroad/event"
@@ -81,7 +82,7 @@
 		begin := func() *sender {
 			reader, err := hub.Answer(generation.Request{ID: "1", MaxTokens: 5})
 			So(err, ShouldBeNil)
-			return &sender{api: &generationsAPI{n}, reader: reader, id: "1", stream: stream}
+			return &sender{api: &generationsAPI{n}, reader: reader, id: "1", stream: stream, pace: newPace(metrics.NewRegistry(), false)}
 		}
 		Convey("a refusal before the first byte is an HTTP error", func() {
 			close(router.wait)
