--- a/generation/connection.go
+++ b/generation/connection.go
@@ -95,8 +95,8 @@
 		g.Guard.Lost(g.request, grant.Target, d.Attempt, d.Fresh)
 		g.Events.Record(event.TargetLost, g.request.ID, event.F("target", grant.Target), event.F("cause", string(d.Cause)))
 	}
-	switch d.Cause {
-	case EndCompleted, EndRefused, EndTakenOver:
+	kept := d.Attempt == g.joined && g.keepers.Load() > 0
+	if kept || d.Cause == EndCompleted || d.Cause == EndRefused || d.Cause == EndTakenOver {
 		grant.Release(true)
 		return
 	}
--- a/generation/hub.go
+++ b/generation/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -32,8 +33,8 @@
 	answer      *Answer
 	fingerprint uint64
 	orders      chan Input
-	guest       atomic.Bool // the stream belongs to another daemon's run
-	ended       time.Time   // zero while the run goes on
+	keepers     atomic.Int32 // other daemons that keep the stream that was joined
+	ended       time.Time    // zero while the run goes on
 }
 
 // order tells the run something; only the first order counts.
@@ -46,7 +47,7 @@
 
 // stop ends the run, and its stream too unless that belongs to another daemon.
 func (n *held) stop(err *failure.Error) {
-	if n.guest.Load() {
+	if n.keepers.Load() > 0 {
 		n.order(TakenOver{})
 		return
 	}
@@ -105,7 +106,7 @@
 		}
 		// It stopped: go on from all that is there.
 		c := old.answer.CursorAt(int64(len(tokens)))
-		r.Held, r.Cursor = tokens, Cursor{Held: c.Held, Version: c.Version, Chain: c.Chain}
+		r.Held, r.Cursor = tokens, c
 	}
 	if r.Cursor.Held > int64(len(r.Held)) {
 		return Reader{}, failure.New(failure.Conflict, failure.Unknown, "join", "", "send the %d tokens held: this daemon has no such answer", r.Cursor.Held)
@@ -127,7 +128,7 @@
 	n := &held{answer: NewAnswer(r.Held, r.Cursor), fingerprint: r.Fingerprint(), orders: make(chan Input, 1)}
 	h.runs[r.ID] = n
 	h.spawn(func(ctx context.Context) {
-		h.follow(ctx, h.locate(ctx, r), n)
+		h.follow(ctx, r, n)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		n.ended = time.Now()
@@ -137,19 +138,31 @@
 
 // follow runs the request, from wherever it was before, to its end.
 func (h *Hub) follow(ctx context.Context, r Request, n *held) {
-	if c := r.Cursor; c.Daemon != "" && c.Daemon != h.deps.Self {
-		h.deps.Events.Record(event.GenerationContinued, r.ID, event.F("from", c.Daemon))
-		h.spawn(func(ctx context.Context) { h.takeOver(ctx, r.ID, c.Daemon, n) })
+	r, claimed := h.locate(ctx, r)
+	for _, daemon := range h.others(r.Cursor.Daemon, claimed) {
+		h.deps.Events.Record(event.GenerationContinued, r.ID, event.F("from", daemon))
+		h.spawn(func(ctx context.Context) { h.takeOver(ctx, r.ID, daemon, n) })
 	}
 	n.answer.extend(r.Held, r.Cursor)
 	setup := Setup{
 		Settings: h.settings, Objective: r.Objective, MaxTokens: r.MaxTokens,
 		Held: r.Held, Cursor: r.Cursor, FirstAttempt: firstAttempt(),
 	}
-	g := &run{Deps: h.deps, request: r, answer: n.answer, left: h.spawn}
+	g := &run{Deps: h.deps, request: r, answer: n.answer, left: h.spawn, keepers: &n.keepers, joined: r.Cursor.Attempt}
 	g.follow(ctx, setup, n.orders)
 }
 
+// others returns the daemons beside this one, each once.
+func (h *Hub) others(daemons ...string) []string {
+	var out []string
+	for _, d := range daemons {
+		if d != "" && d != h.deps.Self && !slices.Contains(out, d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 func (h *Hub) spawn(fn func(context.Context)) {
 	h.wg.Add(1)
 	go func() {
--- a/generation/hub_test.go
+++ b/generation/hub_test.go
@@ -392,7 +392,7 @@
 			second := ask(b, wish("1", 300))
 			got, _ := read(second, 20)
 			second.Close()
-			for !b.runs["1"].guest.Load() {
+			for b.runs["1"].keepers.Load() == 0 {
 				time.Sleep(time.Millisecond)
 			}
 			b.Sweep(time.Now().Add(time.Hour))
@@ -426,6 +426,21 @@
 			So(end.Err, ShouldBeNil)
 			So(standin.CheckAnswer(testPrompt, append(tokens, rest...), 300), ShouldBeNil)
 		})
+		Convey("back at the first with nothing more, the stream is joined again, and the second lets go", func() {
+			first.Close()
+			second := ask(b, again)
+			read(second, 40)
+			second.Close()
+			So(waitEnded(a), ShouldBeTrue)
+			third := ask(a, again)
+			rest, end := read(third, all)
+			third.Close()
+			So(end.Err, ShouldBeNil)
+			So(standin.CheckAnswer(testPrompt, append(tokens, rest...), 300), ShouldBeNil)
+			So(waitEnded(b), ShouldBeTrue)
+			So(s.engines[0].engine.Work().Streams, ShouldEqual, 1)
+			So(s.engines[0].engine.Work().Canceled, ShouldEqual, 0)
+		})
 		Convey("back at the first with more than it has, the caller's own answer goes on", func() {
 			first.Close()
 			second := ask(b, again)
--- a/generation/run.go
+++ b/generation/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -84,6 +85,8 @@
 	wg      sync.WaitGroup
 	left    func(func(context.Context)) // starts work that outlives the run
 
+	joined  int64         // attempt that another daemon began
+	keepers *atomic.Int32 // daemons whose callers still read that one
 	brought map[int64]int // tokens by attempt
 	grants  map[int64]Grant
 	streams map[int64]context.CancelFunc
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -54,11 +54,15 @@
 // lets go or the answer here is final. Else it would cancel the stream that is
 // now read here. While it keeps the stream, this daemon must not cancel it.
 func (h *Hub) takeOver(ctx context.Context, request, daemon string, n *held) {
+	kept := false
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, takeOverTimeout)
 		taken, err := h.deps.Peers.TakeOver(attempt, daemon, TakeOver{request, h.deps.Self})
 		cancel()
-		n.guest.Store(err == nil && taken.Kept)
+		if now := err == nil && taken.Kept; now != kept {
+			kept = now
+			n.keepers.Add(delta(kept))
+		}
 		if _, done, _ := n.answer.snapshot(); done || err == nil && !taken.Kept {
 			return
 		}
@@ -66,6 +70,15 @@
 	}
 }
 
+// delta is what a daemon adds to the number of keepers when it starts or stops
+// to be one.
+func delta(kept bool) int32 {
+	if kept {
+		return 1
+	}
+	return -1
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -116,26 +129,27 @@
 )
 
 // locate returns the request as it goes on from a run that another daemon has,
-// if one has. A caller with a cursor is known to come from there.
-func (h *Hub) locate(ctx context.Context, r Request) Request {
+// if one has, and the daemon that claimed the request before. A caller with a
+// cursor is known to come from there.
+func (h *Hub) locate(ctx context.Context, r Request) (Request, string) {
 	before, err := h.claim(ctx, r.ID)
 	if err != nil || before == "" || before == h.deps.Self || r.Cursor.Target != "" {
-		return r
+		return r, before
 	}
 	for range locateLimit / locatePause {
 		call, cancel := context.WithTimeout(ctx, claimTimeout)
 		l, err := h.deps.Peers.Where(call, before, Where{r.ID, r.Fingerprint()})
 		cancel()
 		if err != nil || !l.Here || !l.extends(r.Held) {
-			return r
+			return r, ""
 		}
 		if len(l.Tokens) > 0 && l.Cursor.Target != "" {
 			r.Held, r.Cursor = l.Tokens, l.Cursor
-			return r
+			return r, before
 		}
 		sleep(ctx, locatePause)
 	}
-	return r
+	return r, ""
 }
 
 func (h *Hub) claim(ctx context.Context, request string) (string, error) {
