confirmation: keys are issued by a daemon that acts for their shard

Cause: a daemon without shards issued keys of epochs that were over, which were answered unknown though they never ran. Also: a pair of which both have restarted is replaced at once, and keys whose holder is certainly gone are final.

--- a/confirmation/message.go
+++ b/confirmation/message.go
@@ -161,6 +161,7 @@
 // Answer is the reply to an Ask. NotOwner means that nothing was decided here
 // and Shard says whom to ask; Code is empty unless the call is refused.
 type Answer struct {
+	OtherRun bool         `msgpack:"other_run"` // the daemon asked for has restarted
 	Record   Record       `msgpack:"record"`
 	NotOwner bool         `msgpack:"not_owner"`
 	Shard    Shard        `msgpack:"shard"`
--- a/confirmation/pairs.go
+++ b/confirmation/pairs.go
@@ -129,7 +129,7 @@
 			p.ticked[n] = now
 			p.step(now, n, Tick{})
 		}
-		if r.isFirst() && r.acting() && !r.leaving && !(r.partner.silent && !r.alone) {
+		if r.mayIssue() {
 			own = append(own, r.Shard())
 		}
 	}
--- a/confirmation/pairs_map.go
+++ b/confirmation/pairs_map.go
@@ -133,6 +133,7 @@
 		return nil, p.Loop.Post(func(now time.Time) { p.learn(now, m.Shards) })
 	})
 	p.Transport.Handle(kindAsk, p.serveAsk)
+	p.Transport.Handle(kindIssue, p.serveIssue)
 }
 
 // others returns live daemons other than this one, in random order.
--- a/confirmation/pairs_probe.go
+++ b/confirmation/pairs_probe.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// probed returns one run of each daemon that shares a pair with this one, and
-// the thirds of its own shards.
+// probed returns one run of each daemon that shares a pair with this one, of the
+// thirds of its own shards, and of those that may still tell an outcome.
 func (p *Pairs) probed() []Ref {
 	seen := make(map[string]bool)
 	var out []Ref
@@ -55,6 +55,11 @@
 		if r.isFirst() && r.Shard().Third.ID != "" {
 			want = append(want, r.Shard().Third)
 		}
+		if r.acting() {
+			for holder := range r.holders() {
+				want = append(want, holder)
+			}
+		}
 		for _, ref := range want {
 			if !seen[ref.ID] {
 				seen[ref.ID] = true
@@ -104,6 +109,13 @@
 	if !s.has(p.self) {
 		return
 	}
+	if p.replicas[n].acting() {
+		for holder := range p.replicas[n].holders() {
+			if holder.ID == id && p.gone(holder, h) {
+				p.step(now, n, Lost{holder})
+			}
+		}
+	}
 	if partner := s.partner(p.self); partner.ID == id {
 		if p.gone(partner, h) {
 			p.step(now, n, Lost{partner})
--- a/confirmation/pairs_route.go
+++ b/confirmation/pairs_route.go
@@ -5,8 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,12 +21,14 @@
 	ownerWait   = 1500 * time.Millisecond // then the caller is told to come back
 	probeAfter  = 250 * time.Millisecond  // wait before an asked daemon is probed
 	replaceWait = time.Second             // of silence of a whole pair
-	issueTries  = 4096                    // nonces tried for a shard of this daemon
 )
 
 // ErrSilentDaemon is returned when a daemon gives no sign of life.
 var ErrSilentDaemon = errors.New("daemon does not answer")
 
+// ErrOtherRun is returned when the daemon asked for has restarted.
+var ErrOtherRun = errors.New("daemon has restarted")
+
 // Confirm implements Service.
 func (p *Pairs) Confirm(ctx context.Context, r Request) (Record, *failure.Error) {
 	return p.route(ctx, askMessage{Request: r})
@@ -39,29 +39,6 @@
 	return p.route(ctx, askMessage{Request: Request{Key: key}, LookupOnly: true})
 }
 
-// IssueKey implements Service. The key falls into a shard of which this daemon
-// is the first, so that a caller that stays here is served without a further
-// hop, by a daemon that knows the shard's epoch.
-func (p *Pairs) IssueKey(context.Context) (string, *failure.Error) {
-	m := p.shards.Load()
-	if m == nil {
-		return "", failure.Wrap(ErrNoMap, failure.Isolated, failure.NotRun, "issue key", p.self.ID).After(retryAfter)
-	}
-	mine := make(map[int]bool)
-	for _, s := range *p.own.Load() {
-		mine[s.Number] = true
-	}
-	var nonce string
-	for range issueTries {
-		nonce = fmt.Sprintf("%016x", rand.Uint64())
-		if len(mine) == 0 || mine[ShardOf(nonce, len(m.Shards))] {
-			break
-		}
-	}
-	s := m.Shards[ShardOf(nonce, len(m.Shards))]
-	return FormatKey(time.Now(), s.Epoch, nonce), nil
-}
-
 // route asks the pair of a key until one of it decides, the caller's deadline
 // ends, or nobody was there to decide for ownerWait.
 func (p *Pairs) route(ctx context.Context, m askMessage) (Record, *failure.Error) {
@@ -110,7 +87,8 @@
 	}
 	p.refresh(ctx, s.Number)
 	if err != nil && err2 != nil && ctx.Err() == nil {
-		_ = p.Loop.Post(func(now time.Time) { p.noteStuck(now, s) })
+		certain := errors.Is(err, ErrOtherRun) && errors.Is(err2, ErrOtherRun)
+		_ = p.Loop.Post(func(now time.Time) { p.noteStuck(now, s, certain) })
 	}
 	return b, err2
 }
@@ -131,15 +109,15 @@
 	return !a.NotOwner
 }
 
-// noteStuck proposes a new pair for a shard whose pair has been silent for
-// replaceWait. It vouches for no older key. It runs on the loop.
-func (p *Pairs) noteStuck(now time.Time, s Shard) {
+// noteStuck proposes a new pair for a shard whose pair is certainly gone or has
+// been silent for replaceWait. It vouches for no older key. It runs on the loop.
+func (p *Pairs) noteStuck(now time.Time, s Shard, certain bool) {
 	since, known := p.stuck[s.Number]
 	if !known || now.Sub(since) > 4*replaceWait {
+		since = now
 		p.stuck[s.Number] = now
-		return
 	}
-	if now.Sub(since) < replaceWait || p.leaving.Load() || p.shards.Load().Shards[s.Number].Epoch != s.Epoch {
+	if !certain && now.Sub(since) < replaceWait || p.leaving.Load() || p.shards.Load().Shards[s.Number].Epoch != s.Epoch {
 		return
 	}
 	p.proposals[s.Number] = Shard{Number: s.Number, Epoch: s.Epoch + 1, First: p.self, Floor: s.Epoch + 1}
@@ -159,7 +137,11 @@
 	defer stop()
 	go p.watchAsked(ctx, cancel, to)
 	var a Answer
+	m.To = to
 	err := p.Transport.Call(ctx, to.Address, kindAsk, m, &a)
+	if err == nil && a.OtherRun {
+		err = ErrOtherRun
+	}
 	return a, errors.Wrapf(err, "ask %s", to.ID)
 }
 
@@ -226,6 +208,9 @@
 	if err := msgpack.Unmarshal(body, &m); err != nil {
 		return nil, err
 	}
+	if !m.To.Same(p.self) {
+		return Answer{OtherRun: true}, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, m.Request.Deadline)
 	defer cancel()
 	return p.askHere(ctx, m)
--- a/confirmation/replica.go
+++ b/confirmation/replica.go
@@ -106,6 +106,17 @@
 	return r.isFirst() && r.sealSeen && len(r.openKeys()) == 0
 }
 
+// holders returns the runs that may still tell an outcome of a recorded key.
+func (r *Replica) holders() map[Ref]bool {
+	out := make(map[Ref]bool)
+	for _, e := range r.entries {
+		if e.phase == phaseRecorded && !e.orphan && !e.holder.Same(r.self) {
+			out[e.holder] = true
+		}
+	}
+	return out
+}
+
 // idle tells whether a tick has nothing to do but to forget old records.
 func (r *Replica) idle() bool {
 	if len(r.open) > 0 || len(r.late) > 0 || r.leaving || r.isFirst() && !r.sync.done {
@@ -122,6 +133,11 @@
 	return r.isFirst() && !r.handed || r.isSecond() && r.sealed
 }
 
+// mayIssue tells whether keys issued in this epoch can be dispatched from here.
+func (r *Replica) mayIssue() bool {
+	return r.acting() && !r.leaving && (!r.isFirst() || r.alone || !r.partner.silent)
+}
+
 // waits tells whether an entry awaits an answer.
 func (e *entry) waits() bool {
 	return e.phase == phaseSent || e.phase == phaseDispatched || e.phase == phaseClosing
--- a/confirmation/wire.go
+++ b/confirmation/wire.go
@@ -23,10 +23,12 @@
 	kindRenew
 	kindHandOver
 	kindRetire
+	kindIssue
 )
 
 // askMessage carries a caller's call to one of the pair.
 type askMessage struct {
+	To         Ref     `msgpack:"to"`
 	Request    Request `msgpack:"request"`
 	FirstLost  bool    `msgpack:"first_lost"`
 	LookupOnly bool    `msgpack:"lookup_only"`
--- a/proof/conf-faults.sh
+++ b/proof/conf-faults.sh
@@ -3,7 +3,7 @@
 # frozen, alone and two at once, the platform is down or loses answers, while
 # callers resend at other daemons. The targets' journals must show no key run
 # twice, and no outcome told that is not true.
-# Usage: conf-faults.sh [SEED [SECONDS]]
+# Usage: conf-faults.sh [SEED [SECONDS]]; CONF_KEEP names a directory for logs.
 source "$(dirname "$0")/../scripts/conf-lib.sh"
 seed=${1:-1} seconds=${2:-40}
 RANDOM=$seed
@@ -34,6 +34,7 @@
 load_end
 sleep 3
 ask_again
+[ -z "${CONF_KEEP:-}" ] || cp "$dir"/*.json "$dir"/*.log "$dir"/journal-* "$CONF_KEEP"
 report=$(check_outcomes "$dir/again.json") || { echo "$report"; echo "proof: FALSE outcomes, seed $seed: $report"; exit 1; }
 echo "$report"
 keys=$(field "$report" keys)
--- a/scripts/conf-lib.sh
+++ b/scripts/conf-lib.sh
@@ -18,6 +18,7 @@
 	kill_process "$1"
 	while kill -0 "$(pid_of "$1")" 2>/dev/null; do sleep 0.01; done
 }
+eval "$(declare -f write_settings | sed "s/\"log_level\":\"info\"/\"log_level\":\"${CONF_LOG:-info}\"/")"
 wait_confirmations() { # every daemon can issue a key
 	local i _
 	for i in $(seq "$daemons"); do
