--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,7 +15,8 @@
 
 func main() {
 	root := &cobra.Command{Use: "standin", SilenceUsage: true}
-	root.AddCommand(platformCommand(), engineCommand(), bookingCommand(), weightsCommand(), checkCommand(), confirmLoadCommand(), confirmCheckCommand())
+	root.AddCommand(platformCommand(), engineCommand(), bookingCommand(), weightsCommand(), checkCommand(),
+		routeCompareCommand(), confirmLoadCommand(), confirmCheckCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
--- a/generation/run.go
+++ b/generation/run.go
@@ -22,7 +22,8 @@
 	Incarnation uint64
 	Engine      target.Engine
 	// Release gives the permit back. ended tells that the attempt is known to
-	// have ended; otherwise the permit stays taken until the target's end.
+	// have ended; otherwise the permit stays taken, and the router goes on
+	// canceling the attempt until its end is known.
 	Release func(ended bool)
 }
 
@@ -42,28 +43,25 @@
 
 // Guard keeps requests that crash targets from running again.
 type Guard interface {
-	// Check returns why the request must not run, or nil.
-	Check(r Request) *failure.Error
+	// Check returns why the request must not run, or nil. It may wait.
+	Check(ctx context.Context, r Request) *failure.Error
 	// Lost tells that a target failed under an attempt of the request.
 	Lost(r Request, target string, attempt int64, fresh bool)
+	// Proven tells that an attempt of the request brought tokens.
+	Proven(r Request)
 	// Done tells that the request's answer is whole.
 	Done(r Request)
 }
 
-// Notifier tells the daemon of a cursor that its caller went on here.
-type Notifier interface {
-	TakeOver(ctx context.Context, request string, c Cursor) error
-}
-
 // Deps are what runs need of the rest of the daemon. Trace may be nil.
 type Deps struct {
-	Router   Router
-	Joiner   Joiner
-	Guard    Guard
-	Notifier Notifier
-	Events   *event.Recorder
-	Trace    *trace.Recorder
-	Self     string // this daemon's peer address
+	Router Router
+	Joiner Joiner
+	Guard  Guard
+	Peers  Peers
+	Events *event.Recorder
+	Trace  *trace.Recorder
+	Self   string // this daemon's peer address
 }
 
 // tickPeriod is how often a run looks at the time.
@@ -86,6 +84,7 @@
 	wg      sync.WaitGroup
 	left    func(func(context.Context)) // starts work that outlives the run
 
+	brought map[int64]int // tokens by attempt
 	grants  map[int64]Grant
 	streams map[int64]context.CancelFunc
 	done    bool
@@ -101,6 +100,7 @@
 	defer cancel()
 	g.machine = NewMachine(setup)
 	g.inputs = make(chan Input, inputQueueLen)
+	g.brought = make(map[int64]int)
 	g.grants, g.streams = make(map[int64]Grant), make(map[int64]context.CancelFunc)
 	g.begin = time.Now()
 	g.key = g.request.ID + "/" + strconv.FormatInt(setup.FirstAttempt, 10)
@@ -237,7 +237,7 @@
 }
 
 func (g *run) grant(d Route, held int64) (Grant, *failure.Error) {
-	if err := g.Guard.Check(g.request); err != nil {
+	if err := g.Guard.Check(g.ctx, g.request); err != nil {
 		return Grant{}, err
 	}
 	if d.Target != "" {
@@ -251,6 +251,9 @@
 	g.answer.add(d.Text, Cursor{
 		Target: grant.Target, Version: d.Version, Attempt: d.Attempt, Incarnation: grant.Incarnation, Daemon: g.Self,
 	})
+	if g.brought[d.Attempt]++; g.brought[d.Attempt] == freshTokens {
+		g.Guard.Proven(g.request)
+	}
 	if d.Resumed > 0 {
 		g.Events.Record(event.GenerationResumed, g.request.ID, event.F("target", grant.Target),
 			event.F("position", strconv.FormatInt(d.Position, 10)), event.F("resume_ms", strconv.FormatInt(d.Resumed.Milliseconds(), 10)))
--- a/node/api_confirmations.go
+++ b/node/api_confirmations.go
@@ -33,6 +33,9 @@
 	if e := a.n.confirmRefusal(); e != nil {
 		return nil, confirmationFailure(e)
 	}
+	if _, e := a.n.workspace(p.Workspace); e != nil {
+		return nil, confirmationFailure(e)
+	}
 	deadline := time.Duration(deref(p.DeadlineMs)) * time.Millisecond
 	if deadline <= 0 {
 		deadline = a.n.settings.Confirmation.Deadline.Std()
@@ -43,9 +46,11 @@
 	if a.n.idempotent(p.Service) {
 		confirm = a.n.callIdempotent
 	}
+	begin := time.Now()
 	record, e := confirm(ctx, confirmation.Request{
 		Key: p.Key, Workspace: p.Workspace, Service: p.Service, Body: p.Body, Deadline: deadline, Labels: p.Labels,
 	})
+	micros(a.n.metrics, "confirmation.answer").Update(time.Since(begin).Microseconds())
 	if e != nil {
 		return nil, confirmationFailure(e)
 	}
--- a/trace/replayers/replayers.go
+++ b/trace/replayers/replayers.go
@@ -2,11 +2,23 @@
 package replayers
 
 import (
+	"github.com/vanillaroad/vanillaroad/admission"
+	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/confirmation"
+	"github.com/vanillaroad/vanillaroad/generation"
+	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/routing"
 	"github.com/vanillaroad/vanillaroad/trace"
 )
 
 // All returns the makers by slice.
 func All() map[string]trace.Maker {
-	return map[string]trace.Maker{confirmation.TraceSlice: confirmation.Maker}
+	return map[string]trace.Maker{
+		generation.TraceSlice:   generation.Maker,
+		confirmation.TraceSlice: confirmation.Maker,
+		configuration.Slice:     configuration.NewReplay,
+		membership.Slice:        membership.NewReplay,
+		admission.TraceSlice:    admission.Replay,
+		routing.TraceSlice:      routing.Replay,
+	}
 }
