--- a/cmd/standin/confirm_load.go
+++ b/cmd/standin/confirm_load.go
@@ -13,6 +13,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/vanillaroad/vanillaroad/client"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/target"
 )
 
 // confirmed is what callers were told of one key.
@@ -36,9 +38,11 @@
 	seed      uint64
 	out       string
 	again     string
+	direct    []string
 
-	mu   sync.Mutex
-	done []confirmed
+	targets []*target.Client
+	mu      sync.Mutex
+	done    []confirmed
 }
 
 // confirmLoadCommand drives confirmations and writes what callers were told.
@@ -62,6 +66,7 @@
 	f.Float64Var(&l.resend, "resend", 0.2, "share of keys that a second caller sends too, at another daemon")
 	f.Uint64Var(&l.seed, "seed", 1, "random seed")
 	f.StringVar(&l.out, "out", "outcomes.json", "file to write")
+	f.StringSliceVar(&l.direct, "direct", nil, "call these targets instead of daemons, to compare")
 	f.StringVar(&l.again, "again", "", "only look up the keys of this file once more")
 	return c
 }
@@ -73,6 +78,9 @@
 }
 
 func (l *confirmLoad) run(ctx context.Context) error {
+	for _, address := range l.direct {
+		l.targets = append(l.targets, target.NewClient(address))
+	}
 	end := time.Now().Add(l.duration)
 	var wg sync.WaitGroup
 	for i := range l.callers {
@@ -97,6 +105,10 @@
 func (l *confirmLoad) confirmOne(ctx context.Context, rnd *rand.Rand, c, other *client.Client) {
 	ctx, cancel := context.WithTimeout(ctx, l.patience)
 	defer cancel()
+	if len(l.direct) > 0 {
+		l.callDirect(ctx, rnd)
+		return
+	}
 	key, err := c.IssueKey(ctx)
 	if err != nil {
 		return
@@ -132,6 +144,24 @@
 	l.mu.Unlock()
 }
 
+// callDirect calls a target as a caller without the system would.
+func (l *confirmLoad) callDirect(ctx context.Context, rnd *rand.Rand) {
+	key := fmt.Sprintf("%d-1-%016x", time.Now().UnixMilli(), rnd.Uint64())
+	k := confirmed{Key: key, Started: time.Now().UnixMilli()}
+	t := l.targets[rnd.IntN(len(l.targets))]
+	began := time.Now()
+	reply, err := t.Call(ctx, target.Call{Key: key, Workspace: l.workspace, Body: "stand for " + key})
+	k.WaitMs = float64(time.Since(began).Microseconds()) / 1000
+	out := client.Outcome{Key: key, Outcome: failure.Ran, Status: reply.Status, Answer: reply.Body}
+	if err != nil {
+		out.Outcome = failure.Unknown
+	}
+	k.Told = []client.Outcome{out}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.done = append(l.done, k)
+}
+
 // askAgain looks up every key of a file at one daemon or another.
 func (l *confirmLoad) askAgain(ctx context.Context) error {
 	b, err := os.ReadFile(l.again)
--- /dev/null
+++ b/confirmation/pairs_test.go
@@ -0,0 +1,183 @@
+package confirmation
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/vanillaroad/vanillaroad/control"
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/peer"
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// bookings is a target that counts runs of each key.
+type bookings struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Dispatch implements Dispatcher.
+func (b *bookings) Dispatch(_ context.Context, r Request) Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.Service == "closed" {
+		return Record{Outcome: failure.NotRun}
+	}
+	b.runs[r.Key]++
+	return Record{Outcome: failure.Ran, Status: 200, Answer: fmt.Sprintf("run %d of %s", b.runs[r.Key], r.Key)}
+}
+
+// small is a site of daemons in this process.
+type small struct {
+	store  *httptest.Server
+	target *bookings
+	pairs  []*Pairs
+	stops  []func()
+}
+
+func newSmall(count int) *small {
+	s := &small{store: httptest.NewServer(standin.NewPlatform().Handler()), target: &bookings{runs: make(map[string]int)}}
+	var members []membership.Member
+	for i := range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		members = append(members, membership.Member{State: membership.Alive, Identity: peer.Identity{
+			ID: fmt.Sprint("vm-", i), Incarnation: uint64(i + 1), Place: fmt.Sprint("place-", i), PeerAddress: l.Addr().String(),
+		}})
+		So(l.Close(), ShouldBeNil)
+	}
+	for _, m := range members {
+		s.start(m.Identity, &membership.View{Self: m.Identity, Members: members})
+	}
+	return s
+}
+
+func (s *small) start(self peer.Identity, view *membership.View) {
+	events := event.NewRecorder(self.ID, event.NewClock(time.Now), log.NewJSONLogger(io.Discard), 64)
+	transport, err := peer.Listen(self, events)
+	So(err, ShouldBeNil)
+	store := platform.NewClient(s.store.URL, metrics.NewRegistry())
+	loop := control.NewLoop()
+	p := NewPairs(Config{
+		Self: self, Settings: DefaultSettings(), Loop: loop, Transport: transport, Store: store,
+		View: func() *membership.View { return view }, Dispatcher: s.target, Events: events,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, fn := range []func(){func() { loop.Run(ctx) }, transport.Serve, func() { p.Run(ctx) }} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			fn()
+		}()
+	}
+	s.pairs = append(s.pairs, p)
+	s.stops = append(s.stops, sync.OnceFunc(func() {
+		cancel()
+		transport.Close()
+		wg.Wait()
+		store.Close()
+	}))
+}
+
+func (s *small) close() {
+	for _, stop := range s.stops {
+		stop()
+	}
+	s.store.Close()
+}
+
+// issue waits until a daemon issues keys.
+func (s *small) issue(i int) string {
+	for {
+		key, err := s.pairs[i].IssueKey(context.Background())
+		if err == nil {
+			return key
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// confirm asks until the outcome is final, as client.Confirm does.
+func (s *small) confirm(i int, r Request) (Record, *failure.Error) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		rec, err := s.pairs[i].Confirm(ctx, r)
+		cancel()
+		if err == nil && (rec.Outcome != failure.Unknown || rec.RetryAfter == 0) || err != nil && err.RetryAfter == 0 {
+			return rec, err
+		}
+	}
+}
+
+func TestPairs(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	Convey("Given four daemons", t, func() {
+		s := newSmall(4)
+		Reset(s.close)
+		r := Request{Key: s.issue(0), Service: "vpis", Body: "stand 12"}
+		Convey("a key has one outcome at every daemon and runs once", func() {
+			first, err := s.confirm(0, r)
+			So(err, ShouldBeNil)
+			So(first.Outcome, ShouldEqual, failure.Ran)
+			for i := range s.pairs {
+				again, err := s.confirm(i, r)
+				So(err, ShouldBeNil)
+				So(again, ShouldResemble, first)
+				looked, err := s.pairs[i].Lookup(context.Background(), r.Key)
+				So(err, ShouldBeNil)
+				So(looked, ShouldResemble, first)
+			}
+			So(s.target.runs[r.Key], ShouldEqual, 1)
+			other := r
+			other.Body = "stand 13"
+			_, err = s.confirm(1, other)
+			So(err.Code, ShouldEqual, failure.Conflict)
+			So(err.Outcome, ShouldEqual, failure.NotRun)
+		})
+		Convey("a call that no target took is closed for good", func() {
+			r.Service = "closed"
+			rec, err := s.confirm(1, r)
+			So(err, ShouldBeNil)
+			So(rec.Outcome, ShouldEqual, failure.NotRun)
+			r.Service = "vpis"
+			_, err = s.confirm(2, r)
+			So(err.Code, ShouldEqual, failure.Conflict)
+			So(s.target.runs[r.Key], ShouldEqual, 0)
+		})
+		Convey("the loss of a daemon loses no outcome, and its pairs go on", func() {
+			want := make(map[string]Record)
+			for range 20 {
+				key := s.issue(0)
+				rec, err := s.confirm(0, Request{Key: key, Service: "vpis"})
+				So(err, ShouldBeNil)
+				want[key] = rec
+			}
+			held := s.issue(0)
+			s.stops[0]()
+			for key, rec := range want {
+				again, err := s.confirm(2, Request{Key: key, Service: "vpis"})
+				So(err, ShouldBeNil)
+				So(again, ShouldResemble, rec)
+				So(s.target.runs[key], ShouldEqual, 1)
+			}
+			rec, err := s.confirm(1, Request{Key: held, Service: "vpis"})
+			So(err, ShouldBeNil)
+			So(rec.Outcome, ShouldEqual, failure.Ran)
+		})
+	})
+}
