--- a/scripts/slope-idle.sh
+++ b/scripts/slope-idle.sh
@@ -1,15 +1,15 @@
 #!/usr/bin/env bash
 # What daemons cost without load, for several sizes of a site.
-# Usage: scripts/slope-idle.sh [DAEMONS...]
+# Usage: scripts/slope-idle.sh [DAEMONS:ENGINES...]
 sizes=("$@")
-[ ${#sizes[@]} -gt 0 ] || sizes=(4 8 16 32)
+[ ${#sizes[@]} -gt 0 ] || sizes=(8:4 8:16 8:32 16:16 32:16)
 here=$(dirname "$0")
-for n in "${sizes[@]}"; do
+for size in "${sizes[@]}"; do
 	(
 		source "$here/lib.sh"
 		source "$here/load.sh"
-		site 92 "$n" 4 1 >/dev/null
-		sleep 3
-		load --mode idle --duration 10s
+		site 92 "${size%:*}" "${size#*:}" 1 >/dev/null
+		sleep 5
+		echo "${size#*:} engines, $(load --mode idle --duration 15s)"
 	)
 done
