--- a/confirmation/pairs.go
+++ b/confirmation/pairs.go
@@ -53,6 +53,8 @@
 	limits  Limits
 	ctx     context.Context
 	cancel  context.CancelFunc
+	mu      sync.Mutex // guards ended
+	ended   bool
 	wg      sync.WaitGroup
 	shards  atomic.Pointer[Map]
 	own     atomic.Pointer[[]Shard] // those whose first this daemon is and acts
@@ -106,10 +108,19 @@
 	p.spawn(p.probePeers)
 	p.spawn(p.writeProposals)
 	<-p.ctx.Done()
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
 	p.wg.Wait()
 }
 
+// spawn runs fn unless Run has ended.
 func (p *Pairs) spawn(fn func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return
+	}
 	p.wg.Add(1)
 	go func() {
 		defer p.wg.Done()
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -217,6 +217,10 @@
 		return nil, errors.Wrapf(ErrSilent, "link to %s is cut", address)
 	}
 	t.mu.Lock()
+	if t.ctx.Err() != nil { // Close waits for the goroutines begun before
+		t.mu.Unlock()
+		return nil, errors.WithStack(ErrClosed)
+	}
 	if c := t.conns[address]; c != nil && !c.gone() {
 		t.mu.Unlock()
 		return c, nil
