--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -45,7 +45,7 @@
 	return Settings{
 		Targets: 3, Extra: 2, Decay: jsontime.Duration(10 * time.Minute),
 		SameFailure: jsontime.Duration(10 * time.Second),
-		Settle:      jsontime.Duration(300 * time.Millisecond), Trial: jsontime.Duration(2 * time.Second), MaxRequests: 4096,
+		Settle:      jsontime.Duration(150 * time.Millisecond), Trial: jsontime.Duration(2 * time.Second), MaxRequests: 4096,
 	}
 }
 
@@ -81,7 +81,8 @@
 type entry struct {
 	failures    []failed // oldest first
 	fingerprint uint64
-	trialUntil  time.Time // one request of it runs alone until then
+	trial       string    // id of the one request that may run
+	trialUntil  time.Time // until then
 }
 
 func (e *entry) last() time.Time { return e.failures[len(e.failures)-1].at }
@@ -253,10 +254,10 @@
 	if until := fresh.Add(l.settings.Settle.Std()); now.Before(until) {
 		return Verdict{Wait: until.Sub(now)}
 	}
-	if now.Before(e.trialUntil) {
+	if now.Before(e.trialUntil) && e.trial != s.ID {
 		return Verdict{Wait: min(e.trialUntil.Sub(now), maxWait)}
 	}
-	e.trialUntil = now.Add(l.settings.Trial.Std())
+	e.trial, e.trialUntil = s.ID, now.Add(l.settings.Trial.Std())
 	return Verdict{}
 }
 
