--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -106,10 +106,14 @@
 		calls += c
 	}
 	each := 1 / float64(n)
-	return fmt.Sprintf("%d daemons, each: %.3f %% of a core, %.1f MiB, %.2f KiB/s read, %.2f KiB/s written; platform %.2f calls/s",
+	peers := make(map[string]int64)
+	for slice, b := range p.Daemons.PeerBytes {
+		peers[slice] = int64(float64(b) / p.Seconds * each)
+	}
+	return fmt.Sprintf("%d daemons, each: %.3f %% of a core, %.1f MiB, %.2f KiB/s read, %.2f KiB/s written; peers B/s %s; platform %.2f calls/s",
 		n, 100*p.Daemons.CPUSeconds/p.Seconds*each, float64(p.Daemons.ResidentBytes)/mebibyte*each,
 		float64(p.Daemons.ReadBytes)/kibibyte/p.Seconds*each, float64(p.Daemons.WrittenBytes)/kibibyte/p.Seconds*each,
-		float64(calls)/p.Seconds)
+		counts(peers), float64(calls)/p.Seconds)
 }
 
 // NotWhole returns how many generations got no whole answer.
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -35,6 +35,8 @@
 	ResidentBytes int64   `json:"resident_bytes"` // of all daemons, highest reading
 	ReadBytes     int64   `json:"read_bytes"`
 	WrittenBytes  int64   `json:"written_bytes"`
+	// PeerBytes is what daemons sent to and received from each other, by slice.
+	PeerBytes map[string]int64 `json:"peer_bytes,omitempty"`
 }
 
 // reader reads a site's counters again and again. Counters of a process that
@@ -94,11 +96,24 @@
 		s.daemons.CPUSeconds += float64(grown[cpuMetric]) / microsPerSecond
 		s.daemons.ReadBytes += grown[readMetric]
 		s.daemons.WrittenBytes += grown[writtenMetric]
+		s.daemons.addPeerBytes(grown)
 	}
 	s.daemons.ResidentBytes = r.resident
 	return s
 }
 
+// addPeerBytes takes the counters whose label names a slice.
+func (d *Daemons) addPeerBytes(grown map[string]int64) {
+	if d.PeerBytes == nil {
+		d.PeerBytes = make(map[string]int64)
+	}
+	for name, n := range grown {
+		if slice, ok := strings.CutPrefix(name, peerMetric); ok && n > 0 {
+			d.PeerBytes[strings.Trim(slice, `{}"`)] += n
+		}
+	}
+}
+
 // poll reads all processes at once, so that a paused one delays no other.
 func (r *reader) poll(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -166,6 +181,7 @@
 	residentMetric  = "vanillaroad_process_resident_bytes"
 	readMetric      = "vanillaroad_process_read_bytes"
 	writtenMetric   = "vanillaroad_process_written_bytes"
+	peerMetric      = "vanillaroad_peer_bytes{slice="
 	microsPerSecond = 1e6
 )
 
@@ -182,9 +198,12 @@
 		name, value, _ := strings.Cut(lines.Text(), " ")
 		switch name {
 		case cpuMetric, residentMetric, readMetric, writtenMetric:
-			n, _ := strconv.ParseInt(value, 10, 64)
-			out[name] = n
+		default:
+			if !strings.HasPrefix(name, peerMetric) {
+				continue
+			}
 		}
+		out[name], _ = strconv.ParseInt(value, 10, 64)
 	}
 	return out, errors.Wrap(lines.Err(), address)
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/peer"
 )
 
 // metricPrefix starts the name of every metric.
@@ -25,6 +26,7 @@
 	var out bytes.Buffer
 	n.gauges(&out)
 	n.eventCounts(&out)
+	n.peerTraffic(&out)
 	all := make(map[string]any)
 	n.metrics.Each(func(name string, m any) { all[name] = m })
 	for _, name := range slices.Sorted(maps.Keys(all)) {
@@ -43,6 +45,23 @@
 	}
 }
 
+// peerTraffic writes the bytes exchanged with other daemons, by slice.
+func (n *Node) peerTraffic(out *bytes.Buffer) {
+	const name = metricPrefix + "peer_bytes"
+	kinds := []struct {
+		slice string
+		first peer.Kind
+	}{
+		{"connection", 0}, {"membership", peer.MembershipKinds}, {"configuration", peer.ConfigurationBase},
+		{"confirmation", peer.ConfirmationBase}, {"admission", peer.AdmissionBase},
+		{"generation", peer.GenerationBase}, {"quarantine", peer.QuarantineBase},
+	}
+	_, _ = fmt.Fprintf(out, "# TYPE %s counter\n", name)
+	for _, k := range kinds {
+		_, _ = fmt.Fprintf(out, "%s{slice=\"%s\"} %d\n", name, k.slice, n.transport.Traffic(k.first))
+	}
+}
+
 func metricName(name string) string {
 	return metricPrefix + strings.NewReplacer(".", "_", "-", "_", "/", "_").Replace(name)
 }
--- a/node/pace.go
+++ b/node/pace.go
@@ -20,7 +20,7 @@
 	}).(metrics.Histogram)
 }
 
-// pace measures the tokens that one caller is sent.
+// pace measures the tokens that one caller is sent. A nil pace measures nothing.
 type pace struct {
 	first, between metrics.Histogram
 	tokens         metrics.Counter
@@ -39,7 +39,7 @@
 
 // sent takes tokens that were written together.
 func (p *pace) sent(n int) {
-	if n == 0 {
+	if p == nil || n == 0 {
 		return
 	}
 	now := time.Now()
