--- a/node/fleet_bench_test.go
+++ b/node/fleet_bench_test.go
@@ -17,6 +17,7 @@
 	benchTargets    = 4
 	benchWorkspaces = 500
 	benchChanges    = 40
+	benchSettle     = 15 * time.Second // until the rumors of the start have ended
 	benchIdle       = 20 * time.Second
 	// benchPause paces changes as 75,000 changes a day do.
 	benchPause = 1152 * time.Millisecond
@@ -49,7 +50,7 @@
 	b.ReportMetric(float64(to.cpu-from.cpu)/1e6/each, phase+"-cpu-ms/s/node")
 	b.ReportMetric(float64(to.member-from.member)/each, phase+"-membership-B/s/node")
 	b.ReportMetric(float64(to.config-from.config)/each, phase+"-configuration-B/s/node")
-	for _, kind := range []string{"get", "list", "vms", "put", "delete"} {
+	for _, kind := range []string{"get", "watch", "vms", "put", "delete"} {
 		b.ReportMetric(float64(to.calls[kind]-from.calls[kind])/seconds, phase+"-"+kind+"-calls/s")
 	}
 }
@@ -58,7 +59,7 @@
 // configuration changes 75,000 times a day, and the time until a change is in
 // force on all: go test ./node -run '^$' -bench Fleet -benchtime 1x
 func BenchmarkFleet(b *testing.B) {
-	for i, n := range []int{8, 16, 32, 64} {
+	for i, n := range []int{8, 16, 32, 64, 128, 256} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) { benchFleet(b, 60+i, n) })
 	}
 }
@@ -73,6 +74,7 @@
 		b.Fatal(err)
 	}
 	await(func() bool { return f.inForce(1) && f.acquainted() })
+	time.Sleep(benchSettle)
 	for b.Loop() {
 		before := f.cost()
 		time.Sleep(benchIdle)
