--- a/configuration/store.go
+++ b/configuration/store.go
@@ -12,6 +12,11 @@
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
+// ErrNotWritten is wrapped by errors that arose before anything was asked of the
+// platform that could be accepted: a part that is too large, or stored parts
+// that can't be read.
+var ErrNotWritten = errors.New("nothing was written")
+
 // Kinds and name of the platform objects that hold accepted versions. Heads
 // have a kind of their own, so that a watch of it brings nothing else.
 const (
@@ -74,12 +79,12 @@
 }
 
 // Write puts a new version on top of c.Base. Its errors wrap
-// platform.ErrConflict (a ConflictError; nothing was accepted),
-// platform.ErrUnavailable (nothing was accepted) or platform.ErrUnknown.
+// platform.ErrConflict (a ConflictError), platform.ErrUnavailable or
+// ErrNotWritten, with which nothing was accepted, or platform.ErrUnknown.
 func Write(ctx context.Context, store platform.Store, c Change) (Head, error) {
 	old, object, err := ReadHead(ctx, store)
 	if err != nil {
-		return Head{}, errors.Wrap(err, "read head")
+		return Head{}, notAccepted(errors.Wrap(err, "read head"))
 	}
 	w := &writing{store: store, change: c, object: object}
 	if old.Version != c.Base {
@@ -87,7 +92,7 @@
 	}
 	if err := w.prepare(ctx, old); err != nil {
 		w.discard(ctx)
-		return Head{}, err
+		return Head{}, notAccepted(err)
 	}
 	head, err := w.putHead(ctx)
 	switch {
@@ -170,10 +175,13 @@
 
 // notAccepted turns an error from before the head was put into one that says so.
 func notAccepted(err error) error {
-	if errors.Is(err, platform.ErrUnknown) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, platform.ErrNotFound) {
+	switch {
+	case errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrConflict) || errors.Is(err, ErrNotWritten):
+		return err
+	case errors.Is(err, platform.ErrUnknown) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled):
 		return errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
-	return err
+	return errors.Wrap(ErrNotWritten, err.Error())
 }
 
 // putPart stores one part. A conflict, or a part that reads back, means that an
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -237,6 +238,17 @@
 	return u.memoryStore.Put(ctx, kind, name, value, expected)
 }
 
+// tooLarge is a store that refuses large values as the client of the platform
+// does.
+type tooLarge struct{ *memoryStore }
+
+func (s tooLarge) Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (platform.Object, error) {
+	if len(value) > platform.MaxValueBytes {
+		return platform.Object{}, errors.New("too large")
+	}
+	return s.memoryStore.Put(ctx, kind, name, value, expected)
+}
+
 // onePut is a store on which a lost answer counts as not written when one
 // read back shows no change.
 type onePut struct{ *memoryStore }
@@ -295,6 +307,12 @@
 			So(conflict.Winner.Author, ShouldEqual, "ana")
 			So(err.Error(), ShouldContainSubstring, `version 1 by "ana"`)
 		})
+		Convey("a part that exceeds one value is refused as not written", func() {
+			d := document(1)
+			d.Services[0].Rules = []Rule{{Match: strings.Repeat("x", platform.MaxValueBytes), Selector: "s=pisar"}}
+			_, err := write(tooLarge{store}, "big", 1, d)
+			So(errors.Is(err, ErrNotWritten), ShouldBeTrue)
+		})
 		Convey("the same change sent again is accepted once", func() {
 			head, err := write(store, "ana", 0, document(500))
 			So(err, ShouldBeNil)
--- a/node/api_operations.go
+++ b/node/api_operations.go
@@ -28,8 +28,12 @@
 	}
 }
 
-// writeTimeout bounds a write with the settling of lost answers.
-const writeTimeout = 10 * time.Second
+// writeTimeout bounds a write with the settling of lost answers, waitMax the
+// wait until a version is in force, so that it can't hold up a planned stop.
+const (
+	writeTimeout = 10 * time.Second
+	waitMax      = time.Minute
+)
 
 // Apply implements the operations service.
 func (a *operationsAPI) Apply(ctx context.Context, p *gen.ApplyPayload) (*gen.ApplyResult, error) {
@@ -55,7 +59,7 @@
 	a.n.events.Record(event.ConfigurationAccepted, "", event.F("version", strconv.FormatInt(head.Version, 10)), event.F("author", head.Author))
 	out := &gen.ApplyResult{Version: head.Version}
 	if wait := deref(p.WaitMs); wait > 0 {
-		out.Lagging = a.n.versions.awaitInForce(ctx, head.Version, time.Duration(wait)*time.Millisecond)
+		out.Lagging = a.n.versions.awaitInForce(ctx, head.Version, min(time.Duration(wait)*time.Millisecond, waitMax))
 	}
 	return out, nil
 }
@@ -115,6 +119,8 @@
 		return failure.Wrap(err, failure.Conflict, failure.NotRun, step, "platform")
 	case errors.Is(err, platform.ErrUnavailable):
 		return failure.Wrap(err, failure.PlatformDown, failure.NotRun, step, "platform").After(retryAfter)
+	case errors.Is(err, configuration.ErrNotWritten):
+		return failure.Wrap(err, failure.BadRequest, failure.NotRun, step, "platform")
 	default:
 		return failure.Wrap(err, failure.UnknownResult, failure.Unknown, step, "platform").After(retryAfter)
 	}
--- a/node/membership.go
+++ b/node/membership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/control"
@@ -62,7 +63,9 @@
 	trace.Record(m.n.trace, membership.Slice, m.n.self.ID, now, in, decisions)
 	if r := m.machine.Revision(); r != m.revision {
 		m.revision = r
-		m.n.view.Store(m.machine.View())
+		view := m.machine.View()
+		m.n.view.Store(view)
+		m.measure(view)
 	}
 	var reply *membership.Message
 	for _, d := range decisions {
@@ -75,6 +78,26 @@
 	return reply
 }
 
+// measure updates the gauges of the members.
+func (m *members) measure(v *membership.View) {
+	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, m.n.metrics).Update(value) }
+	counts := make(map[membership.State]int64)
+	for _, member := range v.Members {
+		counts[member.State]++
+	}
+	for _, s := range []membership.State{membership.Alive, membership.Starting, membership.Suspect, membership.Leaving} {
+		gauge("membership."+string(s), counts[s])
+	}
+	isolated := int64(0)
+	if v.Isolated {
+		isolated = 1
+	}
+	gauge("membership.isolated", isolated)
+	gauge("configuration.version", m.n.snapshot.Load().Version)
+	gauge("peer.bytes.membership", m.n.transport.Traffic(peer.MembershipKinds))
+	gauge("peer.bytes.configuration", m.n.transport.Traffic(peer.ConfigurationBase))
+}
+
 // tell posts an input to the control loop.
 func (m *members) tell(in membership.Input) {
 	_ = m.n.loop.Post(func(now time.Time) { m.step(now, in) })
