--- a/cmd/vanillaroad/apply.go
+++ b/cmd/vanillaroad/apply.go
@@ -146,6 +146,9 @@
 	c := &cobra.Command{Use: "rollback", Short: "Put an earlier version in force again, as a new version", Args: cobra.NoArgs,
 		Example: "  vanillaroad rollback --to 41 --wait 6s",
 		RunE: func(c *cobra.Command, _ []string) error {
+			if to <= 0 {
+				return errors.Wrap(errBadInput, "--to names no version")
+			}
 			cl := o.client()
 			defer cl.Close()
 			old, err := readConfiguration(c, cl, to)
@@ -155,7 +158,6 @@
 			return apply(c, o, w, old.Document)
 		}}
 	c.Flags().Int64Var(&to, "to", 0, "accepted version to go back to, see history")
-	_ = c.MarkFlagRequired("to") // the flag exists
 	w.add(c)
 	return c
 }
--- a/cmd/vanillaroad/main.go
+++ b/cmd/vanillaroad/main.go
@@ -29,6 +29,7 @@
 	addresses []string
 	output    string
 	place     string
+	parsed    bool // flags and arguments were good
 }
 
 func (o *options) client() *client.Client {
@@ -36,18 +37,30 @@
 }
 
 func main() {
-	if err := newRoot().Execute(); err != nil {
-		os.Exit(exitCode(err))
+	o := &options{}
+	err := newRoot(o).Execute()
+	switch {
+	case err == nil:
+		return
+	case !o.parsed:
+		os.Exit(exitBadInput)
 	}
+	os.Exit(exitCode(err))
 }
 
-func newRoot() *cobra.Command {
-	o := &options{}
+func newRoot(o *options) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "vanillaroad",
 		Short:         "Operate and call a vanillaroad site",
 		SilenceUsage:  true,
 		SilenceErrors: false,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			o.parsed = true
+			if len(o.addresses) == 0 || (o.output != "text" && o.output != "json") {
+				return errors.Wrap(errBadInput, "--address needs an address, --output is text or json")
+			}
+			return nil
+		},
 	}
 	f := root.PersistentFlags()
 	f.StringSliceVarP(&o.addresses, "address", "a", []string{"127.0.0.1:7100"}, "daemons to ask, IP:port")
