Permits lent between daemons that are homes of a service's targets and those that are not

Cause: with 4 homes a target, a daemon of 760 lacks some service's targets. Ruled out: queueing inside a peer call, which would hold the connection's handler slots. An ask is idempotent by nonce and repeated until decided. The test fleet read its node list while it grew (race detector); it no longer does.

--- a/admission/shares.go
+++ b/admission/shares.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,10 @@
 	largeFleetHome = 4
 )
 
+// AllHomes tells whether every daemon is a home of every target that has
+// permits enough.
+func (f *Fleet) AllHomes() bool { return len(f.ids) <= smallFleet }
+
 // Homes returns how many daemons share a target's permits.
 func Homes(live, permits int) int {
 	homes := live
@@ -75,6 +80,25 @@
 	return Share{Permits: part(permits, homes, rank), Reserved: part(reserved, homes, rank)}
 }
 
+// Homes returns the daemons among which a target's permits are shared, the first
+// of them first.
+func (f *Fleet) Homes(target string, permits int) []string {
+	hash := xxhash.Sum64String(target)
+	order := make([]int, len(f.ids))
+	for i := range order {
+		order[i] = i
+	}
+	sort.Slice(order, func(i, j int) bool {
+		a, b := mix(hash^f.hashes[order[i]]), mix(hash^f.hashes[order[j]])
+		return a > b || (a == b && f.ids[order[i]] < f.ids[order[j]])
+	})
+	var out []string
+	for _, i := range order[:Homes(len(f.ids), permits)] {
+		out = append(out, f.ids[i])
+	}
+	return out
+}
+
 // rank returns how many daemons come before self, counted up to limit.
 func (f *Fleet) rank(target uint64, limit int) int {
 	own := mix(target ^ f.hashes[f.self])
--- a/node/admission.go
+++ b/node/admission.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/vanillaroad/vanillaroad/admission"
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/routing"
 	"github.com/vanillaroad/vanillaroad/target"
 )
@@ -17,6 +19,10 @@
 // admissionPeriod is how often queued requests age and expire.
 const admissionPeriod = 100 * time.Millisecond
 
+// overflowRate bounds the refused requests a second that are passed on to other
+// homes of their targets, so that an overload of all daemons is not multiplied.
+const overflowRate = 20
+
 // admitter connects the admission controller and routing's views to the daemon.
 // All its fields belong to the control loop.
 type admitter struct {
@@ -32,8 +38,10 @@
 	left       map[uint64]*leftAttempt
 	polls      map[string]*pollState
 	blocked    map[string]bool // targets that are dead or leaving
+	lent       map[lentKey]*lent
 	lastID     uint64
-	base       time.Time // carries the monotonic reading that clock is made from
+	overflow   *rate.Limiter // refused requests that are passed on to other homes
+	base       time.Time     // carries the monotonic reading that clock is made from
 }
 
 // ask is a request for a permit.
@@ -51,13 +59,17 @@
 	ask
 	id      uint64
 	allowed map[string]bool // by the service's rules; nil for all
+	lent    bool            // asked for by another daemon
 	reply   chan admitted   // of one
 	permit  *permit         // once granted
 }
 
+// admitted is the answer to an ask. Lenders are daemons to ask in place of this
+// one, if any.
 type admitted struct {
 	permit  *permit
 	refused *failure.Error
+	lenders []membership.Member
 }
 
 func (n *Node) buildRouting() {
@@ -67,18 +79,22 @@
 		n: n, scheduler: routing.Default(), loads: routing.NewLoads(), prefixes: routing.NewPrefixes(),
 		shares: admission.NewShares(n.settings.Admission.GrowDelay.Std()), plan: &plan{},
 		pending: make(map[uint64]*pending), left: make(map[uint64]*leftAttempt),
-		polls: make(map[string]*pollState), blocked: make(map[string]bool), base: now,
+		polls: make(map[string]*pollState), blocked: make(map[string]bool), lent: make(map[lentKey]*lent), base: now,
 	}
+	a.overflow = rate.NewLimiter(overflowRate, overflowRate)
 	a.controller = admission.NewTraced(n.trace, a.clock(now), n.settings.Admission, a)
 	n.trace.New(routing.TraceSlice, "", a.clock(now), routing.Made{Scheduler: "default"})
 	n.admission = a
+	n.background = context.Background()
+	n.transport.Handle(kindBorrow, n.serveBorrow)
+	n.transport.Handle(kindReturn, n.serveReturn)
 	n.loop.Every(admissionPeriod, a.tick)
 	n.loop.Every(planPeriod, a.replan)
 	n.loop.Every(pollTick, a.poll)
 	n.loop.Every(reconcilePeriod, a.reconcile)
 }
 
-func (n *Node) runRouting(context.Context) {}
+func (n *Node) runRouting(ctx context.Context) { n.background = ctx }
 
 // clock returns now without its monotonic reading, on a wall clock that runs as
 // evenly as the monotonic one, so that a trace replays to the same decisions.
@@ -92,6 +108,9 @@
 	}
 	select {
 	case r := <-p.reply:
+		if len(r.lenders) > 0 {
+			return n.borrow(ctx, q, r.lenders)
+		}
 		return r.permit, r.refused
 	case <-ctx.Done():
 		_ = n.loop.Post(func(now time.Time) { n.admission.cancel(now, p) })
@@ -112,6 +131,8 @@
 	return p
 }
 
+func (q *ask) lane() string { return laneOf(q.want.Service.Name, q.want.Pinned) }
+
 // outcome is what is certain of an ask that was refused: a new one did not run;
 // one after a loss ran before.
 func (q *ask) outcome() failure.Outcome {
@@ -126,7 +147,7 @@
 	p.id = a.lastID
 	w, _ := a.n.snapshot.Load().Workspace(p.workspace)
 	t := admission.Ticket{
-		ID: p.id, Request: p.want.ID, Workspace: p.workspace, Lane: laneOf(p.want.Service.Name, p.want.Pinned),
+		ID: p.id, Request: p.want.ID, Workspace: p.workspace, Lane: p.lane(),
 		Priority: p.priority, Deadline: now.Add(p.wait), Bytes: p.bytes, Retry: p.retry,
 		Weight: max(1, w.Weight), MaxInFlight: a.plan.part(w.MaxInFlight), MaxQueued: a.plan.part(w.MaxQueued),
 	}
@@ -138,6 +159,16 @@
 
 func (a *admitter) submit(now time.Time, p *pending) {
 	t := a.ticket(a.clock(now), p)
+	if lenders := a.plan.lenders[t.Lane]; len(a.plan.lanes[t.Lane]) == 0 && a.plan.snapshot == a.n.snapshot.Load() {
+		switch { // this daemon is no home of the lane's targets
+		case p.lent:
+			p.reply <- admitted{refused: failure.New(failure.NoTarget, p.outcome(), "lend", "", "no home of a target").After(retryAfter)}
+			return
+		case len(lenders) > 0:
+			p.reply <- admitted{lenders: lenders}
+			return
+		}
+	}
 	a.pending[p.id] = p
 	a.step(now, admission.Submit{Ticket: t})
 }
@@ -153,6 +184,7 @@
 
 func (a *admitter) tick(now time.Time) {
 	a.block(now)
+	a.sweepLent(now)
 	a.step(now, admission.Tick{})
 	s := a.controller.Stats()
 	gauge := func(name string, v int64) {
@@ -204,7 +236,14 @@
 	p := a.pending[d.ID]
 	delete(a.pending, d.ID)
 	r := refusals[d.Reason]
-	p.reply <- admitted{refused: failure.New(r.code, p.outcome(), "admit", "", "%s", r.text).After(d.RetryAfter)}
+	answer := admitted{refused: failure.New(r.code, p.outcome(), "admit", "", "%s", r.text).After(d.RetryAfter)}
+	if !p.lent && d.Reason != admission.Expired && d.Reason != admission.WorkspaceFull && a.overflow.Allow() {
+		answer.lenders = a.plan.lenders[p.lane()]
+	}
+	p.reply <- answer
+	if len(answer.lenders) > 0 {
+		return
+	}
 	number := event.RequestRefused
 	if d.Reason == admission.QueueFull || d.Reason == admission.WorkspaceFull {
 		number = event.QueueFull
--- /dev/null
+++ b/node/borrow_test.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/control"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/generation"
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+)
+
+// taken returns the permits taken on all daemons.
+func (f *fleet) taken() int {
+	var sum int
+	for _, n := range f.nodes {
+		taken, err := control.Ask(context.Background(), n.loop, func(time.Time) int { return n.admission.controller.Stats().Taken })
+		So(err, ShouldBeNil)
+		sum += taken
+	}
+	return sum
+}
+
+func (f *fleet) permits() int {
+	var sum int
+	for _, n := range f.nodes {
+		permits, err := control.Ask(context.Background(), n.loop, func(time.Time) int { return n.admission.controller.Stats().Permits })
+		So(err, ShouldBeNil)
+		sum += permits
+	}
+	return sum
+}
+
+// homes returns the daemons that have permits of their own.
+func (f *fleet) homes() []int {
+	var out []int
+	for i, n := range f.nodes {
+		permits, err := control.Ask(context.Background(), n.loop, func(time.Time) int { return n.admission.controller.Stats().Permits })
+		So(err, ShouldBeNil)
+		if permits > 0 {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (f *fleet) route(node int, id string, out chan routed) {
+	r := generation.Request{ID: id, Workspace: "fair", Service: "pisar", Deadline: time.Hour}
+	g, refused := (&router{f.nodes[node]}).Route(context.Background(), r, 0, nil, "")
+	out <- routed{g, refused}
+}
+
+func TestBorrow(t *testing.T) {
+	Convey("Given ten daemons and one engine with four permits, which four of them share", t, func() {
+		engine := httptest.NewServer(standin.NewEngine(standin.DefaultEngineSettings()).Handler())
+		f, err := newFleet(78, 10)
+		So(err, ShouldBeNil)
+		Reset(func() {
+			f.close()
+			engine.Close()
+		})
+		d := f.document(1)
+		d.Workspaces = []configuration.Workspace{{Name: "fair"}}
+		d.Targets[0].Address, d.Targets[0].Permits = strings.TrimPrefix(engine.URL, "http://"), 4
+		_, err = f.apply(0, d, 0, 0)
+		So(err, ShouldBeNil)
+		await(func() bool { return f.inForce(1) && f.acquainted() })
+		await(func() bool { return f.permits() == 4 })
+
+		Convey("each daemon gets a permit, never are more than four taken, and all come back", func() {
+			const requests = 30
+			out := make(chan routed, requests)
+			for i := range requests {
+				go f.route(i%len(f.nodes), fmt.Sprint("r", i), out)
+			}
+			for range requests {
+				r := <-out
+				So(r.refused, ShouldBeNil)
+				So(f.taken(), ShouldBeLessThanOrEqualTo, 4)
+				r.grant.Release(true)
+				r.grant.Release(true)
+			}
+			await(func() bool { return f.taken() == 0 })
+		})
+		Convey("a caller that goes while its daemon waits for a borrowed permit leaves nothing behind", func() {
+			var held []generation.Grant
+			out := make(chan routed, 1)
+			for _, home := range f.homes() {
+				f.route(home, fmt.Sprint("h", home), out)
+				held = append(held, (<-out).grant)
+			}
+			So(held, ShouldHaveLength, 4)
+			for i := range f.nodes {
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan *failure.Error)
+				go func() {
+					r := generation.Request{ID: fmt.Sprint("gone", i), Workspace: "fair", Service: "pisar", Deadline: time.Hour}
+					_, refused := (&router{f.nodes[i]}).Route(ctx, r, 0, nil, "")
+					done <- refused
+				}()
+				cancel()
+				So((<-done).Code, ShouldEqual, failure.Canceled)
+			}
+			for _, g := range held {
+				g.Release(true)
+			}
+			await(func() bool { return f.taken() == 0 })
+		})
+	})
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -67,7 +67,7 @@
 			return nil, err
 		}
 		f.nodes = append(f.nodes, node)
-		f.wg.Go(func() { _ = f.nodes[i].Run(ctx) })
+		f.wg.Go(func() { _ = node.Run(ctx) })
 	}
 	return f, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -55,7 +55,8 @@
 
 	confirmations confirmations
 
-	admission *admitter // owned by the control loop
+	admission  *admitter       // owned by the control loop
+	background context.Context // ends when the daemon stops; set before it serves
 
 	listener net.Listener
 	server   *http.Server
--- a/node/permit.go
+++ b/node/permit.go
@@ -18,6 +18,7 @@
 	n      *Node
 	id     uint64
 	target configuration.Target
+	back   func(ended bool) // gives it to the daemon that lent it; nil for an own one
 
 	mu      sync.Mutex
 	streams map[target.StreamID]bool // that may run under it
@@ -26,6 +27,10 @@
 // release gives the permit back. With ended false the attempt may still run;
 // the daemon then finds out when it has ended. Releasing twice does no harm.
 func (p *permit) release(ended bool) {
+	if p.back != nil {
+		p.back(ended)
+		return
+	}
 	_ = p.n.loop.Post(func(now time.Time) { p.n.admission.release(now, p, ended) })
 }
 
--- a/node/plan.go
+++ b/node/plan.go
@@ -25,8 +25,12 @@
 	lanes    map[string][]configuration.Target
 	kinds    map[string]configuration.ServiceKind // of targets
 	regions  map[string]string                    // by place
+	lenders  map[string][]membership.Member       // homes of each lane's targets, without this daemon
 }
 
+// lenderTargets is how many targets of a lane are looked at for lenders.
+const lenderTargets = 8
+
 func laneOf(service string, side configuration.System) string {
 	return admission.Lane(service, string(side))
 }
@@ -38,6 +42,7 @@
 		snapshot: snapshot, view: view, wanted: make(map[string]admission.Share),
 		targets: make(map[string]configuration.Target), lanes: make(map[string][]configuration.Target),
 		kinds: make(map[string]configuration.ServiceKind), regions: make(map[string]string),
+		lenders: make(map[string][]membership.Member),
 	}
 	for _, m := range view.Members {
 		p.regions[m.Place] = m.Region
@@ -51,10 +56,37 @@
 	}
 	for _, svc := range snapshot.Document.Services {
 		p.addLanes(svc.Name)
+		p.addLenders(svc.Name, fleet)
 	}
 	return p
 }
 
+// addLenders notes the homes of some targets of each lane. In a small fleet
+// each daemon is a home itself, and only targets with fewer permits than
+// daemons need others.
+func (p *plan) addLenders(service string, fleet *admission.Fleet) {
+	members := make(map[string]membership.Member, len(p.view.Members))
+	for _, m := range p.view.Members {
+		members[m.ID] = m
+	}
+	svc, _ := p.snapshot.Service(service)
+	looked := make(map[string]int)
+	known := make(map[string]bool)
+	for _, t := range svc.Targets {
+		lane := laneOf(service, routing.SideOf(&t))
+		if looked[lane] == lenderTargets || (fleet.AllHomes() && len(p.lanes[lane]) > 0) {
+			continue
+		}
+		looked[lane]++
+		for _, id := range fleet.Homes(t.Name, t.Permits) {
+			if id != p.view.Self.ID && !known[lane+id] && members[id].State == membership.Alive {
+				known[lane+id] = true
+				p.lenders[lane] = append(p.lenders[lane], members[id])
+			}
+		}
+	}
+}
+
 // fleetOf returns the daemons that may hold permits: all but those that have
 // certainly ended. One that is only silent may be paused and wake up with its
 // permits, so that its share is not given to others.
