--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,11 +37,13 @@
 	late    []func()
 	deaf    int // reads still to refuse
 	rival   func()
+	reads   int
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]platform.Object)} }
 
 func (m *memoryStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+	m.reads++
 	if m.deaf > 0 {
 		m.deaf--
 		return platform.Object{}, errors.WithStack(platform.ErrUnavailable)
@@ -235,6 +238,17 @@
 	return u.memoryStore.Put(ctx, kind, name, value, expected)
 }
 
+// tooLarge is a store that refuses large values as the client of the platform
+// does.
+type tooLarge struct{ *memoryStore }
+
+func (s tooLarge) Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (platform.Object, error) {
+	if len(value) > platform.MaxValueBytes {
+		return platform.Object{}, errors.New("too large")
+	}
+	return s.memoryStore.Put(ctx, kind, name, value, expected)
+}
+
 // onePut is a store on which a lost answer counts as not written when one
 // read back shows no change.
 type onePut struct{ *memoryStore }
@@ -293,6 +307,12 @@
 			So(conflict.Winner.Author, ShouldEqual, "ana")
 			So(err.Error(), ShouldContainSubstring, `version 1 by "ana"`)
 		})
+		Convey("a part that exceeds one value is refused as not written", func() {
+			d := document(1)
+			d.Services[0].Rules = []Rule{{Match: strings.Repeat("x", platform.MaxValueBytes), Selector: "s=pisar"}}
+			_, err := write(tooLarge{store}, "big", 1, d)
+			So(errors.Is(err, ErrNotWritten), ShouldBeTrue)
+		})
 		Convey("the same change sent again is accepted once", func() {
 			head, err := write(store, "ana", 0, document(500))
 			So(err, ShouldBeNil)
@@ -305,6 +325,12 @@
 			_, err := write(store, "ana-2", 1, d)
 			So(err, ShouldBeNil)
 			So(len(store.objects)-before, ShouldEqual, 2)
+			Convey("and reads the head and the manifest only, with the base at hand", func() {
+				store.reads = 0
+				_, err := Write(ctx, store, Change{WriteID: "w", Document: document(500), Base: 2, Known: &d})
+				So(err, ShouldBeNil)
+				So(store.reads, ShouldEqual, 2)
+			})
 		})
 		Convey("after many versions the store holds the kept ones only, all readable", func() {
 			for v := int64(1); v < 100; v++ {
--- a/confirmation/pairs.go
+++ b/confirmation/pairs.go
@@ -53,6 +53,8 @@
 	limits  Limits
 	ctx     context.Context
 	cancel  context.CancelFunc
+	mu      sync.Mutex // guards ended
+	ended   bool
 	wg      sync.WaitGroup
 	shards  atomic.Pointer[Map]
 	own     atomic.Pointer[[]Shard] // those whose first this daemon is and acts
@@ -106,10 +108,19 @@
 	p.spawn(p.probePeers)
 	p.spawn(p.writeProposals)
 	<-p.ctx.Done()
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
 	p.wg.Wait()
 }
 
+// spawn runs fn unless Run has ended.
 func (p *Pairs) spawn(fn func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return
+	}
 	p.wg.Add(1)
 	go func() {
 		defer p.wg.Done()
@@ -129,7 +140,7 @@
 			p.ticked[n] = now
 			p.step(now, n, Tick{})
 		}
-		if r.isFirst() && r.acting() && !r.leaving && !(r.partner.silent && !r.alone) {
+		if r.mayIssue() {
 			own = append(own, r.Shard())
 		}
 	}
@@ -140,30 +151,32 @@
 // Leave begins to hand all shards over.
 func (p *Pairs) Leave() { p.leaving.Store(true) }
 
-// Free tells whether every shard of a leaving daemon is in other hands, or
-// there is nobody to take one.
+// Free tells whether this daemon may stop: every shard of a leaving daemon is in
+// other hands, or there is nobody to take one.
 func (p *Pairs) Free(ctx context.Context) bool {
 	free, err := control.Ask(ctx, p.Loop, func(time.Time) bool {
-		return p.allFree() || p.lonely()
+		n := p.staying()
+		return n == 0 || p.allFree(n > 1)
 	})
 	return err != nil || free
 }
 
-func (p *Pairs) allFree() bool {
+func (p *Pairs) allFree(spare bool) bool {
 	for _, r := range p.replicas {
-		if !r.Free() {
+		if !r.Free(spare) {
 			return false
 		}
 	}
 	return true
 }
 
-// lonely tells whether no other daemon has answered a probe of late.
-func (p *Pairs) lonely() bool {
-	for _, h := range p.peers {
-		if h.failed < silentProbes && !h.leaving {
-			return false
+// staying counts the other daemons that live and stay.
+func (p *Pairs) staying() int {
+	var n int
+	for _, m := range p.View().Live() {
+		if m.ID != p.self.ID {
+			n++
 		}
 	}
-	return true
+	return n
 }
--- a/node/api_operations.go
+++ b/node/api_operations.go
@@ -28,8 +28,12 @@
 	}
 }
 
-// writeTimeout bounds a write with the settling of lost answers.
-const writeTimeout = 10 * time.Second
+// writeTimeout bounds a write with the settling of lost answers, waitMax the
+// wait until a version is in force, so that it can't hold up a planned stop.
+const (
+	writeTimeout = 10 * time.Second
+	waitMax      = time.Minute
+)
 
 // Apply implements the operations service.
 func (a *operationsAPI) Apply(ctx context.Context, p *gen.ApplyPayload) (*gen.ApplyResult, error) {
@@ -55,7 +59,7 @@
 	a.n.events.Record(event.ConfigurationAccepted, "", event.F("version", strconv.FormatInt(head.Version, 10)), event.F("author", head.Author))
 	out := &gen.ApplyResult{Version: head.Version}
 	if wait := deref(p.WaitMs); wait > 0 {
-		out.Lagging = a.n.versions.awaitInForce(ctx, head.Version, time.Duration(wait)*time.Millisecond)
+		out.Lagging = a.n.versions.awaitInForce(ctx, head.Version, min(time.Duration(wait)*time.Millisecond, waitMax))
 	}
 	return out, nil
 }
@@ -64,16 +68,31 @@
 func (a *operationsAPI) write(ctx context.Context, c configuration.Change) (configuration.Head, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	c.Known = &a.n.snapshot.Load().Document
 	head, err := configuration.Write(ctx, a.n.platform, c)
 	if err != nil {
 		return head, err
 	}
+	if head.Version%sweepEvery == 0 {
+		a.n.members.run(a.sweep)
+	}
 	if err := a.n.versions.load(ctx, head); err != nil {
 		a.n.versions.tell(configuration.Told{Version: head.Version})
 	}
 	return head, nil
 }
 
+// sweepEvery is the number of versions between two sweeps of parts that
+// writers left behind.
+const sweepEvery = 256
+
+func (a *operationsAPI) sweep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := configuration.Sweep(ctx, a.n.platform)
+	a.n.notePlatform(err)
+}
+
 func decodeDocument(v any) (configuration.Document, error) {
 	b, err := json.Marshal(v)
 	if err != nil {
@@ -100,6 +119,8 @@
 		return failure.Wrap(err, failure.Conflict, failure.NotRun, step, "platform")
 	case errors.Is(err, platform.ErrUnavailable):
 		return failure.Wrap(err, failure.PlatformDown, failure.NotRun, step, "platform").After(retryAfter)
+	case errors.Is(err, configuration.ErrNotWritten):
+		return failure.Wrap(err, failure.BadRequest, failure.NotRun, step, "platform")
 	default:
 		return failure.Wrap(err, failure.UnknownResult, failure.Unknown, step, "platform").After(retryAfter)
 	}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -98,7 +98,10 @@
 		if err != nil {
 			return
 		}
-		t.wg.Add(1)
+		if !t.begin() {
+			_ = nc.Close()
+			return
+		}
 		go func() {
 			defer t.wg.Done()
 			t.accept(nc)
@@ -217,6 +220,10 @@
 		return nil, errors.Wrapf(ErrSilent, "link to %s is cut", address)
 	}
 	t.mu.Lock()
+	if t.ctx.Err() != nil { // Close waits for the goroutines begun before
+		t.mu.Unlock()
+		return nil, errors.WithStack(ErrClosed)
+	}
 	if c := t.conns[address]; c != nil && !c.gone() {
 		t.mu.Unlock()
 		return c, nil
@@ -308,6 +315,17 @@
 	}
 }
 
+// begin counts one more goroutine unless the transport is closed.
+func (t *Transport) begin() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctx.Err() != nil {
+		return false
+	}
+	t.wg.Add(1)
+	return true
+}
+
 // Close ends all connections and waits for every goroutine of the transport.
 func (t *Transport) Close() {
 	t.cancel()
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -13,6 +13,7 @@
 engine_flags=()   # extra flags of every engine
 booking_flags=()  # extra flags of every booking service
 permits=16        # of every engine
+objective=latency # of the generation service: latency or resources
 daemon_settings='"membership":{"directory_ttl":"1s"}' # extra settings of every daemon, JSON members
 
 cleanup() {
@@ -82,7 +83,7 @@
 	done
 	cat <<JSON
 {"services":[
-  {"name":"pisar","kind":"generation","selector":"service=pisar","model":"writer","version":"1","new_share":100},
+  {"name":"pisar","kind":"generation","selector":"service=pisar","model":"writer","version":"1","objective":"$objective","new_share":100},
   {"name":"sejemski-vpis","kind":"plain","selector":"service=sejemski-vpis","new_share":100}],
  "workspaces":[{"name":"fair"},{"name":"school"}],
  "targets":[${targets%,}]}
@@ -107,6 +108,10 @@
 	local i
 	subnet=$1 daemons=$2 engines=$3 bookings=$4
 	platform=127.$subnet.0.1:7000
+	if curl -s -o /dev/null --max-time 1 "http://$platform/vms"; then
+		echo "subnet 127.$subnet is in use: another run of this script?" >&2
+		exit 77
+	fi
 	start platform "$bin/standin" platform --listen "$platform"
 	for i in $(seq "$engines"); do start_engine "$i"; done
 	for i in $(seq "$bookings"); do start_booking "$i"; done
