--- a/node/admission.go
+++ b/node/admission.go
@@ -94,8 +94,6 @@
 	n.loop.Every(reconcilePeriod, a.reconcile)
 }
 
-func (n *Node) runRouting(ctx context.Context) { n.background = ctx }
-
 // clock returns now without its monotonic reading, on a wall clock that runs as
 // evenly as the monotonic one, so that a trace replays to the same decisions.
 func (a *admitter) clock(now time.Time) time.Time { return a.base.Round(0).Add(now.Sub(a.base)) }
--- a/node/node.go
+++ b/node/node.go
@@ -123,11 +123,11 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	n.background = background
 	n.spawn(func() { n.loop.Run(background) })
 	n.spawn(n.transport.Serve)
 	n.runMembership(background)
 	n.runConfiguration(background)
-	n.runRouting(background)
 	n.runConfirmations(background)
 	n.runPlacement(background)
 	failed := make(chan error, 1)
