A daemon that joins is ready once its share of permits is in use

Cause: a daemon that had just joined was in the directory and in pairs while its share of permits still waited for the grow delay, so it refused or lent. Lenders came from an old view.

--- a/admission/shares.go
+++ b/admission/shares.go
@@ -173,5 +173,15 @@
 	return changed
 }
 
+// Complete tells whether every wanted share is in use.
+func (s *Shares) Complete(want map[string]Share) bool {
+	for name, w := range want {
+		if s.use[name] != w {
+			return false
+		}
+	}
+	return true
+}
+
 // Use returns the share in use of a target.
 func (s *Shares) Use(target string) Share { return s.use[target] }
--- a/node/admission.go
+++ b/node/admission.go
@@ -157,7 +157,8 @@
 
 func (a *admitter) submit(now time.Time, p *pending) {
 	t := a.ticket(a.clock(now), p)
-	if lenders := a.plan.lenders[t.Lane]; len(a.plan.lanes[t.Lane]) == 0 && a.plan.snapshot == a.n.snapshot.Load() {
+	if len(a.plan.lanes[t.Lane]) == 0 && a.plan.snapshot == a.n.snapshot.Load() {
+		lenders := a.plan.lenders(t.Lane, a.n.view.Load())
 		switch { // this daemon is no home of the lane's targets
 		case p.lent:
 			p.reply <- admitted{refused: failure.New(failure.NoTarget, p.outcome(), "lend", "", "no home of a target").After(retryAfter)}
@@ -236,7 +237,7 @@
 	r := refusals[d.Reason]
 	answer := admitted{refused: failure.New(r.code, p.outcome(), "admit", "", "%s", r.text).After(d.RetryAfter)}
 	if !p.lent && d.Reason != admission.Expired && d.Reason != admission.WorkspaceFull && a.overflow.Allow() {
-		answer.lenders = a.plan.lenders[p.lane()]
+		answer.lenders = a.plan.lenders(p.lane(), a.n.view.Load())
 	}
 	p.reply <- answer
 	if len(answer.lenders) > 0 {
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -179,7 +179,9 @@
 	v.mu.Unlock()
 	if newer {
 		v.n.events.Record(event.ConfigurationInForce, "", event.F("version", strconv.FormatInt(s.Version, 10)))
-		v.n.members.tell(membership.InForce{Version: s.Version})
+		if v.n.served.Load() {
+			v.n.members.tell(membership.InForce{Version: s.Version})
+		}
 		v.tell(configuration.Arrived{Version: s.Version, Root: root})
 	}
 	return newer
--- a/node/node.go
+++ b/node/node.go
@@ -48,6 +48,7 @@
 
 	snapshot atomic.Pointer[configuration.Snapshot]
 	view     atomic.Pointer[membership.View]
+	served   atomic.Bool   // was ready for callers once
 	draining atomic.Bool   // out of the directory
 	refusing atomic.Bool   // takes no new work
 	refused  chan struct{} // closed once refusing
--- a/node/plan.go
+++ b/node/plan.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sort"
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/admission"
@@ -25,7 +26,7 @@
 	lanes    map[string][]configuration.Target
 	kinds    map[string]configuration.ServiceKind // of targets
 	regions  map[string]string                    // by place
-	lenders  map[string][]membership.Member       // homes of each lane's targets, without this daemon
+	homes    map[string][]string                  // ids of homes of each lane's targets, without this daemon
 }
 
 // lenderTargets is how many targets of a lane are looked at for lenders.
@@ -42,7 +43,7 @@
 		snapshot: snapshot, view: view, wanted: make(map[string]admission.Share),
 		targets: make(map[string]configuration.Target), lanes: make(map[string][]configuration.Target),
 		kinds: make(map[string]configuration.ServiceKind), regions: make(map[string]string),
-		lenders: make(map[string][]membership.Member),
+		homes: make(map[string][]string),
 	}
 	for _, m := range view.Members {
 		p.regions[m.Place] = m.Region
@@ -56,19 +57,15 @@
 	}
 	for _, svc := range snapshot.Document.Services {
 		p.addLanes(svc.Name)
-		p.addLenders(svc.Name, fleet)
+		p.addHomes(svc.Name, fleet)
 	}
 	return p
 }
 
-// addLenders notes the homes of some targets of each lane. In a small fleet
-// each daemon is a home itself, and only targets with fewer permits than
-// daemons need others.
-func (p *plan) addLenders(service string, fleet *admission.Fleet) {
-	members := make(map[string]membership.Member, len(p.view.Members))
-	for _, m := range p.view.Members {
-		members[m.ID] = m
-	}
+// addHomes notes the homes of some targets of each lane. In a small fleet each
+// daemon is a home itself, and only targets with fewer permits than daemons need
+// others.
+func (p *plan) addHomes(service string, fleet *admission.Fleet) {
 	svc, _ := p.snapshot.Service(service)
 	looked := make(map[string]int)
 	known := make(map[string]bool)
@@ -79,14 +76,28 @@
 		}
 		looked[lane]++
 		for _, id := range fleet.Homes(t.Name, t.Permits) {
-			if id != p.view.Self.ID && !known[lane+id] && members[id].State == membership.Alive {
+			if id != p.view.Self.ID && !known[lane+id] {
 				known[lane+id] = true
-				p.lenders[lane] = append(p.lenders[lane], members[id])
+				p.homes[lane] = append(p.homes[lane], id)
 			}
 		}
 	}
 }
 
+// lenders returns the homes of a lane's targets that serve by a view, which may
+// be newer than the plan's.
+func (p *plan) lenders(lane string, view *membership.View) []membership.Member {
+	var out []membership.Member
+	for _, id := range p.homes[lane] {
+		members := view.Members // sorted by id
+		i := sort.Search(len(members), func(i int) bool { return members[i].ID >= id })
+		if i < len(members) && members[i].ID == id && members[i].State == membership.Alive {
+			out = append(out, members[i])
+		}
+	}
+	return out
+}
+
 // fleetOf returns the daemons that may hold permits: all but those that have
 // certainly ended. One that is only silent may be paused and wake up with its
 // permits, so that its share is not given to others.
@@ -124,6 +135,17 @@
 	if a.shares.Update(now, a.plan.fleet, a.plan.wanted) {
 		a.configure(now)
 	}
+	if a.plan.snapshot != nil && a.plan.snapshot.Version > 0 && a.shares.Complete(a.plan.wanted) {
+		a.n.ready()
+	}
+}
+
+// ready tells the members, once, that this daemon can serve callers: it has a
+// configuration and its share of the targets' permits.
+func (n *Node) ready() {
+	if n.served.CompareAndSwap(false, true) {
+		n.members.tell(membership.InForce{Version: n.snapshot.Load().Version})
+	}
 }
 
 func (a *admitter) follow(now time.Time) {
