--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -38,12 +38,14 @@
 	n      *Node
 	ledger *quarantine.Ledger
 	out    strikesMessage // waits for the next flush
+	// released are the operators' releases that were carried out.
+	released map[string]bool
 }
 
 var _ generation.Guard = (*guard)(nil)
 
 func (n *Node) newGuard() *guard {
-	g := &guard{n: n, ledger: quarantine.NewLedger(n.settings.Quarantine)}
+	g := &guard{n: n, ledger: quarantine.NewLedger(n.settings.Quarantine), released: make(map[string]bool)}
 	n.transport.Handle(kindStrikes, g.receive)
 	n.loop.Every(strikeFlushPeriod, g.flush)
 	return g
@@ -56,12 +58,11 @@
 // Check implements generation.Guard.
 func (g *guard) Check(ctx context.Context, r generation.Request) *failure.Error {
 	s := subject(r)
-	snapshot := g.n.snapshot.Load()
-	if snapshot.Released(s.ID) || snapshot.Released(fmt.Sprintf("%016x", s.Fingerprint)) {
-		return nil
-	}
 	for {
-		v, err := control.Ask(ctx, g.n.loop, func(now time.Time) quarantine.Verdict { return g.ledger.Check(now, s) })
+		v, err := control.Ask(ctx, g.n.loop, func(now time.Time) quarantine.Verdict {
+			g.release(s)
+			return g.ledger.Check(now, s)
+		})
 		if err != nil {
 			return failure.Wrap(err, failure.Canceled, failure.NotRun, "quarantine", "")
 		}
@@ -75,6 +76,23 @@
 	}
 }
 
+// release forgets once what is held against a request that operators released.
+// Strikes that come later count anew, so that a release can't take every
+// target down.
+func (g *guard) release(s quarantine.Subject) {
+	snapshot := g.n.snapshot.Load()
+	for _, name := range []string{s.ID, fmt.Sprintf("%016x", s.Fingerprint)} {
+		switch asked := snapshot.Released(name); {
+		case !asked:
+			delete(g.released, name)
+		case !g.released[name]:
+			g.released[name] = true
+			g.ledger.Clear(s)
+			g.out.Cleared = appendBounded(g.out.Cleared, s)
+		}
+	}
+}
+
 // Proven implements generation.Guard.
 func (g *guard) Proven(r generation.Request) {
 	s := subject(r)
