--- a/generation/claims.go
+++ b/generation/claims.go
@@ -45,6 +45,15 @@
 	return before.daemon
 }
 
+// Holder returns the daemon that runs the request, as far as is known, or "".
+func (c *Claims) Holder(now time.Time, request string) string {
+	e, known := c.entries[request]
+	if !known || now.Sub(e.at) > claimLife {
+		return ""
+	}
+	return e.daemon
+}
+
 func (c *Claims) stale(now time.Time, request string) bool {
 	return len(c.entries) > maxClaims || now.Sub(c.entries[request].at) > claimLife
 }
--- a/generation/claims_test.go
+++ b/generation/claims_test.go
@@ -14,6 +14,9 @@
 		now := time.Unix(1000, 0)
 		So(c.Take(now, "1", "a"), ShouldEqual, "")
 		So(c.Take(now, "1", "b"), ShouldEqual, "a")
+		So(c.Holder(now, "1"), ShouldEqual, "b")
+		So(c.Holder(now, "2"), ShouldEqual, "")
+		So(c.Holder(now.Add(claimLife+1), "1"), ShouldEqual, "")
 		So(c.Take(now.Add(claimLife+1), "1", "c"), ShouldEqual, "")
 	})
 	Convey("claims are bounded in number and time", t, func() {
--- a/node/api_generations.go
+++ b/node/api_generations.go
@@ -129,9 +129,9 @@
 }
 
 // Cancel implements the generations service.
-func (a *generationsAPI) Cancel(_ context.Context, p *gen.CancelPayload) error {
-	if !a.n.hub.Cancel(p.ID) {
-		return generationFailure(failure.New(failure.NotFound, failure.Unknown, "cancel", "", "no generation %s here", p.ID))
+func (a *generationsAPI) Cancel(ctx context.Context, p *gen.CancelPayload) error {
+	if !a.n.generationPeers.cancel(ctx, p.ID) {
+		return generationFailure(failure.New(failure.NotFound, failure.Unknown, "cancel", "", "no daemon is known to run %s", p.ID))
 	}
 	return nil
 }
--- a/node/generation_peers.go
+++ b/node/generation_peers.go
@@ -18,6 +18,8 @@
 	kindTakeOver = peer.GenerationBase     // generation.TakeOver, answered by Taken
 	kindWhere    = peer.GenerationBase + 1 // generation.Where, answered by Location
 	kindClaim    = peer.GenerationBase + 2 // claimMessage, answered by the daemon before
+	kindHolder   = peer.GenerationBase + 3 // request id, answered by the daemon that runs it
+	kindCancel   = peer.GenerationBase + 4 // request id, answered by whether it ran there
 )
 
 type claimMessage struct {
@@ -38,6 +40,8 @@
 	n.transport.Handle(kindTakeOver, answerWith(func(_ context.Context, t generation.TakeOver) (any, error) { return n.hub.TakenOver(t), nil }))
 	n.transport.Handle(kindWhere, answerWith(func(_ context.Context, w generation.Where) (any, error) { return n.hub.Located(w), nil }))
 	n.transport.Handle(kindClaim, answerWith(func(ctx context.Context, m claimMessage) (any, error) { return p.take(ctx, m) }))
+	n.transport.Handle(kindHolder, answerWith(func(ctx context.Context, id string) (any, error) { return p.holder(ctx, id) }))
+	n.transport.Handle(kindCancel, answerWith(func(_ context.Context, id string) (any, error) { return n.hub.Cancel(id), nil }))
 	return p
 }
 
@@ -56,6 +60,36 @@
 	return control.Ask(ctx, p.n.loop, func(now time.Time) string { return p.claims.Take(now, m.Request, m.Daemon) })
 }
 
+func (p *generationPeers) holder(ctx context.Context, request string) (string, error) {
+	return control.Ask(ctx, p.n.loop, func(now time.Time) string { return p.claims.Holder(now, request) })
+}
+
+// cancelTimeout bounds the search for the daemon that runs a request.
+const cancelTimeout = 2 * time.Second
+
+// cancel ends a request's run at whichever daemon has it.
+func (p *generationPeers) cancel(ctx context.Context, request string) bool {
+	if p.n.hub.Cancel(request) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	self := p.n.self.PeerAddress
+	var holder string
+	var err error
+	if keeper := p.keeper(request); keeper == self {
+		holder, err = p.holder(ctx, request)
+	} else {
+		err = p.n.transport.Call(ctx, keeper, kindHolder, request, &holder)
+	}
+	if err != nil || holder == "" || holder == self {
+		return false
+	}
+	var ended bool
+	err = p.n.transport.Call(ctx, holder, kindCancel, request, &ended)
+	return err == nil && ended
+}
+
 // keeper returns the peer address of the daemon that keeps the claims of a
 // request: the one with the highest hash, so that a daemon that comes or goes
 // moves only its own.
--- a/node/generations.go
+++ b/node/generations.go
@@ -13,9 +13,9 @@
 const sweepPeriod = time.Second
 
 func (n *Node) buildGenerations() {
-	peers := n.newGenerationPeers()
+	n.generationPeers = n.newGenerationPeers()
 	n.hub = generation.NewHub(n.settings.Generation, generation.Deps{
-		Router: &router{n}, Joiner: &joiner{n}, Guard: n.newGuard(), Peers: peers,
+		Router: &router{n}, Joiner: &joiner{n}, Guard: n.newGuard(), Peers: n.generationPeers,
 		Events: n.events, Trace: n.trace, Self: n.self.PeerAddress,
 	})
 	n.loop.Every(sweepPeriod, n.hub.Sweep)
--- a/node/node.go
+++ b/node/node.go
@@ -40,9 +40,11 @@
 	platform  *platform.Client
 	targets   *targetPool
 	hub       *generation.Hub
-	orders    *orders
-	members   *members
-	versions  *versions
+	// generationPeers speaks to the hubs of other daemons.
+	generationPeers *generationPeers
+	orders          *orders
+	members         *members
+	versions        *versions
 
 	platformState platformState
 
