--- a/generation/cursor.go
+++ b/generation/cursor.go
@@ -43,6 +43,9 @@
 	if err := json.Unmarshal(b, &c); err != nil {
 		return c, errors.Wrap(ErrBadCursor, err.Error())
 	}
+	if c.Held < 0 {
+		return Cursor{}, errors.Wrap(ErrBadCursor, "negative position")
+	}
 	return c, nil
 }
 
--- /dev/null
+++ b/generation/cursor_test.go
@@ -0,0 +1,59 @@
+package generation
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func TestCursor(t *testing.T) {
+	Convey("a cursor decodes to itself", t, func() {
+		c := Cursor{Held: 7, Target: "a", Version: "1", Attempt: firstAttempt(), Incarnation: 1 << 63, Daemon: "127.0.0.1:7200", Chain: 1<<64 - 1}
+		got, err := DecodeCursor(c.Encode())
+		So(err, ShouldBeNil)
+		So(got, ShouldResemble, c)
+	})
+	Convey("what no daemon made is refused", t, func() {
+		for _, s := range []string{"!", "AAAA", Cursor{Held: -1}.Encode()} {
+			_, err := DecodeCursor(s)
+			So(errors.Is(err, ErrBadCursor), ShouldBeTrue)
+		}
+	})
+}
+
+// An answer takes a caller on exactly if it begins with what the caller holds.
+func TestAnswerContinues(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "ab"}), 0, 6)
+		have, held := words.Draw(t, "answer"), words.Draw(t, "held")
+		if rapid.Bool().Draw(t, "prefix") {
+			held = append([]string(nil), have[:rapid.IntRange(0, len(have)).Draw(t, "length")]...)
+		}
+		answer := NewAnswer(have, Cursor{})
+		cursor := NewAnswer(held, Cursor{}).CursorAt(int64(len(held)))
+		want := len(held) <= len(have)
+		for i := 0; want && i < len(held); i++ {
+			want = held[i] == have[i]
+		}
+		if got := answer.continues(held, cursor); got != want {
+			t.Fatalf("with tokens: %v, not %v", got, want)
+		}
+		if got := answer.continues(nil, cursor); got != want {
+			t.Fatalf("by cursor alone: %v, not %v", got, want)
+		}
+	})
+}
+
+func FuzzDecodeCursor(f *testing.F) {
+	f.Add(Cursor{Held: 3, Target: "a"}.Encode())
+	f.Add("")
+	f.Fuzz(func(t *testing.T, s string) {
+		c, err := DecodeCursor(s)
+		if err != nil {
+			return
+		}
+		NewAnswer([]string{"x"}, Cursor{}).continues(nil, c)
+	})
+}
--- a/node/generation_peers.go
+++ b/node/generation_peers.go
@@ -116,6 +116,19 @@
 	return before, err
 }
 
+// errNoMember is returned for an address in a caller's cursor that no daemon
+// has: callers must not choose where this daemon connects to.
+var errNoMember = errors.New("not a daemon of this site")
+
+func (p *generationPeers) member(address string) bool {
+	for _, m := range p.n.view.Load().Members {
+		if m.PeerAddress == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Where implements generation.Peers.
 func (p *generationPeers) Where(ctx context.Context, daemon string, w generation.Where) (l generation.Location, err error) {
 	err = p.n.transport.Call(ctx, daemon, kindWhere, w, &l)
@@ -124,6 +137,9 @@
 
 // TakeOver implements generation.Peers.
 func (p *generationPeers) TakeOver(ctx context.Context, daemon string, t generation.TakeOver) (taken generation.Taken, err error) {
+	if !p.member(daemon) {
+		return taken, errors.Wrap(errNoMember, daemon)
+	}
 	err = p.n.transport.Call(ctx, daemon, kindTakeOver, t, &taken)
 	return taken, err
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -275,7 +275,7 @@
 func (l *Ledger) refusal(now time.Time, s Subject) *failure.Error {
 	l.expire(now)
 	for _, e := range []*entry{l.byID[s.ID], l.byFingerprint[s.Fingerprint]} {
-		if e != nil && l.guilty(e) {
+		if e != nil && l.overLimit(e) {
 			last := e.failures[len(e.failures)-1]
 			return failure.New(failure.Quarantined, failure.NotRun, "quarantine", last.target,
 				"%d targets failed under this request (fingerprint %016x)", len(e.failures), e.fingerprint)
@@ -284,7 +284,8 @@
 	return nil
 }
 
-func (l *Ledger) guilty(e *entry) bool {
+// overLimit tells whether the failures of an entry are enough to stop it.
+func (l *Ledger) overLimit(e *entry) bool {
 	limit := freshWeight * l.settings.Targets
 	switch w := e.weight(); {
 	case w < limit:
