--- a/generation/settings.go
+++ b/generation/settings.go
@@ -17,9 +17,10 @@
 // Settings bound generations.
 type Settings struct {
 	// Silence is the longest a stream may stay without any event before the
-	// target is suspected, SilenceMin the shortest. In between, the stream's
-	// own gaps decide.
-	Silence    jsontime.Duration `json:"silence" validate:"gt=0"`
+	// target is suspected.
+	Silence jsontime.Duration `json:"silence" validate:"gt=0"`
+	// SilenceMin is the shortest such time. In between, the stream's own gaps
+	// decide.
 	SilenceMin jsontime.Duration `json:"silence_min" validate:"gt=0"`
 	// ProbeTimeout is the longest a suspected target may take to answer.
 	ProbeTimeout jsontime.Duration `json:"probe_timeout" validate:"gt=0"`
@@ -40,8 +41,9 @@
 	// CallerLag is the longest a caller may take to read what is left of an
 	// answer once that is final.
 	CallerLag jsontime.Duration `json:"caller_lag" validate:"gt=0"`
-	// MaxRetained and MaxRetainedBytes bound the final answers kept.
-	MaxRetained      int   `json:"max_retained" validate:"min=1"`
+	// MaxRetained bounds the final answers kept.
+	MaxRetained int `json:"max_retained" validate:"min=1"`
+	// MaxRetainedBytes bounds their tokens.
 	MaxRetainedBytes int64 `json:"max_retained_bytes" validate:"min=1"`
 }
 
