confirmation: outcomes that a new pair began without are given back to it

Cause: a pair that was paused was replaced without its records, and dropped them when it woke. Declined keys are not given back, because another may have run them.

--- a/confirmation/message.go
+++ b/confirmation/message.go
@@ -63,13 +63,15 @@
 		Epoch int64 `msgpack:"epoch"`
 		From  Ref   `msgpack:"from"`
 	}
-	// Copy carries an outcome to the daemon that has the key on record.
+	// Copy carries an outcome to the daemon that has the key on record, or has
+	// lost it. Settled tells that nobody but the holder can have run the key.
 	Copy struct {
-		Shard  int    `msgpack:"shard"`
-		Epoch  int64  `msgpack:"epoch"`
-		From   Ref    `msgpack:"from"`
-		Digest string `msgpack:"digest"`
-		Record Record `msgpack:"record"`
+		Shard   int    `msgpack:"shard"`
+		Epoch   int64  `msgpack:"epoch"`
+		From    Ref    `msgpack:"from"`
+		Digest  string `msgpack:"digest"`
+		Record  Record `msgpack:"record"`
+		Settled bool   `msgpack:"settled"`
 	}
 	// CopyAck tells that the outcome is on record in an epoch.
 	CopyAck struct {
--- a/confirmation/pairs.go
+++ b/confirmation/pairs.go
@@ -19,8 +19,9 @@
 // Periods and bounds of a daemon's part in pairs.
 const (
 	tickPeriod      = 50 * time.Millisecond
-	idleTickPeriod  = time.Second // of a shard with nothing under way
-	probePeriod     = 200 * time.Millisecond
+	idleTickPeriod  = time.Second            // of a shard with nothing under way
+	probePeriod     = 200 * time.Millisecond // while something waits for the daemon
+	calmProbePeriod = time.Second            // while nothing does
 	probeTimeout    = 300 * time.Millisecond
 	silentProbes    = 2 // probes in a row without an answer
 	resendWait      = 150 * time.Millisecond
--- a/confirmation/pairs_probe.go
+++ b/confirmation/pairs_probe.go
@@ -13,6 +13,7 @@
 	ref     Ref // the run that answered last
 	failed  int // probes in a row without an answer
 	leaving bool
+	probed  time.Time
 }
 
 // probePeers asks the other daemons of this one's shards whether they answer.
@@ -25,7 +26,7 @@
 			return
 		case <-ticker.C:
 		}
-		targets, err := control.Ask(p.ctx, p.Loop, func(time.Time) []Ref { return p.probed() })
+		targets, err := control.Ask(p.ctx, p.Loop, func(now time.Time) []Ref { return p.probed(now) })
 		if err != nil {
 			return
 		}
@@ -41,9 +42,8 @@
 	}
 }
 
-// probed returns one run of each daemon that shares a pair with this one, of the
-// thirds of its own shards, and of those that may still tell an outcome.
-func (p *Pairs) probed() []Ref {
+// probed returns one run of each daemon that is to be probed now.
+func (p *Pairs) probed(now time.Time) []Ref {
 	seen := make(map[string]bool)
 	var out []Ref
 	for _, n := range sortedNumbers(p.replicas) {
@@ -51,25 +51,65 @@
 		if !r.Shard().has(p.self) {
 			continue
 		}
-		want := []Ref{r.Shard().partner(p.self)}
-		if r.isFirst() && r.Shard().Third.ID != "" {
-			want = append(want, r.Shard().Third)
-		}
-		if r.acting() {
-			for holder := range r.holders() {
-				want = append(want, holder)
+		for _, ref := range r.companions() {
+			if seen[ref.ID] || !p.probeDue(now, ref, r) {
+				continue
 			}
+			seen[ref.ID] = true
+			out = append(out, ref)
 		}
-		for _, ref := range want {
-			if !seen[ref.ID] {
-				seen[ref.ID] = true
-				out = append(out, ref)
-			}
+	}
+	return out
+}
+
+// companions returns the partner, a first's third, and the runs that may still
+// tell an outcome.
+func (r *Replica) companions() []Ref {
+	out := []Ref{r.shard.partner(r.self)}
+	if r.isFirst() && r.shard.Third.ID != "" {
+		out = append(out, r.shard.Third)
+	}
+	if r.acting() {
+		for holder := range r.holders() {
+			out = append(out, holder)
 		}
 	}
 	return out
 }
 
+// probeDue tells whether a daemon is to be probed now, and notes that it is.
+func (p *Pairs) probeDue(now time.Time, ref Ref, r *Replica) bool {
+	h := p.healthOf(ref.ID)
+	urgent := h.failed > 0 || r.waitsForPartner() && ref.Same(r.shard.partner(r.self))
+	if !urgent && now.Sub(h.probed) < calmProbePeriod {
+		return false
+	}
+	h.probed = now
+	return true
+}
+
+// waitsForPartner tells whether an answer of the partner is awaited.
+func (r *Replica) waitsForPartner() bool {
+	if r.wanted {
+		return true
+	}
+	for _, e := range r.open {
+		if e.phase == phaseSent || e.phase == phaseClosing {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pairs) healthOf(id string) *health {
+	h := p.peers[id]
+	if h == nil {
+		h = new(health)
+		p.peers[id] = h
+	}
+	return h
+}
+
 // probe asks the daemon at an address who it is.
 func (p *Pairs) probe(ctx context.Context, address string) (probeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -89,11 +129,7 @@
 
 // probeEnded tells the replicas what a probe found. It runs on the loop.
 func (p *Pairs) probeEnded(now time.Time, id string, reply probeReply, err error) {
-	h := p.peers[id]
-	if h == nil {
-		h = new(health)
-		p.peers[id] = h
-	}
+	h := p.healthOf(id)
 	if err != nil {
 		h.failed++
 	} else {
--- a/confirmation/replica.go
+++ b/confirmation/replica.go
@@ -226,7 +226,10 @@
 func (r *Replica) send(m Input) Decision { return Send{To: r.shard.partner(r.self), Message: m} }
 
 func (r *Replica) copyOf(key string, e *entry) Copy {
-	return Copy{Shard: r.shard.Number, Epoch: r.shard.Epoch, From: r.self, Digest: e.digest, Record: withKey(e.record, key)}
+	return Copy{
+		Shard: r.shard.Number, Epoch: r.shard.Epoch, From: r.self,
+		Digest: e.digest, Record: withKey(e.record, key), Settled: e.acked,
+	}
 }
 
 func withKey(rec Record, key string) Record {
--- a/confirmation/replica_epoch.go
+++ b/confirmation/replica_epoch.go
@@ -34,7 +34,7 @@
 	case keeps && wasFirst:
 		out = r.stayFirst(now, retired)
 	case !keeps:
-		out = r.moveOut()
+		out = r.moveOut(now)
 	}
 	return append(out, r.beginFirst(now)...)
 }
@@ -58,9 +58,13 @@
 	return out
 }
 
-// moveOut drops the records but for calls whose outcome is not yet told.
-func (r *Replica) moveOut() []Decision {
+// moveOut drops the records but for calls whose outcome is not yet told, and
+// outcomes that the new pair began without.
+func (r *Replica) moveOut(now time.Time) []Decision {
 	var out []Decision
+	if r.shard.Floor == r.shard.Epoch {
+		r.keepOutcomes(now)
+	}
 	for _, key := range r.openKeys() {
 		e := r.entries[key]
 		switch e.phase {
@@ -78,6 +82,16 @@
 	return out
 }
 
+// keepOutcomes keeps known outcomes until the new first has them.
+func (r *Replica) keepOutcomes(now time.Time) {
+	for key, e := range r.entries {
+		if e.phase == phaseDone && e.record.Outcome != failure.Unknown {
+			e.phase, e.acked, e.sent, e.closed = phaseClosing, true, time.Time{}, now
+			r.late[key] = e
+		}
+	}
+}
+
 // beginFirst starts to copy the records to the second, and sends outcomes that
 // it may lack.
 func (r *Replica) beginFirst(now time.Time) []Decision {
--- a/confirmation/replica_pair.go
+++ b/confirmation/replica_pair.go
@@ -102,7 +102,7 @@
 	key := in.Record.Key
 	e := r.entries[key]
 	fromFirst := r.isSecond() && !r.sealed && in.Epoch == r.shard.Epoch && r.shard.First.Same(in.From)
-	if e == nil && fromFirst {
+	if e == nil && (fromFirst || r.recalls(in)) {
 		e = &entry{phase: phaseRecorded, digest: in.Digest, holder: in.From, issued: issuedOf(key)}
 		r.entries[key] = e
 	}
@@ -119,6 +119,14 @@
 	return nil
 }
 
+// recalls tells whether the first takes back an outcome that its epoch began
+// without. The key is one that this pair never runs.
+func (r *Replica) recalls(in Copy) bool {
+	k, err := ParseKey(in.Record.Key)
+	known := in.Record.Outcome == failure.Ran || in.Record.Outcome == failure.NotRun && in.Settled
+	return err == nil && known && r.isFirst() && r.acting() && !r.certain(k)
+}
+
 // adopt makes another daemon's outcome this one's; the first copies it on.
 func (r *Replica) adopt(now time.Time, key string, e *entry, rec Record) []Decision {
 	e.record, e.closed, e.sent, e.phase = rec, now, now, phaseDone
--- a/confirmation/replica_tick.go
+++ b/confirmation/replica_tick.go
@@ -6,6 +6,9 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 )
 
+// lateSends bounds the outcomes of over epochs that one tick sends.
+const lateSends = 64
+
 // sweepPeriod is how often records that are too old are looked for.
 const sweepPeriod = 500 * time.Millisecond
 
@@ -59,6 +62,7 @@
 // those who wait for it without an acknowledgment.
 func (r *Replica) resendLate(now time.Time) []Decision {
 	var out []Decision
+	sends := 0
 	for _, key := range keys(r.late) {
 		e := r.late[key]
 		if e.phase != phaseClosing || now.Sub(e.sent) < r.limits.Resend {
@@ -67,6 +71,9 @@
 		if e.record.Outcome != failure.NotRun && now.Sub(e.closed) >= r.limits.CopyWait {
 			out = append(out, e.release(Answer{Record: withKey(e.record, key)})...)
 		}
+		if sends++; sends > lateSends {
+			break
+		}
 		e.sent = now
 		out = append(out, r.sendLate(key, e)...)
 	}
--- a/scripts/conf-cost.sh
+++ b/scripts/conf-cost.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Measures what a confirmation costs, in one run: a direct call to the target,
-# pairs, and the alternative of one platform write before each dispatch. The
-# platform takes PLATFORM_MS before each call (default 3). Prints one line each.
+# pairs on an idle site and under more drafts than the engines can take, and the
+# alternative of one platform write before each dispatch. The platform takes
+# PLATFORM_MS before each call (default 3). Prints one line each.
 # Usage: conf-cost.sh [SECONDS]
 source "$(dirname "$0")/conf-lib.sh"
 seconds=${1:-10} slow=${PLATFORM_MS:-3}
@@ -17,12 +18,18 @@
 	report=$(check_outcomes "$dir/outcomes.json")
 	echo "$name: $(field "$report" keys) calls, p50 $(field "$report" p50_ms) p99 $(field "$report" p99_ms) max $(field "$report" max_ms) ms, platform writes $((${after:-0} - ${before:-0}))"
 }
-site 36 6 1 3
+site 36 6 2 3
 wait_confirmations
 set_faults "$platform" "{\"slow_ms\":$slow}"
 measure direct --direct "127.$subnet.3.1:9000,127.$subnet.3.2:9000,127.$subnet.3.3:9000"
 measure pairs
-"$bin/standin" confirm-load --addresses "$addresses" --duration 1s --out "$dir/warm.json"
+"$bin/vanillaroad-load" -a "$addresses" --confirmations 0 --rate 100 --long 0 --duration "$((seconds + 6))s" --deadline 8s \
+	--engines "127.$subnet.2.1:8000,127.$subnet.2.2:8000" >"$dir/drafts.txt" 2>&1 &
+drafts=$!
+sleep 4
+measure "pairs under drafts"
+wait "$drafts" || true
+grep -e '^summary' "$dir/drafts.txt" || tail -n 3 "$dir/drafts.txt"
 for i in $(seq "$daemons"); do
 	kill_now "vm-$i"
 	sed -i 's/"event_ring":65536/"event_ring":65536,"confirmation":{"mode":"writes"}/' "$dir/vm-$i.json"
