--- a/peer/transport.go
+++ b/peer/transport.go
@@ -33,7 +33,6 @@
 	inbound  map[*conn]struct{}
 	dialing  map[string]*dial
 	blocked  func(address string) bool
-	closed   bool // no goroutine is added to wg from now on
 
 	traffic [kindRanges]atomic.Int64
 }
@@ -221,7 +220,7 @@
 		return nil, errors.Wrapf(ErrSilent, "link to %s is cut", address)
 	}
 	t.mu.Lock()
-	if t.closed {
+	if t.ctx.Err() != nil { // Close waits for the goroutines begun before
 		t.mu.Unlock()
 		return nil, errors.WithStack(ErrClosed)
 	}
@@ -234,7 +233,7 @@
 		d = &dial{done: make(chan struct{})}
 		t.dialing[address] = d
 		t.wg.Add(1)
-		go t.dial(address, d) // under mu and not closed: Close has not begun to wait
+		go t.dial(address, d)
 	}
 	t.mu.Unlock()
 	select {
@@ -320,10 +319,11 @@
 func (t *Transport) begin() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.closed {
-		t.wg.Add(1)
+	if t.ctx.Err() != nil {
+		return false
 	}
-	return !t.closed
+	t.wg.Add(1)
+	return true
 }
 
 // Close ends all connections and waits for every goroutine of the transport.
@@ -331,7 +331,6 @@
 	t.cancel()
 	_ = t.ln.Close()
 	t.mu.Lock()
-	t.closed = true
 	all := make([]*conn, 0, len(t.conns)+len(t.inbound))
 	for _, c := range t.conns {
 		all = append(all, c)
