--- a/proof/conf-rolling.sh
+++ b/proof/conf-rolling.sh
@@ -4,6 +4,7 @@
 source "$(dirname "$0")/../scripts/conf-lib.sh"
 site 34 6 1 3
 wait_confirmations
+sleep 3 # until the targets have been seen once
 load_begin 45 --callers 16
 sleep 2
 longest=0
