--- a/cmd/vanillaroad/trace.go
+++ b/cmd/vanillaroad/trace.go
@@ -15,30 +15,71 @@
 
 func traceCommand(o *options) *cobra.Command {
 	c := &cobra.Command{Use: "trace", Short: "Show and replay what a daemon's decisions were made from"}
-	c.AddCommand(traceShowCommand(o), traceReplayCommand())
+	c.AddCommand(traceShowCommand(o), traceCutCommand(), traceReplayCommand())
 	return c
 }
 
-func traceShowCommand(o *options) *cobra.Command {
-	var slice, key string
-	c := &cobra.Command{Use: "show FILE", Short: "Print the steps of a trace", Args: cobra.ExactArgs(1),
-		Example: "  vanillaroad trace show vm-1.trace --slice generation --key r-17",
+// stepFilter picks steps; an empty member picks all.
+type stepFilter struct{ slice, key string }
+
+func (f *stepFilter) flags(c *cobra.Command) {
+	c.Flags().StringVar(&f.slice, "slice", "", "only steps of this slice")
+	c.Flags().StringVar(&f.key, "key", "", "only steps of this machine")
+}
+
+// read calls fn with each step that the filter picks.
+func (f *stepFilter) read(path string, fn func(trace.Step) error) (trace.Header, error) {
+	file, err := openTrace(path)
+	if err != nil {
+		return trace.Header{}, err
+	}
+	defer func() { _ = file.Close() }()
+	h, err := trace.Read(file, func(s trace.Step) error {
+		if (f.slice != "" && s.Slice != f.slice) || (f.key != "" && s.Key != f.key) {
+			return nil
+		}
+		return fn(s)
+	})
+	return h, badTrace(err)
+}
+
+func traceCutCommand() *cobra.Command {
+	var f stepFilter
+	c := &cobra.Command{Use: "cut FILE", Short: "Write some machines' steps as a trace of their own", Args: cobra.ExactArgs(1),
+		Example: "  vanillaroad trace cut vm-1.trace --slice generation --key r-17 >r-17.trace",
 		RunE: func(c *cobra.Command, args []string) error {
-			f, err := openTrace(args[0])
+			var steps []trace.Step
+			h, err := f.read(args[0], func(s trace.Step) error {
+				steps = append(steps, s)
+				return nil
+			})
 			if err != nil {
 				return err
 			}
-			defer func() { _ = f.Close() }()
-			_, err = trace.Read(f, func(s trace.Step) error {
-				if (slice != "" && s.Slice != slice) || (key != "" && s.Key != key) {
-					return nil
+			out := json.NewEncoder(c.OutOrStdout())
+			if err := out.Encode(h); err != nil {
+				return errors.WithStack(err)
+			}
+			for _, s := range steps {
+				if err := out.Encode(s); err != nil {
+					return errors.WithStack(err)
 				}
-				return showStep(c, o, s)
-			})
-			return badTrace(err)
+			}
+			return nil
+		}}
+	f.flags(c)
+	return c
+}
+
+func traceShowCommand(o *options) *cobra.Command {
+	var f stepFilter
+	c := &cobra.Command{Use: "show FILE", Short: "Print the steps of a trace", Args: cobra.ExactArgs(1),
+		Example: "  vanillaroad trace show vm-1.trace --slice generation --key r-17",
+		RunE: func(c *cobra.Command, args []string) error {
+			_, err := f.read(args[0], func(s trace.Step) error { return showStep(c, o, s) })
+			return err
 		}}
-	c.Flags().StringVar(&slice, "slice", "", "only steps of this slice")
-	c.Flags().StringVar(&key, "key", "", "only steps of this machine")
+	f.flags(c)
 	return c
 }
 
