--- a/proof/load-kills.sh
+++ b/proof/load-kills.sh
@@ -7,6 +7,7 @@
 source "$root/scripts/load.sh"
 
 site 91 8 12 2
+settle
 begin=$(date +%s%N)
 at() { # at SECONDS: waits until then after the start
 	local left=$((begin + $1 * 1000000000 - $(date +%s%N)))
--- a/proof/load-objectives.sh
+++ b/proof/load-objectives.sh
@@ -8,6 +8,7 @@
 	source "$root/scripts/load.sh"
 	objective=$2
 	site "$1" 4 12 1 >/dev/null
+	settle
 	load --final --seed "${SEED:-1}" --duration 16s --rate "${RATE:-30}" --confirmations 0 \
 		--prefixes 40 --long 0.2 >"$dir/load.txt" &
 	local caller=$! i status=0
--- a/scripts/load.sh
+++ b/scripts/load.sh
@@ -4,6 +4,7 @@
 	for i in $(seq "$2"); do list+="$1.$i:$3,"; done
 	echo "${list%,}"
 }
+settle() { sleep 3; } # permits are shared out a while after the daemons came
 load() { # load FLAGS...: runs vanillaroad-load against the whole site
 	"$bin/vanillaroad-load" -a "$addresses" --places "$(IFS=,; echo "${places[*]}")" \
 		--engines "$(addresses_of "127.$subnet.2" "$engines" 8000)" \
--- a/scripts/slope-idle.sh
+++ b/scripts/slope-idle.sh
@@ -9,7 +9,7 @@
 		source "$here/lib.sh"
 		source "$here/load.sh"
 		site 92 "${size%:*}" "${size#*:}" 1 >/dev/null
-		sleep 5
+		settle
 		echo "${size#*:} engines, $(load --mode idle --duration 15s)"
 	)
 done
--- a/scripts/slope-traffic.sh
+++ b/scripts/slope-traffic.sh
@@ -11,6 +11,7 @@
 		engine_flags=(--slots 256)
 		permits=256
 		site 93 1 12 1 >/dev/null
+		settle
 		load --duration 10s --rate "$rate" --confirmations 0 | grep -E '^ *(first token|between|tokens|daemons)|^summary|^fault' |
 			sed "s/^/rate $rate: /"
 	)
