--- a/trace/outcome.go
+++ b/trace/outcome.go
@@ -20,6 +20,14 @@
 	Decisions map[string]int `json:"decisions"`
 	// Last lists the last decision of some machines.
 	Last []LastDecision `json:"last,omitempty"`
+	// Never lists decisions that must not have been taken by any machine.
+	Never []SliceDecision `json:"never,omitempty"`
+}
+
+// SliceDecision is a decision of any machine of a slice.
+type SliceDecision struct {
+	Slice    string `json:"slice"`
+	Decision Named  `json:"decision"`
 }
 
 // LastDecision is the last decision that a machine took.
@@ -31,10 +39,33 @@
 
 // Check compares a trace with what was stated of it.
 func (o Outcome) Check(r io.Reader) error {
-	counts, last, err := Decided(r)
+	counts, last := make(map[string]int), make(map[string]Named)
+	_, err := Read(r, func(s Step) error {
+		for _, d := range s.Decisions {
+			counts[s.Slice+"."+d.Type]++
+			last[s.Slice+"\x00"+s.Key] = d
+			if o.forbids(s.Slice, d) {
+				return errors.Wrapf(ErrOutcome, "%s %s decided %s %s", s.Slice, s.Key, d.Type, d.Value)
+			}
+		}
+		return nil
+	})
 	if err != nil {
 		return err
 	}
+	return o.compare(counts, last)
+}
+
+func (o Outcome) forbids(slice string, d Named) bool {
+	for _, n := range o.Never {
+		if n.Slice == slice && same(n.Decision, d) {
+			return true
+		}
+	}
+	return false
+}
+
+func (o Outcome) compare(counts map[string]int, last map[string]Named) error {
 	for name, n := range o.Decisions {
 		if counts[name] != n {
 			return errors.Wrapf(ErrOutcome, "%s was decided %d times, not %d", name, counts[name], n)
@@ -42,29 +73,29 @@
 	}
 	for _, want := range o.Last {
 		got := last[want.Slice+"\x00"+want.Key]
-		if got.Type != want.Decision.Type || !sameJSON(got.Value, want.Decision.Value) {
+		if !same(want.Decision, got) {
 			return errors.Wrapf(ErrOutcome, "%s %s decided %s %s last", want.Slice, want.Key, got.Type, got.Value)
 		}
 	}
 	return nil
 }
 
+func same(a, b Named) bool { return a.Type == b.Type && sameJSON(a.Value, b.Value) }
+
 // sameJSON compares values without regard to space.
 func sameJSON(a, b json.RawMessage) bool {
 	var x, y bytes.Buffer
 	return json.Compact(&x, a) == nil && json.Compact(&y, b) == nil && bytes.Equal(x.Bytes(), y.Bytes())
 }
 
-// Decided counts a trace's decisions as "slice.Type" and returns the last one
-// of each machine, by slice and key with a zero byte between them.
-func Decided(r io.Reader) (map[string]int, map[string]Named, error) {
-	counts, last := make(map[string]int), make(map[string]Named)
+// Decided counts a trace's decisions as "slice.Type".
+func Decided(r io.Reader) (map[string]int, error) {
+	counts := make(map[string]int)
 	_, err := Read(r, func(s Step) error {
 		for _, d := range s.Decisions {
 			counts[s.Slice+"."+d.Type]++
-			last[s.Slice+"\x00"+s.Key] = d
 		}
 		return nil
 	})
-	return counts, last, err
+	return counts, err
 }
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -128,6 +128,8 @@
 			{"as it was", Outcome{Decisions: map[string]int{"sum.total": 4, "sum.none": 0}, Last: last("b", `{ "N": 8 }`)}, nil},
 			{"another count", Outcome{Decisions: map[string]int{"sum.total": 3}}, ErrOutcome},
 			{"another last decision", Outcome{Last: last("a", `{"N":3}`)}, ErrOutcome},
+			{"a decision that must not be", Outcome{Never: []SliceDecision{{"sum", Named{"total", json.RawMessage(`{"N":2}`)}}}}, ErrOutcome},
+			{"a decision that was not", Outcome{Never: []SliceDecision{{"sum", Named{"total", json.RawMessage(`{"N":3}`)}}}}, nil},
 			{"a machine that was not there", Outcome{Last: last("c", `{"N":2}`)}, ErrOutcome},
 		}
 		for _, c := range cases {
