--- a/node/metrics.go
+++ b/node/metrics.go
@@ -94,14 +94,10 @@
 
 // gauges writes what is read from the daemon's state at this moment.
 func (n *Node) gauges(out *bytes.Buffer) {
-	view, snapshot := n.view.Load(), n.snapshot.Load()
 	gauge := func(name string, v any) { writeValue(out, metricPrefix+name, "gauge", v) }
 	gauge("generations_active", n.hub.Active())
 	gauge("requests_in_flight", n.requests.Load())
-	gauge("configuration_version", snapshot.Version)
 	gauge("draining", flag(n.draining.Load()))
-	gauge("isolated", flag(view.Isolated))
-	gauge("members", len(view.Members))
 	writeValue(out, metricPrefix+"process_cpu_micros", "counter", processMicros())
 	gauge("process_resident_bytes", residentBytes())
 	read, written := transferred()
