--- a/admission/admission.go
+++ b/admission/admission.go
@@ -30,9 +30,9 @@
 	RetryBurst int `json:"retry_burst" validate:"min=1"`
 	// RetryRate is how many such attempts a second the budget regains.
 	RetryRate float64 `json:"retry_rate" validate:"gt=0"`
-	// GrowDelay is how long a greater share of a target's permits has to stay
-	// wanted before it is used. It must exceed the time in which the views of
-	// all daemons converge.
+	// GrowDelay is how long the set of daemons has to stay the same before this
+	// one uses a greater share of a target's permits. It must exceed the time in
+	// which the views of all daemons converge.
 	GrowDelay jsontime.Duration `json:"grow_delay" validate:"gte=0"`
 }
 
