--- a/admission/controller.go
+++ b/admission/controller.go
@@ -169,7 +169,7 @@
 		return "", 0
 	case u != nil && u.queued >= w.MaxQueued:
 		return WorkspaceFull, wait
-	case now.Add(wait + time.Duration(waitMargin*float64(wait))).After(w.Deadline):
+	case late(now, wait, w):
 		return TooLate, wait
 	}
 	return "", 0
@@ -185,19 +185,6 @@
 	return len(c.queued) >= room*c.settings.MaxQueued || c.bytes+w.Bytes > int64(room)*c.settings.MaxQueuedBytes
 }
 
-// expectedWait is the time until a ticket that arrives now is granted: those
-// ahead of it, served at the rate at which the lane's permits come free.
-func (c *Controller) expectedWait(now time.Time, l *lane, w *waiting) time.Duration {
-	var permits int
-	for _, name := range l.targets {
-		permits += c.targets[name].usable()
-	}
-	if permits == 0 {
-		return 0
-	}
-	return l.hold.estimate(now) * time.Duration(l.ahead(&w.Ticket, w.class)+1) / time.Duration(permits)
-}
-
 func (c *Controller) refuse(w *waiting, r Reason, wait time.Duration) {
 	c.out = append(c.out, Refuse{ID: w.ID, Reason: r, RetryAfter: retryAfter(wait, w.Request)})
 }
@@ -291,7 +278,9 @@
 func (c *Controller) tick(now time.Time) {
 	c.expire(now)
 	for _, name := range c.laneNames() {
-		c.lanes[name].age(now, c.settings.AgeStep.Std())
+		l := c.lanes[name]
+		l.age(now, c.settings.AgeStep.Std())
+		c.shed(now, l)
 	}
 	c.dispatchAll(now)
 }
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -279,6 +279,19 @@
 			b.submit(4, nil) // 8 s expected
 			b.submit(5, nil) // 12 s expected, 6 s if the blocked one counted
 		}, []uint64{1, 2}, map[uint64]Reason{5: TooLate}, 0},
+		{"tickets that can't be served in time any more are refused when permits are lost", []TargetLimit{one, {Name: "e2", Permits: 1}}, func(b *bench) {
+			b.submit(1, nil)
+			b.now = b.now.Add(4 * time.Second)
+			b.step(Release{1, true})
+			b.submit(2, nil)
+			b.submit(3, nil)
+			for id := uint64(4); id <= 6; id++ {
+				b.submit(id, nil) // 2, 4 and 6 s expected
+			}
+			b.step(Tick{})
+			b.step(Block{"e2", true})
+			b.step(Tick{}) // 4, 8 and 12 s expected
+		}, []uint64{1, 2, 3}, map[uint64]Reason{6: TooLate}, 0},
 		{"the same ticket twice is one", []TargetLimit{{Name: "e1", Permits: 2}}, func(b *bench) {
 			b.submit(1, nil)
 			b.submit(1, nil)
--- a/admission/lane.go
+++ b/admission/lane.go
@@ -63,6 +63,7 @@
 	flows   map[string]*flow
 	queued  [classes]int
 	total   int
+	usable  int // permits at the last tick
 	grants  uint64
 	rounds  uint64 // searches for a ticket to grant
 	delayed int    // attempts after a loss that wait with new work
@@ -168,17 +169,13 @@
 }
 
 // ahead returns how many tickets of the lane are expected to be granted before
-// a new ticket of a flow in a class.
-func (l *lane) ahead(t *Ticket, c class) int {
+// one of a class that has a number of the same workspace and class before it.
+func (l *lane) ahead(t *Ticket, c class, own int) int {
 	var before int
 	for i := urgentClass; i < c; i++ {
 		before += l.queued[i]
 	}
-	own, weight := 0, max(1, t.Weight)
-	if f := l.flows[t.Workspace]; f != nil {
-		own = len(f.queues[c])
-	}
-	turns := float64(own+1) / float64(weight)
+	turns := float64(own+1) / float64(max(1, t.Weight))
 	for _, f := range l.flows {
 		if f.workspace != t.Workspace {
 			before += min(len(f.queues[c]), int(turns*float64(max(1, f.weight))+0.5))
