--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -292,6 +292,15 @@
 			b.step(Block{"e2", true})
 			b.step(Tick{}) // 4, 8 and 12 s expected
 		}, []uint64{1, 2, 3}, map[uint64]Reason{6: TooLate}, 0},
+		{"reserved permits shorten no draft's expected wait", []TargetLimit{{Name: "e1", Permits: 2, Reserved: 1}}, func(b *bench) {
+			b.submit(1, nil)
+			b.now = b.now.Add(4 * time.Second)
+			b.step(Release{1, true})
+			b.submit(2, nil)
+			b.submit(3, nil) // 4 s expected
+			b.submit(4, nil) // 8 s expected
+			b.submit(5, nil) // 12 s expected, 6 s if the reserved one counted
+		}, []uint64{1, 2}, map[uint64]Reason{5: TooLate}, 0},
 		{"the same ticket twice is one", []TargetLimit{{Name: "e1", Permits: 2}}, func(b *bench) {
 			b.submit(1, nil)
 			b.submit(1, nil)
--- a/admission/expect.go
+++ b/admission/expect.go
@@ -8,23 +8,23 @@
 	if f := l.flows[w.Workspace]; f != nil {
 		own = len(f.queues[w.class])
 	}
-	return c.waitBehind(now, l, l.ahead(&w.Ticket, w.class, own))
+	return c.waitBehind(now, l, w, l.ahead(&w.Ticket, w.class, own))
 }
 
 // waitBehind is the time until a ticket with a number of others ahead is
 // granted, at the rate at which the lane's permits come free.
-func (c *Controller) waitBehind(now time.Time, l *lane, ahead int) time.Duration {
-	permits := c.usable(l)
+func (c *Controller) waitBehind(now time.Time, l *lane, w *waiting, ahead int) time.Duration {
+	permits := c.usable(l, w.urgent())
 	if permits == 0 {
 		return 0
 	}
 	return l.hold.estimate(now) * time.Duration(ahead+1) / time.Duration(permits)
 }
 
-func (c *Controller) usable(l *lane) int {
+func (c *Controller) usable(l *lane, urgent bool) int {
 	var permits int
 	for _, name := range l.targets {
-		permits += c.targets[name].usable()
+		permits += c.targets[name].usable(urgent)
 	}
 	return permits
 }
@@ -37,7 +37,7 @@
 // shed refuses tickets at the ends of the queues that are expected to miss their
 // deadlines since the lane lost permits, so that their callers learn it now.
 func (c *Controller) shed(now time.Time, l *lane) {
-	permits := c.usable(l)
+	permits := c.usable(l, false)
 	lost := permits < l.usable
 	l.usable = permits
 	if !lost {
@@ -53,7 +53,7 @@
 func (c *Controller) shedFlow(now time.Time, l *lane, f *flow, k class) {
 	for i := len(f.queues[k]) - 1; i >= 0; i-- {
 		w := f.queues[k][i]
-		wait := c.waitBehind(now, l, l.ahead(&w.Ticket, k, i))
+		wait := c.waitBehind(now, l, w, l.ahead(&w.Ticket, k, i))
 		if w.Retry || !late(now, wait, w) {
 			return
 		}
--- a/admission/ledger.go
+++ b/admission/ledger.go
@@ -29,11 +29,14 @@
 }
 
 // usable returns the permits that serve waiting requests sooner or later.
-func (l *ledger) usable() int {
-	if l == nil || l.blocked {
+func (l *ledger) usable(urgent bool) int {
+	switch {
+	case l == nil || l.blocked:
 		return 0
+	case urgent:
+		return max(0, l.limit-l.left)
 	}
-	return max(0, l.limit-l.left)
+	return max(0, l.limit-l.reserved-l.left)
 }
 
 func (l *ledger) take(urgent bool) {
