--- a/node/fleet_bench_test.go
+++ b/node/fleet_bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/internal/standin"
 	"github.com/vanillaroad/vanillaroad/peer"
 )
 
@@ -119,3 +120,56 @@
 	}
 	return spans
 }
+
+// Phases of a measured outage.
+const (
+	benchOutage = 30 * time.Second
+	benchReturn = 15 * time.Second
+	benchSample = 500 * time.Millisecond
+)
+
+// BenchmarkOutage measures the calls that daemons make before, in and after an
+// outage of the platform: go test ./node -run '^$' -bench Outage -benchtime 1x
+func BenchmarkOutage(b *testing.B) {
+	for i, n := range []int{8, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchOutageOf(b, 68+i, n) })
+	}
+}
+
+func benchOutageOf(b *testing.B, subnet, n int) {
+	f, err := newFleet(subnet, n)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.close()
+	if _, err := f.apply(0, f.benchDocument(), 0, 0); err != nil {
+		b.Fatal(err)
+	}
+	await(func() bool { return f.inForce(1) && f.acquainted() })
+	for b.Loop() {
+		b.ReportMetric(f.peakCalls(benchReturn), "before-peak-calls/s")
+		f.platform.SetFaults(standin.PlatformFaults{Down: true})
+		b.ReportMetric(f.peakCalls(benchOutage), "outage-peak-calls/s")
+		f.platform.SetFaults(standin.PlatformFaults{})
+		b.ReportMetric(f.peakCalls(benchReturn), "return-peak-calls/s")
+	}
+}
+
+// peakCalls returns the highest rate of calls in any sample of a phase.
+func (f *fleet) peakCalls(phase time.Duration) float64 {
+	total := func() (sum int64) {
+		for _, v := range f.platform.Calls() {
+			sum += v
+		}
+		return sum
+	}
+	var peak int64
+	last := total()
+	for end := time.Now().Add(phase); time.Now().Before(end); {
+		time.Sleep(benchSample)
+		now := total()
+		peak = max(peak, now-last)
+		last = now
+	}
+	return float64(peak) / benchSample.Seconds()
+}
