--- a/generation/loss.go
+++ b/generation/loss.go
@@ -120,6 +120,16 @@
 	return []Decision{e}
 }
 
+// woken begins every silence anew.
+func (m *Machine) woken(now time.Time) {
+	for _, a := range []*attempt{m.current, m.standby} {
+		if a != nil && a.holds() {
+			a.pulse.restart(now)
+			a.probeAt, a.tokenAt = now, now
+		}
+	}
+}
+
 func (m *Machine) tick(now time.Time) []Decision {
 	var out []Decision
 	if s := m.standby; s != nil && s.holds() && s.pulse.silent(now, m.setup.Settings) {
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -94,6 +94,8 @@
 	case TakenOver:
 		err := failure.New(failure.Canceled, failure.Ran, "generate", in.By, "another daemon goes on with the answer")
 		return m.finish(EndTakenOver, err)
+	case Woken:
+		m.woken(now)
 	case Tick:
 		return m.tick(now)
 	}
--- a/generation/machine_test.go
+++ b/generation/machine_test.go
@@ -165,6 +165,14 @@
 		{900 * ms, Tick{}, ""},
 		{200 * ms, Tick{}, "end 1 silent; route 2 not a version 1"},
 	}},
+	{name: "this daemon was paused itself: that silence is not the target's", objective: latency, begun: true, steps: []step{
+		{5 * time.Second, Woken{}, ""},
+		{1 * ms, Tick{}, ""},
+		{1 * ms, token(1, 1, 2), "emit 2"},
+		{400 * ms, Tick{}, "probe 1/2; route 2 not a version 1"},
+		{5 * time.Second, Woken{}, ""},
+		{1 * ms, token(1, 1, 3), "emit 3"},
+	}},
 	{name: "silent connection: the target's own stream is read on a new one", objective: resources, begun: true, steps: []step{
 		{400 * ms, Tick{}, "probe 1/2"},
 		{1 * ms, Probed{1, 2, true, 7}, "attach 1/3 from 2"},
--- a/generation/message.go
+++ b/generation/message.go
@@ -69,6 +69,10 @@
 // canceled at their targets.
 type TakenOver struct{ By string }
 
+// Woken: this daemon did not run for a while, so that the silence of that time
+// tells nothing of targets.
+type Woken struct{}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -80,6 +84,7 @@
 func (NoStream) input()    {}
 func (Cancel) input()      {}
 func (TakenOver) input()   {}
+func (Woken) input()       {}
 func (Tick) input()        {}
 
 // Decision is something the shell must do.
--- a/generation/replay.go
+++ b/generation/replay.go
@@ -51,6 +51,7 @@
 	"NoStream":    decodeAs[NoStream],
 	"Cancel":      decodeAs[Cancel],
 	"TakenOver":   decodeAs[TakenOver],
+	"Woken":       decodeAs[Woken],
 	"Tick":        decodeAs[Tick],
 }
 
--- a/generation/run.go
+++ b/generation/run.go
@@ -68,6 +68,10 @@
 // tickPeriod is how often a run looks at the time.
 const tickPeriod = 50 * time.Millisecond
 
+// ownStall is the time between two turns of a run's loop from which on this
+// daemon was paused, or too busy to judge the silence of others.
+const ownStall = 5 * tickPeriod
+
 // inputQueueLen bounds inputs that wait for the machine; readers wait then.
 const inputQueueLen = 64
 
@@ -121,13 +125,16 @@
 func (g *run) loop(ctx context.Context, orders <-chan Input) {
 	tick := time.NewTicker(tickPeriod)
 	defer tick.Stop()
+	turn := time.Now()
 	for !g.done {
 		select {
 		case in := <-g.inputs:
+			turn = g.wake(turn)
 			g.learn(in)
 		case in := <-orders:
 			g.step(in)
 		case <-tick.C:
+			turn = g.wake(turn)
 			g.step(Tick{})
 		case <-ctx.Done():
 			g.step(Cancel{failure.New(failure.Canceled, failure.Unknown, "generate", "", "canceled")})
@@ -135,6 +142,16 @@
 	}
 }
 
+// wake tells the machine when this daemon itself did not run since the turn
+// before, and returns the time of this turn.
+func (g *run) wake(before time.Time) time.Time {
+	now := time.Now()
+	if now.Sub(before) > ownStall {
+		g.step(Woken{})
+	}
+	return now
+}
+
 // drain hands back grants that arrive after the end.
 func (g *run) drain() {
 	finished := make(chan struct{})
--- a/generation/world_test.go
+++ b/generation/world_test.go
@@ -150,7 +150,7 @@
 
 func (w *world) wild() {
 	t := w.targets[w.choose(len(w.targets))]
-	switch w.choose(20) {
+	switch w.choose(21) {
 	case 0:
 		w.kill(t)
 	case 1:
@@ -167,6 +167,9 @@
 		w.lose()
 	case 7:
 		w.double()
+	case 20:
+		w.now = w.now.Add(time.Duration(w.choose(10)) * time.Second)
+		w.step(Woken{})
 	case 8, 9:
 		w.now = w.now.Add(time.Duration(w.choose(400)) * time.Millisecond)
 		w.step(Tick{})
