--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -30,6 +30,7 @@
 	pulse       pulse
 	acked       bool      // an event came from the target
 	broken      bool      // the connection failed
+	excused     bool      // the present silence began anew once, see Woken
 	probe       int64     // connection of the last Probe
 	probeAt     time.Time // of the last Probe
 	tokenAt     time.Time // of the last token, or of the open
--- a/generation/loss.go
+++ b/generation/loss.go
@@ -120,10 +120,12 @@
 	return []Decision{e}
 }
 
-// woken begins every silence anew.
+// woken begins every silence anew, but each only once, so that a daemon that is
+// always late still finds out.
 func (m *Machine) woken(now time.Time) {
 	for _, a := range []*attempt{m.current, m.standby} {
-		if a != nil && a.holds() {
+		if a != nil && a.holds() && !a.excused {
+			a.excused = true
 			a.pulse.restart(now)
 			a.probeAt, a.tokenAt = now, now
 		}
--- a/generation/machine_test.go
+++ b/generation/machine_test.go
@@ -173,6 +173,12 @@
 		{5 * time.Second, Woken{}, ""},
 		{1 * ms, token(1, 1, 3), "emit 3"},
 	}},
+	{name: "this daemon is always late: it still finds a silent target", objective: resources, begun: true, steps: []step{
+		{900 * ms, Woken{}, ""},
+		{0, Tick{}, ""},
+		{900 * ms, Woken{}, ""},
+		{0, Tick{}, "probe 1/2"},
+	}},
 	{name: "silent connection: the target's own stream is read on a new one", objective: resources, begun: true, steps: []step{
 		{400 * ms, Tick{}, "probe 1/2"},
 		{1 * ms, Probed{1, 2, true, 7}, "attach 1/3 from 2"},
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -14,7 +14,7 @@
 		return m.drop(in)
 	}
 	a.pulse.beat(now)
-	a.acked, m.ran = true, true
+	a.acked, a.excused, m.ran = true, false, true
 	if a == m.standby {
 		return m.standbyEvent(now, a, in)
 	}
