--- a/generation/claims.go
+++ b/generation/claims.go
@@ -45,6 +45,14 @@
 	return before.daemon
 }
 
+// Renew names daemon as the one that runs the request unless another one is
+// known to.
+func (c *Claims) Renew(now time.Time, request, daemon string) {
+	if h := c.Holder(now, request); h == "" || h == daemon {
+		c.Take(now, request, daemon)
+	}
+}
+
 // Holder returns the daemon that runs the request, as far as is known, or "".
 func (c *Claims) Holder(now time.Time, request string) string {
 	e, known := c.entries[request]
--- a/generation/claims_test.go
+++ b/generation/claims_test.go
@@ -19,6 +19,13 @@
 		So(c.Holder(now.Add(claimLife+1), "1"), ShouldEqual, "")
 		So(c.Take(now.Add(claimLife+1), "1", "c"), ShouldEqual, "")
 	})
+	Convey("a renewal does not take a claim from another daemon", t, func() {
+		c := NewClaims()
+		now := time.Unix(1000, 0)
+		c.Renew(now, "1", "a")
+		c.Renew(now, "1", "b")
+		So(c.Holder(now, "1"), ShouldEqual, "a")
+	})
 	Convey("claims are bounded in number and time", t, func() {
 		c := NewClaims()
 		now := time.Unix(1000, 0)
--- a/generation/hub.go
+++ b/generation/hub.go
@@ -34,6 +34,7 @@
 	fingerprint uint64
 	orders      chan Input
 	keepers     atomic.Int32 // other daemons that keep the stream that was joined
+	keeper      string       // of the last claim
 	ended       time.Time    // zero while the run goes on
 }
 
@@ -125,7 +126,7 @@
 func firstAttempt() int64 { return (1 + rand.Int64N(1<<46)) << attemptBits }
 
 func (h *Hub) start(r Request, position int64) Reader {
-	n := &held{answer: NewAnswer(r.Held, r.Cursor), fingerprint: r.Fingerprint(), orders: make(chan Input, 1)}
+	n := &held{answer: NewAnswer(r.Held, r.Cursor), fingerprint: r.Fingerprint(), orders: make(chan Input, 1), keeper: h.deps.Peers.Keeper(r.ID)}
 	h.runs[r.ID] = n
 	h.spawn(func(ctx context.Context) {
 		h.follow(ctx, r, n)
@@ -207,6 +208,7 @@
 		switch {
 		case n.ended.IsZero():
 			h.sweepRun(now, n)
+			h.renew(id, n)
 		case n.answer.Watched():
 		case now.Sub(n.ended) > h.settings.Retention.Std():
 			delete(h.runs, id)
--- a/generation/site_test.go
+++ b/generation/site_test.go
@@ -127,6 +127,10 @@
 	return p.s.claims.Take(time.Now(), request, p.self), nil
 }
 
+func (sitePeers) Keeper(string) string { return "" }
+
+func (sitePeers) Renew(context.Context, string) error { return nil }
+
 func (p sitePeers) Where(_ context.Context, daemon string, w Where) (Location, error) {
 	return p.s.hubs[daemon].Located(w), nil
 }
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -12,6 +12,10 @@
 	// Claim names this daemon as the one that runs the request and returns the
 	// peer address of the one before, or "".
 	Claim(ctx context.Context, request string) (string, error)
+	// Keeper returns the daemon that keeps the claims of the request now.
+	Keeper(request string) string
+	// Renew repeats a claim at a keeper that has none of another daemon.
+	Renew(ctx context.Context, request string) error
 	// Where asks a daemon for its answer so far.
 	Where(ctx context.Context, daemon string, w Where) (Location, error)
 	// TakeOver tells a daemon that a caller goes on here.
@@ -158,6 +162,22 @@
 	return h.deps.Peers.Claim(ctx, request)
 }
 
+// renew claims a running request anew when another daemon keeps its claims: the
+// members of the site have changed, or were not all known before. It runs under
+// the hub's lock.
+func (h *Hub) renew(id string, n *held) {
+	keeper := h.deps.Peers.Keeper(id)
+	if keeper == n.keeper {
+		return
+	}
+	n.keeper = keeper
+	h.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
+		_ = h.deps.Peers.Renew(ctx, id)
+	})
+}
+
 // extends tells whether the location begins with the tokens held, or has none
 // yet.
 func (l Location) extends(held []string) bool {
--- a/node/api_generations_test.go
+++ b/node/api_generations_test.go
@@ -60,6 +60,8 @@
 func (noGuard) Proven(generation.Request)                                {}
 func (noGuard) Done(generation.Request)                                  {}
 func (noGuard) Claim(context.Context, string) (string, error)            { return "", nil }
+func (noGuard) Keeper(string) string                                     { return "" }
+func (noGuard) Renew(context.Context, string) error                      { return nil }
 func (noGuard) Where(context.Context, string, generation.Where) (generation.Location, error) {
 	return generation.Location{}, nil
 }
--- a/node/generation_peers.go
+++ b/node/generation_peers.go
@@ -25,6 +25,7 @@
 type claimMessage struct {
 	Request string `msgpack:"r"`
 	Daemon  string `msgpack:"d"` // peer address
+	Renew   bool   `msgpack:"n,omitempty"`
 }
 
 // generationPeers speaks to the hubs of other daemons.
@@ -57,7 +58,13 @@
 }
 
 func (p *generationPeers) take(ctx context.Context, m claimMessage) (string, error) {
-	return control.Ask(ctx, p.n.loop, func(now time.Time) string { return p.claims.Take(now, m.Request, m.Daemon) })
+	return control.Ask(ctx, p.n.loop, func(now time.Time) string {
+		if m.Renew {
+			p.claims.Renew(now, m.Request, m.Daemon)
+			return ""
+		}
+		return p.claims.Take(now, m.Request, m.Daemon)
+	})
 }
 
 func (p *generationPeers) holder(ctx context.Context, request string) (string, error) {
@@ -77,7 +84,7 @@
 	self := p.n.self.PeerAddress
 	var holder string
 	var err error
-	if keeper := p.keeper(request); keeper == self {
+	if keeper := p.Keeper(request); keeper == self {
 		holder, err = p.holder(ctx, request)
 	} else {
 		err = p.n.transport.Call(ctx, keeper, kindHolder, request, &holder)
@@ -90,10 +97,10 @@
 	return err == nil && ended
 }
 
-// keeper returns the peer address of the daemon that keeps the claims of a
+// Keeper returns the peer address of the daemon that keeps the claims of a
 // request: the one with the highest hash, so that a daemon that comes or goes
 // moves only its own.
-func (p *generationPeers) keeper(request string) string {
+func (p *generationPeers) Keeper(request string) string {
 	self := p.n.self
 	best, address := xxhash.Sum64String(request+"\x00"+self.ID), self.PeerAddress
 	for _, m := range p.n.view.Load().Live() {
@@ -106,8 +113,17 @@
 
 // Claim implements generation.Peers.
 func (p *generationPeers) Claim(ctx context.Context, request string) (string, error) {
-	m := claimMessage{request, p.n.self.PeerAddress}
-	keeper := p.keeper(request)
+	return p.claim(ctx, claimMessage{Request: request, Daemon: p.n.self.PeerAddress})
+}
+
+// Renew implements generation.Peers.
+func (p *generationPeers) Renew(ctx context.Context, request string) error {
+	_, err := p.claim(ctx, claimMessage{Request: request, Daemon: p.n.self.PeerAddress, Renew: true})
+	return err
+}
+
+func (p *generationPeers) claim(ctx context.Context, m claimMessage) (string, error) {
+	keeper := p.Keeper(m.Request)
 	if keeper == m.Daemon {
 		return p.take(ctx, m)
 	}
