--- a/proof/conf-platform-outage.sh
+++ b/proof/conf-platform-outage.sh
@@ -6,6 +6,7 @@
 source "$(dirname "$0")/../scripts/conf-lib.sh"
 site 33 6 1 3
 wait_confirmations
+sleep 2 # until every daemon acts for its shards
 phase() { # phase NAME SECONDS: a load of its own
 	load_begin "$2" --callers 12 --patience 4s
 	load_end
