--- a/node/admission.go
+++ b/node/admission.go
@@ -94,8 +94,6 @@
 	n.loop.Every(reconcilePeriod, a.reconcile)
 }
 
-func (n *Node) runRouting(ctx context.Context) { n.background = ctx }
-
 // clock returns now without its monotonic reading, on a wall clock that runs as
 // evenly as the monotonic one, so that a trace replays to the same decisions.
 func (a *admitter) clock(now time.Time) time.Time { return a.base.Round(0).Add(now.Sub(a.base)) }
@@ -159,7 +157,8 @@
 
 func (a *admitter) submit(now time.Time, p *pending) {
 	t := a.ticket(a.clock(now), p)
-	if lenders := a.plan.lenders[t.Lane]; len(a.plan.lanes[t.Lane]) == 0 && a.plan.snapshot == a.n.snapshot.Load() {
+	if len(a.plan.lanes[t.Lane]) == 0 && a.plan.snapshot == a.n.snapshot.Load() {
+		lenders := a.plan.lenders(t.Lane, a.n.view.Load())
 		switch { // this daemon is no home of the lane's targets
 		case p.lent:
 			p.reply <- admitted{refused: failure.New(failure.NoTarget, p.outcome(), "lend", "", "no home of a target").After(retryAfter)}
@@ -238,7 +237,7 @@
 	r := refusals[d.Reason]
 	answer := admitted{refused: failure.New(r.code, p.outcome(), "admit", "", "%s", r.text).After(d.RetryAfter)}
 	if !p.lent && d.Reason != admission.Expired && d.Reason != admission.WorkspaceFull && a.overflow.Allow() {
-		answer.lenders = a.plan.lenders[p.lane()]
+		answer.lenders = a.plan.lenders(p.lane(), a.n.view.Load())
 	}
 	p.reply <- answer
 	if len(answer.lenders) > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -40,14 +40,17 @@
 	platform  *platform.Client
 	targets   *targetPool
 	hub       *generation.Hub
-	orders    *orders
-	members   *members
-	versions  *versions
+	// generationPeers speaks to the hubs of other daemons.
+	generationPeers *generationPeers
+	orders          *orders
+	members         *members
+	versions        *versions
 
 	platformState platformState
 
 	snapshot atomic.Pointer[configuration.Snapshot]
 	view     atomic.Pointer[membership.View]
+	served   atomic.Bool   // was ready for callers once
 	draining atomic.Bool   // out of the directory
 	refusing atomic.Bool   // takes no new work
 	refused  chan struct{} // closed once refusing
@@ -123,11 +126,11 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	n.background = background
 	n.spawn(func() { n.loop.Run(background) })
 	n.spawn(n.transport.Serve)
 	n.runMembership(background)
 	n.runConfiguration(background)
-	n.runRouting(background)
 	n.runConfirmations(background)
 	n.runPlacement(background)
 	failed := make(chan error, 1)
