confirmation: the first map is written by one daemon after another, over all daemons

Cause: the founder looked at 16 others only, and every daemon would have probed all others at once. 1,024 shards from 128 daemons on, so that each has some.

--- a/confirmation/assignment.go
+++ b/confirmation/assignment.go
@@ -14,8 +14,20 @@
 	ObjectName = "shards"
 )
 
-// defaultShards is the number of shards of a new map.
-const defaultShards = 256
+// Shards of a new map: enough that every daemon has some, few enough that the map
+// fits one value of the platform.
+const (
+	defaultShards = 256
+	largeShards   = 1024
+	largeSite     = 128 // daemons from which a map is large
+)
+
+func shardCount(daemons int) int {
+	if daemons < largeSite {
+		return defaultShards
+	}
+	return largeShards
+}
 
 // Ref names one run of a daemon and where other daemons reach it.
 type Ref struct {
@@ -154,7 +166,7 @@
 	if len(daemons) < 2 {
 		return Map{}, errors.Errorf("a pair needs two daemons, not %d", len(daemons))
 	}
-	m := Map{Shards: make([]Shard, defaultShards)}
+	m := Map{Shards: make([]Shard, shardCount(len(daemons)))}
 	for i := range m.Shards {
 		first := daemons[i%len(daemons)]
 		m.Shards[i], _ = Staff(Shard{Number: i, Epoch: epoch, First: first, Floor: epoch}, daemons, nil)
--- a/confirmation/pairs_write.go
+++ b/confirmation/pairs_write.go
@@ -84,7 +84,7 @@
 // apply puts each proposal for the next epoch into the map and returns those
 // with the assignments they replace.
 func (p *Pairs) apply(m *Map, wanted []Shard) []Shard {
-	candidates := p.candidates()
+	candidates := p.candidates(candidateCount)
 	load := m.load()
 	var changed []Shard
 	for _, s := range wanted {
@@ -139,11 +139,11 @@
 	}
 }
 
-// candidates returns other daemons that answer now and do not leave.
-func (p *Pairs) candidates() []Ref {
+// candidates returns up to limit other daemons that answer now and do not leave.
+func (p *Pairs) candidates(limit int) []Ref {
 	others := p.others()
-	if len(others) > candidateCount {
-		others = others[:candidateCount]
+	if len(others) > limit {
+		others = others[:limit]
 	}
 	found := make([]Ref, len(others))
 	var wg sync.WaitGroup
@@ -181,16 +181,26 @@
 		case err == nil:
 			p.adopt(m)
 		case unwritten(err):
-			p.writeFirst(time.Since(started) > foundersWait)
+			p.writeFirst(time.Since(started))
 		}
 		pause(p.ctx, foundersPeriod+rand.N(foundersPeriod))
 	}
 }
 
-// writeFirst writes the first map when all daemons answer, or when late.
-func (p *Pairs) writeFirst(late bool) {
-	daemons := p.candidates()
-	if len(daemons) == 0 || len(daemons) < len(p.others()) && len(daemons) < candidateCount && !late {
+// writeFirst writes the first map when all daemons answer, or when waited for
+// long. One daemon after another tries, in the order of their ids.
+func (p *Pairs) writeFirst(waited time.Duration) {
+	others := p.others()
+	for _, m := range others {
+		if m.ID < p.self.ID {
+			waited -= foundersWait
+		}
+	}
+	if waited < 0 {
+		return
+	}
+	daemons := p.candidates(len(others))
+	if len(daemons) == 0 || len(daemons) < len(others) && waited < foundersWait {
 		return
 	}
 	daemons = append(daemons, p.self)
