--- a/internal/standin/contract_platform_test.go
+++ b/internal/standin/contract_platform_test.go
@@ -219,6 +219,15 @@
 	ctx := context.Background()
 	const old = `[{"id":"vm-1","address":"127.0.0.1","place":"p","region":"r"}]`
 	const leaving = `[{"id":"vm-1","address":"127.0.0.1","place":"p","region":"r","leaving":true}]`
+	Convey("the first list comes late too; until then none is named", t, func() {
+		c, base := newPlatform(t)
+		setFaults(t, base, `{"vm_lag_ms":3600000}`)
+		status, _ := send(t, http.MethodPut, base+"/vms", old)
+		So(status, ShouldEqual, http.StatusOK)
+		vms, err := c.VMs(ctx)
+		So(err, ShouldBeNil)
+		So(vms, ShouldBeEmpty)
+	})
 	Convey("the list names live and leaving VMs", t, func() {
 		c, base := newPlatform(t)
 		put := func(list string) {
