A daemon that reaches no peer watches the configuration itself

Cut off from all peers but not from the platform, a daemon went on with an old version for good: it blames itself for the silence, so it waited for a reader it could not reach, and only the VM list had a fallback. The new test hangs without the change and passes with it.

--- a/node/configuration.go
+++ b/node/configuration.go
@@ -103,12 +103,13 @@
 	}
 }
 
-// watch reads heads from the platform while this daemon is a reader.
+// watch reads heads from the platform while this daemon is a reader, or reaches
+// none.
 func (v *versions) watch(ctx context.Context) {
 	var since int64
 	pause := watchRetry
 	for ctx.Err() == nil {
-		if !v.n.members.listing.reading() {
+		if !v.n.members.listing.watching() {
 			sleep(ctx, roleCheck)
 			continue
 		}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -159,6 +159,15 @@
 			await(func() bool { return !lone.view.Load().Isolated && f.acquainted() })
 			So(lone.refusal(), ShouldBeNil)
 		})
+		Convey("a daemon that reaches the platform but no peer reads versions itself and takes work", func() {
+			lone := slices.IndexFunc(f.nodes, func(n *Node) bool { return n.view.Load().Readers()[0].ID != n.self.ID })
+			f.cut(lone, true)
+			f.deaf[lone].Store(false)
+			_, err := f.apply((lone+1)%len(f.nodes), f.document(101), 1, 0)
+			So(err, ShouldBeNil)
+			await(func() bool { return f.inForce(2) })
+			So(f.nodes[lone].refusal(), ShouldBeNil)
+		})
 		Convey("a daemon that missed versions and deltas catches up from peers in an outage", func() {
 			f.cut(4, true)
 			const versions = headsKept + 20
--- a/node/listing.go
+++ b/node/listing.go
@@ -30,7 +30,7 @@
 	newsFresh = 3 * time.Second
 	// ownReadEvery is the pause between own reads of a daemon that no reader
 	// answers, and fleetReads the number of such reads a second in the fleet.
-	ownReadEvery = 5 * time.Second
+	ownReadEvery = 2 * time.Second
 	fleetReads   = 20
 )
 
@@ -50,6 +50,7 @@
 	listing   *membership.Listing
 	readAt    time.Time // last answer of the platform
 	asked     time.Time // last time another daemon asked
+	alone     time.Time // last time that no reader answered
 	told      int64     // number of the own listing's news that the machine has
 	source    string    // reader that told the last news
 	readerRun uint64    // its incarnation
@@ -114,6 +115,17 @@
 	return time.Since(l.asked) < readerFor
 }
 
+// watching tells whether this daemon watches the configuration: it reads for
+// others, or it reaches no daemon that does.
+func (l *listingReader) watching() bool {
+	if l.reading() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.alone) < readerFor
+}
+
 func (l *listingReader) run(ctx context.Context) {
 	pause := vmPollPeriod
 	_ = l.read(ctx)
@@ -200,7 +212,13 @@
 		}
 	}
 	l.budget.SetLimit(rate.Every(max(ownReadEvery, time.Duration(len(view.Members))*time.Second/fleetReads)))
-	if !answered && l.budget.Allow() {
+	if answered {
+		return
+	}
+	l.mu.Lock()
+	l.alone = time.Now()
+	l.mu.Unlock()
+	if l.budget.Allow() {
 		_ = l.read(ctx)
 	}
 }
