--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -82,7 +82,13 @@
 	return fmt.Sprintf("127.%d.%d.%d", subnet+i/last, os.Getpid()%runs, 1+i%last)
 }
 
+// close heals all cuts first: a daemon that stops waits for others to take over
+// its keys.
 func (f *fleet) close() {
+	for i, n := range f.nodes {
+		f.deaf[i].Store(false)
+		n.transport.Block(nil)
+	}
 	f.cancel()
 	f.wg.Wait()
 	f.server.Close()
