--- a/admission/shares.go
+++ b/admission/shares.go
@@ -15,10 +15,6 @@
 	largeFleetHome = 4
 )
 
-// AllHomes tells whether every daemon is a home of every target that has
-// permits enough.
-func (f *Fleet) AllHomes() bool { return len(f.ids) <= smallFleet }
-
 // Homes returns how many daemons share a target's permits.
 func Homes(live, permits int) int {
 	homes := live
--- a/node/admission.go
+++ b/node/admission.go
@@ -98,24 +98,6 @@
 // evenly as the monotonic one, so that a trace replays to the same decisions.
 func (a *admitter) clock(now time.Time) time.Time { return a.base.Round(0).Add(now.Sub(a.base)) }
 
-// admit waits until a request has a permit, is refused, or ctx ends.
-func (n *Node) admit(ctx context.Context, q ask) (*permit, *failure.Error) {
-	p := &pending{ask: q, allowed: allowed(q.want), reply: make(chan admitted, 1)}
-	if err := n.loop.Post(func(now time.Time) { n.admission.submit(now, p) }); err != nil {
-		return nil, failure.Wrap(err, failure.Canceled, failure.NotRun, "admit", "")
-	}
-	select {
-	case r := <-p.reply:
-		if len(r.lenders) > 0 {
-			return n.borrow(ctx, q, r.lenders)
-		}
-		return r.permit, r.refused
-	case <-ctx.Done():
-		_ = n.loop.Post(func(now time.Time) { n.admission.cancel(now, p) })
-		return nil, failure.Wrap(ctx.Err(), failure.Canceled, p.outcome(), "admit", "")
-	}
-}
-
 // adoptPermit takes a permit for an attempt that runs on a target already.
 func (n *Node) adoptPermit(q ask, t configuration.Target) *permit {
 	p := &permit{n: n, target: t}
--- a/node/plan.go
+++ b/node/plan.go
@@ -62,16 +62,15 @@
 	return p
 }
 
-// addHomes notes the homes of some targets of each lane. In a small fleet each
-// daemon is a home itself, and only targets with fewer permits than daemons need
-// others.
+// addHomes notes the homes of some targets of each lane: who to ask when this
+// daemon has no permit.
 func (p *plan) addHomes(service string, fleet *admission.Fleet) {
 	svc, _ := p.snapshot.Service(service)
 	looked := make(map[string]int)
 	known := make(map[string]bool)
 	for _, t := range svc.Targets {
 		lane := laneOf(service, routing.SideOf(&t))
-		if looked[lane] == lenderTargets || (fleet.AllHomes() && len(p.lanes[lane]) > 0) {
+		if looked[lane] == lenderTargets {
 			continue
 		}
 		looked[lane]++
