--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
@@ -24,6 +25,7 @@
 const (
 	strikeFlushPeriod = 50 * time.Millisecond
 	maxStrikesQueued  = 256
+	maxStrikeSends    = 16 // at one time
 )
 
 // strikesMessage reports strikes, or subjects that are cleared.
@@ -105,6 +107,7 @@
 	g.n.events.Record(event.RequestStruck, r.ID, event.F("target", target), event.F("fresh", fmt.Sprint(fresh)))
 	_ = g.n.loop.Post(func(now time.Time) {
 		g.out.Strikes = appendBounded(g.out.Strikes, g.ledger.Strike(now, s)...)
+		g.flush(now) // before the caller can send the request again elsewhere
 	})
 }
 
@@ -138,11 +141,14 @@
 	g.n.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), peerSendTimeout)
 		defer cancel()
+		var sends errgroup.Group // side by side: one daemon that hangs must not delay the rest
+		sends.SetLimit(maxStrikeSends)
 		for _, d := range members {
 			if d.ID != g.n.self.ID {
-				_ = g.n.transport.Send(ctx, d.PeerAddress, kindStrikes, m)
+				sends.Go(func() error { return g.n.transport.Send(ctx, d.PeerAddress, kindStrikes, m) })
 			}
 		}
+		_ = sends.Wait() // a daemon that missed strikes learns from its own losses
 	})
 }
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -104,6 +104,17 @@
 		exit 1
 	done
 }
+wait_ready() { # wait_ready DAEMONS...: each of them names all of them in its directory
+	local i _
+	for i in "$@"; do
+		for _ in $(seq 400); do
+			[ "$(curl -fsS --max-time 1 "http://$(api_of "$i")/v1/directory" 2>/dev/null | grep -o ':7100' | wc -l)" -ge $# ] && continue 2
+			sleep 0.05
+		done
+		echo "vm-$i does not know $# ready daemons" >&2
+		exit 1
+	done
+}
 site() { # site SUBNET DAEMONS ENGINES BOOKINGS
 	local i
 	subnet=$1 daemons=$2 engines=$3 bookings=$4
@@ -129,4 +140,5 @@
 	site_document >"$dir/site.json"
 	"${road[@]}" apply -f "$dir/site.json" --author "$(basename "$0")"
 	wait_in_force 1 $(seq "$daemons")
+	wait_ready $(seq "$daemons")
 }
