--- a/client/client.go
+++ b/client/client.go
@@ -268,12 +268,3 @@
 	}
 	return e
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/client/confirm.go
+++ b/client/confirm.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // ConfirmRequest is one non-idempotent call. The key comes from IssueKey.
@@ -88,7 +89,7 @@
 			return Outcome{Key: key, Outcome: failure.From(err).Outcome}, err
 		}
 		if err == nil || i >= len(addresses)-1 {
-			pause(ctx, min(time.Duration(i+1)*pauseStep, confirmPause))
+			pause.For(ctx, min(time.Duration(i+1)*pauseStep, confirmPause))
 		}
 	}
 	if err == nil {
@@ -129,7 +130,7 @@
 			return last
 		}
 		if i >= len(addresses)-1 {
-			pause(ctx, time.Duration(i)*pauseStep)
+			pause.For(ctx, time.Duration(i)*pauseStep)
 		}
 	}
 	if last == nil {
--- a/client/generate.go
+++ b/client/generate.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // GenerateRequest is one generation. ID must be unique to the request.
@@ -68,7 +69,7 @@
 		if len(s.request.Held) > held {
 			i = 0
 		}
-		pause(ctx, time.Duration(i)*pauseStep)
+		pause.For(ctx, time.Duration(i)*pauseStep)
 	}
 	if ctx.Err() != nil {
 		last = ctx.Err()
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
@@ -188,7 +189,7 @@
 // earlier try took effect, because nobody else uses the name.
 func (w *writing) putPart(ctx context.Context, name string, value []byte) error {
 	w.written = append(w.written, name)
-	for pause := settlePause; ; pause = min(2*pause, settlePauseMax) {
+	for backoff := settlePause; ; backoff = min(2*backoff, settlePauseMax) {
 		_, err := w.store.Put(ctx, PartKind, name, value, 0)
 		switch {
 		case err == nil || errors.Is(err, platform.ErrConflict):
@@ -199,7 +200,7 @@
 		if _, read := w.store.Get(ctx, PartKind, name); read == nil {
 			return nil
 		}
-		if !wait(ctx, pause) {
+		if !pause.For(ctx, backoff) {
 			return notAccepted(errors.Wrap(err, "put part"))
 		}
 	}
@@ -215,7 +216,7 @@
 		return Head{}, errors.WithStack(err)
 	}
 	unsure, lost := false, false
-	for pause := settlePause; ; pause = min(2*pause, settlePauseMax) {
+	for backoff := settlePause; ; backoff = min(2*backoff, settlePauseMax) {
 		_, err := w.store.Put(ctx, ObjectKind, HeadName, value, w.object)
 		switch {
 		case err == nil:
@@ -233,7 +234,7 @@
 				return w.settled(err)
 			}
 		}
-		if wait(ctx, pause) {
+		if pause.For(ctx, backoff) {
 			continue
 		}
 		if lost {
@@ -292,14 +293,3 @@
 		}
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/confirmation/pairs_route.go
+++ b/confirmation/pairs_route.go
@@ -12,6 +12,7 @@
 
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/peer"
 )
 
@@ -52,7 +53,7 @@
 		if err == nil && !a.NotOwner && a.Code != failure.Isolated {
 			return p.verdict(a)
 		}
-		pause(ctx, routePause)
+		pause.For(ctx, routePause)
 	}
 	if ctx.Err() != nil {
 		return Record{Key: key.Text, Outcome: failure.Unknown, RetryAfter: retryAfter}, nil
@@ -148,7 +149,7 @@
 // watchAsked ends the call when the daemon fails two probes or is another run.
 func (p *Pairs) watchAsked(ctx context.Context, cancel context.CancelCauseFunc, to Ref) {
 	for failed := 0; failed < silentProbes; {
-		pause(ctx, probeAfter)
+		pause.For(ctx, probeAfter)
 		if ctx.Err() != nil {
 			return
 		}
--- a/confirmation/pairs_write.go
+++ b/confirmation/pairs_write.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaroad/vanillaroad/control"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // Periods and bounds of writes to the map.
@@ -32,20 +33,11 @@
 		case <-p.wake:
 		}
 		for wait := p.writeOnce(); wait > 0 && p.ctx.Err() == nil; wait = p.writeOnce() {
-			pause(p.ctx, wait+rand.N(wait))
+			pause.For(p.ctx, wait+rand.N(wait))
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // writeOnce writes all proposals in one conditional update and returns how long
 // to wait before the next try, or 0 when none is left.
 func (p *Pairs) writeOnce() time.Duration {
@@ -183,7 +175,7 @@
 		case unwritten(err):
 			p.writeFirst(time.Since(started))
 		}
-		pause(p.ctx, foundersPeriod+rand.N(foundersPeriod))
+		pause.For(p.ctx, foundersPeriod+rand.N(foundersPeriod))
 	}
 }
 
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // Peers is how a hub speaks to the hubs of other daemons.
@@ -70,7 +71,7 @@
 		if _, done, _ := n.answer.snapshot(); done || err == nil && !taken.Kept {
 			return
 		}
-		sleep(ctx, takeOverPause)
+		pause.For(ctx, takeOverPause)
 	}
 }
 
@@ -83,15 +84,6 @@
 	return -1
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // TakenOver takes the notice that another daemon goes on with a request. A run
 // that no caller reads here ends without canceling its stream.
 func (h *Hub) TakenOver(t TakeOver) Taken {
@@ -151,7 +143,7 @@
 			r.Held, r.Cursor = l.Tokens, l.Cursor
 			return r, before
 		}
-		sleep(ctx, locatePause)
+		pause.For(ctx, locatePause)
 	}
 	return r, ""
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // Site names the processes that a load meets. All addresses are IP:port.
@@ -49,7 +51,7 @@
 func RunIdle(ctx context.Context, d time.Duration, site Site) Phase {
 	w := watchSite(ctx, site, 0)
 	start := time.Now()
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	took := time.Since(start)
 	return newPhase(idlePhase, 0, took, newMeter(0), w.end(ctx))
 }
@@ -71,7 +73,7 @@
 	defer wg.Wait()
 	start := time.Now()
 	for _, i := range plan {
-		if !sleep(ctx, time.Until(start.Add(i.At))) {
+		if !pause.For(ctx, time.Until(start.Add(i.At))) {
 			return
 		}
 		wg.Add(1)
@@ -95,15 +97,3 @@
 	answer, err := c.generate(ctx, i, func(t time.Time) { at = append(at, t) })
 	m.answered(i, sent, at, answer, err)
 }
-
-// sleep returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/internal/standin"
 )
 
@@ -68,7 +69,7 @@
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
-		for sleep(ctx, period) {
+		for pause.For(ctx, period) {
 			r.poll(ctx)
 		}
 	}()
--- /dev/null
+++ b/internal/pause/pause_test.go
@@ -0,0 +1,18 @@
+package pause
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestFor(t *testing.T) {
+	Convey("A wait ends with its time, or with its context", t, func() {
+		So(For(context.Background(), time.Nanosecond), ShouldBeTrue)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		So(For(ctx, time.Hour), ShouldBeFalse)
+	})
+}
--- a/node/admit.go
+++ b/node/admit.go
@@ -7,6 +7,7 @@
 
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/membership"
 )
 
@@ -65,7 +66,7 @@
 	out := make(chan *permit)
 	n.spawn(func() {
 		for range maxLenders {
-			sleep(ctx, q.patience())
+			pause.For(ctx, q.patience())
 			if ctx.Err() != nil {
 				return
 			}
--- a/node/api_confirmations.go
+++ b/node/api_confirmations.go
@@ -12,10 +12,8 @@
 type confirmationsAPI struct{ n *Node }
 
 func confirmationFailure(e *failure.Error) error {
-	return &gen.Failure{
-		Name: class(e), Code: string(e.Code), Message: e.Message, Outcome: string(e.Outcome),
-		RetryAfterMs: e.RetryAfter.Milliseconds(), Step: e.Step, Peer: e.Peer, Addresses: e.Addresses,
-	}
+	f := gen.Failure(wireFailure(e))
+	return &f
 }
 
 // confirmRefusal returns why this daemon takes no calls, or nil. It can't say
--- a/node/api_failure.go
+++ b/node/api_failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/vanillaroad/vanillaroad/failure"
+	gen "github.com/vanillaroad/vanillaroad/gen/operations"
 )
 
 // status class names of the design's errors.
@@ -32,6 +33,15 @@
 	}
 }
 
+// wireFailure returns e as the API sends it. goa declares the same type once a
+// service; the others convert from this one.
+func wireFailure(e *failure.Error) gen.Failure {
+	return gen.Failure{
+		Name: class(e), Code: string(e.Code), Message: e.Message, Outcome: string(e.Outcome),
+		RetryAfterMs: e.RetryAfter.Milliseconds(), Step: e.Step, Peer: e.Peer, Addresses: e.Addresses,
+	}
+}
+
 // refusal returns why this daemon takes no new work, or nil.
 func (n *Node) refusal() *failure.Error {
 	view := n.view.Load()
--- a/node/api_generations.go
+++ b/node/api_generations.go
@@ -16,10 +16,8 @@
 type generationsAPI struct{ n *Node }
 
 func generationFailure(e *failure.Error) error {
-	return &gen.Failure{
-		Name: class(e), Code: string(e.Code), Message: e.Message, Outcome: string(e.Outcome),
-		RetryAfterMs: e.RetryAfter.Milliseconds(), Step: e.Step, Peer: e.Peer, Addresses: e.Addresses,
-	}
+	f := gen.Failure(wireFailure(e))
+	return &f
 }
 
 var priorities = map[string]target.Priority{"urgent": target.Urgent, "normal": target.Normal, "batch": target.Batch}
--- a/node/api_operations.go
+++ b/node/api_operations.go
@@ -22,10 +22,8 @@
 type operationsAPI struct{ n *Node }
 
 func operationFailure(e *failure.Error) error {
-	return &gen.Failure{
-		Name: class(e), Code: string(e.Code), Message: e.Message, Outcome: string(e.Outcome),
-		RetryAfterMs: e.RetryAfter.Milliseconds(), Step: e.Step, Peer: e.Peer, Addresses: e.Addresses,
-	}
+	f := gen.Failure(wireFailure(e))
+	return &f
 }
 
 // writeTimeout bounds a write with the settling of lost answers, waitMax the
--- a/node/borrow.go
+++ b/node/borrow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/membership"
 )
 
@@ -62,7 +63,7 @@
 			n.giveUp(lender, m.Nonce)
 			return nil, failure.New(failure.NoTarget, q.outcome(), "borrow", lender.ID, "the daemon did not decide").After(retryAfter)
 		}
-		sleep(ctx, borrowPause)
+		pause.For(ctx, borrowPause)
 	}
 }
 
@@ -106,6 +107,6 @@
 		if err == nil || n.background.Err() != nil || n.view.Load().Gone(lender.ID, lender.Incarnation) {
 			return
 		}
-		sleep(n.background, returnPause)
+		pause.For(n.background, returnPause)
 	}
 }
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -12,6 +12,7 @@
 
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/platform"
@@ -107,10 +108,10 @@
 // none.
 func (v *versions) watch(ctx context.Context) {
 	var since int64
-	pause := watchRetry
+	backoff := watchRetry
 	for ctx.Err() == nil {
 		if !v.n.members.listing.watching() {
-			sleep(ctx, roleCheck)
+			pause.For(ctx, roleCheck)
 			continue
 		}
 		objects, revision, err := v.n.platform.Watch(ctx, configuration.ObjectKind, since)
@@ -119,11 +120,11 @@
 		}
 		v.n.notePlatform(err)
 		if err != nil {
-			sleep(ctx, jitter(pause))
-			pause = min(2*pause, watchRetryMax)
+			pause.For(ctx, jitter(backoff))
+			backoff = min(2*backoff, watchRetryMax)
 			continue
 		}
-		since, pause = revision, watchRetry
+		since, backoff = revision, watchRetry
 		v.n.members.tell(membership.PlatformSeen{})
 		for _, o := range objects {
 			v.readHead(ctx, o)
@@ -216,15 +217,6 @@
 	return v.load(ctx, head)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // platformState remembers whether the platform answered last.
 type platformState struct{ down atomic.Bool }
 
--- a/node/configuration_wait.go
+++ b/node/configuration_wait.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/configuration"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/peer"
 )
@@ -52,7 +53,7 @@
 		lagging = v.lagging(ctx, req.Version, req.Rest, req.Budget*3/4)
 	}
 	for end := time.Now().Add(min(inForceHold, req.Budget/8)); v.n.snapshot.Load().Version < req.Version && time.Now().Before(end); {
-		sleep(ctx, inForceHold/10)
+		pause.For(ctx, inForceHold/10)
 	}
 	if v.n.snapshot.Load().Version < req.Version {
 		lagging = append(lagging, v.n.self.ID)
@@ -96,7 +97,7 @@
 			sort.Strings(lagging)
 			return lagging
 		}
-		sleep(ctx, inForcePause)
+		pause.For(ctx, inForcePause)
 	}
 }
 
--- a/node/confirmations.go
+++ b/node/confirmations.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/vanillaroad/vanillaroad/confirmation"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/membership"
 )
 
@@ -59,6 +60,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
 	defer cancel()
 	for ctx.Err() == nil && !p.Free(ctx) {
-		sleep(ctx, drainPoll)
+		pause.For(ctx, drainPoll)
 	}
 }
--- a/node/listing.go
+++ b/node/listing.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/platform"
@@ -28,7 +29,7 @@
 	readerFor = 10 * time.Second
 	// newsFresh is the age of news beyond which another reader is asked.
 	newsFresh = 3 * time.Second
-	// ownReadEvery is the pause between own reads of a daemon that no reader
+	// ownReadEvery is the time between own reads of a daemon that no reader
 	// answers, and fleetReads the number of such reads a second in the fleet.
 	ownReadEvery = 2 * time.Second
 	fleetReads   = 20
@@ -127,21 +128,21 @@
 }
 
 func (l *listingReader) run(ctx context.Context) {
-	pause := vmPollPeriod
+	backoff := vmPollPeriod
 	_ = l.read(ctx)
 	for ctx.Err() == nil {
 		if !l.reading() {
 			l.poll(ctx)
-			pause = vmPollPeriod
-			sleep(ctx, jitter(listingPollPeriod))
+			backoff = vmPollPeriod
+			pause.For(ctx, jitter(listingPollPeriod))
 			continue
 		}
 		if l.read(ctx) == nil {
-			pause = vmPollPeriod
+			backoff = vmPollPeriod
 		} else {
-			pause = min(2*pause, vmPollMax)
+			backoff = min(2*backoff, vmPollMax)
 		}
-		sleep(ctx, jitter(pause))
+		pause.For(ctx, jitter(backoff))
 	}
 }
 
--- a/node/membership.go
+++ b/node/membership.go
@@ -12,6 +12,7 @@
 
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/trace"
@@ -197,7 +198,7 @@
 				return
 			}
 		}
-		sleep(ctx, seedRetry)
+		pause.For(ctx, seedRetry)
 	}
 }
 
--- a/node/placement_orders.go
+++ b/node/placement_orders.go
@@ -10,6 +10,7 @@
 
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/placement"
 )
 
@@ -29,7 +30,7 @@
 		for _, s := range plan {
 			o.send(name, fencing, s)
 		}
-		sleep(o.ctx, orderPeriod)
+		pause.For(o.ctx, orderPeriod)
 	}
 }
 
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/generation"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/quarantine"
 )
@@ -74,7 +75,7 @@
 		if v.Wait == 0 {
 			return v.Refused
 		}
-		sleep(ctx, v.Wait)
+		pause.For(ctx, v.Wait)
 	}
 }
 
