--- a/confirmation/pairs_write.go
+++ b/confirmation/pairs_write.go
@@ -18,6 +18,7 @@
 const (
 	writeRetry     = 300 * time.Millisecond // wait after a failed write, plus as much jitter
 	conflictRetry  = 20 * time.Millisecond  // wait after a lost race, plus as much jitter
+	maxDoublings   = 3                      // of a wait, by failures in a row
 	foundersWait   = 3 * time.Second        // longest wait for all daemons before the first map
 	foundersPeriod = 200 * time.Millisecond
 	candidateCount = 16 // daemons looked at for a new second or third
@@ -32,35 +33,50 @@
 			return
 		case <-p.wake:
 		}
-		for wait := p.writeOnce(); wait > 0 && p.ctx.Err() == nil; wait = p.writeOnce() {
-			pause.For(p.ctx, wait+rand.N(wait))
+		p.writeAll()
+	}
+}
+
+// writeAll writes until no proposal is left. Each failure in a row doubles the
+// wait, so that daemons which race after an outage spread out.
+func (p *Pairs) writeAll() {
+	for failures := 0; p.ctx.Err() == nil; {
+		wait, written := p.writeOnce()
+		if wait == 0 {
+			return
+		}
+		wait <<= min(failures, maxDoublings)
+		failures++
+		if written {
+			failures = 0
 		}
+		pause.For(p.ctx, wait+rand.N(wait))
 	}
 }
 
 // writeOnce writes all proposals in one conditional update and returns how long
-// to wait before the next try, or 0 when none is left.
-func (p *Pairs) writeOnce() time.Duration {
+// to wait before the next try, or 0 when none is left, and whether it wrote.
+func (p *Pairs) writeOnce() (wait time.Duration, written bool) {
 	wanted, err := control.Ask(p.ctx, p.Loop, func(time.Time) []Shard { return p.wanted() })
 	if err != nil || len(wanted) == 0 {
-		return 0
+		return 0, false
 	}
 	m, version, err := p.readMap(p.ctx)
 	if err != nil {
-		return writeRetry
+		return writeRetry, false
 	}
 	changed := p.apply(&m, wanted)
 	if len(changed) == 0 {
 		// What was proposed is overtaken, or nobody can be second yet.
 		p.adopt(m)
-		return writeRetry
+		return writeRetry, false
 	}
 	if err := p.writeMap(m, version); err != nil {
-		return conflictRetry
+		return conflictRetry, false
 	}
 	p.adopt(m)
 	p.push(changed)
-	return conflictRetry
+	return conflictRetry, true
 }
 
 // wanted returns the proposals in order. It runs on the loop.
