--- a/routing/balance.go
+++ b/routing/balance.go
@@ -1,7 +1,7 @@
 package routing
 
 // Bounded drops candidates whose load exceeds the mean by a factor and a slack,
-// so that a cached prefix that many prompts share does not drown one target.
+// so that a cached prefix that many prompts share does not overload one target.
 type Bounded struct {
 	Factor float64
 	Slack  float64 // in loads, see Candidate.Load
