node: other homes are asked only once a request has waited; spawn is safe at the end

Read of the whole change: admit began a goroutine and a timer for every request, granted at once or not; it begins one now after the wait. That made a fault visible: go test -race ./node failed (WaitGroup.Add in spawn while a stopping daemon was in Wait, from a request still queued), which was there before. Ruled out: the transport, which has its own check. spawn now runs nothing once the daemon waits, as in peer.

--- a/node/admit.go
+++ b/node/admit.go
@@ -38,20 +38,26 @@
 	}
 	asking, stop := context.WithCancel(ctx)
 	defer stop()
-	free := n.askElsewhere(asking, q)
-	select {
-	case r := <-p.reply:
-		stop()
-		if len(r.lenders) > 0 {
-			return n.borrow(ctx, q, r.lenders)
+	waited := time.NewTimer(q.patience())
+	defer waited.Stop()
+	var free <-chan *permit // nil until this daemon's queue took too long
+	for {
+		select {
+		case r := <-p.reply:
+			stop()
+			if len(r.lenders) > 0 {
+				return n.borrow(ctx, q, r.lenders)
+			}
+			return r.permit, r.refused
+		case <-waited.C:
+			free = n.askElsewhere(asking, q)
+		case borrowed := <-free:
+			n.withdraw(p)
+			return borrowed, nil
+		case <-ctx.Done():
+			n.withdraw(p)
+			return nil, failure.Wrap(ctx.Err(), failure.Canceled, p.outcome(), "admit", "")
 		}
-		return r.permit, r.refused
-	case borrowed := <-free:
-		n.withdraw(p)
-		return borrowed, nil
-	case <-ctx.Done():
-		n.withdraw(p)
-		return nil, failure.Wrap(ctx.Err(), failure.Canceled, p.outcome(), "admit", "")
 	}
 }
 
@@ -65,9 +71,8 @@
 func (n *Node) askElsewhere(ctx context.Context, q ask) <-chan *permit {
 	out := make(chan *permit)
 	n.spawn(func() {
-		for range maxLenders {
-			pause.For(ctx, q.patience())
-			if ctx.Err() != nil {
+		for i := range maxLenders {
+			if i > 0 && !pause.For(ctx, q.patience()) {
 				return
 			}
 			if p := n.borrowFree(ctx, q); p != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,8 @@
 	listener net.Listener
 	server   *http.Server
 	wg       sync.WaitGroup
+	spawning sync.Mutex
+	waiting  bool // under spawning; nothing is added to wg from now on
 }
 
 // New binds the daemon's addresses and connects its slices. Nothing runs yet.
@@ -148,12 +150,23 @@
 	return errors.Wrap(err, "serve callers")
 }
 
+// spawn runs fn on a goroutine that the daemon waits for when it stops. Once it
+// waits, nothing more is run.
 func (n *Node) spawn(fn func()) {
-	n.wg.Add(1)
-	go func() {
-		defer n.wg.Done()
-		fn()
-	}()
+	n.spawning.Lock()
+	defer n.spawning.Unlock()
+	if n.waiting {
+		return
+	}
+	n.wg.Go(fn)
+}
+
+// wait ends spawning and waits for what runs.
+func (n *Node) wait() {
+	n.spawning.Lock()
+	n.waiting = true
+	n.spawning.Unlock()
+	n.wg.Wait()
 }
 
 // closeTimeout bounds the wait for idle connections of callers.
@@ -168,7 +181,7 @@
 	n.hub.Close()
 	stop()
 	n.transport.Close()
-	n.wg.Wait()
+	n.wait()
 	n.platform.Close()
 	n.targets.close()
 }
