--- a/configuration/load.go
+++ b/configuration/load.go
@@ -10,13 +10,13 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
 // ErrNoVersion is returned for a version that the history does not hold.
 var ErrNoVersion = errors.New("version is not in the accepted history")
 
-func readPart(ctx context.Context, store platform.Store, r Ref) ([]byte, error) {
+func readPart(ctx context.Context, store objectstore.Store, r Ref) ([]byte, error) {
 	o, err := store.Get(ctx, PartKind, r.Name)
 	if err != nil {
 		return nil, errors.Wrapf(err, "read part %s", r.Name)
@@ -27,7 +27,7 @@
 	return o.Value, nil
 }
 
-func readManifest(ctx context.Context, store platform.Store, r Ref) (Manifest, error) {
+func readManifest(ctx context.Context, store objectstore.Store, r Ref) (Manifest, error) {
 	var m Manifest
 	b, err := readPart(ctx, store, r)
 	if err != nil {
@@ -38,7 +38,7 @@
 
 // readVersion reads the manifest and document that r names. Parts that have,
 // a document known already, holds too are not read.
-func readVersion(ctx context.Context, store platform.Store, r Ref, have *Document) (Manifest, Document, error) {
+func readVersion(ctx context.Context, store objectstore.Store, r Ref, have *Document) (Manifest, Document, error) {
 	m, err := readManifest(ctx, store, r)
 	if err != nil {
 		return m, Document{}, err
@@ -63,7 +63,7 @@
 
 // Load makes the snapshot of head from the one that is known: by the head's
 // delta, or by reading the parts that differ.
-func Load(ctx context.Context, store platform.Store, head Head, have *Snapshot) (*Snapshot, error) {
+func Load(ctx context.Context, store objectstore.Store, head Head, have *Snapshot) (*Snapshot, error) {
 	if s, err := have.Next(head); err == nil {
 		return s, nil
 	}
@@ -75,7 +75,7 @@
 }
 
 // History returns the accepted versions, newest first.
-func History(ctx context.Context, store platform.Store) ([]Entry, error) {
+func History(ctx context.Context, store objectstore.Store) ([]Entry, error) {
 	head, _, err := ReadHead(ctx, store)
 	if err != nil || head.Version == 0 {
 		return nil, err
@@ -85,7 +85,7 @@
 }
 
 // ReadVersion returns the document of an accepted version, or ErrNoVersion.
-func ReadVersion(ctx context.Context, store platform.Store, version int64) (Document, error) {
+func ReadVersion(ctx context.Context, store objectstore.Store, version int64) (Document, error) {
 	entries, err := History(ctx, store)
 	if err != nil {
 		return Document{}, err
@@ -104,7 +104,7 @@
 
 // Sweep removes parts that no kept version refers to: those of writers that
 // died under way. It returns how many it removed.
-func Sweep(ctx context.Context, store platform.Store) (int, error) {
+func Sweep(ctx context.Context, store objectstore.Store) (int, error) {
 	head, _, err := ReadHead(ctx, store)
 	if err != nil || head.Version == 0 {
 		return 0, err
@@ -133,7 +133,7 @@
 
 // orphans returns the names of old parts that m's versions don't refer to. A
 // younger part may belong to a write that is under way.
-func orphans(objects []platform.Object, m Manifest, version int64) []string {
+func orphans(objects []objectstore.Object, m Manifest, version int64) []string {
 	used := make(map[string]bool)
 	for _, p := range m.Parts {
 		used[p.Name] = true
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaroad/vanillaroad/internal/pause"
-	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
 // ErrNotWritten is wrapped by errors that arose before anything was asked of the
@@ -47,7 +47,7 @@
 	Known *Document
 }
 
-// ConflictError tells which version won. It wraps platform.ErrConflict.
+// ConflictError tells which version won. It wraps objectstore.ErrConflict.
 type ConflictError struct{ Winner Head }
 
 // Error implements error.
@@ -55,14 +55,14 @@
 	return fmt.Sprintf("version %d by %q won at %s", e.Winner.Version, e.Winner.Author, e.Winner.At.Format(time.RFC3339))
 }
 
-// Unwrap lets errors.Is find platform.ErrConflict.
-func (e *ConflictError) Unwrap() error { return platform.ErrConflict }
+// Unwrap lets errors.Is find objectstore.ErrConflict.
+func (e *ConflictError) Unwrap() error { return objectstore.ErrConflict }
 
 // ReadHead returns the newest accepted head and the version of its object, or
 // a zero head when there is none.
-func ReadHead(ctx context.Context, store platform.Store) (Head, int64, error) {
+func ReadHead(ctx context.Context, store objectstore.Store) (Head, int64, error) {
 	o, err := store.Get(ctx, ObjectKind, HeadName)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
@@ -80,9 +80,9 @@
 }
 
 // Write puts a new version on top of c.Base. Its errors wrap
-// platform.ErrConflict (a ConflictError), platform.ErrUnavailable or
-// ErrNotWritten, with which nothing was accepted, or platform.ErrUnknown.
-func Write(ctx context.Context, store platform.Store, c Change) (Head, error) {
+// objectstore.ErrConflict (a ConflictError), objectstore.ErrUnavailable or
+// ErrNotWritten, with which nothing was accepted, or objectstore.ErrUnknown.
+func Write(ctx context.Context, store objectstore.Store, c Change) (Head, error) {
 	old, object, err := ReadHead(ctx, store)
 	if err != nil {
 		return Head{}, notAccepted(errors.Wrap(err, "read head"))
@@ -99,7 +99,7 @@
 	switch {
 	case err == nil:
 		w.collect(ctx, w.garbage)
-	case errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrUnavailable):
 		w.discard(ctx)
 	}
 	return head, err
@@ -128,7 +128,7 @@
 
 // writing is one write under way.
 type writing struct {
-	store   platform.Store
+	store   objectstore.Store
 	change  Change
 	object  int64 // version of the head object to replace
 	head    Head
@@ -177,10 +177,10 @@
 // notAccepted turns an error from before the head was put into one that says so.
 func notAccepted(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrConflict) || errors.Is(err, ErrNotWritten):
+	case errors.Is(err, objectstore.ErrUnavailable) || errors.Is(err, objectstore.ErrConflict) || errors.Is(err, ErrNotWritten):
 		return err
-	case errors.Is(err, platform.ErrUnknown) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled):
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+	case errors.Is(err, objectstore.ErrUnknown) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled):
+		return errors.Wrap(objectstore.ErrUnavailable, err.Error())
 	}
 	return errors.Wrap(ErrNotWritten, err.Error())
 }
@@ -192,9 +192,9 @@
 	for backoff := settlePause; ; backoff = min(2*backoff, settlePauseMax) {
 		_, err := w.store.Put(ctx, PartKind, name, value, 0)
 		switch {
-		case err == nil || errors.Is(err, platform.ErrConflict):
+		case err == nil || errors.Is(err, objectstore.ErrConflict):
 			return nil
-		case !errors.Is(err, platform.ErrUnknown):
+		case !errors.Is(err, objectstore.ErrUnknown):
 			return notAccepted(errors.Wrap(err, "put part"))
 		}
 		if _, read := w.store.Get(ctx, PartKind, name); read == nil {
@@ -221,14 +221,14 @@
 		switch {
 		case err == nil:
 			return w.head, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, objectstore.ErrConflict):
 			lost = lost || !unsure // no earlier try can have taken effect
 			if done, err := w.settle(ctx); done {
 				return w.settled(err)
 			}
-		case errors.Is(err, platform.ErrUnavailable) && !unsure && !lost:
+		case errors.Is(err, objectstore.ErrUnavailable) && !unsure && !lost:
 			return Head{}, errors.Wrap(err, "put head")
-		case errors.Is(err, platform.ErrUnknown):
+		case errors.Is(err, objectstore.ErrUnknown):
 			unsure = true
 			if done, err := w.settle(ctx); done {
 				return w.settled(err)
@@ -238,9 +238,9 @@
 			continue
 		}
 		if lost {
-			return Head{}, errors.Wrap(platform.ErrConflict, "another version won")
+			return Head{}, errors.Wrap(objectstore.ErrConflict, "another version won")
 		}
-		return Head{}, errors.Wrap(platform.ErrUnknown, "the platform did not tell before the deadline")
+		return Head{}, errors.Wrap(objectstore.ErrUnknown, "the platform did not tell before the deadline")
 	}
 }
 
@@ -288,7 +288,7 @@
 	defer cancel()
 	const firstVersion = 1 // parts are written once
 	for _, n := range names {
-		if err := w.store.Delete(ctx, PartKind, n, firstVersion); errors.Is(err, platform.ErrUnavailable) {
+		if err := w.store.Delete(ctx, PartKind, n, firstVersion); errors.Is(err, objectstore.ErrUnavailable) {
 			return
 		}
 	}
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -14,7 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
-	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
 // fault is what happens to one write call of a store.
@@ -32,7 +32,7 @@
 
 // memoryStore is a store with scripted faults.
 type memoryStore struct {
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	script  []fault
 	late    []func()
 	deaf    int // reads still to refuse
@@ -40,23 +40,23 @@
 	reads   int
 }
 
-func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]platform.Object)} }
+func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]objectstore.Object)} }
 
-func (m *memoryStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+func (m *memoryStore) Get(_ context.Context, kind, name string) (objectstore.Object, error) {
 	m.reads++
 	if m.deaf > 0 {
 		m.deaf--
-		return platform.Object{}, errors.WithStack(platform.ErrUnavailable)
+		return objectstore.Object{}, errors.WithStack(objectstore.ErrUnavailable)
 	}
 	o, ok := m.objects[kind+"/"+name]
 	if !ok {
-		return o, errors.WithStack(platform.ErrNotFound)
+		return o, errors.WithStack(objectstore.ErrNotFound)
 	}
 	return o, nil
 }
 
-func (m *memoryStore) List(_ context.Context, kind string) ([]platform.Object, int64, error) {
-	var out []platform.Object
+func (m *memoryStore) List(_ context.Context, kind string) ([]objectstore.Object, int64, error) {
+	var out []objectstore.Object
 	for _, o := range m.objects {
 		if o.Kind == kind {
 			out = append(out, o)
@@ -66,11 +66,11 @@
 	return out, 0, nil
 }
 
-func (m *memoryStore) Watch(context.Context, string, int64) ([]platform.Object, int64, error) {
-	return nil, 0, errors.WithStack(platform.ErrUnavailable)
+func (m *memoryStore) Watch(context.Context, string, int64) ([]objectstore.Object, int64, error) {
+	return nil, 0, errors.WithStack(objectstore.ErrUnavailable)
 }
 
-func (m *memoryStore) Put(_ context.Context, kind, name string, value json.RawMessage, expected int64) (platform.Object, error) {
+func (m *memoryStore) Put(_ context.Context, kind, name string, value json.RawMessage, expected int64) (objectstore.Object, error) {
 	late := m.late
 	m.late = nil
 	f := none
@@ -82,29 +82,29 @@
 			fn()
 		}
 	}()
-	effect := func() (platform.Object, error) {
+	effect := func() (objectstore.Object, error) {
 		key := kind + "/" + name
 		if m.objects[key].Version != expected {
-			return platform.Object{}, errors.WithStack(platform.ErrConflict)
+			return objectstore.Object{}, errors.WithStack(objectstore.ErrConflict)
 		}
-		m.objects[key] = platform.Object{Kind: kind, Name: name, Version: expected + 1, Value: value}
+		m.objects[key] = objectstore.Object{Kind: kind, Name: name, Version: expected + 1, Value: value}
 		return m.objects[key], nil
 	}
 	switch f {
 	case unavailable:
-		return platform.Object{}, errors.WithStack(platform.ErrUnavailable)
+		return objectstore.Object{}, errors.WithStack(objectstore.ErrUnavailable)
 	case loseAnswer:
 		_, _ = effect()
-		return platform.Object{}, errors.WithStack(platform.ErrUnknown)
+		return objectstore.Object{}, errors.WithStack(objectstore.ErrUnknown)
 	case loseRequest:
-		return platform.Object{}, errors.WithStack(platform.ErrUnknown)
+		return objectstore.Object{}, errors.WithStack(objectstore.ErrUnknown)
 	case delay:
 		m.late = append(m.late, func() { _, _ = effect() })
-		return platform.Object{}, errors.WithStack(platform.ErrUnknown)
+		return objectstore.Object{}, errors.WithStack(objectstore.ErrUnknown)
 	case blind:
 		m.deaf = 3
 		_, _ = effect()
-		return platform.Object{}, errors.WithStack(platform.ErrUnknown)
+		return objectstore.Object{}, errors.WithStack(objectstore.ErrUnknown)
 	case compete:
 		if rival := m.rival; rival != nil {
 			script := m.script
@@ -118,7 +118,7 @@
 
 func (m *memoryStore) Delete(_ context.Context, kind, name string, expected int64) error {
 	if m.objects[kind+"/"+name].Version != expected {
-		return errors.WithStack(platform.ErrNotFound)
+		return errors.WithStack(objectstore.ErrNotFound)
 	}
 	delete(m.objects, kind+"/"+name)
 	return nil
@@ -141,7 +141,7 @@
 	return d.Canonical()
 }
 
-type writer func(ctx context.Context, store platform.Store, c Change) (Head, error)
+type writer func(ctx context.Context, store objectstore.Store, c Change) (Head, error)
 
 // outcome is how one write ended.
 type outcome struct {
@@ -185,7 +185,7 @@
 	return promises(ctx, store, results)
 }
 
-func promises(ctx context.Context, store platform.Store, results []outcome) error {
+func promises(ctx context.Context, store objectstore.Store, results []outcome) error {
 	entries, err := History(ctx, store)
 	if err != nil {
 		return err
@@ -202,7 +202,7 @@
 		switch {
 		case r.err == nil && version != r.head.Version:
 			return errors.Errorf("%s was told version %d, the history says %d", r.id, r.head.Version, version)
-		case (errors.Is(r.err, platform.ErrConflict) || errors.Is(r.err, platform.ErrUnavailable)) && in:
+		case (errors.Is(r.err, objectstore.ErrConflict) || errors.Is(r.err, objectstore.ErrUnavailable)) && in:
 			return errors.Errorf("%s was told %v, but its version %d was accepted", r.id, r.err, version)
 		}
 	}
@@ -231,7 +231,7 @@
 // unconditional is a store that ignores the expected version of heads.
 type unconditional struct{ *memoryStore }
 
-func (u unconditional) Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (platform.Object, error) {
+func (u unconditional) Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (objectstore.Object, error) {
 	if kind == ObjectKind {
 		expected = u.objects[kind+"/"+name].Version
 	}
@@ -242,9 +242,9 @@
 // does.
 type tooLarge struct{ *memoryStore }
 
-func (s tooLarge) Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (platform.Object, error) {
-	if len(value) > platform.MaxValueBytes {
-		return platform.Object{}, errors.New("too large")
+func (s tooLarge) Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (objectstore.Object, error) {
+	if len(value) > objectstore.MaxValueBytes {
+		return objectstore.Object{}, errors.New("too large")
 	}
 	return s.memoryStore.Put(ctx, kind, name, value, expected)
 }
@@ -253,27 +253,27 @@
 // read back shows no change.
 type onePut struct{ *memoryStore }
 
-func (s onePut) Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (platform.Object, error) {
+func (s onePut) Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (objectstore.Object, error) {
 	o, err := s.memoryStore.Put(ctx, kind, name, value, expected)
-	if errors.Is(err, platform.ErrUnknown) && s.objects[kind+"/"+name].Version == expected {
-		return o, errors.WithStack(platform.ErrUnavailable)
+	if errors.Is(err, objectstore.ErrUnknown) && s.objects[kind+"/"+name].Version == expected {
+		return o, errors.WithStack(objectstore.ErrUnavailable)
 	}
 	return o, err
 }
 
 func TestBrokenWritersAreCaught(t *testing.T) {
 	mutants := map[string]writer{
-		"calls an unknown outcome not run": func(ctx context.Context, store platform.Store, c Change) (Head, error) {
+		"calls an unknown outcome not run": func(ctx context.Context, store objectstore.Store, c Change) (Head, error) {
 			head, err := Write(ctx, store, c)
-			if errors.Is(err, platform.ErrUnknown) {
-				err = platform.ErrUnavailable
+			if errors.Is(err, objectstore.ErrUnknown) {
+				err = objectstore.ErrUnavailable
 			}
 			return head, err
 		},
-		"writes without condition": func(ctx context.Context, store platform.Store, c Change) (Head, error) {
+		"writes without condition": func(ctx context.Context, store objectstore.Store, c Change) (Head, error) {
 			return Write(ctx, unconditional{store.(*memoryStore)}, c)
 		},
-		"trusts one read back": func(ctx context.Context, store platform.Store, c Change) (Head, error) {
+		"trusts one read back": func(ctx context.Context, store objectstore.Store, c Change) (Head, error) {
 			return Write(ctx, onePut{store.(*memoryStore)}, c)
 		},
 	}
@@ -293,7 +293,7 @@
 
 func TestWrite(t *testing.T) {
 	ctx := context.Background()
-	write := func(store platform.Store, id string, base int64, d Document) (Head, error) {
+	write := func(store objectstore.Store, id string, base int64, d Document) (Head, error) {
 		return Write(ctx, store, Change{WriteID: id, Author: id, Document: d, Base: base})
 	}
 	Convey("Given a store with one version", t, func() {
@@ -309,7 +309,7 @@
 		})
 		Convey("a part that exceeds one value is refused as not written", func() {
 			d := document(1)
-			d.Services[0].Rules = []Rule{{Match: strings.Repeat("x", platform.MaxValueBytes), Selector: "s=pisar"}}
+			d.Services[0].Rules = []Rule{{Match: strings.Repeat("x", objectstore.MaxValueBytes), Selector: "s=pisar"}}
 			_, err := write(tooLarge{store}, "big", 1, d)
 			So(errors.Is(err, ErrNotWritten), ShouldBeTrue)
 		})
@@ -371,11 +371,11 @@
 			d.Workspaces = append(d.Workspaces, Workspace{Name: fmt.Sprintf("w%05d", i), Weight: 1})
 		}
 		d = d.Canonical()
-		So(len(encode(d)), ShouldBeGreaterThan, platform.MaxValueBytes)
+		So(len(encode(d)), ShouldBeGreaterThan, objectstore.MaxValueBytes)
 		head, err := write(store, "ana", 0, d)
 		So(err, ShouldBeNil)
 		for _, o := range store.objects {
-			So(len(o.Value) < platform.MaxValueBytes, ShouldBeTrue)
+			So(len(o.Value) < objectstore.MaxValueBytes, ShouldBeTrue)
 		}
 		empty, _ := NewSnapshot(0, Document{})
 		s, err := Load(ctx, store, head, empty)
--- a/confirmation/assignment_test.go
+++ b/confirmation/assignment_test.go
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
-	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
 func drawDaemons(t *rapid.T, least, most int) []Ref {
@@ -75,7 +75,7 @@
 		So(err, ShouldBeNil)
 		b, err := json.Marshal(m)
 		So(err, ShouldBeNil)
-		So(len(b), ShouldBeLessThan, platform.MaxValueBytes)
+		So(len(b), ShouldBeLessThan, objectstore.MaxValueBytes)
 		So(m.load(), ShouldHaveLength, len(daemons))
 		back, err := DecodeMap(b)
 		So(err, ShouldBeNil)
--- a/confirmation/pairs.go
+++ b/confirmation/pairs.go
@@ -11,8 +11,8 @@
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/peer"
-	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/trace"
 )
 
@@ -39,7 +39,7 @@
 	Settings   Settings
 	Loop       *control.Loop
 	Transport  *peer.Transport
-	Store      platform.Store
+	Store      objectstore.Store
 	View       func() *membership.View
 	Dispatcher Dispatcher
 	Events     *event.Recorder
--- a/confirmation/pairs_map.go
+++ b/confirmation/pairs_map.go
@@ -9,8 +9,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/peer"
-	"github.com/vanillaroad/vanillaroad/platform"
 )
 
 // No daemon watches the map. Whoever writes an epoch sends it to the daemons it
@@ -199,4 +199,4 @@
 }
 
 // unwritten tells whether the platform has no map yet.
-func unwritten(err error) bool { return errors.Is(err, platform.ErrNotFound) }
+func unwritten(err error) bool { return errors.Is(err, objectstore.ErrNotFound) }
--- a/confirmation/writes.go
+++ b/confirmation/writes.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaroad/vanillaroad/failure"
-	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
 // RecordKind is the kind of the platform objects that Writes keeps.
@@ -20,7 +20,7 @@
 // platform object before each dispatch and the outcome after it. It stands still
 // while the platform is out, and its cost in platform calls grows with traffic.
 type Writes struct {
-	store      platform.Store
+	store      objectstore.Store
 	dispatcher Dispatcher
 }
 
@@ -33,7 +33,7 @@
 }
 
 // NewWrites returns a service that keeps its records in store.
-func NewWrites(store platform.Store, d Dispatcher) *Writes {
+func NewWrites(store objectstore.Store, d Dispatcher) *Writes {
 	return &Writes{store: store, dispatcher: d}
 }
 
@@ -50,7 +50,7 @@
 	v := written{Digest: digestOf(r), Record: Record{Key: r.Key, Outcome: failure.Unknown, RetryAfter: retryAfter}}
 	object, err := w.put(ctx, r.Key, v, 0)
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return w.read(ctx, r.Key, v.Digest)
 	case err != nil:
 		return Record{}, failure.Wrap(err, failure.PlatformDown, failure.Unknown, "write intent", "platform").After(retryAfter)
@@ -62,10 +62,10 @@
 	return v.Record, nil
 }
 
-func (w *Writes) put(ctx context.Context, key string, v written, version int64) (platform.Object, error) {
+func (w *Writes) put(ctx context.Context, key string, v written, version int64) (objectstore.Object, error) {
 	b, err := json.Marshal(v)
 	if err != nil {
-		return platform.Object{}, errors.WithStack(err)
+		return objectstore.Object{}, errors.WithStack(err)
 	}
 	return w.store.Put(ctx, RecordKind, key, b, version)
 }
--- a/internal/standin/contract_platform_test.go
+++ b/internal/standin/contract_platform_test.go
@@ -13,6 +13,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/vanillaroad/vanillaroad/internal/standin"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
@@ -40,14 +41,14 @@
 		version  int64 // of the object afterwards; 0: none
 	}{
 		{"a new object is made", "a", 0, false, nil, 1},
-		{"an object that exists is not made again", "a", 0, false, platform.ErrConflict, 1},
+		{"an object that exists is not made again", "a", 0, false, objectstore.ErrConflict, 1},
 		{"the current version is replaced", "a", 1, false, nil, 2},
-		{"an old version is not replaced", "a", 1, false, platform.ErrConflict, 2},
-		{"a version to come is not replaced", "a", 3, false, platform.ErrConflict, 2},
-		{"an absent object is not replaced", "b", 1, false, platform.ErrConflict, 0},
-		{"an old version is not deleted", "a", 1, true, platform.ErrConflict, 2},
+		{"an old version is not replaced", "a", 1, false, objectstore.ErrConflict, 2},
+		{"a version to come is not replaced", "a", 3, false, objectstore.ErrConflict, 2},
+		{"an absent object is not replaced", "b", 1, false, objectstore.ErrConflict, 0},
+		{"an old version is not deleted", "a", 1, true, objectstore.ErrConflict, 2},
 		{"the current version is deleted", "a", 2, true, nil, 0},
-		{"a deleted object is not replaced", "a", 2, false, platform.ErrConflict, 0},
+		{"a deleted object is not replaced", "a", 2, false, objectstore.ErrConflict, 0},
 		{"a deleted object is made anew, with a higher version", "a", 0, false, nil, 4},
 	}
 	for n, s := range cases {
@@ -61,7 +62,7 @@
 			So(errors.Is(err, s.want), ShouldBeTrue)
 			o, err := c.Get(ctx, kind, s.object)
 			if s.version == 0 {
-				So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+				So(errors.Is(err, objectstore.ErrNotFound), ShouldBeTrue)
 				return
 			}
 			So(err, ShouldBeNil)
@@ -74,7 +75,7 @@
 	_, base := newPlatform(t)
 	cases := []struct{ name, body, version string }{
 		{"a value that is not JSON", "{", "0"},
-		{"a value above a mebibyte", `"` + strings.Repeat("x", platform.MaxValueBytes) + `"`, "0"},
+		{"a value above a mebibyte", `"` + strings.Repeat("x", objectstore.MaxValueBytes) + `"`, "0"},
 		{"a write without the expected version", "1", ""},
 	}
 	for _, s := range cases {
@@ -92,7 +93,7 @@
 	const kind = "contract-watch"
 	Convey("a watch returns what changed after its revision, in order, deletions too", t, func() {
 		c, _ := newPlatform(t)
-		put := func(name string, expected int64) platform.Object {
+		put := func(name string, expected int64) objectstore.Object {
 			o, err := c.Put(ctx, kind, name, json.RawMessage(`1`), expected)
 			So(err, ShouldBeNil)
 			return o
@@ -109,7 +110,7 @@
 		So(revision, ShouldEqual, list[1].Revision)
 
 		Convey("and waits for the next change", func() {
-			got := make(chan []platform.Object)
+			got := make(chan []objectstore.Object)
 			go func() {
 				l, _, _ := c.Watch(ctx, kind, revision)
 				got <- l
@@ -118,7 +119,7 @@
 			So((<-got)[0].Name, ShouldEqual, "c")
 		})
 		Convey("and is not woken by other kinds", func() {
-			got := make(chan []platform.Object)
+			got := make(chan []objectstore.Object)
 			go func() {
 				l, _, _ := c.Watch(ctx, kind, revision)
 				got <- l
@@ -145,9 +146,9 @@
 		want         error
 		written      bool
 	}{
-		{"outage", `{"down":true}`, platform.ErrUnavailable, false},
-		{"answer lost after the write took effect", `{"lose_answers":true}`, platform.ErrUnknown, true},
-		{"over the budget of writes", `{"writes_per_second":0.000001}`, platform.ErrUnavailable, false},
+		{"outage", `{"down":true}`, objectstore.ErrUnavailable, false},
+		{"answer lost after the write took effect", `{"lose_answers":true}`, objectstore.ErrUnknown, true},
+		{"over the budget of writes", `{"writes_per_second":0.000001}`, objectstore.ErrUnavailable, false},
 		{"slow", `{"slow_ms":1}`, nil, true},
 	}
 	for _, s := range cases {
@@ -175,7 +176,7 @@
 		}()
 		eventually(func() bool { return calls(t, base)["watch"] == before+1 })
 		setFaults(t, base, `{"down":true}`)
-		So(errors.Is(<-ended, platform.ErrUnavailable), ShouldBeTrue)
+		So(errors.Is(<-ended, objectstore.ErrUnavailable), ShouldBeTrue)
 	})
 	Convey("reads over their budget are refused", t, func() {
 		c, base := newPlatform(t)
@@ -183,7 +184,7 @@
 		_, _, err := c.List(ctx, "contract-budget")
 		So(err, ShouldBeNil)
 		_, _, err = c.List(ctx, "contract-budget")
-		So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+		So(errors.Is(err, objectstore.ErrUnavailable), ShouldBeTrue)
 	})
 }
 
@@ -234,14 +235,14 @@
 			status, _ := send(t, http.MethodPut, base+"/vms", list)
 			So(status, ShouldEqual, http.StatusOK)
 		}
-		read := func() platform.VM {
+		read := func() objectstore.VM {
 			vms, err := c.VMs(ctx)
 			So(err, ShouldBeNil)
 			So(vms, ShouldHaveLength, 1)
 			return vms[0]
 		}
 		put(old)
-		So(read(), ShouldResemble, platform.VM{ID: "vm-1", Address: "127.0.0.1", Place: "p", Region: "r"})
+		So(read(), ShouldResemble, objectstore.VM{ID: "vm-1", Address: "127.0.0.1", Place: "p", Region: "r"})
 		Convey("and shows a change late", func() {
 			setFaults(t, base, `{"vm_lag_ms":3600000}`)
 			put(leaving)
@@ -256,7 +257,7 @@
 		Convey("and can be down", func() {
 			setFaults(t, base, `{"down":true}`)
 			_, err := c.VMs(ctx)
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrUnavailable), ShouldBeTrue)
 		})
 	})
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -14,7 +14,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
 // defaultWatchWait is how long a watch waits for a change.
@@ -37,7 +37,7 @@
 	watchWait time.Duration
 
 	mu       sync.Mutex
-	objects  map[string]platform.Object
+	objects  map[string]objectstore.Object
 	revision int64
 	vms      []vmList // oldest first
 	reads    *rate.Limiter
@@ -50,7 +50,7 @@
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
 	return &Platform{
-		objects: make(map[string]platform.Object), calls: make(map[string]int64), changed: make(chan struct{}),
+		objects: make(map[string]objectstore.Object), calls: make(map[string]int64), changed: make(chan struct{}),
 		watchWait: defaultWatchWait, reads: budget(0), writes: budget(0),
 	}
 }
@@ -165,8 +165,8 @@
 }
 
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
-	if err != nil || len(body) > platform.MaxValueBytes || !json.Valid(body) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValueBytes+1))
+	if err != nil || len(body) > objectstore.MaxValueBytes || !json.Valid(body) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -194,15 +194,15 @@
 		return
 	}
 	p.revision++
-	o := platform.Object{Kind: r.PathValue("kind"), Name: r.PathValue("name"), Version: old.Version + 1, Revision: p.revision, Value: value, Deleted: deleted}
+	o := objectstore.Object{Kind: r.PathValue("kind"), Name: r.PathValue("name"), Version: old.Version + 1, Revision: p.revision, Value: value, Deleted: deleted}
 	p.objects[key] = o
 	p.wake()
 	answer(w, o)
 }
 
 type listing struct {
-	Objects  []platform.Object `json:"objects"`
-	Revision int64             `json:"revision"`
+	Objects  []objectstore.Object `json:"objects"`
+	Revision int64                `json:"revision"`
 }
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
@@ -222,7 +222,7 @@
 func (p *Platform) since(kind string, revision int64) (listing, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := listing{Objects: []platform.Object{}, Revision: p.revision}
+	l := listing{Objects: []objectstore.Object{}, Revision: p.revision}
 	for _, o := range p.objects {
 		if o.Kind == kind && o.Revision > revision && (revision >= 0 || !o.Deleted) {
 			l.Objects = append(l.Objects, o)
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -5,17 +5,17 @@
 	"net/http"
 	"time"
 
-	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
 // vmList is the VM list as readers see it from a time on.
 type vmList struct {
 	from time.Time
-	vms  []platform.VM
+	vms  []objectstore.VM
 }
 
 // SetVMs replaces the VM list. Readers see it once the lag in force is over.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []objectstore.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	lag := time.Duration(p.faults.VMLagMillis) * time.Millisecond
@@ -23,14 +23,14 @@
 }
 
 // visible returns the list that readers see at now and forgets those before it.
-func (p *Platform) visible(now time.Time) []platform.VM {
+func (p *Platform) visible(now time.Time) []objectstore.VM {
 	for len(p.vms) > 1 && !now.Before(p.vms[1].from) {
 		p.vms = p.vms[1:]
 	}
 	if len(p.vms) == 0 || now.Before(p.vms[0].from) {
-		return []platform.VM{}
+		return []objectstore.VM{}
 	}
-	return append([]platform.VM{}, p.vms[0].vms...)
+	return append([]objectstore.VM{}, p.vms[0].vms...)
 }
 
 func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
@@ -41,7 +41,7 @@
 }
 
 func (p *Platform) setVMs(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.VM
+	var vms []objectstore.VM
 	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/node/api_operations.go
+++ b/node/api_operations.go
@@ -16,7 +16,7 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 	gen "github.com/vanillaroad/vanillaroad/gen/operations"
 	"github.com/vanillaroad/vanillaroad/membership"
-	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
 type operationsAPI struct{ n *Node }
@@ -112,10 +112,10 @@
 		e := failure.Wrap(err, failure.Conflict, failure.NotRun, step, "platform")
 		e.Message += a.difference(conflict.Winner, doc)
 		return e
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		a.n.events.Record(event.ConfigurationConflict, "")
 		return failure.Wrap(err, failure.Conflict, failure.NotRun, step, "platform")
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		return failure.Wrap(err, failure.PlatformDown, failure.NotRun, step, "platform").After(retryAfter)
 	case errors.Is(err, configuration.ErrNotWritten):
 		return failure.Wrap(err, failure.BadRequest, failure.NotRun, step, "platform")
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -14,8 +14,8 @@
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/peer"
-	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/trace"
 )
 
@@ -132,7 +132,7 @@
 	}
 }
 
-func (v *versions) readHead(ctx context.Context, o platform.Object) {
+func (v *versions) readHead(ctx context.Context, o objectstore.Object) {
 	if o.Name != configuration.HeadName || o.Deleted {
 		return
 	}
@@ -200,7 +200,7 @@
 	} else {
 		err = v.fetchPlatform(ctx)
 	}
-	if err != nil && ctx.Err() == nil && !errors.Is(err, platform.ErrUnavailable) {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, objectstore.ErrUnavailable) {
 		v.refuse(errors.Wrapf(err, "fetch from %q", address))
 	}
 	if v.n.snapshot.Load().Version == before {
@@ -222,7 +222,7 @@
 
 // notePlatform records when the platform is lost and when it is back.
 func (n *Node) notePlatform(err error) {
-	down := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown)
+	down := errors.Is(err, objectstore.ErrUnavailable) || errors.Is(err, objectstore.ErrUnknown)
 	if n.platformState.down.Swap(down) == down {
 		return
 	}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -20,6 +20,7 @@
 	gen "github.com/vanillaroad/vanillaroad/gen/operations"
 	"github.com/vanillaroad/vanillaroad/internal/jsontime"
 	"github.com/vanillaroad/vanillaroad/internal/standin"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/settings"
 )
@@ -50,9 +51,9 @@
 func newFleetOn(p *standin.Platform, subnet, n int) (*fleet, error) {
 	f := &fleet{platform: p, deaf: make([]atomic.Bool, n)}
 	f.server = httptest.NewServer(http.HandlerFunc(f.handler))
-	var vms []platform.VM
+	var vms []objectstore.VM
 	for i := range n {
-		vms = append(vms, platform.VM{ID: fmt.Sprintf("vm-%d", i), Address: fleetIP(subnet, i), Place: fmt.Sprint("place-", i%4),
+		vms = append(vms, objectstore.VM{ID: fmt.Sprintf("vm-%d", i), Address: fleetIP(subnet, i), Place: fmt.Sprint("place-", i%4),
 			Region: "region", Labels: map[string]string{RoleLabel: EntryRole}})
 	}
 	f.platform.SetVMs(vms)
@@ -202,7 +203,7 @@
 		})
 		Convey("the mark of a target's VM reaches every daemon", func() {
 			vms := f.vms()
-			f.platform.SetVMs(append(vms, platform.VM{ID: "e-1", Leaving: true}))
+			f.platform.SetVMs(append(vms, objectstore.VM{ID: "e-1", Leaving: true}))
 			await(func() bool { return f.all(func(n *Node) bool { return n.view.Load().LeavingVMs["e-1"] }) })
 			f.platform.SetVMs(vms)
 			await(func() bool { return f.all(func(n *Node) bool { return n.view.Load().Departed["e-1"] }) })
@@ -254,11 +255,11 @@
 	})
 }
 
-func (f *fleet) vms() []platform.VM {
-	var out []platform.VM
+func (f *fleet) vms() []objectstore.VM {
+	var out []objectstore.VM
 	for _, m := range f.nodes[0].view.Load().Members {
 		ip := m.APIAddress[:len(m.APIAddress)-len(":7100")]
-		out = append(out, platform.VM{ID: m.ID, Address: ip, Place: m.Place, Region: m.Region, Labels: map[string]string{RoleLabel: EntryRole}})
+		out = append(out, objectstore.VM{ID: m.ID, Address: ip, Place: m.Place, Region: m.Region, Labels: map[string]string{RoleLabel: EntryRole}})
 	}
 	return out
 }
--- a/node/listing.go
+++ b/node/listing.go
@@ -13,8 +13,8 @@
 
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/peer"
-	"github.com/vanillaroad/vanillaroad/platform"
 )
 
 // Periods of reading the VM list.
@@ -178,7 +178,7 @@
 }
 
 // entries derives daemons' addresses: all daemons use the same ports.
-func (l *listingReader) entries(vms []platform.VM) []membership.VMEntry {
+func (l *listingReader) entries(vms []objectstore.VM) []membership.VMEntry {
 	out := make([]membership.VMEntry, 0, len(vms))
 	for _, vm := range vms {
 		e := membership.VMEntry{ID: vm.ID, Place: vm.Place, Region: vm.Region, Leaving: vm.Leaving}
--- a/node/placement.go
+++ b/node/placement.go
@@ -12,8 +12,8 @@
 
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/placement"
-	"github.com/vanillaroad/vanillaroad/platform"
 )
 
 // leaseKind is the kind of the platform objects that hold leases, one a service.
@@ -132,7 +132,7 @@
 	if err == nil {
 		err = json.Unmarshal(object.Value, &in.Record)
 	}
-	in.Failed = err != nil && !errors.Is(err, platform.ErrNotFound)
+	in.Failed = err != nil && !errors.Is(err, objectstore.ErrNotFound)
 	_ = o.n.loop.Post(func(now time.Time) { o.step(now, name, in) })
 }
 
--- a/platform/platform.go
+++ b/objectstore/store.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's object API and VM list. The
-// contract is docs/contracts/object-api.md.
-package platform
+// Package objectstore is what the product asks of the platform: objects under conditional
+// update, and the VM list. The contract is docs/contracts/object-api.md.
+package objectstore
 
 import (
 	"context"
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaroad/vanillaroad/internal/jsontime"
-	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
 // Settings bound leases and orders.
@@ -96,9 +96,9 @@
 	switch {
 	case err == nil:
 		return Written
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return Conflicted
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		return NotWritten
 	default:
 		return Undecidable
