--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -21,7 +21,6 @@
 	"github.com/vanillaroad/vanillaroad/internal/jsontime"
 	"github.com/vanillaroad/vanillaroad/internal/standin"
 	"github.com/vanillaroad/vanillaroad/objectstore"
-	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/settings"
 )
 
