forward: a run counts as lost only after its first event is old enough to be reported

Cause: reports are some hundred ms old, and the age was counted from the send. Ruled out: engines that really lost runs (none restarted).

--- a/forward/call.go
+++ b/forward/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -145,6 +146,7 @@
 	out := &whole{answer.Status, answer.Header, body}
 	if broken && c.r.Route.Repeatable() {
 		c.failed = out
+		c.f.Events.Record(event.AttemptLost, c.r.ID, event.F("target", t.ID), event.F("error", "status "+strconv.Itoa(answer.Status)))
 		return nil, failure.New(failure.TargetLost, failure.Ran, "send", t.ID, "the target failed with status %d", answer.Status)
 	}
 	if answer.Status < http.StatusMultipleChoices && !answer.Signed {
--- a/forward/run.go
+++ b/forward/run.go
@@ -13,10 +13,10 @@
 
 // run is one attempt of a stream at one target.
 type run struct {
-	s    *stream
-	a    Attempt
-	sent time.Time
-	work interface {
+	s       *stream
+	a       Attempt
+	started time.Time // first event; zero before
+	work    interface {
 		Started(now time.Time)
 		Done(now time.Time, failed bool)
 	}
@@ -79,7 +79,7 @@
 		case <-r.lost:
 			return r.leave("the target is taken for dead")
 		case p := <-r.probed:
-			if p.Alive && r.watch.started && lostRun(p.at, r.sent, r.s.r.ID, p.Report) {
+			if p.Alive && r.watch.started && lostRun(p.at, r.started, r.s.r.ID, p.Report) {
 				return r.leave("the target no longer has the request")
 			}
 		case <-timer.C:
@@ -182,6 +182,7 @@
 		return r.leave(p.err.Error()), true
 	}
 	if !r.watch.started {
+		r.started = now
 		r.work.Started(now)
 		s.f.Crashes.Survived(s.r)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -171,7 +171,7 @@
 	if a.ResumeFrom != "" {
 		unread = 0
 	}
-	run := &run{s: s, a: a, sent: now, work: s.f.Fleet.Begin(now, a.Target.ID, unread), lost: s.f.Fleet.Lost(a.Target.ID),
+	run := &run{s: s, a: a, work: s.f.Fleet.Begin(now, a.Target.ID, unread), lost: s.f.Fleet.Lost(a.Target.ID),
 		watch: newWatch(now, s.r.Route.MaxPause, a.CopyTo != ""), probed: make(chan Probe, 1), parts: make(chan part, 1)}
 	defer func() { run.work.Done(time.Now(), run.failed) }()
 	go run.read(ctx)
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -81,10 +81,10 @@
 }
 
 // lostRun tells whether a report shows that the target no longer has a request
-// that was sent long enough ago and began to run: reports leave out those whose
-// prompts are still read.
-func lostRun(now, sent time.Time, id string, r Report) bool {
-	if now.Sub(sent) < reportLag || r.Running == nil || r.Waiting > 0 {
+// that began to run long enough ago. Reports leave out requests whose prompts are
+// still read.
+func lostRun(now, started time.Time, id string, r Report) bool {
+	if now.Sub(started) < reportLag || r.Running == nil || r.Waiting > 0 {
 		return false
 	}
 	_, running := r.Running[id]
