--- /dev/null
+++ b/exchange/roster_test.go
@@ -0,0 +1,38 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestDirectory(t *testing.T) {
+	Convey("Given three daemons", t, func() {
+		r := NewRoster("a")
+		for _, id := range []string{"a", "b", "c"} {
+			So(r.Put(Member{ID: id}), ShouldBeTrue)
+		}
+		ids := func(now time.Time) (out []string) {
+			for _, m := range r.Directory(now) {
+				out = append(out, m.ID)
+			}
+			return out
+		}
+		Convey("all are told before any was heard", func() {
+			So(ids(start), ShouldResemble, []string{"a", "b", "c"})
+		})
+		Convey("one that fell silent is left out until it is heard again", func() {
+			r.Heard(start, "b", false)
+			r.Heard(start.Add(time.Second), "c", false)
+			So(ids(start.Add(2*time.Second)), ShouldResemble, []string{"a", "c"})
+			So(r.Heard(start.Add(3*time.Second), "b", false), ShouldBeTrue)
+			So(ids(start.Add(3*time.Second)), ShouldResemble, []string{"a", "b"})
+		})
+		Convey("one that leaves is left out at once, also where all others are silent", func() {
+			r.Heard(start, "b", true)
+			So(ids(start), ShouldResemble, []string{"a", "c"})
+			So(ids(start.Add(time.Minute)), ShouldResemble, []string{"a", "c"})
+		})
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -323,3 +323,15 @@
 	s := f.targets[id]
 	return s != nil && !s.Leaving && !now.Before(s.suspect) && !now.Before(s.avoid)
 }
+
+// InUse returns a target on which this daemon runs something and that is not taken
+// for dead.
+func (f *Fleet) InUse(now time.Time, id string) (Target, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.targets[id]
+	if s == nil || s.running == 0 || now.Before(s.suspect) {
+		return Target{}, false
+	}
+	return s.Target, true
+}
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -31,6 +31,8 @@
 	sender Sender
 	fleet  *fleet.Fleet
 	events *event.Recorder
+	// Suspected, if set, is told of each target that is newly taken for dead.
+	Suspected func(t fleet.Target)
 
 	mu      sync.Mutex
 	pending map[string][]chan<- Probe
@@ -101,10 +103,16 @@
 	}
 	p.events.Record(event.TargetSuspected, "", event.F("target", t.ID), event.F("place", t.Place), event.F("error", reason))
 	for _, neighbour := range p.fleet.Neighbours(now, t) {
-		p.Ask(neighbour, make(chan Probe, 1))
+		p.Check(neighbour)
+	}
+	if p.Suspected != nil {
+		p.Suspected(t)
 	}
 }
 
+// Check probes t for what it tells the fleet alone.
+func (p *Prober) Check(t fleet.Target) { p.Ask(t, make(chan Probe, 1)) }
+
 // Forget drops what is remembered of targets for which keep returns false.
 func (p *Prober) Forget(keep func(id string) bool) {
 	p.mu.Lock()
--- a/forward/run.go
+++ b/forward/run.go
@@ -126,7 +126,7 @@
 		return endUnsent, true
 	case p.err != nil:
 		s.f.Crashes.Crashed(s.r, t)
-		s.f.Prober.Ask(t, make(chan Probe, 1)) // the others on it want to know at once
+		s.f.Prober.Check(t) // the others on it want to know at once
 		return r.leave(p.err.Error()), true
 	case p.answer.NotRun:
 		_ = p.answer.Body.Close()
@@ -178,7 +178,7 @@
 		if s.last < 0 {
 			s.f.Crashes.Crashed(s.r, r.a.Target)
 		}
-		s.f.Prober.Ask(r.a.Target, make(chan Probe, 1))
+		s.f.Prober.Check(r.a.Target)
 		return r.leave(p.err.Error()), true
 	}
 	if !r.watch.started {
--- /dev/null
+++ b/gateway/crashes.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/forward"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
+	"github.com/vanillaroad/vanillaroad/quarantine"
+)
+
+// crashes keeps account of requests that crash targets. It implements
+// forward.Crashes over the quarantine's ledger and tells peers of strikes.
+type crashes struct {
+	g *Gateway
+
+	mu     sync.Mutex
+	ledger *quarantine.Ledger
+}
+
+func newCrashes(g *Gateway) *crashes {
+	return &crashes{g: g, ledger: quarantine.NewLedger(quarantine.DefaultSettings())}
+}
+
+// subject names a request by what it asks: a caller that sends it again gives it
+// another id.
+func subject(r *forward.Request) quarantine.Subject {
+	h := xxhash.New()
+	for _, part := range []string{r.Workspace, r.Method, r.Host, r.URI} {
+		_, _ = h.WriteString(part) // a hash never fails
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return quarantine.Subject{ID: r.ID, Fingerprint: h.Sum64()}
+}
+
+// Check implements forward.Crashes.
+func (c *crashes) Check(ctx context.Context, r *forward.Request) *failure.Error {
+	for s := subject(r); ; {
+		c.mu.Lock()
+		v := c.ledger.Check(time.Now(), s)
+		c.mu.Unlock()
+		if v.Refused != nil {
+			c.g.events.Record(event.RequestQuarantined, r.ID, event.F("error", v.Refused.Error()))
+			return v.Refused
+		}
+		if v.Wait == 0 || !pause.For(ctx, v.Wait) {
+			return nil
+		}
+	}
+}
+
+// Crashed implements forward.Crashes.
+func (c *crashes) Crashed(r *forward.Request, t fleet.Target) {
+	c.mu.Lock()
+	tell := c.ledger.Strike(time.Now(), quarantine.Strike{Subject: subject(r), Target: t.ID, Fresh: true})
+	c.mu.Unlock()
+	c.g.events.Record(event.RequestStruck, r.ID, event.F("target", t.ID))
+	if len(tell) > 0 {
+		c.g.peers.tellStrikes(tell)
+	}
+}
+
+// Survived implements forward.Crashes.
+func (c *crashes) Survived(r *forward.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ids, _ := c.ledger.Len(); ids > 0 {
+		c.ledger.Clear(subject(r))
+	}
+}
+
+// told takes the strikes of a peer.
+func (c *crashes) told(strikes []quarantine.Strike) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range strikes {
+		c.ledger.Strike(time.Now(), s)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,9 @@
 	fleet    *fleet.Fleet
 	forward  *forward.Forwarder
 	members  *members
+	shelf    *shelf
+	peers    *peers
+	crashes  *crashes
 
 	table    atomic.Pointer[ingress.Table] // in force; nil before the first
 	version  sync.Mutex                    // held while a table is put in force
@@ -73,15 +76,20 @@
 		targets: platform.NewTargets(), fleet: fleet.New(s.Place, rand.Uint64()),
 	}
 	g.store = platform.NewObjects(s.Store, g.metrics)
-	g.members = newMembers(g)
+	g.members, g.shelf, g.crashes = newMembers(g), newShelf(g), newCrashes(g)
 	g.forward = &forward.Forwarder{
-		Sender: g.targets, Fleet: g.fleet, Events: g.events, Crashes: noCrashes{},
+		Sender: g.targets, Fleet: g.fleet, Events: g.events, Crashes: g.crashes,
 		Prober: forward.NewProber(g.targets, g.fleet, g.events),
 		Budget: forward.NewBudget(forward.BudgetSettings{
 			Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Window: s.RetryBudget.Window.Std(),
 		}),
 		Copies: g.copies,
 	}
+	var err error
+	if g.peers, err = newPeers(g); err != nil {
+		return nil, err
+	}
+	g.forward.Prober.Suspected = g.peers.tellSuspect
 	callers := &platform.Callers{
 		Table: g.table.Load, Serve: g.serve, Closing: g.draining.Load,
 		Service: func(r *ingress.Route, _ string) string { return r.Service(rand.Float64()) },
@@ -97,6 +105,7 @@
 	} {
 		if err := g.listen(l.address, l.handler); err != nil {
 			g.closeListeners()
+			g.peers.transport.Close()
 			return nil, err
 		}
 	}
@@ -142,8 +151,8 @@
 }
 
 // lookup answers callers that ask where to connect.
-func (g *Gateway) lookup(place string) (platform.DirectoryAnswer, bool) {
-	addresses := g.members.directory(place)
+func (g *Gateway) lookup(string) (platform.DirectoryAnswer, bool) {
+	addresses := g.members.directory()
 	return platform.DirectoryAnswer{Addresses: addresses, TTL: g.settings.DirectoryTTL.Std()}, len(addresses) > 0
 }
 
@@ -152,9 +161,9 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	g.wg.Go(func() { g.followConfiguration(background) })
-	g.wg.Go(func() { g.followTargets(background) })
-	g.members.run(background)
+	g.peers.run(background)
+	g.shelf.run(background)
+	g.wg.Go(func() { g.members.register(background) })
 	failed := make(chan error, len(g.servers))
 	for _, s := range g.servers {
 		g.wg.Go(func() { failed <- s.Serve(s.listener) })
@@ -171,6 +180,7 @@
 		_ = s.Close() // what still ran at the end of the grace time is cut
 	}
 	stop()
+	g.peers.transport.Close()
 	g.wg.Wait()
 	g.events.Record(event.NodeStopped, "")
 	return errors.Wrap(err, "serve")
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -3,84 +3,41 @@
 import (
 	"context"
 	"encoding/json"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
-// memberKind is the kind of the objects with which daemons tell of themselves.
+// memberKind is the kind of the objects with which daemons tell where they are.
 const memberKind = "members"
 
-// member is one daemon as it wrote itself.
-type member struct {
-	ID          string `json:"id"`
-	Place       string `json:"place"`
-	Region      string `json:"region"`
-	Callers     string `json:"callers"`
-	Peers       string `json:"peers"`
-	Incarnation int64  `json:"incarnation"` // rises with each start
-	Leaving     bool   `json:"leaving,omitempty"`
-}
-
 // members keeps this daemon's own entry in the store and knows the others'.
 type members struct {
 	g    *Gateway
-	self member
+	self exchange.Member
 
-	mu    sync.Mutex
-	known map[string]member
+	mu     sync.Mutex
+	roster *exchange.Roster
 }
 
 func newMembers(g *Gateway) *members {
 	s := g.settings
-	return &members{g: g, known: make(map[string]member), self: member{
-		ID: s.ID, Place: s.Place, Region: s.Region, Callers: s.Callers, Peers: s.Peers, Incarnation: time.Now().UnixNano(),
+	return &members{g: g, roster: exchange.NewRoster(s.ID), self: exchange.Member{
+		ID: s.ID, Place: s.Place, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
 	}}
 }
 
-func (m *members) run(ctx context.Context) {
-	m.g.wg.Go(func() { m.register(ctx, m.self) })
-	m.g.wg.Go(func() {
-		m.g.follow(ctx, &source{kind: memberKind, changed: m.changed, all: func(objects []objectstore.Object, after bool) {
-			listed := make(map[string]bool, len(objects))
-			for _, o := range objects {
-				listed[o.Name] = true
-				m.changed(o, after)
-			}
-			for _, id := range m.ids() {
-				if !listed[id] {
-					m.changed(objectstore.Object{Name: id, Deleted: true}, after)
-				}
-			}
-		}})
-	})
-}
-
-func (m *members) ids() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := make([]string, 0, len(m.known))
-	for id := range m.known {
-		out = append(out, id)
-	}
-	return out
-}
-
-// register writes this daemon's entry until the store has it.
-func (m *members) register(ctx context.Context, self member) {
-	value, err := json.Marshal(self)
-	if err != nil {
-		m.g.events.Record(event.EntryRefused, "", event.F("member", self.ID), event.F("error", err.Error()))
-		return
-	}
+// register writes this daemon's entry until the store has it. The entry holds
+// nothing that changes while the daemon runs, so that a restart writes nothing.
+func (m *members) register(ctx context.Context) {
 	for wait := storeRetry; ctx.Err() == nil; wait = min(2*wait, storeRetryMax) {
-		if err := m.write(ctx, value); err == nil {
+		if err := m.write(ctx); err == nil {
 			return
 		}
 		pause.For(ctx, jittered(wait))
@@ -88,60 +45,81 @@
 }
 
 // write puts the entry on top of whatever is there: only this daemon writes it.
-func (m *members) write(ctx context.Context, value []byte) error {
+func (m *members) write(ctx context.Context) error {
 	old, err := m.g.store.Get(ctx, memberKind, m.self.ID)
 	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return err
 	}
+	var there exchange.Member
+	if err == nil && json.Unmarshal(old.Value, &there) == nil && there == m.self {
+		return nil
+	}
+	value, err := json.Marshal(m.self)
+	if err != nil {
+		return errors.Wrap(err, "encode member")
+	}
 	_, err = m.g.store.Put(ctx, memberKind, m.self.ID, value, old.Version)
 	return err
 }
 
-func (m *members) changed(o objectstore.Object, _ bool) {
-	var told member
-	if !o.Deleted {
-		if err := json.Unmarshal(o.Value, &told); err != nil || told.ID != o.Name {
-			m.g.events.Record(event.EntryRefused, "", event.F("member", o.Name))
-			return
+// changed takes new entries of daemons.
+func (m *members) changed(c exchange.Change) {
+	for _, e := range c.Changed {
+		var told exchange.Member
+		if err := json.Unmarshal(e.Value, &told); err != nil || told.ID != e.Name {
+			m.g.events.Record(event.EntryRefused, "", event.F("member", e.Name))
+			continue
+		}
+		m.mu.Lock()
+		joined := m.roster.Put(told)
+		m.mu.Unlock()
+		if joined {
+			m.g.events.Record(event.MemberJoined, "", event.F("member", told.ID), event.F("place", told.Place))
 		}
 	}
-	m.mu.Lock()
-	old, known := m.known[o.Name]
-	if o.Deleted {
-		delete(m.known, o.Name)
-	} else {
-		m.known[o.Name] = told
+	for _, id := range c.Removed {
+		m.mu.Lock()
+		m.roster.Remove(id)
+		m.mu.Unlock()
+		m.g.events.Record(event.MemberEnded, "", event.F("member", id))
 	}
-	n := len(m.known)
+	m.mu.Lock()
+	n := m.roster.Len()
 	m.mu.Unlock()
 	m.g.forward.Budget.SetDaemons(n)
-	switch {
-	case o.Deleted:
-		m.g.events.Record(event.MemberEnded, "", event.F("member", o.Name))
-	case !known || old.Incarnation != told.Incarnation:
-		m.g.events.Record(event.MemberJoined, "", event.F("member", o.Name))
-	case told.Leaving:
-		m.g.events.Record(event.MemberLeaving, "", event.F("member", o.Name))
+}
+
+// heard takes note of a sign of life.
+func (m *members) heard(id string, leaving bool) {
+	m.mu.Lock()
+	back := m.roster.Heard(time.Now(), id, leaving)
+	m.mu.Unlock()
+	if back {
+		m.g.events.Record(event.MemberReturned, "", event.F("member", id))
 	}
 }
 
-// leave tells the others of a planned stop.
-func (m *members) leave(ctx context.Context) {
-	leaving := m.self
-	leaving.Leaving = true
-	m.register(ctx, leaving)
+func (m *members) others() []exchange.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Others()
+}
+
+func (m *members) live(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Live(time.Now(), id)
 }
 
-// directory returns the addresses that callers of a place should use.
-func (m *members) directory(string) []string {
+// directory returns the addresses that callers should use.
+func (m *members) directory() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []string
-	for _, o := range m.known {
-		if !o.Leaving {
+	for _, o := range m.roster.Directory(time.Now()) {
+		if o.ID != m.self.ID || !m.g.draining.Load() {
 			out = append(out, o.Callers)
 		}
 	}
-	sort.Strings(out)
 	return out
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,7 +7,6 @@
 
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
-	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
@@ -45,19 +44,10 @@
 	g.events.Record(event.NodeDraining, "")
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	g.members.leave(ctx)
+	g.peers.tell(kindWork, work{g.fleet.Shares(), true})
 	pause.For(ctx, min(staleAnswers*g.settings.DirectoryTTL.Std(), g.settings.Grace.Std()/2))
 	g.refusing.Store(true)
 	for g.requests.Load() > 0 && ctx.Err() == nil {
 		pause.For(ctx, drainCheck)
 	}
 }
-
-// noCrashes keeps no account.
-type noCrashes struct{}
-
-func (noCrashes) Check(context.Context, *forward.Request) *failure.Error { return nil }
-
-func (noCrashes) Crashed(*forward.Request, fleet.Target) {}
-
-func (noCrashes) Survived(*forward.Request) {}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -23,7 +23,10 @@
 	Readiness  string `json:"readiness" validate:"required,hostname_port"`  // IP:port that tells whether this daemon takes new work
 	Peers      string `json:"peers" validate:"required,hostname_port"`      // IP:port for other daemons
 	Operations string `json:"operations" validate:"required,hostname_port"` // IP:port for metrics
-	Store      string `json:"store" validate:"required,hostname_port"`      // IP:port of the platform's store
+	// Seeds are peer addresses, IP:port, that a daemon asks when it knows no other
+	// daemon and the store does not answer.
+	Seeds []string `json:"seeds,omitempty" validate:"dive,hostname_port"`
+	Store string   `json:"store" validate:"required,hostname_port"` // IP:port of the platform's store
 
 	LogLevel  string `json:"log_level" validate:"oneof=debug info warn error"` // least severe events that are logged
 	EventRing int    `json:"event_ring" validate:"min=16,max=1000000"`         // events kept for the time line
--- /dev/null
+++ b/gateway/shelf.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/exchange"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
+	"github.com/vanillaroad/vanillaroad/objectstore"
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// Periods at which some daemon reads each kind. Configuration and targets must be
+// known everywhere within two seconds of a change; three periods and a round trip
+// are the longest time without any peer.
+const (
+	configurationPeriod = 400 * time.Millisecond
+	targetPeriod        = 400 * time.Millisecond
+	memberPeriod        = 1500 * time.Millisecond
+)
+
+// Pauses between failed calls to the store; they double from the first to the
+// second, with jitter, so that a returning store is not stormed.
+const (
+	storeRetry    = 150 * time.Millisecond
+	storeRetryMax = time.Second
+)
+
+// lapsedFor is how long after an outage of the store entries may be missing whose
+// writers live.
+const lapsedFor = 2 * time.Second
+
+// shelf keeps the datasets that this daemon works by.
+type shelf struct {
+	g *Gateway
+
+	mu   sync.Mutex
+	sets map[string]*exchange.Dataset
+	// down tells that the newest call to the store failed; back is when the store
+	// answered again.
+	down bool
+	back time.Time
+}
+
+func newShelf(g *Gateway) *shelf {
+	s := &shelf{g: g, sets: make(map[string]*exchange.Dataset)}
+	for kind, period := range map[string]time.Duration{
+		platform.ConfigurationKind: configurationPeriod, platform.TargetKind: targetPeriod, memberKind: memberPeriod,
+	} {
+		s.sets[kind] = exchange.NewDataset(kind, period, rand.Uint64())
+	}
+	return s
+}
+
+func (s *shelf) run(ctx context.Context) {
+	for kind := range s.sets {
+		s.g.wg.Go(func() { s.keep(ctx, kind) })
+	}
+}
+
+// keep reads a kind whenever it is this daemon's turn.
+func (s *shelf) keep(ctx context.Context, kind string) {
+	retry := storeRetry
+	for ctx.Err() == nil {
+		if wait := s.wait(kind); wait > 0 {
+			pause.For(ctx, wait)
+			continue
+		}
+		asked := time.Now()
+		objects, at, err := s.g.store.List(ctx, kind)
+		if ctx.Err() != nil {
+			return
+		}
+		s.noteStore(err)
+		if err != nil {
+			s.g.peers.fetchAny(ctx, kind)
+			pause.For(ctx, jittered(retry))
+			retry = min(2*retry, storeRetryMax)
+			continue
+		}
+		retry = storeRetry
+		s.read(asked, kind, objects, at)
+	}
+}
+
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// wait returns how long it is until this daemon's turn to read a kind. While the
+// store does not answer, only one kind is tried.
+func (s *shelf) wait(kind string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait := time.Until(s.sets[kind].Due())
+	if s.down && kind != platform.ConfigurationKind && s.sets[kind].Known() {
+		return max(wait, storeRetry)
+	}
+	return wait
+}
+
+// noteStore records when the store is lost and when it is back.
+func (s *shelf) noteStore(err error) {
+	s.mu.Lock()
+	changed := (err != nil) != s.down
+	s.down = err != nil
+	if changed && err == nil {
+		s.back = time.Now()
+	}
+	s.mu.Unlock()
+	switch {
+	case !changed:
+	case err != nil:
+		s.g.events.Record(event.PlatformLost, "", event.F("error", err.Error()))
+	default:
+		s.g.events.Record(event.PlatformBack, "")
+	}
+}
+
+// lapsed tells whether entries may be missing only because their writers could
+// not renew them.
+func (s *shelf) lapsed(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down || !s.back.IsZero() && now.Sub(s.back) < lapsedFor
+}
+
+func (s *shelf) read(asked time.Time, kind string, objects []objectstore.Object, at int64) {
+	s.mu.Lock()
+	change, news := s.sets[kind].Read(asked, objects, at)
+	s.mu.Unlock()
+	news.Age = time.Since(asked)
+	s.apply(kind, change)
+	s.g.peers.tellNews(news)
+}
+
+// hear takes the news of a peer; it tells whether the whole must be fetched.
+func (s *shelf) hear(n exchange.News) (fetch bool) {
+	s.mu.Lock()
+	set := s.sets[n.Kind]
+	if set == nil {
+		s.mu.Unlock()
+		return false
+	}
+	change, fetch := set.Hear(time.Now(), n)
+	s.mu.Unlock()
+	s.apply(n.Kind, change)
+	return fetch
+}
+
+func (s *shelf) take(w exchange.Whole) {
+	s.mu.Lock()
+	set := s.sets[w.Kind]
+	if set == nil {
+		s.mu.Unlock()
+		return
+	}
+	change := set.Take(time.Now(), w)
+	s.mu.Unlock()
+	s.apply(w.Kind, change)
+}
+
+// whole returns a dataset for a peer, if this daemon has it.
+func (s *shelf) whole(kind string) (exchange.Whole, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set := s.sets[kind]
+	if set == nil || !set.Known() {
+		return exchange.Whole{}, false
+	}
+	return set.Whole(time.Now()), true
+}
+
+func (s *shelf) apply(kind string, c exchange.Change) {
+	if c.Empty() {
+		return
+	}
+	switch kind {
+	case platform.ConfigurationKind:
+		s.g.configurationChanged(c)
+	case platform.TargetKind:
+		s.g.targetsChanged(c, s.lapsed(time.Now()))
+	case memberKind:
+		s.g.members.changed(c)
+	}
+}
