--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,21 +43,20 @@
 // status is a target with what is known of it.
 type status struct {
 	Target
-	replaced   bool      // another target holds its address
-	missing    time.Time // since when its entry is gone but may come back; zero if present
-	suspect    time.Time // until then it is taken for dead
-	avoid      time.Time // until then it gets no new work
-	refusals   int       // in a row
-	running    int       // own requests
-	unread     int       // prompt tokens of own requests without a first event
-	memory     int       // tokens of own requests and copies there
-	peers      map[string]Share
-	pace       estimate      // of this target against what its kind should take
-	failing    estimate      // share of answers that are the target's own failures
-	latency    estimate      // of plain calls, in milliseconds
-	lost       chan struct{} // closed when the target is suspected
-	unfit      chan struct{} // closed when it is, or when it leaves or is gone
-	lastAnswer time.Time
+	replaced bool      // another target holds its address
+	missing  time.Time // since when its entry is gone but may come back; zero if present
+	suspect  time.Time // until then it is taken for dead
+	avoid    time.Time // until then it gets no new work
+	refusals int       // in a row
+	running  int       // own requests
+	unread   int       // prompt tokens of own requests without a first event
+	memory   int       // tokens of own requests and copies there
+	peers    map[string]Share
+	pace     estimate      // of this target against what its kind should take
+	failing  estimate      // share of answers that are the target's own failures
+	latency  estimate      // of plain calls, in milliseconds
+	lost     chan struct{} // closed when the target is suspected
+	unfit    chan struct{} // closed when it is, or when it leaves or is gone
 }
 
 // Share is the work of one daemon on one target.
@@ -360,12 +359,22 @@
 	s.avoid = now.Add(time.Duration(float64(wait) * jitter))
 }
 
-// Answered notes that a target answered: it lives.
-func (f *Fleet) Answered(now time.Time, id string) {
+// Alive notes that a target answered a probe. One that refused work is left alone
+// as before.
+func (f *Fleet) Alive(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.targets[id]; s != nil {
-		s.suspect, s.avoid, s.refusals, s.lastAnswer = time.Time{}, time.Time{}, 0, now
+		s.suspect = time.Time{}
+	}
+}
+
+// Answered notes that a target answered a request: it lives and takes work.
+func (f *Fleet) Answered(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.targets[id]; s != nil {
+		s.suspect, s.avoid, s.refusals = time.Time{}, time.Time{}, 0
 	}
 }
 
--- a/forward/call.go
+++ b/forward/call.go
@@ -145,7 +145,7 @@
 	c.sent = true
 	broken := answer.Status >= http.StatusInternalServerError
 	work.Done(now, broken)
-	c.f.Fleet.Answered(now, t.ID)
+	c.f.Fleet.Answered(t.ID)
 	c.f.Crashes.Survived(c.r)
 	out := &whole{answer.Status, answer.Header, body}
 	if broken && c.r.Route.Repeatable() {
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -74,7 +74,7 @@
 	p.last[t.ID] = result
 	p.mu.Unlock()
 	if result.Alive {
-		p.fleet.Answered(now, t.ID)
+		p.fleet.Alive(t.ID)
 	} else {
 		p.suspect(now, t, err)
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -150,7 +150,7 @@
 		return r.refused(p.answer), true
 	}
 	s.ran = true
-	s.f.Fleet.Answered(now, t.ID)
+	s.f.Fleet.Answered(t.ID)
 	if s.begun {
 		return 0, false
 	}
