--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -14,6 +14,7 @@
 	TargetGone      Number = 709
 	LogLinesLost    Number = 710
 	CopyFailed      Number = 711
+	TargetEnded     Number = 712
 )
 
 var forwardEntries = []Entry{
@@ -23,6 +24,7 @@
 	{AnswerResumed, "answer_resumed", Info, "A streamed answer goes on at another target.", ""},
 	{AnswerCutShort, "answer_cut_short", Warn, "A streamed answer was broken off before its end.", "Read the attempts that were lost before."},
 	{TargetSuspected, "target_suspected", Warn, "A target did not answer a probe and gets no new work for a while.", "See the target if it lasts."},
+	{TargetEnded, "target_ended", Warn, "A target's process has ended: nobody listens at its address, or another one does.", "See the target if its entry stays."},
 	{EntryRefused, "entry_refused", Warn, "An entry that can't be read was left out; what was in force before stays.", "See who wrote it."},
 	{TargetJoined, "target_joined", Info, "A target registered, or started anew.", ""},
 	{TargetLeaving, "target_leaving", Info, "A target leaves and gets no new work.", ""},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,9 +27,9 @@
 
 // Timing of suspicion and avoidance.
 const (
-	// suspectFor is how long a target that fell silent or broke its connections
+	// SuspectFor is how long a target that fell silent or broke its connections
 	// gets no new work unless it proves to be alive. Restarts take about a second.
-	suspectFor = 1500 * time.Millisecond
+	SuspectFor = 1500 * time.Millisecond
 	// avoidBase and avoidMax bound how long a target that refused or was not
 	// reached is left alone; the time doubles with each refusal in a row.
 	avoidBase = 150 * time.Millisecond
@@ -73,14 +73,14 @@
 	place    string
 	targets  map[string]*status
 	services map[string][]*status // sorted by id
-	changed  chan struct{}
+	changed  chan struct{}        // gets a value when this daemon's work changed
 }
 
 // New returns an empty fleet as seen from a place.
 func New(place string, seed uint64) *Fleet {
 	return &Fleet{
 		random: rand.New(rand.NewPCG(seed, seed)), place: place,
-		targets: make(map[string]*status), services: make(map[string][]*status), changed: make(chan struct{}),
+		targets: make(map[string]*status), services: make(map[string][]*status), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -102,7 +102,7 @@
 		fresh.running, fresh.unread, fresh.memory = s.running, s.unread, s.memory // released by their holders
 		f.targets[t.ID] = fresh
 	default:
-		s.Target, s.missing = t, time.Time{}
+		s.Target, s.missing, s.replaced = t, time.Time{}, false
 		if t.Leaving {
 			s.markUnfit()
 		}
@@ -120,14 +120,19 @@
 	}
 }
 
-// Replaced notes that another target holds the address of this one.
-func (f *Fleet) Replaced(id string) {
+// Replaced notes that this run of a target has ended and that another one, another
+// target, or nobody holds its address. It returns whether that is news. A change of
+// its entry makes it usable again.
+func (f *Fleet) Replaced(t Target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.targets[id]; s != nil && !s.replaced {
-		s.replaced = true
-		s.markLost()
+	s := f.targets[t.ID]
+	if s == nil || s.Born != t.Born || s.replaced {
+		return false
 	}
+	s.replaced = true
+	s.markLost()
+	return true
 }
 
 func newStatus(t Target) *status {
@@ -312,7 +317,7 @@
 		return false
 	}
 	fresh := !now.Before(s.suspect)
-	s.suspect = now.Add(suspectFor)
+	s.suspect = now.Add(SuspectFor)
 	s.markLost()
 	return fresh
 }
@@ -378,14 +383,14 @@
 	}
 }
 
-// Neighbours returns the targets of t's place that run something for this daemon
-// and are not taken for dead.
-func (f *Fleet) Neighbours(now time.Time, t Target) []Target {
+// SamePlace returns the other targets of t's service in its place that are not
+// taken for dead.
+func (f *Fleet) SamePlace(now time.Time, t Target) []Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Target
 	for _, s := range f.services[t.Service] {
-		if s.ID != t.ID && s.Place == t.Place && s.running > 0 && !now.Before(s.suspect) {
+		if s.ID != t.ID && s.Place == t.Place && !s.replaced && !now.Before(s.suspect) {
 			out = append(out, s.Target)
 		}
 	}
@@ -422,13 +427,12 @@
 	return Ready
 }
 
-// InUse returns a target on which this daemon runs something and that is not taken
-// for dead.
-func (f *Fleet) InUse(now time.Time, id string) (Target, bool) {
+// Target returns a known target that is not taken for dead.
+func (f *Fleet) Target(now time.Time, id string) (Target, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.targets[id]
-	if s == nil || s.running == 0 || now.Before(s.suspect) {
+	if s == nil || s.replaced || now.Before(s.suspect) {
 		return Target{}, false
 	}
 	return s.Target, true
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -48,9 +48,20 @@
 	s.running++
 	s.unread += d.Unread
 	s.memory += d.Memory
+	f.workChanged()
 	return w
 }
 
+// Changed returns a channel that gets a value after this daemon's work changed.
+func (f *Fleet) Changed() <-chan struct{} { return f.changed }
+
+func (f *Fleet) workChanged() {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
 // Hold counts a copy of so many tokens on a target; the returned function ends it
 // and may be called more than once.
 func (f *Fleet) Hold(id string, tokens int) (release func()) {
@@ -78,6 +89,7 @@
 		return
 	}
 	w.unread = false
+	w.f.workChanged()
 	if s := w.f.targets[w.id]; s != nil {
 		s.unread = max(0, s.unread-w.demand.Unread)
 		if w.waiting > 0 {
@@ -99,6 +111,7 @@
 	if s == nil {
 		return
 	}
+	w.f.workChanged()
 	s.running = max(0, s.running-1)
 	s.memory = max(0, s.memory-w.demand.Memory)
 	if w.unread {
--- a/forward/copier.go
+++ b/forward/copier.go
@@ -21,6 +21,9 @@
 	copyRetry = 400 * time.Millisecond
 	// copyTimeout bounds one copy; it takes some tens of milliseconds.
 	copyTimeout = time.Second
+	// moveTimeout bounds the move of a silent run, which takes some tens of
+	// milliseconds; the caller waits meanwhile.
+	moveTimeout = 200 * time.Millisecond
 )
 
 // heldCopy is a copy of a run's memory and the target that holds it.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
@@ -104,6 +105,11 @@
 	ErrNoAnswer = errors.New("no answer")
 	// ErrNoRun: the target runs no such request, or not yet.
 	ErrNoRun = errors.New("no such run")
+	// ErrNotListening: nobody listens at the address, so the target's process has
+	// ended. The request was not sent.
+	ErrNotListening = errors.New("nobody listens at the address")
+	// ErrOtherTarget: another target holds the address.
+	ErrOtherTarget = errors.New("another target holds the address")
 )
 
 // Sender speaks to targets.
@@ -116,6 +122,9 @@
 	// Copy has the memory of a request that runs at one target copied to another,
 	// or what is new of it since the last time.
 	Copy(ctx context.Context, from fleet.Target, requestID string, to fleet.Target) (Copy, error)
+	// Move stops a request that runs at one target and has its memory moved to
+	// another.
+	Move(ctx context.Context, from fleet.Target, requestID string, to fleet.Target) (Copy, error)
 	// Release frees a copy that was made by Copy.
 	Release(ctx context.Context, from fleet.Target, c Copy) error
 }
@@ -151,12 +160,21 @@
 	Fleet   *fleet.Fleet
 	Prober  *Prober
 	Budget  *Budget
+	Pace    *rate.Limiter // see NewPace
 	Crashes Crashes
 	Events  *event.Recorder
 	// Model returns what is known of the engines of a service, nil if it runs none.
 	Model func(service string) *ingress.Model
 }
 
+// placePace is the least time between two long prompts that a daemon places: other
+// daemons hear of the first one before they place theirs, so that callers who come
+// back all at once, as after a restart of all daemons, don't meet on a few targets.
+const placePace = 15 * time.Millisecond
+
+// NewPace returns the limiter of a daemon's placements of long prompts.
+func NewPace() *rate.Limiter { return rate.NewLimiter(rate.Every(placePace), 1) }
+
 // Serve answers one request whose route is known. It returns once the caller has
 // its final answer or ctx, which ends when the caller leaves, is done.
 func (f *Forwarder) Serve(ctx context.Context, r *Request, w Responder) {
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/fleet"
 )
@@ -16,6 +18,9 @@
 	probeTimeout = 200 * time.Millisecond
 	// probeFresh is how long an answered probe stands for another one.
 	probeFresh = 100 * time.Millisecond
+	// suspectAgain is when a target that did not answer is asked again, in time
+	// before the suspicion ends.
+	suspectAgain = fleet.SuspectFor - 2*probeTimeout
 )
 
 // Probe is the outcome of a question to a target.
@@ -64,18 +69,23 @@
 	defer cancel()
 	report, err := p.sender.Report(ctx, t)
 	now := time.Now()
-	result := Probe{Alive: err == nil, Report: report, at: now}
-	if result.Alive && t.Born != 0 && report.Born != 0 && report.Born != t.Born {
-		result.Alive = false // another run of the target: it knows nothing of before
-	}
+	// The run of the target that is asked about has ended.
+	replaced := errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening) || err == nil && t.Born != 0 && report.Born != 0 && report.Born != t.Born
+	result := Probe{Alive: err == nil && !replaced, Report: report, at: now}
 	p.mu.Lock()
 	waiting := p.pending[t.ID]
 	delete(p.pending, t.ID)
 	p.last[t.ID] = result
 	p.mu.Unlock()
-	if result.Alive {
+	switch {
+	case result.Alive:
 		p.fleet.Alive(t.ID)
-	} else {
+	case replaced:
+		if p.fleet.Replaced(t) {
+			p.events.Record(event.TargetEnded, "", event.F("target", t.ID), event.F("place", t.Place))
+			p.spread(t)
+		}
+	default:
 		p.suspect(now, t, err)
 	}
 	for _, reply := range waiting {
@@ -91,25 +101,38 @@
 	}
 }
 
-// suspect takes a target for dead and asks its neighbours that run something for
-// this daemon: targets of one place are often lost together.
+// suspect takes a target for dead, and asks it again before it would get new work.
 func (p *Prober) suspect(now time.Time, t fleet.Target, err error) {
-	if !p.fleet.Suspect(now, t.ID) {
+	fresh := p.fleet.Suspect(now, t.ID)
+	time.AfterFunc(suspectAgain, func() {
+		if p.fleet.State(time.Now(), t.ID) == fleet.Suspected {
+			p.Check(t)
+		}
+	})
+	if !fresh {
 		return
 	}
-	reason := "restarted"
-	if err != nil {
-		reason = err.Error()
-	}
-	p.events.Record(event.TargetSuspected, "", event.F("target", t.ID), event.F("place", t.Place), event.F("error", reason))
-	for _, neighbour := range p.fleet.Neighbours(now, t) {
-		p.Check(neighbour)
-	}
+	p.events.Record(event.TargetSuspected, "", event.F("target", t.ID), event.F("place", t.Place), event.F("error", err.Error()))
+	p.spread(t)
+}
+
+// spread asks the others of the place, as they are often lost together, and tells
+// who else wants to know.
+func (p *Prober) spread(t fleet.Target) {
+	p.CheckPlace(t)
 	if p.Suspected != nil {
 		p.Suspected(t)
 	}
 }
 
+// CheckPlace probes all targets of t's service in its place: what restarted one of
+// them often restarted all.
+func (p *Prober) CheckPlace(t fleet.Target) {
+	for _, neighbour := range p.fleet.SamePlace(time.Now(), t) {
+		p.Check(neighbour)
+	}
+}
+
 // Check probes t for what it tells the fleet alone.
 func (p *Prober) Check(t fleet.Target) { p.Ask(t, make(chan Probe, 1)) }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/fleet"
 )
 
 // run is one attempt of a stream at one target.
@@ -16,16 +17,15 @@
 	s       *stream
 	a       Attempt
 	started time.Time // first event; zero before
-	work    interface {
-		Started(now time.Time)
-		Done(now time.Time, failed bool)
-	}
-	watch  *watch
-	lost   <-chan struct{} // closed when the target is taken for dead
-	probed chan Probe
-	parts  chan part
-	copier *copier
-	failed bool // by the target itself
+	work    *fleet.Work
+	watch   *watch
+	lost    <-chan struct{} // closed when the target is taken for dead
+	probed  chan Probe
+	parts   chan part
+	copier  *copier
+	moved   chan copyResult // the outcome of moving the run away
+	moving  bool
+	failed  bool // by the target itself
 }
 
 // part is what the reader hands over: the head of the answer, an event, or the
@@ -80,6 +80,9 @@
 		case <-r.lost:
 			return r.leave("the target is taken for dead")
 		case p := <-r.probed:
+			if p.Alive && r.s.r.Route.Repeatable() && r.watch.muted(r.s.r.ID, p.Report) {
+				return r.leave("the target runs the request, and its answer does not arrive")
+			}
 			if p.Alive && r.watch.started && lostRun(p.at, r.started, r.s.r.ID, p.Report) {
 				return r.leave("the target no longer has the request")
 			}
@@ -93,12 +96,23 @@
 			action, wait := r.watch.next(time.Now())
 			switch action {
 			case watchLeave:
-				return r.leave("the stream is silent")
+				if !r.move(ctx) {
+					return r.leave("the stream is silent")
+				}
 			case watchProbe:
 				r.s.f.Prober.Ask(r.a.Target, r.probed)
 			}
 			timer.Reset(max(wait, time.Millisecond))
+		case m := <-r.moved:
+			if m.err != nil {
+				return r.leave("the stream is silent, and not moved: " + m.err.Error())
+			}
+			r.copier.held = &m.heldCopy
+			return r.leave("the stream is silent, and was moved")
 		case p := <-r.parts:
+			if r.moving && p.err != nil {
+				continue // moving ends the stream; the outcome of the move comes next
+			}
 			if !head {
 				head = true
 				if end, done := r.head(p); done {
@@ -113,6 +127,33 @@
 	}
 }
 
+// move has a run that its living target does not get on with stopped and its
+// memory moved: nothing is lost, unlike with a copy that may not be there. It
+// returns false where that can't be done.
+func (r *run) move(ctx context.Context) bool {
+	if r.moving {
+		return true
+	}
+	if !r.watch.started || r.s.f.Fleet.State(time.Now(), r.a.Target.ID) != fleet.Ready {
+		return false
+	}
+	to, ok := r.s.copyTarget(time.Now(), r.a.Target, r.copier.failed)
+	if !ok {
+		return false
+	}
+	r.moving = true
+	go func() {
+		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
+		defer cancel()
+		c, err := r.s.f.Sender.Move(moveCtx, r.a.Target, r.s.r.ID, to)
+		select {
+		case r.moved <- copyResult{heldCopy{to, c}, err}:
+		case <-ctx.Done():
+		}
+	}()
+	return true
+}
+
 // leave gives the target up.
 func (r *run) leave(why string) ending {
 	r.s.ran, r.failed = true, true
@@ -140,7 +181,8 @@
 		_ = p.answer.Body.Close()
 		s.tried[t.ID] = true
 		if p.answer.OtherTarget {
-			s.f.Fleet.Replaced(t.ID)
+			s.f.Fleet.Replaced(t)
+			s.f.Prober.CheckPlace(t)
 		} else if r.a.Resume == (Copy{}) {
 			s.f.Fleet.Refused(now, t.ID)
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -58,7 +58,7 @@
 func (s *stream) run(ctx context.Context) {
 	unsent := 0
 	for {
-		a, ok := s.plan()
+		a, ok := s.plan(ctx)
 		if !ok {
 			break
 		}
@@ -133,7 +133,7 @@
 
 // plan chooses the next attempt: the target that holds a copy of the run's memory,
 // else the one that would start soonest.
-func (s *stream) plan() (Attempt, bool) {
+func (s *stream) plan(ctx context.Context) (Attempt, bool) {
 	now := time.Now()
 	if len(s.tried) >= s.maxAttempts() {
 		return Attempt{}, false
@@ -146,7 +146,11 @@
 	if c := s.held; c != nil && s.f.Fleet.State(now, c.at.ID) == fleet.Ready && !s.tried[c.at.ID] {
 		a.Target, a.Resume = c.at, c.copy
 	} else {
-		t, err := s.f.Fleet.Pick(now, fleet.Wish{
+		if err := s.f.Pace.Wait(ctx); err != nil {
+			s.err = stopped(ctx, failure.NotRun, "route", s.r.Service)
+			return Attempt{}, false
+		}
+		t, err := s.f.Fleet.Pick(time.Now(), fleet.Wish{
 			Service: s.r.Service, Exclude: s.tried, Affinity: s.r.Prompt.Key, OtherPlaces: s.places,
 			Need: max(1, s.memory()), Capacity: s.capacity(),
 		})
@@ -199,9 +203,11 @@
 	if a.Resume != (Copy{}) {
 		demand.Unread = 0
 	}
-	run := &run{s: s, a: a, work: s.f.Fleet.Begin(now, a.Target.ID, demand), lost: s.f.Fleet.Lost(a.Target.ID),
-		watch: newWatch(now, s.r.Route.MaxPause, a.CopyTo != nil), probed: make(chan Probe, 1), parts: make(chan part, 1),
-		copier: newCopier(s, a)}
+	work := s.f.Fleet.Begin(now, a.Target.ID, demand)
+	run := &run{
+		s: s, a: a, work: work, lost: s.f.Fleet.Lost(a.Target.ID), watch: newWatch(now, s.r.Route.MaxPause, a.Resume != (Copy{}), a.CopyTo != nil),
+		probed: make(chan Probe, 1), parts: make(chan part, 1), moved: make(chan copyResult, 1), copier: newCopier(s, a),
+	}
 	defer func() {
 		run.work.Done(time.Now(), run.failed)
 		run.copier.end(!run.failed)
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -15,6 +15,12 @@
 	// pauseShare is the part of the route's longest pause after which a stream goes
 	// on elsewhere though its target lives: the rest is for the move.
 	pauseShare = 0.65
+	// resumeLimit is how long a run that goes on from a copy may take to its next
+	// event; it reads next to nothing.
+	resumeLimit = 350 * time.Millisecond
+	// mutedEvents is how many events a target must have made, as it reports, for a
+	// stream without any to count as cut off. Reports are older than events.
+	mutedEvents = 3
 	// defaultPause stands for a route's longest pause where none is stated.
 	defaultPause = 1500 * time.Millisecond
 	// reportLag is the age that a target's report may have.
@@ -34,17 +40,18 @@
 // pure: times go in, actions come out.
 type watch struct {
 	pause    time.Duration // longest pause of a stream that is on time
+	resumed  bool          // the run goes on from a copy
 	copied   bool          // another target can go on without reading anew
 	started  bool
 	progress time.Time // the send, or the last event
 	asked    time.Time // last probe
 }
 
-func newWatch(now time.Time, pause time.Duration, copied bool) *watch {
+func newWatch(now time.Time, pause time.Duration, resumed, copied bool) *watch {
 	if pause <= 0 {
 		pause = defaultPause
 	}
-	return &watch{pause: pause, copied: copied, progress: now}
+	return &watch{pause: pause, resumed: resumed, copied: copied, progress: now}
 }
 
 // event notes an event of the stream.
@@ -63,6 +70,9 @@
 	if w.started {
 		return w.probe(now, pauseProbe, w.pause)
 	}
+	if w.resumed && silent >= resumeLimit {
+		return watchLeave, 0
+	}
 	return w.probe(now, firstProbe, firstProbe)
 }
 
@@ -80,6 +90,12 @@
 	return watchProbe, min(every, most)
 }
 
+// muted tells whether a report shows that the target runs a request whose events
+// don't arrive.
+func (w *watch) muted(id string, r Report) bool {
+	return !w.started && r.Running[id].Events >= mutedEvents
+}
+
 // lostRun tells whether a report shows that the target no longer has a request
 // that began to run long enough ago. Reports leave out requests whose prompts are
 // still read.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,17 +27,17 @@
 
 // Timing of what daemons tell each other.
 const (
-	// workPeriod is how often a daemon tells what it runs if that changed, and
-	// workPerMember what is added for each daemon, so that what one receives stays
-	// bounded as they grow more.
-	workPeriod    = 200 * time.Millisecond
-	workPerMember = 10 * time.Millisecond
-	// heartbeat is how often it tells so anyway.
+	// workPause is the least time between two messages of what a daemon runs, which
+	// it sends when that changed: when many requests come at once, daemons would
+	// else send them to the same targets. workPerMember is added for each daemon, so
+	// that what one receives stays bounded as they grow more.
+	workPause     = 4 * time.Millisecond
+	workPerMember = time.Millisecond
+	// heartbeat is how often it tells so anyway, and drops what belongs to targets
+	// and daemons that are gone.
 	heartbeat = 500 * time.Millisecond
 	// tellTimeout bounds the sending of one message.
 	tellTimeout = time.Second
-	// forgetPeriod is how often what belongs to targets that are gone is dropped.
-	forgetPeriod = 500 * time.Millisecond
 )
 
 // work is what a daemon runs, and a sign of life.
@@ -51,6 +51,9 @@
 	g         *Gateway
 	transport *peer.Transport
 	ctx       context.Context
+
+	mu        sync.Mutex
+	suspected map[string]time.Time // when a peer said that a target seems dead
 }
 
 func newPeers(g *Gateway) (*peers, error) {
@@ -62,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &peers{g: g, transport: t, ctx: context.Background()}
+	p := &peers{g: g, transport: t, ctx: context.Background(), suspected: make(map[string]time.Time)}
 	t.Handle(kindNews, p.serveNews)
 	t.Handle(kindWhole, p.serveWhole)
 	t.Handle(kindWork, p.serveWork)
@@ -95,26 +98,32 @@
 
 // tellWork tells what this daemon runs until ctx ends.
 func (p *peers) tellWork(ctx context.Context) {
-	var last map[string]fleet.Share
-	var told, forgot time.Time
-	for ctx.Err() == nil {
-		now := time.Now()
-		shares := p.g.fleet.Shares()
-		if now.Sub(told) >= heartbeat || !maps.Equal(shares, last) {
-			p.tell(kindWork, work{shares, p.g.draining.Load()})
-			last, told = shares, now
-		}
-		if now.Sub(forgot) >= forgetPeriod {
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.g.fleet.Changed():
+		case <-beat.C:
 			p.g.forgetTargets()
 			p.forgetSilent()
-			forgot = now
 		}
-		pause.For(ctx, workPeriod+time.Duration(len(p.g.members.others()))*workPerMember)
+		p.tell(kindWork, work{p.g.fleet.Shares(), p.g.draining.Load()})
+		pause.For(ctx, workPause+time.Duration(len(p.g.members.others()))*workPerMember)
 	}
 }
 
-// forgetSilent stops counting the work of daemons that fell silent.
+// forgetSilent stops counting the work of daemons that fell silent, and drops old
+// suspicions.
 func (p *peers) forgetSilent() {
+	p.mu.Lock()
+	for id, at := range p.suspected {
+		if time.Since(at) > fleet.SuspectFor {
+			delete(p.suspected, id)
+		}
+	}
+	p.mu.Unlock()
 	for _, m := range p.g.members.others() {
 		if !p.g.members.live(m.ID) {
 			p.g.fleet.Told(m.ID, nil)
@@ -189,17 +198,28 @@
 	return nil, nil
 }
 
-// tellSuspect tells the others that a target seems dead.
-func (p *peers) tellSuspect(t fleet.Target) { p.tell(kindSuspect, t.ID) }
+// tellSuspect tells the others that a target seems dead, unless one of them said so.
+func (p *peers) tellSuspect(t fleet.Target) {
+	p.mu.Lock()
+	known := time.Since(p.suspected[t.ID]) < fleet.SuspectFor
+	p.mu.Unlock()
+	if !known {
+		p.tell(kindSuspect, t.ID)
+	}
+}
 
-// serveSuspect asks a target that a peer suspects, if this daemon runs something
-// there: what a peer does not reach may still be reached from here.
+// serveSuspect asks a target that a peer suspects: what a peer does not reach may
+// still be reached from here.
 func (p *peers) serveSuspect(_ context.Context, _ peer.Identity, body []byte) (any, error) {
 	var id string
 	if err := msgpack.Unmarshal(body, &id); err != nil {
 		return nil, errors.Wrap(err, "decode suspect")
 	}
-	if t, ok := p.g.fleet.InUse(time.Now(), id); ok {
+	now := time.Now()
+	if t, ok := p.g.fleet.Target(now, id); ok {
+		p.mu.Lock()
+		p.suspected[id] = now
+		p.mu.Unlock()
 		p.g.forward.Prober.Check(t)
 	}
 	return nil, nil
--- a/routing/gateway.go
+++ b/routing/gateway.go
@@ -8,10 +8,9 @@
 	affinityWeight   = 0.15
 	healthWeight     = 1
 	nearWeight       = 0.02
-	// roomWeight makes room count for a copy, which reads nothing, and tightWeight
-	// for a request, which another one may preempt where there is none.
-	roomWeight  = 1
-	tightWeight = 0.3
+	// roomWeight makes room count as much as the start: a request that is preempted
+	// is read anew.
+	roomWeight = 1
 )
 
 // Prompts returns the scheduler for requests with long prompts: where they would
@@ -21,7 +20,7 @@
 		Filters: []Filter{Available{}},
 		Scorers: []Weighted{
 			{SoonestStart{}, startWeight}, {OtherPlace{}, otherPlaceWeight}, {Affinity{}, affinityWeight},
-			{Healthy{}, healthWeight}, {Room{}, tightWeight},
+			{Healthy{}, healthWeight}, {Room{}, roomWeight},
 		},
 		Picker: Best{},
 	}
--- a/routing/score_room.go
+++ b/routing/score_room.go
@@ -1,8 +1,14 @@
 package routing
 
-// Room prefers targets with more memory left; those without room for the request
-// are rated worst.
+// roomyBelow is the filled part of a target's memory up to which it counts as
+// roomy: below it nothing is preempted.
+const roomyBelow = 0.75
+
+// Room prefers targets that have memory left for the request. All that are roomy
+// are rated alike; those without room are rated worst.
 type Room struct{}
 
 // Score implements Scorer.
-func (Room) Score(_ *Request, c *Candidate) float64 { return max(0, 1-c.Filled) }
+func (Room) Score(_ *Request, c *Candidate) float64 {
+	return min(1, max(0, (1-c.Filled)/(1-roomyBelow)))
+}
