--- a/failure/failure.go
+++ b/failure/failure.go
@@ -25,10 +25,13 @@
 
 // Error codes. They are part of the API and never change meaning.
 const (
-	BadRequest    Code = "bad_request"
-	NotFound      Code = "not_found"
-	Unauthorized  Code = "unauthorized"
-	TooLarge      Code = "too_large"
+	BadRequest   Code = "bad_request"
+	NotFound     Code = "not_found"
+	Unauthorized Code = "unauthorized"
+	TooLarge     Code = "too_large"
+
+	HeaderTooLarge Code = "header_too_large"
+
 	Conflict      Code = "conflict"
 	Overloaded    Code = "overloaded"
 	Draining      Code = "draining"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,7 @@
 	draining atomic.Bool                   // a planned stop has begun
 	refusing atomic.Bool                   // takes no new work
 	requests atomic.Int64                  // under way
+	idle     *idleConns
 
 	servers   []*server
 	listeners []net.Listener
@@ -71,7 +72,7 @@
 	logger := level.NewFilter(log.With(log.NewJSONLogger(logOutput), "ts", log.DefaultTimestampUTC, "node", s.ID),
 		level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
 	g := &Gateway{
-		metrics: metrics.NewRegistry(),
+		metrics: metrics.NewRegistry(), idle: newIdleConns(),
 		events:  event.NewRecorder(s.ID, event.NewClock(time.Now), logger, s.EventRing),
 		targets: platform.NewTargets(), fleet: fleet.New(s.Place, rand.Uint64()),
 	}
@@ -111,7 +112,8 @@
 	return g, nil
 }
 
-// Limits of callers' connections where the configuration names none.
+// Limits of callers' connections. The configuration's limits, which are lower, go
+// first; these hold before the first configuration.
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 120 * time.Second
@@ -123,7 +125,8 @@
 		return errors.Wrapf(err, "listen at %s", address)
 	}
 	g.servers = append(g.servers, &server{
-		Server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, listener: l,
+		Server:   &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: g.idle.changed},
+		listener: l,
 	})
 	return nil
 }
@@ -163,6 +166,7 @@
 	g.peers.run(background)
 	g.shelf.run(background)
 	g.wg.Go(func() { g.members.register(background) })
+	g.wg.Go(func() { g.closeIdle(background) })
 	failed := make(chan error, len(g.servers))
 	for _, s := range g.servers {
 		g.wg.Go(func() { failed <- s.Serve(s.listener) })
--- /dev/null
+++ b/gateway/idle_test.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestIdleConnectionsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		idle := newIdleConns()
+		a, b := net.Pipe()
+		idle.changed(a, http.StateIdle)
+		time.Sleep(10 * time.Second)
+		idle.changed(b, http.StateIdle)
+		if got := idle.expired(time.Now(), 15*time.Second); len(got) != 0 {
+			t.Fatal("a connection was closed before its limit")
+		}
+		idle.changed(a, http.StateActive)
+		time.Sleep(15 * time.Second)
+		if got := idle.expired(time.Now(), 15*time.Second); len(got) != 1 || got[0] != b {
+			t.Fatalf("expired: %v", got)
+		}
+	})
+}
