--- a/cmd/vanillaroad-gateway/main.go
+++ b/cmd/vanillaroad-gateway/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/gateway"
 )
 
@@ -27,7 +28,9 @@
 	if err != nil {
 		return err
 	}
-	g, err := gateway.New(s, os.Stdout)
+	output := event.NewOutput(os.Stdout)
+	defer output.Close()
+	g, err := gateway.New(s, output)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/event/output.go
@@ -0,0 +1,80 @@
+package event
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of an Output.
+const (
+	// outputLines is the number of lines that wait for a slow reader: some seconds of
+	// a busy daemon.
+	outputLines = 4096
+	// lostReport is how often lines that were left out are told.
+	lostReport = time.Second
+)
+
+// Output writes log lines on a goroutine of its own, so that a reader that is slow
+// or stopped never holds up the daemon. Lines that find no room are left out and
+// counted; the count is written once there is room. It implements io.Writer.
+type Output struct {
+	w     io.Writer
+	lines chan []byte
+	lost  atomic.Int64
+	stop  chan struct{} // closed by Close
+	done  chan struct{} // closed when the last line is written
+	once  sync.Once
+}
+
+// NewOutput returns an output to w that runs until Close.
+func NewOutput(w io.Writer) *Output {
+	o := &Output{w: w, lines: make(chan []byte, outputLines), stop: make(chan struct{}), done: make(chan struct{})}
+	go o.run()
+	return o
+}
+
+// Write implements io.Writer. It never blocks and never fails.
+func (o *Output) Write(line []byte) (int, error) {
+	select {
+	case o.lines <- append([]byte(nil), line...):
+	default:
+		o.lost.Add(1)
+	}
+	return len(line), nil
+}
+
+// Close writes what waits and ends the output. Lines that come later are dropped.
+func (o *Output) Close() {
+	o.once.Do(func() { close(o.stop) })
+	<-o.done
+}
+
+func (o *Output) run() {
+	defer close(o.done)
+	ticker := time.NewTicker(lostReport)
+	defer ticker.Stop()
+	for {
+		select {
+		case line := <-o.lines:
+			_, _ = o.w.Write(line) // there is nowhere to tell that the log can't be written
+		case <-o.stop:
+			for len(o.lines) > 0 {
+				_, _ = o.w.Write(<-o.lines)
+			}
+			o.tellLost()
+			return
+		case <-ticker.C:
+			o.tellLost()
+		}
+	}
+}
+
+func (o *Output) tellLost() {
+	if n := o.lost.Swap(0); n > 0 {
+		entry := Lookup(LogLinesLost)
+		_, _ = fmt.Fprintf(o.w, "{\"event\":%d,\"level\":\"warn\",\"name\":%q,\"lines\":%d}\n", entry.Number, entry.Name, n)
+	}
+}
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -105,7 +105,7 @@
 	IdleTimeout   time.Duration
 }
 
-// Workspace is the tenant that a key belongs to.
+// Workspace is whose requests bear one of its keys.
 type Workspace struct {
 	Name string
 	Keys []string
