fleet: tests of herds, lapses and counts; routing: the start is rated in proportion

TestHerdIsSpread found it: with 1/(1+wait) the hash of a prompt outweighed a second prompt, so one target got three while another had one.

--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,223 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// site returns a fleet of n targets, two in each place.
+func site(n int) *Fleet {
+	f := New("p0", 1)
+	for i := range n {
+		f.Put(Target{ID: fmt.Sprint("t", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), Place: fmt.Sprint("p", i/2), Slots: 16})
+	}
+	return f
+}
+
+func prompt(tokens int) (Wish, Demand) {
+	return Wish{Service: "s", Need: tokens, Capacity: 55_000}, Demand{Unread: tokens, Memory: tokens}
+}
+
+// TestHerdIsSpread plays callers that come back all at once: no target gets a
+// second long prompt while another one has none.
+func TestHerdIsSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "targets")
+		f := site(n)
+		wish, demand := prompt(5000)
+		load := make(map[string]int)
+		for i := range 3 * n {
+			wish.Affinity = fmt.Sprint(i)
+			got, err := f.Pick(start, wish)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.Begin(start, got.ID, demand)
+			load[got.ID]++
+			if load[got.ID] > i/n+1 {
+				t.Fatalf("prompt %d is the %dth on %s of %d targets: %v", i, load[got.ID], got.ID, n, load)
+			}
+		}
+	})
+}
+
+func TestPeersWorkCounts(t *testing.T) {
+	Convey("What peers run counts like own work, until they are gone", t, func() {
+		f := site(2)
+		wish, _ := prompt(5000)
+		f.Told("peer", map[string]Share{"t0": {Running: 2, Unread: 9000}})
+		got, err := f.Pick(start, wish)
+		So(err, ShouldBeNil)
+		So(got.ID, ShouldEqual, "t1")
+		f.Told("other", map[string]Share{"t1": {Running: 4, Unread: 20_000}})
+		got, _ = f.Pick(start, wish)
+		So(got.ID, ShouldEqual, "t0")
+		f.Told("other", nil)
+		got, _ = f.Pick(start, wish)
+		So(got.ID, ShouldEqual, "t1")
+	})
+}
+
+func TestUnusableTargets(t *testing.T) {
+	wish, _ := prompt(5000)
+	cases := []struct {
+		name string
+		do   func(f *Fleet)
+		back int // milliseconds after which the target is used again; -1 for never
+	}{
+		{"leaves", func(f *Fleet) {
+			f.Put(Target{ID: "t0", Service: "s", Address: "10.0.0.0:1", Place: "p0", Leaving: true})
+		}, -1},
+		{"is gone", func(f *Fleet) { f.Remove(start, "t0", false) }, -1},
+		{"has ended", func(f *Fleet) { f.Replaced(Target{ID: "t0"}) }, -1},
+		{"has lost its address to a new one", func(f *Fleet) { f.Put(Target{ID: "new", Service: "other", Address: "10.0.0.0:1"}) }, -1},
+		{"is taken for dead", func(f *Fleet) { f.Suspect(start, "t0") }, int(SuspectFor.Milliseconds())},
+		{"refused", func(f *Fleet) { f.Refused(start, "t0") }, int(2 * avoidBase.Milliseconds())},
+	}
+	for _, c := range cases {
+		Convey("A target that "+c.name+" gets no new work", t, func() {
+			f := site(1)
+			lost, unfit := f.Lost("t0"), f.Unfit("t0")
+			c.do(f)
+			_, err := f.Pick(start, wish)
+			So(err, ShouldNotBeNil)
+			if c.back < 0 {
+				_, err = f.Pick(at(600_000), wish)
+				So(err, ShouldNotBeNil)
+			} else {
+				_, err = f.Pick(at(c.back), wish)
+				So(err, ShouldBeNil)
+			}
+			closed := func(c <-chan struct{}) bool {
+				select {
+				case <-c:
+					return true
+				default:
+					return false
+				}
+			}
+			dead := c.name == "has ended" || c.name == "is taken for dead" || c.name == "has lost its address to a new one"
+			So(closed(lost), ShouldEqual, dead) // runs go on at a target that leaves
+			So(closed(unfit), ShouldEqual, c.name != "refused")
+		})
+	}
+	Convey("A target that ended is used again once its entry changes", t, func() {
+		f := site(1)
+		f.Replaced(Target{ID: "t0"})
+		f.Put(Target{ID: "t0", Service: "s", Address: "10.0.0.0:1", Place: "p0", Slots: 16, Born: 5})
+		_, err := f.Pick(start, wish)
+		So(err, ShouldBeNil)
+	})
+	Convey("What is known of another run of a target does not count against this one", t, func() {
+		f := site(1)
+		f.Put(Target{ID: "t0", Service: "s", Address: "10.0.0.0:1", Place: "p0", Slots: 16, Born: 5})
+		So(f.Replaced(Target{ID: "t0", Born: 4}), ShouldBeFalse)
+		_, err := f.Pick(start, wish)
+		So(err, ShouldBeNil)
+	})
+}
+
+// TestLapsedEntries plays an outage of the store after which the entries of all
+// targets have lapsed: they stay in use until it is certain which are gone.
+func TestLapsedEntries(t *testing.T) {
+	Convey("Given two targets whose entries lapsed", t, func() {
+		f := site(2)
+		wish, _ := prompt(5000)
+		f.Remove(start, "t0", true)
+		f.Remove(start, "t1", true)
+		_, err := f.Pick(start, wish)
+		So(err, ShouldBeNil)
+		Convey("one that is back goes first", func() {
+			f.Put(Target{ID: "t1", Service: "s", Address: "10.0.0.1:1", Place: "p0", Slots: 16})
+			got, err := f.Pick(at(100), wish)
+			So(err, ShouldBeNil)
+			So(got.ID, ShouldEqual, "t1")
+		})
+		Convey("one that is not back in time is gone", func() {
+			f.Put(Target{ID: "t1", Service: "s", Address: "10.0.0.1:1", Place: "p0", Slots: 16})
+			So(f.Expire(at(1900)), ShouldBeEmpty)
+			So(f.Expire(at(2100)), ShouldResemble, []string{"t0"})
+			So(f.IDs(), ShouldResemble, []string{"t1"})
+		})
+	})
+}
+
+func TestCopiesGoElsewhere(t *testing.T) {
+	Convey("A copy goes out of the run's place, where there is room", t, func() {
+		f := site(6)
+		for _, full := range []string{"t2", "t3", "t4"} {
+			f.Hold(full, 54_000)
+		}
+		got, err := f.Pick(start, Wish{Service: "s", Exclude: map[string]bool{"t0": true}, OtherPlaces: []string{"p0"}, Need: 6000, Capacity: 55_000, Copy: true})
+		So(err, ShouldBeNil)
+		So(got.ID, ShouldEqual, "t5")
+	})
+}
+
+// TestCountsReturnToNothing plays requests that start, end and are lost in any
+// order, and targets that restart under them.
+func TestCountsReturnToNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := site(3)
+		var works []*Work
+		var holds []func()
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			id := fmt.Sprint("t", rapid.IntRange(0, 2).Draw(t, "target"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				works = append(works, f.Begin(now, id, Demand{Unread: 100, Memory: 150}))
+			case 1:
+				holds = append(holds, f.Hold(id, 70))
+			case 2:
+				if len(works) > 0 {
+					works[rapid.IntRange(0, len(works)-1).Draw(t, "work")].Started(now)
+				}
+			case 3:
+				if len(works) > 0 {
+					works[rapid.IntRange(0, len(works)-1).Draw(t, "work")].Done(now, rapid.Bool().Draw(t, "failed"))
+				}
+			case 4:
+				f.Put(Target{ID: id, Service: "s", Address: "10.0.0.9" + id[1:] + ":1", Place: "p0", Slots: 4, Born: now.UnixMilli()})
+			}
+		}
+		for _, w := range works {
+			w.Done(now, false)
+			w.Done(now, true)
+		}
+		for _, release := range holds {
+			release()
+			release()
+		}
+		if left := f.Shares(); len(left) != 0 {
+			t.Fatalf("left: %v", left)
+		}
+	})
+}
+
+func TestEstimatesAreForgotten(t *testing.T) {
+	Convey("A target that failed is avoided for a while, then tried again", t, func() {
+		f := site(2)
+		w := f.Begin(start, "t0", Demand{})
+		w.Done(at(20), true)
+		first := func(now time.Time) map[string]bool {
+			seen := make(map[string]bool)
+			for range 40 {
+				got, _ := f.Pick(now, Wish{Service: "s"})
+				seen[got.ID] = true
+			}
+			return seen
+		}
+		So(first(at(30)), ShouldResemble, map[string]bool{"t1": true})
+		So(first(at(30+int(forgetAfter.Milliseconds()))), ShouldResemble, map[string]bool{"t0": true, "t1": true})
+	})
+}
--- a/routing/gateway.go
+++ b/routing/gateway.go
@@ -1,19 +1,24 @@
 package routing
 
-// Weights of the scorers for plain HTTP requests. The start counts most; what a
-// request prefers besides decides between targets that would start it alike.
+import "time"
+
+// Weights of the scorers for plain HTTP requests. One point stands for one second
+// of waiting for the start.
 const (
-	startWeight      = 1
-	otherPlaceWeight = 2
-	affinityWeight   = 0.25
+	startWeight      = float64(startScale / time.Second)
+	otherPlaceWeight = 20 // a copy in the place of its run is next to useless
+	// affinityWeight is less than what reading another prompt takes, a second, so
+	// that no target gets a prompt for its hash while another one is idle.
+	affinityWeight = 0.5
 	// returnWeight makes a request that goes on after an event look for the target
 	// that read its prompt before, which saves reading it again: a second or more.
 	returnWeight = 1.5
-	healthWeight = 1
-	nearWeight   = 0.02
-	// roomWeight makes room count as much as the start: a request that is preempted
-	// is read anew.
-	roomWeight = 1
+	healthWeight = 3
+	// roomWeight: a request that is preempted is read anew, and its caller waits.
+	roomWeight        = 3
+	loadWeightCalls   = 1
+	healthWeightCalls = 1
+	nearWeight        = 0.02
 )
 
 // Prompts returns the scheduler for requests with long prompts: where they would
@@ -53,7 +58,7 @@
 func Calls() Scheduler {
 	return Scheduler{
 		Filters: []Filter{Available{}},
-		Scorers: []Weighted{{LeastLoad{}, startWeight}, {Healthy{}, healthWeight}, {SoonestStart{}, startWeight}, {Nearest{}, nearWeight}},
+		Scorers: []Weighted{{LeastLoad{}, loadWeightCalls}, {Healthy{}, healthWeightCalls}, {SoonestStart{}, startWeight}, {Nearest{}, nearWeight}},
 		Picker:  Best{},
 	}
 }
