--- a/forward/forward.go
+++ b/forward/forward.go
@@ -61,6 +61,9 @@
 	// CopyTo is the target that gets a copy of the run's memory as it grows; nil for
 	// none.
 	CopyTo *fleet.Target
+	// Late tells that the answer can't be in time any more, so that the target takes
+	// those that can be first.
+	Late bool
 	// Resume is the copy of the run's memory that the target holds; zero if none.
 	Resume Copy
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -142,7 +142,7 @@
 		s.f.Events.Record(event.RetryDenied, s.r.ID, event.F("service", s.r.Service))
 		return Attempt{}, false
 	}
-	a := Attempt{Request: s.r, LastEvent: s.lastEvent()}
+	a := Attempt{Request: s.r, LastEvent: s.lastEvent(), Late: s.late(now)}
 	if c := s.held; c != nil && s.f.Fleet.State(now, c.at.ID) == fleet.Ready && !s.tried[c.at.ID] {
 		a.Target, a.Resume = c.at, c.copy
 	} else {
@@ -169,6 +169,20 @@
 	return a, true
 }
 
+// late tells whether the answer can't be in time any more: the caller came back for
+// the rest of it, waits longer between two events than the route allows, or would
+// have its first event after the objective.
+func (s *stream) late(now time.Time) bool {
+	route := s.r.Route
+	switch {
+	case s.r.LastEvent != "":
+		return true
+	case !s.event.IsZero():
+		return route.MaxPause > 0 && now.Sub(s.event) > route.MaxPause
+	}
+	return route.Objective > 0 && now.Sub(s.r.Received) > route.Objective
+}
+
 func (s *stream) lastEvent() string {
 	if s.last < 0 {
 		return ""
