forward: the retry budget holds in every window, not only as requests arrive

Half of the ratio is used, which two windows of requests cover. Histograms of calls, first events and resumes.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -6,16 +6,22 @@
 )
 
 // BudgetSettings bound the sends beyond the first of each request, over all
-// daemons, within any window.
+// daemons, within any window. The requests are those of that window, of the one
+// before it, or of the one half a window before it, whichever are most.
 type BudgetSettings struct {
 	Ratio  float64       // of the requests
 	Slack  float64       // sends in a window besides, for the whole system
 	Window time.Duration // sliding
 }
 
-// budgetMargin is the part of the bound that a daemon uses: others count arrivals
-// at other moments than it does.
-const budgetMargin = 0.8
+// Parts of the bound that a daemon uses.
+const (
+	// ratioPart is a half, because repeats may follow their requests by a window: two
+	// windows of requests can pay for one window of repeats.
+	ratioPart = 0.5
+	// slackPart leaves room for daemons that join or that others don't know of yet.
+	slackPart = 0.9
+)
 
 // Budget bounds this daemon's part of repeated sends. The ratio applies to its own
 // requests; the slack is shared out evenly between the daemons, so that the sum of
@@ -66,11 +72,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(now, service)
-	allowed := b.settings.Ratio * float64(len(s.requests))
+	allowed := ratioPart * b.settings.Ratio * float64(len(s.requests))
 	if b.daemons > 0 {
-		allowed += b.settings.Slack / float64(b.daemons)
+		allowed += slackPart * b.settings.Slack / float64(b.daemons)
 	}
-	if float64(len(s.repeats)+1) > budgetMargin*allowed {
+	if float64(len(s.repeats)+1) > allowed {
 		return false
 	}
 	s.repeats = append(s.repeats, now)
--- a/forward/call.go
+++ b/forward/call.go
@@ -40,6 +40,7 @@
 	}
 	f.Events.Record(event.RequestAnswered, r.ID, event.F("route", r.Route.Name), event.F("target", c.target.ID),
 		event.F("status", http.StatusText(answer.status)), event.F("after", time.Since(r.Received).String()))
+	f.measure(metricCall, time.Since(r.Received))
 	w.Answer(answer.status, answer.header, answer.body)
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
 	"github.com/vanillaroad/vanillaroad/event"
@@ -166,6 +167,7 @@
 	Pace    *rate.Limiter // see NewPace
 	Crashes Crashes
 	Events  *event.Recorder
+	Metrics metrics.Registry
 	// Model returns what is known of the engines of a service, nil if it runs none.
 	Model func(service string) *ingress.Model
 }
@@ -207,6 +209,25 @@
 	w.Fail(err)
 }
 
+// Histograms of a forwarder, in milliseconds.
+const (
+	metricCall       = "forward.call_ms"        // from a call's arrival to its answer
+	metricFirstEvent = "forward.first_event_ms" // from a stream's arrival to its first event
+	metricResume     = "forward.resume_ms"      // from the loss of a run to its next event
+)
+
+// Shape of the histograms: the number of samples that each keeps, and how much newer
+// ones count; with these the last five minutes count most.
+const (
+	reservoir  = 1028
+	recentBias = 0.015
+)
+
+// measure adds a duration to a histogram.
+func (f *Forwarder) measure(name string, d time.Duration) {
+	metrics.GetOrRegisterHistogram(name, f.Metrics, metrics.NewExpDecaySample(reservoir, recentBias)).Update(d.Milliseconds())
+}
+
 // Pauses that callers are told when a request has not run.
 const (
 	// retrySoon is for a refusal that another target or daemon need not repeat.
--- a/forward/run.go
+++ b/forward/run.go
@@ -251,6 +251,7 @@
 	}
 	s.passed(now, p.event.ID)
 	if !s.lost.IsZero() {
+		s.f.measure(metricResume, now.Sub(s.lost))
 		s.f.Events.Record(event.AnswerResumed, s.r.ID, event.F("target", r.a.Target.ID), event.F("after", now.Sub(s.lost).String()),
 			event.F("from_copy", strconv.FormatBool(r.a.Resume != (Copy{}))))
 		s.lost = time.Time{}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -120,6 +120,7 @@
 func (s *stream) passed(now time.Time, id int64) {
 	if s.first.IsZero() {
 		s.first = now
+		s.f.measure(metricFirstEvent, now.Sub(s.r.Received))
 	} else {
 		s.pause = max(s.pause, now.Sub(s.event))
 	}
