--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -33,10 +33,13 @@
 	dead     map[string]bool
 	copies   map[string]string // by name: the target that holds it
 	released int
+	moves    int
+	full     map[string]bool   // targets without room
+	stops    map[string]func() // end the run at a target as a move does
 }
 
 func newFakeSender() *fakeSender {
-	return &fakeSender{targets: make(map[string]behaviour), running: make(map[string]int), dead: make(map[string]bool), copies: make(map[string]string)}
+	return &fakeSender{targets: make(map[string]behaviour), running: make(map[string]int), dead: make(map[string]bool), copies: make(map[string]string), full: make(map[string]bool), stops: make(map[string]func())}
 }
 
 func (s *fakeSender) Send(ctx context.Context, a Attempt) (*Answer, error) {
@@ -67,15 +70,23 @@
 	return Copy{from.Address, name}, nil
 }
 
-func (s *fakeSender) Move(ctx context.Context, from fleet.Target, id string, to fleet.Target) (Copy, error) {
+func (s *fakeSender) Move(ctx context.Context, from fleet.Target, id string, to fleet.Target) (Copy, fleet.Target, error) {
 	s.mu.Lock()
-	dead := s.dead[from.ID]
+	dead, full, stop := s.dead[from.ID], s.full[to.ID], s.stops[from.ID]
+	s.moves++
 	s.mu.Unlock()
 	if dead {
 		<-ctx.Done()
-		return Copy{}, ctx.Err()
+		return Copy{}, fleet.Target{}, ctx.Err()
 	}
-	return s.Copy(ctx, from, id, to)
+	if stop != nil {
+		stop()
+	}
+	if full {
+		to = from
+	}
+	c, err := s.Copy(ctx, from, id, to)
+	return c, to, err
 }
 
 func (s *fakeSender) Release(context.Context, fleet.Target, Copy) error {
@@ -135,6 +146,9 @@
 			next++
 		}
 		s.begin(a.Target.ID)
+		s.mu.Lock()
+		s.stops[a.Target.ID] = func() { _ = w.CloseWithError(io.ErrUnexpectedEOF) }
+		s.mu.Unlock()
 		go func() {
 			defer s.end(a.Target.ID)
 			for ; next <= last; next++ {
@@ -157,7 +171,7 @@
 			}
 			_ = w.Close()
 		}()
-		return &Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"X-First": {a.Target.ID}}, Body: r}, nil
+		return &Answer{Status: http.StatusOK, Signed: true, Framed: true, Header: http.Header{"X-First": {a.Target.ID}}, Body: r}, nil
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -82,6 +82,8 @@
 	NotRun bool
 	// OtherTarget tells that another target holds the address now.
 	OtherTarget bool
+	// Framed tells that the end of the body can be told from a broken connection.
+	Framed bool
 	// Signed tells that the answer bears the target's own signature.
 	Signed bool
 }
@@ -127,8 +129,9 @@
 	// or what is new of it since the last time.
 	Copy(ctx context.Context, from fleet.Target, requestID string, to fleet.Target) (Copy, error)
 	// Move stops a request that runs at one target and has its memory moved to
-	// another.
-	Move(ctx context.Context, from fleet.Target, requestID string, to fleet.Target) (Copy, error)
+	// another. It returns the target that holds the memory: from itself where to has
+	// no room.
+	Move(ctx context.Context, from fleet.Target, requestID string, to fleet.Target) (Copy, fleet.Target, error)
 	// Release frees a copy that was made by Copy.
 	Release(ctx context.Context, from fleet.Target, c Copy) error
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -25,6 +25,7 @@
 	copier  *copier
 	moved   chan copyResult // the outcome of moving the run away
 	moving  bool
+	framed  bool // see Answer
 	failed  bool // by the target itself
 }
 
@@ -108,9 +109,13 @@
 				return r.leave("the stream is silent, and not moved: " + m.err.Error())
 			}
 			r.copier.held = &m.heldCopy
-			return r.leave("the stream is silent, and was moved")
+			end := r.leave("the stream is silent, and was moved")
+			if m.at.ID == r.a.Target.ID {
+				delete(r.s.tried, r.a.Target.ID) // it stopped the run and holds it still
+			}
+			return end
 		case p := <-r.parts:
-			if r.moving && p.err != nil {
+			if r.moving && p.err != nil && !(ended(p.err) && r.framed) {
 				continue // moving ends the stream; the outcome of the move comes next
 			}
 			if !head {
@@ -145,9 +150,9 @@
 	go func() {
 		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
-		c, err := r.s.f.Sender.Move(moveCtx, r.a.Target, r.s.r.ID, to)
+		c, at, err := r.s.f.Sender.Move(moveCtx, r.a.Target, r.s.r.ID, to)
 		select {
-		case r.moved <- copyResult{heldCopy{to, c}, err}:
+		case r.moved <- copyResult{heldCopy{at, c}, err}:
 		case <-ctx.Done():
 		}
 	}()
@@ -191,7 +196,7 @@
 	case !isStream(p.answer):
 		return r.refused(p.answer), true
 	}
-	s.ran = true
+	s.ran, r.framed = true, p.answer.Framed
 	s.f.Fleet.Answered(t.ID)
 	if s.begun {
 		return 0, false
