fleet: prompts spare targets that run streams

Pattern: streams whose events are held up by a prompt read beside them (227 ms instead of 27 ms an event). A running request counts 300 ms against a target, not 20, and more than the hash of a prompt. With less time in flight a lost place takes fewer streams.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -221,3 +221,21 @@
 		So(first(at(30+int(forgetAfter.Milliseconds()))), ShouldResemble, map[string]bool{"t0": true, "t1": true})
 	})
 }
+
+// TestPromptsSpareStreams names the pattern of a calm day: some targets run streams,
+// whose events a prompt beside them would hold up.
+func TestPromptsSpareStreams(t *testing.T) {
+	Convey("A prompt goes where nothing runs, rather than beside streams", t, func() {
+		f := site(4)
+		for _, id := range []string{"t0", "t1", "t2"} {
+			f.Begin(start, id, Demand{Memory: 6000}) // its prompt is read
+		}
+		wish, _ := prompt(5000)
+		for i := range 20 {
+			wish.Affinity = fmt.Sprint(i)
+			got, err := f.Pick(start, wish)
+			So(err, ShouldBeNil)
+			So(got.ID, ShouldEqual, "t3")
+		}
+	})
+}
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -11,8 +11,10 @@
 	// readTokensPerMilli is the rate at which an idle engine reads prompts. It is
 	// the rate of the engines in use today; pace corrects it for each target.
 	readTokensPerMilli = 5.0
-	// runningDelay is what each running request adds to the start of another.
-	runningDelay = 20 * time.Millisecond
+	// runningDelay is what a running request counts against a target that a prompt is
+	// to be read at. Its events are held up while the prompt is read, for a second or
+	// so; a part of that, so that prompts don't wait long to spare streams.
+	runningDelay = 300 * time.Millisecond
 )
 
 // Work is a request of this daemon on a target. Its methods may be called more
--- a/routing/gateway.go
+++ b/routing/gateway.go
@@ -7,9 +7,9 @@
 const (
 	startWeight      = float64(startScale / time.Second)
 	otherPlaceWeight = 20 // a copy in the place of its run is next to useless
-	// affinityWeight is less than what reading another prompt takes, a second, so
+	// affinityWeight is less than what one running request counts, so
 	// that no target gets a prompt for its hash while another one is idle.
-	affinityWeight = 0.5
+	affinityWeight = 0.25
 	// returnWeight makes a request that goes on after an event look for the target
 	// that read its prompt before, which saves reading it again: a second or more.
 	returnWeight = 1.5
