platform: one client; the stand-in speaks the store's protocol

The project's own dialect of the object API is gone with its client. Deletions of configuration parts, which are written once, are unconditional.

--- a/configuration/load.go
+++ b/configuration/load.go
@@ -122,8 +122,7 @@
 		if removed == sweepMax {
 			break
 		}
-		const firstVersion = 1
-		if err := store.Delete(ctx, PartKind, name, firstVersion); err != nil {
+		if err := store.Delete(ctx, PartKind, name, objectstore.AnyVersion); err != nil {
 			return removed, err
 		}
 		removed++
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -286,9 +286,8 @@
 func (w *writing) collect(ctx context.Context, names []string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), collectTimeout)
 	defer cancel()
-	const firstVersion = 1 // parts are written once
 	for _, n := range names {
-		if err := w.store.Delete(ctx, PartKind, n, firstVersion); errors.Is(err, objectstore.ErrUnavailable) {
+		if err := w.store.Delete(ctx, PartKind, n, objectstore.AnyVersion); errors.Is(err, objectstore.ErrUnavailable) {
 			return
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,7 +77,7 @@
 		targets: platform.NewTargets(), fleet: fleet.New(s.Place, rand.Uint64()),
 	}
 	g.settings.Store(&s)
-	g.store = platform.NewObjects(s.Store, g.metrics)
+	g.store = platform.NewClient("http://"+s.Store, g.metrics)
 	g.members, g.shelf, g.crashes = newMembers(g), newShelf(g), newCrashes(g)
 	g.forward = &forward.Forwarder{
 		Sender: g.targets, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, Crashes: g.crashes, Pace: forward.NewPace(),
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -24,11 +24,14 @@
 	ErrHistoryGone = errors.New("history is gone")
 )
 
+// AnyVersion makes a deletion unconditional.
+const AnyVersion = 0
+
 // MaxValueBytes is the largest value the store holds.
 const MaxValueBytes = 1 << 20
 
-// Object is one stored value. Version rises with each write of the object, and
-// Revision with each write to the store.
+// Object is one stored value. Version changes with each write of the object, and
+// Revision rises with each write to the store; a store may use one for both.
 type Object struct {
 	Kind     string          `json:"kind"`
 	Name     string          `json:"name"`
@@ -57,7 +60,7 @@
 	List(ctx context.Context, kind string) ([]Object, int64, error)
 	// Put writes value if the object's version is expected (0: must not exist).
 	Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (Object, error)
-	// Delete removes the object if its version is expected.
+	// Delete removes the object if its version is expected, or AnyVersion.
 	Delete(ctx context.Context, kind, name string, expected int64) error
 	// Watch waits until objects of a kind change after revision since, or a
 	// server-side wait ends, and returns the changes and the new revision.
