forward: targets are asked whether they hold the prompt of a caller who comes back

Cause of prompts read in vain: after all daemons were lost, callers come back for the rest of their answers and nobody knows where their prompts were read. Ruled out: writing each stream's place to the store (a call a stream), gossip (lost with the daemons).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/routing"
 )
@@ -213,8 +215,8 @@
 	Exclude map[string]bool // targets that this request was sent to
 	// Affinity, if not empty, ranks equally loaded targets alike on every daemon.
 	Affinity string
-	// Returning tells that some target may have read the prompt before.
-	Returning bool
+	// Cached holds the ids of targets that are known to hold the prompt.
+	Cached map[string]bool
 	// OtherPlaces are places to stay out of if any other has a target.
 	OtherPlaces []string
 	// Need is the memory that the request takes, in tokens, and Capacity what a
@@ -233,15 +235,13 @@
 		candidates = f.candidates(now, w, true)
 	}
 	request := &routing.Request{
-		Exclude: w.Exclude, Affinity: w.Affinity, OtherPlaces: w.OtherPlaces,
+		Exclude: w.Exclude, Affinity: w.Affinity, Blocks: wholePrompt, OtherPlaces: w.OtherPlaces,
 		Pinned: configuration.NewSystem, FromPlace: f.place,
 	}
 	scheduler := routing.Calls()
 	switch {
 	case w.Copy:
 		scheduler = routing.Copies()
-	case w.Returning:
-		scheduler = routing.Returns()
 	case w.Need > 0:
 		scheduler = routing.Prompts()
 	}
@@ -274,10 +274,16 @@
 			Start: s.expectedStart(now, unread, running), Failing: s.failing.value(now, 0),
 			Filled: filled(memory+w.Need, w.Capacity),
 		})
+		if w.Cached[s.ID] {
+			out[len(out)-1].CachedBlocks = len(wholePrompt)
+		}
 	}
 	return out
 }
 
+// wholePrompt stands for a prompt of which a cache holds all or nothing.
+var wholePrompt = []uint64{0}
+
 // load returns the requests, unread prompt tokens and tokens in memory of all
 // daemons.
 func (s *status) load() (running, unread, memory int) {
@@ -441,3 +447,19 @@
 	}
 	return s.Target, true
 }
+
+// Nearest returns the targets of a service that may get new work, those first that
+// the hash of a key names first, alike on every daemon; most of them at most.
+func (f *Fleet) Nearest(now time.Time, service, key string, most int) []Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Target
+	for _, s := range f.services[service] {
+		if !s.Leaving && !s.replaced && !now.Before(s.suspect) && !now.Before(s.avoid) {
+			out = append(out, s.Target)
+		}
+	}
+	rank := func(t Target) uint64 { return xxhash.Sum64String(key + "\x00" + t.ID) }
+	sort.Slice(out, func(i, j int) bool { return rank(out[i]) > rank(out[j]) })
+	return out[:min(most, len(out))]
+}
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -34,8 +34,10 @@
 	copies   map[string]string // by name: the target that holds it
 	released int
 	moves    int
-	full     map[string]bool   // targets without room
-	stops    map[string]func() // end the run at a target as a move does
+	asked    int
+	cached   map[string]map[string]bool // parts of prompts, by target
+	full     map[string]bool            // targets without room
+	stops    map[string]func()          // end the run at a target as a move does
 }
 
 func newFakeSender() *fakeSender {
@@ -89,6 +91,13 @@
 	return c, to, err
 }
 
+func (s *fakeSender) Cached(ctx context.Context, t fleet.Target) (map[string]bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	return s.cached[t.ID], ctx.Err()
+}
+
 func (s *fakeSender) Release(context.Context, fleet.Target, Copy) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,6 +121,13 @@
 	return out
 }
 
+// questions returns how often a target was asked for what its cache holds.
+func (s *fakeSender) questions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
 func (s *fakeSender) attempt(i int) Attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -240,6 +256,7 @@
 	}
 	s.Forwarder = &Forwarder{
 		Sender: s.sender, Fleet: f, Events: events, Crashes: s.crashes, Prober: NewProber(s.sender, f, events),
+		Holders: NewHolders(s.sender),
 		Metrics: metrics.NewRegistry(), Pace: NewPace(), Budget: NewBudget(BudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
 		Model: func(string) *ingress.Model { return &ingress.Model{CacheTokens: 50_000, Copies: true} },
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -132,6 +132,8 @@
 	// another. It returns the target that holds the memory: from itself where to has
 	// no room.
 	Move(ctx context.Context, from fleet.Target, requestID string, to fleet.Target) (Copy, fleet.Target, error)
+	// Cached returns the parts of prompts that a target's cache holds.
+	Cached(ctx context.Context, t fleet.Target) (map[string]bool, error)
 	// Release frees a copy that was made by Copy.
 	Release(ctx context.Context, from fleet.Target, c Copy) error
 }
@@ -166,6 +168,7 @@
 	Sender  Sender
 	Fleet   *fleet.Fleet
 	Prober  *Prober
+	Holders *Holders
 	Budget  *Budget
 	Pace    *rate.Limiter // see NewPace
 	Crashes Crashes
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -152,8 +152,9 @@
 			return Attempt{}, false
 		}
 		t, err := s.f.Fleet.Pick(time.Now(), fleet.Wish{
+			Cached:  s.holders(ctx),
 			Service: s.r.Service, Exclude: s.tried, Affinity: s.r.Prompt.Key, OtherPlaces: s.places,
-			Need: max(1, s.memory()), Capacity: s.capacity(), Returning: s.r.LastEvent != "" && len(s.tried) == 0,
+			Need: max(1, s.memory()), Capacity: s.capacity(),
 		})
 		if err != nil {
 			if s.err == nil {
@@ -191,6 +192,15 @@
 	return strconv.FormatInt(s.last, 10)
 }
 
+// holders returns the targets that hold the prompt of a caller who comes back for the
+// rest of an answer, nil for others.
+func (s *stream) holders(ctx context.Context) map[string]bool {
+	if s.r.LastEvent == "" || s.r.Prompt.Key == "" || len(s.tried) > 0 {
+		return nil
+	}
+	return s.f.Holders.Find(ctx, s.f.Fleet.Nearest(time.Now(), s.r.Service, s.r.Prompt.Key, holdersAsked), s.r.Prompt.Key)
+}
+
 // copyTarget chooses where a copy of the run's memory grows: in another place, so
 // that the loss of a whole place leaves one of the two.
 func (s *stream) copyTarget(now time.Time, t fleet.Target, refused map[string]bool) (fleet.Target, bool) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,7 +81,7 @@
 	g.members, g.shelf, g.crashes = newMembers(g), newShelf(g), newCrashes(g)
 	g.forward = &forward.Forwarder{
 		Sender: g.targets, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, Crashes: g.crashes, Pace: forward.NewPace(),
-		Prober: forward.NewProber(g.targets, g.fleet, g.events),
+		Prober: forward.NewProber(g.targets, g.fleet, g.events), Holders: forward.NewHolders(g.targets),
 		Budget: forward.NewBudget(s.RetryBudget.bounds()),
 		Model:  g.model,
 	}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -77,4 +77,5 @@
 	keep := func(id string) bool { return known[id] }
 	g.targets.Forget(keep)
 	g.forward.Prober.Forget(keep)
+	g.forward.Holders.Forget(keep)
 }
--- a/routing/gateway.go
+++ b/routing/gateway.go
@@ -10,9 +10,9 @@
 	// affinityWeight is less than what one running request counts, so
 	// that no target gets a prompt for its hash while another one is idle.
 	affinityWeight = 0.25
-	// returnWeight makes a request that goes on after an event look for the target
-	// that read its prompt before, which saves reading it again: a second or more.
-	returnWeight = 1.5
+	// cachedWeight: where the prompt lies in a cache, reading it again is saved, which
+	// takes a second and holds up the streams beside it for as long.
+	cachedWeight = 2
 	healthWeight = 3
 	// roomWeight: a request that is preempted is read anew, and its caller waits.
 	roomWeight        = 3
@@ -28,7 +28,7 @@
 		Filters: []Filter{Available{}},
 		Scorers: []Weighted{
 			{SoonestStart{}, startWeight}, {OtherPlace{}, otherPlaceWeight}, {Affinity{}, affinityWeight},
-			{Healthy{}, healthWeight}, {Room{}, roomWeight},
+			{Healthy{}, healthWeight}, {Room{}, roomWeight}, {CachedPrefix{}, cachedWeight},
 		},
 		Picker: Best{},
 	}
@@ -45,14 +45,6 @@
 	}
 }
 
-// Returns returns the scheduler for requests with long prompts that a caller sends
-// again to have an answer go on.
-func Returns() Scheduler {
-	s := Prompts()
-	s.Scorers = append(s.Scorers, Weighted{Affinity{}, returnWeight})
-	return s
-}
-
 // Calls returns the scheduler for plain calls: targets that don't fail, are
 // little loaded and near.
 func Calls() Scheduler {
