forward: a lost target is looked into by those that use it, and by a few others

Peers' word now stands for targets that a daemon does not use, and that a process has ended is believed at once.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -393,18 +393,23 @@
 	}
 }
 
-// SamePlace returns the other targets of t's service in its place that are not
-// taken for dead.
-func (f *Fleet) SamePlace(now time.Time, t Target) []Target {
+// SamePlace returns the other targets of t's service in its place that are not taken
+// for dead: those that run something for this daemon, and up to some of the rest.
+func (f *Fleet) SamePlace(now time.Time, t Target, some int) []Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []Target
+	var out, idle []Target
 	for _, s := range f.services[t.Service] {
-		if s.ID != t.ID && s.Place == t.Place && !s.replaced && !now.Before(s.suspect) {
+		switch {
+		case s.ID == t.ID || s.Place != t.Place || s.replaced || now.Before(s.suspect):
+		case s.running > 0 || s.memory > 0:
 			out = append(out, s.Target)
+		default:
+			idle = append(idle, s.Target)
 		}
 	}
-	return out
+	f.random.Shuffle(len(idle), func(i, j int) { idle[i], idle[j] = idle[j], idle[i] })
+	return append(out, idle[:min(some, len(idle))]...)
 }
 
 // State tells whether a target may get new work now, and if not, why.
@@ -437,15 +442,23 @@
 	return Ready
 }
 
-// Target returns a known target that is not taken for dead.
-func (f *Fleet) Target(now time.Time, id string) (Target, bool) {
+// Doubt takes a peer's word that a target seems dead. It gets no new work for a while;
+// what runs there goes on. It returns the target if this daemon uses it, so that it
+// finds out by itself.
+func (f *Fleet) Doubt(now time.Time, id string) (t Target, used bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.targets[id]
 	if s == nil || s.replaced || now.Before(s.suspect) {
 		return Target{}, false
 	}
-	return s.Target, true
+	if s.running > 0 || s.memory > 0 {
+		return s.Target, true
+	}
+	if until := now.Add(SuspectFor); s.avoid.Before(until) {
+		s.avoid = until
+	}
+	return Target{}, false
 }
 
 // Nearest returns the targets of a service that may get new work, those first that
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -239,3 +239,40 @@
 		}
 	})
 }
+
+func TestPeersWordOnATarget(t *testing.T) {
+	Convey("A target that a peer doubts gets no new work, and is asked if it is in use", t, func() {
+		f := site(1)
+		wish, _ := prompt(5000)
+		_, used := f.Doubt(start, "t0")
+		So(used, ShouldBeFalse)
+		_, err := f.Pick(start, wish)
+		So(err, ShouldNotBeNil)
+		_, err = f.Pick(start.Add(SuspectFor), wish)
+		So(err, ShouldBeNil)
+
+		lost := f.Lost("t0")
+		f.Begin(start, "t0", Demand{Memory: 10})
+		got, used := f.Doubt(start, "t0")
+		So(used, ShouldBeTrue)
+		So(got.ID, ShouldEqual, "t0")
+		select {
+		case <-lost:
+			t.Fatal("a peer's word alone ended a run")
+		default:
+		}
+	})
+}
+
+func TestPlaceIsProbedInParts(t *testing.T) {
+	Convey("Of a large place the targets in use are asked, and a few others", t, func() {
+		f := New("p", 1)
+		for i := range 50 {
+			f.Put(Target{ID: fmt.Sprint("t", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), Place: "p"})
+		}
+		f.Begin(start, "t7", Demand{Memory: 1})
+		asked := f.SamePlace(start, Target{ID: "t0", Service: "s", Place: "p"}, 5)
+		So(asked, ShouldHaveLength, 6)
+		So(asked[0].ID, ShouldEqual, "t7")
+	})
+}
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -18,6 +18,9 @@
 	probeTimeout = 200 * time.Millisecond
 	// probeFresh is how long an answered probe stands for another one.
 	probeFresh = 100 * time.Millisecond
+	// placeProbes is how many targets of a place, beside those in use, a daemon asks
+	// once one of them is lost. Its peers ask others.
+	placeProbes = 5
 	// suspectAgain is when a target that did not answer is asked again, in time
 	// before the suspicion ends.
 	suspectAgain = fleet.SuspectFor - 2*probeTimeout
@@ -36,8 +39,9 @@
 	sender Sender
 	fleet  *fleet.Fleet
 	events *event.Recorder
-	// Suspected, if set, is told of each target that is newly taken for dead.
-	Suspected func(t fleet.Target)
+	// Suspected, if set, is told of each target that is newly taken for dead, and
+	// whether its process has certainly ended.
+	Suspected func(t fleet.Target, ended bool)
 
 	mu      sync.Mutex
 	pending map[string][]chan<- Probe
@@ -83,7 +87,7 @@
 	case replaced:
 		if p.fleet.Replaced(t) {
 			p.events.Record(event.TargetEnded, "", event.F("target", t.ID), event.F("place", t.Place))
-			p.spread(t)
+			p.spread(t, true)
 		}
 	default:
 		p.suspect(now, t, err)
@@ -113,22 +117,22 @@
 		return
 	}
 	p.events.Record(event.TargetSuspected, "", event.F("target", t.ID), event.F("place", t.Place), event.F("error", err.Error()))
-	p.spread(t)
+	p.spread(t, false)
 }
 
-// spread asks the others of the place, as they are often lost together, and tells
-// who else wants to know.
-func (p *Prober) spread(t fleet.Target) {
+// spread asks others of the place, as they are often lost together, and tells who
+// else wants to know.
+func (p *Prober) spread(t fleet.Target, ended bool) {
 	p.CheckPlace(t)
 	if p.Suspected != nil {
-		p.Suspected(t)
+		p.Suspected(t, ended)
 	}
 }
 
-// CheckPlace probes all targets of t's service in its place: what restarted one of
-// them often restarted all.
+// CheckPlace probes targets of t's service in its place: those that run something for
+// this daemon, and a few others. What restarted one of them often restarted all.
 func (p *Prober) CheckPlace(t fleet.Target) {
-	for _, neighbour := range p.fleet.SamePlace(time.Now(), t) {
+	for _, neighbour := range p.fleet.SamePlace(time.Now(), t, placeProbes) {
 		p.Check(neighbour)
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -198,28 +198,40 @@
 	return nil, nil
 }
 
+// suspicion tells that a target seems dead.
+type suspicion struct {
+	ID    string `msgpack:"i"`
+	Born  int64  `msgpack:"b,omitempty"`
+	Ended bool   `msgpack:"e,omitempty"` // nobody listens at its address, or another one does
+}
+
 // tellSuspect tells the others that a target seems dead, unless one of them said so.
-func (p *peers) tellSuspect(t fleet.Target) {
+func (p *peers) tellSuspect(t fleet.Target, ended bool) {
 	p.mu.Lock()
 	known := time.Since(p.suspected[t.ID]) < fleet.SuspectFor
 	p.mu.Unlock()
 	if !known {
-		p.tell(kindSuspect, t.ID)
+		p.tell(kindSuspect, suspicion{t.ID, t.Born, ended})
 	}
 }
 
-// serveSuspect asks a target that a peer suspects: what a peer does not reach may
-// still be reached from here.
+// serveSuspect takes a peer's word on a target. What a peer does not reach may still
+// be reached from here, so a target in use is asked; a process that has ended has
+// ended for all.
 func (p *peers) serveSuspect(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-	var id string
-	if err := msgpack.Unmarshal(body, &id); err != nil {
-		return nil, errors.Wrap(err, "decode suspect")
+	var s suspicion
+	if err := msgpack.Unmarshal(body, &s); err != nil {
+		return nil, errors.Wrap(err, "decode suspicion")
 	}
 	now := time.Now()
-	if t, ok := p.g.fleet.Target(now, id); ok {
-		p.mu.Lock()
-		p.suspected[id] = now
-		p.mu.Unlock()
+	p.mu.Lock()
+	p.suspected[s.ID] = now
+	p.mu.Unlock()
+	if s.Ended {
+		p.g.fleet.Replaced(fleet.Target{ID: s.ID, Born: s.Born})
+		return nil, nil
+	}
+	if t, used := p.g.fleet.Doubt(now, s.ID); used {
 		p.g.forward.Prober.Check(t)
 	}
 	return nil, nil
