--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/internal/jsontime"
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// world is a store, one target, and daemons over them, on loopback.
+type world struct {
+	t      *testing.T
+	store  *httptest.Server
+	client *platform.Client
+	target *httptest.Server
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: httptest.NewServer(standin.NewPlatform().Handler())}
+	w.client = platform.NewClient(w.store.URL, metrics.NewRegistry())
+	w.target = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Vanillaroad-Request-Id", r.Header.Get("Vanillaroad-Request-Id"))
+		rw.Header().Set("Vanillaroad-Upstream-Stamp", "stamp")
+		_, _ = fmt.Fprintf(rw, "served %s", r.URL.Path)
+	}))
+	t.Cleanup(func() {
+		w.client.Close()
+		w.store.CloseClientConnections()
+		w.store.Close()
+		w.target.Close()
+	})
+	return w
+}
+
+// put writes an object over whatever is there.
+func (w *world) put(kind, name string, value any) {
+	b, err := json.Marshal(value)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx := context.Background()
+	old, _ := w.client.Get(ctx, kind, name) // version 0 where there is none
+	if _, err := w.client.Put(ctx, kind, name, b, old.Version); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// configure puts a configuration with one route a path in force.
+func (w *world) configure(version int, paths ...string) {
+	var routes []map[string]any
+	for _, p := range paths {
+		routes = append(routes, map[string]any{
+			"name": p, "host": "h", "path_prefix": p, "kind": "idempotent", "timeout_ms": 5000, "max_attempts": 2, "service": "s", "public": true,
+		})
+	}
+	w.put(platform.ConfigurationKind, platform.ConfigurationName, map[string]any{"version": version, "routes": routes})
+}
+
+func (w *world) register() {
+	w.put(platform.TargetKind, "i-1", map[string]any{
+		"service": "s", "address": w.target.Listener.Addr().String(), "zone": "p", "version": "v", "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1,
+	})
+}
+
+// address returns a free address of the loopback interface.
+func (w *world) address() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// daemon runs a gateway with a store at an address until the test ends. It returns a
+// function that stops it as a signal does.
+func (w *world) daemon(id, store string, seeds ...string) (s Settings, stop func()) {
+	s = DefaultSettings()
+	s.ID, s.Place, s.Region, s.Store, s.Seeds = id, "p", "r", store, seeds
+	s.Callers, s.Directory, s.Readiness, s.Peers, s.Operations = w.address(), w.address(), w.address(), w.address(), w.address()
+	s.RetryBudget = RetryBudget{Ratio: 0.5, Slack: 10, Window: jsontime.Duration(time.Second)}
+	s.Grace, s.DirectoryTTL = jsontime.Duration(2*time.Second), jsontime.Duration(100*time.Millisecond)
+	g, err := New(s, io.Discard)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	w.t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			w.t.Error(err)
+		}
+	})
+	return s, cancel
+}
+
+// get asks a daemon for a path and returns the status and the body.
+func get(address, path string) (int, string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = "h"
+	req.Header.Set("Vanillaroad-Request-Id", "r1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, _ := io.ReadAll(resp.Body) // a short body fails the comparison
+	return resp.StatusCode, string(b)
+}
+
+// eventually waits until a condition holds; the test's own timeout ends it.
+func eventually(condition func() bool) {
+	for !condition() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestTwoDaemons(t *testing.T) {
+	Convey("Given a daemon with a store and one that never reaches it", t, func() {
+		w := newWorld(t)
+		w.configure(1, "/a/")
+		w.register()
+		first, stopFirst := w.daemon("vm-1", w.store.Listener.Addr().String())
+		second, _ := w.daemon("vm-2", w.address(), first.Peers)
+		for _, s := range []Settings{first, second} {
+			eventually(func() bool { status, body := get(s.Callers, "/a/x"); return status == 200 && body == "served /a/x" })
+			eventually(func() bool { status, _ := get(s.Readiness, "/-/readiness"); return status == 200 })
+		}
+
+		Convey("a change of the configuration reaches both, and takes effect at once", func() {
+			w.configure(2, "/b/")
+			for _, s := range []Settings{first, second} {
+				eventually(func() bool { status, _ := get(s.Callers, "/b/x"); return status == 200 })
+				status, _ := get(s.Callers, "/a/x")
+				So(status, ShouldEqual, 404)
+			}
+		})
+		Convey("one that stops is not ready, and not in the directory, at once", func() {
+			directory := func() string { _, body := get(first.Directory, "/-/resolve?name=h&zone=p"); return body }
+			eventually(func() bool { return strings.Contains(directory(), first.Callers) })
+			stopFirst()
+			eventually(func() bool { status, _ := get(first.Readiness, "/-/readiness"); return status == 503 || status == 0 })
+			So(directory(), ShouldNotContainSubstring, first.Callers)
+		})
+	})
+}
