forward: slowness and callers who leave are no strikes against a request

Found by reading: an idempotent call left after twice its objective counted as a crash of its target, and the end of a caller's context could be taken for one, depending on which of two ready channels was read. Tests: TestStrikes fails without the change, TestCallersWhoLeave on some runs.

--- a/forward/call.go
+++ b/forward/call.go
@@ -133,7 +133,7 @@
 	case err != nil:
 		work.Done(now, true)
 		c.sent = true
-		return nil, c.noAnswer(ctx, now, t, err)
+		return nil, c.noAnswer(ctx, now, t, err, attemptCtx.Err() != nil)
 	case answer.NotRun:
 		work.Done(now, false)
 		if answer.OtherTarget {
@@ -169,14 +169,17 @@
 	return context.WithTimeout(ctx, patience*c.r.Route.Objective)
 }
 
-// noAnswer tells why an attempt that was sent brought no whole answer.
-func (c *call) noAnswer(ctx context.Context, now time.Time, t fleet.Target, err error) *failure.Error {
+// noAnswer tells why an attempt that was sent brought no whole answer. slow tells that
+// it was left for its time: a request that is slow does not crash targets.
+func (c *call) noAnswer(ctx context.Context, now time.Time, t fleet.Target, err error, slow bool) *failure.Error {
 	if ctx.Err() != nil {
 		return stopped(ctx, failure.Unknown, "await answer", t.ID)
 	}
 	c.f.Events.Record(event.AttemptLost, c.r.ID, event.F("target", t.ID), event.F("error", err.Error()))
 	c.f.Fleet.Refused(now, t.ID)
-	c.f.Crashes.Crashed(c.r, t)
+	if !slow {
+		c.f.Crashes.Crashed(c.r, t)
+	}
 	return failure.Wrap(err, failure.TargetLost, failure.Unknown, "await answer", t.ID)
 }
 
--- a/forward/call_test.go
+++ b/forward/call_test.go
@@ -63,6 +63,48 @@
 	}
 }
 
+// TestStrikes: what breaks a connection may have crashed the target; what is slow, or
+// left by its caller, has not.
+func TestStrikes(t *testing.T) {
+	cases := []struct {
+		name    string
+		first   behaviour
+		strikes int
+	}{
+		{"the target closes", failing(ErrNoAnswer), 1}, {"the target hangs", hanging, 0}, {"the target fails", answering(500, false), 0},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(map[string]behaviour{"a": c.first, "b": answering(200, false)})
+			s.Fleet.Begin(time.Now(), "b", fleet.Demand{}) // so that a is picked first
+			s.serve(t, callRoute)
+			if n := len(s.crashes.crashed); n != c.strikes {
+				t.Errorf("%s: %d strikes", c.name, n)
+			}
+		})
+	}
+}
+
+// TestCallersWhoLeave: a caller who leaves ends the run within the moment, and is no
+// sign against the target.
+func TestCallersWhoLeave(t *testing.T) {
+	for name, b := range map[string]behaviour{"before the first event": hanging, "in the middle": streaming(1000, -1, gap, nil)} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(map[string]behaviour{"a": b, "b": b})
+			ctx, leave := context.WithCancel(context.Background())
+			done := make(chan *fakeCaller)
+			go func() { done <- s.serveFor(ctx, streamRoute) }()
+			time.Sleep(time.Second)
+			leave()
+			got := <-done
+			synctest.Wait()
+			if !got.aborted || s.sender.running["a"]+s.sender.running["b"] != 0 || len(s.sender.attempts()) != 1 || len(s.crashes.crashed) != 0 {
+				t.Errorf("%s: aborted %v, %v at work, sent to %v, struck %v", name, got.aborted, s.sender.running, s.sender.attempts(), s.crashes.crashed)
+			}
+		})
+	}
+}
+
 func TestUnsignedSuccessIsNoAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		unsigned := func(context.Context, Attempt, *fakeSender) (*Answer, error) {
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -266,6 +266,11 @@
 
 // serve serves one request and returns what the caller got.
 func (s *site) serve(_ *testing.T, route ingress.Route) *fakeCaller {
+	return s.serveFor(context.Background(), route)
+}
+
+// serveFor serves one request of a caller who leaves when ctx ends.
+func (s *site) serveFor(ctx context.Context, route ingress.Route) *fakeCaller {
 	now := time.Now()
 	route.Services = []ingress.Share{{Service: "svc", Weight: 1}}
 	r := &Request{
@@ -276,7 +281,7 @@
 		r.Prompt.Tokens, r.Prompt.Output = 5000, 1000
 	}
 	c := &fakeCaller{}
-	s.Serve(context.Background(), r, c)
+	s.Serve(ctx, r, c)
 	return c
 }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -115,6 +115,9 @@
 			}
 			return end
 		case p := <-r.parts:
+			if ctx.Err() != nil {
+				continue // what the reader met is the end of ctx, not of the target
+			}
 			if r.moving && p.err != nil && !(ended(p.err) && r.framed) {
 				continue // moving ends the stream; the outcome of the move comes next
 			}
