--- a/event/event.go
+++ b/event/event.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/time/rate"
 )
 
 // Number identifies a kind of event. Numbers are stable; see docs/EVENTS.md.
@@ -62,6 +63,31 @@
 	next  int
 	full  bool
 	count map[Number]int64
+
+	routine *rate.Limiter // of logged lines about requests that went well; nil for all
+	leftOut int64         // such lines since the last one that was logged
+}
+
+// LimitRoutine bounds the logged lines a second about requests that went well. What
+// is left out is counted in the member left_out of the next one; refusals, failures
+// and what is not about a request are always logged. It must be called before use.
+func (r *Recorder) LimitRoutine(perSecond int) {
+	r.routine = rate.NewLimiter(rate.Limit(perSecond), perSecond)
+}
+
+// admit tells whether an event is logged, and how many were left out before it.
+func (r *Recorder) admit(s Severity, request string) (logged bool, leftOut int64) {
+	if r.routine == nil || s > Info || request == "" {
+		return true, 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.routine.Allow() {
+		r.leftOut++
+		return false, 0
+	}
+	leftOut, r.leftOut = r.leftOut, 0
+	return true, leftOut
 }
 
 // NewRecorder returns a recorder that keeps size events of the named node and
@@ -89,6 +115,13 @@
 		kv = append(kv, f.Key, f.Value)
 	}
 	r.keep(e)
+	logged, leftOut := r.admit(entry.Severity, request)
+	if !logged {
+		return
+	}
+	if leftOut > 0 {
+		kv = append(kv, "left_out", leftOut)
+	}
 	_ = leveled(r.log, entry.Severity).Log(kv...)
 }
 
--- a/event/output_test.go
+++ b/event/output_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/go-kit/log"
 )
 
 // stopped is a reader of the log that takes nothing until it is let go.
@@ -42,3 +44,27 @@
 		}
 	})
 }
+
+func TestRoutineLinesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		r := NewRecorder("vm", NewClock(time.Now), log.NewJSONLogger(&out), 16)
+		r.LimitRoutine(10)
+		for range 100 {
+			r.Record(RequestAnswered, "r1")
+			r.Record(RequestFailed, "r2")
+			r.Record(TargetGone, "")
+		}
+		time.Sleep(time.Second)
+		r.Record(RequestAnswered, "r1")
+		got := out.String()
+		for name, want := range map[string]int{"request_answered": 11, "request_failed": 100, "target_gone": 100} {
+			if n := strings.Count(got, name); n != want {
+				t.Errorf("%d lines of %s, want %d", n, name, want)
+			}
+		}
+		if !strings.Contains(got, "\"left_out\":90") {
+			t.Error("what was left out is not told")
+		}
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,10 @@
 // collector works harder; the rest is for stacks, sockets and the runtime.
 const memoryShare = 0.6
 
+// routineLines bounds the log lines a second about requests that went well: ten times
+// what a daemon of today's sites serves.
+const routineLines = 200
+
 // New binds the daemon's addresses and connects its parts. Nothing runs yet.
 func New(s Settings, logOutput io.Writer) (*Gateway, error) {
 	if s.MemoryMB > 0 {
@@ -77,6 +81,7 @@
 		targets: platform.NewTargets(), fleet: fleet.New(s.Place, rand.Uint64()),
 	}
 	g.settings.Store(&s)
+	g.events.LimitRoutine(routineLines)
 	g.store = platform.NewClient("http://"+s.Store, g.metrics)
 	g.members, g.shelf, g.crashes = newMembers(g), newShelf(g), newCrashes(g)
 	g.forward = &forward.Forwarder{
