--- /dev/null
+++ b/cmd/vanillaroad/gateway.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"os"
+	"sort"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaroad/vanillaroad/gateway"
+	"github.com/vanillaroad/vanillaroad/objectstore"
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// gatewayCommand holds what people on call need for vanillaroad-gateway, offline.
+func gatewayCommand() *cobra.Command {
+	c := &cobra.Command{Use: "gateway", Short: "Check files of, and read the logs of, the platform's daemons"}
+	c.AddCommand(gatewaySettingsCommand(), gatewayConfigurationCommand(), gatewayFollowCommand())
+	return c
+}
+
+func gatewaySettingsCommand() *cobra.Command {
+	return &cobra.Command{Use: "check-settings FILE", Short: "Check a daemon's settings file and name every fault", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := gateway.LoadSettings(args[0])
+			if err != nil {
+				return errors.Wrap(errBadInput, err.Error())
+			}
+			printf(c, "good: daemon %s in %s\n", s.ID, s.Place)
+			return nil
+		}}
+}
+
+func gatewayConfigurationCommand() *cobra.Command {
+	return &cobra.Command{Use: "check-configuration FILE", Short: "Check a configuration as it lies in the platform's store", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			b, err := os.ReadFile(args[0])
+			if err != nil {
+				return errors.Wrap(errBadInput, err.Error())
+			}
+			d, err := platform.DecodeDocument(objectstore.Object{Name: platform.ConfigurationName, Value: b})
+			if err != nil {
+				return errors.Wrap(errBadInput, err.Error())
+			}
+			printf(c, "good: version %d, %d routes, %d services, %d workspaces\n", d.Version, len(d.Routes), len(d.Services), len(d.Workspaces))
+			return nil
+		}}
+}
+
+// maxLogLine bounds one line of a log.
+const maxLogLine = 1 << 20
+
+// logLine is a line of a daemon's log with what it is ordered by.
+type logLine struct {
+	time string
+	text []byte
+}
+
+func gatewayFollowCommand() *cobra.Command {
+	return &cobra.Command{Use: "follow REQUEST LOG...", Short: "Print the lines about a request from the logs of many daemons, in time order",
+		Example: "  vanillaroad gateway follow c4c4b2940167368b vm-*.log", Args: cobra.MinimumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			var lines []logLine
+			for _, path := range args[1:] {
+				found, err := linesOf(path, args[0])
+				if err != nil {
+					return err
+				}
+				lines = append(lines, found...)
+			}
+			sort.SliceStable(lines, func(i, j int) bool { return lines[i].time < lines[j].time })
+			for _, l := range lines {
+				printf(c, "%s\n", l.text)
+			}
+			if len(lines) == 0 {
+				return errors.Errorf("no line about request %s", args[0])
+			}
+			return nil
+		}}
+}
+
+// linesOf returns the lines of a log about a request. Lines that are no events are
+// passed over.
+func linesOf(path, request string) ([]logLine, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(errBadInput, err.Error())
+	}
+	defer func() { _ = file.Close() }()
+	var out []logLine
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		if !bytes.Contains(scanner.Bytes(), []byte(request)) {
+			continue
+		}
+		var e struct {
+			Time    string `json:"ts"`
+			Request string `json:"request"`
+		}
+		if json.Unmarshal(scanner.Bytes(), &e) == nil && e.Request == request {
+			out = append(out, logLine{e.Time, bytes.Clone(scanner.Bytes())})
+		}
+	}
+	return out, errors.Wrapf(scanner.Err(), "read %s", path)
+}
