--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,9 +49,8 @@
 	requests atomic.Int64                  // under way
 	idle     *idleConns
 
-	servers   []*server
-	listeners []net.Listener
-	wg        sync.WaitGroup
+	servers []*server
+	wg      sync.WaitGroup
 }
 
 // server is an HTTP server with the address that it serves.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -29,10 +29,11 @@
 const (
 	// workPause is the least time between two messages of what a daemon runs, which
 	// it sends when that changed: when many requests come at once, daemons would
-	// else send them to the same targets. workPerMember is added for each daemon, so
-	// that what one receives stays bounded as they grow more.
-	workPause     = 4 * time.Millisecond
-	workPerMember = time.Millisecond
+	// else send them to the same targets. It grows by workSquare times the square of
+	// the other daemons' number, so that what one receives from all of them falls as
+	// they grow more, from a thousand messages a second at eight to some hundreds.
+	workPause  = 4 * time.Millisecond
+	workSquare = 50 * time.Microsecond
 	// heartbeat is how often it tells so anyway, and drops what belongs to targets
 	// and daemons that are gone.
 	heartbeat = 500 * time.Millisecond
@@ -110,7 +111,8 @@
 			p.forgetSilent()
 		}
 		p.tell(kindWork, work{p.g.fleet.Shares(), p.g.draining.Load()})
-		pause.For(ctx, workPause+time.Duration(len(p.g.members.others()))*workPerMember)
+		others := time.Duration(len(p.g.members.others()))
+		pause.For(ctx, workPause+others*others*workSquare)
 	}
 }
 
