--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,7 +30,8 @@
 // status is a target with what is known of it.
 type status struct {
 	Target
-	replaced bool      // its process has ended; another one, or nobody, holds its address
+	replaced bool      // another target registered at its address
+	ended    time.Time // until then its process is taken to have ended
 	missing  time.Time // since when its entry is gone but may come back; zero if present
 	suspect  time.Time // until then it is taken for dead
 	avoid    time.Time // until then it gets no new work
@@ -89,7 +90,7 @@
 		fresh.running, fresh.unread, fresh.memory = s.running, s.unread, s.memory // released by their holders
 		f.targets[t.ID] = fresh
 	default:
-		s.Target, s.missing, s.replaced = t, time.Time{}, false
+		s.Target, s.missing, s.replaced, s.ended = t, time.Time{}, false, time.Time{}
 		if t.Leaving {
 			s.markUnfit()
 		}
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -11,8 +11,14 @@
 	// reached is left alone; the time doubles with each refusal in a row.
 	avoidBase = 150 * time.Millisecond
 	avoidMax  = 2 * time.Second
+	// endedFor is how long a target whose process has ended gets no new work unless
+	// its entry changes. It is tried again then, in case it came back as it was.
+	endedFor = 5 * time.Second
 )
 
+// gone tells whether nothing that runs at the target's address is this target.
+func (s *status) gone(now time.Time) bool { return s.replaced || now.Before(s.ended) }
+
 // Lost returns a channel that is closed once the target is taken for dead.
 func (f *Fleet) Lost(id string) <-chan struct{} {
 	f.mu.Lock()
@@ -53,10 +59,10 @@
 
 // Unfit returns a channel that is closed once the target is not to be relied on
 // for what comes: it is taken for dead, leaves, or is gone.
-func (f *Fleet) Unfit(id string) <-chan struct{} {
+func (f *Fleet) Unfit(now time.Time, id string) <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.targets[id]; s != nil && !s.Leaving && !s.replaced {
+	if s := f.targets[id]; s != nil && !s.Leaving && !s.gone(now) {
 		return s.unfit
 	}
 	closed := make(chan struct{})
@@ -109,7 +115,7 @@
 	var out, idle []Target
 	for _, s := range f.services[t.Service] {
 		switch {
-		case s.ID == t.ID || s.Place != t.Place || s.replaced || now.Before(s.suspect):
+		case s.ID == t.ID || s.Place != t.Place || s.gone(now) || now.Before(s.suspect):
 		case s.running > 0 || s.memory > 0:
 			out = append(out, s.Target)
 		default:
@@ -138,7 +144,7 @@
 	defer f.mu.Unlock()
 	s := f.targets[id]
 	switch {
-	case s == nil || s.replaced:
+	case s == nil || s.gone(now):
 		return Unknown
 	case s.Leaving:
 		return Leaving
@@ -157,7 +163,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.targets[id]
-	if s == nil || s.replaced || now.Before(s.suspect) {
+	if s == nil || s.gone(now) || now.Before(s.suspect) {
 		return Target{}, false
 	}
 	if s.running > 0 || s.memory > 0 {
@@ -169,17 +175,17 @@
 	return Target{}, false
 }
 
-// Replaced notes that this run of a target has ended and that another one, another
-// target, or nobody holds its address. It returns whether that is news. A change of
-// its entry makes it usable again.
-func (f *Fleet) Replaced(t Target) bool {
+// Ended notes that this run of a target has ended, and that another one, another
+// target, or nobody holds its address. It returns whether that is news. The target is
+// usable again once its entry changes, or after a while.
+func (f *Fleet) Ended(now time.Time, t Target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.targets[t.ID]
-	if s == nil || s.Born != t.Born || s.replaced {
+	if s == nil || s.Born != t.Born || s.gone(now) {
 		return false
 	}
-	s.replaced = true
+	s.ended = now.Add(endedFor)
 	s.markLost()
 	return true
 }
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -70,7 +70,7 @@
 		out = append(out, routing.Candidate{
 			Target:  configuration.Target{Name: s.ID, Address: s.Address, Place: s.Place, Permits: max(1, s.Slots)},
 			Free:    true,
-			Leaving: s.Leaving || s.replaced, Down: now.Before(s.suspect) || now.Before(s.avoid),
+			Leaving: s.Leaving || s.gone(now), Down: now.Before(s.suspect) || now.Before(s.avoid),
 			InFlight: s.running, Estimated: float64(running), Slots: s.Slots, Near: near,
 			Start: s.expectedStart(now, unread, running), Failing: s.failing.value(now, 0),
 			Filled: filled(memory+w.Need, w.Capacity),
@@ -113,7 +113,7 @@
 	defer f.mu.Unlock()
 	var out []Target
 	for _, s := range f.services[service] {
-		if !s.Leaving && !s.replaced && !now.Before(s.suspect) && !now.Before(s.avoid) {
+		if !s.Leaving && !s.gone(now) && !now.Before(s.suspect) && !now.Before(s.avoid) {
 			out = append(out, s.Target)
 		}
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -137,7 +137,7 @@
 	case answer.NotRun:
 		work.Done(now, false)
 		if answer.OtherTarget {
-			c.f.Fleet.Replaced(t)
+			c.f.Fleet.Ended(now, t)
 		} else {
 			c.f.Fleet.Refused(now, t.ID)
 		}
--- a/forward/copier.go
+++ b/forward/copier.go
@@ -59,7 +59,7 @@
 	if a.CopyTo != nil {
 		c.release = s.f.Fleet.Hold(a.CopyTo.ID, s.memory())
 		c.held = &heldCopy{*a.CopyTo, Copy{a.CopyTo.Address, s.r.ID}}
-		c.unfit = s.f.Fleet.Unfit(a.CopyTo.ID)
+		c.unfit = s.f.Fleet.Unfit(time.Now(), a.CopyTo.ID)
 	}
 	return c
 }
@@ -78,7 +78,7 @@
 	c.held, c.next, c.unfit = nil, nil, nil
 	if t, ok := c.s.copyTarget(now, c.from, c.failed); ok {
 		c.release = c.s.f.Fleet.Hold(t.ID, c.s.memory())
-		c.next, c.unfit = &t, c.s.f.Fleet.Unfit(t.ID)
+		c.next, c.unfit = &t, c.s.f.Fleet.Unfit(now, t.ID)
 		c.schedule(0)
 		return
 	}
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -74,8 +74,8 @@
 	report, err := p.sender.Report(ctx, t)
 	now := time.Now()
 	// The run of the target that is asked about has ended.
-	replaced := errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening) || err == nil && t.Born != 0 && report.Born != 0 && report.Born != t.Born
-	result := Probe{Alive: err == nil && !replaced, Report: report, at: now}
+	ended := errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening) || err == nil && t.Born != 0 && report.Born != 0 && report.Born != t.Born
+	result := Probe{Alive: err == nil && !ended, Report: report, at: now}
 	p.mu.Lock()
 	waiting := p.pending[t.ID]
 	delete(p.pending, t.ID)
@@ -84,8 +84,8 @@
 	switch {
 	case result.Alive:
 		p.fleet.Alive(t.ID)
-	case replaced:
-		if p.fleet.Replaced(t) {
+	case ended:
+		if p.fleet.Ended(now, t) {
 			p.events.Record(event.TargetEnded, "", event.F("target", t.ID), event.F("place", t.Place))
 			p.spread(t, true)
 		}
--- a/forward/run.go
+++ b/forward/run.go
@@ -189,7 +189,7 @@
 		_ = p.answer.Body.Close()
 		s.tried[t.ID] = true
 		if p.answer.OtherTarget {
-			s.f.Fleet.Replaced(t)
+			s.f.Fleet.Ended(now, t)
 			s.f.Prober.CheckPlace(t)
 		} else if r.a.Resume == (Copy{}) {
 			s.f.Fleet.Refused(now, t.ID)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -230,7 +230,7 @@
 	p.suspected[s.ID] = now
 	p.mu.Unlock()
 	if s.Ended {
-		p.g.fleet.Replaced(fleet.Target{ID: s.ID, Born: s.Born})
+		p.g.fleet.Ended(now, fleet.Target{ID: s.ID, Born: s.Born})
 		return nil, nil
 	}
 	if t, used := p.g.fleet.Doubt(now, s.ID); used {
