Refusals before forwarding are logged; a request without any deadline gets none

Found by reading: 401, 404, 400, 413 and 503 of the ingress had no line; where neither route nor caller names a time, targets were told of one millisecond.

--- a/forward/call.go
+++ b/forward/call.go
@@ -115,11 +115,10 @@
 // attempt sends the request to one target. It returns the answer if that is the
 // last word, else why there is none.
 func (c *call) attempt(ctx context.Context, t fleet.Target) (*whole, *failure.Error) {
-	left := time.Until(c.r.limit())
 	attemptCtx, cancel := c.patient(ctx)
 	defer cancel()
 	work := c.f.Fleet.Begin(time.Now(), t.ID, fleet.Demand{})
-	answer, err := c.f.Sender.Send(attemptCtx, Attempt{Request: c.r, Target: t, Left: left})
+	answer, err := c.f.Sender.Send(attemptCtx, Attempt{Request: c.r, Target: t, Left: c.r.left()})
 	var body []byte
 	if err == nil {
 		body, err = readWhole(answer.Body)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -53,11 +53,21 @@
 	return limit
 }
 
+// left is the time until the request must have its final answer; 0 if it has no such
+// time.
+func (r *Request) left() time.Duration {
+	limit := r.limit()
+	if limit.IsZero() {
+		return 0
+	}
+	return max(time.Millisecond, time.Until(limit))
+}
+
 // Attempt is one send of a request to a target.
 type Attempt struct {
 	Request   *Request
 	Target    fleet.Target
-	Left      time.Duration // until the request must be answered
+	Left      time.Duration // until the request must be answered; 0 if there is no such time
 	LastEvent string        // the answer goes on after this event; empty for the whole
 	// CopyTo is the target that gets a copy of the run's memory as it grows; nil for
 	// none.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -223,7 +223,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // the run at this target ends before another one begins
 	now := time.Now()
-	a.Left = time.Until(s.r.limit())
+	a.Left = s.r.left()
 	demand := fleet.Demand{Unread: s.r.Prompt.Tokens, Memory: s.memory()}
 	if a.Resume != (Copy{}) {
 		demand.Unread = 0
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,7 +95,7 @@
 	}
 	g.forward.Prober.Suspected = g.peers.tellSuspect
 	callers := &platform.Callers{
-		Table: g.table.Load, Serve: g.serve, Closing: g.draining.Load,
+		Table: g.table.Load, Serve: g.serve, Closing: g.draining.Load, Refused: g.refused,
 		Service: func(r *ingress.Route, _ string) string { return r.Service(rand.Float64()) },
 	}
 	for _, l := range []struct {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -20,12 +20,19 @@
 	g.requests.Add(1)
 	defer g.requests.Add(-1)
 	if g.refusing.Load() {
-		w.Fail(failure.New(failure.Draining, failure.NotRun, "admit", "", "this daemon stops").After(leavingRetry))
+		err := failure.New(failure.Draining, failure.NotRun, "admit", "", "this daemon stops").After(leavingRetry)
+		g.refused(req.ID, err)
+		w.Fail(err)
 		return
 	}
 	g.forward.Serve(r.Context(), req, w)
 }
 
+// refused notes a request that was refused before it was forwarded.
+func (g *Gateway) refused(requestID string, err *failure.Error) {
+	g.events.Record(event.RequestFailed, requestID, event.F("code", string(err.Code)), event.F("outcome", string(err.Outcome)), event.F("error", err.Error()))
+}
+
 // Timing of a planned stop.
 const (
 	// staleAnswers times the directory's TTL is how long some callers keep an answer.
