--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -90,10 +92,14 @@
 func (w *world) daemon(id, store string, seeds ...string) (s Settings, stop func()) {
 	s = DefaultSettings()
 	s.ID, s.Place, s.Region, s.Store, s.Seeds = id, "p", "r", store, seeds
-	s.Callers, s.Directory, s.Readiness, s.Peers, s.Operations = w.address(), w.address(), w.address(), w.address(), w.address()
 	s.RetryBudget = RetryBudget{Ratio: 0.5, Slack: 10, Window: jsontime.Duration(time.Second)}
 	s.Grace, s.DirectoryTTL = jsontime.Duration(2*time.Second), jsontime.Duration(100*time.Millisecond)
-	g, err := New(s, io.Discard)
+	var g *Gateway
+	var err error = syscall.EADDRINUSE
+	for errors.Is(err, syscall.EADDRINUSE) { // another process may take a free address first
+		s.Callers, s.Directory, s.Readiness, s.Peers, s.Operations = w.address(), w.address(), w.address(), w.address(), w.address()
+		g, err = New(s, io.Discard)
+	}
 	if err != nil {
 		w.t.Fatal(err)
 	}
