fleet: a slow engine is rated by its pace also when it is idle

Cause: the pace of an engine multiplied what waits there, which is nothing at an idle one, and was measured against an estimate that held a price for running streams. Now against the time to read, and the request's own tokens count. Pattern: slow engines (TestSlowTargetsAreLeft).

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -276,3 +276,19 @@
 		So(asked[0].ID, ShouldEqual, "t7")
 	})
 }
+
+// TestSlowTargetsAreLeft names the pattern of a slow engine: what it takes for its
+// prompts counts against it, until it is forgotten.
+func TestSlowTargetsAreLeft(t *testing.T) {
+	Convey("A target whose prompts take five times as long gets the next one last", t, func() {
+		f := site(2)
+		wish, demand := prompt(5000)
+		w := f.Begin(start, "t0", demand)
+		w.Started(at(5000))
+		w.Done(at(5000), false)
+		f.Begin(at(5000), "t1", Demand{Memory: 6000})
+		got, err := f.Pick(at(5000), wish)
+		So(err, ShouldBeNil)
+		So(got.ID, ShouldEqual, "t1") // though it runs a stream, and t0 nothing
+	})
+}
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -11,6 +11,11 @@
 	// reached is left alone; the time doubles with each refusal in a row.
 	avoidBase = 150 * time.Millisecond
 	avoidMax  = 2 * time.Second
+	// maxDoublings ends the doubling; avoidMax is reached with it.
+	maxDoublings = 4
+	// avoidJitter is the part of the time by which it varies at random, so that
+	// daemons don't come back to a target together.
+	avoidJitter = 0.25
 	// endedFor is how long a target whose process has ended gets no new work unless
 	// its entry changes. It is tried again then, in case it came back as it was.
 	endedFor = 5 * time.Second
@@ -79,12 +84,9 @@
 	if s == nil {
 		return
 	}
-	wait := avoidMax
-	if s.refusals < 4 {
-		wait = avoidBase << s.refusals
-	}
+	wait := min(avoidMax, avoidBase<<min(s.refusals, maxDoublings))
 	s.refusals++
-	jitter := 0.75 + 0.5*f.random.Float64()
+	jitter := 1 + avoidJitter*(2*f.random.Float64()-1)
 	s.avoid = now.Add(time.Duration(float64(wait) * jitter))
 }
 
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -72,7 +72,7 @@
 			Free:    true,
 			Leaving: s.Leaving || s.gone(now), Down: now.Before(s.suspect) || now.Before(s.avoid),
 			InFlight: s.running, Estimated: float64(running), Slots: s.Slots, Near: near,
-			Start: s.expectedStart(now, unread, running), Failing: s.failing.value(now, 0),
+			Start: s.expectedStart(now, unread+w.Need, running), Failing: s.failing.value(now, 0),
 			Filled: filled(memory+w.Need, w.Capacity),
 		})
 		if w.Cached[s.ID] {
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -26,7 +26,7 @@
 	unread  bool
 	done    bool
 	sent    time.Time
-	waiting time.Duration // expected to the first event when it was sent
+	waiting time.Duration // for the first event, on an engine of ordinary speed
 }
 
 // Demand is what a request needs of a target, in tokens. A plain call needs none.
@@ -45,8 +45,8 @@
 		w.done = true
 		return w
 	}
-	running, unread, _ := s.load()
-	w.waiting = idealStart(unread+d.Unread, running)
+	_, unread, _ := s.load()
+	w.waiting = readTime(unread + d.Unread)
 	s.running++
 	s.unread += d.Unread
 	s.memory += d.Memory
@@ -155,16 +155,16 @@
 	}
 }
 
-// idealStart is the time to the first event on an engine of ordinary speed.
-func idealStart(unread, running int) time.Duration {
-	read := time.Duration(float64(unread) / readTokensPerMilli * float64(time.Millisecond))
-	return read + time.Duration(running)*runningDelay
+// readTime is the time in which an engine of ordinary speed reads tokens.
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readTokensPerMilli * float64(time.Millisecond))
 }
 
-// expectedStart is how long a new request would wait for its start, without its
-// own prompt. For plain calls it is the observed latency.
+// expectedStart is how long a new request would wait for its start, its own tokens
+// included in unread, and what it costs those that run. For plain calls it is the
+// observed latency.
 func (s *status) expectedStart(now time.Time, unread, running int) time.Duration {
-	base := idealStart(unread, running)
+	base := readTime(unread) + time.Duration(running)*runningDelay
 	if latency := s.latency.value(now, 0); latency > 0 {
 		base = time.Duration(latency * float64(time.Millisecond))
 	}
