--- a/forward/probe.go
+++ b/forward/probe.go
@@ -73,8 +73,7 @@
 	defer cancel()
 	report, err := p.sender.Report(ctx, t)
 	now := time.Now()
-	// The run of the target that is asked about has ended.
-	ended := errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening) || err == nil && t.Born != 0 && report.Born != 0 && report.Born != t.Born
+	ended := errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening) || err == nil && otherRun(t, report)
 	result := Probe{Alive: err == nil && !ended, Report: report, at: now}
 	p.mu.Lock()
 	waiting := p.pending[t.ID]
@@ -97,6 +96,12 @@
 	}
 }
 
+// otherRun tells whether a report is of another run of a target, which knows nothing
+// of the one that is asked about.
+func otherRun(t fleet.Target, r Report) bool {
+	return t.Born != 0 && r.Born != 0 && r.Born != t.Born
+}
+
 // deliver never blocks: who asks twice needs only the first outcome.
 func deliver(reply chan<- Probe, result Probe) {
 	select {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/exchange"
@@ -21,7 +22,7 @@
 	kindNews    = peer.ConfigurationBase + 50 + iota // exchange.News
 	kindWhole                                        // string, answered by exchange.Whole
 	kindWork                                         // work
-	kindSuspect                                      // string, the id of a target
+	kindSuspect                                      // suspicion
 	kindStrikes                                      // []quarantine.Strike
 )
 
@@ -88,11 +89,14 @@
 	}
 }
 
-// send sends a message; one that is lost is made up for by the next.
+// send sends a message. One that is lost is counted, not logged: while a daemon is cut
+// off there are many, and the next one, or a read of the store, makes up for it.
 func (p *peers) send(address string, kind peer.Kind, message any) {
 	ctx, cancel := context.WithTimeout(p.ctx, tellTimeout)
 	defer cancel()
-	_ = p.transport.Send(ctx, address, kind, message)
+	if err := p.transport.Send(ctx, address, kind, message); err != nil {
+		metrics.GetOrRegisterCounter("peer.messages_lost", p.g.metrics).Inc(1)
+	}
 }
 
 func (p *peers) tellNews(n exchange.News) { p.tell(kindNews, n) }
