gateway: a daemon that the store turns away keeps learning targets from peers

Found by a new case of TestTwoDaemons: a daemon that is in nobody's member list and never reaches the store fetched the configuration from peers for good, but targets only once, since only one kind is tried while the store is down. The others now go to peers. An entry that can't be read takes the place of what was there, for the time in which a live target writes it anew.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -159,6 +159,17 @@
 				So(status, ShouldEqual, 404)
 			}
 		})
+		Convey("an entry that can't be read touches no other, and one that was good counts again once it is", func() {
+			w.put(platform.TargetKind, "i-9", map[string]any{"service": 7})
+			w.put(platform.TargetKind, "i-1", "torn")
+			for _, s := range []Settings{first, second} {
+				eventually(func() bool { status, _ := get(s.Callers, "/a/x"); return status == 503 })
+			}
+			w.register()
+			for _, s := range []Settings{first, second} {
+				eventually(func() bool { status, _ := get(s.Callers, "/a/x"); return status == 200 })
+			}
+		})
 		Convey("one that stops is not ready, and not in the directory, at once", func() {
 			directory := func() string { _, body := get(first.Directory, "/-/resolve?name=h&zone=p"); return body }
 			eventually(func() bool { return strings.Contains(directory(), first.Callers) })
--- a/gateway/shelf.go
+++ b/gateway/shelf.go
@@ -61,43 +61,52 @@
 	}
 }
 
-// keep reads a kind whenever it is this daemon's turn.
+// keep reads a kind whenever it is this daemon's turn: from the store, else from a
+// peer.
 func (s *shelf) keep(ctx context.Context, kind string) {
 	retry := storeRetry
 	for ctx.Err() == nil {
-		if wait := s.wait(kind); wait > 0 {
+		wait, askStore := s.turn(kind)
+		if wait > 0 {
 			pause.For(ctx, wait)
 			continue
 		}
-		asked := time.Now()
-		objects, at, err := s.g.store.List(ctx, kind)
+		if askStore && s.readStore(ctx, kind) {
+			retry = storeRetry
+			continue
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		s.noteStore(err)
-		if err != nil {
-			s.g.peers.fetchAny(ctx, kind)
-			pause.For(ctx, jittered(retry))
-			retry = min(2*retry, storeRetryMax)
-			continue
-		}
-		retry = storeRetry
+		s.g.peers.fetchAny(ctx, kind)
+		pause.For(ctx, jittered(retry))
+		retry = min(2*retry, storeRetryMax)
+	}
+}
+
+// readStore reads a kind from the store and returns whether it answered.
+func (s *shelf) readStore(ctx context.Context, kind string) bool {
+	asked := time.Now()
+	objects, at, err := s.g.store.List(ctx, kind)
+	if ctx.Err() != nil {
+		return false
+	}
+	s.noteStore(err)
+	if err == nil {
 		s.read(asked, kind, objects, at)
 	}
+	return err == nil
 }
 
 func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
-// wait returns how long it is until this daemon's turn to read a kind. While the
-// store does not answer, only one kind is tried.
-func (s *shelf) wait(kind string) time.Duration {
+// turn returns how long it is until this daemon's turn to read a kind, and whether to
+// ask the store then: while it does not answer, only one kind is tried there.
+func (s *shelf) turn(kind string) (wait time.Duration, askStore bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wait := time.Until(s.sets[kind].Due())
-	if s.down && kind != platform.ConfigurationKind && s.sets[kind].Known() {
-		return max(wait, storeRetry)
-	}
-	return wait
+	set := s.sets[kind]
+	return time.Until(set.Due()), !s.down || kind == platform.ConfigurationKind || !set.Known()
 }
 
 // noteStore records when the store is lost and when it is back.
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -43,13 +43,15 @@
 }
 
 // targetsChanged takes new entries of targets. mayReturn tells that missing entries
-// may only have lapsed.
+// may only have lapsed. An entry that can't be read names no target, and does not
+// touch the others.
 func (g *Gateway) targetsChanged(c exchange.Change, mayReturn bool) {
 	now := time.Now()
 	for _, e := range c.Changed {
 		t, err := platform.DecodeTarget(stored(e))
 		if err != nil {
 			g.events.Record(event.EntryRefused, "", event.F("target", e.Name), event.F("error", err.Error()))
+			g.fleet.Remove(now, e.Name, true) // its target, if it lives, writes it anew
 			continue
 		}
 		what := event.TargetJoined
--- a/routing/gateway.go
+++ b/routing/gateway.go
@@ -7,15 +7,18 @@
 const (
 	startWeight      = float64(startScale / time.Second)
 	otherPlaceWeight = 20 // a copy in the place of its run is next to useless
-	// affinityWeight is less than what one running request counts, so
-	// that no target gets a prompt for its hash while another one is idle.
+	// affinityWeight is less than what one running request counts, so that no target
+	// gets a prompt for its hash while another one is idle.
 	affinityWeight = 0.25
 	// cachedWeight: where the prompt lies in a cache, reading it again is saved, which
 	// takes a second and holds up the streams beside it for as long.
 	cachedWeight = 2
 	healthWeight = 3
 	// roomWeight: a request that is preempted is read anew, and its caller waits.
-	roomWeight        = 3
+	roomWeight = 3
+
+	// Of plain calls: targets differ by their load and health; distance decides
+	// between equals, as a hop takes a millisecond.
 	loadWeightCalls   = 1
 	healthWeightCalls = 1
 	nearWeight        = 0.02
