--- a/forward/call.go
+++ b/forward/call.go
@@ -33,9 +33,11 @@
 	c := &call{f: f, r: r, tried: make(map[string]bool)}
 	answer, err := c.run(ctx)
 	if answer == nil {
-		if !errors.Is(ctx.Err(), context.Canceled) {
-			f.refuse(r, w, err)
+		if left(ctx) {
+			w.Abort()
+			return
 		}
+		f.refuse(r, w, err)
 		return
 	}
 	f.Events.Record(event.RequestAnswered, r.ID, event.F("route", r.Route.Name), event.F("target", c.target.ID),
--- a/forward/call_test.go
+++ b/forward/call_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,13 +89,25 @@
 // TestCallersWhoLeave: a caller who leaves ends the run within the moment, and is no
 // sign against the target.
 func TestCallersWhoLeave(t *testing.T) {
-	for name, b := range map[string]behaviour{"before the first event": hanging, "in the middle": streaming(1000, -1, gap, nil)} {
+	once := callRoute
+	once.Kind = ingress.NonIdempotent
+	cases := []struct {
+		name  string
+		b     behaviour
+		route ingress.Route
+	}{
+		{"a stream before its first event", hanging, streamRoute},
+		{"a stream in the middle", streaming(1000, -1, gap, nil), streamRoute},
+		{"a call", hanging, once},
+	}
+	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
-			s := newSite(map[string]behaviour{"a": b, "b": b})
+			name := c.name
+			s := newSite(map[string]behaviour{"a": c.b, "b": c.b})
 			ctx, leave := context.WithCancel(context.Background())
 			done := make(chan *fakeCaller)
-			go func() { done <- s.serveFor(ctx, streamRoute) }()
-			time.Sleep(time.Second)
+			go func() { done <- s.serveFor(ctx, c.route) }()
+			time.Sleep(500 * time.Millisecond)
 			leave()
 			got := <-done
 			synctest.Wait()
@@ -105,6 +118,38 @@
 	}
 }
 
+// TestCutCallsAreAnswered: at the end of a planned stop a call that was sent has an
+// unknown outcome, and its caller is told so.
+func TestCutCallsAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(map[string]behaviour{"a": hanging})
+		ctx, stop := context.WithCancelCause(context.Background())
+		done := make(chan *fakeCaller)
+		go func() { done <- s.serveFor(ctx, callRoute) }()
+		time.Sleep(100 * time.Millisecond)
+		stop(ErrStopping)
+		if got := <-done; got.err == nil || got.err.Outcome != failure.Unknown {
+			t.Errorf("the caller got %+v", got)
+		}
+	})
+}
+
+func TestEndOfAPlannedStopIsNoCallerWhoLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(map[string]behaviour{"a": streaming(1000, -1, gap, nil)})
+		ctx, stop := context.WithCancelCause(context.Background())
+		done := make(chan *fakeCaller)
+		go func() { done <- s.serveFor(ctx, streamRoute) }()
+		time.Sleep(time.Second)
+		stop(ErrStopping)
+		<-done
+		events := s.Events.Events("r1", 0)
+		if last := events[len(events)-1]; !strings.Contains(last.Fields["error"], "the daemon stops") {
+			t.Errorf("the log says %v", last)
+		}
+	})
+}
+
 func TestUnsignedSuccessIsNoAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		unsigned := func(context.Context, Attempt, *fakeSender) (*Answer, error) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -253,8 +253,20 @@
 	retryBusy = 600 * time.Millisecond
 )
 
+// ErrStopping is the cause with which the context of requests ends that still run at
+// the end of a planned stop.
+var ErrStopping = errors.New("the daemon stops")
+
+// left tells whether ctx ended because the caller left.
+func left(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), ErrStopping)
+}
+
 // stopped tells why ctx ended before the request had an answer.
 func stopped(ctx context.Context, outcome failure.Outcome, step, peer string) *failure.Error {
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return failure.New(failure.Draining, outcome, step, peer, "the daemon stops, and the request was not done in time")
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return failure.New(failure.DeadlinePast, outcome, step, peer, "no answer in time")
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
@@ -87,13 +85,12 @@
 
 // finish gives the caller the last word on an answer that is not whole.
 func (s *stream) finish(ctx context.Context) {
-	canceled := errors.Is(ctx.Err(), context.Canceled)
 	switch {
 	case s.begun:
 		s.f.Events.Record(event.AnswerCutShort, s.r.ID, event.F("route", s.r.Route.Name), event.F("error", s.err.Error()),
 			event.F("last_event", strconv.FormatInt(s.last, 10)), event.F("after", time.Since(s.r.Received).String()))
 		s.w.Abort()
-	case canceled:
+	case left(ctx):
 		s.w.Abort()
 	case s.failed != nil:
 		s.w.Answer(s.failed.status, s.failed.header, s.failed.body)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,8 @@
 	idle     *idleConns
 
 	servers []*server
+	serving context.Context         // of callers' requests
+	cut     context.CancelCauseFunc // ends it
 	wg      sync.WaitGroup
 }
 
@@ -79,6 +81,7 @@
 		events:  event.NewRecorder(s.ID, event.NewClock(time.Now), logger, s.EventRing),
 		targets: platform.NewTargets(), fleet: fleet.New(s.Place, rand.Uint64()),
 	}
+	g.serving, g.cut = context.WithCancelCause(context.Background())
 	g.settings.Store(&s)
 	g.events.LimitRoutine(routineLines)
 	g.store = platform.NewClient("http://"+s.Store, g.metrics)
@@ -129,7 +132,10 @@
 		return errors.Wrapf(err, "listen at %s", address)
 	}
 	g.servers = append(g.servers, &server{
-		Server:   &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: g.idle.changed},
+		Server: &http.Server{
+			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: g.idle.changed,
+			BaseContext: func(net.Listener) context.Context { return g.serving },
+		},
 		listener: l,
 	})
 	return nil
@@ -183,8 +189,10 @@
 	case err = <-failed:
 		g.events.Record(event.NodeFailed, "", event.F("error", err.Error()))
 	}
+	g.cut(forward.ErrStopping) // what still runs at the end of the grace time
+	g.awaitRequests(time.Now().Add(lastAnswers))
 	for _, s := range g.servers {
-		_ = s.Close() // what still ran at the end of the grace time is cut
+		_ = s.Close()
 	}
 	stop()
 	g.peers.transport.Close()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,10 +37,13 @@
 const (
 	// staleAnswers times the directory's TTL is how long some callers keep an answer.
 	staleAnswers = 3
-	// stopReserve is left of the grace time for the end of the process.
-	stopReserve = 600 * time.Millisecond
+	// stopReserve is left of the grace time for the end of the process, which takes
+	// some tens of milliseconds.
+	stopReserve = 300 * time.Millisecond
+	// lastAnswers is the time for telling callers that their requests are cut.
+	lastAnswers = 100 * time.Millisecond
 	// drainCheck is how often a stopping daemon looks whether its work is done.
-	drainCheck = 50 * time.Millisecond
+	drainCheck = 10 * time.Millisecond
 )
 
 // drain leaves the directory, takes new work while callers still hold the address,
@@ -54,7 +57,12 @@
 	g.peers.tell(kindWork, work{g.fleet.Shares(), true})
 	pause.For(ctx, min(staleAnswers*g.settings.Load().DirectoryTTL.Std(), g.settings.Load().Grace.Std()/2))
 	g.refusing.Store(true)
-	for g.requests.Load() > 0 && ctx.Err() == nil {
-		pause.For(ctx, drainCheck)
+	g.awaitRequests(end)
+}
+
+// awaitRequests waits until no request is under way, or until end.
+func (g *Gateway) awaitRequests(end time.Time) {
+	for g.requests.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(drainCheck)
 	}
 }
