generation: the test's kill of an engine closes its listener first

Cause: connections were closed before the listener, so a probe that connected in between found the engine alive and joined its stream again, which the kill no longer touched. Ruled out: an answer that was over before the kill (4 s long). The check is as it was.

--- a/generation/site_test.go
+++ b/generation/site_test.go
@@ -52,9 +52,11 @@
 	return s
 }
 
+// kill ends the engine. The listener goes first: a probe that connects between the two
+// would find the engine alive and join its stream again.
 func (e *siteEngine) kill() {
-	e.server.CloseClientConnections()
 	_ = e.server.Listener.Close()
+	e.server.CloseClientConnections()
 }
 
 func (s *site) close() {
