--- a/exchange/dataset.go
+++ b/exchange/dataset.go
@@ -72,9 +72,6 @@
 // Known tells whether the dataset was read or heard at all.
 func (d *Dataset) Known() bool { return d.at >= 0 }
 
-// Fresh returns when the entries were last known to be true.
-func (d *Dataset) Fresh() time.Time { return d.fresh }
-
 // Due returns when this daemon should read the store: a while after the entries
 // were last true, each daemon by another while, so that one of them reads first
 // and spares the others.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,7 +99,7 @@
 	g.forward.Prober.Suspected = g.peers.tellSuspect
 	callers := &platform.Callers{
 		Table: g.table.Load, Serve: g.serve, Closing: g.draining.Load, Refused: g.refused,
-		Service: func(r *ingress.Route, _ string) string { return r.Service(rand.Float64()) },
+		Service: func(r *ingress.Route) string { return r.Service(rand.Float64()) },
 	}
 	for _, l := range []struct {
 		address string
@@ -163,7 +163,7 @@
 }
 
 // lookup answers callers that ask where to connect.
-func (g *Gateway) lookup(string) (platform.DirectoryAnswer, bool) {
+func (g *Gateway) lookup() (platform.DirectoryAnswer, bool) {
 	addresses := g.members.directory()
 	return platform.DirectoryAnswer{Addresses: addresses, TTL: g.settings.Load().DirectoryTTL.Std()}, len(addresses) > 0
 }
