peer: one typed registration of message handlers

Twenty handlers decoded their bodies by hand, beside two private generic adapters that did the same (node.answerWith, confirmation.on). peer.On is the one place now: it decodes, names the type in the error, and calls the handler with the message. Test: a body of another shape never reaches the handler.

--- a/confirmation/pairs_map.go
+++ b/confirmation/pairs_map.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/objectstore"
@@ -114,25 +113,17 @@
 		}
 		return nil, errors.WithStack(ErrNoMap)
 	})
-	p.Transport.Handle(kindShard, func(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-		var q shardRequest
-		if err := msgpack.Unmarshal(body, &q); err != nil {
-			return nil, err
-		}
+	peer.On(p.Transport, kindShard, func(_ context.Context, _ peer.Identity, q shardRequest) (any, error) {
 		m := p.shards.Load()
 		if m == nil || q.Number < 0 || q.Number >= len(m.Shards) {
 			return nil, errors.WithStack(ErrNoMap)
 		}
 		return m.Shards[q.Number], nil
 	})
-	p.Transport.Handle(kindPush, func(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-		var m shardsMessage
-		if err := msgpack.Unmarshal(body, &m); err != nil {
-			return nil, err
-		}
+	peer.On(p.Transport, kindPush, func(_ context.Context, _ peer.Identity, m shardsMessage) (any, error) {
 		return nil, p.Loop.Post(func(now time.Time) { p.learn(now, m.Shards) })
 	})
-	p.Transport.Handle(kindAsk, p.serveAsk)
+	peer.On(p.Transport, kindAsk, p.serveAsk)
 	p.Transport.Handle(kindIssue, p.serveIssue)
 }
 
--- a/confirmation/pairs_route.go
+++ b/confirmation/pairs_route.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/failure"
@@ -204,11 +203,7 @@
 }
 
 // serveAsk answers another daemon's ask. It is never passed on.
-func (p *Pairs) serveAsk(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
-	var m askMessage
-	if err := msgpack.Unmarshal(body, &m); err != nil {
-		return nil, err
-	}
+func (p *Pairs) serveAsk(ctx context.Context, _ peer.Identity, m askMessage) (any, error) {
 	if !m.To.Same(p.self) {
 		return Answer{OtherRun: true}, nil
 	}
--- a/confirmation/pairs_step.go
+++ b/confirmation/pairs_step.go
@@ -6,8 +6,6 @@
 	"sort"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/trace"
@@ -113,11 +111,7 @@
 
 // on registers the handler of one message between the daemons of a shard.
 func on[M Input](p *Pairs, kind peer.Kind) {
-	p.Transport.Handle(kind, func(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-		var m M
-		if err := msgpack.Unmarshal(body, &m); err != nil {
-			return nil, err
-		}
+	peer.On(p.Transport, kind, func(_ context.Context, _ peer.Identity, m M) (any, error) {
 		return nil, p.Loop.Post(func(now time.Time) { p.receive(now, m) })
 	})
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/fleet"
@@ -68,11 +67,11 @@
 		return nil, err
 	}
 	p := &peers{g: g, transport: t, ctx: context.Background(), suspected: make(map[string]time.Time)}
-	t.Handle(kindNews, p.serveNews)
-	t.Handle(kindWhole, p.serveWhole)
-	t.Handle(kindWork, p.serveWork)
-	t.Handle(kindSuspect, p.serveSuspect)
-	t.Handle(kindStrikes, p.serveStrikes)
+	peer.On(t, kindNews, p.serveNews)
+	peer.On(t, kindWhole, p.serveWhole)
+	peer.On(t, kindWork, p.serveWork)
+	peer.On(t, kindSuspect, p.serveSuspect)
+	peer.On(t, kindStrikes, p.serveStrikes)
 	return p, nil
 }
 
@@ -137,22 +136,14 @@
 	}
 }
 
-func (p *peers) serveNews(ctx context.Context, from peer.Identity, body []byte) (any, error) {
-	var n exchange.News
-	if err := msgpack.Unmarshal(body, &n); err != nil {
-		return nil, errors.Wrap(err, "decode news")
-	}
+func (p *peers) serveNews(ctx context.Context, from peer.Identity, n exchange.News) (any, error) {
 	if p.g.shelf.hear(n) {
 		p.fetch(ctx, from.PeerAddress, n.Kind)
 	}
 	return nil, nil
 }
 
-func (p *peers) serveWhole(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-	var kind string
-	if err := msgpack.Unmarshal(body, &kind); err != nil {
-		return nil, errors.Wrap(err, "decode kind")
-	}
+func (p *peers) serveWhole(_ context.Context, _ peer.Identity, kind string) (any, error) {
 	w, ok := p.g.shelf.whole(kind)
 	if !ok {
 		return nil, errors.Errorf("kind %s is not known here", kind)
@@ -194,11 +185,7 @@
 	}
 }
 
-func (p *peers) serveWork(_ context.Context, from peer.Identity, body []byte) (any, error) {
-	var w work
-	if err := msgpack.Unmarshal(body, &w); err != nil {
-		return nil, errors.Wrap(err, "decode work")
-	}
+func (p *peers) serveWork(_ context.Context, from peer.Identity, w work) (any, error) {
 	p.g.members.heard(from.ID, w.Leaving)
 	p.g.fleet.Told(from.ID, w.Shares)
 	return nil, nil
@@ -224,11 +211,7 @@
 // serveSuspect takes a peer's word on a target. What a peer does not reach may still
 // be reached from here, so a target in use is asked; a process that has ended has
 // ended for all.
-func (p *peers) serveSuspect(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-	var s suspicion
-	if err := msgpack.Unmarshal(body, &s); err != nil {
-		return nil, errors.Wrap(err, "decode suspicion")
-	}
+func (p *peers) serveSuspect(_ context.Context, _ peer.Identity, s suspicion) (any, error) {
 	now := time.Now()
 	p.mu.Lock()
 	p.suspected[s.ID] = now
@@ -245,11 +228,7 @@
 
 func (p *peers) tellStrikes(s []quarantine.Strike) { p.tell(kindStrikes, s) }
 
-func (p *peers) serveStrikes(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-	var strikes []quarantine.Strike
-	if err := msgpack.Unmarshal(body, &strikes); err != nil {
-		return nil, errors.Wrap(err, "decode strikes")
-	}
+func (p *peers) serveStrikes(_ context.Context, _ peer.Identity, strikes []quarantine.Strike) (any, error) {
 	p.g.crashes.told(strikes)
 	return nil, nil
 }
--- a/node/admission.go
+++ b/node/admission.go
@@ -12,6 +12,7 @@
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/membership"
+	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/routing"
 	"github.com/vanillaroad/vanillaroad/target"
 )
@@ -86,8 +87,8 @@
 	n.trace.New(routing.TraceSlice, "", a.clock(now), routing.Made{Scheduler: "default"})
 	n.admission = a
 	n.background = context.Background()
-	n.transport.Handle(kindBorrow, n.serveBorrow)
-	n.transport.Handle(kindReturn, n.serveReturn)
+	peer.On(n.transport, kindBorrow, n.serveBorrow)
+	peer.On(n.transport, kindReturn, n.serveReturn)
 	n.loop.Every(admissionPeriod, a.tick)
 	n.loop.Every(planPeriod, a.replan)
 	n.loop.Every(pollTick, a.poll)
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -58,10 +58,10 @@
 	v := &versions{n: n, spread: configuration.NewSpread(made)}
 	n.versions = v
 	n.trace.New(configuration.Slice, n.self.ID, time.Now(), made)
-	n.transport.Handle(kindPush, v.servePush)
-	n.transport.Handle(kindHeads, v.serveHeads)
-	n.transport.Handle(kindPart, v.servePart)
-	n.transport.Handle(kindInForce, v.serveInForce)
+	peer.On(n.transport, kindPush, v.servePush)
+	peer.On(n.transport, kindHeads, v.serveHeads)
+	peer.On(n.transport, kindPart, v.servePart)
+	peer.On(n.transport, kindInForce, v.serveInForce)
 	n.loop.Every(configuration.TickPeriod, func(now time.Time) { v.step(now, configuration.SpreadTick{}) })
 }
 
--- a/node/configuration_peers.go
+++ b/node/configuration_peers.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/membership"
@@ -45,11 +44,7 @@
 	return v.claims.Claim(version, arc)
 }
 
-func (v *versions) servePush(_ context.Context, from peer.Identity, body []byte) (any, error) {
-	var req pushRequest
-	if err := msgpack.Unmarshal(body, &req); err != nil {
-		return nil, errors.Wrap(err, "decode push")
-	}
+func (v *versions) servePush(_ context.Context, from peer.Identity, req pushRequest) (any, error) {
 	head, err := configuration.DecodeHead(req.Head)
 	if err != nil {
 		return nil, err
@@ -81,11 +76,7 @@
 	Digests []uint64             `msgpack:"d"`
 }
 
-func (v *versions) serveHeads(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-	var req headsRequest
-	if err := msgpack.Unmarshal(body, &req); err != nil {
-		return nil, errors.Wrap(err, "decode heads request")
-	}
+func (v *versions) serveHeads(_ context.Context, _ peer.Identity, req headsRequest) (any, error) {
 	v.mu.Lock()
 	heads := chain(v.heads, req.Have)
 	s := v.n.snapshot.Load()
@@ -190,11 +181,7 @@
 	Index   int   `msgpack:"i"`
 }
 
-func (v *versions) servePart(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-	var req partRequest
-	if err := msgpack.Unmarshal(body, &req); err != nil {
-		return nil, errors.Wrap(err, "decode part request")
-	}
+func (v *versions) servePart(_ context.Context, _ peer.Identity, req partRequest) (any, error) {
 	s := v.n.snapshot.Load()
 	if s.Version != req.Version {
 		if kept, ok := v.split.kept(req.Version); ok {
--- a/node/configuration_wait.go
+++ b/node/configuration_wait.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
@@ -42,11 +41,7 @@
 	Budget time.Duration `msgpack:"t"`
 }
 
-func (v *versions) serveInForce(ctx context.Context, from peer.Identity, body []byte) (any, error) {
-	var req inForceRequest
-	if err := msgpack.Unmarshal(body, &req); err != nil {
-		return nil, errors.Wrap(err, "decode question")
-	}
+func (v *versions) serveInForce(ctx context.Context, from peer.Identity, req inForceRequest) (any, error) {
 	v.n.learnVersion(req.Version, from.PeerAddress)
 	var lagging []string
 	if req.More {
--- a/node/generation_peers.go
+++ b/node/generation_peers.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/generation"
@@ -38,25 +37,18 @@
 
 func (n *Node) newGenerationPeers() *generationPeers {
 	p := &generationPeers{n: n, claims: generation.NewClaims()}
-	n.transport.Handle(kindTakeOver, answerWith(func(_ context.Context, t generation.TakeOver) (any, error) { return n.hub.TakenOver(t), nil }))
-	n.transport.Handle(kindWhere, answerWith(func(_ context.Context, w generation.Where) (any, error) { return n.hub.Located(w), nil }))
-	n.transport.Handle(kindClaim, answerWith(func(ctx context.Context, m claimMessage) (any, error) { return p.take(ctx, m) }))
-	n.transport.Handle(kindHolder, answerWith(func(ctx context.Context, id string) (any, error) { return p.holder(ctx, id) }))
-	n.transport.Handle(kindCancel, answerWith(func(_ context.Context, id string) (any, error) { return n.hub.Cancel(id), nil }))
+	peer.On(n.transport, kindTakeOver, func(_ context.Context, _ peer.Identity, t generation.TakeOver) (any, error) {
+		return n.hub.TakenOver(t), nil
+	})
+	peer.On(n.transport, kindWhere, func(_ context.Context, _ peer.Identity, w generation.Where) (any, error) {
+		return n.hub.Located(w), nil
+	})
+	peer.On(n.transport, kindClaim, func(ctx context.Context, _ peer.Identity, m claimMessage) (any, error) { return p.take(ctx, m) })
+	peer.On(n.transport, kindHolder, func(ctx context.Context, _ peer.Identity, id string) (any, error) { return p.holder(ctx, id) })
+	peer.On(n.transport, kindCancel, func(_ context.Context, _ peer.Identity, id string) (any, error) { return n.hub.Cancel(id), nil })
 	return p
 }
 
-// answerWith decodes the body of a message for fn.
-func answerWith[T any](fn func(context.Context, T) (any, error)) peer.Handler {
-	return func(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
-		var m T
-		if err := msgpack.Unmarshal(body, &m); err != nil {
-			return nil, errors.Wrapf(err, "decode %T", m)
-		}
-		return fn(ctx, m)
-	}
-}
-
 func (p *generationPeers) take(ctx context.Context, m claimMessage) (string, error) {
 	return control.Ask(ctx, p.n.loop, func(now time.Time) string {
 		if m.Renew {
--- a/node/lend.go
+++ b/node/lend.go
@@ -4,9 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/failure"
@@ -93,11 +90,7 @@
 	orphaned time.Time
 }
 
-func (n *Node) serveBorrow(ctx context.Context, from peer.Identity, body []byte) (any, error) {
-	var m borrowMessage
-	if err := msgpack.Unmarshal(body, &m); err != nil {
-		return nil, errors.Wrap(err, "decode borrow")
-	}
+func (n *Node) serveBorrow(ctx context.Context, from peer.Identity, m borrowMessage) (any, error) {
 	svc, ok := n.snapshot.Load().Service(m.Service)
 	if !ok {
 		return lentReply{State: lentRefused, Code: failure.NotFound, Outcome: failure.NotRun, Message: "service is not configured here"}, nil
@@ -113,11 +106,7 @@
 	return control.Ask(ctx, n.loop, func(now time.Time) lentReply { return n.admission.lend(now, key, q) })
 }
 
-func (n *Node) serveReturn(ctx context.Context, from peer.Identity, body []byte) (any, error) {
-	var m returnMessage
-	if err := msgpack.Unmarshal(body, &m); err != nil {
-		return nil, errors.Wrap(err, "decode return")
-	}
+func (n *Node) serveReturn(ctx context.Context, from peer.Identity, m returnMessage) (any, error) {
 	key := lentKey{from.ID, from.Incarnation, m.Nonce}
 	return control.Ask(ctx, n.loop, func(now time.Time) bool { return n.admission.takeBack(now, key, m) })
 }
--- a/node/listing.go
+++ b/node/listing.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 
 	"github.com/vanillaroad/vanillaroad/internal/pause"
@@ -80,11 +78,7 @@
 // never is the age of news that no read brought.
 const never = 24 * time.Hour
 
-func (l *listingReader) serve(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-	var req listingRequest
-	if err := msgpack.Unmarshal(body, &req); err != nil {
-		return nil, errors.Wrap(err, "decode listing request")
-	}
+func (l *listingReader) serve(_ context.Context, _ peer.Identity, req listingRequest) (any, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asked = time.Now()
--- a/node/membership.go
+++ b/node/membership.go
@@ -6,9 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
@@ -43,11 +41,11 @@
 	n.members = m
 	n.trace.New(membership.Slice, n.self.ID, time.Now(), made)
 	n.view.Store(m.machine.View())
-	n.transport.Handle(kindProbe, m.serveProbe)
-	n.transport.Handle(kindRelay, m.serveRelay)
-	n.transport.Handle(kindSync, m.serveSync)
-	n.transport.Handle(kindListing, m.listing.serve)
-	n.transport.Handle(kindNotice, m.serveNotice)
+	peer.On(n.transport, kindProbe, m.serveProbe)
+	peer.On(n.transport, kindRelay, m.serveRelay)
+	peer.On(n.transport, kindSync, m.serveSync)
+	peer.On(n.transport, kindListing, m.listing.serve)
+	peer.On(n.transport, kindNotice, m.serveNotice)
 	n.loop.Every(membership.ProbePeriod, func(now time.Time) { m.step(now, membership.Tick{}) })
 }
 
@@ -202,22 +200,14 @@
 	}
 }
 
-func (m *members) serveProbe(ctx context.Context, from peer.Identity, body []byte) (any, error) {
-	var msg membership.Message
-	if err := msgpack.Unmarshal(body, &msg); err != nil {
-		return nil, errors.Wrap(err, "decode probe")
-	}
+func (m *members) serveProbe(ctx context.Context, from peer.Identity, msg membership.Message) (any, error) {
 	m.n.learnVersion(msg.From.Version, from.PeerAddress)
 	return control.Ask(ctx, m.n.loop, func(now time.Time) *membership.Message {
 		return m.step(now, membership.Heard{Message: msg})
 	})
 }
 
-func (m *members) serveRelay(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
-	var req probeRequest
-	if err := msgpack.Unmarshal(body, &req); err != nil {
-		return nil, errors.Wrap(err, "decode probe request")
-	}
+func (m *members) serveRelay(ctx context.Context, _ peer.Identity, req probeRequest) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, membership.ProbeTimeout)
 	defer cancel()
 	own, err := control.Ask(ctx, m.n.loop, func(time.Time) membership.Message {
@@ -234,11 +224,7 @@
 	return reply.From.ID == req.ID, nil
 }
 
-func (m *members) serveSync(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
-	var theirs membership.Digest
-	if err := msgpack.Unmarshal(body, &theirs); err != nil {
-		return nil, errors.Wrap(err, "decode digest")
-	}
+func (m *members) serveSync(ctx context.Context, _ peer.Identity, theirs membership.Digest) (any, error) {
 	return control.Ask(ctx, m.n.loop, func(time.Time) []membership.Rumor { return m.machine.Differing(theirs) })
 }
 
@@ -249,11 +235,7 @@
 	More  bool             `msgpack:"m,omitempty"`
 }
 
-func (m *members) serveNotice(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-	var msg notice
-	if err := msgpack.Unmarshal(body, &msg); err != nil {
-		return nil, errors.Wrap(err, "decode notice")
-	}
+func (m *members) serveNotice(_ context.Context, _ peer.Identity, msg notice) (any, error) {
 	m.tell(membership.Synced{Rumors: []membership.Rumor{msg.Rumor}})
 	if msg.More {
 		m.run(func(ctx context.Context) { m.notify(ctx, msg.Rumor, msg.Rest) })
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/vanillaroad/vanillaroad/control"
@@ -49,7 +47,7 @@
 
 func (n *Node) newGuard() *guard {
 	g := &guard{n: n, ledger: quarantine.NewLedger(n.settings.Quarantine), released: make(map[string]bool)}
-	n.transport.Handle(kindStrikes, g.receive)
+	peer.On(n.transport, kindStrikes, g.receive)
 	n.loop.Every(strikeFlushPeriod, g.flush)
 	return g
 }
@@ -156,11 +154,7 @@
 // peerSendTimeout bounds the dials of one flush.
 const peerSendTimeout = 2 * time.Second
 
-func (g *guard) receive(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-	var m strikesMessage
-	if err := msgpack.Unmarshal(body, &m); err != nil {
-		return nil, errors.Wrap(err, "decode strikes")
-	}
+func (g *guard) receive(_ context.Context, _ peer.Identity, m strikesMessage) (any, error) {
 	return nil, g.n.loop.Post(func(now time.Time) {
 		for _, s := range m.Strikes {
 			g.ledger.Strike(now, s)
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -77,6 +77,18 @@
 // Handle registers the handler of a kind. It must be called before Serve.
 func (t *Transport) Handle(kind Kind, h Handler) { t.handlers[kind] = h }
 
+// On registers fn for messages of a kind whose bodies are an M. It must be called
+// before Serve. A body of another shape is answered with an error.
+func On[M any](t *Transport, kind Kind, fn func(ctx context.Context, from Identity, m M) (any, error)) {
+	t.Handle(kind, func(ctx context.Context, from Identity, body []byte) (any, error) {
+		var m M
+		if err := msgpack.Unmarshal(body, &m); err != nil {
+			return nil, errors.Wrapf(err, "decode %T", m)
+		}
+		return fn(ctx, from, m)
+	})
+}
+
 // Block makes the transport refuse traffic with the addresses for which fn
 // returns true. It lets fault tests cut single links.
 func (t *Transport) Block(fn func(address string) bool) {
--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -10,7 +10,6 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/event"
 )
@@ -33,16 +32,18 @@
 			a.Close()
 			b.Close()
 		})
-		b.handlers[testKind] = func(_ context.Context, from Identity, body []byte) (any, error) {
-			var s string
-			err := msgpack.Unmarshal(body, &s)
-			return from.ID + " said " + s, err
-		}
+		On(b, testKind, func(_ context.Context, from Identity, s string) (any, error) {
+			return from.ID + " said " + s, nil
+		})
 		Convey("a call is answered, and the sender is known", func() {
 			var got string
 			So(a.Call(context.Background(), b.self.PeerAddress, testKind, "hello", &got), ShouldBeNil)
 			So(got, ShouldEqual, "a said hello")
 		})
+		Convey("a body of another shape is an error, and the handler does not get it", func() {
+			err := a.Call(context.Background(), b.self.PeerAddress, testKind, 7, nil)
+			So(err, ShouldHaveSameTypeAs, &RemoteError{})
+		})
 		Convey("a kind without a handler is an error that names the peer", func() {
 			err := a.Call(context.Background(), b.self.PeerAddress, 1000, "hello", nil)
 			So(err, ShouldHaveSameTypeAs, &RemoteError{})
