--- a/admission/replay.go
+++ b/admission/replay.go
@@ -101,7 +101,7 @@
 	if err := json.Unmarshal(input.Value, &in); err != nil {
 		return nil, errors.Wrap(err, "decode step")
 	}
-	m, err := decodeMessage(in.Message)
+	m, err := messages.Decode(in.Message)
 	if err != nil {
 		return nil, err
 	}
@@ -109,22 +109,6 @@
 	return trace.Names(r.controller.Step(at, m))
 }
 
-// decoders decode each type of message by its name.
-var decoders = map[string]func([]byte) (Message, error){
-	"Configure": decode[Configure], "Submit": decode[Submit], "Adopt": decode[Adopt], "Cancel": decode[Cancel], "Release": decode[Release],
-	"Restarted": decode[Restarted], "Gone": decode[Gone], "Block": decode[Block], "Wake": decode[Wake], "Tick": decode[Tick],
-}
-
-func decode[M Message](b []byte) (Message, error) {
-	var m M
-	err := json.Unmarshal(b, &m)
-	return m, errors.Wrapf(err, "decode %T", m)
-}
-
-func decodeMessage(n trace.Named) (Message, error) {
-	d := decoders[n.Type]
-	if d == nil {
-		return nil, errors.Errorf("unknown message %s", n.Type)
-	}
-	return d(n.Value)
-}
+var messages = trace.NewInputs[Message](
+	Configure{}, Submit{}, Adopt{}, Cancel{}, Release{}, Restarted{}, Gone{}, Block{}, Wake{}, Tick{},
+)
--- a/configuration/spread.go
+++ b/configuration/spread.go
@@ -164,36 +164,7 @@
 	if err := json.Unmarshal(made, &m); err != nil {
 		return nil, errors.Wrap(err, "decode how the spread was made")
 	}
-	return replay{NewSpread(m)}, nil
+	return trace.NewStepper(spreadInputs, NewSpread(m).Step), nil
 }
 
-type replay struct{ spread *Spread }
-
-// Replay implements trace.Machine.
-func (r replay) Replay(at time.Time, input trace.Named) ([]trace.Named, error) {
-	in, err := decodeInput(input)
-	if err != nil {
-		return nil, err
-	}
-	return trace.Names(r.spread.Step(at, in))
-}
-
-func decodeInput(n trace.Named) (SpreadInput, error) {
-	switch n.Type {
-	case "Told":
-		return decodeAs[Told](n.Value)
-	case "Arrived":
-		return decodeAs[Arrived](n.Value)
-	case "FetchEnded":
-		return decodeAs[FetchEnded](n.Value)
-	case "SpreadTick":
-		return decodeAs[SpreadTick](n.Value)
-	}
-	return nil, errors.Errorf("unknown input %q", n.Type)
-}
-
-func decodeAs[T SpreadInput](value json.RawMessage) (SpreadInput, error) {
-	var v T
-	err := json.Unmarshal(value, &v)
-	return v, errors.Wrap(err, "decode input")
-}
+var spreadInputs = trace.NewInputs[SpreadInput](Told{}, Arrived{}, FetchEnded{}, SpreadTick{})
--- a/generation/replay.go
+++ b/generation/replay.go
@@ -12,9 +12,6 @@
 // TraceSlice names this slice in traces.
 const TraceSlice = "generation"
 
-// ErrInput is returned for a recorded input of no known type.
-var ErrInput = errors.New("unknown input type")
-
 // Begin stands for the call of Start in a trace.
 type Begin struct{}
 
@@ -35,36 +32,13 @@
 	if input.Type == "Begin" {
 		return trace.Names(r.machine.Start(at))
 	}
-	in, err := decodeInput(input)
+	in, err := inputs.Decode(input)
 	if err != nil {
 		return nil, err
 	}
 	return trace.Names(r.machine.Step(at, in))
 }
 
-var inputDecoders = map[string]func([]byte) (Input, error){
-	"Routed":      decodeAs[Routed],
-	"RouteFailed": decodeAs[RouteFailed],
-	"Received":    decodeAs[Received],
-	"Broken":      decodeAs[Broken],
-	"Probed":      decodeAs[Probed],
-	"NoStream":    decodeAs[NoStream],
-	"Cancel":      decodeAs[Cancel],
-	"TakenOver":   decodeAs[TakenOver],
-	"Woken":       decodeAs[Woken],
-	"Tick":        decodeAs[Tick],
-}
-
-func decodeAs[T Input](b []byte) (Input, error) {
-	var v T
-	err := json.Unmarshal(b, &v)
-	return v, errors.Wrapf(err, "decode %T", v)
-}
-
-func decodeInput(n trace.Named) (Input, error) {
-	decode := inputDecoders[n.Type]
-	if decode == nil {
-		return nil, errors.Wrap(ErrInput, n.Type)
-	}
-	return decode(n.Value)
-}
+var inputs = trace.NewInputs[Input](
+	Routed{}, RouteFailed{}, Received{}, Broken{}, Probed{}, NoStream{}, Cancel{}, TakenOver{}, Woken{}, Tick{},
+)
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,7 @@
 var (
 	ErrFormat   = errors.New("not a trace file of a known version")
 	ErrDiverged = errors.New("replay decided otherwise")
+	ErrInput    = errors.New("unknown type of input")
 )
 
 // Machine replays one machine of a slice.
@@ -25,6 +27,53 @@
 // Maker makes a slice's machine from the value of its "new" step.
 type Maker func(made json.RawMessage) (Machine, error)
 
+// Inputs decodes the inputs of a slice. Each type is found by the name under which
+// Name records it.
+type Inputs[I any] map[string]reflect.Type
+
+// NewInputs returns a decoder of the types of the examples.
+func NewInputs[I any](examples ...I) Inputs[I] {
+	out := make(Inputs[I], len(examples))
+	for _, e := range examples {
+		t := reflect.TypeOf(e)
+		out[t.Name()] = t
+	}
+	return out
+}
+
+// Decode returns the input that was recorded as n, or ErrInput.
+func (in Inputs[I]) Decode(n Named) (decoded I, err error) {
+	t, ok := in[n.Type]
+	if !ok {
+		return decoded, errors.Wrap(ErrInput, n.Type)
+	}
+	v := reflect.New(t)
+	if err := json.Unmarshal(n.Value, v.Interface()); err != nil {
+		return decoded, errors.Wrapf(err, "decode %s", t)
+	}
+	return v.Elem().Interface().(I), nil
+}
+
+// stepper is a Machine whose decisions a function makes.
+type stepper[I, D any] struct {
+	inputs Inputs[I]
+	step   func(at time.Time, in I) []D
+}
+
+// NewStepper returns the machine that takes inputs by step.
+func NewStepper[I, D any](inputs Inputs[I], step func(at time.Time, in I) []D) Machine {
+	return stepper[I, D]{inputs, step}
+}
+
+// Replay implements Machine.
+func (s stepper[I, D]) Replay(at time.Time, input Named) ([]Named, error) {
+	in, err := s.inputs.Decode(input)
+	if err != nil {
+		return nil, err
+	}
+	return Names(s.step(at, in))
+}
+
 // maxLineBytes bounds one line of a trace.
 const maxLineBytes = 16 << 20
 
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -23,14 +23,7 @@
 	return []total{{s.total}}
 }
 
-// Replay implements Machine.
-func (s *sum) Replay(_ time.Time, input Named) ([]Named, error) {
-	var a add
-	if err := json.Unmarshal(input.Value, &a); err != nil {
-		return nil, err
-	}
-	return Names(s.take(a))
-}
+func (s *sum) stepAt(_ time.Time, a add) []total { return s.take(a) }
 
 // maker returns a maker of machines that err by bias.
 func maker(bias int) map[string]Maker {
@@ -38,7 +31,7 @@
 		s := &sum{}
 		err := json.Unmarshal(made, &s.step)
 		s.step += bias
-		return s, err
+		return NewStepper(NewInputs(add{}), s.stepAt), err
 	}}
 }
 
@@ -114,6 +107,30 @@
 	})
 }
 
+func TestInputs(t *testing.T) {
+	inputs := NewInputs[any](add{}, total{})
+	cases := []struct {
+		name     string
+		recorded Named
+		want     any
+		err      error
+	}{
+		{"a known type", Named{"total", json.RawMessage(`{"N":2}`)}, total{2}, nil},
+		{"an unknown type", Named{"other", json.RawMessage(`{}`)}, nil, ErrInput},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			got, err := inputs.Decode(c.recorded)
+			So(errors.Cause(err), ShouldEqual, c.err)
+			So(got, ShouldEqual, c.want)
+		})
+	}
+	Convey("a value that can't be read", t, func() {
+		_, err := inputs.Decode(Named{"total", json.RawMessage(`{"N":"x"}`)})
+		So(err, ShouldNotBeNil)
+	})
+}
+
 func TestOutcome(t *testing.T) {
 	Convey("an outcome is held against a trace", t, func() {
 		text := recorded()
