settings: one reader for the settings of both daemons

gateway.LoadSettings and ParseSettings repeated settings.Load and Parse line by line. settings.Read takes the defaults; Settings.Check, which nothing else called, is gone.

--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -1,12 +1,6 @@
 package gateway
 
 import (
-	"bytes"
-	"encoding/json"
-	"os"
-
-	"github.com/pkg/errors"
-
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/internal/jsontime"
 	"github.com/vanillaroad/vanillaroad/settings"
@@ -66,22 +60,4 @@
 }
 
 // LoadSettings reads and checks a settings file. It names every fault at once.
-func LoadSettings(path string) (Settings, error) {
-	b, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, errors.Wrap(err, "read settings")
-	}
-	s, err := ParseSettings(b)
-	return s, errors.Wrap(err, path)
-}
-
-// ParseSettings reads settings over the defaults. Unknown keys are errors.
-func ParseSettings(b []byte) (Settings, error) {
-	s := DefaultSettings()
-	dec := json.NewDecoder(bytes.NewReader(b))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return Settings{}, settings.Faults{err.Error()}
-	}
-	return s, settings.Check(s)
-}
+func LoadSettings(path string) (Settings, error) { return settings.Read(path, DefaultSettings()) }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -60,24 +60,31 @@
 func (f Faults) Error() string { return "bad settings: " + strings.Join(f, "; ") }
 
 // Load reads and checks a settings file.
-func Load(path string) (Settings, error) {
+func Load(path string) (Settings, error) { return Read(path, Default()) }
+
+// Parse reads settings over the defaults. Unknown keys are errors.
+func Parse(b []byte) (Settings, error) { return decode(b, Default()) }
+
+// Read reads and checks the settings file of any daemon: JSON over the defaults.
+// Unknown keys are errors, and every fault is named at once.
+func Read[T any](path string, defaults T) (T, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, errors.Wrap(err, "read settings")
+		var none T
+		return none, errors.Wrap(err, "read settings")
 	}
-	s, err := Parse(b)
+	s, err := decode(b, defaults)
 	return s, errors.Wrap(err, path)
 }
 
-// Parse reads settings over the defaults. Unknown keys are errors.
-func Parse(b []byte) (Settings, error) {
-	s := Default()
+func decode[T any](b []byte, s T) (T, error) {
 	dec := json.NewDecoder(bytes.NewReader(b))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
-		return Settings{}, Faults{err.Error()}
+		var none T
+		return none, Faults{err.Error()}
 	}
-	return s, s.Check()
+	return s, check(s)
 }
 
 var validate = newValidator()
@@ -88,11 +95,8 @@
 	return v
 }
 
-// Check returns Faults of all faults, or nil.
-func (s Settings) Check() error { return Check(s) }
-
-// Check returns Faults of all faults of a structure with validation tags, or nil.
-func Check(s any) error {
+// check returns Faults of all faults of a structure with validation tags, or nil.
+func check(s any) error {
 	var fields validator.ValidationErrors
 	err := validate.Struct(s)
 	if err == nil {
