forward: calls and streams share what they decide alike

Whether a request may be sent once more, what follows when a target turns it away or is not reached, and why there is no target, stood twice, in call.go and in stream.go/run.go. They are methods of the Forwarder now. The three ways to hand a value to a run unless it ended are one function, and the two Forget loops use maps.DeleteFunc.

--- a/forward/call.go
+++ b/forward/call.go
@@ -60,13 +60,13 @@
 func (c *call) run(ctx context.Context) (*whole, *failure.Error) {
 	var last *failure.Error
 	for dials := 0; ; {
-		if len(c.tried) > 0 && !c.mayRepeat() {
+		if len(c.tried) > 0 && !c.f.mayRepeat(c.r, len(c.tried)) {
 			break
 		}
 		target, err := c.f.Fleet.Pick(time.Now(), fleet.Wish{Service: c.r.Service, Exclude: c.tried})
 		if err != nil {
 			if last == nil {
-				last = failure.Wrap(err, failure.NoTarget, failure.NotRun, "route", c.r.Service).After(retryBusy)
+				last = noTarget(c.r, err)
 			}
 			break
 		}
@@ -102,18 +102,6 @@
 // maxDials bounds the targets that a request finds unreachable.
 func (c *call) maxDials() int { return 2 + c.r.Route.MaxAttempts }
 
-// mayRepeat tells whether one more target may get the request.
-func (c *call) mayRepeat() bool {
-	if len(c.tried) >= max(1, c.r.Route.MaxAttempts) {
-		return false
-	}
-	if !c.f.Budget.Take(time.Now(), c.r.Service) {
-		c.f.Events.Record(event.RetryDenied, c.r.ID, event.F("service", c.r.Service))
-		return false
-	}
-	return true
-}
-
 // attempt sends the request to one target. It returns the answer if that is the
 // last word, else why there is none.
 func (c *call) attempt(ctx context.Context, t fleet.Target) (*whole, *failure.Error) {
@@ -129,20 +117,14 @@
 	switch {
 	case errors.Is(err, ErrNotSent):
 		work.Done(now, true)
-		c.f.Fleet.Refused(now, t.ID)
-		return nil, failure.Wrap(err, failure.NoTarget, failure.NotRun, "connect", t.ID).After(retrySoon)
+		return nil, c.f.notReached(t, err)
 	case err != nil:
 		work.Done(now, true)
 		c.sent = true
 		return nil, c.noAnswer(ctx, now, t, err, attemptCtx.Err() != nil)
 	case answer.NotRun:
 		work.Done(now, false)
-		if answer.OtherTarget {
-			c.f.Fleet.Ended(now, t)
-		} else {
-			c.f.Fleet.Refused(now, t.ID)
-		}
-		return nil, failure.New(failure.Overloaded, failure.NotRun, "send", t.ID, "the target refused with status %d", answer.Status).After(retryBusy)
+		return nil, c.f.turnedAway(t, answer, false)
 	}
 	c.sent = true
 	broken := answer.Status >= http.StatusInternalServerError
--- a/forward/copier.go
+++ b/forward/copier.go
@@ -107,7 +107,7 @@
 		if err != nil {
 			c.s.f.Events.Record(event.CopyFailed, c.s.r.ID, event.F("from", c.from.ID), event.F("to", to.ID), event.F("error", err.Error()))
 		}
-		c.hand(ctx, copyResult{heldCopy{to, made}, err})
+		hand(ctx, c.copied, copyResult{heldCopy{to, made}, err})
 	}()
 }
 
@@ -129,14 +129,6 @@
 	}()
 }
 
-// hand hands over the outcome of a copy unless the run has ended.
-func (c *copier) hand(ctx context.Context, made copyResult) {
-	select {
-	case c.copied <- made:
-	case <-ctx.Done():
-	}
-}
-
 // took takes the outcome of a copy by hand.
 func (c *copier) took(r copyResult) {
 	switch {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -239,6 +239,46 @@
 	recentBias = 0.015
 )
 
+// maxAttempts is the largest number of targets that a request is sent to.
+func (r *Request) maxAttempts() int { return max(1, r.Route.MaxAttempts) }
+
+// mayRepeat tells whether one more target may get a request that some got already.
+func (f *Forwarder) mayRepeat(r *Request, tried int) bool {
+	if tried >= r.maxAttempts() {
+		return false
+	}
+	if !f.Budget.Take(time.Now(), r.Service) {
+		f.Events.Record(event.RetryDenied, r.ID, event.F("service", r.Service))
+		return false
+	}
+	return true
+}
+
+// turnedAway notes that a target answered that it did not run a request and won't.
+// resumed tells that it was to go on from a copy: one that does not hold it may well
+// take other work. It returns why the attempt ended.
+func (f *Forwarder) turnedAway(t fleet.Target, a *Answer, resumed bool) *failure.Error {
+	switch now := time.Now(); {
+	case a.OtherTarget:
+		f.Fleet.Ended(now, t)
+	case !resumed:
+		f.Fleet.Refused(now, t.ID)
+	}
+	return failure.New(failure.Overloaded, failure.NotRun, "send", t.ID, "the target refused with status %d", a.Status).After(retryBusy)
+}
+
+// notReached notes that no byte of a request left for a target, and returns why the
+// attempt ended.
+func (f *Forwarder) notReached(t fleet.Target, err error) *failure.Error {
+	f.Fleet.Refused(time.Now(), t.ID)
+	return failure.Wrap(err, failure.NoTarget, failure.NotRun, "connect", t.ID).After(retrySoon)
+}
+
+// noTarget is why a request has no target at all.
+func noTarget(r *Request, err error) *failure.Error {
+	return failure.Wrap(err, failure.NoTarget, failure.NotRun, "route", r.Service).After(retryBusy)
+}
+
 // measure adds a duration to a histogram.
 func (f *Forwarder) measure(name string, d time.Duration) {
 	metrics.GetOrRegisterHistogram(name, f.Metrics, metrics.NewExpDecaySample(reservoir, recentBias)).Update(d.Milliseconds())
--- a/forward/holders.go
+++ b/forward/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -98,9 +99,5 @@
 func (h *Holders) Forget(keep func(id string) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for id := range h.known {
-		if !keep(id) {
-			delete(h.known, id)
-		}
-	}
+	maps.DeleteFunc(h.known, func(id string, _ *holding) bool { return !keep(id) })
 }
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -149,9 +150,5 @@
 func (p *Prober) Forget(keep func(id string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id := range p.last {
-		if !keep(id) {
-			delete(p.last, id)
-		}
-	}
+	maps.DeleteFunc(p.last, func(id string, _ Probe) bool { return !keep(id) })
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -40,7 +40,7 @@
 // read sends the attempt and reads its answer until it ends or ctx does.
 func (r *run) read(ctx context.Context) {
 	answer, err := r.s.f.Sender.Send(ctx, r.a)
-	if !r.hand(ctx, part{answer: answer, err: err}) || err != nil {
+	if !hand(ctx, r.parts, part{answer: answer, err: err}) || err != nil {
 		if answer != nil {
 			_ = answer.Body.Close()
 		}
@@ -52,15 +52,16 @@
 	defer func() { _ = answer.Body.Close() }()
 	for events := newEventReader(answer.Body); ; {
 		ev, err := events.next()
-		if !r.hand(ctx, part{event: ev, err: err}) || err != nil {
+		if !hand(ctx, r.parts, part{event: ev, err: err}) || err != nil {
 			return
 		}
 	}
 }
 
-func (r *run) hand(ctx context.Context, p part) bool {
+// hand sends a value to whoever follows the run, unless ctx ends first.
+func hand[T any](ctx context.Context, to chan<- T, value T) bool {
 	select {
-	case r.parts <- p:
+	case to <- value:
 		return true
 	case <-ctx.Done():
 		return false
@@ -154,10 +155,7 @@
 		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
 		c, at, err := r.s.f.Sender.Move(moveCtx, r.a.Target, r.s.r.ID, to)
-		select {
-		case r.moved <- copyResult{heldCopy{at, c}, err}:
-		case <-ctx.Done():
-		}
+		hand(ctx, r.moved, copyResult{heldCopy{at, c}, err})
 	}()
 	return true
 }
@@ -174,12 +172,11 @@
 
 // head takes the head of the answer, or why there is none.
 func (r *run) head(p part) (ending, bool) {
-	s, t, now := r.s, r.a.Target, time.Now()
+	s, t := r.s, r.a.Target
 	switch {
 	case errors.Is(p.err, ErrNotSent):
-		s.f.Fleet.Refused(now, t.ID)
+		s.note(s.f.notReached(t, p.err), r.a)
 		s.f.Prober.Check(t)
-		s.note(failure.Wrap(p.err, failure.NoTarget, failure.NotRun, "connect", t.ID).After(retrySoon), r.a)
 		return endUnsent, true
 	case p.err != nil:
 		s.f.Crashes.Crashed(s.r, t)
@@ -188,13 +185,10 @@
 	case p.answer.NotRun:
 		_ = p.answer.Body.Close()
 		s.tried[t.ID] = true
+		s.note(s.f.turnedAway(t, p.answer, r.a.Resume != (Copy{})), r.a)
 		if p.answer.OtherTarget {
-			s.f.Fleet.Ended(now, t)
 			s.f.Prober.CheckPlace(t)
-		} else if r.a.Resume == (Copy{}) {
-			s.f.Fleet.Refused(now, t.ID)
 		}
-		s.note(failure.New(failure.Overloaded, failure.NotRun, "send", t.ID, "the target refused with status %d", p.answer.Status).After(retryBusy), r.a)
 		return endLost, true
 	case !isStream(p.answer):
 		return r.refused(p.answer), true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -69,7 +69,7 @@
 				event.F("longest_pause", s.pause.String()), event.F("after", time.Since(s.r.Received).String()))
 			return
 		case endUnsent:
-			if unsent++; unsent <= s.maxAttempts() {
+			if unsent++; unsent <= s.r.maxAttempts() {
 				continue
 			}
 		case endLost:
@@ -127,17 +127,11 @@
 	}
 }
 
-func (s *stream) maxAttempts() int { return max(1, s.r.Route.MaxAttempts) }
-
 // plan chooses the next attempt: the target that holds a copy of the run's memory,
 // else the one that would start soonest.
 func (s *stream) plan(ctx context.Context) (Attempt, bool) {
 	now := time.Now()
-	if len(s.tried) >= s.maxAttempts() {
-		return Attempt{}, false
-	}
-	if len(s.tried) > 0 && !s.f.Budget.Take(now, s.r.Service) {
-		s.f.Events.Record(event.RetryDenied, s.r.ID, event.F("service", s.r.Service))
+	if len(s.tried) > 0 && !s.f.mayRepeat(s.r, len(s.tried)) {
 		return Attempt{}, false
 	}
 	a := Attempt{Request: s.r, LastEvent: s.lastEvent(), Late: s.late(now)}
@@ -155,7 +149,7 @@
 		})
 		if err != nil {
 			if s.err == nil {
-				s.err = failure.Wrap(err, failure.NoTarget, failure.NotRun, "route", s.r.Service).After(retryBusy)
+				s.err = noTarget(s.r, err)
 			}
 			return Attempt{}, false
 		}
