fleet, exchange, gateway: less that is derived twice

Nearest repeated the conditions of State; both ask status.state. Every half second forgetTargets listed, sorted and indexed all ids only to look single ones up: Fleet.Has answers that. Its test asks for the count and the id that stay, which is as strict as the list was. The shelf's map of datasets never changes and needs no lock for a lookup.

--- a/exchange/dataset.go
+++ b/exchange/dataset.go
@@ -8,7 +8,9 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -171,12 +173,7 @@
 }
 
 func (d *Dataset) names() []string {
-	out := make([]string, 0, len(d.entries))
-	for name := range d.entries {
-		out = append(out, name)
-	}
-	sort.Strings(out)
-	return out
+	return slices.Sorted(maps.Keys(d.entries))
 }
 
 // sum identifies the entries: their names and revisions.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -151,16 +151,11 @@
 	return out
 }
 
-// IDs returns the ids of all targets, sorted.
-func (f *Fleet) IDs() []string {
+// Has tells whether there is a target of this id.
+func (f *Fleet) Has(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make([]string, 0, len(f.targets))
-	for id := range f.targets {
-		out = append(out, id)
-	}
-	sort.Strings(out)
-	return out
+	return f.targets[id] != nil
 }
 
 // Len returns the number of targets.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -145,7 +145,8 @@
 			f.Put(Target{ID: "t1", Service: "s", Address: "10.0.0.1:1", Place: "p0", Slots: 16})
 			So(f.Expire(at(1900)), ShouldBeEmpty)
 			So(f.Expire(at(2100)), ShouldResemble, []string{"t0"})
-			So(f.IDs(), ShouldResemble, []string{"t1"})
+			So(f.Len(), ShouldEqual, 1)
+			So(f.Has("t1"), ShouldBeTrue)
 		})
 	})
 }
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -31,11 +31,16 @@
 	if s := f.targets[id]; s != nil {
 		return s.lost
 	}
-	closed := make(chan struct{})
-	close(closed)
-	return closed
+	return over
 }
 
+// over is the channel of what has happened already.
+var over = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // Suspect takes a target for dead until it answers or some time has passed. It
 // returns false if it already was.
 func (f *Fleet) Suspect(now time.Time, id string) bool {
@@ -70,9 +75,7 @@
 	if s := f.targets[id]; s != nil && !s.Leaving && !s.gone(now) {
 		return s.unfit
 	}
-	closed := make(chan struct{})
-	close(closed)
-	return closed
+	return over
 }
 
 // Refused notes that a target turned a request away or was not reached; it is
@@ -144,7 +147,10 @@
 func (f *Fleet) State(now time.Time, id string) State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.targets[id]
+	return f.targets[id].state(now)
+}
+
+func (s *status) state(now time.Time) State {
 	switch {
 	case s == nil || s.gone(now):
 		return Unknown
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -113,7 +113,7 @@
 	defer f.mu.Unlock()
 	var out []Target
 	for _, s := range f.services[service] {
-		if !s.Leaving && !s.gone(now) && !now.Before(s.suspect) && !now.Before(s.avoid) {
+		if s.state(now) == Ready {
 			out = append(out, s.Target)
 		}
 	}
--- a/gateway/shelf.go
+++ b/gateway/shelf.go
@@ -37,8 +37,9 @@
 type shelf struct {
 	g *Gateway
 
-	mu   sync.Mutex
-	sets map[string]*exchange.Dataset
+	sets map[string]*exchange.Dataset // by kind; only what they hold changes
+
+	mu sync.Mutex // of the datasets and of what follows
 	// down tells that the newest call to the store failed; back is when the store
 	// answered again.
 	down bool
@@ -146,12 +147,11 @@
 
 // hear takes the news of a peer; it tells whether the whole must be fetched.
 func (s *shelf) hear(n exchange.News) (fetch bool) {
-	s.mu.Lock()
 	set := s.sets[n.Kind]
 	if set == nil {
-		s.mu.Unlock()
 		return false
 	}
+	s.mu.Lock()
 	change, fetch := set.Hear(time.Now(), n)
 	s.mu.Unlock()
 	s.apply(n.Kind, change)
@@ -159,12 +159,11 @@
 }
 
 func (s *shelf) take(w exchange.Whole) {
-	s.mu.Lock()
 	set := s.sets[w.Kind]
 	if set == nil {
-		s.mu.Unlock()
 		return
 	}
+	s.mu.Lock()
 	change := set.Take(time.Now(), w)
 	s.mu.Unlock()
 	s.apply(w.Kind, change)
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -72,12 +72,7 @@
 	for _, id := range g.fleet.Expire(time.Now()) {
 		g.events.Record(event.TargetGone, "", event.F("target", id), event.F("may_return", "false"))
 	}
-	known := make(map[string]bool)
-	for _, id := range g.fleet.IDs() {
-		known[id] = true
-	}
-	keep := func(id string) bool { return known[id] }
-	g.targets.Forget(keep)
-	g.forward.Prober.Forget(keep)
-	g.forward.Holders.Forget(keep)
+	g.targets.Forget(g.fleet.Has)
+	g.forward.Prober.Forget(g.fleet.Has)
+	g.forward.Holders.Forget(g.fleet.Has)
 }
