gateway: a message to all daemons is encoded once

tell encoded the same work, news or strikes anew for each receiver, up to two hundred and fifty times a second, and tellWork listed the daemons twice. Gateway tests pass with the race detector.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/fleet"
@@ -81,23 +82,35 @@
 	p.g.wg.Go(func() { p.tellWork(ctx) })
 }
 
-// tell sends a message to all other daemons, without waiting.
-func (p *peers) tell(kind peer.Kind, message any) {
-	for _, m := range p.g.members.others() {
-		go p.send(m.Peers, kind, message)
+// tell sends a message, encoded once, to all other daemons without waiting. It returns
+// how many they are.
+func (p *peers) tell(kind peer.Kind, message any) int {
+	others := p.g.members.others()
+	body, err := msgpack.Marshal(message)
+	if err != nil {
+		p.lost(len(others))
+		return len(others)
+	}
+	for _, m := range others {
+		go p.send(m.Peers, kind, body)
 	}
+	return len(others)
 }
 
-// send sends a message. One that is lost is counted, not logged: while a daemon is cut
+// send sends an encoded message. One that is lost is counted, not logged: while a daemon is cut
 // off there are many, and the next one, or a read of the store, makes up for it.
-func (p *peers) send(address string, kind peer.Kind, message any) {
+func (p *peers) send(address string, kind peer.Kind, body msgpack.RawMessage) {
 	ctx, cancel := context.WithTimeout(p.ctx, tellTimeout)
 	defer cancel()
-	if err := p.transport.Send(ctx, address, kind, message); err != nil {
-		metrics.GetOrRegisterCounter("peer.messages_lost", p.g.metrics).Inc(1)
+	if err := p.transport.Send(ctx, address, kind, body); err != nil {
+		p.lost(1)
 	}
 }
 
+func (p *peers) lost(messages int) {
+	metrics.GetOrRegisterCounter("peer.messages_lost", p.g.metrics).Inc(int64(messages))
+}
+
 func (p *peers) tellNews(n exchange.News) { p.tell(kindNews, n) }
 
 // tellWork tells what this daemon runs until ctx ends.
@@ -113,8 +126,7 @@
 			p.g.forgetTargets()
 			p.forgetSilent()
 		}
-		p.tell(kindWork, work{p.g.fleet.Shares(), p.g.draining.Load()})
-		others := time.Duration(len(p.g.members.others()))
+		others := time.Duration(p.tell(kindWork, work{p.g.fleet.Shares(), p.g.draining.Load()}))
 		pause.For(ctx, workPause+others*others*workSquare)
 	}
 }
