--- a/internal/standin/booking.go
+++ b/internal/standin/booking.go
@@ -46,7 +46,7 @@
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { answer(w, b.Ledger()) })
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { answer(w, b.load()) })
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { answer(w, b.load()) })
-	mux.HandleFunc("PUT /faults", b.setFaults)
+	mux.HandleFunc("PUT /faults", takeFaults(b.SetFaults))
 	return mux
 }
 
@@ -57,15 +57,6 @@
 	b.faults = f
 }
 
-func (b *Booking) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f BookingFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	b.SetFaults(f)
-}
-
 func (b *Booking) load() target.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -112,7 +112,7 @@
 	mux.HandleFunc("GET /cache-events", e.cacheEvents)
 	mux.HandleFunc("POST /orders", e.order)
 	mux.HandleFunc("GET /work", func(w http.ResponseWriter, _ *http.Request) { answer(w, e.Work()) })
-	mux.HandleFunc("PUT /faults", e.setFaults)
+	mux.HandleFunc("PUT /faults", takeFaults(e.SetFaults))
 	return mux
 }
 
@@ -133,15 +133,6 @@
 	e.faults = f
 }
 
-func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f EngineFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	e.SetFaults(f)
-}
-
 func (e *Engine) load() target.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -66,7 +66,7 @@
 	mux.HandleFunc("GET /-/objects/{kind}", p.guard("list", p.list))
 	mux.HandleFunc("GET /vms", p.guard("vms", p.listVMs))
 	mux.HandleFunc("PUT /vms", p.setVMs)
-	mux.HandleFunc("PUT /faults", p.setFaults)
+	mux.HandleFunc("PUT /faults", takeFaults(p.SetFaults))
 	mux.HandleFunc("GET /calls", p.listCalls)
 	return mux
 }
@@ -153,6 +153,18 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// takeFaults returns the handler that puts the faults of a request's body in force.
+func takeFaults[F any](set func(F)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var f F
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		set(f)
+	}
+}
+
 func objectKey(r *http.Request) string { return r.PathValue("kind") + "/" + r.PathValue("name") }
 
 // storedObject is an object as the API tells it.
@@ -361,15 +373,6 @@
 	}{events, revision}
 }
 
-func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f PlatformFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	p.SetFaults(f)
-}
-
 func (p *Platform) listCalls(w http.ResponseWriter, _ *http.Request) { answer(w, p.Calls()) }
 
 // Calls returns the counted calls by method.
--- a/node/borrow_test.go
+++ b/node/borrow_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/vanillaroad/vanillaroad/admission"
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/failure"
@@ -17,23 +18,28 @@
 	"github.com/vanillaroad/vanillaroad/internal/standin"
 )
 
-// taken returns the permits taken on all daemons.
-func (f *fleet) taken() int {
-	var sum int
+// stats returns the state of admission on each daemon.
+func (f *fleet) stats() []admission.Stats {
+	var out []admission.Stats
 	for _, n := range f.nodes {
-		taken, err := control.Ask(context.Background(), n.loop, func(time.Time) int { return n.admission.controller.Stats().Taken })
+		s, err := control.Ask(context.Background(), n.loop, func(time.Time) admission.Stats { return n.admission.controller.Stats() })
 		So(err, ShouldBeNil)
-		sum += taken
+		out = append(out, s)
+	}
+	return out
+}
+
+// taken returns the permits taken on all daemons.
+func (f *fleet) taken() (sum int) {
+	for _, s := range f.stats() {
+		sum += s.Taken
 	}
 	return sum
 }
 
-func (f *fleet) permits() int {
-	var sum int
-	for _, n := range f.nodes {
-		permits, err := control.Ask(context.Background(), n.loop, func(time.Time) int { return n.admission.controller.Stats().Permits })
-		So(err, ShouldBeNil)
-		sum += permits
+func (f *fleet) permits() (sum int) {
+	for _, s := range f.stats() {
+		sum += s.Permits
 	}
 	return sum
 }
@@ -41,10 +47,8 @@
 // homes returns the daemons that have permits of their own.
 func (f *fleet) homes() []int {
 	var out []int
-	for i, n := range f.nodes {
-		permits, err := control.Ask(context.Background(), n.loop, func(time.Time) int { return n.admission.controller.Stats().Permits })
-		So(err, ShouldBeNil)
-		if permits > 0 {
+	for i, s := range f.stats() {
+		if s.Permits > 0 {
 			out = append(out, i)
 		}
 	}
