--- a/proof/gen-callers-gone.sh
+++ b/proof/gen-callers-gone.sh
@@ -5,14 +5,6 @@
 source "$root/scripts/generations.sh"
 site 20 2 2 1
 warm_up
-running() { # requests that run on engines
-	local i n sum=0
-	for i in $(seq "$engines"); do
-		n=$(curl -fsS "http://127.$subnet.2.$i:8000/health" | grep -o '"running":[0-9]*' | grep -o '[0-9]*')
-		sum=$((sum + n))
-	done
-	echo "$sum"
-}
 for i in $(seq 10); do
 	curl -sSN --max-time 3 -o /dev/null -H 'Content-Type: application/json' \
 		-d "{\"id\":\"gone-$i\",\"workspace\":\"fair\",\"service\":\"pisar\",\"prompt\":\"p $i\",\"max_tokens\":100000,\"seed\":1}" \
--- a/proof/gen-poison-many.sh
+++ b/proof/gen-poison-many.sh
@@ -8,10 +8,6 @@
 site 23 3 8 1
 start_answers 1 24 400
 wait_underway 24
-poison() { # poison ID DAEMON
-	"$bin/vanillaroad" -a "$(api_of "$2")" -o json generate --id "$1" --workspace fair --service pisar \
-		--prompt "stand 7 CRASH-THE-ENGINE" --max-tokens 50 2>&1 || true
-}
 copies=()
 for i in 1 2 3 4 5 6; do
 	poison "poison-$i" $(((i - 1) % 3 + 1)) >"$dir/poison-$i" &
@@ -19,8 +15,7 @@
 done
 wait "${copies[@]}"
 check_answers 1 24 400
-dead=0
-for i in $(seq 8); do kill -0 "$(pid_of "engine-$i")" 2>/dev/null || dead=$((dead + 1)); done
+dead=$(count_dead 8)
 refused=$(grep -l quarantined "$dir"/poison-? | wc -l)
 blamed=$(timeline | grep -A 3 '"name": "request_quarantined"' | grep -c '"request": "answer-' || true)
 [ "$dead" -le 6 ] && [ "$refused" -eq 6 ] && [ "$blamed" -eq 0 ] || { cat "$dir"/poison-?; failed=$((failed + 1)); }
--- a/proof/gen-poison.sh
+++ b/proof/gen-poison.sh
@@ -7,16 +7,11 @@
 site 17 3 8 1
 start_answers 1 24 400
 wait_underway 24
-poison() { # poison ID DAEMON
-	"$bin/vanillaroad" -a "$(api_of "$2")" -o json generate --id "$1" --workspace fair --service pisar \
-		--prompt "stand 7 CRASH-THE-ENGINE" --max-tokens 50 2>&1 || true
-}
 poison poison-1 1 >"$dir/poison-1"
 sleep 0.5
 for i in 2 3 4; do poison "poison-$i" $((i - 1)) >"$dir/poison-$i"; done
 check_answers 1 24 400
-dead=0
-for i in $(seq 8); do kill -0 "$(pid_of "engine-$i")" 2>/dev/null || dead=$((dead + 1)); done
+dead=$(count_dead 8)
 refused=$(grep -l quarantined "$dir"/poison-? | wc -l)
 blamed=$(timeline | grep -A 3 '"name": "request_quarantined"' | grep -c '"request": "answer-' || true)
 [ "$dead" -le 3 ] && [ "$refused" -eq 4 ] && [ "$blamed" -eq 0 ] || { cat "$dir"/poison-?; failed=$((failed + 1)); }
--- a/scripts/generations.sh
+++ b/scripts/generations.sh
@@ -58,6 +58,26 @@
 	echo "$sum"
 }
 
+running() { # requests that run on engines; fails if one does not answer
+	local i n sum=0
+	for i in $(seq "$engines"); do
+		n=$(curl -fsS "http://127.$subnet.2.$i:8000/health" | grep -o '"running":[0-9]*' | grep -o '[0-9]*')
+		sum=$((sum + n))
+	done
+	echo "$sum"
+}
+
+poison() { # poison ID DAEMON: a request that crashes the engine which runs it
+	"$bin/vanillaroad" -a "$(api_of "$2")" -o json generate --id "$1" --workspace fair --service pisar \
+		--prompt "stand 7 CRASH-THE-ENGINE" --max-tokens 50 2>&1 || true
+}
+
+count_dead() { # count_dead ENGINES: how many of them have ended
+	local i dead=0
+	for i in $(seq "$1"); do kill -0 "$(pid_of "engine-$i")" 2>/dev/null || dead=$((dead + 1)); done
+	echo "$dead"
+}
+
 verdict() { # verdict TEXT: prints the line and exits 0 when every answer was whole
 	echo "proof: $whole whole, $failed not; widest gap a caller saw $widest ms; $1"
 	[ "$failed" -eq 0 ]
