client: the streams' test lives by a virtual clock

TestGenerate slept real time against a silence of 200 ms: a machine that stalled for that long would have moved a whole stream and changed the verdict. Its daemons and client now talk over a network in memory under testing/synctest. Every case and assertion stays.

--- a/client/generate_test.go
+++ b/client/generate_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -18,38 +16,6 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// daemon is a fake that plays one script a request, the last one again and
-// again, and keeps what it was asked.
-type daemon struct {
-	*httptest.Server
-	mu      sync.Mutex
-	scripts []func(http.ResponseWriter, *http.Request)
-	asked   []GenerateRequest
-	cursors []string
-}
-
-func newDaemon(scripts ...func(http.ResponseWriter, *http.Request)) *daemon {
-	d := &daemon{scripts: scripts}
-	d.Server = httptest.NewServer(d)
-	return d
-}
-
-func (d *daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodPost {
-		w.WriteHeader(http.StatusNotFound) // no directory: the settings count
-		return
-	}
-	var q GenerateRequest
-	_ = json.NewDecoder(r.Body).Decode(&q)
-	d.mu.Lock()
-	d.asked, d.cursors = append(d.asked, q), append(d.cursors, r.Header.Get("Last-Event-ID"))
-	play := d.scripts[min(len(d.asked), len(d.scripts))-1]
-	d.mu.Unlock()
-	play(w, r)
-}
-
-func (d *daemon) address() string { return d.Listener.Addr().String() }
-
 func sendTokens(w http.ResponseWriter, from, to int) {
 	for i := from; i < to; i++ {
 		_, _ = fmt.Fprintf(w, "id: c%d\nevent: token\ndata: {\"position\":%d,\"text\":\"t%d\"}\n\n", i+1, i, i)
@@ -115,69 +81,69 @@
 			[]func(http.ResponseWriter, *http.Request){whole(4, 6)}, 3, "c3", 2},
 	}
 	for _, c := range cases {
-		Convey(c.name, t, func() {
-			first := newDaemon(c.first...)
-			defer first.Close()
-			addresses := []string{first.address()}
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite()
+			first := s.daemon(c.first...)
+			defer first.stop()
+			addresses := []string{first.address}
 			var second *daemon
 			if c.second != nil {
-				second = newDaemon(c.second...)
-				defer second.Close()
-				addresses = append(addresses, second.address())
+				second = s.daemon(c.second...)
+				defer second.stop()
+				addresses = append(addresses, second.address)
 			}
-			cl := New(Settings{Addresses: addresses, Silence: 200 * time.Millisecond})
+			cl := s.client(Settings{Addresses: addresses, Silence: 200 * time.Millisecond})
 			defer cl.Close()
 			var seen []int64
 			a, err := cl.Generate(context.Background(), GenerateRequest{ID: "1", Prompt: "p", MaxTokens: 6}, func(t Token) { seen = append(seen, t.Position) })
-			So(err, ShouldBeNil)
-			So(a.Tokens, ShouldResemble, all)
-			So(seen, ShouldResemble, []int64{0, 1, 2, 3, 4, 5})
-			So(a.Moves, ShouldEqual, c.moves)
-			if second != nil {
-				So(second.asked[0].Held, ShouldHaveLength, c.held)
-				So(second.cursors[0], ShouldEqual, c.cursor)
-			}
+			Convey(c.name, t, func() {
+				So(err, ShouldBeNil)
+				So(a.Tokens, ShouldResemble, all)
+				So(seen, ShouldResemble, []int64{0, 1, 2, 3, 4, 5})
+				So(a.Moves, ShouldEqual, c.moves)
+				if second != nil {
+					So(second.asked[0].Held, ShouldHaveLength, c.held)
+					So(second.cursors[0], ShouldEqual, c.cursor)
+				}
+			})
 		})
 	}
-	Convey("keep-alive comments hold a stream that brings no token yet", t, func() {
-		d := newDaemon(func(w http.ResponseWriter, _ *http.Request) {
-			for range 10 {
-				_, _ = fmt.Fprint(w, ": keep-alive\n\n")
-				_ = http.NewResponseController(w).Flush()
-				time.Sleep(250 * time.Millisecond)
-			}
-			sendTokens(w, 0, 6)
-			sendDone(w)
+	alone := func(name string, set Settings, script func(http.ResponseWriter, *http.Request), check func(*daemon, Answer, error)) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite()
+			d := s.daemon(script)
+			defer d.stop()
+			set.Addresses = []string{d.address}
+			cl := s.client(set)
+			defer cl.Close()
+			a, err := cl.Generate(context.Background(), GenerateRequest{ID: "1"}, func(Token) {})
+			Convey(name, t, func() { check(d, a, err) })
 		})
-		defer d.Close()
-		cl := New(Settings{Addresses: []string{d.address()}, Silence: 2 * time.Second})
-		defer cl.Close()
-		a, err := cl.Generate(context.Background(), GenerateRequest{ID: "1"}, func(Token) {})
+	}
+	alone("keep-alive comments hold a stream that brings no token yet", Settings{Silence: 2 * time.Second}, func(w http.ResponseWriter, _ *http.Request) {
+		for range 10 {
+			_, _ = fmt.Fprint(w, ": keep-alive\n\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(250 * time.Millisecond)
+		}
+		sendTokens(w, 0, 6)
+		sendDone(w)
+	}, func(_ *daemon, a Answer, err error) {
 		So(err, ShouldBeNil)
 		So(a.Moves, ShouldEqual, 0)
 		So(a.Tokens, ShouldResemble, all)
 	})
-	Convey("an incomplete answer is final, and tells when to come back", t, func() {
-		d := newDaemon(func(w http.ResponseWriter, _ *http.Request) {
-			sendTokens(w, 0, 2)
-			_, _ = fmt.Fprint(w, "id: c2\nevent: incomplete\ndata: {\"position\":2,\"code\":\"target_lost\",\"outcome\":\"ran\",\"retry_after_ms\":1000,\"step\":\"resume\",\"peer\":\"a\"}\n\n")
-		})
-		defer d.Close()
-		cl := New(Settings{Addresses: []string{d.address()}})
-		defer cl.Close()
-		a, err := cl.Generate(context.Background(), GenerateRequest{ID: "1"}, func(Token) {})
+	alone("an incomplete answer is final, and tells when to come back", Settings{}, func(w http.ResponseWriter, _ *http.Request) {
+		sendTokens(w, 0, 2)
+		_, _ = fmt.Fprint(w, "id: c2\nevent: incomplete\ndata: {\"position\":2,\"code\":\"target_lost\",\"outcome\":\"ran\",\"retry_after_ms\":1000,\"step\":\"resume\",\"peer\":\"a\"}\n\n")
+	}, func(d *daemon, a Answer, err error) {
 		f := failure.From(err)
 		So(f.Code, ShouldEqual, failure.TargetLost)
 		So(f.RetryAfter, ShouldEqual, time.Second)
 		So(a.Tokens, ShouldHaveLength, 2)
 		So(d.asked, ShouldHaveLength, 1)
 	})
-	Convey("no daemon answers: the client gives up after its attempts", t, func() {
-		d := newDaemon(refuse(http.StatusServiceUnavailable, draining))
-		defer d.Close()
-		cl := New(Settings{Addresses: []string{d.address()}, Attempts: 3})
-		defer cl.Close()
-		_, err := cl.Generate(context.Background(), GenerateRequest{ID: "1"}, func(Token) {})
+	alone("no daemon answers: the client gives up after its attempts", Settings{Attempts: 3}, refuse(http.StatusServiceUnavailable, draining), func(d *daemon, _ Answer, err error) {
 		So(failure.From(err).Code, ShouldEqual, failure.Draining)
 		So(d.asked, ShouldHaveLength, 3)
 	})
--- /dev/null
+++ b/client/site_test.go
@@ -0,0 +1,106 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// site is a network in memory, so that its daemons and clients live by a virtual
+// clock and no verdict depends on how busy the machine is.
+type site struct {
+	mu      sync.Mutex
+	daemons map[string]*daemon
+}
+
+func newSite() *site { return &site{daemons: make(map[string]*daemon)} }
+
+func (s *site) dial(_ context.Context, _, address string) (net.Conn, error) {
+	s.mu.Lock()
+	d := s.daemons[address]
+	s.mu.Unlock()
+	if d == nil {
+		return nil, errors.Errorf("nobody listens at %s", address)
+	}
+	near, far := net.Pipe()
+	select {
+	case d.conns <- far:
+		return near, nil
+	case <-d.closed:
+		return nil, errors.Errorf("%s has closed", address)
+	}
+}
+
+// client returns a client of the site's daemons.
+func (s *site) client(set Settings) *Client {
+	cl := New(set)
+	cl.http.Transport = &http.Transport{DialContext: s.dial}
+	return cl
+}
+
+// daemon is a fake that plays one script a request, the last one again and
+// again, and keeps what it was asked. It is its server's listener.
+type daemon struct {
+	server  *http.Server
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+	mu      sync.Mutex
+	scripts []func(http.ResponseWriter, *http.Request)
+	asked   []GenerateRequest
+	cursors []string
+}
+
+func (s *site) daemon(scripts ...func(http.ResponseWriter, *http.Request)) *daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := &daemon{
+		address: fmt.Sprintf("daemon-%d:80", len(s.daemons)), scripts: scripts,
+		conns: make(chan net.Conn), closed: make(chan struct{}),
+	}
+	d.server = &http.Server{Handler: d}
+	s.daemons[d.address] = d
+	go func() { _ = d.server.Serve(d) }() // it returns when Close is called
+	return d
+}
+
+// Accept implements net.Listener.
+func (d *daemon) Accept() (net.Conn, error) {
+	select {
+	case c := <-d.conns:
+		return c, nil
+	case <-d.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (d *daemon) Close() error {
+	d.once.Do(func() { close(d.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (d *daemon) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (d *daemon) stop() { _ = d.server.Close() }
+
+func (d *daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusNotFound) // no directory: the settings count
+		return
+	}
+	var q GenerateRequest
+	_ = json.NewDecoder(r.Body).Decode(&q)
+	d.mu.Lock()
+	d.asked, d.cursors = append(d.asked, q), append(d.cursors, r.Header.Get("Last-Event-ID"))
+	play := d.scripts[min(len(d.asked), len(d.scripts))-1]
+	d.mu.Unlock()
+	play(w, r)
+}
