fleet: a target whose entry did not come back is unfit for copies

Cause: Expire deleted a target without closing its unfit channel, unlike Remove, so a copy held there was only given up at its next use. Ruled out: runs; they keep going until the target falls silent, as after Remove. Before: the new assertion in TestLapsedEntries fails. After: it passes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -128,11 +128,16 @@
 		}
 		return
 	}
-	s.markUnfit()
-	delete(f.targets, id)
+	f.drop(s)
 	f.index()
 }
 
+// drop forgets a target; runs there go on, copies there are made elsewhere.
+func (f *Fleet) drop(s *status) {
+	s.markUnfit()
+	delete(f.targets, s.ID)
+}
+
 // Expire drops targets whose entries did not come back, and returns their ids.
 func (f *Fleet) Expire(now time.Time) []string {
 	f.mu.Lock()
@@ -140,7 +145,7 @@
 	var out []string
 	for id, s := range f.targets {
 		if !s.missing.IsZero() && now.Sub(s.missing) > missingGrace {
-			delete(f.targets, id)
+			f.drop(s)
 			out = append(out, id)
 		}
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -96,14 +96,6 @@
 				_, err = f.Pick(at(c.back), wish)
 				So(err, ShouldBeNil)
 			}
-			closed := func(c <-chan struct{}) bool {
-				select {
-				case <-c:
-					return true
-				default:
-					return false
-				}
-			}
 			dead := c.name == "has ended" || c.name == "is taken for dead" || c.name == "has lost its address to a new one"
 			So(closed(lost), ShouldEqual, dead) // runs go on at a target that leaves
 			So(closed(unfit), ShouldEqual, c.name != "refused")
@@ -125,6 +117,15 @@
 	})
 }
 
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // TestLapsedEntries plays an outage of the store after which the entries of all
 // targets have lapsed: they stay in use until it is certain which are gone.
 func TestLapsedEntries(t *testing.T) {
@@ -143,8 +144,11 @@
 		})
 		Convey("one that is not back in time is gone", func() {
 			f.Put(Target{ID: "t1", Service: "s", Address: "10.0.0.1:1", Place: "p0", Slots: 16})
+			unfit := f.Unfit(at(100), "t0")
 			So(f.Expire(at(1900)), ShouldBeEmpty)
+			So(closed(unfit), ShouldBeFalse)
 			So(f.Expire(at(2100)), ShouldResemble, []string{"t0"})
+			So(closed(unfit), ShouldBeTrue) // copies there are made elsewhere
 			So(f.Len(), ShouldEqual, 1)
 			So(f.Has("t1"), ShouldBeTrue)
 		})
