peer: news for all daemons is passed on along a tree

Cause: whoever read the store sent the whole change to each of 75 peers. On VMs with 10 Mbit/s the link of that one daemon was full for a second or more; its probes timed out, it took 90 to 180 living targets for dead, told everybody, and its streams left them. Ruled out: the engines (they answer the other 68 daemons meanwhile). Change: Transport.Spread; each daemon sends to eight at most, those that live are nearest to the root. Sites of eight VMs are sent to directly, as before.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -92,7 +92,7 @@
 		return len(others)
 	}
 	for _, m := range others {
-		go p.send(m.Peers, kind, body)
+		go p.send(m.Peers, kind, msgpack.RawMessage(body))
 	}
 	return len(others)
 }
@@ -107,11 +107,26 @@
 	}
 }
 
+// spread has a message passed on to all other daemons, by those that live first. One
+// that is lost on the way is made up for as in send.
+func (p *peers) spread(kind peer.Kind, message any) {
+	var live, silent []string
+	for _, m := range p.g.members.others() {
+		if p.g.members.live(m.ID) {
+			live = append(live, m.Peers)
+		} else {
+			silent = append(silent, m.Peers)
+		}
+	}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	p.transport.Spread(append(live, silent...), kind, message, func(string, error) { p.lost(1) })
+}
+
 func (p *peers) lost(messages int) {
 	metrics.GetOrRegisterCounter("peer.messages_lost", p.g.metrics).Inc(int64(messages))
 }
 
-func (p *peers) tellNews(n exchange.News) { p.tell(kindNews, n) }
+func (p *peers) tellNews(n exchange.News) { p.spread(kindNews, n) }
 
 // tellWork tells what this daemon runs until ctx ends.
 func (p *peers) tellWork(ctx context.Context) {
@@ -216,7 +231,7 @@
 	known := time.Since(p.suspected[t.ID]) < fleet.SuspectFor
 	p.mu.Unlock()
 	if !known {
-		p.tell(kindSuspect, suspicion{t.ID, t.Born, ended})
+		p.spread(kindSuspect, suspicion{t.ID, t.Born, ended})
 	}
 }
 
--- /dev/null
+++ b/peer/spread_test.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// TestBranchesReachAllOnce plays the tree on paper: every daemon gets a message once,
+// none sends it more than fanout times, and four hops reach a thousand.
+func TestBranchesReachAllOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 1000).Draw(t, "daemons")
+		var all []string
+		for i := range n {
+			all = append(all, fmt.Sprint(i))
+		}
+		got := make(map[string]int)
+		var pass func(to []string, hops int)
+		pass = func(to []string, hops int) {
+			if len(to) > 0 && hops == 4 {
+				t.Fatalf("%d daemons are more than four hops away", len(to))
+			}
+			heads := branches(to, fanout)
+			if len(heads) > fanout {
+				t.Fatalf("a daemon sends %d times", len(heads))
+			}
+			for _, b := range heads {
+				got[b[0]]++
+				pass(b[1:], hops+1)
+			}
+		}
+		pass(all, 0)
+		for _, address := range all {
+			if got[address] != 1 {
+				t.Fatalf("daemon %s got the message %d times", address, got[address])
+			}
+		}
+	})
+}
+
+func TestSpread(t *testing.T) {
+	Convey("Given a daemon and more others than it sends to itself, two of which are gone", t, func() {
+		root := listen("root")
+		var mu sync.Mutex
+		got := make(map[string]int)
+		var arrived sync.WaitGroup
+		others := []*Transport{}
+		var to []string
+		for i := range 3 * fanout {
+			o := listen(fmt.Sprint(i))
+			others = append(others, o)
+			to = append(to, o.self.PeerAddress)
+			On(o, testKind, func(_ context.Context, _ Identity, s string) (any, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				got[s+o.self.ID]++
+				arrived.Done()
+				return nil, nil
+			})
+		}
+		Reset(func() {
+			root.Close()
+			for _, o := range others {
+				o.Close()
+			}
+		})
+		others[0].Close() // the head of a branch
+		others[3*fanout-1].Close()
+		arrived.Add(len(others) - 2)
+		root.Spread(to, testKind, "told ", func(string, error) {})
+		arrived.Wait()
+		Convey("all that are there get the message once", func() {
+			mu.Lock()
+			defer mu.Unlock()
+			So(got, ShouldHaveLength, len(others)-2)
+			for _, n := range got {
+				So(n, ShouldEqual, 1)
+			}
+		})
+	})
+}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -64,11 +64,13 @@
 		return nil, errors.Wrapf(err, "listen for peers at %s", self.PeerAddress)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Transport{
+	t := &Transport{
 		self: self, events: events, ctx: ctx, cancel: cancel, ln: ln,
 		handlers: make(map[Kind]Handler), conns: make(map[string]*conn),
 		inbound: make(map[*conn]struct{}), dialing: make(map[string]*dial),
-	}, nil
+	}
+	On(t, kindSpread, t.receiveSpread)
+	return t, nil
 }
 
 // Self returns this daemon's identity.
