forward: a run lost while its prompt is read is not resumed from a copy

Cause: a copy grows several times a second once the prompt is being read; for a run without a first event it is seldom there. Ruled out: the age of the run; resumes failed alike at 0.2 s and at 3 s. Test: TestLossWhileReading (fails before).

--- a/forward/run.go
+++ b/forward/run.go
@@ -163,7 +163,12 @@
 // leave gives the target up.
 func (r *run) leave(why string) ending {
 	r.s.ran, r.failed = true, true
-	r.s.held = r.copier.held
+	r.s.held = nil
+	if r.watch.started || r.a.Resume != (Copy{}) || r.copier.byHand {
+		// The copy of a run whose prompt was still read is seldom there yet; a target
+		// that is asked for it in vain costs an attempt and a part of the retry budget.
+		r.s.held = r.copier.held
+	}
 	r.s.tried[r.a.Target.ID] = true
 	r.s.places = append(r.s.places, r.a.Target.Place)
 	r.s.note(failure.New(failure.TargetLost, failure.Unknown, "stream", r.a.Target.ID, "%s", why), r.a)
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -94,6 +94,24 @@
 	})
 }
 
+// TestLossWhileReading plays the loss of a target that still reads the prompt: no copy
+// is asked for that is not there yet, so that one repeat is enough.
+func TestLossWhileReading(t *testing.T) {
+	for name, broken := range map[string]behaviour{
+		"closes": failing(ErrNoAnswer), "breaks before its first event": streaming(50, 0, gap, io.ErrUnexpectedEOF),
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			sound := streaming(50, -1, gap, nil)
+			s := newSite(map[string]behaviour{"a": sound, "b": sound, "c": sound, "d": sound})
+			s.sender.targets[s.first()] = broken
+			got := s.serve(t, streamRoute)
+			if !got.whole(50) || len(s.sender.sent) != 2 || s.sender.sent[1].Resume != (Copy{}) {
+				t.Errorf("the target %s: %d events, sent %+v", name, len(got.events), s.sender.sent)
+			}
+		})
+	}
+}
+
 // TestCopyHolderLost plays the pattern of a whole place that dies every few seconds:
 // the holder of the copy first, the run later.
 func TestCopyHolderLost(t *testing.T) {
