forward: repeats are paid by two windows of requests

Cause: a daemon granted itself half the ratio of one window's requests, so that the sum over all daemons keeps the bound in any window. With places lost in turn, that half was the limit: streams lost twice in a window were given up. Change: every window may hold repeats up to half the ratio of the requests in it and in the one before it; half of the two is at most the larger one, which the bound counts. For requests that come evenly this is the whole ratio; bursts are bounded as before. The share of the slack is granted only after a window without a restart, as the run before may have spent it. Ruled out: the whole ratio of one window (breaks the bound when requests stop).

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"sort"
 	"sync"
 	"time"
 )
@@ -16,8 +17,8 @@
 
 // Parts of the bound that a daemon uses.
 const (
-	// ratioPart is a half, because repeats may follow their requests by a window: two
-	// windows of requests can pay for one window of repeats.
+	// ratioPart applies to the requests of a window and of the one before it. It is a
+	// half, because the half of the two is at most the larger one.
 	ratioPart = 0.5
 	// slackPart leaves room for daemons that join or that others don't know of yet.
 	slackPart = 0.9
@@ -28,20 +29,22 @@
 // all keeps the bound without any talk between them. It is safe for concurrent use.
 type Budget struct {
 	settings BudgetSettings
+	start    time.Time
 
 	mu       sync.Mutex
 	daemons  int
 	services map[string]*spending
 }
 
+// spending is what a service got; times in order.
 type spending struct {
-	requests []time.Time // within the window
-	repeats  []time.Time
+	requests []time.Time // of two windows
+	repeats  []time.Time // of one window
 }
 
-// NewBudget returns a budget for a daemon that knows of no other yet.
-func NewBudget(s BudgetSettings) *Budget {
-	return &Budget{settings: s, services: make(map[string]*spending)}
+// NewBudget returns a budget for a daemon that starts now and knows of no other yet.
+func NewBudget(now time.Time, s BudgetSettings) *Budget {
+	return &Budget{settings: s, start: now, services: make(map[string]*spending)}
 }
 
 // SetDaemons tells how many daemons share the slack. With 0, as before the others
@@ -67,41 +70,49 @@
 	s.requests = append(s.requests, now)
 }
 
-// Take counts one more send of a request, or returns false if the budget is spent.
+// Take counts one more send of a request, or returns false if the budget is spent in
+// this window or would be in a later one, were no further request to come.
 func (b *Budget) Take(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(now, service)
-	allowed := ratioPart * b.settings.Ratio * float64(len(s.requests))
-	if b.daemons > 0 {
-		allowed += slackPart * b.settings.Slack / float64(b.daemons)
-	}
-	if float64(len(s.repeats)+1) > allowed {
-		return false
+	slack := b.slack(now)
+	for i, first := range append(s.repeats, now) {
+		// The windows that hold this repeat and all later ones but none before it: the
+		// last of them begins with it.
+		repeats := len(s.repeats) + 1 - i
+		requests := len(after(s.requests, first.Add(-b.settings.Window)))
+		if float64(repeats) > ratioPart*b.settings.Ratio*float64(requests)+slack {
+			return false
+		}
 	}
 	s.repeats = append(s.repeats, now)
 	return true
 }
 
-// service returns the spending on a service without what left the window.
+// slack is this daemon's share of the slack. In its first window it has none: the run
+// before it, which it knows nothing of, may have spent it.
+func (b *Budget) slack(now time.Time) float64 {
+	if b.daemons == 0 || now.Sub(b.start) < b.settings.Window {
+		return 0
+	}
+	return slackPart * b.settings.Slack / float64(b.daemons)
+}
+
+// service returns the spending on a service without what is too old to matter.
 func (b *Budget) service(now time.Time, name string) *spending {
 	s := b.services[name]
 	if s == nil {
 		s = &spending{}
 		b.services[name] = s
 	}
-	s.requests = since(s.requests, now.Add(-b.settings.Window))
-	s.repeats = since(s.repeats, now.Add(-b.settings.Window))
+	s.requests = after(s.requests, now.Add(-2*b.settings.Window))
+	s.repeats = after(s.repeats, now.Add(-b.settings.Window))
 	return s
 }
 
-func since(times []time.Time, start time.Time) []time.Time {
-	i := 0
-	for i < len(times) && !times[i].After(start) {
-		i++
-	}
-	if i == 0 {
-		return times
-	}
-	return append(times[:0], times[i:]...)
+// after returns the times after start of times that are in order.
+func after(times []time.Time, start time.Time) []time.Time {
+	i := sort.Search(len(times), func(i int) bool { return times[i].After(start) })
+	return times[i:]
 }
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -11,11 +11,30 @@
 var epoch = time.Unix(1_800_000_000, 0)
 
 func TestBudgetIsSharedOut(t *testing.T) {
-	Convey("A daemon that knows no other yet has no slack", t, func() {
-		b := NewBudget(BudgetSettings{Ratio: 0, Slack: 150, Window: 10 * time.Second})
-		So(b.Take(epoch, "s"), ShouldBeFalse)
+	Convey("A daemon that knows no other yet, or has just started, has no slack", t, func() {
+		const window = 10 * time.Second
+		b := NewBudget(epoch, BudgetSettings{Ratio: 0, Slack: 150, Window: window})
+		So(b.Take(epoch.Add(window), "s"), ShouldBeFalse)
 		b.SetDaemons(8)
-		So(b.Take(epoch, "s"), ShouldBeTrue)
+		So(b.Take(epoch.Add(window-1), "s"), ShouldBeFalse)
+		So(b.Take(epoch.Add(window), "s"), ShouldBeTrue)
+	})
+	Convey("Where requests come evenly, and places are lost in turn, repeats up to the ratio are granted", t, func() {
+		b := NewBudget(epoch, BudgetSettings{Ratio: 0.8, Window: 10 * time.Second})
+		granted := 0
+		for i := range 400 { // ten a second; every second, those of one place are lost
+			now := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
+			b.Arrived(now, "s")
+			if i%10 != 0 {
+				continue
+			}
+			for range 7 {
+				if i >= 200 && b.Take(now, "s") {
+					granted++
+				}
+			}
+		}
+		So(granted, ShouldEqual, 20*7)
 	})
 }
 
@@ -28,7 +47,7 @@
 		slack := float64(rapid.IntRange(0, 100).Draw(t, "slack"))
 		daemons := make([]*Budget, rapid.IntRange(1, 5).Draw(t, "daemons"))
 		for i := range daemons {
-			daemons[i] = NewBudget(BudgetSettings{Ratio: ratio, Slack: slack, Window: window})
+			daemons[i] = NewBudget(epoch, BudgetSettings{Ratio: ratio, Slack: slack, Window: window})
 			daemons[i].SetDaemons(len(daemons))
 		}
 		now := epoch
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -257,7 +257,7 @@
 	s.Forwarder = &Forwarder{
 		Sender: s.sender, Fleet: f, Events: events, Crashes: s.crashes, Prober: NewProber(s.sender, f, events),
 		Holders: NewHolders(s.sender),
-		Metrics: metrics.NewRegistry(), Pace: NewPace(), Budget: NewBudget(BudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
+		Metrics: metrics.NewRegistry(), Pace: NewPace(), Budget: NewBudget(time.Now().Add(-time.Minute), BudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
 		Model: func(string) *ingress.Model { return &ingress.Model{CacheTokens: 50_000, Copies: true} },
 	}
 	s.Budget.SetDaemons(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 	g.forward = &forward.Forwarder{
 		Sender: g.targets, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, Crashes: g.crashes, Pace: forward.NewPace(),
 		Prober: forward.NewProber(g.targets, g.fleet, g.events), Holders: forward.NewHolders(g.targets),
-		Budget: forward.NewBudget(s.RetryBudget.bounds()),
+		Budget: forward.NewBudget(time.Now(), s.RetryBudget.bounds()),
 		Model:  g.model,
 	}
 	var err error
