--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -90,6 +90,13 @@
 	c.ledger.Clear(s)
 }
 
+// known returns the strikes that all daemons should know.
+func (c *crashes) known() []quarantine.Strike {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Strikes(time.Now())
+}
+
 // told takes the strikes of a peer.
 func (c *crashes) told(strikes []quarantine.Strike) {
 	c.mu.Lock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -115,6 +116,9 @@
 	return s, cancel
 }
 
+// requests counts requests, for their ids.
+var requests atomic.Int64
+
 // get asks a daemon for a path and returns the status and the body.
 func get(address, path string) (int, string) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
@@ -122,7 +126,7 @@
 		return 0, err.Error()
 	}
 	req.Host = "h"
-	req.Header.Set("Vanillaroad-Request-Id", "r1")
+	req.Header.Set("Vanillaroad-Request-Id", fmt.Sprint("r", requests.Add(1)))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -89,14 +89,16 @@
 	m.g.forward.Budget.SetDaemons(n)
 }
 
-// heard takes note of a sign of life.
-func (m *members) heard(id string, leaving bool) {
+// heard takes note of a sign of life. It tells whether the daemon was silent for a while
+// or has just begun.
+func (m *members) heard(id string, leaving bool) (back bool) {
 	m.mu.Lock()
-	back := m.roster.Heard(time.Now(), id, leaving)
+	back = m.roster.Heard(time.Now(), id, leaving)
 	m.mu.Unlock()
 	if back {
 		m.g.events.Record(event.MemberReturned, "", event.F("member", id))
 	}
+	return back
 }
 
 func (m *members) others() []exchange.Member {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -211,7 +211,9 @@
 }
 
 func (p *peers) serveWork(_ context.Context, from peer.Identity, w work) (any, error) {
-	p.g.members.heard(from.ID, w.Leaving)
+	if p.g.members.heard(from.ID, w.Leaving) {
+		p.tellMissed(from.PeerAddress)
+	}
 	p.g.fleet.Told(from.ID, w.Shares)
 	return nil, nil
 }
@@ -253,6 +255,21 @@
 
 func (p *peers) tellStrikes(s []quarantine.Strike) { p.tell(kindStrikes, s) }
 
+// tellMissed tells a daemon that has just begun, or was cut off, of all strikes: it would
+// else let a request kill targets that the others refuse.
+func (p *peers) tellMissed(address string) {
+	strikes := p.g.crashes.known()
+	if len(strikes) == 0 {
+		return
+	}
+	body, err := msgpack.Marshal(strikes)
+	if err != nil {
+		p.lost(1)
+		return
+	}
+	go p.send(address, kindStrikes, body)
+}
+
 func (p *peers) serveStrikes(_ context.Context, _ peer.Identity, strikes []quarantine.Strike) (any, error) {
 	p.g.crashes.told(strikes)
 	return nil, nil
--- /dev/null
+++ b/gateway/promises_test.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// target starts a target of the world's service.
+func (w *world) newTarget(id string, serve http.HandlerFunc) {
+	s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Vanillaroad-Request-Id", r.Header.Get("Vanillaroad-Request-Id"))
+		rw.Header().Set("Vanillaroad-Upstream-Stamp", "stamp-"+id)
+		serve(rw, r)
+	}))
+	w.t.Cleanup(s.Close)
+	w.put(platform.TargetKind, id, map[string]any{
+		"service": "s", "address": s.Listener.Addr().String(), "zone": "p", "version": "v", "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1,
+	})
+}
+
+// TestPoisonIsKnownToAllDaemons plays a request that kills whatever runs it: once one
+// daemon knows, the others refuse it without a send, and serve what is innocent. So does
+// one that begins afterwards.
+func TestPoisonIsKnownToAllDaemons(t *testing.T) {
+	Convey("Given two daemons and four targets", t, func() {
+		w := newWorld(t)
+		w.configure(1, "/a/")
+		var killed atomic.Int64
+		for i := range 4 {
+			w.newTarget(fmt.Sprint("i-", i), func(rw http.ResponseWriter, r *http.Request) {
+				if strings.HasPrefix(r.URL.Path, "/a/poison") {
+					killed.Add(1)
+					panic(http.ErrAbortHandler) // closes the connection
+				}
+				_, _ = fmt.Fprint(rw, "served")
+			})
+		}
+		store := w.store.Listener.Addr().String()
+		daemon := func(id string) Settings {
+			s, _ := w.daemon(id, store)
+			eventually(func() bool { status, _ := get(s.Callers, "/a/x"); return status == 200 })
+			return s
+		}
+		first, second := daemon("vm-1"), daemon("vm-2")
+		knows := func(s Settings, other Settings) bool {
+			_, body := get(s.Directory, "/-/resolve?name=h&zone=p")
+			return strings.Contains(body, other.Callers)
+		}
+		eventually(func() bool { return knows(first, second) && knows(second, first) })
+		quarantined := func(s Settings) bool {
+			before := killed.Load()
+			status, body := get(s.Callers, "/a/poison")
+			return status == 503 && strings.Contains(body, "quarantined") && killed.Load() == before
+		}
+		eventually(func() bool { return quarantined(first) })
+		most := killed.Load()
+		Convey("the other daemon refuses it, and both serve the innocent", func() {
+			eventually(func() bool { return quarantined(second) })
+			So(killed.Load(), ShouldBeLessThanOrEqualTo, most+1) // a strike is on its way for a moment
+			for _, s := range []Settings{first, second} {
+				eventually(func() bool { status, _ := get(s.Callers, "/a/x"); return status == 200 })
+			}
+		})
+		Convey("a daemon that begins afterwards is told once the others hear it", func() {
+			third := daemon("vm-3")
+			eventually(func() bool { return knows(third, first) && knows(first, third) })
+			eventually(func() bool { return quarantined(third) })
+			So(killed.Load(), ShouldBeLessThanOrEqualTo, most+1)
+		})
+	})
+}
+
+// TestDrain plays a planned stop under a request that takes long.
+func TestDrain(t *testing.T) {
+	Convey("Given a daemon that is told to stop while it has a request", t, func() {
+		w := newWorld(t)
+		w.configure(1, "/a/")
+		arrived, release := make(chan struct{}), make(chan struct{})
+		w.newTarget("i-1", func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/a/slow" {
+				close(arrived)
+				<-release
+			}
+			_, _ = fmt.Fprint(rw, "served")
+		})
+		s, stop := w.daemon("vm-1", w.store.Listener.Addr().String())
+		eventually(func() bool { status, _ := get(s.Callers, "/a/x"); return status == 200 })
+		type answer struct {
+			status int
+			body   string
+		}
+		slow := make(chan answer, 1)
+		go func() {
+			status, body := get(s.Callers, "/a/slow")
+			slow <- answer{status, body}
+		}()
+		<-arrived
+		stop()
+		eventually(func() bool { status, _ := get(s.Readiness, "/-/readiness"); return status == 503 })
+		newcomers := make(map[int]bool)
+		eventually(func() bool { // until it refuses: callers with old directory answers are served
+			req, err := http.NewRequest(http.MethodGet, "http://"+s.Callers+"/a/x", nil)
+			So(err, ShouldBeNil)
+			req.Host = "h"
+			req.Header.Set("Vanillaroad-Request-Id", "r2")
+			resp, err := http.DefaultClient.Do(req)
+			So(err, ShouldBeNil)
+			_ = resp.Body.Close()
+			newcomers[resp.StatusCode] = true
+			return resp.StatusCode == 503 && resp.Header.Get("Retry-After") != ""
+		})
+		close(release)
+		Convey("the request ends whole, newcomers are served or refused with a time, and none is dropped", func() {
+			So(<-slow, ShouldResemble, answer{200, "served"})
+			for status := range newcomers {
+				So(status, ShouldBeIn, 200, 503)
+			}
+			eventually(func() bool { status, _ := get(s.Callers, "/a/x"); return status == 0 }) // the process is gone
+		})
+	})
+}
+
+// TestChangesAreReadInTime: whatever news is lost, every daemon reads a change of the
+// configuration by itself within the time in which it has to be in force.
+func TestChangesAreReadInTime(t *testing.T) {
+	const inForce = 2 * time.Second // as the comment of the periods promises
+	Convey("Three periods and the answer of the store fit into the promise", t, func() {
+		So(3*configurationPeriod+storeAnswer, ShouldBeLessThanOrEqualTo, inForce)
+		So(3*targetPeriod+storeAnswer, ShouldBeLessThanOrEqualTo, inForce)
+	})
+}
+
+// storeAnswer is far more than a store that is not in trouble takes for a list.
+const storeAnswer = 500 * time.Millisecond
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -123,9 +123,27 @@
 	if e.weight() <= runningWeight {
 		return nil
 	}
+	return e.strikes(now, s.Subject)
+}
+
+// strikes returns the failures of an entry as strikes against a subject.
+func (e *entry) strikes(now time.Time, s Subject) []Strike {
 	var out []Strike
 	for _, f := range e.failures {
-		out = append(out, Strike{Subject: s.Subject, Target: f.target, Fresh: f.weight == freshWeight, Age: now.Sub(f.at)})
+		out = append(out, Strike{Subject: s, Target: f.target, Fresh: f.weight == freshWeight, Age: now.Sub(f.at)})
+	}
+	return out
+}
+
+// Strikes returns all strikes that other daemons should know, for one that may have
+// missed them.
+func (l *Ledger) Strikes(now time.Time) []Strike {
+	l.expire(now)
+	var out []Strike
+	for id, e := range l.byID {
+		if f := l.byFingerprint[e.fingerprint]; f != nil && f.weight() > runningWeight {
+			out = append(out, e.strikes(now, Subject{ID: id, Fingerprint: e.fingerprint})...)
+		}
 	}
 	return out
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -93,6 +93,19 @@
 			}
 		})
 	}
+	Convey("a daemon that is told all strikes refuses what the other one does, and nothing else", t, func() {
+		l, joined := NewLedger(DefaultSettings()), NewLedger(DefaultSettings())
+		for _, h := range poison {
+			strike(l, h)
+		}
+		strike(l, hit{minute, "once", 2, "z", false}) // may well be innocent
+		for _, s := range l.Strikes(at(2 * minute)) {
+			joined.Strike(at(2*minute), s)
+		}
+		So(joined.Check(at(2*minute), Subject{"another", 1}).Refused, ShouldNotBeNil)
+		ids, _ := joined.Len()
+		So(ids, ShouldEqual, 1)
+	})
 	Convey("a whole answer clears what was held against it", t, func() {
 		l := NewLedger(DefaultSettings())
 		for _, h := range poison {
