gateway: daemons of hundreds tell that they live before they count as gone

Cause: the pause between two messages of what a daemon runs grows with the square of the others' number and had no end; it took the heartbeat with it. From some 170 daemons it is longer than the 1.5 s after which a silent daemon is left out of the directory; at 300 it is 4.5 s. The pause ends at the heartbeat now. Test: TestLargeFleetsStayAlive (fails before for 299 and 759). Worked out, not run at that size: 600 messages a second each way at 300.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -32,7 +32,8 @@
 	// it sends when that changed: when many requests come at once, daemons would
 	// else send them to the same targets. It grows by workSquare times the square of
 	// the other daemons' number, so that what one receives from all of them falls as
-	// they grow more, from a thousand messages a second at eight to some hundreds.
+	// they grow more, from a thousand messages a second at eight to some hundreds, up
+	// to the heartbeat, by which daemons know that others live.
 	workPause  = 4 * time.Millisecond
 	workSquare = 50 * time.Microsecond
 	// heartbeat is how often it tells so anyway, and drops what belongs to targets
@@ -141,11 +142,16 @@
 			p.g.forgetTargets()
 			p.forgetSilent()
 		}
-		others := time.Duration(p.tell(kindWork, work{p.g.fleet.Shares(), p.g.draining.Load()}))
-		pause.For(ctx, workPause+others*others*workSquare)
+		others := p.tell(kindWork, work{p.g.fleet.Shares(), p.g.draining.Load()})
+		pause.For(ctx, pauseAfterWork(others))
 	}
 }
 
+// pauseAfterWork is the least time until the next message to so many others.
+func pauseAfterWork(others int) time.Duration {
+	return min(workPause+time.Duration(others*others)*workSquare, heartbeat)
+}
+
 // forgetSilent stops counting the work of daemons that fell silent, and drops old
 // suspicions.
 func (p *peers) forgetSilent() {
--- a/gateway/promises_test.go
+++ b/gateway/promises_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
@@ -139,5 +140,18 @@
 	})
 }
 
+// TestLargeFleetsStayAlive: however many daemons there are, each tells the others that it
+// lives before they take it for gone.
+func TestLargeFleetsStayAlive(t *testing.T) {
+	Convey("A daemon of hundreds is heard in time", t, func() {
+		for _, others := range []int{7, 75, 299, 759} {
+			roster := exchange.NewRoster("self")
+			now := time.Unix(1_800_000_000, 0)
+			roster.Heard(now, "other", false)
+			So(roster.Live(now.Add(2*pauseAfterWork(others)), "other"), ShouldBeTrue)
+		}
+	})
+}
+
 // storeAnswer is far more than a store that is not in trouble takes for a list.
 const storeAnswer = 500 * time.Millisecond
