fleet: by an old view, the best of four targets drawn by chance

Cause: after the loss of a place, some 60 daemons place prompts within 100 ms, by a view of each other's work that is 300 to 500 ms old, and all choose the target that looks idle. Ruled out: the pace of one daemon's placements (placePace; each placed one), engines that are slow. Change: where the view may be older than FreshView, the picker is routing.Choices. Sites of eight VMs, which see each other's work within 9 ms, pick among all as before. Load test: TestStaleHerd (pattern: loss of a place in a large system), 76 of 76 on one target before.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -49,6 +49,36 @@
 	})
 }
 
+// TestStaleHerd plays the loss of a place in a large system: at once, each of many
+// daemons places a prompt by a view that shows none of the others' and one idle target.
+func TestStaleHerd(t *testing.T) {
+	Convey("Given 76 daemons and 136 targets, one of them idle, by a view that is old", t, func() {
+		const rounds, daemons, targets = 10, 76, 136
+		wish, demand := prompt(5000)
+		idle := 0
+		for seed := range rounds * daemons {
+			f := New("p0", uint64(seed))
+			f.SetStaleness(500 * time.Millisecond)
+			for i := range targets {
+				id := fmt.Sprint("t", i)
+				f.Put(Target{ID: id, Service: "s", Address: id, Place: fmt.Sprint("p", i%3), Slots: 16})
+				if i > 0 {
+					f.Begin(start, id, demand)
+				}
+			}
+			wish.Affinity = fmt.Sprint(seed)
+			got, err := f.Pick(start, wish)
+			So(err, ShouldBeNil)
+			if got.ID == "t0" {
+				idle++
+			}
+		}
+		Convey("the idle target gets no more than it reads before the first event is late", func() {
+			So(idle, ShouldBeBetweenOrEqual, rounds, 4*rounds) // of 4.5 s, at a second each
+		})
+	})
+}
+
 func TestPeersWorkCounts(t *testing.T) {
 	Convey("What peers run counts like own work, until they are gone", t, func() {
 		f := site(2)
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -10,6 +10,26 @@
 	"github.com/vanillaroad/vanillaroad/routing"
 )
 
+// What daemons know of each other's work.
+const (
+	// FreshView is the age up to which the view of the others' work shows what they
+	// have just placed. A daemon that places long prompts no closer to each other
+	// than this never meets on one target with others who see what it sees.
+	FreshView = 15 * time.Millisecond
+	// staleChoices is how many targets, drawn by chance, a request is placed among
+	// where the view is older: among all, daemons that place at the same time, as
+	// after the loss of a place, would all choose the one that looks idle. With four,
+	// a copy gets into its run's place, where a fourth of all is, once in 256 times.
+	staleChoices = 4
+)
+
+// SetStaleness tells how old the view of the other daemons' work may be.
+func (f *Fleet) SetStaleness(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.staleness = d
+}
+
 // Wish says what a request needs of a target.
 type Wish struct {
 	Service string
@@ -46,6 +66,9 @@
 	case w.Need > 0:
 		scheduler = routing.Prompts()
 	}
+	if f.staleness > FreshView && len(w.Cached) == 0 {
+		scheduler.Picker = routing.Choices{Count: staleChoices}
+	}
 	c, err := scheduler.Pick(request, candidates, f.random)
 	if err != nil {
 		return Target{}, err
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -191,7 +191,7 @@
 // placePace is the least time between two long prompts that a daemon places: other
 // daemons hear of the first one before they place theirs, so that callers who come
 // back all at once, as after a restart of all daemons, don't meet on a few targets.
-const placePace = 15 * time.Millisecond
+const placePace = fleet.FreshView
 
 // NewPace returns the limiter of a daemon's placements of long prompts.
 func NewPace() *rate.Limiter { return rate.NewLimiter(rate.Every(placePace), 1) }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -87,6 +87,7 @@
 	n := m.roster.Len()
 	m.mu.Unlock()
 	m.g.forward.Budget.SetDaemons(n)
+	m.g.fleet.SetStaleness(pauseAfterWork(n - 1))
 }
 
 // heard takes note of a sign of life. It tells whether the daemon was silent for a while
