fleet: a target that a peer doubts is not asked about by those that don't use it

Cause: after the silent loss of a place each of 76 daemons asked each of its 45 engines: every suspicion has five more neighbours asked, though peers had told of most of them. Change: SamePlace leaves out idle targets that are left alone, as doubted ones are. Test: TestPlaceIsAskedAboutOnce (fails before).

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -185,6 +185,26 @@
 	})
 }
 
+// TestPlaceIsAskedAboutOnce plays the loss of a place with many targets: what one daemon
+// told of, the others don't ask about unless they use it.
+func TestPlaceIsAskedAboutOnce(t *testing.T) {
+	Convey("Given a place of which a peer doubts some targets", t, func() {
+		f := New("p0", 1)
+		for _, id := range []string{"lost", "used", "unused", "unknown"} {
+			f.Put(Target{ID: id, Service: "s", Address: id, Place: "p1", Slots: 16})
+		}
+		f.Begin(start, "used", Demand{})
+		for _, id := range []string{"used", "unused"} {
+			f.Doubt(start, id)
+		}
+		var asked []string
+		for _, o := range f.SamePlace(start, Target{ID: "lost", Service: "s", Place: "p1"}, 5) {
+			asked = append(asked, o.ID)
+		}
+		So(asked, ShouldResemble, []string{"used", "unknown"})
+	})
+}
+
 func TestCopiesGoElsewhere(t *testing.T) {
 	Convey("A copy goes out of the run's place, where there is room", t, func() {
 		f := site(6)
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -113,7 +113,8 @@
 }
 
 // SamePlace returns the other targets of t's service in its place that are not taken
-// for dead: those that run something for this daemon, and up to some of the rest.
+// for dead: those that run something for this daemon, and up to some of the rest that
+// are not left alone, as those are that a peer doubts.
 func (f *Fleet) SamePlace(now time.Time, t Target, some int) []Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -123,7 +124,7 @@
 		case s.ID == t.ID || s.Place != t.Place || s.gone(now) || now.Before(s.suspect):
 		case s.running > 0 || s.memory > 0:
 			out = append(out, s.Target)
-		default:
+		case !now.Before(s.avoid):
 			idle = append(idle, s.Target)
 		}
 	}
