exchange: of many daemons, few draw a short wait for their read

Change: the draw is skewed by the number of daemons; eight draw as before, and three periods stay the longest wait. Test: TestFewReadTheStore (fails before for 76 and 760).

--- a/exchange/dataset.go
+++ b/exchange/dataset.go
@@ -9,6 +9,7 @@
 import (
 	"encoding/binary"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -66,6 +67,7 @@
 	kind    string
 	period  time.Duration
 	random  *rand.Rand
+	skew    float64 // of the wait for a read: 1 for an even one, more for longer ones
 	entries map[string]Entry
 	sum     uint64    // of the entries' hashes
 	newest  state     // of the newest news
@@ -77,7 +79,7 @@
 // NewDataset returns an empty dataset of a kind that is to be read about once a
 // period by some daemon.
 func NewDataset(kind string, period time.Duration, seed uint64) *Dataset {
-	return &Dataset{kind: kind, period: period, random: rand.New(rand.NewPCG(seed, seed)), entries: make(map[string]Entry), at: -1}
+	return &Dataset{kind: kind, period: period, random: rand.New(rand.NewPCG(seed, seed)), skew: 1, entries: make(map[string]Entry), at: -1}
 }
 
 // Known tells whether the dataset was read or heard at all.
@@ -88,15 +90,31 @@
 // and spares the others.
 func (d *Dataset) Due() time.Time { return d.due }
 
-// spread times the period is the longest random part of the wait for a read.
-const spread = 2
+const (
+	// spread times the period is the longest random part of the wait for a read.
+	spread = 2
+	// fewReaders is how many daemons may draw that part evenly: of so many, hardly two
+	// read before one has heard the other's news.
+	fewReaders = 8
+)
+
+// SetReaders tells how many daemons read the kind. Of many, fewer draw a short wait, so
+// that the news of the first one reaches the others before they read.
+func (d *Dataset) SetReaders(n int) {
+	d.skew = max(1, math.Log(float64(max(1, n)))/math.Log(fewReaders))
+}
+
+// wait draws the random part of the wait for a read.
+func (d *Dataset) wait() time.Duration {
+	return time.Duration(math.Pow(d.random.Float64(), 1/d.skew) * float64(spread*d.period))
+}
 
 func (d *Dataset) refreshed(at time.Time) {
 	if at.Before(d.fresh) {
 		return
 	}
 	d.fresh = at
-	d.due = at.Add(d.period + time.Duration(d.random.Int64N(int64(spread*d.period))))
+	d.due = at.Add(d.period + d.wait())
 }
 
 // Read takes an own read that was sent at asked, and returns what changed and what
--- a/exchange/dataset_test.go
+++ b/exchange/dataset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -142,3 +143,30 @@
 		}
 	})
 }
+
+// TestFewReadTheStore plays rounds of reads, the news of which takes some hops to all: as
+// daemons grow more, hardly more of them read in a round.
+func TestFewReadTheStore(t *testing.T) {
+	Convey("However many daemons there are, about two read in a round, and each within three periods", t, func() {
+		const rounds, period, newsTakes = 200, 400 * time.Millisecond, 30 * time.Millisecond
+		for _, n := range []int{8, 76, 760} {
+			d := NewDataset("k", period, uint64(n))
+			d.SetReaders(n)
+			reads := 0
+			for range rounds {
+				waits := make([]time.Duration, n)
+				for i := range waits {
+					waits[i] = period + d.wait()
+					So(waits[i], ShouldBeLessThanOrEqualTo, 3*period)
+				}
+				first := slices.Min(waits)
+				for _, w := range waits {
+					if w <= first+newsTakes {
+						reads++
+					}
+				}
+			}
+			So(reads, ShouldBeLessThan, 3*rounds)
+		}
+	})
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -88,6 +88,7 @@
 	m.mu.Unlock()
 	m.g.forward.Budget.SetDaemons(n)
 	m.g.fleet.SetStaleness(pauseAfterWork(n - 1))
+	m.g.shelf.setReaders(n)
 }
 
 // heard takes note of a sign of life. It tells whether the daemon was silent for a while
--- a/gateway/shelf.go
+++ b/gateway/shelf.go
@@ -171,6 +171,15 @@
 	s.apply(kind, c)
 }
 
+// setReaders tells how many daemons share the reading of the store.
+func (s *shelf) setReaders(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, set := range s.sets {
+		set.SetReaders(n)
+	}
+}
+
 func (s *shelf) query(kind string) exchange.Query {
 	s.mu.Lock()
 	defer s.mu.Unlock()
