peer: closing the transport ends greetings that nobody answers

A greeting to a daemon that is frozen or just gone kept Close, and so the end of the process, for up to a second, more than the 300 ms that the drain leaves. Ruled out: requests (cut 300 ms before the end). Test: TestCloseEndsHandshakes (fails before).

--- a/peer/transport.go
+++ b/peer/transport.go
@@ -140,8 +140,11 @@
 	c.run()
 }
 
-// handshake exchanges hellos. Both sides write first, so neither waits.
+// handshake exchanges hellos. Both sides write first, so neither waits. Closing the
+// transport ends it, also where the other side is silent.
 func (t *Transport) handshake(nc net.Conn) (Identity, error) {
+	release := context.AfterFunc(t.ctx, func() { _ = nc.Close() })
+	defer release()
 	if err := nc.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
 		return Identity{}, errors.WithStack(err)
 	}
--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -57,6 +58,34 @@
 	})
 }
 
+// TestCloseEndsHandshakes: a daemon that stops does not wait for one that is silent.
+func TestCloseEndsHandshakes(t *testing.T) {
+	Convey("Given a peer that takes connections and says nothing", t, func() {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		taken := make(chan net.Conn, 1)
+		go func() {
+			c, err := silent.Accept()
+			if err == nil {
+				taken <- c
+			}
+		}()
+		a := listen("a")
+		sent := make(chan error, 1)
+		go func() { sent <- a.Send(context.Background(), silent.Addr().String(), testKind, "x") }()
+		c := <-taken
+		a.Close()
+		Convey("closing ends the greeting, not its timeout", func() {
+			var ne net.Error
+			err := <-sent
+			So(err, ShouldNotBeNil)
+			So(errors.As(err, &ne) && ne.Timeout(), ShouldBeFalse)
+			So(c.Close(), ShouldBeNil)
+			So(silent.Close(), ShouldBeNil)
+		})
+	})
+}
+
 func FuzzReadFrame(f *testing.F) {
 	var good bytes.Buffer
 	if _, err := writeFrame(&good, &envelope{Kind: testKind, ID: 7, Body: []byte{0xc0}}); err != nil {
