--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -228,6 +228,21 @@
 	})
 }
 
+// TestQueuedCallerWhoLeaves: nothing is sent for a caller who leaves before its turn.
+func TestQueuedCallerWhoLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(map[string]behaviour{"a": hanging})
+		s.Pace.Allow() // another prompt is placed just now
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(placePace/2, leave)
+		begun := time.Now()
+		got := s.serveFor(ctx, streamRoute)
+		if took := time.Since(begun); took != placePace/2 || !got.aborted || len(s.sender.attempts()) != 0 {
+			t.Fatalf("after %v: aborted %v, sent to %v", took, got.aborted, s.sender.attempts())
+		}
+	})
+}
+
 var callRoute = ingress.Route{
 	Name: "call", Kind: ingress.Idempotent, Timeout: 800 * time.Millisecond, Objective: 100 * time.Millisecond, MaxAttempts: 2,
 }
