--- a/exchange/dataset.go
+++ b/exchange/dataset.go
@@ -123,12 +123,11 @@
 	if at < d.at {
 		return Change{}, News{Kind: d.kind, At: d.at, Sum: d.sum}
 	}
-	found := make(map[string]Entry, len(objects))
+	found := make([]Entry, len(objects))
 	sum := uint64(0) // of what the store holds; newer entries may be held here
-	for _, o := range objects {
-		e := Entry{Name: o.Name, Revision: o.Revision, Value: o.Value}
-		found[o.Name] = e
-		sum ^= e.hash()
+	for i, o := range objects {
+		found[i] = Entry{Name: o.Name, Revision: o.Revision, Value: o.Value}
+		sum ^= found[i].hash()
 	}
 	c := d.replace(found, at)
 	d.at = at
@@ -203,11 +202,7 @@
 	}
 	var c Change
 	if !w.Same {
-		found := make(map[string]Entry, len(w.Entries))
-		for _, e := range w.Entries {
-			found[e.Name] = e
-		}
-		c = d.replace(found, w.At)
+		c = d.replace(w.Entries, w.At)
 	}
 	d.at = w.At
 	d.refreshed(now.Add(-w.Age))
@@ -228,19 +223,21 @@
 
 // replace takes found for the whole dataset as it was at a revision of the store.
 // Entries that are newer stay.
-func (d *Dataset) replace(found map[string]Entry, at int64) Change {
+func (d *Dataset) replace(found []Entry, at int64) Change {
 	var c Change
-	for _, name := range d.names() {
-		if _, ok := found[name]; !ok && d.entries[name].Revision <= at {
-			d.remove(name)
-			c.Removed = append(c.Removed, name)
-		}
-	}
+	present := make(map[string]bool, len(found))
 	for _, e := range found {
+		present[e.Name] = true
 		if d.put(e) {
 			c.Changed = append(c.Changed, e)
 		}
 	}
+	for _, name := range d.names() {
+		if !present[name] && d.entries[name].Revision <= at {
+			d.remove(name)
+			c.Removed = append(c.Removed, name)
+		}
+	}
 	sort.Slice(c.Changed, func(i, j int) bool { return c.Changed[i].Name < c.Changed[j].Name })
 	return c
 }
--- a/exchange/roster.go
+++ b/exchange/roster.go
@@ -58,7 +58,11 @@
 			r.others = append(r.others, m)
 		}
 	}
-	sort.Slice(r.others, func(i, j int) bool { return r.others[i].ID < r.others[j].ID })
+	sortByID(r.others)
+}
+
+func sortByID(list []Member) {
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 }
 
 // Heard takes note of a sign of life of a daemon, and whether it leaves. It returns
@@ -99,6 +103,6 @@
 	if alone := len(live) == 0 || len(live) == 1 && live[0].ID == r.self; alone {
 		out = known
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	sortByID(out)
 	return out
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -86,19 +87,21 @@
 	}
 	switch {
 	case s == nil:
-		f.targets[t.ID] = newStatus(t)
+		f.add(newStatus(t))
 	case s.Born != t.Born || s.Address != t.Address:
 		s.markLost()
 		fresh := newStatus(t)
 		fresh.running, fresh.unread, fresh.memory = s.running, s.unread, s.memory // released by their holders
-		f.targets[t.ID] = fresh
+		f.remove(s)
+		f.add(fresh)
 	default:
+		f.remove(s) // its service may be another one now
 		s.Target, s.missing, s.replaced, s.ended = t, time.Time{}, false, time.Time{}
+		f.add(s)
 		if t.Leaving {
 			s.markUnfit()
 		}
 	}
-	f.index()
 }
 
 // replaceAt takes the targets for gone whose address a newer one holds.
@@ -132,13 +135,12 @@
 		return
 	}
 	f.drop(s)
-	f.index()
 }
 
 // drop forgets a target; runs there go on, copies there are made elsewhere.
 func (f *Fleet) drop(s *status) {
 	s.markUnfit()
-	delete(f.targets, s.ID)
+	f.remove(s)
 }
 
 // Expire drops targets whose entries did not come back, and returns their ids.
@@ -152,9 +154,6 @@
 			out = append(out, id)
 		}
 	}
-	if len(out) > 0 {
-		f.index()
-	}
 	sort.Strings(out)
 	return out
 }
@@ -173,12 +172,22 @@
 	return len(f.targets)
 }
 
-func (f *Fleet) index() {
-	f.services = make(map[string][]*status)
-	for _, s := range f.targets {
-		f.services[s.Service] = append(f.services[s.Service], s)
-	}
-	for _, list := range f.services {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	}
+// add puts a target into the indexes.
+func (f *Fleet) add(s *status) {
+	f.targets[s.ID] = s
+	list := f.services[s.Service]
+	f.services[s.Service] = slices.Insert(list, position(list, s.ID), s)
+}
+
+// remove takes a target out of the indexes.
+func (f *Fleet) remove(s *status) {
+	delete(f.targets, s.ID)
+	list := f.services[s.Service]
+	i := position(list, s.ID)
+	f.services[s.Service] = slices.Delete(list, i, i+1)
+}
+
+// position is where the target of an id stands, or belongs, in a list by id.
+func position(list []*status, id string) int {
+	return sort.Search(len(list), func(i int) bool { return list[i].ID >= id })
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -79,6 +79,41 @@
 	})
 }
 
+// TestIndex plays entries that come, change and go: each target stands once among those
+// of its service, by id.
+func TestIndex(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New("p0", 1)
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now := at(step * 1000)
+			id := fmt.Sprint("t", rapid.IntRange(0, 6).Draw(t, "target"))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				f.Remove(now, id, rapid.Bool().Draw(t, "may return"))
+			case 1:
+				f.Expire(now)
+			default:
+				f.Put(Target{
+					ID: id, Service: rapid.SampledFrom([]string{"s", "r"}).Draw(t, "service"), Address: id,
+					Born: int64(rapid.IntRange(0, 1).Draw(t, "born")),
+				})
+			}
+			listed := 0
+			for service, list := range f.services {
+				for i, s := range list {
+					if s != f.targets[s.ID] || s.Service != service || i > 0 && list[i-1].ID >= s.ID {
+						t.Fatalf("step %d: %s at %d among those of %s", step, s.ID, i, service)
+					}
+				}
+				listed += len(list)
+			}
+			if listed != f.Len() {
+				t.Fatalf("step %d: %d of %d targets are listed", step, listed, f.Len())
+			}
+		}
+	})
+}
+
 func TestPeersWorkCounts(t *testing.T) {
 	Convey("What peers run counts like own work, until they are gone", t, func() {
 		f := site(2)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -109,10 +109,20 @@
 	return m.roster.Others()
 }
 
-func (m *members) live(id string) bool {
+// othersByLife returns the other daemons: those that gave a sign of life lately, and the
+// rest.
+func (m *members) othersByLife() (live, silent []exchange.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.roster.Live(time.Now(), id)
+	now := time.Now()
+	for _, o := range m.roster.Others() {
+		if m.roster.Live(now, o.ID) {
+			live = append(live, o)
+		} else {
+			silent = append(silent, o)
+		}
+	}
+	return live, silent
 }
 
 // directory returns the addresses that callers should use.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -98,12 +98,12 @@
 	return len(others)
 }
 
-// send sends an encoded message. One that is lost is counted, not logged: while a daemon is cut
+// send sends a message. One that is lost is counted, not logged: while a daemon is cut
 // off there are many, and the next one, or a read of the store, makes up for it.
-func (p *peers) send(address string, kind peer.Kind, body msgpack.RawMessage) {
+func (p *peers) send(address string, kind peer.Kind, message any) {
 	ctx, cancel := context.WithTimeout(p.ctx, tellTimeout)
 	defer cancel()
-	if err := p.transport.Send(ctx, address, kind, body); err != nil {
+	if err := p.transport.Send(ctx, address, kind, message); err != nil {
 		p.lost(1)
 	}
 }
@@ -111,16 +111,13 @@
 // spread has a message passed on to all other daemons, by those that live first. One
 // that is lost on the way is made up for as in send.
 func (p *peers) spread(kind peer.Kind, message any) {
-	var live, silent []string
-	for _, m := range p.g.members.others() {
-		if p.g.members.live(m.ID) {
-			live = append(live, m.Peers)
-		} else {
-			silent = append(silent, m.Peers)
-		}
-	}
+	live, silent := p.g.members.othersByLife()
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	p.transport.Spread(append(live, silent...), kind, message, func(string, error) { p.lost(1) })
+	var addresses []string
+	for _, m := range append(live, silent...) {
+		addresses = append(addresses, m.Peers)
+	}
+	p.transport.Spread(addresses, kind, message, func(string, error) { p.lost(1) })
 }
 
 func (p *peers) lost(messages int) {
@@ -162,10 +159,9 @@
 		}
 	}
 	p.mu.Unlock()
-	for _, m := range p.g.members.others() {
-		if !p.g.members.live(m.ID) {
-			p.g.fleet.Told(m.ID, nil)
-		}
+	_, silent := p.g.members.othersByLife()
+	for _, m := range silent {
+		p.g.fleet.Told(m.ID, nil)
 	}
 }
 
@@ -264,16 +260,9 @@
 // tellMissed tells a daemon that has just begun, or was cut off, of all strikes: it would
 // else let a request kill targets that the others refuse.
 func (p *peers) tellMissed(address string) {
-	strikes := p.g.crashes.known()
-	if len(strikes) == 0 {
-		return
-	}
-	body, err := msgpack.Marshal(strikes)
-	if err != nil {
-		p.lost(1)
-		return
+	if strikes := p.g.crashes.known(); len(strikes) > 0 {
+		go p.send(address, kindStrikes, strikes)
 	}
-	go p.send(address, kindStrikes, body)
 }
 
 func (p *peers) serveStrikes(_ context.Context, _ peer.Identity, strikes []quarantine.Strike) (any, error) {
