gateway: log where a change came from and what arrives repeatedly

New: changes_sent (a reader's broadcast with its size), changes_repeated (entries that arrive although they are known, at most one line a second and kind), and source, bytes and last_match_ago in the gateway's configuration_in_force. No decision changed. Tests of gateway, exchange and event pass.

--- a/event/numbers_platform.go
+++ b/event/numbers_platform.go
@@ -5,10 +5,14 @@
 	PlatformLost      Number = 900
 	PlatformRecovered Number = 901
 	PeerLost          Number = 902
+	ChangesSent       Number = 903
+	ChangesRepeated   Number = 904
 )
 
 var platformEntries = []Entry{
 	{PlatformLost, "platform_lost", Warn, "The store of the platform does not answer; serving continues.", "Check the platform."},
 	{PlatformRecovered, "platform_back", Info, "The store of the platform answers again.", ""},
 	{PeerLost, "peer_lost", Info, "A connection to another daemon timed out or broke.", ""},
+	{ChangesSent, "changes_sent", Info, "This daemon read changes from the store and sends them to its peers.", ""},
+	{ChangesRepeated, "changes_repeated", Info, "Entries arrived again that this daemon already had, as many as the fields say since its last such line.", "Many bytes: look for several daemons with changes_sent for the same revision."},
 }
--- a/exchange/dataset.go
+++ b/exchange/dataset.go
@@ -56,12 +56,26 @@
 	Entries       []Entry       `msgpack:"e,omitempty"`
 }
 
+// ValueBytes returns the total size of the values that the update contains.
+func (u Update) ValueBytes() int { return valueBytes(u.Changed) }
+
+func valueBytes(entries []Entry) int {
+	n := 0
+	for _, e := range entries {
+		n += len(e.Value)
+	}
+	return n
+}
+
 // Change is the difference that an operation made to a dataset.
 type Change struct {
 	Changed []Entry
 	Removed []string
 }
 
+// ValueBytes returns the total size of the changed values.
+func (c Change) ValueBytes() int { return valueBytes(c.Changed) }
+
 // Empty reports whether nothing changed.
 func (c Change) Empty() bool { return len(c.Changed) == 0 && len(c.Removed) == 0 }
 
@@ -90,6 +104,10 @@
 // Loaded reports whether the dataset has been read from the store or from a peer.
 func (d *Dataset) Loaded() bool { return d.storeRevision >= 0 }
 
+// LastMatch returns when the entries were last known to match the store, or the zero
+// time if they never were.
+func (d *Dataset) LastMatch() time.Time { return d.freshAt }
+
 // NextRead returns when this daemon should read the store. The delay begins when the
 // entries were last known to match the store. It is random on each daemon, so that one
 // daemon reads first and its update postpones the reads of the others.
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -42,6 +43,8 @@
 
 	applyMu sync.Mutex // held while a dataset is modified and the change is applied
 
+	repeats map[string]*repeatCounter // by kind; the map itself does not change after newDatasets
+
 	mu sync.Mutex // protects the datasets and the fields below
 	// storeDown is true if the last call to the store failed. storeRecoveredAt is when
 	// the store last answered again after a failure.
@@ -50,11 +53,12 @@
 }
 
 func newDatasets(g *Gateway) *datasets {
-	d := &datasets{g: g, byKind: make(map[string]*exchange.Dataset)}
+	d := &datasets{g: g, byKind: make(map[string]*exchange.Dataset), repeats: make(map[string]*repeatCounter)}
 	for kind, period := range map[string]time.Duration{
 		platform.ConfigurationKind: configurationReadPeriod, platform.TargetKind: targetReadPeriod, memberKind: memberReadPeriod,
 	} {
 		d.byKind[kind] = exchange.NewDataset(kind, period, rand.Uint64())
+		d.repeats[kind] = &repeatCounter{kind: kind, events: g.events}
 	}
 	return d
 }
@@ -144,26 +148,56 @@
 
 func (d *datasets) applyRead(sentAt time.Time, kind string, objects []objectstore.Object, storeRevision int64) {
 	var update exchange.Update
-	d.modify(kind, func(dataset *exchange.Dataset) (c exchange.Change) {
+	d.modify(kind, sourceStore, func(dataset *exchange.Dataset) (c exchange.Change) {
 		c, update = dataset.ApplyRead(sentAt, objects, storeRevision)
 		return c
 	})
 	update.Age = time.Since(sentAt)
+	if len(update.Changed)+len(update.Removed) > 0 {
+		d.g.events.Record(event.ChangesSent, "", event.F("kind", kind), event.F("revision", strconv.FormatInt(storeRevision, 10)),
+			event.F("entries", strconv.Itoa(len(update.Changed)+len(update.Removed))), event.F("bytes", strconv.Itoa(update.ValueBytes())))
+	}
 	d.g.peers.sendUpdate(update)
 }
 
 func (d *datasets) applyUpdate(u exchange.Update) {
-	d.modify(u.Kind, func(dataset *exchange.Dataset) exchange.Change { return dataset.ApplyUpdate(time.Now(), u) })
+	d.modify(u.Kind, sourceUpdate, func(dataset *exchange.Dataset) exchange.Change {
+		c := dataset.ApplyUpdate(time.Now(), u)
+		d.repeats[u.Kind].add(time.Now(), len(u.Changed)-len(c.Changed), u.ValueBytes()-c.ValueBytes())
+		return c
+	})
 }
 
 func (d *datasets) applySnapshot(snapshot exchange.Snapshot) {
-	d.modify(snapshot.Kind, func(dataset *exchange.Dataset) exchange.Change { return dataset.ApplySnapshot(time.Now(), snapshot) })
+	d.modify(snapshot.Kind, sourceSnapshot, func(dataset *exchange.Dataset) exchange.Change { return dataset.ApplySnapshot(time.Now(), snapshot) })
+}
+
+// Sources of a change, as named in log lines.
+const (
+	sourceStore    = "store"
+	sourceUpdate   = "update"   // broadcast by a daemon that read the store
+	sourceSnapshot = "snapshot" // fetched from a peer
+)
+
+// changeOrigin says how a change reached this daemon.
+type changeOrigin struct {
+	source    string
+	lastMatch time.Time // when the dataset was last known to match the store, before the change
+}
+
+// fields returns the origin and the size of a change for a log line.
+func (o changeOrigin) fields(bytes int) []event.Field {
+	lastMatch := "never"
+	if !o.lastMatch.IsZero() {
+		lastMatch = time.Since(o.lastMatch).Round(time.Millisecond).String()
+	}
+	return []event.Field{event.F("source", o.source), event.F("bytes", strconv.Itoa(bytes)), event.F("last_match_ago", lastMatch)}
 }
 
 // modify modifies a dataset and applies the resulting change. Changes are applied in
 // the order in which they were made; otherwise an older state of an entry could
 // overwrite a newer one.
-func (d *datasets) modify(kind string, mutate func(*exchange.Dataset) exchange.Change) {
+func (d *datasets) modify(kind, source string, mutate func(*exchange.Dataset) exchange.Change) {
 	dataset := d.byKind[kind]
 	if dataset == nil {
 		return // a newer version of the daemon may send a kind that this one does not know
@@ -171,9 +205,10 @@
 	d.applyMu.Lock()
 	defer d.applyMu.Unlock()
 	d.mu.Lock()
+	origin := changeOrigin{source, dataset.LastMatch()}
 	c := mutate(dataset)
 	d.mu.Unlock()
-	d.apply(kind, c)
+	d.apply(kind, c, origin)
 }
 
 // setReaders sets the number of daemons that share the reads of the store.
@@ -204,13 +239,13 @@
 }
 
 // apply passes a change to the component that uses the dataset.
-func (d *datasets) apply(kind string, c exchange.Change) {
+func (d *datasets) apply(kind string, c exchange.Change, origin changeOrigin) {
 	if c.Empty() {
 		return
 	}
 	switch kind {
 	case platform.ConfigurationKind:
-		d.g.applyConfigurationChange(c)
+		d.g.applyConfigurationChange(c, origin)
 	case platform.TargetKind:
 		d.g.applyTargetChange(c, d.entriesMayReturn(time.Now()))
 	case memberKind:
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -17,7 +17,7 @@
 
 // applyConfigurationChange activates a changed configuration. One that can't be decoded
 // is ignored.
-func (g *Gateway) applyConfigurationChange(c exchange.Change) {
+func (g *Gateway) applyConfigurationChange(c exchange.Change, origin changeOrigin) {
 	for _, e := range c.Changed {
 		if e.Name != platform.ConfigurationName {
 			continue
@@ -27,20 +27,20 @@
 			g.events.Record(event.ConfigurationRefused, "", event.F("error", err.Error()))
 			continue
 		}
-		g.activate(d)
+		g.activate(d, origin.fields(len(e.Value)))
 	}
 }
 
 // activate makes a document the active configuration, unless the active one has the
-// same or a later version.
-func (g *Gateway) activate(d ingress.Document) {
+// same or a later version. originFields are the fields of the log line about its origin.
+func (g *Gateway) activate(d ingress.Document, originFields []event.Field) {
 	g.tableMu.Lock()
 	defer g.tableMu.Unlock()
 	if current := g.table.Load(); current != nil && current.Version >= d.Version {
 		return
 	}
 	g.table.Store(ingress.NewTable(d))
-	g.events.Record(event.ConfigurationActivated, "", event.F("version", strconv.FormatInt(d.Version, 10)))
+	g.events.Record(event.ConfigurationActivated, "", append(originFields, event.F("version", strconv.FormatInt(d.Version, 10)))...)
 }
 
 // applyTargetChange applies changed and removed entries of targets. mayReturn is true if
