--- /dev/null
+++ b/exchange/spread_test.go
@@ -0,0 +1,241 @@
+package exchange
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillaroad/vanillaroad/objectstore"
+)
+
+// Properties of the simulated fleet: the numbers of daemons and of relays of a broadcast,
+// as at the largest site, and the rates of their links.
+const (
+	simDaemons       = 91
+	simFanout        = 8
+	simLinkRate      = 1.25e6 // bytes a second in each direction
+	simStoreLinkRate = 125e6
+	simLatency       = time.Millisecond
+	simPeriod        = 400 * time.Millisecond // between reads of the store
+	simRetry         = time.Second            // between calls to an unavailable store
+)
+
+// maxSpread is the longest time from the acknowledgement of a configuration to its use
+// on every daemon that the users allow at the largest site.
+const maxSpread = 3 * time.Second
+
+// simLink is one direction of a link, which sends one message after the other.
+type simLink struct {
+	rate      float64 // bytes a second
+	busyUntil time.Time
+}
+
+// send returns when a message of the given size that is ready at now has passed the link.
+func (l *simLink) send(now time.Time, bytes int) time.Time {
+	if now.Before(l.busyUntil) {
+		now = l.busyUntil
+	}
+	l.busyUntil = now.Add(time.Duration(float64(bytes) / l.rate * float64(time.Second)))
+	return l.busyUntil
+}
+
+type simDaemon struct {
+	dataset *Dataset
+	in, out simLink
+	reading bool
+}
+
+type simEvent struct {
+	at  time.Time
+	run func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int           { return len(e) }
+func (e simEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e simEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)        { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simFleet simulates daemons that share their reads of one object of the store. Only the
+// links take time.
+type simFleet struct {
+	now       time.Time
+	random    *rand.Rand
+	events    simEvents
+	daemons   []*simDaemon
+	storeOut  simLink
+	storeDown bool
+	stored    objectstore.Object
+}
+
+func newSimFleet(seed uint64, value []byte) *simFleet {
+	f := &simFleet{
+		now: start, random: rand.New(rand.NewPCG(seed, seed)), storeOut: simLink{rate: simStoreLinkRate},
+		stored: objectstore.Object{Name: "main", Revision: 1, Value: value},
+	}
+	for i := range simDaemons {
+		d := &simDaemon{dataset: NewDataset("k", simPeriod, seed<<32+uint64(i)), in: simLink{rate: simLinkRate}, out: simLink{rate: simLinkRate}}
+		d.dataset.SetReaders(simDaemons)
+		d.dataset.ApplyRead(f.now, []objectstore.Object{f.stored}, f.stored.Revision)
+		f.daemons = append(f.daemons, d)
+		f.scheduleRead(d)
+	}
+	return f
+}
+
+func (f *simFleet) schedule(at time.Time, run func()) { heap.Push(&f.events, simEvent{at, run}) }
+
+// run simulates until the given time.
+func (f *simFleet) run(until time.Time) {
+	for len(f.events) > 0 && f.events[0].at.Before(until) {
+		e := heap.Pop(&f.events).(simEvent)
+		f.now = e.at
+		e.run()
+	}
+	f.now = until
+}
+
+func (f *simFleet) scheduleRead(d *simDaemon) {
+	at := d.dataset.NextRead()
+	if at.Before(f.now) {
+		at = f.now
+	}
+	f.schedule(at, func() { f.readIfDue(d) })
+}
+
+// readIfDue lets a daemon read the store if its read is due.
+func (f *simFleet) readIfDue(d *simDaemon) {
+	if d.reading || d.dataset.NextRead().After(f.now) {
+		return
+	}
+	d.reading = true
+	if f.storeDown {
+		f.schedule(f.now.Add(simRetry/2+time.Duration(f.random.Int64N(int64(simRetry)))), func() {
+			d.reading = false
+			f.readIfDue(d)
+		})
+		return
+	}
+	sentAt, object, revision := f.now, f.stored, f.stored.Revision
+	f.transfer(&f.storeOut, &d.in, len(object.Value), func() {
+		d.reading = false
+		_, update := d.dataset.ApplyRead(sentAt, []objectstore.Object{object}, revision)
+		update.Age = f.now.Sub(sentAt)
+		body, err := msgpack.Marshal(update)
+		if err != nil {
+			panic(err)
+		}
+		var others []*simDaemon
+		for _, o := range f.daemons {
+			if o != d {
+				others = append(others, o)
+			}
+		}
+		f.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		f.relay(d, others, body)
+		f.scheduleRead(d)
+	})
+}
+
+// relay sends an encoded update along a tree, like the transport of the daemons.
+func (f *simFleet) relay(from *simDaemon, to []*simDaemon, body []byte) {
+	branches := make([][]*simDaemon, min(simFanout, len(to)))
+	for i, d := range to {
+		branches[i%simFanout] = append(branches[i%simFanout], d)
+	}
+	for _, branch := range branches {
+		f.transfer(&from.out, &branch[0].in, len(body), func() {
+			f.relay(branch[0], branch[1:], body)
+			var u Update
+			if err := msgpack.Unmarshal(body, &u); err != nil {
+				panic(err)
+			}
+			branch[0].dataset.ApplyUpdate(f.now, u)
+			f.scheduleRead(branch[0])
+		})
+	}
+}
+
+// transfer sends a message over two links and runs arrived when it has arrived.
+func (f *simFleet) transfer(out, in *simLink, bytes int, arrived func()) {
+	f.schedule(out.send(f.now, bytes).Add(simLatency), func() {
+		f.schedule(in.send(f.now, bytes), arrived)
+	})
+}
+
+// store replaces the object of the store.
+func (f *simFleet) store(value []byte) {
+	f.stored = objectstore.Object{Name: "main", Revision: f.stored.Revision + 1, Value: value}
+}
+
+// outdated returns the number of daemons that lack the stored revision.
+func (f *simFleet) outdated() int {
+	n := 0
+	for _, d := range f.daemons {
+		if d.dataset.entries["main"].Revision < f.stored.Revision {
+			n++
+		}
+	}
+	return n
+}
+
+// simConfiguration returns a configuration with the given number of routes. Keys of
+// workspaces change with each version.
+func simConfiguration(version, routes int) []byte {
+	random := rand.New(rand.NewPCG(1, 1))
+	out := fmt.Appendf(nil, `{"version":%d,"routes":[`, version)
+	for range routes {
+		out = fmt.Appendf(out, `{"name":"r-%07x","host":"h%04x.example","path_prefix":"/p%04x/q%03x/","kind":"non_idempotent","timeout_ms":2500,"slo_ms":150,"priority":2,"service":"service%d","max_attempts":3,"public":false,"sticky":false,"resumable":false},`,
+			random.IntN(1<<28), random.IntN(4), random.IntN(1<<16), random.IntN(1<<12), random.IntN(2))
+	}
+	keys := rand.New(rand.NewPCG(uint64(version), 2))
+	return fmt.Appendf(out, `{}],"workspaces":[{"name":"w","keys":["%016x"]}]}`, keys.Uint64())
+}
+
+// TestLargeConfigurationReachesAllInTime guards against inc1: after a change that adds
+// 1,600 routes, daemons on slow links sent each other so many copies of the
+// configuration that the next versions were in force seconds too late.
+func TestLargeConfigurationReachesAllInTime(t *testing.T) {
+	const smallRoutes, largeRoutes = 60, 1660
+	Convey("Given 91 daemons on links of 10 Mbit/s", t, func() {
+		for seed := range uint64(5) {
+			f := newSimFleet(seed, simConfiguration(1, smallRoutes))
+			f.run(f.now.Add(5 * time.Second))
+
+			Convey(fmt.Sprintf("a change that adds 1,600 routes, and the changes after it, reach all in time (seed %d)", seed), func() {
+				for version := 2; version <= 6; version++ {
+					f.store(simConfiguration(version, largeRoutes))
+					f.run(f.now.Add(maxSpread))
+					So(f.outdated(), ShouldEqual, 0)
+				}
+			})
+			Convey(fmt.Sprintf("changes in quick succession reach all in time after the last one (seed %d)", seed), func() {
+				for version := 2; version <= 20; version++ {
+					f.store(simConfiguration(version, largeRoutes))
+					f.run(f.now.Add(250 * time.Millisecond))
+				}
+				f.run(f.now.Add(maxSpread))
+				So(f.outdated(), ShouldEqual, 0)
+			})
+			Convey(fmt.Sprintf("a change during an outage reaches all in time after its end (seed %d)", seed), func() {
+				f.storeDown = true
+				f.run(f.now.Add(8 * time.Second))
+				f.store(simConfiguration(2, largeRoutes))
+				f.storeDown = false
+				f.run(f.now.Add(maxSpread))
+				So(f.outdated(), ShouldEqual, 0)
+			})
+		}
+	})
+}
