--- a/exchange/announcement.go
+++ b/exchange/announcement.go
@@ -29,21 +29,21 @@
 	}
 	d.own = ownAnnouncement{update: u, rank: d.random.Uint64(), leftTo: make(map[string]int64)}
 	announcement := u
-	announcement.Changed, announcement.Rank = nil, d.own.rank
+	announcement.Changed, announcement.Announced, announcement.Rank = nil, make(map[string]int64), d.own.rank
 	for _, e := range u.Changed {
-		announcement.Announced = append(announcement.Announced, EntryVersion{Name: e.Name, Revision: e.Revision})
+		announcement.Announced[e.Name] = e.Revision
 	}
 	return announcement
 }
 
 // noteAnnounced records the announcement that an update of a peer contains.
 func (d *Dataset) noteAnnounced(u Update) {
-	for _, v := range u.Announced {
-		if v.Revision > max(d.entries[v.Name].Revision, d.announced[v.Name]) {
-			d.announced[v.Name] = v.Revision
+	for name, revision := range u.Announced {
+		if revision > max(d.entries[name].Revision, d.announced[name]) {
+			d.announced[name] = revision
 		}
 		if u.Rank < d.own.rank {
-			d.own.leftTo[v.Name] = max(d.own.leftTo[v.Name], v.Revision)
+			d.own.leftTo[name] = max(d.own.leftTo[name], revision)
 		}
 	}
 }
--- a/exchange/announcement_test.go
+++ b/exchange/announcement_test.go
@@ -79,14 +79,14 @@
 		Convey("a later read sends what changed", func() {
 			read(object("a", 1), object("b", 2))
 			So(read(object("a", 1), object("b", 3)).Changed, ShouldHaveLength, 1)
-			So(read(object("b", 3), largeObject("c", 4)).Announced, ShouldResemble, []EntryVersion{{"c", 4}})
+			So(read(object("b", 3), largeObject("c", 4)).Announced, ShouldResemble, map[string]int64{"c": 4})
 			values, ok := d.AnnouncedValues()
 			So(ok, ShouldBeTrue)
 			So(values.Changed, ShouldHaveLength, 1)
 		})
 		Convey("a read that finds what a peer has announced sends nothing", func() {
 			read(largeObject("a", 1))
-			d.ApplyUpdate(now, Update{Kind: "k", StoreRevision: 2, Announced: []EntryVersion{{"a", 2}}})
+			d.ApplyUpdate(now, Update{Kind: "k", StoreRevision: 2, Announced: map[string]int64{"a": 2}})
 			sendsNothing(read(largeObject("a", 2)))
 			Convey("but what came after that is sent", func() {
 				So(read(largeObject("a", 3)).Announced, ShouldHaveLength, 1)
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -14,12 +14,6 @@
 	Value    []byte `msgpack:"v"`
 }
 
-// EntryVersion identifies one version of an entry.
-type EntryVersion struct {
-	Name     string `msgpack:"n"`
-	Revision int64  `msgpack:"r"`
-}
-
 // Update is the message in which a daemon that has read the store reports the changes
 // to its peers. If the values are large, it only announces the changed entries, and their
 // values follow in a second update.
@@ -28,11 +22,11 @@
 	StoreRevision int64         `msgpack:"a"` // revision of the store at the read
 	Age           time.Duration `msgpack:"g"` // time since the read was sent
 	Checksum      uint64        `msgpack:"s"` // of all entries after the changes
-	Changed       []Entry       `msgpack:"c,omitempty"`
+	Changed       Entries       `msgpack:"c,omitempty"`
 	Removed       []string      `msgpack:"d,omitempty"`
 
-	Announced []EntryVersion `msgpack:"v,omitempty"` // changed entries whose values follow
-	Rank      uint64         `msgpack:"w,omitempty"` // of the announcement; of several daemons, the one with the lowest sends the values
+	Announced map[string]int64 `msgpack:"v,omitempty"` // revisions, by name, of changed entries whose values follow
+	Rank      uint64           `msgpack:"w,omitempty"` // of the announcement; of several daemons, the one with the lowest sends the values
 }
 
 // Query requests a peer's snapshot of a dataset.
@@ -48,28 +42,20 @@
 	Age           time.Duration `msgpack:"g"`           // time since the entries were last known to match the store
 	Checksum      uint64        `msgpack:"s"`           // of all entries
 	Unchanged     bool          `msgpack:"m,omitempty"` // the requester has the same entries; Entries is empty
-	Entries       []Entry       `msgpack:"e,omitempty"`
+	Entries       Entries       `msgpack:"e,omitempty"`
 }
 
 // ValueBytes returns the total size of the values that the update contains.
-func (u Update) ValueBytes() int { return valueBytes(u.Changed) }
-
-func valueBytes(entries []Entry) int {
-	n := 0
-	for _, e := range entries {
-		n += len(e.Value)
-	}
-	return n
-}
+func (u Update) ValueBytes() int { return u.Changed.valueBytes() }
 
 // Change is the difference that an operation made to a dataset.
 type Change struct {
-	Changed []Entry
+	Changed Entries
 	Removed []string
 }
 
 // ValueBytes returns the total size of the changed values.
-func (c Change) ValueBytes() int { return valueBytes(c.Changed) }
+func (c Change) ValueBytes() int { return c.Changed.valueBytes() }
 
 // Empty reports whether nothing changed.
 func (c Change) Empty() bool { return len(c.Changed) == 0 && len(c.Removed) == 0 }
