exchange: a read of the store that takes long is claimed

Cause: only an update postpones the reads of the others, so the number of readers grows with the duration of a read, as the number of senders did.

A daemon whose last read took 50 ms or more now tells its peers when it begins the next one, and they leave it to that daemon, but never longer than the three periods after which each reads without updates. TestClaimsDontHideTheStore checks the limit of three periods.

Tried before and dropped (simulation, not committed): daemons whose reads are slow wait longer.

--- a/exchange/spread_test.go
+++ b/exchange/spread_test.go
@@ -46,9 +46,10 @@
 }
 
 type simDaemon struct {
-	dataset *Dataset
-	in, out simLink
-	reading bool
+	dataset  *Dataset
+	in, out  simLink
+	reading  bool
+	readTook time.Duration // by the last read
 }
 
 type simEvent struct {
@@ -77,6 +78,7 @@
 	daemons   []*simDaemon
 	storeOut  simLink
 	storeDown bool
+	reads     int // calls that the store answered
 	stored    objectstore.Object
 }
 
@@ -128,22 +130,25 @@
 		})
 		return
 	}
+	f.reads++
+	if d.readTook >= ClaimAbove {
+		claim := Claim{Kind: "k", Duration: d.readTook}
+		f.broadcast(d, claim, func(o *simDaemon) { o.dataset.ApplyClaim(f.now, claim) })
+	}
 	sentAt, object, revision := f.now, f.stored, f.stored.Revision
+	sendUpdate := func(u Update) {
+		f.broadcast(d, u, func(o *simDaemon) { o.dataset.ApplyUpdate(f.now, u) })
+	}
 	f.transfer(&f.storeOut, &d.in, len(object.Value), func() {
 		d.reading = false
+		d.readTook = f.now.Sub(sentAt)
 		_, update := d.dataset.ApplyRead(sentAt, []objectstore.Object{object}, revision)
 		update.Age = f.now.Sub(sentAt)
-		var others []*simDaemon
-		for _, o := range f.daemons {
-			if o != d {
-				others = append(others, o)
-			}
-		}
-		f.broadcast(d, others, update)
+		sendUpdate(update)
 		if len(update.Announced) > 0 {
 			f.schedule(f.now.Add(AnnounceDelay), func() {
 				if values, ok := d.dataset.AnnouncedValues(); ok {
-					f.broadcast(d, others, values)
+					sendUpdate(values)
 				}
 			})
 		}
@@ -151,25 +156,27 @@
 	})
 }
 
-// broadcast sends an update along a tree, like the transport of the daemons.
-func (f *simFleet) broadcast(from *simDaemon, to []*simDaemon, u Update) {
-	body, err := msgpack.Marshal(u)
+// broadcast sends a message to all other daemons along a tree, like the transport of the
+// daemons, and calls handle at each of them.
+func (f *simFleet) broadcast(from *simDaemon, message any, handle func(*simDaemon)) {
+	body, err := msgpack.Marshal(message)
 	if err != nil {
 		panic(err)
 	}
+	to := slices.DeleteFunc(slices.Clone(f.daemons), func(d *simDaemon) bool { return d == from })
 	f.random.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	f.relay(from, slices.Clone(to), len(body), u)
+	f.relay(from, to, len(body), handle)
 }
 
-func (f *simFleet) relay(from *simDaemon, to []*simDaemon, bytes int, u Update) {
+func (f *simFleet) relay(from *simDaemon, to []*simDaemon, bytes int, handle func(*simDaemon)) {
 	branches := make([][]*simDaemon, min(simFanout, len(to)))
 	for i, d := range to {
 		branches[i%simFanout] = append(branches[i%simFanout], d)
 	}
 	for _, branch := range branches {
 		f.transfer(&from.out, &branch[0].in, bytes, func() {
-			f.relay(branch[0], branch[1:], bytes, u)
-			branch[0].dataset.ApplyUpdate(f.now, u)
+			f.relay(branch[0], branch[1:], bytes, handle)
+			handle(branch[0])
 			f.scheduleRead(branch[0])
 		})
 	}
@@ -247,3 +254,19 @@
 		})
 	}
 }
+
+// TestSlowReadsStayFew guards against daemons that read the store at the same time
+// because a read takes long: with a configuration of 377 kB, 25 of 91 daemons began to
+// read it before the first reader's update reached them.
+func TestSlowReadsStayFew(t *testing.T) {
+	const seconds, readersPerRound = 10, 3
+	for seed := range uint64(5) {
+		Convey(fmt.Sprintf("Given 91 daemons and a value that takes 0.3 s to read, fewer than three read it per round, seed %d", seed), t, func() {
+			f := newSimFleet(seed, simConfiguration(1, 1660))
+			f.run(f.now.Add(5 * time.Second))
+			before := f.reads
+			f.run(f.now.Add(seconds * time.Second))
+			So(f.reads-before, ShouldBeLessThan, readersPerRound*int(seconds*time.Second/simPeriod))
+		})
+	}
+}
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -73,15 +73,22 @@
 // store, or from a peer if the store does not respond.
 func (d *datasets) refresh(ctx context.Context, kind string) {
 	backoff := storeRetryMin
+	var readTook time.Duration // by the last read of the store
 	for ctx.Err() == nil {
 		wait, useStore := d.nextRead(kind)
 		if wait > 0 {
 			pause.For(ctx, wait)
 			continue
 		}
-		if useStore && d.readStore(ctx, kind) {
-			backoff = storeRetryMin
-			continue
+		if useStore {
+			if readTook >= exchange.ClaimAbove {
+				d.g.peers.broadcast(kindClaim, exchange.Claim{Kind: kind, Duration: readTook})
+			}
+			var ok bool
+			if readTook, ok = d.readStore(ctx, kind); ok {
+				backoff = storeRetryMin
+				continue
+			}
 		}
 		if ctx.Err() != nil {
 			return
@@ -92,18 +99,21 @@
 	}
 }
 
-// readStore reads a dataset from the store and reports whether the store answered.
-func (d *datasets) readStore(ctx context.Context, kind string) bool {
+// readStore reads a dataset from the store. It returns how long the read took, and
+// whether the store answered. The duration of a failed read is 0.
+func (d *datasets) readStore(ctx context.Context, kind string) (took time.Duration, ok bool) {
 	sentAt := time.Now()
 	objects, storeRevision, err := d.g.store.List(ctx, kind)
 	if ctx.Err() != nil {
-		return false
+		return 0, false
 	}
 	d.recordStoreState(err)
-	if err == nil {
-		d.applyRead(ctx, sentAt, kind, objects, storeRevision)
+	if err != nil {
+		return 0, false
 	}
-	return err == nil
+	took = time.Since(sentAt)
+	d.applyRead(ctx, sentAt, kind, objects, storeRevision)
+	return took, true
 }
 
 // withJitter returns a random duration from d/2 to 3d/2.
@@ -185,6 +195,14 @@
 	})
 }
 
+func (d *datasets) applyClaim(c exchange.Claim) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if dataset := d.byKind[c.Kind]; dataset != nil {
+		dataset.ApplyClaim(time.Now(), c)
+	}
+}
+
 func (d *datasets) applySnapshot(snapshot exchange.Snapshot) {
 	d.modify(snapshot.Kind, sourceSnapshot, func(dataset *exchange.Dataset) exchange.Change { return dataset.ApplySnapshot(time.Now(), snapshot) })
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -24,6 +24,7 @@
 	kindLoad                                              // loadReport
 	kindSuspicion                                         // suspicion
 	kindCrashReports                                      // []quarantine.CrashReport
+	kindClaim                                             // exchange.Claim
 )
 
 // Timing of messages between daemons.
@@ -77,6 +78,7 @@
 	peer.HandleTyped(t, kindLoad, p.handleLoad)
 	peer.HandleTyped(t, kindSuspicion, p.handleSuspicion)
 	peer.HandleTyped(t, kindCrashReports, p.handleCrashReports)
+	peer.HandleTyped(t, kindClaim, p.handleClaim)
 	return p, nil
 }
 
@@ -177,6 +179,11 @@
 	return nil, nil
 }
 
+func (p *peers) handleClaim(_ context.Context, _ peer.Identity, c exchange.Claim) (any, error) {
+	p.g.datasets.applyClaim(c)
+	return nil, nil
+}
+
 func (p *peers) handleQuery(_ context.Context, _ peer.Identity, q exchange.Query) (any, error) {
 	s, ok := p.g.datasets.snapshot(q)
 	if !ok {
