--- a/exchange/dataset_test.go
+++ b/exchange/dataset_test.go
@@ -112,15 +112,25 @@
 			var objects []objectstore.Object
 			checksum := uint64(0)
 			for name, r := range stored {
-				objects = append(objects, object(name, r))
+				o := object(name, r)
+				if name >= "3" { // the values of half of the objects are large and therefore announced
+					o = largeObject(name, r)
+				}
+				objects = append(objects, o)
 				checksum ^= Entry{Name: name, Revision: r}.hash()
 			}
 			checksums[revision] = checksum
 			reader := rapid.IntRange(0, len(datasets)-1).Draw(t, "reader")
 			_, update := datasets[reader].ApplyRead(now, objects, revision)
+			updates := []Update{update}
+			if values, ok := datasets[reader].AnnouncedValues(); ok {
+				updates = append(updates, values)
+			}
 			for i := range datasets {
-				if i != reader && !rapid.Bool().Draw(t, "lost") {
-					pending = append(pending, delivery{i, update})
+				for _, u := range updates {
+					if i != reader && !rapid.Bool().Draw(t, "lost") {
+						pending = append(pending, delivery{i, u})
+					}
 				}
 			}
 			for range rapid.IntRange(0, len(pending)).Draw(t, "arrive") {
