exchange: the simulated fleet also starts daemons again

TestLargeConfigurationReachesAllInTime has a case in which half of the daemons start again at each of four changes.

--- a/exchange/spread_test.go
+++ b/exchange/spread_test.go
@@ -87,9 +87,8 @@
 		now: start, random: rand.New(rand.NewPCG(seed, seed)), storeOut: simLink{rate: simStoreLinkRate},
 		stored: objectstore.Object{Name: "main", Revision: 1, Value: value},
 	}
-	for i := range simDaemons {
-		d := &simDaemon{dataset: NewDataset("k", simPeriod, seed<<32+uint64(i)), in: simLink{rate: simLinkRate}, out: simLink{rate: simLinkRate}}
-		d.dataset.SetReaders(simDaemons)
+	for range simDaemons {
+		d := &simDaemon{dataset: f.newDataset(), in: simLink{rate: simLinkRate}, out: simLink{rate: simLinkRate}}
 		d.dataset.ApplyRead(f.now, []objectstore.Object{f.stored}, f.stored.Revision)
 		f.daemons = append(f.daemons, d)
 		f.scheduleRead(d)
@@ -97,6 +96,18 @@
 	return f
 }
 
+func (f *simFleet) newDataset() *Dataset {
+	d := NewDataset("k", simPeriod, f.random.Uint64())
+	d.SetReaders(simDaemons)
+	return d
+}
+
+// restart lets a daemon lose its entries.
+func (f *simFleet) restart(d *simDaemon) {
+	d.dataset = f.newDataset()
+	f.scheduleRead(d)
+}
+
 func (f *simFleet) schedule(at time.Time, run func()) { heap.Push(&f.events, simEvent{at, run}) }
 
 // run simulates until the given time.
@@ -220,7 +231,7 @@
 
 // TestLargeConfigurationReachesAllInTime guards against inc1: after a change that adds
 // 1,600 routes, daemons on slow links sent each other so many copies of the
-// configuration that the next versions were in force seconds too late.
+// configuration that the next versions became active seconds too late.
 func TestLargeConfigurationReachesAllInTime(t *testing.T) {
 	const smallRoutes, largeRoutes = 60, 1660
 	for seed := range uint64(5) {
@@ -243,6 +254,18 @@
 				f.run(f.now.Add(maxSpread))
 				So(f.outdated(), ShouldEqual, 0)
 			})
+			Convey("changes reach all in time while half of the daemons start again", func() {
+				f.store(simConfiguration(2, largeRoutes))
+				f.run(f.now.Add(maxSpread))
+				for version := 3; version <= 6; version++ {
+					for _, d := range f.daemons[:simDaemons/2] {
+						f.restart(d)
+					}
+					f.store(simConfiguration(version, largeRoutes))
+					f.run(f.now.Add(maxSpread))
+					So(f.outdated(), ShouldEqual, 0)
+				}
+			})
 			Convey("a change during an outage reaches all in time after its end", func() {
 				f.storeDown = true
 				f.run(f.now.Add(8 * time.Second))
