--- a/event/numbers_platform.go
+++ b/event/numbers_platform.go
@@ -15,6 +15,6 @@
 	{PlatformRecovered, "platform_back", Info, "The store of the platform answers again.", ""},
 	{PeerLost, "peer_lost", Info, "A connection to another daemon timed out or broke.", ""},
 	{ChangesSent, "changes_sent", Info, "This daemon read changes from the store and sends them to its peers; bytes is the size of the values before compression.", ""},
-	{ChangesLeft, "changes_left", Info, "This daemon read changes from the store, but left it to another reader to send the values.", ""},
 	{ChangesRepeated, "changes_repeated", Info, "Entries arrived again that this daemon already had, as many as the fields say since its last such line; bytes is the size of the values before compression.", "Many bytes: look for several daemons with changes_sent for the same revision."},
+	{ChangesLeft, "changes_left", Info, "This daemon read changes from the store, but left it to another reader to send the values.", ""},
 }
