--- a/exchange/dataset.go
+++ b/exchange/dataset.go
@@ -4,6 +4,9 @@
 // their own reads. The number of reads therefore does not grow with the number of
 // daemons, and a daemon that can't reach the store gets the data from its peers.
 //
+// What takes long is agreed on before it begins, so that one daemon does it for all: a
+// Claim precedes a slow read, and an announcement precedes large values.
+//
 // The package does no I/O and reads no clock: callers pass in times, results of reads
 // and messages, and get back changes and the messages to send.
 package exchange
@@ -28,7 +31,7 @@
 	skew          float64 // of the jitter's distribution: 1 is uniform, larger values make long delays more likely
 	entries       map[string]Entry
 	announced     map[string]int64 // newer revisions, by name, whose values a peer is about to send
-	own           ownAnnouncement  // the last one
+	own           ownAnnouncement  // this daemon's last announcement
 	checksum      uint64           // XOR of the entries' hashes
 	latest        announcedState   // as reported by the update with the highest revision
 	storeRevision int64            // revision of the store at the last read or match; -1 before the first
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -179,6 +179,7 @@
 	d.sendUpdate(values)
 }
 
+// sendUpdate broadcasts an update and logs the changes that it contains.
 func (d *datasets) sendUpdate(u exchange.Update) {
 	if changes := len(u.Changed) + len(u.Removed); changes > 0 {
 		d.g.events.Record(event.ChangesSent, "", event.F("kind", u.Kind), event.F("revision", strconv.FormatInt(u.StoreRevision, 10)),
