gateway: log the crashes on record with each crash, trial and cleared request

New: request_on_trial (a request runs although its content has crashes on record), crash_reports_applied (a peer's reports held crashes unknown here) and crash_reports_cleared. Decisions are the same.

Tests of gateway, quarantine and event pass.

--- a/event/numbers_generation.go
+++ b/event/numbers_generation.go
@@ -18,6 +18,9 @@
 	StreamAttached       Number = 413
 	GenerationTakenOver  Number = 414
 	RequestCrashReported Number = 415
+	RequestOnTrial       Number = 416
+	CrashReportsApplied  Number = 417
+	CrashReportsCleared  Number = 418
 )
 
 var generationEntries = []Entry{
@@ -36,5 +39,8 @@
 	{GenerationContinued, "generation_continued", Info, "This daemon continues a generation that ran at another daemon, after the tokens that the caller already has.", ""},
 	{StreamAttached, "stream_attached", Info, "This daemon attached to a running stream of a target on a new connection; no work is repeated.", ""},
 	{GenerationTakenOver, "generation_taken", Info, "Another daemon took over an answer; this daemon detached from its stream, which keeps running.", ""},
-	{RequestCrashReported, "request_struck", Info, "A target crashed while it ran a request; the crash is counted for the request.", ""},
+	{RequestCrashReported, "request_struck", Info, "A target crashed while it ran a request; the crash is counted for the request. refused says whether its content is refused from now on.", ""},
+	{RequestOnTrial, "request_on_trial", Info, "A request may run although targets have crashed while they ran its content.", ""},
+	{CrashReportsApplied, "crash_reports_applied", Info, "A peer reported crashes that this daemon did not know; fingerprint names the content with the most crashes.", ""},
+	{CrashReportsCleared, "crash_reports_cleared", Info, "A target answered a request, and the recorded crashes of its content were dropped.", ""},
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -54,26 +56,46 @@
 	if c.empty() {
 		return nil
 	}
+	start := time.Now()
 	for key := requestKey(r); ; {
 		c.mu.Lock()
 		v := c.ledger.Check(time.Now(), key)
+		standing := c.ledger.Standing(key)
 		c.mu.Unlock()
 		if v.Refusal != nil {
 			c.g.events.Record(event.RequestQuarantined, r.ID, event.F("error", v.Refusal.Error()))
 			return v.Refusal
 		}
 		if v.Wait == 0 || !pause.For(ctx, v.Wait) {
+			if standing.Crashes > 0 {
+				c.g.events.Record(event.RequestOnTrial, r.ID, append(standingFields(key, standing), event.F("waited", time.Since(start).String()))...)
+			}
 			return nil
 		}
 	}
 }
 
+// standingFields returns the log fields of the standing of a request's content.
+func standingFields(key quarantine.RequestKey, s quarantine.Standing) []event.Field {
+	fields := []event.Field{
+		event.F("fingerprint", formatFingerprint(key.Fingerprint)), event.F("crashes", strconv.Itoa(s.Crashes)), event.F("refused", strconv.FormatBool(s.Refused)),
+	}
+	if s.OtherSuspect != 0 {
+		fields = append(fields, event.F("other_suspect", formatFingerprint(s.OtherSuspect)))
+	}
+	return fields
+}
+
+func formatFingerprint(f uint64) string { return fmt.Sprintf("%016x", f) }
+
 // ReportCrash implements forward.CrashTracker.
 func (c *crashTracker) ReportCrash(r *forward.Request, t fleet.Target) {
+	key := requestKey(r)
 	c.mu.Lock()
-	reports := c.ledger.ReportCrash(time.Now(), quarantine.CrashReport{Request: requestKey(r), Target: t.ID, AtStart: true})
+	reports := c.ledger.ReportCrash(time.Now(), quarantine.CrashReport{Request: key, Target: t.ID, AtStart: true})
+	standing := c.ledger.Standing(key)
 	c.mu.Unlock()
-	c.g.events.Record(event.RequestCrashReported, r.ID, event.F("target", t.ID))
+	c.g.events.Record(event.RequestCrashReported, r.ID, append(standingFields(key, standing), event.F("target", t.ID))...)
 	if len(reports) > 0 {
 		c.g.peers.sendCrashReports(reports)
 	}
@@ -86,8 +108,12 @@
 	}
 	key := requestKey(r)
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	standing := c.ledger.Standing(key)
 	c.ledger.Clear(key)
+	c.mu.Unlock()
+	if standing.Crashes > 0 {
+		c.g.events.Record(event.CrashReportsCleared, r.ID, standingFields(key, standing)...)
+	}
 }
 
 // reports returns the crash reports that all daemons should have.
@@ -98,10 +124,20 @@
 }
 
 // applyReports records the crash reports of a peer.
-func (c *crashTracker) applyReports(reports []quarantine.CrashReport) {
+func (c *crashTracker) applyReports(from string, reports []quarantine.CrashReport) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	newCrashes, worst, worstKey := 0, quarantine.Standing{}, quarantine.RequestKey{}
 	for _, report := range reports {
+		crashesBefore := c.ledger.Standing(report.Request).Crashes
 		c.ledger.ReportCrash(time.Now(), report)
+		standing := c.ledger.Standing(report.Request)
+		newCrashes += standing.Crashes - crashesBefore
+		if standing.Crashes > worst.Crashes {
+			worst, worstKey = standing, report.Request
+		}
+	}
+	c.mu.Unlock()
+	if newCrashes > 0 {
+		c.g.events.Record(event.CrashReportsApplied, "", append(standingFields(worstKey, worst), event.F("member", from), event.F("new", strconv.Itoa(newCrashes)))...)
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -286,7 +286,7 @@
 	}
 }
 
-func (p *peers) handleCrashReports(_ context.Context, _ peer.Identity, reports []quarantine.CrashReport) (any, error) {
-	p.g.crashTracker.applyReports(reports)
+func (p *peers) handleCrashReports(_ context.Context, from peer.Identity, reports []quarantine.CrashReport) (any, error) {
+	p.g.crashTracker.applyReports(from.ID, reports)
 	return nil, nil
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -329,18 +329,42 @@
 	case w >= limit+startWeight*l.settings.ExtraTargets:
 		return true
 	}
-	return !l.hasOtherSuspect(e)
+	return l.otherSuspect(e) == nil
 }
 
-// hasOtherSuspect reports whether another request was present at all the same crashes
-// with at least the same weights, so that either may have caused them.
-func (l *Ledger) hasOtherSuspect(e *entry) bool {
+// otherSuspect returns the entry of another request that was present at all the same
+// crashes with at least the same weights, so that either may have caused them. It
+// returns nil if there is none.
+func (l *Ledger) otherSuspect(e *entry) *entry {
 	for _, other := range l.byFingerprint {
 		if other.fingerprint != e.fingerprint && l.coversCrashes(other, e) {
-			return true
+			return other
 		}
 	}
-	return false
+	return nil
+}
+
+// Standing summarizes the crashes recorded for the content of a request.
+type Standing struct {
+	Crashes int
+	// Refused reports whether requests with the content are refused.
+	Refused bool
+	// OtherSuspect is the fingerprint of another request that was present at all the
+	// same crashes; 0 if there is none.
+	OtherSuspect uint64
+}
+
+// Standing returns the standing of the content of a request.
+func (l *Ledger) Standing(request RequestKey) Standing {
+	e := l.byFingerprint[request.Fingerprint]
+	if e == nil {
+		return Standing{}
+	}
+	s := Standing{Crashes: len(e.crashes), Refused: l.overLimit(e)}
+	if other := l.otherSuspect(e); other != nil {
+		s.OtherSuspect = other.fingerprint
+	}
+	return s
 }
 
 // coversCrashes reports whether other has all crashes of e with at least the same weights.
