--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -20,14 +20,15 @@
 // crashTracker records which requests crash targets. It implements
 // forward.CrashTracker with a quarantine.Ledger and sends crash reports to peers.
 type crashTracker struct {
-	g *Gateway
+	events *event.Recorder
+	send   func([]quarantine.CrashReport) // sends crash reports to the other daemons
 
 	mu     sync.Mutex
 	ledger *quarantine.Ledger
 }
 
-func newCrashTracker(g *Gateway) *crashTracker {
-	return &crashTracker{g: g, ledger: quarantine.NewLedger(quarantine.DefaultSettings())}
+func newCrashTracker(events *event.Recorder, send func([]quarantine.CrashReport)) *crashTracker {
+	return &crashTracker{events: events, send: send, ledger: quarantine.NewLedger(quarantine.DefaultSettings())}
 }
 
 // requestKey identifies a request by its id and by a hash of its content, because a
@@ -63,12 +64,12 @@
 		standing := c.ledger.Standing(key)
 		c.mu.Unlock()
 		if v.Refusal != nil {
-			c.g.events.Record(event.RequestQuarantined, r.ID, event.F("error", v.Refusal.Error()))
+			c.events.Record(event.RequestQuarantined, r.ID, event.F("error", v.Refusal.Error()))
 			return v.Refusal
 		}
 		if v.Wait == 0 || !pause.For(ctx, v.Wait) {
 			if standing.Crashes > 0 {
-				c.g.events.Record(event.RequestOnTrial, r.ID, append(standingFields(key, standing), event.F("waited", time.Since(start).String()))...)
+				c.events.Record(event.RequestOnTrial, r.ID, append(standingFields(key, standing), event.F("waited", time.Since(start).String()))...)
 			}
 			return nil
 		}
@@ -95,9 +96,9 @@
 	reports := c.ledger.ReportCrash(time.Now(), quarantine.CrashReport{Request: key, Target: t.ID, AtStart: true})
 	standing := c.ledger.Standing(key)
 	c.mu.Unlock()
-	c.g.events.Record(event.RequestCrashReported, r.ID, append(standingFields(key, standing), event.F("target", t.ID))...)
+	c.events.Record(event.RequestCrashReported, r.ID, append(standingFields(key, standing), event.F("target", t.ID))...)
 	if len(reports) > 0 {
-		c.g.peers.sendCrashReports(reports)
+		c.send(reports)
 	}
 }
 
@@ -112,7 +113,7 @@
 	c.ledger.Clear(key)
 	c.mu.Unlock()
 	if standing.Crashes > 0 {
-		c.g.events.Record(event.CrashReportsCleared, r.ID, standingFields(key, standing)...)
+		c.events.Record(event.CrashReportsCleared, r.ID, standingFields(key, standing)...)
 	}
 }
 
@@ -138,6 +139,6 @@
 	}
 	c.mu.Unlock()
 	if newCrashes > 0 {
-		c.g.events.Record(event.CrashReportsApplied, "", append(standingFields(worstKey, worst), event.F("member", from), event.F("new", strconv.Itoa(newCrashes)))...)
+		c.events.Record(event.CrashReportsApplied, "", append(standingFields(worstKey, worst), event.F("member", from), event.F("new", strconv.Itoa(newCrashes)))...)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/quarantine"
 )
 
 // Gateway is one gateway daemon.
@@ -87,7 +88,8 @@
 	g.settings.Store(&s)
 	g.events.LimitRoutineLogs(routineLinesPerSecond)
 	g.store = platform.NewClient("http://"+s.Store, g.metrics)
-	g.members, g.datasets, g.crashTracker = newMembers(g), newDatasets(g), newCrashTracker(g)
+	g.members, g.datasets = newMembers(g), newDatasets(g)
+	g.crashTracker = newCrashTracker(g.events, func(reports []quarantine.CrashReport) { g.peers.sendCrashReports(reports) })
 	g.forwarder = &forward.Forwarder{
 		TargetClient: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, PlacementLimiter: forward.NewPlacementLimiter(),
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
