--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -292,3 +292,20 @@
 	Name: "stream", Kind: ingress.Streaming, Resumable: true, Timeout: 25 * time.Second,
 	LatencyObjective: 4500 * time.Millisecond, MaxEventGap: 700 * time.Millisecond, MaxAttempts: 5,
 }
+
+// limitedCrashTracker refuses every request after limit reported crashes.
+type limitedCrashTracker struct {
+	limit   int
+	crashed []string
+}
+
+func (c *limitedCrashTracker) Check(context.Context, *Request) *failure.Error {
+	if len(c.crashed) < c.limit {
+		return nil
+	}
+	return failure.New(failure.Quarantined, failure.NotRun, "quarantine", "", "%d targets failed under this request", len(c.crashed))
+}
+func (c *limitedCrashTracker) ReportCrash(_ *Request, t fleet.Target) {
+	c.crashed = append(c.crashed, t.ID)
+}
+func (*limitedCrashTracker) ReportSuccess(*Request) {}
--- /dev/null
+++ b/forward/quarantine_test.go
@@ -0,0 +1,46 @@
+package forward
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/ingress"
+)
+
+// TestQuarantinedRequestIsNotSentAgain guards against a request that crashes one target
+// after the other, because its content was checked only when it arrived.
+func TestQuarantinedRequestIsNotSentAgain(t *testing.T) {
+	call := callRoute
+	call.Kind, call.MaxAttempts = ingress.Idempotent, 5
+	cases := map[string]struct {
+		route    ingress.Route
+		crashing behaviour
+	}{
+		"stream, the target crashes before the head":        {streamRoute, failing(ErrNoAnswer)},
+		"stream, the target crashes before the first event": {streamRoute, streaming(50, 0, eventGap, io.ErrUnexpectedEOF)},
+		"call": {call, failing(ErrNoAnswer)},
+	}
+	for name, c := range cases {
+		for limit := 1; limit <= 3; limit++ {
+			synctest.Test(t, func(t *testing.T) {
+				targets := make(map[string]behaviour)
+				for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+					targets[id] = c.crashing
+				}
+				s := newFixture(targets)
+				s.Forwarder.CrashTracker = &limitedCrashTracker{limit: limit}
+				got := s.serve(t, c.route)
+				time.Sleep(time.Minute)
+				if n := len(s.client.attempts()); n != limit {
+					t.Errorf("%s: sent to %d targets, want it refused after %d crashes", name, n, limit)
+				}
+				if got.err != nil && (got.err.Code != failure.Quarantined || got.err.Outcome != failure.Unknown) {
+					t.Errorf("%s: got error %v, want quarantined with an unknown outcome, since targets ran the request", name, got.err)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/gateway/poison_fleet_test.go
@@ -0,0 +1,263 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/forward"
+	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/quarantine"
+)
+
+// Timing of a poisonFleet.
+const (
+	prefillTime  = 1200 * time.Millisecond
+	crashDelay   = 80 * time.Millisecond // from the end of the prefill to the crash
+	eventGap     = 30 * time.Millisecond
+	restartTime  = 3 * time.Second
+	maxReportLag = 20 * time.Millisecond // latency of a message between daemons
+)
+
+// poisonFleet simulates daemons and engines without a network, on the virtual clock of
+// a synctest bubble. Requests whose body is poisonBody crash the engines that run them.
+type poisonFleet struct {
+	random *rand.Rand
+
+	mu      sync.Mutex
+	daemons []*simDaemon
+	engines map[string]*simEngine // by target id
+	sends   []time.Time           // of poison requests to engines
+	crashes []time.Time           // caused by poison requests
+	starts  int                   // of engines, from which their ids are derived
+}
+
+const poisonBody = "poison"
+
+type simDaemon struct {
+	*forward.Forwarder
+	id      string
+	tracker *crashTracker
+}
+
+// simEngine is one incarnation of an engine.
+type simEngine struct {
+	target fleet.Target
+	runs   map[*io.PipeWriter]bool
+	down   bool
+}
+
+func newPoisonFleet(seed uint64, daemons, engines int) *poisonFleet {
+	s := &poisonFleet{random: rand.New(rand.NewPCG(seed, seed)), engines: make(map[string]*simEngine)}
+	for i := range daemons {
+		s.daemons = append(s.daemons, s.newDaemon(fmt.Sprint("vm-", i)))
+	}
+	for i := range engines {
+		s.startEngine(fmt.Sprint("place-", i%4))
+	}
+	return s
+}
+
+func (s *poisonFleet) newDaemon(id string) *simDaemon {
+	d := &simDaemon{id: id}
+	events := event.NewRecorder(id, event.NewClock(time.Now), log.NewNopLogger(), 16)
+	f := fleet.New("place-0", s.random.Uint64())
+	d.tracker = newCrashTracker(events, func(reports []quarantine.CrashReport) { s.sendReports(d, reports) })
+	d.Forwarder = &forward.Forwarder{
+		TargetClient: s, Fleet: f, Events: events, Metrics: metrics.NewRegistry(), CrashTracker: d.tracker,
+		Prober: forward.NewProber(s, f, events), CacheLocator: forward.NewCacheLocator(s), PlacementLimiter: forward.NewPlacementLimiter(),
+		RetryBudget: forward.NewRetryBudget(time.Now().Add(-time.Minute), forward.RetryBudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
+		Model:       func(string) *ingress.Model { return nil },
+	}
+	d.RetryBudget.SetDaemons(1)
+	return d
+}
+
+// sendReports delivers crash reports to the other daemons.
+func (s *poisonFleet) sendReports(from *simDaemon, reports []quarantine.CrashReport) {
+	for _, d := range s.daemons {
+		if d != from {
+			time.AfterFunc(s.randomDuration(maxReportLag), func() { d.tracker.applyReports(from.id, reports) })
+		}
+	}
+}
+
+func (s *poisonFleet) randomDuration(limit time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.random.Int64N(int64(limit)))
+}
+
+// startEngine starts an engine under a new id and registers it with all daemons.
+func (s *poisonFleet) startEngine(place string) {
+	s.mu.Lock()
+	s.starts++
+	id := fmt.Sprint("i-", s.starts)
+	t := fleet.Target{ID: id, Service: "svc", Address: id + ":1", Place: place, Slots: 64}
+	s.engines[id] = &simEngine{target: t, runs: make(map[*io.PipeWriter]bool)}
+	s.mu.Unlock()
+	for _, d := range s.daemons {
+		d.Fleet.Put(t)
+	}
+}
+
+// crash ends all runs of an engine, which starts again after restartTime.
+func (s *poisonFleet) crash(e *simEngine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.down {
+		return
+	}
+	e.down = true
+	s.crashes = append(s.crashes, time.Now())
+	for w := range e.runs {
+		_ = w.CloseWithError(io.ErrUnexpectedEOF)
+	}
+	time.AfterFunc(restartTime, func() {
+		for _, d := range s.daemons {
+			d.Fleet.Remove(time.Now(), e.target.ID, false)
+		}
+		s.startEngine(e.target.Place)
+	})
+}
+
+// Send implements forward.TargetClient.
+func (s *poisonFleet) Send(ctx context.Context, a forward.Attempt) (*forward.Answer, error) {
+	poison := string(a.Request.Body) == poisonBody
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.engines[a.Target.ID]
+	if e.down {
+		return nil, errors.WithStack(errNotListening)
+	}
+	if poison {
+		s.sends = append(s.sends, time.Now())
+	}
+	r, w := io.Pipe()
+	e.runs[w] = true
+	go func() {
+		defer func() {
+			s.mu.Lock()
+			delete(e.runs, w)
+			s.mu.Unlock()
+		}()
+		s.run(ctx, e, a, poison, w)
+	}()
+	return &forward.Answer{Status: http.StatusOK, Signed: true, Framed: true, Header: http.Header{}, Body: r}, nil
+}
+
+// errNotListening is the error of a send to an engine that is down.
+var errNotListening = fmt.Errorf("%w: %w", forward.ErrNotSent, forward.ErrNotListening)
+
+// lastEvent is the id of the last event of an answer.
+const lastEvent = 100
+
+// run produces the events of one run, or crashes the engine.
+func (s *poisonFleet) run(ctx context.Context, e *simEngine, a forward.Attempt, poison bool, w *io.PipeWriter) {
+	wait := func(d time.Duration) bool {
+		select {
+		case <-time.After(d):
+			return true
+		case <-ctx.Done():
+			_ = w.CloseWithError(ctx.Err())
+			return false
+		}
+	}
+	if !wait(prefillTime) {
+		return
+	}
+	if poison {
+		if wait(crashDelay) {
+			s.crash(e)
+		}
+		return
+	}
+	next, _ := strconv.Atoi(a.LastEventID) // 0 without a last event
+	for ; next <= lastEvent; next++ {
+		if !wait(eventGap) {
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", next); err != nil {
+			return
+		}
+	}
+	_ = w.Close()
+}
+
+// Report implements forward.TargetClient.
+func (s *poisonFleet) Report(_ context.Context, t fleet.Target) (forward.Report, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.engines[t.ID].down {
+		return forward.Report{}, errors.WithStack(errNotListening)
+	}
+	return forward.Report{}, nil
+}
+
+var errNoCopies = errors.New("no copies in this simulation")
+
+// Copy implements forward.TargetClient.
+func (*poisonFleet) Copy(context.Context, fleet.Target, string, fleet.Target) (forward.Copy, error) {
+	return forward.Copy{}, errNoCopies
+}
+
+// Move implements forward.TargetClient.
+func (*poisonFleet) Move(context.Context, fleet.Target, string, fleet.Target) (forward.Copy, fleet.Target, error) {
+	return forward.Copy{}, fleet.Target{}, errNoCopies
+}
+
+// CachedKeys implements forward.TargetClient.
+func (*poisonFleet) CachedKeys(context.Context, fleet.Target) (map[string]bool, error) {
+	return nil, errNoCopies
+}
+
+// Release implements forward.TargetClient.
+func (*poisonFleet) Release(context.Context, fleet.Target, forward.Copy) error { return errNoCopies }
+
+// simRoute is the route of all requests of the simulation.
+var simRoute = ingress.Route{
+	Name: "stream", Kind: ingress.Streaming, Resumable: true, Timeout: 25 * time.Second,
+	LatencyObjective: 4500 * time.Millisecond, MaxEventGap: 700 * time.Millisecond, MaxAttempts: 5,
+	Services: []ingress.WeightedService{{Service: "svc", Weight: 1}},
+}
+
+// request sends a request to a random daemon and returns what its caller received.
+func (s *poisonFleet) request(id, body string) *simCaller {
+	s.mu.Lock()
+	d := s.daemons[s.random.IntN(len(s.daemons))]
+	s.mu.Unlock()
+	c := &simCaller{}
+	now := time.Now()
+	d.Serve(context.Background(), &forward.Request{
+		ID: id, Method: http.MethodPost, Host: "h", URI: "/a/1", Body: []byte(body), Header: http.Header{}, Workspace: "w",
+		Received: now, Deadline: now.Add(25 * time.Second), Route: &simRoute, Service: "svc",
+		Prompt: forward.Prompt{Tokens: 5000, MaxOutputTokens: 1000, CacheKey: body},
+	}, c)
+	return c
+}
+
+// simCaller implements forward.Responder.
+type simCaller struct {
+	err      *failure.Error
+	events   int
+	complete bool
+}
+
+func (c *simCaller) Answer(int, http.Header, []byte) {}
+func (c *simCaller) Fail(err *failure.Error)         { c.err = err }
+func (c *simCaller) Begin(int, http.Header) error    { return nil }
+func (c *simCaller) Event([]byte) error              { c.events++; return nil }
+func (c *simCaller) End()                            { c.complete = true }
+func (c *simCaller) Abort()                          {}
