forward: check a request's crashes before each send, not only when it arrives

Cause: Forwarder.Serve asked the crash tracker once, on arrival. The sends that follow a loss were bounded by max_attempts only. Of four requests with one content, at four daemons, each went on to five engines, while the same daemons refused the content under other ids.

Evidence: front-paviljon-sever-2 refuses the content at 71.842 (seven crashes on record) and sends it at 73.036 and 74.344 under an id that had arrived before.

Fix: one gate, allowAttempt, before each send of a call or stream: attempts left, not quarantined, retry budget. The verdict is as old as the send that it allows. As a retry now also waits for the crash reports of other daemons, the gateway's settle time is 20 ms instead of 150: they are sent at once.

--- a/forward/call.go
+++ b/forward/call.go
@@ -60,7 +60,11 @@
 func (c *call) run(ctx context.Context) (*bufferedAnswer, *failure.Error) {
 	var lastErr *failure.Error
 	for failedDials := 0; ; {
-		if len(c.tried) > 0 && !c.forwarder.allowRetry(c.request, len(c.tried)) {
+		allowed, refusal := c.forwarder.allowAttempt(ctx, c.request, len(c.tried))
+		if refusal != nil {
+			lastErr = refusal
+		}
+		if !allowed {
 			break
 		}
 		target, err := c.forwarder.Fleet.Pick(time.Now(), fleet.Criteria{Service: c.request.Service, Exclude: c.tried})
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -169,7 +169,8 @@
 
 // CrashTracker tracks requests that crash the targets on which they run.
 type CrashTracker interface {
-	// Check returns the reason why a request must not run, or nil. It may block.
+	// Check returns the reason why a request must not be sent to a target now, or nil.
+	// It may block until ctx is done.
 	Check(ctx context.Context, r *Request) *failure.Error
 	// ReportCrash records that the connection to a target broke while the target had
 	// the request: before the complete answer of a call, or before the first event of a
@@ -213,10 +214,6 @@
 		ctx, cancel = context.WithDeadline(ctx, deadline)
 		defer cancel()
 	}
-	if err := f.CrashTracker.Check(ctx, r); err != nil {
-		f.failRequest(r, w, err)
-		return
-	}
 	if r.Route.Kind == ingress.Streaming {
 		newStream(f, r, w).run(ctx)
 		return
@@ -249,17 +246,27 @@
 // maxAttempts returns the largest number of targets that a request is sent to.
 func (r *Request) maxAttempts() int { return max(1, r.Route.MaxAttempts) }
 
-// allowRetry reports whether a request may be sent to one more target after so many
-// attempts. If so, it consumes retry budget.
-func (f *Forwarder) allowRetry(r *Request, attempts int) bool {
-	if attempts >= r.maxAttempts() {
-		return false
+// allowAttempt reports whether a request may be sent to one more target after so many
+// attempts. If so, it consumes retry budget for a retry. It is called before each send,
+// because targets may have crashed since the previous one, while they ran this request
+// or others with the same content. If the request is quarantined or ctx is done,
+// allowAttempt returns the reason. It may block, see CrashTracker.
+func (f *Forwarder) allowAttempt(ctx context.Context, r *Request, attempts int) (bool, *failure.Error) {
+	isRetry := attempts > 0
+	if isRetry && attempts >= r.maxAttempts() {
+		return false, nil
+	}
+	if err := f.CrashTracker.Check(ctx, r); err != nil {
+		return false, err
+	}
+	if ctx.Err() != nil {
+		return false, contextError(ctx, failure.NotRun, "quarantine", "")
 	}
-	if !f.RetryBudget.AllowRetry(time.Now(), r.Service) {
+	if isRetry && !f.RetryBudget.AllowRetry(time.Now(), r.Service) {
 		f.Events.Record(event.RetryDenied, r.ID, event.F("service", r.Service))
-		return false
+		return false, nil
 	}
-	return true
+	return true, nil
 }
 
 // handleRefusal handles an answer with NotRun set and returns the error of the attempt.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -135,10 +135,14 @@
 // run's KV cache if that target is ready, otherwise the target that is expected to
 // start soonest. It returns false if no attempt is possible.
 func (s *stream) planAttempt(ctx context.Context) (Attempt, bool) {
-	now := time.Now()
-	if len(s.tried) > 0 && !s.forwarder.allowRetry(s.request, len(s.tried)) {
+	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried))
+	if refusal != nil {
+		s.lastErr = refusal
+	}
+	if !allowed {
 		return Attempt{}, false
 	}
+	now := time.Now()
 	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now)}
 	if standby := s.standby; standby != nil && s.forwarder.Fleet.State(now, standby.holder.ID) == fleet.Ready && !s.tried[standby.holder.ID] {
 		a.Target, a.Resume = standby.holder, standby.copy
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/forward"
+	"github.com/vanillaroad/vanillaroad/internal/jsontime"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/quarantine"
 )
@@ -27,8 +28,14 @@
 	ledger *quarantine.Ledger
 }
 
+// crashSettleTime is the SettleTime of the gateway. It covers the latency of crash
+// reports, which are sent at once; a booking call has a few times as long for its retry.
+const crashSettleTime = 20 * time.Millisecond
+
 func newCrashTracker(events *event.Recorder, send func([]quarantine.CrashReport)) *crashTracker {
-	return &crashTracker{events: events, send: send, ledger: quarantine.NewLedger(quarantine.DefaultSettings())}
+	settings := quarantine.DefaultSettings()
+	settings.SettleTime = jsontime.Duration(crashSettleTime)
+	return &crashTracker{events: events, send: send, ledger: quarantine.NewLedger(settings)}
 }
 
 // requestKey identifies a request by its id and by a hash of its content, because a
