forward: the last step before a stream's target is picked is its admission

What callers would see: a request is quarantined while it waits for its placement, which takes a second and more when many callers reconnect at once, and is sent to an engine nevertheless.

Fix: the waits come first, then crashes, attempts and budget, then the pick, all by the same state. Serve also checks on arrival, so that a request that is quarantined already is refused at once.

TestQuarantineDuringAWait failed before (sent to a, no error).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -214,6 +214,10 @@
 		ctx, cancel = context.WithDeadline(ctx, deadline)
 		defer cancel()
 	}
+	if err := f.CrashTracker.Check(ctx, r); err != nil { // at once, not after a wait for the placement
+		f.failRequest(r, w, err)
+		return
+	}
 	if r.Route.Kind == ingress.Streaming {
 		newStream(f, r, w).run(ctx)
 		return
@@ -246,14 +250,16 @@
 // maxAttempts returns the largest number of targets that a request is sent to.
 func (r *Request) maxAttempts() int { return max(1, r.Route.MaxAttempts) }
 
+// attemptsLeft reports whether the route allows one more target after so many attempts.
+func (r *Request) attemptsLeft(attempts int) bool { return attempts < r.maxAttempts() }
+
 // allowAttempt reports whether a request may be sent to one more target after so many
 // attempts. If so, it consumes retry budget for a retry. It is called before each send,
 // because targets may have crashed since the previous one, while they ran this request
 // or others with the same content. If the request is quarantined or ctx is done,
 // allowAttempt returns the reason. It may block, see CrashTracker.
 func (f *Forwarder) allowAttempt(ctx context.Context, r *Request, attempts int) (bool, *failure.Error) {
-	isRetry := attempts > 0
-	if isRetry && attempts >= r.maxAttempts() {
+	if !r.attemptsLeft(attempts) {
 		return false, nil
 	}
 	if err := f.CrashTracker.Check(ctx, r); err != nil {
@@ -262,7 +268,7 @@
 	if ctx.Err() != nil {
 		return false, contextError(ctx, failure.NotRun, "quarantine", "")
 	}
-	if isRetry && !f.RetryBudget.AllowRetry(time.Now(), r.Service) {
+	if isRetry := attempts > 0; isRetry && !f.RetryBudget.AllowRetry(time.Now(), r.Service) {
 		f.Events.Record(event.RetryDenied, r.ID, event.F("service", r.Service))
 		return false, nil
 	}
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -6,10 +6,30 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
 )
 
+// TestQuarantineDuringAWait guards against a request that is sent although its content
+// was quarantined while it waited for its placement.
+func TestQuarantineDuringAWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFixture(map[string]behaviour{"a": streaming(50, -1, eventGap, nil)})
+		tracker := &limitedCrashTracker{limit: 1}
+		s.Forwarder.CrashTracker = tracker
+		s.PlacementLimiter = rate.NewLimiter(rate.Every(time.Second), 1)
+		s.PlacementLimiter.Allow()
+		time.AfterFunc(500*time.Millisecond, func() { tracker.ReportCrash(nil, fleet.Target{ID: "b"}) })
+		got := s.serve(t, streamRoute)
+		if len(s.client.attempts()) != 0 || got.err == nil || got.err.Code != failure.Quarantined || got.err.Outcome != failure.NotRun {
+			t.Errorf("sent to %v, error %v, want no send and quarantined, not run", s.client.attempts(), got.err)
+		}
+	})
+}
+
 // TestQuarantinedRequestIsNotSentAgain guards against a request that crashes one target
 // after the other, because its content was checked only when it arrived.
 func TestQuarantinedRequestIsNotSentAgain(t *testing.T) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -135,6 +135,18 @@
 // run's KV cache if that target is ready, otherwise the target that is expected to
 // start soonest. It returns false if no attempt is possible.
 func (s *stream) planAttempt(ctx context.Context) (Attempt, bool) {
+	if !s.request.attemptsLeft(len(s.tried)) {
+		return Attempt{}, false
+	}
+	var promptHolders map[string]bool
+	if !s.standbyReady(time.Now()) {
+		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
+			s.lastErr = contextError(ctx, failure.NotRun, "route", s.request.Service)
+			return Attempt{}, false
+		}
+		promptHolders = s.promptHolders(ctx)
+	}
+	// The last step that may take time, so that the target is picked by the latest state.
 	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried))
 	if refusal != nil {
 		s.lastErr = refusal
@@ -144,15 +156,11 @@
 	}
 	now := time.Now()
 	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now)}
-	if standby := s.standby; standby != nil && s.forwarder.Fleet.State(now, standby.holder.ID) == fleet.Ready && !s.tried[standby.holder.ID] {
-		a.Target, a.Resume = standby.holder, standby.copy
+	if s.standbyReady(now) {
+		a.Target, a.Resume = s.standby.holder, s.standby.copy
 	} else {
-		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
-			s.lastErr = contextError(ctx, failure.NotRun, "route", s.request.Service)
-			return Attempt{}, false
-		}
-		t, err := s.forwarder.Fleet.Pick(time.Now(), fleet.Criteria{
-			PromptHolders: s.promptHolders(ctx),
+		t, err := s.forwarder.Fleet.Pick(now, fleet.Criteria{
+			PromptHolders: promptHolders,
 			Service:       s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
 			MemoryTokens: max(1, s.memoryTokens()), CapacityTokens: s.capacityTokens(),
 		})
@@ -171,6 +179,11 @@
 	return a, true
 }
 
+// standbyReady reports whether the next attempt can resume from a standby copy.
+func (s *stream) standbyReady(now time.Time) bool {
+	return s.standby != nil && s.forwarder.Fleet.State(now, s.standby.holder.ID) == fleet.Ready && !s.tried[s.standby.holder.ID]
+}
+
 // objectiveMissed reports whether the answer can no longer meet the objectives of its
 // route: the caller resumes an interrupted answer, the time since the last event exceeds
 // Route.MaxEventGap, or the first event would come after Route.LatencyObjective.
