generation: check a request's crashes again after it waited for a permit

Now it is asked again when the permit is granted; a request that is quarantined meanwhile returns its permit unused.

TestQuarantineWhileQueued failed before (the request ran). Tests of generation, node and trace pass.

--- a/generation/hub_test.go
+++ b/generation/hub_test.go
@@ -171,6 +171,25 @@
 	})
 }
 
+// TestQuarantineWhileQueued guards against a request that runs although its content was
+// quarantined while it waited for a permit.
+func TestQuarantineWhileQueued(t *testing.T) {
+	Convey("A request that is quarantined in the queue reaches no engine and returns its permit", t, func() {
+		s := newTestSite(1)
+		defer s.close()
+		h := s.hub("daemon-a")
+		s.onRoute = func() { s.refusal = failure.New(failure.Quarantined, failure.NotRun, "quarantine", "", "") }
+		r := openReader(h, newRequest("1", 5))
+		_, end := readTokens(r, allTokens)
+		r.Close()
+		So(end.Err, ShouldNotBeNil)
+		So(end.Err.Code, ShouldEqual, failure.Quarantined)
+		So(s.engines[0].engine.Work().Streams, ShouldEqual, 0)
+		So(waitEnded(h), ShouldBeTrue)
+		So(s.permitCount(), ShouldEqual, 0)
+	})
+}
+
 // waitEnded waits until no run is active and no caller reads an answer.
 func waitEnded(h *Hub) bool {
 	for h.Active() > 0 {
--- a/generation/run.go
+++ b/generation/run.go
@@ -277,7 +277,16 @@
 	if d.Target != "" {
 		return g.Joiner.Join(g.ctx, g.request, d.Target)
 	}
-	return g.Router.Route(g.ctx, g.request, held, d.Exclude, d.Version)
+	grant, err := g.Router.Route(g.ctx, g.request, held, d.Exclude, d.Version)
+	if err != nil {
+		return Grant{}, err
+	}
+	// Targets may have crashed under the request's content while it was queued.
+	if err := g.Guard.Check(g.ctx, g.request); err != nil {
+		grant.Release(true)
+		return Grant{}, err
+	}
+	return grant, nil
 }
 
 func (g *run) emit(d Emit) {
--- a/generation/site_test.go
+++ b/generation/site_test.go
@@ -31,6 +31,7 @@
 	hubs        map[string]*Hub          // by daemon
 	refusal     *failure.Error           // returned by Guard.Check
 	traces      map[string]*bytes.Buffer // by daemon
+	onRoute     func()                   // called by Route before it grants; may be nil
 }
 
 type testEngine struct {
@@ -94,6 +95,9 @@
 func (s *testSite) Route(_ context.Context, _ Request, _ int64, exclude []string, _ string) (Grant, *failure.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.onRoute != nil {
+		s.onRoute()
+	}
 	for _, e := range s.engines {
 		excluded := false
 		for _, x := range exclude {
