forward: crashes after the first events of a run count, and only a complete answer clears them

What callers would see: a request that crashes its engines right after their first event, or that resumes an earlier answer, is sent to five engines by each request and never refused.

Cause: a crash was reported only before the caller had any event of the answer, and the first event of any run cleared all crashes of its content.

Fix, as in the project's own API (generation.Guard): every crash is reported. It has the full weight if the run had just started, that is before its first event and for 500 ms after it; otherwise half of it, and the first of these stays at this daemon. A run that sent events for 500 ms halves the earlier ones; a complete answer clears them.

--- a/forward/call.go
+++ b/forward/call.go
@@ -135,7 +135,7 @@
 	serverError := answer.Status >= http.StatusInternalServerError
 	active.Done(now, serverError)
 	c.forwarder.Fleet.MarkAnswered(t.ID)
-	c.forwarder.CrashTracker.ReportSuccess(c.request)
+	c.forwarder.CrashTracker.ReportCompletion(c.request)
 	buffered := &bufferedAnswer{answer.Status, answer.Header, body}
 	if serverError && c.request.Route.Repeatable() {
 		c.targetFailure = buffered
@@ -167,7 +167,7 @@
 	c.forwarder.Events.Record(event.AttemptLost, c.request.ID, event.F("target", t.ID), event.F("error", err.Error()))
 	c.forwarder.Fleet.MarkRefused(now, t.ID)
 	if !timedOut {
-		c.forwarder.CrashTracker.ReportCrash(c.request, t)
+		c.forwarder.CrashTracker.ReportCrash(c.request, t, true)
 	}
 	return failure.Wrap(err, failure.TargetLost, failure.Unknown, "await answer", t.ID)
 }
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -237,10 +237,11 @@
 type fakeCrashTracker struct{ crashed []string }
 
 func (*fakeCrashTracker) Check(context.Context, *Request) *failure.Error { return nil }
-func (c *fakeCrashTracker) ReportCrash(_ *Request, t fleet.Target) {
+func (c *fakeCrashTracker) ReportCrash(_ *Request, t fleet.Target, _ bool) {
 	c.crashed = append(c.crashed, t.ID)
 }
-func (*fakeCrashTracker) ReportSuccess(*Request) {}
+func (*fakeCrashTracker) ReportProgress(*Request)   {}
+func (*fakeCrashTracker) ReportCompletion(*Request) {}
 
 // fixture is a forwarder over fake targets, each in a place of its own.
 type fixture struct {
@@ -305,7 +306,8 @@
 	}
 	return failure.New(failure.Quarantined, failure.NotRun, "quarantine", "", "%d targets failed under this request", len(c.crashed))
 }
-func (c *limitedCrashTracker) ReportCrash(_ *Request, t fleet.Target) {
+func (c *limitedCrashTracker) ReportCrash(_ *Request, t fleet.Target, _ bool) {
 	c.crashed = append(c.crashed, t.ID)
 }
-func (*limitedCrashTracker) ReportSuccess(*Request) {}
+func (*limitedCrashTracker) ReportProgress(*Request)   {}
+func (*limitedCrashTracker) ReportCompletion(*Request) {}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -172,12 +172,13 @@
 	// Check returns the reason why a request must not be sent to a target now, or nil.
 	// It may block until ctx is done.
 	Check(ctx context.Context, r *Request) *failure.Error
-	// ReportCrash records that the connection to a target broke while the target had
-	// the request: before the complete answer of a call, or before the first event of a
-	// stream.
-	ReportCrash(r *Request, t fleet.Target)
-	// ReportSuccess records that a target answered a call or sent an event of a stream.
-	ReportSuccess(r *Request)
+	// ReportCrash records that a target failed while it ran a request. atStart reports
+	// whether the run had just started, see startPeriod.
+	ReportCrash(r *Request, t fleet.Target, atStart bool)
+	// ReportProgress records that a run of a request sent events for startPeriod.
+	ReportProgress(r *Request)
+	// ReportCompletion records that a request was answered completely.
+	ReportCompletion(r *Request)
 }
 
 // Forwarder forwards requests. Its fields must be set before use.
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -22,7 +22,7 @@
 		s.Forwarder.CrashTracker = tracker
 		s.PlacementLimiter = rate.NewLimiter(rate.Every(time.Second), 1)
 		s.PlacementLimiter.Allow()
-		time.AfterFunc(500*time.Millisecond, func() { tracker.ReportCrash(nil, fleet.Target{ID: "b"}) })
+		time.AfterFunc(500*time.Millisecond, func() { tracker.ReportCrash(nil, fleet.Target{ID: "b"}, true) })
 		got := s.serve(t, streamRoute)
 		if len(s.client.attempts()) != 0 || got.err == nil || got.err.Code != failure.Quarantined || got.err.Outcome != failure.NotRun {
 			t.Errorf("sent to %v, error %v, want no send and quarantined, not run", s.client.attempts(), got.err)
--- a/forward/run.go
+++ b/forward/run.go
@@ -27,6 +27,7 @@
 	moving       bool            // a move was started, its outcome is pending
 	framed       bool            // see Answer.Framed
 	failed       bool            // the attempt failed because of the target
+	progressed   bool            // the run's progress was reported
 }
 
 // answerPart is one result of the reading goroutine: the head (status and header) of
@@ -178,6 +179,21 @@
 	return endTargetLost
 }
 
+// startPeriod is how long after its first event a run counts as just started. A request
+// that crashes its targets right after their first events counts like one that crashes
+// them before.
+const startPeriod = 500 * time.Millisecond
+
+// atStart reports whether the run has just started.
+func (a *streamAttempt) atStart(now time.Time) bool {
+	return !a.detector.firstEventSeen || now.Sub(a.firstEventAt) < startPeriod
+}
+
+// reportCrash reports that the target failed while it had the request.
+func (a *streamAttempt) reportCrash() {
+	a.stream.forwarder.CrashTracker.ReportCrash(a.stream.request, a.attempt.Target, a.atStart(time.Now()))
+}
+
 // handleHead handles the head of the answer, or the error of an attempt without one. If
 // the attempt has ended, it returns how and true.
 func (a *streamAttempt) handleHead(p answerPart) (attemptEnd, bool) {
@@ -188,7 +204,7 @@
 		s.forwarder.Prober.Check(t)
 		return endNotSent, true
 	case p.err != nil:
-		s.forwarder.CrashTracker.ReportCrash(s.request, t)
+		a.reportCrash()
 		s.forwarder.Prober.Check(t) // other streams on the target need the result at once
 		return a.abandon(p.err.Error()), true
 	case p.answer.NotRun:
@@ -240,16 +256,17 @@
 		return endComplete, true
 	}
 	if p.err != nil {
-		if s.lastEventID < 0 {
-			s.forwarder.CrashTracker.ReportCrash(s.request, a.attempt.Target)
-		}
+		a.reportCrash()
 		s.forwarder.Prober.Check(a.attempt.Target)
 		return a.abandon(p.err.Error()), true
 	}
 	if !a.detector.firstEventSeen {
 		a.firstEventAt = now
 		a.active.MarkFirstEvent(now)
-		s.forwarder.CrashTracker.ReportSuccess(s.request)
+	}
+	if !a.progressed && !a.atStart(now) {
+		a.progressed = true
+		s.forwarder.CrashTracker.ReportProgress(s.request)
 	}
 	a.detector.recordEvent(now)
 	if p.event.ID >= 0 && p.event.ID <= s.lastEventID {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -65,6 +65,7 @@
 		switch end {
 		case endComplete:
 			s.responder.End()
+			s.forwarder.CrashTracker.ReportCompletion(s.request)
 			s.forwarder.Events.Record(event.RequestAnswered, s.request.ID, event.F("route", s.request.Route.Name), event.F("target", a.Target.ID),
 				event.F("attempts", strconv.Itoa(len(s.tried))), event.F("first_event", s.firstEventAt.Sub(s.request.Received).String()),
 				event.F("longest_pause", s.longestGap.String()), event.F("after", time.Since(s.request.Received).String()))
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -97,20 +97,31 @@
 func formatFingerprint(f uint64) string { return fmt.Sprintf("%016x", f) }
 
 // ReportCrash implements forward.CrashTracker.
-func (c *crashTracker) ReportCrash(r *forward.Request, t fleet.Target) {
+func (c *crashTracker) ReportCrash(r *forward.Request, t fleet.Target, atStart bool) {
 	key := requestKey(r)
 	c.mu.Lock()
-	reports := c.ledger.ReportCrash(time.Now(), quarantine.CrashReport{Request: key, Target: t.ID, AtStart: true})
+	reports := c.ledger.ReportCrash(time.Now(), quarantine.CrashReport{Request: key, Target: t.ID, AtStart: atStart})
 	standing := c.ledger.Standing(key)
 	c.mu.Unlock()
-	c.events.Record(event.RequestCrashReported, r.ID, append(standingFields(key, standing), event.F("target", t.ID))...)
+	c.events.Record(event.RequestCrashReported, r.ID, append(standingFields(key, standing), event.F("target", t.ID), event.F("at_start", strconv.FormatBool(atStart)))...)
 	if len(reports) > 0 {
 		c.send(reports)
 	}
 }
 
-// ReportSuccess implements forward.CrashTracker.
-func (c *crashTracker) ReportSuccess(r *forward.Request) {
+// ReportProgress implements forward.CrashTracker.
+func (c *crashTracker) ReportProgress(r *forward.Request) {
+	if c.empty() {
+		return
+	}
+	key := requestKey(r)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.ReportProgress(key)
+}
+
+// ReportCompletion implements forward.CrashTracker.
+func (c *crashTracker) ReportCompletion(r *forward.Request) {
 	if c.empty() {
 		return
 	}
--- a/gateway/poison_fleet_test.go
+++ b/gateway/poison_fleet_test.go
@@ -34,7 +34,8 @@
 // poisonFleet simulates daemons and engines without a network, on the virtual clock of
 // a synctest bubble. Requests whose body is poisonBody crash the engines that run them.
 type poisonFleet struct {
-	random *rand.Rand
+	random            *rand.Rand
+	eventsBeforeCrash int // sent by a poison run
 
 	mu      sync.Mutex
 	daemons []*simDaemon
@@ -178,14 +179,18 @@
 	if !wait(prefillTime) {
 		return
 	}
-	if poison {
-		if wait(crashDelay) {
-			s.crash(e)
-		}
-		return
+	next := 0
+	if a.LastEventID != "" {
+		next, _ = strconv.Atoi(a.LastEventID)
+		next++
 	}
-	next, _ := strconv.Atoi(a.LastEventID) // 0 without a last event
-	for ; next <= lastEvent; next++ {
+	for sent := 0; next <= lastEvent; next, sent = next+1, sent+1 {
+		if poison && sent == s.eventsBeforeCrash {
+			if wait(crashDelay) {
+				s.crash(e)
+			}
+			return
+		}
 		if !wait(eventGap) {
 			return
 		}
@@ -233,8 +238,9 @@
 	Services: []ingress.WeightedService{{Service: "svc", Weight: 1}},
 }
 
-// request sends a request to a random daemon and returns what its caller received.
-func (s *poisonFleet) request(id, body string) *simCaller {
+// request sends a request to a random daemon and returns what its caller received. The
+// answer resumes after the event with the id lastEventID, if it is not empty.
+func (s *poisonFleet) request(id, body, lastEventID string) *simCaller {
 	s.mu.Lock()
 	d := s.daemons[s.random.IntN(len(s.daemons))]
 	s.mu.Unlock()
@@ -242,7 +248,7 @@
 	now := time.Now()
 	d.Serve(context.Background(), &forward.Request{
 		ID: id, Method: http.MethodPost, Host: "h", URI: "/a/1", Body: []byte(body), Header: http.Header{}, Workspace: "w",
-		Received: now, Deadline: now.Add(25 * time.Second), Route: &simRoute, Service: "svc",
+		Received: now, Deadline: now.Add(25 * time.Second), Route: &simRoute, Service: "svc", LastEventID: lastEventID,
 		Prompt: forward.Prompt{Tokens: 5000, MaxOutputTokens: 1000, CacheKey: body},
 	}, c)
 	return c
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,39 +29,64 @@
 	return late
 }
 
+// checkPoisonStops plays a poison request that arrives every 300 ms at some daemon, about
+// four at once before the first crash, beside other requests. Every second poison request
+// resumes an earlier answer. It checks that no poison request is sent once it should be
+// refused, and that all other requests are answered.
+func checkPoisonStops(t *testing.T, s *poisonFleet) {
+	t.Helper()
+	var callers sync.WaitGroup
+	var incomplete atomic.Int64
+	for i := range 60 {
+		callers.Go(func() {
+			time.Sleep(time.Duration(i) * 300 * time.Millisecond)
+			lastEventID := ""
+			if i%2 == 1 {
+				lastEventID = "10"
+			}
+			s.request(fmt.Sprint("p-", i), poisonBody, lastEventID)
+		})
+		callers.Go(func() {
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			if c := s.request(fmt.Sprint("r-", i), fmt.Sprint("body ", i), ""); !c.complete {
+				incomplete.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	time.Sleep(time.Minute) // timers of the simulation end
+	if late := s.sendsAfterQuarantine(); len(late) > 0 {
+		t.Errorf("the poison request was sent %d times after it had crashed enough engines, %v after; %d engines crashed", len(late), late, len(s.crashes))
+	}
+	if n := incomplete.Load(); n > 0 {
+		t.Errorf("%d other requests failed, want all answered", n)
+	}
+}
+
+// seeds is the number of seeds that a test of poison requests plays.
+const seeds = 20
+
 // TestConcurrentPoisonRequestsAreNotSentAgain guards against poison requests under
 // several ids, at several daemons, of which each is sent to one engine after the other
 // although all daemons refuse new requests with their content.
 func TestConcurrentPoisonRequestsAreNotSentAgain(t *testing.T) {
-	const seeds = 20
 	for seed := range uint64(seeds) {
-		synctest.Test(t, func(t *testing.T) {
-			s := newPoisonFleet(seed, 8, 24)
-			var callers sync.WaitGroup
-			var mu sync.Mutex
-			incomplete := 0
-			for i := range 60 {
-				callers.Go(func() { // poison requests, about four at once before the first crash
-					time.Sleep(time.Duration(i) * 300 * time.Millisecond)
-					s.request(fmt.Sprint("p-", i), poisonBody)
-				})
-				callers.Go(func() {
-					time.Sleep(time.Duration(i) * 100 * time.Millisecond)
-					if c := s.request(fmt.Sprint("r-", i), fmt.Sprint("body ", i)); !c.complete {
-						mu.Lock()
-						incomplete++
-						mu.Unlock()
-					}
-				})
-			}
-			callers.Wait()
-			time.Sleep(time.Minute) // timers of the simulation end
-			if late := s.sendsAfterQuarantine(); len(late) > 0 {
-				t.Errorf("seed %d: the poison request was sent %d times after it had crashed enough engines, %v after; %d engines crashed", seed, len(late), late, len(s.crashes))
-			}
-			if incomplete > 0 {
-				t.Errorf("seed %d: %d other requests failed, want all answered", seed, incomplete)
-			}
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkPoisonStops(t, newPoisonFleet(seed, 8, 24)) })
+		})
+	}
+}
+
+// TestPoisonAfterFirstEvents guards against a poison request whose crashes don't count
+// because its engine has sent events, or its caller resumes an earlier answer.
+func TestPoisonAfterFirstEvents(t *testing.T) {
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPoisonFleet(seed, 8, 24)
+				s.eventsBeforeCrash = 1 + int(seed%8)
+				checkPoisonStops(t, s)
+			})
 		})
 	}
 }
