forward, gateway: a run lost without a broken connection counts once its target has ended

What callers would see: a request under which engines fall silent, or whose crash a probe for another stream notices first, goes on to five engines a request and is never refused. The second needs no dark engine: the probe's refused connection may be known before the end of the stream's own connection is read.

Cause: only a broken connection was reported as a crash. An abandoned run and a call that timed out were not, since a slow, paused or cut-off engine looks the same at that moment.

Fix: such a run is a loss. The crash tracker keeps it for ten seconds and counts it as a crash when the incarnation is known to have ended: its process has terminated, another one registered, or its entry vanished without leaving (fleet.Incarnation). A target that answers again costs its requests nothing.

Also a data race of the test's own crash tracker is mended.

--- a/forward/call.go
+++ b/forward/call.go
@@ -112,6 +112,7 @@
 func (c *call) attempt(ctx context.Context, t fleet.Target) (*bufferedAnswer, *failure.Error) {
 	attemptCtx, cancel := c.attemptContext(ctx)
 	defer cancel()
+	incarnation := c.forwarder.Fleet.Incarnation(t.ID)
 	active := c.forwarder.Fleet.Begin(time.Now(), t.ID, fleet.Demand{})
 	answer, err := c.forwarder.TargetClient.Send(attemptCtx, Attempt{Request: c.request, Target: t, TimeLeft: c.request.timeLeft()})
 	var body []byte
@@ -126,7 +127,7 @@
 	case err != nil:
 		active.Done(now, true)
 		c.mayHaveRun = true
-		return nil, c.handleNoAnswer(ctx, now, t, err, attemptCtx.Err() != nil)
+		return nil, c.handleNoAnswer(ctx, now, incarnation, err, attemptCtx.Err() != nil)
 	case answer.NotRun:
 		active.Done(now, false)
 		return nil, c.forwarder.handleRefusal(t, answer, false)
@@ -159,17 +160,21 @@
 
 // handleNoAnswer returns the error of an attempt that was sent and received no complete
 // answer. timedOut reports whether the attempt was abandoned because of its own
-// deadline. A slow request is not counted as a crash of the target.
-func (c *call) handleNoAnswer(ctx context.Context, now time.Time, t fleet.Target, err error, timedOut bool) *failure.Error {
+// deadline. A slow request counts as a crash of the target only once the target is known
+// to have ended.
+func (c *call) handleNoAnswer(ctx context.Context, now time.Time, target fleet.Incarnation, err error, timedOut bool) *failure.Error {
+	if timedOut && !canceledByCaller(ctx) {
+		c.forwarder.CrashTracker.ReportLoss(c.request, target, true)
+	}
 	if ctx.Err() != nil {
-		return contextError(ctx, failure.Unknown, "await answer", t.ID)
+		return contextError(ctx, failure.Unknown, "await answer", c.target.ID)
 	}
-	c.forwarder.Events.Record(event.AttemptLost, c.request.ID, event.F("target", t.ID), event.F("error", err.Error()))
-	c.forwarder.Fleet.MarkRefused(now, t.ID)
+	c.forwarder.Events.Record(event.AttemptLost, c.request.ID, event.F("target", c.target.ID), event.F("error", err.Error()))
+	c.forwarder.Fleet.MarkRefused(now, c.target.ID)
 	if !timedOut {
-		c.forwarder.CrashTracker.ReportCrash(c.request, t, true)
+		c.forwarder.CrashTracker.ReportCrash(c.request, c.target, true)
 	}
-	return failure.Wrap(err, failure.TargetLost, failure.Unknown, "await answer", t.ID)
+	return failure.Wrap(err, failure.TargetLost, failure.Unknown, "await answer", c.target.ID)
 }
 
 // readBody reads and closes a body.
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -233,13 +233,18 @@
 func (c *fakeResponder) End()   { c.ended = true }
 func (c *fakeResponder) Abort() { c.aborted = true }
 
-// fakeCrashTracker records reported crashes.
+// fakeCrashTracker records reported crashes, and losses of targets that have ended.
 type fakeCrashTracker struct{ crashed []string }
 
 func (*fakeCrashTracker) Check(context.Context, *Request) *failure.Error { return nil }
 func (c *fakeCrashTracker) ReportCrash(_ *Request, t fleet.Target, _ bool) {
 	c.crashed = append(c.crashed, t.ID)
 }
+func (c *fakeCrashTracker) ReportLoss(_ *Request, i fleet.Incarnation, _ bool) {
+	if i.Ended(time.Now()) {
+		c.crashed = append(c.crashed, i.Target.ID)
+	}
+}
 func (*fakeCrashTracker) ReportProgress(*Request)   {}
 func (*fakeCrashTracker) ReportCompletion(*Request) {}
 
@@ -296,18 +301,25 @@
 
 // limitedCrashTracker refuses every request after limit reported crashes.
 type limitedCrashTracker struct {
-	limit   int
-	crashed []string
+	limit int
+
+	mu      sync.Mutex
+	crashed int
 }
 
 func (c *limitedCrashTracker) Check(context.Context, *Request) *failure.Error {
-	if len(c.crashed) < c.limit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.crashed < c.limit {
 		return nil
 	}
-	return failure.New(failure.Quarantined, failure.NotRun, "quarantine", "", "%d targets failed under this request", len(c.crashed))
+	return failure.New(failure.Quarantined, failure.NotRun, "quarantine", "", "%d targets failed under this request", c.crashed)
 }
-func (c *limitedCrashTracker) ReportCrash(_ *Request, t fleet.Target, _ bool) {
-	c.crashed = append(c.crashed, t.ID)
+func (c *limitedCrashTracker) ReportCrash(*Request, fleet.Target, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashed++
 }
-func (*limitedCrashTracker) ReportProgress(*Request)   {}
-func (*limitedCrashTracker) ReportCompletion(*Request) {}
+func (*limitedCrashTracker) ReportLoss(*Request, fleet.Incarnation, bool) {}
+func (*limitedCrashTracker) ReportProgress(*Request)                      {}
+func (*limitedCrashTracker) ReportCompletion(*Request)                    {}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -175,6 +175,9 @@
 	// ReportCrash records that a target failed while it ran a request. atStart reports
 	// whether the run had just started, see startPeriod.
 	ReportCrash(r *Request, t fleet.Target, atStart bool)
+	// ReportLoss records that a run of a request was abandoned. It counts as a crash once
+	// the target is known to have ended, see fleet.Incarnation.
+	ReportLoss(r *Request, target fleet.Incarnation, atStart bool)
 	// ReportProgress records that a run of a request sent events for startPeriod.
 	ReportProgress(r *Request)
 	// ReportCompletion records that a request was answered completely.
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -64,3 +64,23 @@
 		}
 	}
 }
+
+// TestCrashNoticedByAnotherStream guards against a crash that is not counted for a stream
+// because a probe for another stream found the target terminated first.
+func TestCrashNoticedByAnotherStream(t *testing.T) {
+	for name, mark := range map[string]func(*fixture, string){
+		"terminated": func(s *fixture, id string) { s.Fleet.MarkTerminated(time.Now(), fleet.Target{ID: id}) },
+		"suspected":  func(s *fixture, id string) { s.Fleet.Suspect(time.Now(), id) },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s, first := newFixtureWithBroken(streaming(50, -1, eventGap, nil), hanging)
+			time.AfterFunc(100*time.Millisecond, func() { mark(s, first) })
+			if got := s.serve(t, streamRoute); !got.receivedAll(50) {
+				t.Errorf("%s: %d events, want 51", name, len(got.events))
+			}
+			if counted := len(s.crashTracker.crashed) == 1; counted != (name == "terminated") {
+				t.Errorf("%s: crashes counted %v, want one if the target has terminated", name, s.crashTracker.crashed)
+			}
+		})
+	}
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -14,20 +14,22 @@
 
 // streamAttempt is one attempt of a stream at one target.
 type streamAttempt struct {
-	stream       *stream
-	attempt      Attempt
-	firstEventAt time.Time // zero before the first event
-	active       *fleet.ActiveRequest
-	detector     *stallDetector
-	lost         <-chan struct{} // closed when the target is declared failed
-	probeResults chan ProbeResult
-	parts        chan answerPart
-	copier       *copier
-	moveResults  chan copyResult // outcome of the move to another target
-	moving       bool            // a move was started, its outcome is pending
-	framed       bool            // see Answer.Framed
-	failed       bool            // the attempt failed because of the target
-	progressed   bool            // the run's progress was reported
+	stream        *stream
+	attempt       Attempt
+	firstEventAt  time.Time         // zero before the first event
+	incarnation   fleet.Incarnation // of the target
+	active        *fleet.ActiveRequest
+	detector      *stallDetector
+	lost          <-chan struct{} // closed when the target is declared failed
+	probeResults  chan ProbeResult
+	parts         chan answerPart
+	copier        *copier
+	moveResults   chan copyResult // outcome of the move to another target
+	moving        bool            // a move was started, its outcome is pending
+	framed        bool            // see Answer.Framed
+	failed        bool            // the attempt failed because of the target
+	crashReported bool
+	progressed    bool // the run's progress was reported
 }
 
 // answerPart is one result of the reading goroutine: the head (status and header) of
@@ -166,6 +168,9 @@
 // abandon ends the attempt because its target is lost or stalled.
 func (a *streamAttempt) abandon(reason string) attemptEnd {
 	a.stream.mayHaveRun, a.failed = true, true
+	if !a.crashReported {
+		a.stream.forwarder.CrashTracker.ReportLoss(a.stream.request, a.incarnation, a.atStart(time.Now()))
+	}
 	a.stream.standby = nil
 	if a.detector.firstEventSeen || a.attempt.Resume != (Copy{}) || a.copier.explicit {
 		// Before the first event, while the target prefills the prompt, a copy seldom
@@ -191,6 +196,7 @@
 
 // reportCrash reports that the target failed while it had the request.
 func (a *streamAttempt) reportCrash() {
+	a.crashReported = true
 	a.stream.forwarder.CrashTracker.ReportCrash(a.stream.request, a.attempt.Target, a.atStart(time.Now()))
 }
 
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -26,8 +26,25 @@
 
 	mu     sync.Mutex
 	ledger *quarantine.Ledger
+	losses []loss // oldest first
 }
 
+// loss is a run that was abandoned. Whether its target crashed is not known.
+type loss struct {
+	request quarantine.RequestKey
+	target  fleet.Incarnation
+	atStart bool
+	time    time.Time
+}
+
+// Limits of the losses that wait for the end of their target to become known.
+const (
+	// lossTTL covers the time until the entry of a crashed target expires or its next
+	// incarnation registers, both a few of its heartbeats.
+	lossTTL   = 10 * time.Second
+	maxLosses = 1024
+)
+
 // crashSettleTime is the SettleTime of the gateway. It covers the latency of crash
 // reports, which are sent at once; a booking call has a few times as long for its retry.
 const crashSettleTime = 20 * time.Millisecond
@@ -98,17 +115,53 @@
 
 // ReportCrash implements forward.CrashTracker.
 func (c *crashTracker) ReportCrash(r *forward.Request, t fleet.Target, atStart bool) {
-	key := requestKey(r)
+	c.reportCrash(quarantine.CrashReport{Request: requestKey(r), Target: t.ID, AtStart: atStart})
+}
+
+func (c *crashTracker) reportCrash(report quarantine.CrashReport) {
 	c.mu.Lock()
-	reports := c.ledger.ReportCrash(time.Now(), quarantine.CrashReport{Request: key, Target: t.ID, AtStart: atStart})
-	standing := c.ledger.Standing(key)
+	reports := c.ledger.ReportCrash(time.Now(), report)
+	standing := c.ledger.Standing(report.Request)
 	c.mu.Unlock()
-	c.events.Record(event.RequestCrashReported, r.ID, append(standingFields(key, standing), event.F("target", t.ID), event.F("at_start", strconv.FormatBool(atStart)))...)
+	c.events.Record(event.RequestCrashReported, report.Request.ID, append(standingFields(report.Request, standing),
+		event.F("target", report.Target), event.F("at_start", strconv.FormatBool(report.AtStart)), event.F("age", report.Age.String()))...)
 	if len(reports) > 0 {
 		c.send(reports)
 	}
 }
 
+// ReportLoss implements forward.CrashTracker.
+func (c *crashTracker) ReportLoss(r *forward.Request, target fleet.Incarnation, atStart bool) {
+	now := time.Now()
+	c.mu.Lock()
+	c.losses = append(c.losses, loss{requestKey(r), target, atStart, now})
+	if excess := len(c.losses) - maxLosses; excess > 0 {
+		c.losses = c.losses[excess:]
+	}
+	c.mu.Unlock()
+	c.resolveLosses(now)
+}
+
+// resolveLosses reports the losses whose targets are known to have ended as crashes, and
+// drops those whose targets still run after lossTTL.
+func (c *crashTracker) resolveLosses(now time.Time) {
+	c.mu.Lock()
+	var crashed, unresolved []loss
+	for _, l := range c.losses {
+		switch {
+		case l.target.Ended(now):
+			crashed = append(crashed, l)
+		case now.Sub(l.time) < lossTTL:
+			unresolved = append(unresolved, l)
+		}
+	}
+	c.losses = unresolved
+	c.mu.Unlock()
+	for _, l := range crashed {
+		c.reportCrash(quarantine.CrashReport{Request: l.request, Target: l.target.Target.ID, AtStart: l.atStart, Age: now.Sub(l.time)})
+	}
+}
+
 // ReportProgress implements forward.CrashTracker.
 func (c *crashTracker) ReportProgress(r *forward.Request) {
 	if c.empty() {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -40,7 +40,7 @@
 	loadIntervalStep = 100 * time.Microsecond
 	// heartbeatInterval is the maximum time between two load reports, which also serve
 	// as heartbeats. At each heartbeat a daemon also drops the state of removed targets
-	// and silent daemons.
+	// and silent daemons, and resolves the losses of runs.
 	heartbeatInterval = 500 * time.Millisecond
 	// peerTimeout is the timeout of one message or call to a peer.
 	peerTimeout = time.Second
@@ -146,6 +146,7 @@
 		case <-ticker.C:
 			p.g.expireTargets()
 			p.expirePeerState()
+			p.g.crashTracker.resolveLosses(time.Now())
 		}
 		others := p.sendToAll(kindLoad, loadReport{p.g.fleet.OwnLoads(), p.g.draining.Load()})
 		pause.For(ctx, loadInterval(others))
--- a/gateway/poison_fleet_test.go
+++ b/gateway/poison_fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/quarantine"
 )
 
@@ -35,7 +36,8 @@
 // a synctest bubble. Requests whose body is poisonBody crash the engines that run them.
 type poisonFleet struct {
 	random            *rand.Rand
-	eventsBeforeCrash int // sent by a poison run
+	eventsBeforeCrash int  // sent by a poison run
+	silentCrashes     bool // a crash is noticed only by probes and by the new entry
 
 	mu      sync.Mutex
 	daemons []*simDaemon
@@ -53,6 +55,15 @@
 	tracker *crashTracker
 }
 
+// tick does at each heartbeat what the daemons do.
+func (s *poisonFleet) tick(ctx context.Context) {
+	for pause.For(ctx, heartbeatInterval) {
+		for _, d := range s.daemons {
+			d.tracker.resolveLosses(time.Now())
+		}
+	}
+}
+
 // simEngine is one incarnation of an engine.
 type simEngine struct {
 	target fleet.Target
@@ -124,7 +135,9 @@
 	e.down = true
 	s.crashes = append(s.crashes, time.Now())
 	for w := range e.runs {
-		_ = w.CloseWithError(io.ErrUnexpectedEOF)
+		if !s.silentCrashes {
+			_ = w.CloseWithError(io.ErrUnexpectedEOF)
+		}
 	}
 	time.AfterFunc(restartTime, func() {
 		for _, d := range s.daemons {
@@ -141,13 +154,14 @@
 	defer s.mu.Unlock()
 	e := s.engines[a.Target.ID]
 	if e.down {
-		return nil, errors.WithStack(errNotListening)
+		return nil, s.sendError()
 	}
 	if poison {
 		s.sends = append(s.sends, time.Now())
 	}
 	r, w := io.Pipe()
 	e.runs[w] = true
+	context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
 	go func() {
 		defer func() {
 			s.mu.Lock()
@@ -159,6 +173,14 @@
 	return &forward.Answer{Status: http.StatusOK, Signed: true, Framed: true, Header: http.Header{}, Body: r}, nil
 }
 
+// sendError returns the error of a send to an engine that is down.
+func (s *poisonFleet) sendError() error {
+	if s.silentCrashes {
+		return errors.WithStack(forward.ErrNotSent) // the connection can't be established
+	}
+	return errors.WithStack(errNotListening)
+}
+
 // errNotListening is the error of a send to an engine that is down.
 var errNotListening = fmt.Errorf("%w: %w", forward.ErrNotSent, forward.ErrNotListening)
 
@@ -172,7 +194,6 @@
 		case <-time.After(d):
 			return true
 		case <-ctx.Done():
-			_ = w.CloseWithError(ctx.Err())
 			return false
 		}
 	}
@@ -202,13 +223,18 @@
 }
 
 // Report implements forward.TargetClient.
-func (s *poisonFleet) Report(_ context.Context, t fleet.Target) (forward.Report, error) {
+func (s *poisonFleet) Report(ctx context.Context, t fleet.Target) (forward.Report, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.engines[t.ID].down {
-		return forward.Report{}, errors.WithStack(errNotListening)
+	down := s.engines[t.ID].down
+	s.mu.Unlock()
+	switch {
+	case !down:
+		return forward.Report{}, nil
+	case s.silentCrashes:
+		<-ctx.Done()
+		return forward.Report{}, ctx.Err()
 	}
-	return forward.Report{}, nil
+	return forward.Report{}, errors.WithStack(errNotListening)
 }
 
 var errNoCopies = errors.New("no copies in this simulation")
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -11,9 +12,9 @@
 	"github.com/vanillaroad/vanillaroad/quarantine"
 )
 
-// sendsAfterQuarantine returns the sends of poison requests later than maxReportLag
-// after they caused as many crashes as lead to a refusal.
-func (s *poisonFleet) sendsAfterQuarantine() (late []time.Duration) {
+// sendsAfterQuarantine returns the sends of poison requests later than lag after they
+// caused as many crashes as lead to a refusal.
+func (s *poisonFleet) sendsAfterQuarantine(lag time.Duration) (late []time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit := quarantine.DefaultSettings().MaxTargets
@@ -22,7 +23,7 @@
 	}
 	quarantined := s.crashes[limit-1]
 	for _, at := range s.sends {
-		if after := at.Sub(quarantined); after > maxReportLag {
+		if after := at.Sub(quarantined); after > lag {
 			late = append(late, after)
 		}
 	}
@@ -31,12 +32,15 @@
 
 // checkPoisonStops plays a poison request that arrives every 300 ms at some daemon, about
 // four at once before the first crash, beside other requests. Every second poison request
-// resumes an earlier answer. It checks that no poison request is sent once it should be
-// refused, and that all other requests are answered.
-func checkPoisonStops(t *testing.T, s *poisonFleet) {
+// resumes an earlier answer. It checks that no poison request is sent later than lag after
+// it should be refused, and that all other requests are answered.
+func checkPoisonStops(t *testing.T, s *poisonFleet, lag time.Duration) {
 	t.Helper()
 	var callers sync.WaitGroup
 	var incomplete atomic.Int64
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go s.tick(ctx)
 	for i := range 60 {
 		callers.Go(func() {
 			time.Sleep(time.Duration(i) * 300 * time.Millisecond)
@@ -55,7 +59,7 @@
 	}
 	callers.Wait()
 	time.Sleep(time.Minute) // timers of the simulation end
-	if late := s.sendsAfterQuarantine(); len(late) > 0 {
+	if late := s.sendsAfterQuarantine(lag); len(late) > 0 {
 		t.Errorf("the poison request was sent %d times after it had crashed enough engines, %v after; %d engines crashed", len(late), late, len(s.crashes))
 	}
 	if n := incomplete.Load(); n > 0 {
@@ -72,7 +76,7 @@
 func TestConcurrentPoisonRequestsAreNotSentAgain(t *testing.T) {
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkPoisonStops(t, newPoisonFleet(seed, 8, 24)) })
+			synctest.Test(t, func(t *testing.T) { checkPoisonStops(t, newPoisonFleet(seed, 8, 24), maxReportLag) })
 		})
 	}
 }
@@ -85,7 +89,22 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := newPoisonFleet(seed, 8, 24)
 				s.eventsBeforeCrash = 1 + int(seed%8)
-				checkPoisonStops(t, s)
+				checkPoisonStops(t, s, maxReportLag)
+			})
+		})
+	}
+}
+
+// TestSilentPoison guards against a poison request whose crashes don't count because its
+// engines fall silent and close no connection. They count once another engine is
+// registered at the address.
+func TestSilentPoison(t *testing.T) {
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPoisonFleet(seed, 8, 24)
+				s.silentCrashes = true
+				checkPoisonStops(t, s, restartTime+heartbeatInterval+maxReportLag)
 			})
 		})
 	}
