gateway: crash reports are delivered, not only sent

What callers would see: a daemon whose peers' reports were lost keeps sending a poison request, and crashes three more engines by itself.

Cause: a report was sent once, without an answer, to each daemon. On a connection that has fallen silent it is lost without an error; only a further crash sent the content's earlier reports again.

Fix: crashReportSender makes one acknowledged call at a time to each daemon, with the current reports on all requests that wait for it, and repeats a failed call while the daemon is live. One that was silent gets all when it returns, as before.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -22,7 +22,7 @@
 // forward.CrashTracker with a quarantine.Ledger and sends crash reports to peers.
 type crashTracker struct {
 	events *event.Recorder
-	send   func([]quarantine.CrashReport) // sends crash reports to the other daemons
+	send   func(quarantine.RequestKey) // delivers the crash reports on a request to the other daemons
 
 	mu     sync.Mutex
 	ledger *quarantine.Ledger
@@ -49,7 +49,7 @@
 // reports, which are sent at once; a booking call has a few times as long for its retry.
 const crashSettleTime = 20 * time.Millisecond
 
-func newCrashTracker(events *event.Recorder, send func([]quarantine.CrashReport)) *crashTracker {
+func newCrashTracker(events *event.Recorder, send func(quarantine.RequestKey)) *crashTracker {
 	settings := quarantine.DefaultSettings()
 	settings.SettleTime = jsontime.Duration(crashSettleTime)
 	return &crashTracker{events: events, send: send, ledger: quarantine.NewLedger(settings)}
@@ -126,7 +126,7 @@
 	c.events.Record(event.RequestCrashReported, report.Request.ID, append(standingFields(report.Request, standing),
 		event.F("target", report.Target), event.F("at_start", strconv.FormatBool(report.AtStart)), event.F("age", report.Age.String()))...)
 	if len(reports) > 0 {
-		c.send(reports)
+		c.send(report.Request)
 	}
 }
 
@@ -195,6 +195,24 @@
 	return c.ledger.CrashReports(time.Now())
 }
 
+// reportsOn returns the crash reports on some requests that all daemons should have.
+func (c *crashTracker) reportsOn(requests []quarantine.RequestKey) (out []quarantine.CrashReport) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, r := range requests {
+		out = append(out, c.ledger.Reports(now, r)...)
+	}
+	return out
+}
+
+// requests returns the requests on which all daemons should have crash reports.
+func (c *crashTracker) requests() []quarantine.RequestKey {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Requests(time.Now())
+}
+
 // applyReports records the crash reports of a peer.
 func (c *crashTracker) applyReports(from string, reports []quarantine.CrashReport) {
 	c.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 	g.events.LimitRoutineLogs(routineLinesPerSecond)
 	g.store = platform.NewClient("http://"+s.Store, g.metrics)
 	g.members, g.datasets = newMembers(g), newDatasets(g)
-	g.crashTracker = newCrashTracker(g.events, func(reports []quarantine.CrashReport) { g.peers.sendCrashReports(reports) })
+	g.crashTracker = newCrashTracker(g.events, func(request quarantine.RequestKey) { g.peers.crashReports.sendToAll(request) })
 	g.forwarder = &forward.Forwarder{
 		TargetClient: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, PlacementLimiter: forward.NewPlacementLimiter(),
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -112,6 +112,13 @@
 	return m.list.Others()
 }
 
+// live reports whether another daemon has sent a heartbeat recently.
+func (m *members) live(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list.Live(time.Now(), id)
+}
+
 // othersByLiveness returns the other daemons, split into those with a recent heartbeat
 // and the rest.
 func (m *members) othersByLiveness() (live, silent []exchange.Member) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -59,6 +59,8 @@
 	transport *peer.Transport
 	ctx       context.Context
 
+	crashReports *crashReportSender
+
 	mu          sync.Mutex
 	suspectedAt map[string]time.Time // time of the last suspicion from a peer, by target id
 }
@@ -73,6 +75,7 @@
 		return nil, err
 	}
 	p := &peers{g: g, transport: t, ctx: context.Background(), suspectedAt: make(map[string]time.Time)}
+	p.crashReports = newCrashReportSender(g.members.others, g.members.live, g.crashTracker.reportsOn, p.callCrashReports)
 	peer.HandleTyped(t, kindUpdate, p.handleUpdate)
 	peer.HandleTyped(t, kindSnapshot, p.handleQuery)
 	peer.HandleTyped(t, kindLoad, p.handleLoad)
@@ -83,7 +86,7 @@
 }
 
 func (p *peers) run(ctx context.Context) {
-	p.ctx = ctx
+	p.ctx, p.crashReports.ctx = ctx, ctx
 	p.g.wg.Go(p.transport.Serve)
 	p.g.wg.Go(func() { p.sendLoads(ctx) })
 }
@@ -231,7 +234,7 @@
 
 func (p *peers) handleLoad(_ context.Context, from peer.Identity, report loadReport) (any, error) {
 	if p.g.members.recordHeartbeat(from.ID, report.Leaving) {
-		p.sendKnownCrashReports(from.PeerAddress)
+		p.sendKnownCrashReports(from)
 	}
 	p.g.fleet.SetPeerLoads(from.ID, report.Loads)
 	return nil, nil
@@ -274,16 +277,20 @@
 	return nil, nil
 }
 
-func (p *peers) sendCrashReports(reports []quarantine.CrashReport) {
-	p.sendToAll(kindCrashReports, reports)
+func (p *peers) callCrashReports(ctx context.Context, address string, reports []quarantine.CrashReport) error {
+	err := p.transport.Call(ctx, address, kindCrashReports, reports, nil)
+	if err != nil {
+		p.countLost(1)
+	}
+	return err
 }
 
 // sendKnownCrashReports sends all crash reports to a daemon that has just started or was
 // disconnected. Without them it would forward requests that the other daemons already
 // refuse, and those would crash more targets.
-func (p *peers) sendKnownCrashReports(address string) {
-	if crashReports := p.g.crashTracker.reports(); len(crashReports) > 0 {
-		go p.send(address, kindCrashReports, crashReports)
+func (p *peers) sendKnownCrashReports(to peer.Identity) {
+	if requests := p.g.crashTracker.requests(); len(requests) > 0 {
+		p.crashReports.send(exchange.Member{ID: to.ID, Peers: to.PeerAddress}, requests...)
 	}
 }
 
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -109,3 +109,29 @@
 		})
 	}
 }
+
+// TestCrashReportsAreDelivered guards against daemons that keep sending a poison request
+// because their crash reports were lost on a connection that had fallen silent.
+func TestCrashReportsAreDelivered(t *testing.T) {
+	const deliveryTime = linkSilence + peerTimeout + heartbeatInterval + maxReportLag
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPoisonFleet(seed, 8, 24)
+				s.silentLinks = map[string]bool{"vm-6": true, "vm-7": true}
+				for i, d := range s.daemons[:4] {
+					go s.requestAt(d, fmt.Sprint("p-", i), poisonBody, "")
+				}
+				time.Sleep(deliveryTime)
+				crashesBefore := len(s.crashes)
+				for i, d := range s.daemons {
+					s.requestAt(d, fmt.Sprint("q-", i), poisonBody, "")
+				}
+				if n := len(s.crashes) - crashesBefore; n > 0 {
+					t.Errorf("%d more engines crashed after the reports should have been delivered", n)
+				}
+				time.Sleep(time.Minute) // timers of the simulation end
+			})
+		})
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -145,19 +145,38 @@
 	return out
 }
 
-// CrashReports returns all crash reports that other daemons should have, for a daemon
-// that may have missed some.
-func (l *Ledger) CrashReports(now time.Time) []CrashReport {
+// Reports returns the crash reports on a request that other daemons should have: none as
+// long as the request is likely to be innocent.
+func (l *Ledger) Reports(now time.Time, request RequestKey) []CrashReport {
+	e := l.byFingerprint[request.Fingerprint]
+	if e == nil || e.weight() <= runningWeight {
+		return nil
+	}
+	return e.reports(now, request)
+}
+
+// Requests returns the requests on which other daemons should have crash reports, for a
+// daemon that may have missed some.
+func (l *Ledger) Requests(now time.Time) []RequestKey {
 	l.expire(now)
-	var out []CrashReport
+	var out []RequestKey
 	for id, e := range l.byID {
-		if sameContent := l.byFingerprint[e.fingerprint]; sameContent != nil && sameContent.weight() > runningWeight {
-			out = append(out, e.reports(now, RequestKey{ID: id, Fingerprint: e.fingerprint})...)
+		if request := (RequestKey{ID: id, Fingerprint: e.fingerprint}); len(l.Reports(now, request)) > 0 {
+			out = append(out, request)
 		}
 	}
 	return out
 }
 
+// CrashReports returns all crash reports that other daemons should have.
+func (l *Ledger) CrashReports(now time.Time) []CrashReport {
+	var out []CrashReport
+	for _, request := range l.Requests(now) {
+		out = append(out, l.Reports(now, request)...)
+	}
+	return out
+}
+
 // addCrash adds a crash to the entry of key. If m then has more than MaxRequests
 // entries, it evicts others, oldest last crash first.
 func addCrash[K comparable](m map[K]*entry, key K, fingerprint uint64, c crash, s Settings) *entry {
