exchange: a daemon that restarts between two heartbeats is noticed and gets the crash reports

What callers would see: a daemon that is killed and starts again within 1.5 s serves a request that all others refuse, and crashes up to three more engines by itself.

Cause: known crash reports went to a daemon when its heartbeats came back after a silence; a restart that was shorter looked like no interruption.

Fix: a heartbeat counts with the incarnation of its sender. Restarts are noticed more often now and would bring the same reports from each daemon (90 messages on the largest site), so the three live daemons with the highest hashes send them to one that has started. After a mere silence every daemon sends what it knows, as before, since both sides may have missed something.

--- a/exchange/member_list.go
+++ b/exchange/member_list.go
@@ -2,7 +2,10 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Member is the registration of one daemon.
@@ -30,8 +33,9 @@
 }
 
 type heartbeat struct {
-	at      time.Time
-	leaving bool
+	at          time.Time
+	incarnation uint64
+	leaving     bool
 }
 
 // NewMemberList returns an empty list for the daemon with the id self.
@@ -67,12 +71,29 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 }
 
-// RecordHeartbeat records a heartbeat of a daemon and whether the daemon is leaving. It
-// reports whether the daemon was not live before.
-func (l *MemberList) RecordHeartbeat(now time.Time, id string, leaving bool) bool {
+// Presence is what a heartbeat shows about a daemon.
+type Presence int
+
+// Values of a Presence.
+const (
+	Continuing Presence = iota // it was live before
+	Returned                   // it was silent for a while
+	Started                    // the first heartbeat of its incarnation
+)
+
+// RecordHeartbeat records a heartbeat of an incarnation of a daemon and whether the
+// daemon is leaving.
+func (l *MemberList) RecordHeartbeat(now time.Time, id string, incarnation uint64, leaving bool) Presence {
+	last, known := l.heartbeats[id]
 	wasLive := l.Live(now, id)
-	l.heartbeats[id] = heartbeat{now, leaving}
-	return !wasLive
+	l.heartbeats[id] = heartbeat{now, incarnation, leaving}
+	switch {
+	case !known || last.incarnation != incarnation:
+		return Started
+	case !wasLive:
+		return Returned
+	}
+	return Continuing
 }
 
 // Live reports whether a daemon has sent a heartbeat within silenceTimeout. This daemon
@@ -82,6 +103,24 @@
 	return id == l.self || ok && now.Sub(h.at) < silenceTimeout
 }
 
+// maxSponsors is how many daemons bring a daemon that has started up to date. More than
+// one does, since their views may differ and a call may fail.
+const maxSponsors = 3
+
+// Sponsors reports whether this daemon brings an incarnation of another daemon that has
+// started up to date. Of the live daemons, those with the highest hashes do, so that the
+// cost for one that starts does not grow with their number.
+func (l *MemberList) Sponsors(now time.Time, id string, incarnation uint64) bool {
+	key := id + "/" + strconv.FormatUint(incarnation, 10) + "/"
+	own, higher := xxhash.Sum64String(key+l.self), 0
+	for _, m := range l.others {
+		if m.ID != id && l.Live(now, m.ID) && xxhash.Sum64String(key+m.ID) > own {
+			higher++
+		}
+	}
+	return higher < maxSponsors
+}
+
 // Len returns the number of daemons that have an entry.
 func (l *MemberList) Len() int { return len(l.members) }
 
--- a/gateway/guarantees_test.go
+++ b/gateway/guarantees_test.go
@@ -150,7 +150,7 @@
 		for _, others := range []int{7, 75, 299, 759} {
 			members := exchange.NewMemberList("self")
 			now := time.Unix(1_800_000_000, 0)
-			members.RecordHeartbeat(now, "other", false)
+			members.RecordHeartbeat(now, "other", 1, false)
 			So(members.Live(now.Add(2*loadInterval(others)), "other"), ShouldBeTrue)
 		}
 	})
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -12,6 +12,7 @@
 	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/objectstore"
+	"github.com/vanillaroad/vanillaroad/peer"
 )
 
 // memberKind is the kind of the store objects in which daemons register their
@@ -94,16 +95,19 @@
 	m.g.datasets.setReaders(n)
 }
 
-// recordHeartbeat records a heartbeat of a daemon. It reports whether the daemon was
-// not live before, because it was silent or has just started.
-func (m *members) recordHeartbeat(id string, leaving bool) (returned bool) {
+// recordHeartbeat records a heartbeat of a daemon. It reports whether this daemon should
+// bring the other one up to date: the other was silent, so that neither received what the
+// other one sent, or it has started and this daemon is one of its sponsors.
+func (m *members) recordHeartbeat(from peer.Identity, leaving bool) (update bool) {
+	now := time.Now()
 	m.mu.Lock()
-	returned = m.list.RecordHeartbeat(time.Now(), id, leaving)
+	presence := m.list.RecordHeartbeat(now, from.ID, from.Incarnation, leaving)
+	update = presence == exchange.Returned || presence == exchange.Started && m.list.Sponsors(now, from.ID, from.Incarnation)
 	m.mu.Unlock()
-	if returned {
-		m.g.events.Record(event.MemberReturned, "", event.F("member", id))
+	if presence != exchange.Continuing {
+		m.g.events.Record(event.MemberReturned, "", event.F("member", from.ID))
 	}
-	return returned
+	return update
 }
 
 func (m *members) others() []exchange.Member {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -233,7 +233,7 @@
 }
 
 func (p *peers) handleLoad(_ context.Context, from peer.Identity, report loadReport) (any, error) {
-	if p.g.members.recordHeartbeat(from.ID, report.Leaving) {
+	if p.g.members.recordHeartbeat(from, report.Leaving) {
 		p.sendKnownCrashReports(from)
 	}
 	p.g.fleet.SetPeerLoads(from.ID, report.Loads)
