quarantine: crashes of different incarnations of a target count separately

What callers would see: where engines start again under the id that they had, a request crashes one of them over and over: crashes of one target within ten seconds were taken for several reports of one crash, and an engine is back after a few.

Fix: a crash report names the incarnation (the start that the entry states). Reports on different incarnations are different crashes; where it is unknown, or the same, the time between them decides as before. The field is left out if unknown, and older builds ignore it.

TestQuickRestartsCountSeparately failed before (three incarnations in eight seconds: not refused). The project's own API doesn't know the incarnation when it reports; unchanged.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -115,7 +115,7 @@
 
 // ReportCrash implements forward.CrashTracker.
 func (c *crashTracker) ReportCrash(r *forward.Request, t fleet.Target, atStart bool) {
-	c.reportCrash(quarantine.CrashReport{Request: requestKey(r), Target: t.ID, AtStart: atStart})
+	c.reportCrash(quarantine.CrashReport{Request: requestKey(r), Target: t.ID, Incarnation: uint64(t.StartMillis), AtStart: atStart})
 }
 
 func (c *crashTracker) reportCrash(report quarantine.CrashReport) {
@@ -158,7 +158,8 @@
 	c.losses = unresolved
 	c.mu.Unlock()
 	for _, l := range crashed {
-		c.reportCrash(quarantine.CrashReport{Request: l.request, Target: l.target.Target.ID, AtStart: l.atStart, Age: now.Sub(l.time)})
+		t := l.target.Target
+		c.reportCrash(quarantine.CrashReport{Request: l.request, Target: t.ID, Incarnation: uint64(t.StartMillis), AtStart: l.atStart, Age: now.Sub(l.time)})
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -23,7 +23,7 @@
 	// MaxTargets is the number of crashes of targets right after the start of a request
 	// at which the request is refused, unless another request was present at all of
 	// them. Crashes of the same target count separately if they are more than
-	// SameCrashWindow apart.
+	// SameCrashWindow apart or of different incarnations.
 	MaxTargets int `json:"targets" validate:"min=1"`
 	// ExtraTargets is the number of such crashes beyond MaxTargets at which the request
 	// is refused even if another request was present at all of them.
@@ -72,17 +72,20 @@
 
 // CrashReport reports that a target failed while it ran a request.
 type CrashReport struct {
-	Request RequestKey    `msgpack:"s"`
-	Target  string        `msgpack:"t"`
-	AtStart bool          `msgpack:"r"` // the request had just started on the target
-	Age     time.Duration `msgpack:"a"` // time since the crash
+	Request RequestKey `msgpack:"s"`
+	Target  string     `msgpack:"t"`
+	// Incarnation identifies the process of the target; 0 if unknown.
+	Incarnation uint64        `msgpack:"n,omitempty"`
+	AtStart     bool          `msgpack:"r"` // the request had just started on the target
+	Age         time.Duration `msgpack:"a"` // time since the crash
 }
 
 // crash is one failure of a target, as recorded in an entry.
 type crash struct {
-	target string
-	time   time.Time
-	weight int
+	target      string
+	incarnation uint64
+	time        time.Time
+	weight      int
 }
 
 // entry holds the crashes recorded for one id or one fingerprint.
@@ -123,7 +126,7 @@
 // crash reports to send to other daemons: none as long as the request is likely to be
 // innocent.
 func (l *Ledger) ReportCrash(now time.Time, report CrashReport) []CrashReport {
-	c := crash{target: report.Target, time: now.Add(-report.Age), weight: runningWeight}
+	c := crash{target: report.Target, incarnation: report.Incarnation, time: now.Add(-report.Age), weight: runningWeight}
 	if report.AtStart {
 		c.weight = startWeight
 	}
@@ -140,7 +143,7 @@
 func (e *entry) reports(now time.Time, request RequestKey) []CrashReport {
 	var out []CrashReport
 	for _, c := range e.crashes {
-		out = append(out, CrashReport{Request: request, Target: c.target, AtStart: c.weight == startWeight, Age: now.Sub(c.time)})
+		out = append(out, CrashReport{Request: request, Target: c.target, Incarnation: c.incarnation, AtStart: c.weight == startWeight, Age: now.Sub(c.time)})
 	}
 	return out
 }
@@ -198,6 +201,7 @@
 	for i, existing := range e.crashes {
 		if existing.sameCrash(c, s) {
 			e.crashes[i].weight = max(existing.weight, c.weight)
+			e.crashes[i].incarnation = max(existing.incarnation, c.incarnation) // one of them may be unknown
 			return
 		}
 	}
@@ -213,8 +217,11 @@
 	}
 }
 
+// sameCrash reports whether two reports are about one crash: they are close in time, and
+// not about different incarnations of the target.
 func (c crash) sameCrash(other crash, s Settings) bool {
-	return c.target == other.target && c.time.Sub(other.time).Abs() <= s.SameCrashWindow.Std()
+	restarted := c.incarnation != 0 && other.incarnation != 0 && c.incarnation != other.incarnation
+	return c.target == other.target && !restarted && c.time.Sub(other.time).Abs() <= s.SameCrashWindow.Std()
 }
 
 // evictOldest removes the entry with the oldest last crash, except for the entry of
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -160,6 +160,34 @@
 	})
 }
 
+// TestQuickRestartsCountSeparately guards against a target that restarts under its id and
+// crashes again within SameCrashWindow, which counted as one crash.
+func TestQuickRestartsCountSeparately(t *testing.T) {
+	cases := []struct {
+		name         string
+		gap          time.Duration // between two reports
+		incarnations []uint64      // of the target, in the order of the reports; 0 if unknown
+		refused      bool
+	}{
+		{"it restarts within seconds", 4 * time.Second, []uint64{1, 2, 3}, true},
+		{"one crash is reported several times", time.Second, []uint64{1, 1, 1}, false},
+		{"its entry is older than its process", time.Minute, []uint64{1, 1, 1}, true},
+		{"it restarts within seconds, unknown to some daemons", time.Second, []uint64{0, 1, 2, 0, 3}, true},
+		{"its incarnation is unknown, reports within seconds", 4 * time.Second, []uint64{0, 0, 0}, false},
+		{"its incarnation is unknown, reports within minutes", time.Minute, []uint64{0, 0, 0}, true},
+		{"its incarnation is unknown to some daemons", time.Second, []uint64{1, 0, 1}, false},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			l := NewLedger(DefaultSettings())
+			for i, incarnation := range c.incarnations {
+				l.ReportCrash(timeAt(time.Duration(i)*c.gap), CrashReport{Request: RequestKey{"p", 1}, Target: "a", Incarnation: incarnation, AtStart: true})
+			}
+			So(l.Check(timeAt(5*minute), RequestKey{"p", 1}).Refusal != nil, ShouldEqual, c.refused)
+		})
+	}
+}
+
 // drawCrashes draws crashes of a few targets under a few requests.
 func drawCrashes(t *rapid.T) []crashCase {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) crashCase {
