gateway: no request is excused because another one was present at its crashes

What callers would see: where a service has few engines, other requests are often on all of the engines that a poison request crashes.

Cause: the ledger can't tell two requests apart that share all crashes, and let both continue (ExtraTargets).

Fix: the gateway's ledger excuses no request; in return one that is innocent is refused after three crashes at its own start. The project's own API keeps its setting (decisions/quarantine).

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -49,10 +49,17 @@
 // reports, which are sent at once; a booking call has a few times as long for its retry.
 const crashSettleTime = 20 * time.Millisecond
 
+// quarantineSettings returns the settings of the gateway's ledger. ExtraTargets is 0: where
+// a service has few targets, other requests are often present at all crashes of a poison
+// request, and excusing it for them would crash more targets under all of them.
+func quarantineSettings() quarantine.Settings {
+	s := quarantine.DefaultSettings()
+	s.SettleTime, s.ExtraTargets = jsontime.Duration(crashSettleTime), 0
+	return s
+}
+
 func newCrashTracker(events *event.Recorder, send func(quarantine.RequestKey)) *crashTracker {
-	settings := quarantine.DefaultSettings()
-	settings.SettleTime = jsontime.Duration(crashSettleTime)
-	return &crashTracker{events: events, send: send, ledger: quarantine.NewLedger(settings)}
+	return &crashTracker{events: events, send: send, ledger: quarantine.NewLedger(quarantineSettings())}
 }
 
 // requestKey identifies a request by its id and by a hash of its content, because a
