--- a/forward/run.go
+++ b/forward/run.go
@@ -28,8 +28,8 @@
 	moving        bool            // a move was started, its outcome is pending
 	framed        bool            // see Answer.Framed
 	failed        bool            // the attempt failed because of the target
-	crashReported bool
-	progressed    bool // the run's progress was reported
+	crashReported bool            // the run's end was reported as a crash
+	progressed    bool            // the run's progress was reported
 }
 
 // answerPart is one result of the reading goroutine: the head (status and header) of
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -246,7 +246,8 @@
 	incarnation := s.forwarder.Fleet.Incarnation(a.Target.ID)
 	active := s.forwarder.Fleet.Begin(now, a.Target.ID, demand)
 	attempt := &streamAttempt{
-		stream: s, attempt: a, incarnation: incarnation, active: active, lost: s.forwarder.Fleet.Lost(a.Target.ID), detector: newStallDetector(now, s.request.Route.MaxEventGap, a.Resume != (Copy{}), a.CopyTo != nil),
+		stream: s, attempt: a, incarnation: incarnation, active: active, lost: s.forwarder.Fleet.Lost(a.Target.ID),
+		detector:     newStallDetector(now, s.request.Route.MaxEventGap, a.Resume != (Copy{}), a.CopyTo != nil),
 		probeResults: make(chan ProbeResult, 1), parts: make(chan answerPart, 1), moveResults: make(chan copyResult, 1), copier: newCopier(s, a),
 	}
 	defer func() {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -74,13 +75,13 @@
 	return quarantine.RequestKey{ID: r.ID, Fingerprint: h.Sum64()}
 }
 
-// empty reports whether no request has a crash report, which is the normal case. The
-// caller can then skip hashing the request's body.
+// empty reports whether no request has a crash report or a loss, which is the normal
+// case. The caller can then skip hashing the request's body.
 func (c *crashTracker) empty() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ids, fingerprints := c.ledger.Len()
-	return ids == 0 && fingerprints == 0
+	return ids == 0 && fingerprints == 0 && len(c.losses) == 0
 }
 
 // Check implements forward.CrashTracker.
@@ -190,6 +191,7 @@
 	c.mu.Lock()
 	standing := c.ledger.Standing(key)
 	c.ledger.Clear(key)
+	c.losses = slices.DeleteFunc(c.losses, func(l loss) bool { return l.request.Fingerprint == key.Fingerprint })
 	c.mu.Unlock()
 	if standing.Crashes > 0 {
 		c.events.Record(event.CrashReportsCleared, r.ID, standingFields(key, standing)...)
