forward: a broken connection is a crash only if the target accepts no other

Three connections of one stream were reset within 130 ms by engines that ran on (answer_lost, reset), and a quarantined request is no longer sent on.

Cause: a reset was counted as a crash of its engine. While crashes were only looked at when a request arrived, that seldom mattered; now it ends the request.

Fix: after a connection broke, one more is opened to the target. If it is refused, no process listens any more: a crash. If it is accepted, only the run's connection was lost, and nothing is counted or told to other daemons. If neither comes within 50 ms, the run is a loss, as with a target that falls silent.

TestPoisonIsKnownToAllDaemons let its targets close the connection and run on, which is not a crash; they now refuse further connections, so the test asks for the same and more.

--- a/forward/call.go
+++ b/forward/call.go
@@ -172,7 +172,7 @@
 	c.forwarder.Events.Record(event.AttemptLost, c.request.ID, event.F("target", c.target.ID), event.F("error", err.Error()))
 	c.forwarder.Fleet.MarkRefused(now, c.target.ID)
 	if !timedOut {
-		c.forwarder.CrashTracker.ReportCrash(c.request, c.target, true)
+		c.forwarder.reportBrokenRun(ctx, c.request, c.target, target, true)
 	}
 	return failure.Wrap(err, failure.TargetLost, failure.Unknown, "await answer", c.target.ID)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -137,6 +137,9 @@
 	// header, has arrived. The end of ctx cancels the attempt and closes the answer's
 	// body.
 	Send(ctx context.Context, a Attempt) (*Answer, error)
+	// Connect opens a connection to a target and closes it. The error is ErrNotListening
+	// if the connection was refused.
+	Connect(ctx context.Context, t fleet.Target) error
 	// Report requests the state of a target.
 	Report(ctx context.Context, t fleet.Target) (Report, error)
 	// Copy copies the KV cache of a run to another target. It may copy only what was
--- a/forward/run.go
+++ b/forward/run.go
@@ -14,22 +14,22 @@
 
 // streamAttempt is one attempt of a stream at one target.
 type streamAttempt struct {
-	stream        *stream
-	attempt       Attempt
-	firstEventAt  time.Time         // zero before the first event
-	incarnation   fleet.Incarnation // of the target
-	active        *fleet.ActiveRequest
-	detector      *stallDetector
-	lost          <-chan struct{} // closed when the target is declared failed
-	probeResults  chan ProbeResult
-	parts         chan answerPart
-	copier        *copier
-	moveResults   chan copyResult // outcome of the move to another target
-	moving        bool            // a move was started, its outcome is pending
-	framed        bool            // see Answer.Framed
-	failed        bool            // the attempt failed because of the target
-	crashReported bool            // the run's end was reported as a crash
-	progressed    bool            // the run's progress was reported
+	stream       *stream
+	attempt      Attempt
+	firstEventAt time.Time         // zero before the first event
+	incarnation  fleet.Incarnation // of the target
+	active       *fleet.ActiveRequest
+	detector     *stallDetector
+	lost         <-chan struct{} // closed when the target is declared failed
+	probeResults chan ProbeResult
+	parts        chan answerPart
+	copier       *copier
+	moveResults  chan copyResult // outcome of the move to another target
+	moving       bool            // a move was started, its outcome is pending
+	framed       bool            // see Answer.Framed
+	failed       bool            // the attempt failed because of the target
+	endReported  bool            // the run's end was reported to the crash tracker
+	progressed   bool            // the run's progress was reported
 }
 
 // answerPart is one result of the reading goroutine: the head (status and header) of
@@ -129,12 +129,12 @@
 			}
 			if !headReceived {
 				headReceived = true
-				if end, done := a.handleHead(p); done {
+				if end, done := a.handleHead(ctx, p); done {
 					return end
 				}
 				continue
 			}
-			if end, done := a.handleEvent(p); done {
+			if end, done := a.handleEvent(ctx, p); done {
 				return end
 			}
 		}
@@ -168,7 +168,7 @@
 // abandon ends the attempt because its target is lost or stalled.
 func (a *streamAttempt) abandon(reason string) attemptEnd {
 	a.stream.mayHaveRun, a.failed = true, true
-	if !a.crashReported {
+	if !a.endReported {
 		a.stream.forwarder.CrashTracker.ReportLoss(a.stream.request, a.incarnation, a.atStart(time.Now()))
 	}
 	a.stream.standby = nil
@@ -184,25 +184,20 @@
 	return endTargetLost
 }
 
-// startPeriod is how long after its first event a run counts as just started. A request
-// that crashes its targets right after their first events counts like one that crashes
-// them before.
-const startPeriod = 500 * time.Millisecond
-
 // atStart reports whether the run has just started.
 func (a *streamAttempt) atStart(now time.Time) bool {
 	return !a.detector.firstEventSeen || now.Sub(a.firstEventAt) < startPeriod
 }
 
-// reportCrash reports that the target failed while it had the request.
-func (a *streamAttempt) reportCrash() {
-	a.crashReported = true
-	a.stream.forwarder.CrashTracker.ReportCrash(a.stream.request, a.attempt.Target, a.atStart(time.Now()))
+// reportBroken reports that the connection of the run broke.
+func (a *streamAttempt) reportBroken(ctx context.Context) {
+	a.endReported = true
+	a.stream.forwarder.reportBrokenRun(ctx, a.stream.request, a.attempt.Target, a.incarnation, a.atStart(time.Now()))
 }
 
 // handleHead handles the head of the answer, or the error of an attempt without one. If
 // the attempt has ended, it returns how and true.
-func (a *streamAttempt) handleHead(p answerPart) (attemptEnd, bool) {
+func (a *streamAttempt) handleHead(ctx context.Context, p answerPart) (attemptEnd, bool) {
 	s, t := a.stream, a.attempt.Target
 	switch {
 	case errors.Is(p.err, ErrNotSent):
@@ -210,8 +205,8 @@
 		s.forwarder.Prober.Check(t)
 		return endNotSent, true
 	case p.err != nil:
-		a.reportCrash()
 		s.forwarder.Prober.Check(t) // other streams on the target need the result at once
+		a.reportBroken(ctx)
 		return a.abandon(p.err.Error()), true
 	case p.answer.NotRun:
 		_ = p.answer.Body.Close()
@@ -256,14 +251,14 @@
 
 // handleEvent handles an event or the end of the stream. If the attempt has ended, it
 // returns how and true.
-func (a *streamAttempt) handleEvent(p answerPart) (attemptEnd, bool) {
+func (a *streamAttempt) handleEvent(ctx context.Context, p answerPart) (attemptEnd, bool) {
 	s, now := a.stream, time.Now()
 	if isEndOfStream(p.err) {
 		return endComplete, true
 	}
 	if p.err != nil {
-		a.reportCrash()
 		s.forwarder.Prober.Check(a.attempt.Target)
+		a.reportBroken(ctx)
 		return a.abandon(p.err.Error()), true
 	}
 	if !a.detector.firstEventSeen {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -237,7 +237,7 @@
 		}
 	}
 	c.mu.Unlock()
-	if newCrashes > 0 {
+	if newCrashes > 0 && worst.Crashes > 1 { // a first crash is most often that of an innocent request
 		c.events.Record(event.CrashReportsApplied, "", append(standingFields(worstKey, worst), event.F("member", from), event.F("new", strconv.Itoa(newCrashes)))...)
 	}
 }
--- a/gateway/poison_fleet_test.go
+++ b/gateway/poison_fleet_test.go
@@ -41,6 +41,7 @@
 	start             time.Time
 	eventsBeforeCrash int             // sent by a poison run
 	silentCrashes     bool            // a crash is noticed only by probes and by the new entry
+	resetShare        float64         // share of the runs that lose their connection at the start on an engine that runs on
 	silentLinks       map[string]bool // ids of daemons that receive no message for linkSilence
 
 	mu      sync.Mutex
@@ -194,6 +195,9 @@
 	if poison {
 		s.sends = append(s.sends, time.Now())
 	}
+	if s.random.Float64() < s.resetShare {
+		return nil, errors.WithStack(forward.ErrNoAnswer)
+	}
 	r, w := io.Pipe()
 	e.runs[w] = true
 	context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
@@ -257,6 +261,16 @@
 	_ = w.Close()
 }
 
+// Connect implements forward.TargetClient.
+func (s *poisonFleet) Connect(_ context.Context, t fleet.Target) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.engines[t.ID].down {
+		return s.sendError()
+	}
+	return nil
+}
+
 // Report implements forward.TargetClient.
 func (s *poisonFleet) Report(ctx context.Context, t fleet.Target) (forward.Report, error) {
 	s.mu.Lock()
