gateway: crash reports go to a daemon's address; tests share their seeds

A daemon that moved to another address while reports were delivered to the old one would have been called there for as long as it lived. Deliveries are kept by address and end once the daemon isn't registered there.

--- a/gateway/crash_sender.go
+++ b/gateway/crash_sender.go
@@ -17,17 +17,17 @@
 // reports when it returns.
 type crashReportSender struct {
 	members func() []exchange.Member // the other daemons
-	live    func(id string) bool
+	live    func(exchange.Member) bool
 	reports func([]quarantine.RequestKey) []quarantine.CrashReport
 	call    func(ctx context.Context, address string, reports []quarantine.CrashReport) error
 
 	ctx context.Context // nothing is sent once it is done
 
 	mu      sync.Mutex
-	pending map[string]map[quarantine.RequestKey]struct{} // by id of the daemon; present while deliver runs
+	pending map[string]map[quarantine.RequestKey]struct{} // by address of the daemon; present while deliver runs
 }
 
-func newCrashReportSender(members func() []exchange.Member, live func(id string) bool, reports func([]quarantine.RequestKey) []quarantine.CrashReport,
+func newCrashReportSender(members func() []exchange.Member, live func(exchange.Member) bool, reports func([]quarantine.RequestKey) []quarantine.CrashReport,
 	call func(ctx context.Context, address string, reports []quarantine.CrashReport) error,
 ) *crashReportSender {
 	return &crashReportSender{
@@ -47,10 +47,10 @@
 func (s *crashReportSender) send(m exchange.Member, requests ...quarantine.RequestKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pending, delivering := s.pending[m.ID]
+	pending, delivering := s.pending[m.Peers]
 	if !delivering {
 		pending = make(map[quarantine.RequestKey]struct{})
-		s.pending[m.ID] = pending
+		s.pending[m.Peers] = pending
 		go s.deliver(m)
 	}
 	for _, r := range requests {
@@ -61,12 +61,12 @@
 // deliver sends what is pending for a daemon until nothing is left.
 func (s *crashReportSender) deliver(m exchange.Member) {
 	for {
-		requests := s.take(m.ID)
+		requests := s.take(m.Peers)
 		if requests == nil {
 			return
 		}
 		reports := s.reports(requests)
-		if len(reports) == 0 || s.callWithTimeout(m.Peers, reports) == nil || !s.live(m.ID) {
+		if len(reports) == 0 || s.callWithTimeout(m.Peers, reports) == nil || !s.live(m) {
 			continue
 		}
 		s.send(m, requests...)
@@ -82,14 +82,14 @@
 
 // take removes and returns what is pending for a daemon. It returns nil, and drops the
 // daemon's entry, if nothing is pending or ctx is done.
-func (s *crashReportSender) take(id string) []quarantine.RequestKey {
+func (s *crashReportSender) take(address string) []quarantine.RequestKey {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pending := s.pending[id]
+	pending := s.pending[address]
 	if len(pending) == 0 || s.ctx.Err() != nil {
-		delete(s.pending, id)
+		delete(s.pending, address)
 		return nil
 	}
-	s.pending[id] = make(map[quarantine.RequestKey]struct{})
+	s.pending[address] = make(map[quarantine.RequestKey]struct{})
 	return slices.Collect(maps.Keys(pending))
 }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -116,11 +117,13 @@
 	return m.list.Others()
 }
 
-// live reports whether another daemon has sent a heartbeat recently.
-func (m *members) live(id string) bool {
+// live reports whether another daemon is registered at its address and has sent a
+// heartbeat recently.
+func (m *members) live(member exchange.Member) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.list.Live(time.Now(), id)
+	registered := slices.ContainsFunc(m.list.Others(), func(o exchange.Member) bool { return o.ID == member.ID && o.Peers == member.Peers })
+	return registered && m.list.Live(time.Now(), member.ID)
 }
 
 // othersByLiveness returns the other daemons, split into those with a recent heartbeat
--- a/gateway/poison_fleet_test.go
+++ b/gateway/poison_fleet_test.go
@@ -91,7 +91,7 @@
 	d := &simDaemon{id: id}
 	events := event.NewRecorder(id, event.NewClock(time.Now), log.NewNopLogger(), 16)
 	f := fleet.New("place-0", s.random.Uint64())
-	sender := newCrashReportSender(func() []exchange.Member { return s.others(d) }, func(string) bool { return true },
+	sender := newCrashReportSender(func() []exchange.Member { return s.others(d) }, func(exchange.Member) bool { return true },
 		func(requests []quarantine.RequestKey) []quarantine.CrashReport { return d.tracker.reportsOn(requests) },
 		func(ctx context.Context, address string, reports []quarantine.CrashReport) error {
 			return s.deliver(ctx, d, address, reports)
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -91,32 +91,33 @@
 	}
 }
 
-// seeds is the number of seeds that most tests of poison requests play.
-const seeds = 8
+// playSeeds runs a test with several seeds, each in a synctest bubble of its own.
+func playSeeds(t *testing.T, seeds uint64, test func(t *testing.T, seed uint64)) {
+	t.Helper()
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test(t, seed) })
+		})
+	}
+}
 
 // TestConcurrentPoisonRequestsAreNotSentAgain guards against poison requests under
 // several ids, at several daemons, of which each is sent to one engine after the other
 // although all daemons refuse new requests with their content.
 func TestConcurrentPoisonRequestsAreNotSentAgain(t *testing.T) {
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkPoisonStops(t, newPoisonFleet(seed, 8, 24), maxReportLag) })
-		})
-	}
+	playSeeds(t, 8, func(t *testing.T, seed uint64) {
+		checkPoisonStops(t, newPoisonFleet(seed, 8, 24), maxReportLag)
+	})
 }
 
 // TestPoisonAfterFirstEvents guards against a poison request whose crashes don't count
 // because its engine has sent events, or its caller resumes an earlier answer.
 func TestPoisonAfterFirstEvents(t *testing.T) {
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newPoisonFleet(seed, 8, 24)
-				s.eventsBeforeCrash = 1 + int(seed%8)
-				checkPoisonStops(t, s, maxReportLag)
-			})
-		})
-	}
+	playSeeds(t, 8, func(t *testing.T, seed uint64) {
+		s := newPoisonFleet(seed, 8, 24)
+		s.eventsBeforeCrash = 1 + int(seed%8)
+		checkPoisonStops(t, s, maxReportLag)
+	})
 }
 
 // checkNotRefused checks that no caller was refused as poison. Callers may have failed for
@@ -134,68 +135,51 @@
 // engines fall silent and close no connection. They count once another engine is
 // registered at the address; until then almost all engines may fall silent.
 func TestSilentPoison(t *testing.T) {
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newPoisonFleet(seed, 8, 24)
-				s.silentCrashes = true
-				checkNotRefused(t, s.play(t, defaultLoad, restartTime+heartbeatInterval+maxReportLag))
-			})
-		})
-	}
+	playSeeds(t, 8, func(t *testing.T, seed uint64) {
+		s := newPoisonFleet(seed, 8, 24)
+		s.silentCrashes = true
+		checkNotRefused(t, s.play(t, defaultLoad, restartTime+heartbeatInterval+maxReportLag))
+	})
 }
 
 // TestCrashReportsAreDelivered guards against daemons that keep sending a poison request
 // because their crash reports were lost on a connection that had fallen silent.
 func TestCrashReportsAreDelivered(t *testing.T) {
 	const deliveryTime = linkSilence + peerTimeout + heartbeatInterval + maxReportLag
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newPoisonFleet(seed, 8, 24)
-				s.silentLinks = map[string]bool{"vm-6": true, "vm-7": true}
-				for i, d := range s.daemons[:4] {
-					go s.requestAt(d, fmt.Sprint("p-", i), poisonBody, "")
-				}
-				time.Sleep(deliveryTime)
-				crashesBefore := s.crashCount()
-				for i, d := range s.daemons {
-					s.requestAt(d, fmt.Sprint("q-", i), poisonBody, "")
-				}
-				if n := s.crashCount() - crashesBefore; n > 0 {
-					t.Errorf("%d more engines crashed after the reports should have been delivered", n)
-				}
-				time.Sleep(time.Minute) // timers of the simulation end
-			})
-		})
-	}
+	playSeeds(t, 8, func(t *testing.T, seed uint64) {
+		s := newPoisonFleet(seed, 8, 24)
+		s.silentLinks = map[string]bool{"vm-6": true, "vm-7": true}
+		for i, d := range s.daemons[:4] {
+			go s.requestAt(d, fmt.Sprint("p-", i), poisonBody, "")
+		}
+		time.Sleep(deliveryTime)
+		crashesBefore := s.crashCount()
+		for i, d := range s.daemons {
+			s.requestAt(d, fmt.Sprint("q-", i), poisonBody, "")
+		}
+		if n := s.crashCount() - crashesBefore; n > 0 {
+			t.Errorf("%d more engines crashed after the reports should have been delivered", n)
+		}
+		time.Sleep(time.Minute) // timers of the simulation end
+	})
 }
 
 // TestPoisonBesideOthers guards against a poison request that continues to crash engines
 // because other requests were on the same few engines and may have crashed them as well.
 // Those may fail for lack of an engine, but none may be refused as poison.
 func TestPoisonBesideOthers(t *testing.T) {
-	const seeds = 20
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newPoisonFleet(seed, 8, 4)
-				checkNotRefused(t, s.play(t, poisonLoad{poison: 40, others: 200}, maxReportLag))
-			})
-		})
-	}
+	playSeeds(t, 20, func(t *testing.T, seed uint64) {
+		s := newPoisonFleet(seed, 8, 4)
+		checkNotRefused(t, s.play(t, poisonLoad{poison: 40, others: 200}, maxReportLag))
+	})
 }
 
 // TestResetsAreNoCrashes guards against requests that are refused as poison because
 // engines that run on reset their connections.
 func TestResetsAreNoCrashes(t *testing.T) {
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newPoisonFleet(seed, 8, 24)
-				s.resetShare = 0.5
-				checkNotRefused(t, s.play(t, poisonLoad{others: 200}, maxReportLag))
-			})
-		})
-	}
+	playSeeds(t, 8, func(t *testing.T, seed uint64) {
+		s := newPoisonFleet(seed, 8, 24)
+		s.resetShare = 0.5
+		checkNotRefused(t, s.play(t, poisonLoad{others: 200}, maxReportLag))
+	})
 }
