exchange: daemons that restart at once get the crash reports from those that ran on

What callers would see: of many daemons that are killed and start again at once, some get no crash reports, serve requests that the others refuse, and crash three more engines each.

Fix: the live daemons that have run longest are the sponsors, by the incarnation that their heartbeats state, and the choice is made again at each heartbeat of the first three seconds; each daemon sends once.

TestSponsors (8 and 91 daemons, restarts within a second) failed before; it also fails with the choice made at the first heartbeat only. Its former assertion that sponsors differ by incarnation was about the hash; the number of sponsors is still checked.

--- a/exchange/member_list.go
+++ b/exchange/member_list.go
@@ -2,10 +2,7 @@
 
 import (
 	"sort"
-	"strconv"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Member is the registration of one daemon.
@@ -26,21 +23,24 @@
 // daemons that callers should connect to. It does no I/O and reads no clock. It is not
 // safe for concurrent use.
 type MemberList struct {
-	self       string
-	members    map[string]Member
-	others     []Member // without self, sorted by id; replaced, never modified
-	heartbeats map[string]heartbeat
+	self        string
+	incarnation uint64 // of this daemon
+	members     map[string]Member
+	others      []Member // without self, sorted by id; replaced, never modified
+	heartbeats  map[string]heartbeat
 }
 
 type heartbeat struct {
 	at          time.Time
 	incarnation uint64
 	leaving     bool
+	since       time.Time // time of the incarnation's first heartbeat
+	updated     bool      // this daemon has brought the incarnation up to date
 }
 
-// NewMemberList returns an empty list for the daemon with the id self.
-func NewMemberList(self string) *MemberList {
-	return &MemberList{self: self, members: make(map[string]Member), heartbeats: make(map[string]heartbeat)}
+// NewMemberList returns an empty list for an incarnation of the daemon with the id self.
+func NewMemberList(self string, incarnation uint64) *MemberList {
+	return &MemberList{self: self, incarnation: incarnation, members: make(map[string]Member), heartbeats: make(map[string]heartbeat)}
 }
 
 // Put adds or replaces the entry of a daemon. It reports whether the daemon is new.
@@ -82,18 +82,26 @@
 )
 
 // RecordHeartbeat records a heartbeat of an incarnation of a daemon and whether the
-// daemon is leaving.
-func (l *MemberList) RecordHeartbeat(now time.Time, id string, incarnation uint64, leaving bool) Presence {
-	last, known := l.heartbeats[id]
+// daemon is leaving. update reports whether this daemon should bring the other one up to
+// date: the other was silent, so that neither received what the other one sent, or it has
+// started and this daemon is one of its sponsors.
+func (l *MemberList) RecordHeartbeat(now time.Time, id string, incarnation uint64, leaving bool) (p Presence, update bool) {
+	h, known := l.heartbeats[id]
 	wasLive := l.Live(now, id)
-	l.heartbeats[id] = heartbeat{now, incarnation, leaving}
 	switch {
-	case !known || last.incarnation != incarnation:
-		return Started
+	case !known || h.incarnation != incarnation:
+		p, h = Started, heartbeat{incarnation: incarnation, since: now}
 	case !wasLive:
-		return Returned
+		p = Returned
+	}
+	h.at, h.leaving = now, leaving
+	l.heartbeats[id] = h
+	starting := !h.updated && now.Sub(h.since) <= sponsorPeriod
+	if update = p == Returned || starting && l.sponsors(now, id); update {
+		h.updated = true
+		l.heartbeats[id] = h
 	}
-	return Continuing
+	return p, update
 }
 
 // Live reports whether a daemon has sent a heartbeat within silenceTimeout. This daemon
@@ -107,18 +115,38 @@
 // one does, since their views may differ and a call may fail.
 const maxSponsors = 3
 
-// Sponsors reports whether this daemon brings an incarnation of another daemon that has
-// started up to date. Of the live daemons, those with the highest hashes do, so that the
-// cost for one that starts does not grow with their number.
-func (l *MemberList) Sponsors(now time.Time, id string, incarnation uint64) bool {
-	key := id + "/" + strconv.FormatUint(incarnation, 10) + "/"
-	own, higher := xxhash.Sum64String(key+l.self), 0
+// sponsorPeriod is how long after its start a daemon may get sponsors. Daemons that ended
+// at the same time as its previous incarnation count as live, and as its sponsors, for
+// silenceTimeout.
+const sponsorPeriod = 2 * silenceTimeout
+
+// sponsors reports whether this daemon brings another one, which has started, up to date.
+// Of the live daemons, those that have run longest do: others may have started at the
+// same time, and the cost for one that starts must not grow with their number.
+func (l *MemberList) sponsors(now time.Time, id string) bool {
+	older := 0
 	for _, m := range l.others {
-		if m.ID != id && l.Live(now, m.ID) && xxhash.Sum64String(key+m.ID) > own {
-			higher++
+		if m.ID != id && l.Live(now, m.ID) && l.startedBefore(m.ID, l.self) {
+			older++
 		}
 	}
-	return higher < maxSponsors
+	return older < maxSponsors
+}
+
+// startedBefore reports whether the incarnation of the daemon a started before that of
+// b. The id decides between equal incarnations.
+func (l *MemberList) startedBefore(a, b string) bool {
+	if x, y := l.incarnationOf(a), l.incarnationOf(b); x != y {
+		return x < y
+	}
+	return a < b
+}
+
+func (l *MemberList) incarnationOf(id string) uint64 {
+	if id == l.self {
+		return l.incarnation
+	}
+	return l.heartbeats[id].incarnation
 }
 
 // Len returns the number of daemons that have an entry.
--- a/exchange/member_list_test.go
+++ b/exchange/member_list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,7 +11,7 @@
 
 func TestDirectory(t *testing.T) {
 	Convey("Given three daemons", t, func() {
-		r := NewMemberList("a")
+		r := NewMemberList("a", 1)
 		for _, id := range []string{"a", "b", "c"} {
 			So(r.Put(Member{ID: id}), ShouldBeTrue)
 		}
@@ -27,7 +28,9 @@
 			r.RecordHeartbeat(start, "b", 1, false)
 			r.RecordHeartbeat(start.Add(time.Second), "c", 1, false)
 			So(ids(start.Add(2*time.Second)), ShouldResemble, []string{"a", "c"})
-			So(r.RecordHeartbeat(start.Add(3*time.Second), "b", 1, false), ShouldEqual, Returned)
+			presence, update := r.RecordHeartbeat(start.Add(3*time.Second), "b", 1, false)
+			So(presence, ShouldEqual, Returned)
+			So(update, ShouldBeTrue)
 			So(ids(start.Add(3*time.Second)), ShouldResemble, []string{"a", "b"})
 		})
 		Convey("a leaving daemon is left out immediately, also if all others are silent", func() {
@@ -43,45 +46,82 @@
 // that returns.
 func TestRestartIsNoticed(t *testing.T) {
 	Convey("The first heartbeat of each incarnation is noticed, also while the previous one counts as live", t, func() {
-		r := NewMemberList("a")
+		r := NewMemberList("a", 1)
 		r.Put(Member{ID: "b"})
-		So(r.RecordHeartbeat(start, "b", 1, false), ShouldEqual, Started)
-		So(r.RecordHeartbeat(start.Add(heartbeatGap), "b", 1, false), ShouldEqual, Continuing)
-		So(r.RecordHeartbeat(start.Add(2*heartbeatGap), "b", 2, false), ShouldEqual, Started)
-		So(r.RecordHeartbeat(start.Add(3*heartbeatGap), "b", 2, false), ShouldEqual, Continuing)
+		for i, want := range []struct {
+			incarnation uint64
+			presence    Presence
+		}{{1, Started}, {1, Continuing}, {2, Started}, {2, Continuing}} {
+			presence, update := r.RecordHeartbeat(start.Add(time.Duration(i)*heartbeatGap), "b", want.incarnation, false)
+			So(presence, ShouldEqual, want.presence)
+			So(update, ShouldEqual, want.presence == Started)
+		}
 	})
 }
 
 // TestSponsors guards against a daemon that starts and gets the same from each of many
-// others, or from none.
+// others, or from none because those that should send it have just started as well.
 func TestSponsors(t *testing.T) {
-	Convey("A few of many daemons bring one that starts up to date, others for another incarnation", t, func() {
-		const daemons = 91
-		sponsors := func(incarnation uint64) (out []int) {
-			for i := range daemons {
-				r := NewMemberList(fmt.Sprint("vm-", i))
-				for j := range daemons {
-					r.Put(Member{ID: fmt.Sprint("vm-", j)})
-					r.RecordHeartbeat(start, fmt.Sprint("vm-", j), 1, false)
-				}
-				if i > 0 && r.Sponsors(start, "vm-0", incarnation) {
-					out = append(out, i)
+	const maxRestartTime = time.Second
+	for _, c := range []struct{ daemons, restarted int }{{8, 1}, {8, 5}, {91, 1}, {91, 55}} {
+		Convey(fmt.Sprintf("%d of %d daemons restart at once, each is updated by few that did not", c.restarted, c.daemons), t, func() {
+			for seed := range uint64(200 / c.daemons) {
+				updates := restartSome(seed, c.daemons, c.restarted, maxRestartTime)
+				for i := range c.restarted {
+					So(updates[i], ShouldBeBetweenOrEqual, 1, maxSponsors)
 				}
 			}
-			return out
-		}
-		So(sponsors(1), ShouldHaveLength, maxSponsors)
-		So(sponsors(2), ShouldHaveLength, maxSponsors)
-		So(sponsors(2), ShouldNotResemble, sponsors(1))
-	})
-	Convey("The only other live daemon does", t, func() {
-		r := NewMemberList("a")
+		})
+	}
+	Convey("The only other live daemon updates one that starts", t, func() {
+		r := NewMemberList("a", 1)
 		for _, id := range []string{"a", "b", "c", "d", "e"} {
 			r.Put(Member{ID: id})
 		}
-		So(r.Sponsors(start, "b", 1), ShouldBeTrue)
+		_, update := r.RecordHeartbeat(start, "b", 1, false)
+		So(update, ShouldBeTrue)
 	})
 }
 
+// restartSome restarts the first daemons of many at random times within maxRestartTime
+// and returns, for each of them, how many of the others bring it up to date.
+func restartSome(seed uint64, daemons, restarted int, maxRestartTime time.Duration) []int {
+	random := rand.New(rand.NewPCG(seed, seed))
+	ids, incarnations := make([]string, daemons), make([]uint64, daemons)
+	restarts := make([]time.Duration, restarted)
+	lists := make([]*MemberList, daemons)
+	for i := range daemons {
+		ids[i], incarnations[i] = fmt.Sprint("vm-", i), 1+random.Uint64N(1000)
+		lists[i] = NewMemberList(ids[i], incarnations[i])
+	}
+	for i := range restarts {
+		restarts[i] = time.Duration(random.Int64N(int64(maxRestartTime)))
+	}
+	for _, l := range lists {
+		for i, id := range ids {
+			l.Put(Member{ID: id})
+			l.RecordHeartbeat(start, id, incarnations[i], false)
+		}
+	}
+	updates := make([]int, restarted)
+	for now := start.Add(sponsorPeriod); now.Before(start.Add(4 * sponsorPeriod)); now = now.Add(heartbeatGap) {
+		for i, id := range ids {
+			incarnation := incarnations[i]
+			if i < restarted && now.Sub(start) >= 2*sponsorPeriod {
+				if now.Sub(start) < 2*sponsorPeriod+restarts[i] {
+					continue // it is down
+				}
+				incarnation += 1_000_000
+			}
+			for _, l := range lists[restarted:] {
+				if _, update := l.RecordHeartbeat(now, id, incarnation, false); update && incarnation != incarnations[i] {
+					updates[i]++
+				}
+			}
+		}
+	}
+	return updates
+}
+
 // heartbeatGap is a time between two heartbeats at which a daemon stays live.
 const heartbeatGap = silenceTimeout / 3
--- a/gateway/guarantees_test.go
+++ b/gateway/guarantees_test.go
@@ -161,7 +161,7 @@
 func TestLargeFleetsStayAlive(t *testing.T) {
 	Convey("A daemon stays live for the interval of two load reports, also with hundreds of daemons", t, func() {
 		for _, others := range []int{7, 75, 299, 759} {
-			members := exchange.NewMemberList("self")
+			members := exchange.NewMemberList("self", 1)
 			now := time.Unix(1_800_000_000, 0)
 			members.RecordHeartbeat(now, "other", 1, false)
 			So(members.Live(now.Add(2*loadInterval(others)), "other"), ShouldBeTrue)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -22,16 +22,17 @@
 
 // members registers this daemon in the store and tracks the other daemons.
 type members struct {
-	g    *Gateway
-	self exchange.Member
+	g           *Gateway
+	self        exchange.Member
+	incarnation uint64 // of this daemon, see peer.Identity
 
 	mu   sync.Mutex
 	list *exchange.MemberList
 }
 
 func newMembers(g *Gateway) *members {
-	s := g.settings.Load()
-	return &members{g: g, list: exchange.NewMemberList(s.ID), self: exchange.Member{
+	s, incarnation := g.settings.Load(), uint64(time.Now().UnixNano())
+	return &members{g: g, incarnation: incarnation, list: exchange.NewMemberList(s.ID, incarnation), self: exchange.Member{
 		ID: s.ID, Place: s.Place, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
 	}}
 }
@@ -97,13 +98,10 @@
 }
 
 // recordHeartbeat records a heartbeat of a daemon. It reports whether this daemon should
-// bring the other one up to date: the other was silent, so that neither received what the
-// other one sent, or it has started and this daemon is one of its sponsors.
+// bring the other one up to date, see exchange.MemberList.
 func (m *members) recordHeartbeat(from peer.Identity, leaving bool) (update bool) {
-	now := time.Now()
 	m.mu.Lock()
-	presence := m.list.RecordHeartbeat(now, from.ID, from.Incarnation, leaving)
-	update = presence == exchange.Returned || presence == exchange.Started && m.list.Sponsors(now, from.ID, from.Incarnation)
+	presence, update := m.list.RecordHeartbeat(time.Now(), from.ID, from.Incarnation, leaving)
 	m.mu.Unlock()
 	if presence != exchange.Continuing {
 		m.g.events.Record(event.MemberReturned, "", event.F("member", from.ID))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -68,7 +68,7 @@
 func newPeers(g *Gateway) (*peers, error) {
 	s := g.settings.Load()
 	t, err := peer.Listen(peer.Identity{
-		ID: s.ID, Incarnation: uint64(time.Now().UnixNano()), Place: s.Place, Region: s.Region,
+		ID: s.ID, Incarnation: g.members.incarnation, Place: s.Place, Region: s.Region,
 		APIAddress: s.Callers, PeerAddress: s.Peers,
 	}, g.events)
 	if err != nil {
