exchange: a daemon that registers after its first heartbeat is brought up to date again

What callers would see: a daemon that is added, or that starts while the store is away, sends a poison request to engines although all others refuse it.

Cause: its peers hear its heartbeats before they know its registration. They send it what they know at its first heartbeat, and crash reports that follow go to registered daemons only. In an outage of the store that lasts until the outage ends.

Fix: a registration at a new address restarts the period in which a daemon gets sponsors.

TestRegistrationAfterHeartbeat failed before (updated at the first heartbeat only).

--- a/exchange/member_list.go
+++ b/exchange/member_list.go
@@ -34,7 +34,7 @@
 	at          time.Time
 	incarnation uint64
 	leaving     bool
-	since       time.Time // time of the incarnation's first heartbeat
+	since       time.Time // of the incarnation's first heartbeat, or of its registration if that came later
 	updated     bool      // this daemon has brought the incarnation up to date
 }
 
@@ -44,11 +44,15 @@
 }
 
 // Put adds or replaces the entry of a daemon. It reports whether the daemon is new.
-func (l *MemberList) Put(m Member) bool {
-	_, known := l.members[m.ID]
+func (l *MemberList) Put(now time.Time, m Member) bool {
+	known, ok := l.members[m.ID]
 	l.members[m.ID] = m
 	l.rebuildOthers()
-	return !known
+	if h, heard := l.heartbeats[m.ID]; heard && known.Peers != m.Peers {
+		h.since, h.updated = now, false // what was sent to all others before did not reach it
+		l.heartbeats[m.ID] = h
+	}
+	return !ok
 }
 
 // Remove removes the entry of a daemon.
--- a/exchange/member_list_test.go
+++ b/exchange/member_list_test.go
@@ -13,7 +13,7 @@
 	Convey("Given three daemons", t, func() {
 		r := NewMemberList("a", 1)
 		for _, id := range []string{"a", "b", "c"} {
-			So(r.Put(Member{ID: id}), ShouldBeTrue)
+			So(r.Put(start, Member{ID: id}), ShouldBeTrue)
 		}
 		ids := func(now time.Time) (out []string) {
 			for _, m := range r.Directory(now) {
@@ -47,7 +47,7 @@
 func TestRestartIsNoticed(t *testing.T) {
 	Convey("The first heartbeat of each incarnation is noticed, also while the previous one counts as live", t, func() {
 		r := NewMemberList("a", 1)
-		r.Put(Member{ID: "b"})
+		r.Put(start, Member{ID: "b"})
 		for i, want := range []struct {
 			incarnation uint64
 			presence    Presence
@@ -76,7 +76,7 @@
 	Convey("The only other live daemon updates one that starts", t, func() {
 		r := NewMemberList("a", 1)
 		for _, id := range []string{"a", "b", "c", "d", "e"} {
-			r.Put(Member{ID: id})
+			r.Put(start, Member{ID: id})
 		}
 		_, update := r.RecordHeartbeat(start, "b", 1, false)
 		So(update, ShouldBeTrue)
@@ -99,7 +99,7 @@
 	}
 	for _, l := range lists {
 		for i, id := range ids {
-			l.Put(Member{ID: id})
+			l.Put(start, Member{ID: id})
 			l.RecordHeartbeat(start, id, incarnations[i], false)
 		}
 	}
@@ -123,5 +123,22 @@
 	return updates
 }
 
+// TestRegistrationAfterHeartbeat guards against a daemon whose heartbeats arrive before
+// its registration, and that gets nothing that was sent to all registered ones between.
+func TestRegistrationAfterHeartbeat(t *testing.T) {
+	Convey("A daemon is updated at its first heartbeat, and again once it is registered", t, func() {
+		r := NewMemberList("a", 1)
+		var updated []bool
+		for i := range 4 {
+			if i == 2 {
+				r.Put(start.Add(2*heartbeatGap), Member{ID: "b", Peers: "b:1"})
+			}
+			_, update := r.RecordHeartbeat(start.Add(time.Duration(i)*heartbeatGap), "b", 1, false)
+			updated = append(updated, update)
+		}
+		So(updated, ShouldResemble, []bool{true, false, true, false})
+	})
+}
+
 // heartbeatGap is a time between two heartbeats at which a daemon stays live.
 const heartbeatGap = silenceTimeout / 3
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		m.mu.Lock()
-		joined := m.list.Put(member)
+		joined := m.list.Put(time.Now(), member)
 		m.mu.Unlock()
 		if joined {
 			m.g.events.Record(event.MemberJoined, "", event.F("member", member.ID), event.F("place", member.Place))
