forward: an error status of a target clears no crashes

What callers would see: a poison call that an engine fails with a 500 without running it (a grey engine) is forgotten at that daemon, which sends it to three more engines.

Cause: every complete answer of a call counted as the proof that its content is harmless, an error status and an answer without the target's signature included.

Fix: only a signed success does. TestFailedAnswersClearNoCrashes failed before (400, 500 and an unsigned 200 were reported as completions).

--- a/forward/call.go
+++ b/forward/call.go
@@ -136,16 +136,19 @@
 	serverError := answer.Status >= http.StatusInternalServerError
 	active.Done(now, serverError)
 	c.forwarder.Fleet.MarkAnswered(t.ID)
-	c.forwarder.CrashTracker.ReportCompletion(c.request)
 	buffered := &bufferedAnswer{answer.Status, answer.Header, body}
 	if serverError && c.request.Route.Repeatable() {
 		c.targetFailure = buffered
 		c.forwarder.Events.Record(event.AttemptLost, c.request.ID, event.F("target", t.ID), event.F("error", "status "+strconv.Itoa(answer.Status)))
 		return nil, failure.New(failure.TargetLost, failure.Ran, "send", t.ID, "the target failed with status %d", answer.Status)
 	}
-	if answer.Status < http.StatusMultipleChoices && !answer.Signed {
+	if answer.Status >= http.StatusMultipleChoices {
+		return buffered, nil
+	}
+	if !answer.Signed {
 		return nil, failure.New(failure.UnknownOutcome, failure.Unknown, "send", t.ID, "an answer without the target's signature")
 	}
+	c.forwarder.CrashTracker.ReportCompletion(c.request)
 	return buffered, nil
 }
 
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -210,6 +210,17 @@
 	}
 }
 
+// unsigned drops the signature of an answer.
+func unsigned(b behaviour) behaviour {
+	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+		answer, err := b(ctx, a, s)
+		if err == nil {
+			answer.Signed = false
+		}
+		return answer, err
+	}
+}
+
 // failing fails at once with an error.
 func failing(err error) behaviour {
 	return func(context.Context, Attempt, *fakeTargetClient) (*Answer, error) { return nil, errors.WithStack(err) }
@@ -244,8 +255,12 @@
 func (c *fakeResponder) End()   { c.ended = true }
 func (c *fakeResponder) Abort() { c.aborted = true }
 
-// fakeCrashTracker records reported crashes, and losses of targets that have ended.
-type fakeCrashTracker struct{ crashed []string }
+// fakeCrashTracker records reported crashes, losses of targets that have ended, and
+// completions.
+type fakeCrashTracker struct {
+	crashed     []string
+	completions int
+}
 
 func (*fakeCrashTracker) Check(context.Context, *Request) *failure.Error { return nil }
 func (c *fakeCrashTracker) ReportCrash(_ *Request, t fleet.Target, _ bool) {
@@ -256,8 +271,8 @@
 		c.crashed = append(c.crashed, i.Target.ID)
 	}
 }
-func (*fakeCrashTracker) ReportProgress(*Request)   {}
-func (*fakeCrashTracker) ReportCompletion(*Request) {}
+func (*fakeCrashTracker) ReportProgress(*Request)     {}
+func (c *fakeCrashTracker) ReportCompletion(*Request) { c.completions++ }
 
 // fixture is a forwarder over fake targets, each in a place of its own.
 type fixture struct {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -183,7 +183,8 @@
 	ReportLoss(r *Request, target fleet.Incarnation, atStart bool)
 	// ReportProgress records that a run of a request sent events for startPeriod.
 	ReportProgress(r *Request)
-	// ReportCompletion records that a request was answered completely.
+	// ReportCompletion records that a request was answered completely, with success. An
+	// error status does not show that a target ran it to its end.
 	ReportCompletion(r *Request)
 }
 
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -84,3 +84,26 @@
 		})
 	}
 }
+
+// TestFailedAnswersClearNoCrashes guards against a poison request whose crashes are
+// dropped because a target failed it with an error status, without running it to its end.
+func TestFailedAnswersClearNoCrashes(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer      behaviour
+		completions int
+	}{
+		"success":             {answering(200, false), 1},
+		"server error":        {answering(500, false), 0},
+		"client error":        {answering(400, false), 0},
+		"no complete answer":  {failing(ErrNoAnswer), 0},
+		"success, not signed": {unsigned(answering(200, false)), 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFixture(map[string]behaviour{"a": c.answer})
+			s.serve(t, callRoute)
+			if n := s.crashTracker.completions; n != c.completions {
+				t.Errorf("%s: %d completions reported, want %d", name, n, c.completions)
+			}
+		})
+	}
+}
