quarantine: a request that is refused outlives a flood of first crashes

What callers would see: after a mass failure of targets a poison request crashes three more.

Cause: a full ledger (4096 ids, as many contents) evicted the entry with the oldest last crash. That of a refused request grows old, since it crashes nothing any more, while each request on a failing target brings a new entry.

Fix: lighter entries are evicted first, then older ones. TestQuarantineOutlivesAFlood failed before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -180,7 +180,7 @@
 }
 
 // addCrash adds a crash to the entry of key. If m then has more than MaxRequests
-// entries, it evicts others, oldest last crash first.
+// entries, it evicts others, see evictBefore.
 func addCrash[K comparable](m map[K]*entry, key K, fingerprint uint64, c crash, s Settings) *entry {
 	e := m[key]
 	if e == nil {
@@ -189,7 +189,7 @@
 	}
 	e.add(c, s)
 	for len(m) > s.MaxRequests {
-		evictOldest(m, key)
+		evict(m, key)
 	}
 	return e
 }
@@ -223,23 +223,27 @@
 	return c.target == other.target && !restarted && c.time.Sub(other.time).Abs() <= s.SameCrashWindow.Std()
 }
 
-// evictOldest removes the entry with the oldest last crash, except for the entry of
+// evict removes the first entry in the order of evictBefore, except for the entry of
 // keep.
-func evictOldest[K comparable](m map[K]*entry, keep K) {
-	var oldest *entry
+func evict[K comparable](m map[K]*entry, keep K) {
+	var first *entry
 	var key K
 	for k, e := range m {
-		if k == keep || oldest != nil && !lessRecent(e, oldest) {
+		if k == keep || first != nil && !evictBefore(e, first) {
 			continue
 		}
-		oldest, key = e, k
+		first, key = e, k
 	}
 	delete(m, key)
 }
 
-// lessRecent reports whether the last crash of a is older than that of b. The
-// fingerprint decides between equal times.
-func lessRecent(a, b *entry) bool {
+// evictBefore reports whether a is evicted before b: the lighter one, so that the first
+// crashes of many requests don't evict a request that is refused, then the one whose
+// last crash is older. The fingerprint decides between equal times.
+func evictBefore(a, b *entry) bool {
+	if x, y := a.weight(), b.weight(); x != y {
+		return x < y
+	}
 	if a.lastCrash().Equal(b.lastCrash()) {
 		return a.fingerprint < b.fingerprint
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -160,6 +160,29 @@
 	})
 }
 
+// TestQuarantineOutlivesAFlood guards against a quarantined request that is forgotten,
+// because a mass failure of targets brings more first crashes of others than the ledger
+// holds.
+func TestQuarantineOutlivesAFlood(t *testing.T) {
+	Convey("Requests with fewer crashes are evicted first", t, func() {
+		s := DefaultSettings()
+		s.MaxRequests = 10
+		l := NewLedger(s)
+		for i, target := range []string{"a", "b", "c"} {
+			reportCrash(l, crashCase{time.Duration(i) * time.Second, "p", 1, target, true})
+		}
+		for i := range 100 {
+			reportCrash(l, crashCase{time.Duration(10+i) * time.Second, fmt.Sprint("i-", i), uint64(10 + i), "d", i%2 == 0})
+		}
+		ids, fingerprints := l.Len()
+		So(ids, ShouldEqual, 10)
+		So(fingerprints, ShouldEqual, 10)
+		for _, request := range []RequestKey{{"p", 1}, {"q", 1}, {"p", 2}} { // by id and by content
+			So(l.Check(timeAt(2*minute), request).Refusal, ShouldNotBeNil)
+		}
+	})
+}
+
 // TestQuickRestartsCountSeparately guards against a target that restarts under its id and
 // crashes again within SameCrashWindow, which counted as one crash.
 func TestQuickRestartsCountSeparately(t *testing.T) {
