--- a/gateway/poison_fleet_test.go
+++ b/gateway/poison_fleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -54,26 +55,54 @@
 
 const poisonBody = "poison"
 
+// simDaemon is one incarnation of a daemon.
 type simDaemon struct {
 	*forward.Forwarder
 	id      string
 	tracker *crashTracker
+	ctx     context.Context // done when the incarnation ends
+	kill    context.CancelFunc
 }
 
 // tick does at each heartbeat what the daemons do.
 func (s *poisonFleet) tick(ctx context.Context) {
 	for pause.For(ctx, heartbeatInterval) {
-		for _, d := range s.daemons {
+		for _, d := range s.running() {
 			d.tracker.resolveLosses(time.Now())
 		}
 	}
 }
 
+// running returns the incarnations of the daemons that run now.
+func (s *poisonFleet) running() []*simDaemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.daemons)
+}
+
+// restartDaemons ends all daemons, with the requests that they serve, and starts new
+// incarnations.
+func (s *poisonFleet) restartDaemons() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, d := range s.daemons {
+		d.kill()
+		s.daemons[i] = s.newDaemon(d.id)
+		for _, e := range s.engines {
+			if !e.replaced {
+				s.daemons[i].Fleet.Put(e.target)
+			}
+		}
+	}
+}
+
 // simEngine is one incarnation of an engine.
 type simEngine struct {
 	target fleet.Target
 	runs   map[*io.PipeWriter]bool
 	down   bool
+	// replaced reports whether another incarnation has started in its place.
+	replaced bool
 }
 
 func newPoisonFleet(seed uint64, daemons, engines int) *poisonFleet {
@@ -89,6 +118,7 @@
 
 func (s *poisonFleet) newDaemon(id string) *simDaemon {
 	d := &simDaemon{id: id}
+	d.ctx, d.kill = context.WithCancel(context.Background())
 	events := event.NewRecorder(id, event.NewClock(time.Now), log.NewNopLogger(), 16)
 	f := fleet.New("place-0", s.random.Uint64())
 	sender := newCrashReportSender(func() []exchange.Member { return s.others(d) }, func(exchange.Member) bool { return true },
@@ -96,6 +126,7 @@
 		func(ctx context.Context, address string, reports []quarantine.CrashReport) error {
 			return s.deliver(ctx, d, address, reports)
 		})
+	sender.ctx = d.ctx
 	d.tracker = newCrashTracker(events, sender.sendToAll)
 	d.Forwarder = &forward.Forwarder{
 		TargetClient: s, Fleet: f, Events: events, Metrics: metrics.NewRegistry(), CrashTracker: d.tracker,
@@ -109,8 +140,8 @@
 
 // others returns the members other than d.
 func (s *poisonFleet) others(d *simDaemon) (out []exchange.Member) {
-	for _, other := range s.daemons {
-		if other != d {
+	for _, other := range s.running() {
+		if other.id != d.id {
 			out = append(out, exchange.Member{ID: other.id, Peers: other.id})
 		}
 	}
@@ -119,7 +150,7 @@
 
 // deliver makes a call with crash reports to the daemon at address.
 func (s *poisonFleet) deliver(ctx context.Context, from *simDaemon, address string, reports []quarantine.CrashReport) error {
-	for _, d := range s.daemons {
+	for _, d := range s.running() {
 		if d.id != address {
 			continue
 		}
@@ -156,7 +187,7 @@
 	t := fleet.Target{ID: id, Service: "svc", Address: id + ":1", Place: place, Slots: 64}
 	s.engines[id] = &simEngine{target: t, runs: make(map[*io.PipeWriter]bool)}
 	s.mu.Unlock()
-	for _, d := range s.daemons {
+	for _, d := range s.running() {
 		d.Fleet.Put(t)
 	}
 }
@@ -176,9 +207,12 @@
 		}
 	}
 	time.AfterFunc(restartTime, func() {
-		for _, d := range s.daemons {
+		for _, d := range s.running() {
 			d.Fleet.Remove(time.Now(), e.target.ID, false)
 		}
+		s.mu.Lock()
+		e.replaced = true
+		s.mu.Unlock()
 		s.startEngine(e.target.Place)
 	})
 }
@@ -326,7 +360,7 @@
 func (s *poisonFleet) requestAt(d *simDaemon, id, body, lastEventID string) *simCaller {
 	c := &simCaller{}
 	now := time.Now()
-	d.Serve(context.Background(), &forward.Request{
+	d.Serve(d.ctx, &forward.Request{
 		ID: id, Method: http.MethodPost, Host: "h", URI: "/a/1", Body: []byte(body), Header: http.Header{}, Workspace: "w",
 		Received: now, Deadline: now.Add(25 * time.Second), Route: &simRoute, Service: "svc", LastEventID: lastEventID,
 		Prompt: forward.Prompt{Tokens: 5000, MaxOutputTokens: 1000, CacheKey: body},
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -183,3 +183,15 @@
 		checkNotRefused(t, s.play(t, poisonLoad{others: 200}, maxReportLag))
 	})
 }
+
+// TestQuarantineOutlivesARestartOfAll guards against a poison request that crashes targets
+// again, because all daemons restart and lose their crash reports.
+func TestQuarantineOutlivesARestartOfAll(t *testing.T) {
+	playSeeds(t, 8, func(t *testing.T, seed uint64) {
+		s := newPoisonFleet(seed, 8, 24)
+		// Between two poison requests, so that a daemon is not asked before it has read
+		// what the store keeps.
+		time.AfterFunc(poisonDuration/2+100*time.Millisecond, s.restartDaemons)
+		checkNotRefused(t, s.play(t, defaultLoad, maxReportLag))
+	})
+}
