gateway: refused contents are kept in the store and outlive a restart of all daemons

What callers would see: once all daemons were killed or lost power, a poison request crashes engines again, each daemon's first three and more, and interrupts the streams beside it.

Fix: a daemon that observed a crash of a content which is now refused writes its crash reports to the store, unless another has; a daemon that starts reads them. Writes are repeated through an outage. One read a start, two calls a daemon that crashed the content; objects whose crashes no longer count are deleted by the next writer.

--- a/event/numbers_generation.go
+++ b/event/numbers_generation.go
@@ -21,6 +21,8 @@
 	RequestOnTrial       Number = 416
 	CrashReportsApplied  Number = 417
 	CrashReportsCleared  Number = 418
+	VerdictStored        Number = 419
+	VerdictsLoaded       Number = 420
 )
 
 var generationEntries = []Entry{
@@ -41,6 +43,8 @@
 	{GenerationTakenOver, "generation_taken", Info, "Another daemon took over an answer; this daemon detached from its stream, which keeps running.", ""},
 	{RequestCrashReported, "request_struck", Info, "A target crashed while it ran a request; the crash is counted for the request. refused says whether its content is refused from now on.", ""},
 	{RequestOnTrial, "request_on_trial", Info, "A request may run although targets have crashed while they ran its content.", ""},
-	{CrashReportsApplied, "crash_reports_applied", Info, "A peer reported crashes that this daemon did not know, of a content that has more than one; fingerprint names the one with the most.", ""},
+	{CrashReportsApplied, "crash_reports_applied", Info, "A peer reported crashes that this daemon did not know, or the store had them (member store), of a content that has more than one; fingerprint names the one with the most.", ""},
 	{CrashReportsCleared, "crash_reports_cleared", Info, "A target answered a request, and the recorded crashes of its content were dropped.", ""},
+	{VerdictStored, "verdict_stored", Info, "The crash reports of a refused content were written to the store, for daemons that start.", ""},
+	{VerdictsLoaded, "verdicts_loaded", Info, "This daemon has read from the store which contents are refused, after its start.", ""},
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -20,10 +20,12 @@
 )
 
 // crashTracker records which requests crash targets. It implements
-// forward.CrashTracker with a quarantine.Ledger and sends crash reports to peers.
+// forward.CrashTracker with a quarantine.Ledger, sends crash reports to peers and stores
+// those of refused requests.
 type crashTracker struct {
 	events *event.Recorder
 	send   func(quarantine.RequestKey) // delivers the crash reports on a request to the other daemons
+	save   func(quarantine.RequestKey) // stores them, once the request is refused
 
 	mu     sync.Mutex
 	ledger *quarantine.Ledger
@@ -59,8 +61,8 @@
 	return s
 }
 
-func newCrashTracker(events *event.Recorder, send func(quarantine.RequestKey)) *crashTracker {
-	return &crashTracker{events: events, send: send, ledger: quarantine.NewLedger(quarantineSettings())}
+func newCrashTracker(events *event.Recorder, send, save func(quarantine.RequestKey)) *crashTracker {
+	return &crashTracker{events: events, send: send, save: save, ledger: quarantine.NewLedger(quarantineSettings())}
 }
 
 // requestKey identifies a request by its id and by a hash of its content, because a
@@ -123,7 +125,7 @@
 
 // ReportCrash implements forward.CrashTracker.
 func (c *crashTracker) ReportCrash(r *forward.Request, t fleet.Target, atStart bool) {
-	c.reportCrash(quarantine.CrashReport{Request: requestKey(r), Target: t.ID, Incarnation: uint64(t.StartMillis), AtStart: atStart})
+	c.reportCrash(quarantine.CrashReport{Request: requestKey(r), Target: t.ID, Incarnation: uint64(t.StartMillis), AtStart: atStart, Own: true})
 }
 
 func (c *crashTracker) reportCrash(report quarantine.CrashReport) {
@@ -136,6 +138,15 @@
 	if len(reports) > 0 {
 		c.send(report.Request)
 	}
+	c.saveRefused(report.Request, standing)
+}
+
+// saveRefused stores the crash reports of a request that is refused. Only daemons that
+// observed one of its crashes do, so that few of many call the store.
+func (c *crashTracker) saveRefused(request quarantine.RequestKey, standing quarantine.Standing) {
+	if standing.Refused && standing.Own {
+		c.save(request)
+	}
 }
 
 // ReportLoss implements forward.CrashTracker.
@@ -167,7 +178,7 @@
 	c.mu.Unlock()
 	for _, l := range crashed {
 		t := l.target.Target
-		c.reportCrash(quarantine.CrashReport{Request: l.request, Target: t.ID, Incarnation: uint64(t.StartMillis), AtStart: l.atStart, Age: now.Sub(l.time)})
+		c.reportCrash(quarantine.CrashReport{Request: l.request, Target: t.ID, Incarnation: uint64(t.StartMillis), AtStart: l.atStart, Age: now.Sub(l.time), Own: true})
 	}
 }
 
@@ -223,14 +234,16 @@
 	return c.ledger.Requests(time.Now())
 }
 
-// applyReports records the crash reports of a peer.
+// applyReports records the crash reports of a peer or of the store.
 func (c *crashTracker) applyReports(from string, reports []quarantine.CrashReport) {
 	c.mu.Lock()
 	newCrashes, worst, worstKey := 0, quarantine.Standing{}, quarantine.RequestKey{}
+	standings := make(map[quarantine.RequestKey]quarantine.Standing)
 	for _, report := range reports {
 		crashesBefore := c.ledger.Standing(report.Request).Crashes
 		c.ledger.ReportCrash(time.Now(), report)
 		standing := c.ledger.Standing(report.Request)
+		standings[report.Request] = standing
 		newCrashes += standing.Crashes - crashesBefore
 		if standing.Crashes > worst.Crashes {
 			worst, worstKey = standing, report.Request
@@ -240,4 +253,7 @@
 	if newCrashes > 0 && worst.Crashes > 1 { // a first crash is most often that of an innocent request
 		c.events.Record(event.CrashReportsApplied, "", append(standingFields(worstKey, worst), event.F("member", from), event.F("new", strconv.Itoa(newCrashes)))...)
 	}
+	for request, standing := range standings {
+		c.saveRefused(request, standing)
+	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	datasets     *datasets
 	peers        *peers
 	crashTracker *crashTracker
+	verdicts     *verdicts
 
 	table     atomic.Pointer[ingress.Table] // active configuration; nil until the first one is activated
 	tableMu   sync.Mutex                    // held while a table is activated
@@ -89,7 +90,9 @@
 	g.events.LimitRoutineLogs(routineLinesPerSecond)
 	g.store = platform.NewClient("http://"+s.Store, g.metrics)
 	g.members, g.datasets = newMembers(g), newDatasets(g)
-	g.crashTracker = newCrashTracker(g.events, func(request quarantine.RequestKey) { g.peers.crashReports.sendToAll(request) })
+	g.crashTracker = newCrashTracker(g.events, func(request quarantine.RequestKey) { g.peers.crashReports.sendToAll(request) },
+		func(request quarantine.RequestKey) { g.verdicts.save(request) })
+	g.verdicts = newVerdicts(g.store, g.events, g.crashTracker.reportsOn, g.crashTracker.applyReports)
 	g.forwarder = &forward.Forwarder{
 		TargetClient: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, PlacementLimiter: forward.NewPlacementLimiter(),
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
@@ -183,6 +186,8 @@
 	g.peers.run(backgroundCtx)
 	g.datasets.run(backgroundCtx)
 	g.wg.Go(func() { g.members.register(backgroundCtx) })
+	g.verdicts.ctx = backgroundCtx
+	g.wg.Go(func() { g.verdicts.load(backgroundCtx) })
 	g.wg.Go(func() { g.closeIdleConns(backgroundCtx) })
 	serveErrors := make(chan error, len(g.servers))
 	for _, s := range g.servers {
--- a/gateway/guarantees_test.go
+++ b/gateway/guarantees_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -34,7 +35,7 @@
 
 // TestPoisonIsKnownToAllDaemons guards against a poison request that crashes targets
 // through each daemon in turn. Once one daemon has quarantined it, the other daemons,
-// including one that starts later, must refuse it without sending it to a target, and
+// including those that start later, must refuse it without sending it to a target, and
 // must still serve other requests.
 func TestPoisonIsKnownToAllDaemons(t *testing.T) {
 	Convey("Given two daemons, four targets and a poison request that one daemon has quarantined", t, func() {
@@ -53,8 +54,10 @@
 			})
 		}
 		store := env.store.Listener.Addr().String()
+		stops := make(map[string]func())
 		startDaemon := func(id string) Settings {
-			s, _ := env.startDaemon(id, store)
+			s, stop := env.startDaemon(id, store)
+			stops[id] = stop
 			eventually(func() bool { status, _ := get(s.Callers, "/a/x"); return status == 200 })
 			return s
 		}
@@ -92,6 +95,20 @@
 			So(quarantined(third), ShouldBeTrue)
 			So(kills.Load(), ShouldEqual, killsOnFirst)
 		})
+		Convey("a daemon that starts once all others have stopped reads from the store that it is refused", func() {
+			eventually(func() bool {
+				objects, _, err := env.storeClient.List(context.Background(), verdictKind)
+				return err == nil && len(objects) == 1
+			})
+			for id, s := range map[string]Settings{"vm-1": first, "vm-2": second} {
+				stops[id]()
+				eventually(func() bool { status, _ := get(s.Callers, "/a/x"); return status == 0 })
+			}
+			third := startDaemon("vm-3")
+			eventually(func() bool { return crashedTargets(third) > 0 })
+			So(quarantined(third), ShouldBeTrue)
+			So(kills.Load(), ShouldEqual, killsOnFirst)
+		})
 	})
 }
 
--- a/gateway/poison_fleet_test.go
+++ b/gateway/poison_fleet_test.go
@@ -44,6 +44,7 @@
 	silentCrashes     bool            // a crash is noticed only by probes and by the new entry
 	resetShare        float64         // share of the runs that lose their connection at the start on an engine that runs on
 	silentLinks       map[string]bool // ids of daemons that receive no message for linkSilence
+	store             simStore
 
 	mu      sync.Mutex
 	daemons []*simDaemon
@@ -127,7 +128,11 @@
 			return s.deliver(ctx, d, address, reports)
 		})
 	sender.ctx = d.ctx
-	d.tracker = newCrashTracker(events, sender.sendToAll)
+	var v *verdicts
+	d.tracker = newCrashTracker(events, sender.sendToAll, func(request quarantine.RequestKey) { v.save(request) })
+	v = newVerdicts(&s.store, events, d.tracker.reportsOn, d.tracker.applyReports)
+	v.ctx = d.ctx
+	go v.load(d.ctx)
 	d.Forwarder = &forward.Forwarder{
 		TargetClient: s, Fleet: f, Events: events, Metrics: metrics.NewRegistry(), CrashTracker: d.tracker,
 		Prober: forward.NewProber(s, f, events), CacheLocator: forward.NewCacheLocator(s), PlacementLimiter: forward.NewPlacementLimiter(),
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -77,6 +77,7 @@
 	Incarnation uint64        `msgpack:"n,omitempty"`
 	AtStart     bool          `msgpack:"r"` // the request had just started on the target
 	Age         time.Duration `msgpack:"a"` // time since the crash
+	Own         bool          `msgpack:"-"` // this daemon observed the crash
 }
 
 // crash is one failure of a target, as recorded in an entry.
@@ -85,6 +86,7 @@
 	incarnation uint64
 	time        time.Time
 	weight      int
+	own         bool // this daemon observed it
 }
 
 // entry holds the crashes recorded for one id or one fingerprint.
@@ -125,7 +127,7 @@
 // crash reports to send to other daemons: none as long as the request is likely to be
 // innocent.
 func (l *Ledger) ReportCrash(now time.Time, report CrashReport) []CrashReport {
-	c := crash{target: report.Target, incarnation: report.Incarnation, time: now.Add(-report.Age), weight: runningWeight}
+	c := crash{target: report.Target, incarnation: report.Incarnation, time: now.Add(-report.Age), weight: runningWeight, own: report.Own}
 	if report.AtStart {
 		c.weight = startWeight
 	}
@@ -201,6 +203,7 @@
 		if existing.sameCrash(c, s) {
 			e.crashes[i].weight = max(existing.weight, c.weight)
 			e.crashes[i].incarnation = max(existing.incarnation, c.incarnation) // one of them may be unknown
+			e.crashes[i].own = existing.own || c.own
 			return
 		}
 	}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -93,6 +93,8 @@
 	Crashes int
 	// Refused reports whether requests with the content are refused.
 	Refused bool
+	// Own reports whether this daemon observed one of the crashes.
+	Own bool
 	// OtherSuspect is the fingerprint of another request that was present at all the
 	// same crashes; 0 if there is none.
 	OtherSuspect uint64
@@ -105,6 +107,9 @@
 		return Standing{}
 	}
 	s := Standing{Crashes: len(e.crashes), Refused: l.overLimit(e)}
+	for _, c := range e.crashes {
+		s.Own = s.Own || c.own
+	}
 	if other := l.otherSuspect(e); other != nil {
 		s.OtherSuspect = other.fingerprint
 	}
