quarantine, gateway: drop the log field other_suspect

No request of the gateway is excused by another one, so the field was never set any more, and looking for it compared a request with all others at each report. No decision changes.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -112,13 +112,9 @@
 
 // standingFields returns the log fields of the standing of a request's content.
 func standingFields(key quarantine.RequestKey, s quarantine.Standing) []event.Field {
-	fields := []event.Field{
+	return []event.Field{
 		event.F("fingerprint", formatFingerprint(key.Fingerprint)), event.F("crashes", strconv.Itoa(s.Crashes)), event.F("refused", strconv.FormatBool(s.Refused)),
 	}
-	if s.OtherSuspect != 0 {
-		fields = append(fields, event.F("other_suspect", formatFingerprint(s.OtherSuspect)))
-	}
-	return fields
 }
 
 func formatFingerprint(f uint64) string { return fmt.Sprintf("%016x", f) }
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -73,19 +73,18 @@
 	case w >= limit+startWeight*l.settings.ExtraTargets:
 		return true
 	}
-	return l.otherSuspect(e) == nil
+	return !l.hasOtherSuspect(e)
 }
 
-// otherSuspect returns the entry of another request that was present at all the same
-// crashes with at least the same weights, so that either may have caused them. It
-// returns nil if there is none.
-func (l *Ledger) otherSuspect(e *entry) *entry {
+// hasOtherSuspect reports whether another request was present at all the same crashes
+// with at least the same weights, so that either may have caused them.
+func (l *Ledger) hasOtherSuspect(e *entry) bool {
 	for _, other := range l.byFingerprint {
 		if other.fingerprint != e.fingerprint && l.coversCrashes(other, e) {
-			return other
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
 // Standing summarizes the crashes recorded for the content of a request.
@@ -95,9 +94,6 @@
 	Refused bool
 	// Own reports whether this daemon observed one of the crashes.
 	Own bool
-	// OtherSuspect is the fingerprint of another request that was present at all the
-	// same crashes; 0 if there is none.
-	OtherSuspect uint64
 }
 
 // Standing returns the standing of the content of a request.
@@ -110,9 +106,6 @@
 	for _, c := range e.crashes {
 		s.Own = s.Own || c.own
 	}
-	if other := l.otherSuspect(e); other != nil {
-		s.OtherSuspect = other.fingerprint
-	}
 	return s
 }
 
