forward, gateway: data races of two tests' own fakes

make race failed on (TestHoldersAreAskedOnce, TestVerdictsAreStored): a counter of a fake and the objects of a simulated store were read without their lock. No product code.

--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -259,7 +260,7 @@
 // completions.
 type fakeCrashTracker struct {
 	crashed     []string
-	completions int
+	completions atomic.Int64
 }
 
 func (*fakeCrashTracker) Check(context.Context, *Request) *failure.Error { return nil }
@@ -272,7 +273,7 @@
 	}
 }
 func (*fakeCrashTracker) ReportProgress(*Request)     {}
-func (c *fakeCrashTracker) ReportCompletion(*Request) { c.completions++ }
+func (c *fakeCrashTracker) ReportCompletion(*Request) { c.completions.Add(1) }
 
 // fixture is a forwarder over fake targets, each in a place of its own.
 type fixture struct {
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -90,7 +90,7 @@
 func TestFailedAnswersClearNoCrashes(t *testing.T) {
 	for name, c := range map[string]struct {
 		answer      behaviour
-		completions int
+		completions int64
 	}{
 		"success":             {answering(200, false), 1},
 		"server error":        {answering(500, false), 0},
@@ -101,7 +101,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s := newFixture(map[string]behaviour{"a": c.answer})
 			s.serve(t, callRoute)
-			if n := s.crashTracker.completions; n != c.completions {
+			if n := s.crashTracker.completions.Load(); n != c.completions {
 				t.Errorf("%s: %d completions reported, want %d", name, n, c.completions)
 			}
 		})
--- a/gateway/verdicts_test.go
+++ b/gateway/verdicts_test.go
@@ -79,6 +79,20 @@
 	return nil
 }
 
+// names returns the names of the objects.
+func (s *simStore) names() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects))
+}
+
+// calls returns the number of calls.
+func (s *simStore) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists + s.writes
+}
+
 func (s *simStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,8 +149,8 @@
 		time.Sleep(time.Minute)
 		store.setDown(false)
 		time.Sleep(2 * storeRetryMax)
-		if len(store.objects) != 1 {
-			t.Errorf("%d objects after the outage, want 1", len(store.objects))
+		if names := store.names(); len(names) != 1 {
+			t.Errorf("objects %q after the outage, want 1", names)
 		}
 	})
 	test("a daemon that observed no crash stores nothing", func(t *testing.T, store *simStore) {
@@ -145,8 +159,8 @@
 		tracker, _ := newTestVerdicts(t, store)
 		tracker.applyReports("vm-1", observer.reports())
 		time.Sleep(time.Minute)
-		if !tracker.refuses(request) || store.lists+store.writes > 0 {
-			t.Errorf("refused %v, %d calls to the store, want it refused without a call", tracker.refuses(request), store.lists+store.writes)
+		if !tracker.refuses(request) || store.calls() > 0 {
+			t.Errorf("refused %v, %d calls to the store, want it refused without a call", tracker.refuses(request), store.calls())
 		}
 	})
 	test("a content that is not refused is not stored", func(t *testing.T, store *simStore) {
@@ -155,8 +169,8 @@
 			tracker.reportCrash(quarantine.CrashReport{Request: request, Target: "i-1", AtStart: true, Own: true})
 		}
 		time.Sleep(time.Minute)
-		if store.lists+store.writes > 0 {
-			t.Errorf("%d calls to the store, want none", store.lists+store.writes)
+		if store.calls() > 0 {
+			t.Errorf("%d calls to the store, want none", store.calls())
 		}
 	})
 	test("objects whose crashes no longer count are deleted, others are not", func(t *testing.T, store *simStore) {
@@ -169,9 +183,8 @@
 		other := quarantine.RequestKey{ID: "o", Fingerprint: 0xdef}
 		crashThree(tracker, other)
 		time.Sleep(time.Second)
-		names := slices.Sorted(maps.Keys(store.objects))
-		if want := []string{formatFingerprint(other.Fingerprint), "of another version"}; !slices.Equal(names, want) {
-			t.Errorf("objects %q, want %q", names, want)
+		if want := []string{formatFingerprint(other.Fingerprint), "of another version"}; !slices.Equal(store.names(), want) {
+			t.Errorf("objects %q, want %q", store.names(), want)
 		}
 	})
 }
