--- a/exchange/spread_test.go
+++ b/exchange/spread_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -205,11 +206,11 @@
 	f.stored = objectstore.Object{Name: "main", Revision: f.stored.Revision + 1, Value: value}
 }
 
-// outdated returns the number of daemons that lack the stored revision.
+// outdated returns the number of daemons that lack the stored value.
 func (f *simFleet) outdated() int {
 	n := 0
 	for _, d := range f.daemons {
-		if d.dataset.entries["main"].Revision < f.stored.Revision {
+		if !bytes.Equal(d.dataset.entries["main"].Value, f.stored.Value) {
 			n++
 		}
 	}
@@ -293,3 +294,32 @@
 		})
 	}
 }
+
+// TestOlderStoreIsFollowed guards against daemons that keep what they have although the
+// store was restored from an older copy, until its revisions have passed their old
+// height, and that take two values of one revision for the same.
+func TestOlderStoreIsFollowed(t *testing.T) {
+	for _, after := range []int{1, 4, 9} { // changes after the restoration
+		Convey(fmt.Sprintf("After a restoration that loses four changes, %d more reach all in time", after), t, func() {
+			f := newSimFleet(uint64(after), simConfiguration(1, 60))
+			f.run(f.now.Add(5 * time.Second))
+			var copied objectstore.Object
+			for version := 2; version <= 10; version++ {
+				f.store(simConfiguration(version, 60))
+				if version == 6 {
+					copied = f.stored
+				}
+				f.run(f.now.Add(250 * time.Millisecond))
+			}
+			f.run(f.now.Add(maxSpread))
+			f.stored = copied
+			f.run(f.now.Add(time.Second))
+			for version := 11; version < 11+after; version++ {
+				f.store(simConfiguration(version, 60))
+				f.run(f.now.Add(100 * time.Millisecond))
+			}
+			f.run(f.now.Add(maxSpread))
+			So(f.outdated(), ShouldEqual, 0)
+		})
+	}
+}
