exchange, platform: states of the store are ordered by era and revision

What callers would see after a restoration of the store from an older copy: changes of the configuration and of targets are ignored until the store's revisions have passed their old height, or for good where a revision now stands for another value.

Cause: a read with a lower revision counted as old, and an entry with the same revision as the same.

Who hears of an era from a peer reads soon, at a random time.

--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -55,7 +55,7 @@
 	return o, nil
 }
 
-func (m *memoryStore) List(_ context.Context, kind string) ([]objectstore.Object, int64, error) {
+func (m *memoryStore) List(_ context.Context, kind string) ([]objectstore.Object, objectstore.Position, error) {
 	var out []objectstore.Object
 	for _, o := range m.objects {
 		if o.Kind == kind {
@@ -63,7 +63,7 @@
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	return out, 0, nil
+	return out, objectstore.Position{}, nil
 }
 
 func (m *memoryStore) Watch(context.Context, string, int64) ([]objectstore.Object, int64, error) {
--- a/exchange/announcement_test.go
+++ b/exchange/announcement_test.go
@@ -23,10 +23,10 @@
 		announcements := make([]Update, len(readers))
 		for i := range readers {
 			readers[i] = NewDataset("k", time.Second, uint64(i))
-			readers[i].ApplyRead(start, []objectstore.Object{largeObject("a", 1)}, 1)
+			readers[i].ApplyRead(start, []objectstore.Object{largeObject("a", 1)}, at(1))
 			// The store's revision also rises with changes of other kinds.
 			revision := rapid.Int64Range(2, 4).Draw(t, "revision")
-			_, announcements[i] = readers[i].ApplyRead(start.Add(time.Second), []objectstore.Object{largeObject("a", 2)}, revision)
+			_, announcements[i] = readers[i].ApplyRead(start.Add(time.Second), []objectstore.Object{largeObject("a", 2)}, at(revision))
 			if len(announcements[i].Changed) > 0 || len(announcements[i].Announced) != 1 {
 				t.Fatalf("reader %d sends %d values before others had time to announce them", i, len(announcements[i].Changed))
 			}
@@ -62,7 +62,7 @@
 		now := start
 		read := func(objects ...objectstore.Object) Update {
 			now = now.Add(time.Second)
-			_, u := d.ApplyRead(now, objects, objects[len(objects)-1].Revision)
+			_, u := d.ApplyRead(now, objects, at(objects[len(objects)-1].Revision))
 			return u
 		}
 		sendsNothing := func(u Update) {
--- a/exchange/claim_test.go
+++ b/exchange/claim_test.go
@@ -17,7 +17,7 @@
 		const period = time.Second
 		for seed := range uint64(20) {
 			d := NewDataset("k", period, seed)
-			d.ApplyRead(start, []objectstore.Object{object("a", 1)}, 1)
+			d.ApplyRead(start, []objectstore.Object{object("a", 1)}, at(1))
 			for now := start; now.Before(start.Add(5 * period)); now = now.Add(period / 10) {
 				before := d.NextRead()
 				d.ApplyClaim(now, Claim{Kind: "k", Duration: 10 * time.Second})
--- a/exchange/dataset.go
+++ b/exchange/dataset.go
@@ -34,7 +34,9 @@
 	own           ownAnnouncement  // this daemon's last announcement
 	checksum      uint64           // XOR of the entries' hashes
 	latest        announcedState   // as reported by the update with the highest revision
+	era           int64            // of the entries, see objectstore.Position
 	storeRevision int64            // revision of the store at the last read or match; -1 before the first
+	heard         heardEra         // a newer era
 	freshAt       time.Time        // when the entries were last known to match the store
 	nextRead      time.Time        // when this daemon should read the store next
 }
@@ -49,6 +51,10 @@
 // Loaded reports whether the dataset has been read from the store or from a peer.
 func (d *Dataset) Loaded() bool { return d.storeRevision >= 0 }
 
+// Position returns the position of the store that the entries matched last; its revision
+// is negative before the first read.
+func (d *Dataset) Position() objectstore.Position { return d.position() }
+
 // LastMatch returns when the entries were last known to match the store, or the zero
 // time if they never were.
 func (d *Dataset) LastMatch() time.Time { return d.freshAt }
@@ -87,21 +93,27 @@
 		return
 	}
 	d.freshAt = at
-	d.nextRead = at.Add(d.period + d.drawJitter())
+	next := at.Add(d.period + d.drawJitter())
+	if d.heard.era > d.era && d.nextRead.Before(next) {
+		return // the entries matched an older era
+	}
+	d.nextRead = next
 }
 
-// ApplyRead applies the objects and the revision that a read of the store returned. The
+// ApplyRead applies the objects and the position that a read of the store returned. The
 // read was sent at sentAt. ApplyRead returns the change and the update to send to peers;
 // the caller sets its Age. If the update announces values, the caller calls
 // AnnouncedValues after AnnounceDelay. A read older than the dataset changes nothing.
 //
 // The update contains only what can be news to the peers: no entries that a peer has
-// announced, and nothing after the first read, before which the dataset was empty.
-// Otherwise each of the daemons that read the store at the same time, or start, would
-// send all values to all others.
-func (d *Dataset) ApplyRead(sentAt time.Time, objects []objectstore.Object, storeRevision int64) (Change, Update) {
-	if storeRevision < d.storeRevision {
-		return Change{}, Update{Kind: d.kind, StoreRevision: d.storeRevision, Checksum: d.checksum}
+// announced, and nothing after the first read, before which the dataset was empty, or
+// after the first one of an era, whose differences are those to this daemon's entries
+// only. Otherwise each of the daemons that read the store at the same time, or start,
+// would send all values to all others.
+func (d *Dataset) ApplyRead(sentAt time.Time, objects []objectstore.Object, at objectstore.Position) (Change, Update) {
+	d.checkHeard(sentAt, at.Era)
+	if at.Before(d.position()) {
+		return Change{}, Update{Kind: d.kind, Era: d.era, StoreRevision: d.storeRevision, Checksum: d.checksum}
 	}
 	storeEntries := make([]Entry, len(objects))
 	checksum := uint64(0) // of the store's entries; the dataset may hold newer ones
@@ -109,11 +121,10 @@
 		storeEntries[i] = Entry{Name: o.Name, Revision: o.Revision, Value: o.Value}
 		checksum ^= storeEntries[i].hash()
 	}
-	firstRead, announced := !d.Loaded(), maps.Clone(d.announced)
-	c := d.replace(storeEntries, storeRevision)
-	d.storeRevision = storeRevision
+	firstRead, announced := !d.Loaded() || at.Era > d.era, maps.Clone(d.announced)
+	c := d.replace(storeEntries, at)
 	d.markFresh(sentAt)
-	u := Update{Kind: d.kind, StoreRevision: storeRevision, Checksum: checksum}
+	u := Update{Kind: d.kind, Era: at.Era, StoreRevision: at.Revision, Checksum: checksum}
 	if firstRead {
 		return c, u
 	}
@@ -131,10 +142,20 @@
 // newer than the existing one. Once the dataset's checksum equals that of the update
 // with the highest revision, the dataset matches the store and the next read is
 // postponed. Until then, the next read is not postponed, and a delayed update may
-// restore an entry that was removed in the meantime.
+// restore an entry that was removed in the meantime. An update of a newer era brings the
+// next read forward; its entries are differences to others than this dataset's.
 func (d *Dataset) ApplyUpdate(now time.Time, u Update) Change {
-	d.noteAnnounced(u)
-	if u.StoreRevision < d.storeRevision {
+	switch {
+	case u.Era > d.era && d.empty():
+		d.era = u.Era
+	case u.Era > d.era:
+		d.HearEra(now, u.Era)
+		return Change{}
+	}
+	if u.Era == d.era {
+		d.noteAnnounced(u)
+	}
+	if u.position().Before(d.position()) {
 		return Change{}
 	}
 	var c Change
@@ -190,27 +211,31 @@
 }
 
 // Query returns the query for a peer's snapshot.
-func (d *Dataset) Query() Query { return Query{Kind: d.kind, Checksum: d.checksum} }
+func (d *Dataset) Query() Query { return Query{Kind: d.kind, Era: d.era, Checksum: d.checksum} }
 
 // ApplySnapshot applies a peer's snapshot, received at now, and returns the change. A
 // snapshot older than the dataset changes nothing.
 func (d *Dataset) ApplySnapshot(now time.Time, s Snapshot) Change {
-	if s.StoreRevision < d.storeRevision || s.Unchanged && s.Checksum != d.checksum {
+	if s.position().Before(d.position()) || s.Unchanged && (s.Era != d.era || s.Checksum != d.checksum) {
 		return Change{}
 	}
 	var c Change
-	if !s.Unchanged {
-		c = d.replace(s.Entries, s.StoreRevision)
+	if s.Unchanged {
+		d.storeRevision = s.StoreRevision
+	} else {
+		c = d.replace(s.Entries, s.position())
 	}
-	d.storeRevision = s.StoreRevision
 	d.markFresh(now.Add(-s.Age))
 	return c
 }
 
-// Snapshot returns the snapshot for a peer whose entries have the given checksum. It
-// contains no entries if the checksums are equal.
-func (d *Dataset) Snapshot(now time.Time, peerChecksum uint64) Snapshot {
-	s := Snapshot{Kind: d.kind, StoreRevision: d.storeRevision, Age: now.Sub(d.freshAt), Checksum: d.checksum, Unchanged: peerChecksum == d.checksum}
+// Snapshot returns the snapshot for a peer's query. It contains no entries if the peer
+// has the same.
+func (d *Dataset) Snapshot(now time.Time, q Query) Snapshot {
+	s := Snapshot{
+		Kind: d.kind, Era: d.era, StoreRevision: d.storeRevision, Age: now.Sub(d.freshAt), Checksum: d.checksum,
+		Unchanged: q.Era == d.era && q.Checksum == d.checksum,
+	}
 	if s.Unchanged {
 		return s
 	}
@@ -220,9 +245,13 @@
 	return s
 }
 
-// replace replaces the dataset by the complete entries at a revision of the store, but
+// replace replaces the dataset by the complete entries at a position of the store, but
 // keeps newer entries. It returns the change.
-func (d *Dataset) replace(storeEntries []Entry, storeRevision int64) Change {
+func (d *Dataset) replace(storeEntries []Entry, at objectstore.Position) Change {
+	if at.Era > d.era {
+		return d.beginEra(storeEntries, at)
+	}
+	d.storeRevision = at.Revision
 	var c Change
 	present := make(map[string]bool, len(storeEntries))
 	for _, e := range storeEntries {
@@ -232,12 +261,12 @@
 		}
 	}
 	for _, name := range d.names() {
-		if !present[name] && d.entries[name].Revision <= storeRevision {
+		if !present[name] && d.entries[name].Revision <= at.Revision {
 			d.remove(name)
 			c.Removed = append(c.Removed, name)
 		}
 	}
-	maps.DeleteFunc(d.announced, func(name string, revision int64) bool { return !present[name] && revision <= storeRevision })
+	maps.DeleteFunc(d.announced, func(name string, revision int64) bool { return !present[name] && revision <= at.Revision })
 	sort.Slice(c.Changed, func(i, j int) bool { return c.Changed[i].Name < c.Changed[j].Name })
 	return c
 }
--- a/exchange/dataset_test.go
+++ b/exchange/dataset_test.go
@@ -18,62 +18,65 @@
 	return objectstore.Object{Name: name, Revision: revision, Value: []byte(`{}`)}
 }
 
+// at returns a position of the first era.
+func at(revision int64) objectstore.Position { return objectstore.Position{Revision: revision} }
+
 func TestDatasetSpread(t *testing.T) {
 	Convey("Given a daemon that reads the store and a peer", t, func() {
 		reader, peer := NewDataset("k", time.Second, 1), NewDataset("k", time.Second, 2)
-		change, update := reader.ApplyRead(start, []objectstore.Object{object("a", 1), object("b", 2)}, 2)
+		change, update := reader.ApplyRead(start, []objectstore.Object{object("a", 1), object("b", 2)}, at(2))
 		So(change.Changed, ShouldHaveLength, 2)
-		So(peer.ApplySnapshot(start, reader.Snapshot(start, peer.Query().Checksum)).Changed, ShouldHaveLength, 2)
+		So(peer.ApplySnapshot(start, reader.Snapshot(start, peer.Query())).Changed, ShouldHaveLength, 2)
 		later := start.Add(900 * time.Millisecond)
 
 		Convey("an update with a change and a removal is applied", func() {
-			_, update := reader.ApplyRead(start.Add(time.Second), []objectstore.Object{object("b", 3)}, 4)
+			_, update := reader.ApplyRead(start.Add(time.Second), []objectstore.Object{object("b", 3)}, at(4))
 			changed := peer.ApplyUpdate(start.Add(time.Second), update)
 			So(changed.Removed, ShouldResemble, []string{"a"})
 			So(changed.Changed[0].Revision, ShouldEqual, 3)
 		})
 		Convey("updates that arrive in reverse order are both applied and together complete the dataset", func() {
 			nextRead := peer.NextRead()
-			_, first := reader.ApplyRead(later, []objectstore.Object{object("b", 3)}, 4)
-			_, second := reader.ApplyRead(later, []objectstore.Object{object("b", 3), object("c", 5)}, 5)
+			_, first := reader.ApplyRead(later, []objectstore.Object{object("b", 3)}, at(4))
+			_, second := reader.ApplyRead(later, []objectstore.Object{object("b", 3), object("c", 5)}, at(5))
 			So(peer.ApplyUpdate(later, second).Changed, ShouldHaveLength, 1)
 			So(peer.NextRead(), ShouldEqual, nextRead) // an update is missing, so the read stays due
 			So(peer.ApplyUpdate(later, first).Removed, ShouldResemble, []string{"a"})
 			So(peer.NextRead(), ShouldHappenOnOrAfter, later.Add(time.Second))
-			So(peer.Snapshot(later, reader.Query().Checksum).Unchanged, ShouldBeTrue)
+			So(peer.Snapshot(later, reader.Query()).Unchanged, ShouldBeTrue)
 		})
 		Convey("a query returns the changes to a peer that missed an update, and no entries to a peer that missed none", func() {
-			reader.ApplyRead(later, []objectstore.Object{object("b", 3)}, 4)
-			_, update := reader.ApplyRead(later, []objectstore.Object{object("b", 5)}, 5)
+			reader.ApplyRead(later, []objectstore.Object{object("b", 3)}, at(4))
+			_, update := reader.ApplyRead(later, []objectstore.Object{object("b", 5)}, at(5))
 			peer.ApplyUpdate(later, update)
-			snapshot := reader.Snapshot(later, peer.Query().Checksum)
+			snapshot := reader.Snapshot(later, peer.Query())
 			So(snapshot.Unchanged, ShouldBeFalse)
 			So(peer.ApplySnapshot(later, snapshot).Removed, ShouldResemble, []string{"a"})
-			snapshot = reader.Snapshot(later, peer.Query().Checksum)
+			snapshot = reader.Snapshot(later, peer.Query())
 			So(snapshot.Unchanged, ShouldBeTrue)
 			So(snapshot.Entries, ShouldBeEmpty)
 			So(peer.ApplySnapshot(later, snapshot).Empty(), ShouldBeTrue)
 			So(peer.names(), ShouldResemble, []string{"b"})
 		})
 		Convey("an old read, update or snapshot reverts nothing", func() {
-			reader.ApplyRead(start.Add(time.Second), []objectstore.Object{object("b", 3)}, 4)
-			change, _ := reader.ApplyRead(start, []objectstore.Object{object("a", 1)}, 2)
+			reader.ApplyRead(start.Add(time.Second), []objectstore.Object{object("b", 3)}, at(4))
+			change, _ := reader.ApplyRead(start, []objectstore.Object{object("a", 1)}, at(2))
 			So(change.Empty(), ShouldBeTrue)
 			So(reader.ApplyUpdate(start, update).Empty(), ShouldBeTrue)
 			So(reader.ApplySnapshot(start, Snapshot{StoreRevision: 1}).Empty(), ShouldBeTrue)
 		})
 		Convey("a read that is older than an applied update does not revert it", func() {
-			_, delayed := reader.ApplyRead(later, []objectstore.Object{object("b", 3)}, 4)
-			_, update := reader.ApplyRead(later, []objectstore.Object{object("b", 6), object("c", 5)}, 6)
+			_, delayed := reader.ApplyRead(later, []objectstore.Object{object("b", 3)}, at(4))
+			_, update := reader.ApplyRead(later, []objectstore.Object{object("b", 6), object("c", 5)}, at(6))
 			peer.ApplyUpdate(later, update)
-			change, _ := peer.ApplyRead(later, []objectstore.Object{object("b", 3)}, 4)
+			change, _ := peer.ApplyRead(later, []objectstore.Object{object("b", 3)}, at(4))
 			So(change.Removed, ShouldResemble, []string{"a"})
 			So(peer.ApplyUpdate(later, delayed).Empty(), ShouldBeTrue)
 			So(peer.entries["b"].Revision, ShouldEqual, 6)
 			So(peer.names(), ShouldResemble, []string{"b", "c"})
 		})
 		Convey("an update without changes postpones the peer's read", func() {
-			_, update := reader.ApplyRead(later, []objectstore.Object{object("a", 1), object("b", 2)}, 2)
+			_, update := reader.ApplyRead(later, []objectstore.Object{object("a", 1), object("b", 2)}, at(2))
 			peer.ApplyUpdate(later, update)
 			So(peer.NextRead(), ShouldHappenOnOrAfter, later.Add(time.Second))
 		})
@@ -121,7 +124,7 @@
 			}
 			checksums[revision] = checksum
 			reader := rapid.IntRange(0, len(datasets)-1).Draw(t, "reader")
-			_, update := datasets[reader].ApplyRead(now, objects, revision)
+			_, update := datasets[reader].ApplyRead(now, objects, at(revision))
 			updates := []Update{update}
 			if values, ok := datasets[reader].AnnouncedValues(); ok {
 				updates = append(updates, values)
--- /dev/null
+++ b/exchange/era.go
@@ -0,0 +1,72 @@
+package exchange
+
+import (
+	"bytes"
+	"sort"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/objectstore"
+)
+
+// A store that was restored from an older copy begins a new era. Revisions of different
+// eras are not comparable: the same revision may belong to another value. So a dataset
+// holds entries of one era, and the first read or snapshot of the next era replaces them.
+
+// heardEra is an era that was read elsewhere.
+type heardEra struct {
+	era int64
+	at  time.Time // when this daemon heard of it
+}
+
+// position returns the position of the store that the entries matched last.
+func (d *Dataset) position() objectstore.Position {
+	return objectstore.Position{Era: d.era, Revision: d.storeRevision}
+}
+
+// empty reports whether nothing was read or received yet.
+func (d *Dataset) empty() bool { return !d.Loaded() && len(d.entries) == 0 }
+
+// HearEra brings the next read forward because a peer, or this daemon in another kind, has
+// read a newer era. The delay is random, so that the daemons that hear of it don't all read
+// at once.
+func (d *Dataset) HearEra(now time.Time, era int64) {
+	if era <= max(d.era, d.heard.era) {
+		return
+	}
+	d.heard = heardEra{era, now}
+	if soon := now.Add(time.Duration(d.random.Float64() * float64(d.period))); soon.Before(d.nextRead) {
+		d.nextRead = soon
+	}
+}
+
+// checkHeard forgets the newer era that was read elsewhere if a later read of this daemon,
+// sent at sentAt, returned an older one.
+func (d *Dataset) checkHeard(sentAt time.Time, era int64) {
+	if era < d.heard.era && sentAt.After(d.heard.at) {
+		d.heard = heardEra{}
+	}
+}
+
+// beginEra replaces the dataset by the complete entries at a position of a newer era and
+// returns the change.
+func (d *Dataset) beginEra(storeEntries []Entry, at objectstore.Position) Change {
+	c := Change{NewEra: !d.empty()}
+	previous := d.entries
+	d.era, d.storeRevision = at.Era, at.Revision
+	d.entries, d.checksum = make(map[string]Entry, len(storeEntries)), 0
+	d.announced, d.own, d.latest = make(map[string]int64), ownAnnouncement{}, announcedState{}
+	for _, e := range storeEntries {
+		d.put(e)
+		if old, ok := previous[e.Name]; !ok || !bytes.Equal(old.Value, e.Value) {
+			c.Changed = append(c.Changed, e)
+		}
+	}
+	for name := range previous {
+		if _, ok := d.entries[name]; !ok {
+			c.Removed = append(c.Removed, name)
+		}
+	}
+	sort.Slice(c.Changed, func(i, j int) bool { return c.Changed[i].Name < c.Changed[j].Name })
+	sort.Strings(c.Removed)
+	return c
+}
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
 // Entry is one object of a dataset.
@@ -19,9 +21,10 @@
 // values follow in a second update.
 type Update struct {
 	Kind          string        `msgpack:"k"`
-	StoreRevision int64         `msgpack:"a"` // revision of the store at the read
-	Age           time.Duration `msgpack:"g"` // time since the read was sent
-	Checksum      uint64        `msgpack:"s"` // of all entries after the changes
+	Era           int64         `msgpack:"e,omitempty"` // of the store at the read; older builds don't send it
+	StoreRevision int64         `msgpack:"a"`           // revision of the store at the read
+	Age           time.Duration `msgpack:"g"`           // time since the read was sent
+	Checksum      uint64        `msgpack:"s"`           // of all entries after the changes
 	Changed       Entries       `msgpack:"c,omitempty"`
 	Removed       []string      `msgpack:"d,omitempty"`
 
@@ -32,12 +35,14 @@
 // Query requests a peer's snapshot of a dataset.
 type Query struct {
 	Kind     string `msgpack:"k"`
-	Checksum uint64 `msgpack:"s"` // of the requester's entries
+	Era      int64  `msgpack:"e,omitempty"` // of the requester's entries
+	Checksum uint64 `msgpack:"s"`           // of the requester's entries
 }
 
 // Snapshot is the complete state of a peer's dataset.
 type Snapshot struct {
 	Kind          string        `msgpack:"k"`
+	Era           int64         `msgpack:"o,omitempty"` // of the entries; older builds don't send it
 	StoreRevision int64         `msgpack:"a"`           // revision of the store that the entries match
 	Age           time.Duration `msgpack:"g"`           // time since the entries were last known to match the store
 	Checksum      uint64        `msgpack:"s"`           // of all entries
@@ -45,6 +50,16 @@
 	Entries       Entries       `msgpack:"e,omitempty"`
 }
 
+// position returns the position of the store at the read.
+func (u Update) position() objectstore.Position {
+	return objectstore.Position{Era: u.Era, Revision: u.StoreRevision}
+}
+
+// position returns the position of the store that the entries match.
+func (s Snapshot) position() objectstore.Position {
+	return objectstore.Position{Era: s.Era, Revision: s.StoreRevision}
+}
+
 // ValueBytes returns the total size of the values that the update contains.
 func (u Update) ValueBytes() int { return u.Changed.valueBytes() }
 
@@ -52,16 +67,20 @@
 type Change struct {
 	Changed Entries
 	Removed []string
+	// NewEra reports whether the store was restored from an older copy. Entries that are
+	// changed or removed may then be older than before, until their writers repeat what
+	// was lost.
+	NewEra bool
 }
 
 // ValueBytes returns the total size of the changed values.
 func (c Change) ValueBytes() int { return c.Changed.valueBytes() }
 
 // Empty reports whether nothing changed.
-func (c Change) Empty() bool { return len(c.Changed) == 0 && len(c.Removed) == 0 }
+func (c Change) Empty() bool { return len(c.Changed) == 0 && len(c.Removed) == 0 && !c.NewEra }
 
 // hash returns the hash of the entry's name and revision, which is part of a dataset's
-// checksum.
+// checksum. Checksums of different eras are not comparable.
 func (e Entry) hash() uint64 {
 	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(e.Name), uint64(e.Revision)))
 }
--- a/exchange/spread_test.go
+++ b/exchange/spread_test.go
@@ -70,8 +70,8 @@
 	return last
 }
 
-// simFleet simulates daemons that share their reads of one object of the store. Only the
-// links take time.
+// simFleet simulates daemons that share their reads of the store. Only the links take
+// time.
 type simFleet struct {
 	now       time.Time
 	random    *rand.Rand
@@ -80,17 +80,54 @@
 	storeOut  simLink
 	storeDown bool
 	reads     int // calls that the store answered
-	stored    objectstore.Object
+	stored    simStore
+	loss      float64       // share of the messages between daemons that are lost
+	maxDelay  time.Duration // of messages between daemons and of the store's answers, beyond what links take
+}
+
+// simStore is the content of the store.
+type simStore struct {
+	at      objectstore.Position
+	objects []objectstore.Object // sorted by name
+}
+
+// put returns the content after an object was written.
+func (s simStore) put(name string, value []byte) simStore {
+	s.at.Revision++
+	s = s.remove(name, s.at.Revision)
+	s.objects = append(s.objects, objectstore.Object{Name: name, Revision: s.at.Revision, Value: value})
+	return s
+}
+
+// remove returns the content at a revision after an object was deleted.
+func (s simStore) remove(name string, revision int64) simStore {
+	s.at.Revision = revision
+	s.objects = slices.DeleteFunc(slices.Clone(s.objects), func(o objectstore.Object) bool { return o.Name == name })
+	return s
+}
+
+// restored returns the content of a store that was restored from a copy with the content
+// of c.
+func (s simStore) restored(c simStore) simStore {
+	c.at.Era = s.at.Era + 1
+	return c
+}
+
+func (s simStore) bytes() (n int) {
+	for _, o := range s.objects {
+		n += len(o.Value)
+	}
+	return n
 }
 
 func newSimFleet(seed uint64, value []byte) *simFleet {
 	f := &simFleet{
 		now: start, random: rand.New(rand.NewPCG(seed, seed)), storeOut: simLink{rate: simStoreLinkRate},
-		stored: objectstore.Object{Name: "main", Revision: 1, Value: value},
+		stored: simStore{}.put("main", value),
 	}
 	for range simDaemons {
 		d := &simDaemon{dataset: f.newDataset(), in: simLink{rate: simLinkRate}, out: simLink{rate: simLinkRate}}
-		d.dataset.ApplyRead(f.now, []objectstore.Object{f.stored}, f.stored.Revision)
+		d.dataset.ApplyRead(f.now, f.stored.objects, f.stored.at)
 		f.daemons = append(f.daemons, d)
 		f.scheduleRead(d)
 	}
@@ -147,14 +184,19 @@
 		claim := Claim{Kind: "k", Duration: d.readTook}
 		f.broadcast(d, claim, func(o *simDaemon) { o.dataset.ApplyClaim(f.now, claim) })
 	}
-	sentAt, object, revision := f.now, f.stored, f.stored.Revision
+	sentAt, read := f.now, f.stored
 	sendUpdate := func(u Update) {
 		f.broadcast(d, u, func(o *simDaemon) { o.dataset.ApplyUpdate(f.now, u) })
 	}
-	f.transfer(&f.storeOut, &d.in, len(object.Value), func() {
+	dataset := d.dataset
+	f.transfer(&f.storeOut, &d.in, read.bytes(), func() {
 		d.reading = false
+		if d.dataset != dataset {
+			f.scheduleRead(d)
+			return // the daemon has started again
+		}
 		d.readTook = f.now.Sub(sentAt)
-		_, update := d.dataset.ApplyRead(sentAt, []objectstore.Object{object}, revision)
+		_, update := d.dataset.ApplyRead(sentAt, read.objects, read.at)
 		update.Age = f.now.Sub(sentAt)
 		sendUpdate(update)
 		if len(update.Announced) > 0 {
@@ -186,6 +228,9 @@
 		branches[i%simFanout] = append(branches[i%simFanout], d)
 	}
 	for _, branch := range branches {
+		if f.random.Float64() < f.loss {
+			continue
+		}
 		f.transfer(&from.out, &branch[0].in, bytes, func() {
 			f.relay(branch[0], branch[1:], bytes, handle)
 			handle(branch[0])
@@ -196,27 +241,42 @@
 
 // transfer sends a message over two links and runs arrived when it has arrived.
 func (f *simFleet) transfer(out, in *simLink, bytes int, arrived func()) {
-	f.schedule(out.send(f.now, bytes).Add(simLatency), func() {
+	delay := simLatency
+	if f.maxDelay > 0 {
+		delay += time.Duration(f.random.Int64N(int64(f.maxDelay)))
+	}
+	f.schedule(out.send(f.now, bytes).Add(delay), func() {
 		f.schedule(in.send(f.now, bytes), arrived)
 	})
 }
 
-// store replaces the object of the store.
-func (f *simFleet) store(value []byte) {
-	f.stored = objectstore.Object{Name: "main", Revision: f.stored.Revision + 1, Value: value}
-}
+// store writes the configuration.
+func (f *simFleet) store(value []byte) { f.stored = f.stored.put("main", value) }
 
-// outdated returns the number of daemons that lack the stored value.
+// outdated returns the number of daemons whose entries are not those of the store.
 func (f *simFleet) outdated() int {
 	n := 0
 	for _, d := range f.daemons {
-		if !bytes.Equal(d.dataset.entries["main"].Value, f.stored.Value) {
+		if !d.matches(f.stored) {
 			n++
 		}
 	}
 	return n
 }
 
+// matches reports whether a daemon has the entries of the store.
+func (d *simDaemon) matches(s simStore) bool {
+	if len(d.dataset.entries) != len(s.objects) {
+		return false
+	}
+	for _, o := range s.objects {
+		if e, ok := d.dataset.entries[o.Name]; !ok || e.Revision != o.Revision || !bytes.Equal(e.Value, o.Value) {
+			return false
+		}
+	}
+	return true
+}
+
 // simConfiguration returns a configuration with the given number of routes. Keys of
 // workspaces change with each version.
 func simConfiguration(version, routes int) []byte {
@@ -303,7 +363,7 @@
 		Convey(fmt.Sprintf("After a restoration that loses four changes, %d more reach all in time", after), t, func() {
 			f := newSimFleet(uint64(after), simConfiguration(1, 60))
 			f.run(f.now.Add(5 * time.Second))
-			var copied objectstore.Object
+			var copied simStore
 			for version := 2; version <= 10; version++ {
 				f.store(simConfiguration(version, 60))
 				if version == 6 {
@@ -312,7 +372,7 @@
 				f.run(f.now.Add(250 * time.Millisecond))
 			}
 			f.run(f.now.Add(maxSpread))
-			f.stored = copied
+			f.stored = f.stored.restored(copied)
 			f.run(f.now.Add(time.Second))
 			for version := 11; version < 11+after; version++ {
 				f.store(simConfiguration(version, 60))
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -103,7 +103,7 @@
 // whether the store answered. The duration of a failed read is 0.
 func (d *datasets) readStore(ctx context.Context, kind string) (took time.Duration, ok bool) {
 	sentAt := time.Now()
-	objects, storeRevision, err := d.g.store.List(ctx, kind)
+	objects, position, err := d.g.store.List(ctx, kind)
 	if ctx.Err() != nil {
 		return 0, false
 	}
@@ -112,7 +112,7 @@
 		return 0, false
 	}
 	took = time.Since(sentAt)
-	d.applyRead(ctx, sentAt, kind, objects, storeRevision)
+	d.applyRead(ctx, sentAt, kind, objects, position)
 	return took, true
 }
 
@@ -157,10 +157,10 @@
 }
 
 // applyRead applies a read of the store and sends the changes to the peers.
-func (d *datasets) applyRead(ctx context.Context, sentAt time.Time, kind string, objects []objectstore.Object, storeRevision int64) {
+func (d *datasets) applyRead(ctx context.Context, sentAt time.Time, kind string, objects []objectstore.Object, position objectstore.Position) {
 	var update exchange.Update
 	d.modify(kind, sourceStore, func(dataset *exchange.Dataset) (c exchange.Change) {
-		c, update = dataset.ApplyRead(sentAt, objects, storeRevision)
+		c, update = dataset.ApplyRead(sentAt, objects, position)
 		return c
 	})
 	update.Age = time.Since(sentAt)
@@ -172,7 +172,7 @@
 	values, ok := d.byKind[kind].AnnouncedValues()
 	d.mu.Unlock()
 	if !ok {
-		d.g.events.Record(event.ChangesLeft, "", event.F("kind", kind), event.F("revision", strconv.FormatInt(storeRevision, 10)))
+		d.g.events.Record(event.ChangesLeft, "", event.F("kind", kind), event.F("revision", strconv.FormatInt(position.Revision, 10)))
 		return
 	}
 	values.Age = time.Since(sentAt)
@@ -271,7 +271,7 @@
 	if dataset == nil || !dataset.Loaded() {
 		return exchange.Snapshot{}, false
 	}
-	return dataset.Snapshot(time.Now(), q.Checksum), true
+	return dataset.Snapshot(time.Now(), q), true
 }
 
 // apply passes a change to the component that uses the dataset.
--- a/gateway/verdicts_test.go
+++ b/gateway/verdicts_test.go
@@ -33,15 +33,15 @@
 const simStoreLatency = 4 * time.Millisecond
 
 // List implements objectstore.Store.
-func (s *simStore) List(context.Context, string) ([]objectstore.Object, int64, error) {
+func (s *simStore) List(context.Context, string) ([]objectstore.Object, objectstore.Position, error) {
 	time.Sleep(simStoreLatency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
 	if s.down {
-		return nil, 0, objectstore.ErrUnavailable
+		return nil, objectstore.Position{}, objectstore.ErrUnavailable
 	}
-	return slices.Collect(maps.Values(s.objects)), s.version, nil
+	return slices.Collect(maps.Values(s.objects)), objectstore.Position{Revision: s.version}, nil
 }
 
 // Put implements objectstore.Store.
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -45,6 +45,19 @@
 	Value    json.RawMessage `json:"value,omitempty"`
 }
 
+// Position is a state of the store. Revisions rise within an era. A store that was
+// restored from an older copy begins the next era, in which it gives out revisions again;
+// era 0 is that of a store that does not state any.
+type Position struct {
+	Era      int64
+	Revision int64
+}
+
+// Before reports whether p is an older state than q.
+func (p Position) Before(q Position) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
+}
+
 // VM is one entry of the VM list.
 type VM struct {
 	ID      string            `json:"id"`
@@ -61,8 +74,9 @@
 type Store interface {
 	// Get reads one object. It returns ErrNotFound if there is none.
 	Get(ctx context.Context, kind, name string) (Object, error)
-	// List returns all objects of a kind and the store's revision.
-	List(ctx context.Context, kind string) ([]Object, int64, error)
+	// List returns all objects of a kind and the position of the store at which it had
+	// them.
+	List(ctx context.Context, kind string) ([]Object, Position, error)
 	// Put writes value if the object's version equals expected; 0 means that the object
 	// must not exist.
 	Put(ctx context.Context, kind, name string, value json.RawMessage, expected int64) (Object, error)
