standin: the store can be restored from an older copy

POST /restorations and Platform.Restore: away for a moment, back from a copy x seconds old; revisions are given out again, watches get 410, and every answer states its era.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -48,6 +48,8 @@
 	faults   PlatformFaults
 	calls    map[string]int64
 	changed  chan struct{} // closed and replaced at each change
+	era      int64         // rises at each restoration
+	history  []change      // for restorations, oldest first; nothing older than maxCopyAge
 }
 
 // NewPlatform returns an empty platform.
@@ -69,6 +71,7 @@
 	mux.HandleFunc("GET /vms", p.withFaults("vms", p.listVMs))
 	mux.HandleFunc("PUT /vms", p.setVMs)
 	mux.HandleFunc("PUT /faults", faultsHandler(p.SetFaults))
+	mux.HandleFunc("POST /restorations", faultsHandler(p.Restore))
 	mux.HandleFunc("GET /calls", p.listCalls)
 	return mux
 }
@@ -114,6 +117,7 @@
 			limit = p.reads
 		}
 		p.mu.Unlock()
+		writeEra(w, p.currentEra())
 		if !limit.Allow() {
 			w.WriteHeader(http.StatusTooManyRequests)
 			return
@@ -286,6 +290,7 @@
 // storeObject stores an object under a new revision and writes it as the response.
 // The caller holds the lock.
 func (p *Platform) storeObject(w http.ResponseWriter, key string, o objectstore.Object) {
+	p.recordChange(key)
 	p.revision++
 	o.Revision, o.Version = p.revision, p.revision
 	p.objects[key] = o
@@ -302,7 +307,8 @@
 		p.watch(w, r)
 		return
 	}
-	objects, revision, _ := p.changedSince(r.PathValue("kind"), -1)
+	objects, at, _ := p.changedSince(r.PathValue("kind"), -1)
+	writeEra(w, at.Era) // of the objects, if the store was restored since the call began
 	sort.Slice(objects, func(i, j int) bool { return objects[i].Name < objects[j].Name })
 	first := sort.Search(len(objects), func(i int) bool { return objects[i].Name > query.Get("after") })
 	objects = objects[first:]
@@ -310,7 +316,7 @@
 		Items   []objectJSON `json:"items"`
 		HasMore bool         `json:"has_more"`
 		At      int64        `json:"at"`
-	}{[]objectJSON{}, len(objects) > maxPageObjects, revision}
+	}{[]objectJSON{}, len(objects) > maxPageObjects, at.Revision}
 	for _, o := range objects[:min(maxPageObjects, len(objects))] {
 		page.Items = append(page.Items, toJSON(o))
 	}
@@ -319,8 +325,8 @@
 
 // changedSince returns the objects of a kind that changed after a revision, sorted by
 // revision. Revision -1 returns all objects that are not deleted. It also returns the
-// revision of the store and a channel that is closed at the next change.
-func (p *Platform) changedSince(kind string, revision int64) ([]objectstore.Object, int64, chan struct{}) {
+// position of the store and a channel that is closed at the next change.
+func (p *Platform) changedSince(kind string, revision int64) ([]objectstore.Object, objectstore.Position, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []objectstore.Object
@@ -330,7 +336,7 @@
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Revision < out[j].Revision })
-	return out, p.revision, p.changed
+	return out, objectstore.Position{Era: p.era, Revision: p.revision}, p.changed
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
@@ -345,10 +351,15 @@
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	era := p.currentEra()
 	for waiting := true; ; {
-		objects, revision, changed := p.changedSince(r.PathValue("kind"), since)
+		objects, at, changed := p.changedSince(r.PathValue("kind"), since)
+		if at.Revision < since || at.Era != era {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(objects) > 0 || !waiting {
-			writeJSON(w, watchAnswer(objects, revision))
+			writeJSON(w, watchAnswer(objects, at.Revision))
 			return
 		}
 		select {
