gateway: a restoration of the store loses no configuration, target, daemon or refused content

What callers would see: after the store came back from an older copy, a daemon that starts serves by the older configuration that the store shows; targets and daemons whose entries were lost count as gone, which raises each daemon's share of the retry budget; a target that was leaving is used again; daemons that had registered since are unknown to those that start; refused contents are forgotten.

Fix: the heartbeat states the version in force, and a daemon whose entries match the store without it fetches it from the peer. Missing entries of targets and daemons are kept for a grace time, those of live daemons for as long as they live, and older entries of a target change nothing. A daemon writes its own entry and the contents that it had stored again, after a random delay. store_restored, store_era_invalid and entry_written_again log it.

--- a/event/numbers_platform.go
+++ b/event/numbers_platform.go
@@ -8,6 +8,9 @@
 	ChangesSent       Number = 903
 	ChangesRepeated   Number = 904
 	ChangesLeft       Number = 905
+	StoreRestored     Number = 906
+	EraInvalid        Number = 907
+	EntryWrittenAgain Number = 908
 )
 
 var platformEntries = []Entry{
@@ -17,4 +20,7 @@
 	{ChangesSent, "changes_sent", Info, "This daemon read changes from the store and sends them to its peers; bytes is the size of the values before compression.", ""},
 	{ChangesRepeated, "changes_repeated", Info, "Entries arrived again that this daemon already had, as many as the fields say since its last such line; bytes is the size of the values before compression.", "Many bytes: look for several daemons with changes_sent for the same revision."},
 	{ChangesLeft, "changes_left", Info, "This daemon read changes from the store, but left it to another reader to send the values.", ""},
+	{StoreRestored, "store_restored", Warn, "The store was restored from an older copy: kind now has the entries of a newer era. changed and removed are the entries that differ from what this daemon had.", "Ask the platform's operators what was lost; this daemon keeps its configuration and writes its own entries again."},
+	{EraInvalid, "store_era_invalid", Warn, "An answer of the store does not state its era, states no number, or states an era below the latest. The last is that of an answer from before a restoration.", "Check the platform if it persists."},
+	{EntryWrittenAgain, "entry_written_again", Info, "This daemon's entry was missing from the store and was written again.", ""},
 }
--- a/exchange/member_list.go
+++ b/exchange/member_list.go
@@ -26,7 +26,8 @@
 	self        string
 	incarnation uint64 // of this daemon
 	members     map[string]Member
-	others      []Member // without self, sorted by id; replaced, never modified
+	missing     map[string]time.Time // since when the entries of members are missing that may return
+	others      []Member             // without self, sorted by id; replaced, never modified
 	heartbeats  map[string]heartbeat
 }
 
@@ -40,13 +41,14 @@
 
 // NewMemberList returns an empty list for an incarnation of the daemon with the id self.
 func NewMemberList(self string, incarnation uint64) *MemberList {
-	return &MemberList{self: self, incarnation: incarnation, members: make(map[string]Member), heartbeats: make(map[string]heartbeat)}
+	return &MemberList{self: self, incarnation: incarnation, members: make(map[string]Member), missing: make(map[string]time.Time), heartbeats: make(map[string]heartbeat)}
 }
 
 // Put adds or replaces the entry of a daemon. It reports whether the daemon is new.
 func (l *MemberList) Put(now time.Time, m Member) bool {
 	known, ok := l.members[m.ID]
 	l.members[m.ID] = m
+	delete(l.missing, m.ID)
 	l.rebuildOthers()
 	if h, heard := l.heartbeats[m.ID]; heard && known.Peers != m.Peers {
 		h.since, h.updated = now, false // what was sent to all others before did not reach it
@@ -55,12 +57,49 @@
 	return !ok
 }
 
-// Remove removes the entry of a daemon.
-func (l *MemberList) Remove(id string) {
+// Remove removes a daemon whose entry is gone. If mayReturn is set, as after a restoration
+// of the store, the daemon is kept until Expire removes it.
+func (l *MemberList) Remove(now time.Time, id string, mayReturn bool) {
+	if _, known := l.members[id]; !known {
+		return
+	}
+	if mayReturn {
+		l.missing[id] = now
+		return
+	}
+	l.drop(id)
+}
+
+// drop removes a daemon.
+func (l *MemberList) drop(id string) {
 	delete(l.members, id)
+	delete(l.missing, id)
 	l.rebuildOthers()
 }
 
+// missingMemberGrace is how long a silent daemon is kept without an entry. A live one is
+// kept: it writes its entry again.
+const missingMemberGrace = 5 * time.Second
+
+// Expire removes the daemons whose entries are missing and that are silent, and returns
+// their ids.
+func (l *MemberList) Expire(now time.Time) (expired []string) {
+	for id, since := range l.missing {
+		if now.Sub(since) > missingMemberGrace && !l.Live(now, id) {
+			l.drop(id)
+			expired = append(expired, id)
+		}
+	}
+	sort.Strings(expired)
+	return expired
+}
+
+// Registered reports whether a daemon has the given entry.
+func (l *MemberList) Registered(m Member) bool {
+	_, missing := l.missing[m.ID]
+	return l.members[m.ID] == m && !missing
+}
+
 func (l *MemberList) rebuildOthers() {
 	l.others = nil
 	for _, m := range l.members {
--- a/exchange/member_list_test.go
+++ b/exchange/member_list_test.go
@@ -123,6 +123,41 @@
 	return updates
 }
 
+// TestMissingMembers guards against daemons that count as gone, although they serve,
+// because a store that was restored from an older copy lacks their entries.
+func TestMissingMembers(t *testing.T) {
+	later := start.Add(missingMemberGrace + time.Second)
+	list := func() *MemberList {
+		r := NewMemberList("a", 1)
+		r.Put(start, Member{ID: "b"})
+		r.RecordHeartbeat(start, "b", 1, false)
+		return r
+	}
+	Convey("a daemon whose entry is missing stays while it is live or for a grace time", t, func() {
+		r := list()
+		r.Remove(start, "b", true)
+		So(r.Registered(Member{ID: "b"}), ShouldBeFalse)
+		So(r.Expire(start.Add(missingMemberGrace)), ShouldBeEmpty)
+		r.RecordHeartbeat(later, "b", 1, false)
+		So(r.Expire(later), ShouldBeEmpty)
+		So(r.Len(), ShouldEqual, 1)
+		So(r.Expire(later.Add(silenceTimeout)), ShouldResemble, []string{"b"})
+		So(r.Len(), ShouldEqual, 0)
+	})
+	Convey("an entry that returns keeps it", t, func() {
+		r := list()
+		r.Remove(start, "b", true)
+		r.Put(start, Member{ID: "b"})
+		So(r.Expire(later), ShouldBeEmpty)
+		So(r.Registered(Member{ID: "b"}), ShouldBeTrue)
+	})
+	Convey("a daemon whose entry was removed is gone at once", t, func() {
+		r := list()
+		r.Remove(start, "b", false)
+		So(r.Len(), ShouldEqual, 0)
+	})
+}
+
 // TestRegistrationAfterHeartbeat guards against a daemon whose heartbeats arrive before
 // its registration, and that gets nothing that was sent to all registered ones between.
 func TestRegistrationAfterHeartbeat(t *testing.T) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,6 +21,7 @@
 	Slots       int // requests that it runs concurrently
 	Leaving     bool
 	StartMillis int64 // Unix time of its start in milliseconds; 0 if not stated
+	Sequence    int64 // of its heartbeats since its start
 }
 
 // missingGrace is how long a target is kept after its entry disappeared, if the entry
@@ -109,6 +110,22 @@
 	}
 }
 
+// PutRestored adds or updates the entry of a target that a store holds which was restored
+// from an older copy. An entry that is older than the known one changes nothing: the
+// target has reported more since, such as that it is leaving, and writes it again.
+func (f *Fleet) PutRestored(t Target) {
+	f.mu.Lock()
+	s := f.targets[t.ID]
+	older := s != nil && (t.StartMillis < s.StartMillis || t.StartMillis == s.StartMillis && t.Sequence < s.Sequence)
+	if older {
+		s.missingSince = time.Time{}
+	}
+	f.mu.Unlock()
+	if !older {
+		f.Put(t)
+	}
+}
+
 // markReplaced marks the other targets with the address of t as replaced, unless they
 // started later than t.
 func (f *Fleet) markReplaced(t Target) {
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -47,7 +47,7 @@
 
 	mu sync.Mutex // protects the datasets and the fields below
 	// storeDown is true if the last call to the store failed. storeRecoveredAt is when
-	// the store last answered again after a failure.
+	// the store last answered again after a failure, or was found to be restored.
 	storeDown        bool
 	storeRecoveredAt time.Time
 }
@@ -213,6 +213,7 @@
 	sourceStore    = "store"
 	sourceUpdate   = "update"   // broadcast by a daemon that read the store
 	sourceSnapshot = "snapshot" // fetched from a peer
+	sourcePeer     = "peer"     // the configuration that a peer has in force
 )
 
 // changeOrigin says how a change reached this daemon.
@@ -241,12 +242,32 @@
 	d.applyMu.Lock()
 	defer d.applyMu.Unlock()
 	d.mu.Lock()
-	origin := changeOrigin{source, dataset.LastMatch()}
+	origin, before := changeOrigin{source, dataset.LastMatch()}, dataset.Position()
 	c := mutate(dataset)
+	after := dataset.Position()
+	if c.NewEra {
+		now := time.Now()
+		d.storeRecoveredAt = now // entries that the copy lacks may return
+		for _, other := range d.byKind {
+			other.HearEra(now, after.Era)
+		}
+	}
 	d.mu.Unlock()
+	if c.NewEra {
+		d.g.events.Record(event.StoreRestored, "", event.F("kind", kind), event.F("source", source), event.F("era", formatPosition(after)),
+			event.F("previous", formatPosition(before)), event.F("changed", strconv.Itoa(len(c.Changed))), event.F("removed", strconv.Itoa(len(c.Removed))))
+	}
+	if c.NewEra && kind == memberKind { // once a restoration
+		d.g.verdicts.saveAgain()
+	}
 	d.apply(kind, c, origin)
 }
 
+// formatPosition formats a position of the store as ERA/REVISION.
+func formatPosition(p objectstore.Position) string {
+	return strconv.FormatInt(p.Era, 10) + "/" + strconv.FormatInt(p.Revision, 10)
+}
+
 // setReaders sets the number of daemons that share the reads of the store.
 func (d *datasets) setReaders(n int) {
 	d.mu.Lock()
@@ -256,6 +277,13 @@
 	}
 }
 
+// lastMatch returns when a dataset was last known to match the store.
+func (d *datasets) lastMatch(kind string) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.byKind[kind].LastMatch()
+}
+
 func (d *datasets) query(kind string) exchange.Query {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -285,6 +313,6 @@
 	case platform.TargetKind:
 		d.g.applyTargetChange(c, d.entriesMayReturn(time.Now()))
 	case memberKind:
-		d.g.members.applyChange(c)
+		d.g.members.applyChange(c, d.entriesMayReturn(time.Now()))
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/ingress"
@@ -45,11 +47,13 @@
 	crashTracker *crashTracker
 	verdicts     *verdicts
 
-	table     atomic.Pointer[ingress.Table] // active configuration; nil until the first one is activated
-	tableMu   sync.Mutex                    // held while a table is activated
-	draining  atomic.Bool                   // a planned stop has started
-	refusing  atomic.Bool                   // new requests are refused
-	inFlight  atomic.Int64                  // callers' requests being served
+	table     atomic.Pointer[ingress.Table]  // active configuration; nil until the first one is activated
+	document  atomic.Pointer[exchange.Entry] // of which table was made
+	tableMu   sync.Mutex                     // held while a table is activated
+	newer     *newerVersions
+	draining  atomic.Bool  // a planned stop has started
+	refusing  atomic.Bool  // new requests are refused
+	inFlight  atomic.Int64 // callers' requests being served
 	idleConns *idleTracker
 
 	servers        []*server
@@ -88,10 +92,15 @@
 	g.requestCtx, g.cancelRequests = context.WithCancelCause(context.Background())
 	g.settings.Store(&s)
 	g.events.LimitRoutineLogs(routineLinesPerSecond)
-	g.store = platform.NewClient("http://"+s.Store, g.metrics)
+	store := platform.NewClient("http://"+s.Store, g.metrics)
+	store.OnInvalidEra = func(stated string, latest int64) {
+		g.events.Record(event.EraInvalid, "", event.F("stated", stated), event.F("latest", strconv.FormatInt(latest, 10)))
+	}
+	g.store = store
 	g.members, g.datasets = newMembers(g), newDatasets(g)
 	g.crashTracker = newCrashTracker(g.events, func(request quarantine.RequestKey) { g.peers.crashReports.sendToAll(request) },
 		func(request quarantine.RequestKey) { g.verdicts.save(request) })
+	g.newer = &newerVersions{g: g}
 	g.verdicts = newVerdicts(g.store, g.events, g.crashTracker.reportsOn, g.crashTracker.applyReports)
 	g.forwarder = &forward.Forwarder{
 		TargetClient: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, PlacementLimiter: forward.NewPlacementLimiter(),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -27,6 +27,7 @@
 // addresses.
 type testEnv struct {
 	t           *testing.T
+	platform    *standin.Platform
 	store       *httptest.Server
 	storeClient *platform.Client
 	target      *httptest.Server
@@ -44,7 +45,8 @@
 }
 
 func newTestEnv(t *testing.T) *testEnv {
-	e := &testEnv{t: t, store: httptest.NewServer(standin.NewPlatform().Handler()), gateways: make(map[string]*Gateway)}
+	e := &testEnv{t: t, platform: standin.NewPlatform(), gateways: make(map[string]*Gateway)}
+	e.store = httptest.NewServer(e.platform.Handler())
 	e.storeClient = platform.NewClient(e.store.URL, metrics.NewRegistry())
 	e.target = httptest.NewServer(targetHandler("stamp", func(rw http.ResponseWriter, r *http.Request) {
 		_, _ = fmt.Fprintf(rw, "served %s", r.URL.Path)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +28,7 @@
 	g           *Gateway
 	self        exchange.Member
 	incarnation uint64 // of this daemon, see peer.Identity
+	registering atomic.Bool
 
 	mu   sync.Mutex
 	list *exchange.MemberList
@@ -41,6 +45,10 @@
 // ctx is done. The entry contains only settings, so a restart with the same settings
 // writes nothing.
 func (m *members) register(ctx context.Context) {
+	if !m.registering.CompareAndSwap(false, true) {
+		return
+	}
+	defer m.registering.Store(false)
 	for backoff := storeRetryMin; ctx.Err() == nil; backoff = min(2*backoff, storeRetryMax) {
 		if err := m.writeEntry(ctx); err == nil {
 			return
@@ -68,8 +76,25 @@
 	return err
 }
 
-// applyChange applies changed and removed entries of daemons.
-func (m *members) applyChange(c exchange.Change) {
+// maxRegistrationDelay bounds the random delay before a daemon writes its entry again, so
+// that many daemons don't write at once.
+const maxRegistrationDelay = time.Second
+
+// registerAgain writes this daemon's entry again after a random delay.
+func (m *members) registerAgain() {
+	if m.registering.Load() {
+		return
+	}
+	ctx := m.g.peers.ctx
+	if pause.For(ctx, rand.N(maxRegistrationDelay)) {
+		m.register(ctx)
+		m.g.events.Record(event.EntryWrittenAgain, "", event.F("kind", memberKind))
+	}
+}
+
+// applyChange applies changed and removed entries of daemons. mayReturn is true if
+// entries may be missing only because of an outage or a restoration of the store.
+func (m *members) applyChange(c exchange.Change, mayReturn bool) {
 	for _, e := range c.Changed {
 		var member exchange.Member
 		if err := json.Unmarshal(e.Value, &member); err != nil || member.ID != e.Name {
@@ -85,10 +110,34 @@
 	}
 	for _, id := range c.Removed {
 		m.mu.Lock()
-		m.list.Remove(id)
+		m.list.Remove(time.Now(), id, mayReturn)
 		m.mu.Unlock()
-		m.g.events.Record(event.MemberRemoved, "", event.F("member", id))
+		m.g.events.Record(event.MemberRemoved, "", event.F("member", id), event.F("may_return", strconv.FormatBool(mayReturn)))
+	}
+	m.mu.Lock()
+	registered := m.list.Registered(m.self)
+	m.mu.Unlock()
+	if c.NewEra && !registered || slices.Contains(c.Removed, m.self.ID) {
+		go m.registerAgain()
 	}
+	m.applyCount()
+}
+
+// expire removes the daemons whose missing entries did not return.
+func (m *members) expire() {
+	m.mu.Lock()
+	expired := m.list.Expire(time.Now())
+	m.mu.Unlock()
+	for _, id := range expired {
+		m.g.events.Record(event.MemberRemoved, "", event.F("member", id), event.F("may_return", "false"))
+	}
+	if len(expired) > 0 {
+		m.applyCount()
+	}
+}
+
+// applyCount passes the number of daemons to the components that depend on it.
+func (m *members) applyCount() {
 	m.mu.Lock()
 	n := m.list.Len()
 	m.mu.Unlock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -25,6 +25,7 @@
 	kindSuspicion                                         // suspicion
 	kindCrashReports                                      // []quarantine.CrashReport
 	kindClaim                                             // exchange.Claim
+	kindDocument                                          // documentQuery, answered by documentAnswer
 )
 
 // Timing of messages between daemons.
@@ -51,6 +52,7 @@
 type loadReport struct {
 	Loads   map[string]fleet.DaemonLoad `msgpack:"s,omitempty"`
 	Leaving bool                        `msgpack:"l,omitempty"`
+	Version int64                       `msgpack:"v,omitempty"` // of the configuration in force
 }
 
 // peers exchanges messages with the other daemons.
@@ -82,6 +84,7 @@
 	peer.HandleTyped(t, kindSuspicion, p.handleSuspicion)
 	peer.HandleTyped(t, kindCrashReports, p.handleCrashReports)
 	peer.HandleTyped(t, kindClaim, p.handleClaim)
+	peer.HandleTyped(t, kindDocument, g.serveDocument)
 	return p, nil
 }
 
@@ -149,13 +152,23 @@
 		case <-ticker.C:
 			p.g.expireTargets()
 			p.expirePeerState()
+			p.g.members.expire()
 			p.g.crashTracker.resolveLosses(time.Now())
 		}
-		others := p.sendToAll(kindLoad, loadReport{p.g.fleet.OwnLoads(), p.g.draining.Load()})
+		others := p.sendToAll(kindLoad, p.g.loadReport())
 		pause.For(ctx, loadInterval(others))
 	}
 }
 
+// loadReport returns the report that this daemon sends to its peers now.
+func (g *Gateway) loadReport() loadReport {
+	report := loadReport{Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load()}
+	if table := g.table.Load(); table != nil {
+		report.Version = table.Version
+	}
+	return report
+}
+
 // loadInterval returns the minimum time between two load reports, given the number of
 // other daemons.
 func loadInterval(others int) time.Duration {
@@ -237,6 +250,7 @@
 		p.sendKnownCrashReports(from)
 	}
 	p.g.fleet.SetPeerLoads(from.ID, report.Loads)
+	p.g.newer.note(from, report.Version)
 	return nil, nil
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -58,7 +58,7 @@
 	g.events.Record(event.NodeDraining, "")
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	g.peers.sendToAll(kindLoad, loadReport{g.fleet.OwnLoads(), true})
+	g.peers.sendToAll(kindLoad, g.loadReport())
 	pause.For(ctx, min(staleDirectoryTTLs*g.settings.Load().DirectoryTTL.Std(), g.settings.Load().Grace.Std()/2))
 	g.refusing.Store(true)
 	g.awaitRequests(deadline)
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -15,30 +15,30 @@
 	return objectstore.Object{Name: e.Name, Revision: e.Revision, Version: e.Revision, Value: e.Value}
 }
 
-// applyConfigurationChange activates a changed configuration. One that can't be decoded
-// is ignored.
+// applyConfigurationChange activates a changed configuration.
 func (g *Gateway) applyConfigurationChange(c exchange.Change, origin changeOrigin) {
 	for _, e := range c.Changed {
-		if e.Name != platform.ConfigurationName {
-			continue
-		}
-		d, err := platform.DecodeDocument(toObject(e))
-		if err != nil {
-			g.events.Record(event.ConfigurationRefused, "", event.F("error", err.Error()))
-			continue
+		if e.Name == platform.ConfigurationName {
+			g.applyConfiguration(e, origin.fields(len(e.Value)))
 		}
-		g.activate(d, origin.fields(len(e.Value)))
 	}
 }
 
-// activate makes a document the active configuration, unless the active one has the
-// same or a later version. originFields are the fields of the log line about its origin.
-func (g *Gateway) activate(d ingress.Document, originFields []event.Field) {
+// applyConfiguration activates a configuration, unless the active one has the same or a
+// later version, as after a restoration of the store from an older copy. One that can't be
+// decoded is ignored. originFields are the fields of the log line about its origin.
+func (g *Gateway) applyConfiguration(e exchange.Entry, originFields []event.Field) {
+	d, err := platform.DecodeDocument(toObject(e))
+	if err != nil {
+		g.events.Record(event.ConfigurationRefused, "", append(originFields, event.F("error", err.Error()))...)
+		return
+	}
 	g.tableMu.Lock()
 	defer g.tableMu.Unlock()
 	if current := g.table.Load(); current != nil && current.Version >= d.Version {
 		return
 	}
+	g.document.Store(&e)
 	g.table.Store(ingress.NewTable(d))
 	g.events.Record(event.ConfigurationActivated, "", append(originFields, event.F("version", strconv.FormatInt(d.Version, 10)))...)
 }
@@ -60,6 +60,10 @@
 			targetEvent = event.TargetLeaving
 		}
 		g.events.Record(targetEvent, "", event.F("target", t.ID), event.F("address", t.Address), event.F("place", t.Place), event.F("born", strconv.FormatInt(t.StartMillis, 10)))
+		if c.NewEra {
+			g.fleet.PutRestored(t)
+			continue
+		}
 		g.fleet.Put(t)
 	}
 	for _, id := range c.Removed {
--- a/gateway/verdicts.go
+++ b/gateway/verdicts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -44,13 +45,18 @@
 	ctx context.Context // nothing is written once it is done
 
 	mu     sync.Mutex
-	stored map[uint64]time.Time // when this daemon began to store a content, by fingerprint
+	stored map[uint64]savedVerdict // that this daemon has stored, or began to, by fingerprint
+}
+
+type savedVerdict struct {
+	request quarantine.RequestKey
+	at      time.Time
 }
 
 func newVerdicts(store objectstore.Store, events *event.Recorder, reports func([]quarantine.RequestKey) []quarantine.CrashReport,
 	apply func(from string, reports []quarantine.CrashReport),
 ) *verdicts {
-	return &verdicts{store: store, events: events, reports: reports, apply: apply, ctx: context.Background(), stored: make(map[uint64]time.Time)}
+	return &verdicts{store: store, events: events, reports: reports, apply: apply, ctx: context.Background(), stored: make(map[uint64]savedVerdict)}
 }
 
 // load reads and applies the stored crash reports. It retries until the store answers or
@@ -78,23 +84,38 @@
 	now, ttl := time.Now(), quarantineSettings().Decay.Std()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for fingerprint, at := range v.stored {
-		if now.Sub(at) > ttl {
+	for fingerprint, s := range v.stored {
+		if now.Sub(s.at) > ttl {
 			delete(v.stored, fingerprint)
 		}
 	}
 	if _, ok := v.stored[request.Fingerprint]; ok {
 		return
 	}
-	v.stored[request.Fingerprint] = now
-	go func() {
-		for backoff := storeRetryMin; v.ctx.Err() == nil; backoff = min(2*backoff, storeRetryMax) {
-			if err := v.write(v.ctx, request); err == nil {
-				return
-			}
-			pause.For(v.ctx, withJitter(backoff))
+	v.stored[request.Fingerprint] = savedVerdict{request, now}
+	go v.writeUntilDone(request)
+}
+
+// saveAgain stores what this daemon has stored once more, unless the store has it, because
+// the store was restored from an older copy.
+func (v *verdicts) saveAgain() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.stored {
+		go func() {
+			pause.For(v.ctx, rand.N(maxRegistrationDelay))
+			v.writeUntilDone(s.request)
+		}()
+	}
+}
+
+func (v *verdicts) writeUntilDone(request quarantine.RequestKey) {
+	for backoff := storeRetryMin; v.ctx.Err() == nil; backoff = min(2*backoff, storeRetryMax) {
+		if err := v.write(v.ctx, request); err == nil {
+			return
 		}
-	}()
+		pause.For(v.ctx, withJitter(backoff))
+	}
 }
 
 // write stores the crash reports of a request unless another daemon has. It also deletes
--- a/gateway/verdicts_test.go
+++ b/gateway/verdicts_test.go
@@ -153,6 +153,19 @@
 			t.Errorf("objects %q after the outage, want 1", names)
 		}
 	})
+	test("a restoration of the store from an older copy does not lose it", func(t *testing.T, store *simStore) {
+		tracker, v := newTestVerdicts(t, store)
+		crashThree(tracker, request)
+		time.Sleep(time.Second)
+		store.mu.Lock()
+		clear(store.objects)
+		store.mu.Unlock()
+		v.saveAgain()
+		time.Sleep(2 * maxRegistrationDelay)
+		if names := store.names(); len(names) != 1 {
+			t.Errorf("objects %q after the restoration, want 1", names)
+		}
+	})
 	test("a daemon that observed no crash stores nothing", func(t *testing.T, store *simStore) {
 		observer, _ := newTestVerdicts(t, &simStore{})
 		crashThree(observer, request)
