gateway: a new era in one kind brings the reads of all kinds forward

A read that is brought forward took effect only when the wait before the old time had ended, and an era that was read in one kind was unknown to the others until their own reads, up to 4.5 s for the members. Now the waiting reader is woken.

--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -40,6 +40,7 @@
 	g *Gateway
 
 	byKind map[string]*exchange.Dataset // the map itself does not change after newDatasets
+	wake   map[string]chan struct{}     // by kind, receives a value when its next read is brought forward; does not change either
 
 	applyMu sync.Mutex // held while a dataset is modified and the change is applied
 
@@ -53,11 +54,11 @@
 }
 
 func newDatasets(g *Gateway) *datasets {
-	d := &datasets{g: g, byKind: make(map[string]*exchange.Dataset), repeats: make(map[string]*repeatCounter)}
+	d := &datasets{g: g, byKind: make(map[string]*exchange.Dataset), wake: make(map[string]chan struct{}), repeats: make(map[string]*repeatCounter)}
 	for kind, period := range map[string]time.Duration{
 		platform.ConfigurationKind: configurationReadPeriod, platform.TargetKind: targetReadPeriod, memberKind: memberReadPeriod,
 	} {
-		d.byKind[kind] = exchange.NewDataset(kind, period, rand.Uint64())
+		d.byKind[kind], d.wake[kind] = exchange.NewDataset(kind, period, rand.Uint64()), make(chan struct{}, 1)
 		d.repeats[kind] = &repeatCounter{kind: kind, events: g.events}
 	}
 	return d
@@ -77,7 +78,11 @@
 	for ctx.Err() == nil {
 		wait, useStore := d.nextRead(kind)
 		if wait > 0 {
-			pause.For(ctx, wait)
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			case <-d.wake[kind]:
+			}
 			continue
 		}
 		if useStore {
@@ -243,24 +248,42 @@
 	defer d.applyMu.Unlock()
 	d.mu.Lock()
 	origin, before := changeOrigin{source, dataset.LastMatch()}, dataset.Position()
+	nextRead := dataset.NextRead()
 	c := mutate(dataset)
-	after := dataset.Position()
-	if c.NewEra {
-		now := time.Now()
-		d.storeRecoveredAt = now // entries that the copy lacks may return
-		for _, other := range d.byKind {
-			other.HearEra(now, after.Era)
-		}
+	if dataset.NextRead().Before(nextRead) {
+		d.wakeReader(kind)
 	}
+	after := dataset.Position()
 	d.mu.Unlock()
 	if c.NewEra {
 		d.g.events.Record(event.StoreRestored, "", event.F("kind", kind), event.F("source", source), event.F("era", formatPosition(after)),
 			event.F("previous", formatPosition(before)), event.F("changed", strconv.Itoa(len(c.Changed))), event.F("removed", strconv.Itoa(len(c.Removed))))
+		d.handleRestoration(kind, after.Era)
+	}
+	d.apply(kind, c, origin)
+}
+
+// handleRestoration handles the first change of a kind in a new era.
+func (d *datasets) handleRestoration(kind string, era int64) {
+	now := time.Now()
+	d.mu.Lock()
+	d.storeRecoveredAt = now // entries that the copy lacks may return
+	for other, dataset := range d.byKind {
+		dataset.HearEra(now, era)
+		d.wakeReader(other)
 	}
-	if c.NewEra && kind == memberKind { // once a restoration
+	d.mu.Unlock()
+	if kind == memberKind { // once a restoration, not for each kind
 		d.g.verdicts.saveAgain()
 	}
-	d.apply(kind, c, origin)
+}
+
+// wakeReader lets refresh look at the time of the next read again.
+func (d *datasets) wakeReader(kind string) {
+	select {
+	case d.wake[kind] <- struct{}{}:
+	default:
+	}
 }
 
 // formatPosition formats a position of the store as ERA/REVISION.
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -25,25 +27,16 @@
 	return func() { e.platform.Restore(standin.Restoration{AgeMillis: int(time.Since(copied).Milliseconds())}) }
 }
 
-// awaitEra waits until a daemon has read an era of all kinds.
-func (e *testEnv) awaitEra(id string, era int64) {
-	d := e.gateways[id].datasets
-	for kind := range d.byKind {
+// awaitEra waits until all daemons have read an era of a kind, and calls check for each of
+// them as soon as it has.
+func (e *testEnv) awaitEra(kind string, era int64, check func(*Gateway)) {
+	for _, g := range e.gateways {
 		eventually(func() bool {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			return d.byKind[kind].Position().Era == era
+			g.datasets.mu.Lock()
+			defer g.datasets.mu.Unlock()
+			return g.datasets.byKind[kind].Position().Era == era
 		})
-	}
-}
-
-// restore restores the store and waits until the daemons have read the next era. The target
-// writes its entry again.
-func (e *testEnv) restore(restore func(), era int64, daemons map[string]Settings) {
-	restore()
-	e.registerTarget("i-1", e.target)
-	for id := range daemons {
-		e.awaitEra(id, era)
+		check(g)
 	}
 }
 
@@ -83,15 +76,16 @@
 // with an old one, or lose each other or their targets, because the store was restored from
 // an older copy.
 func TestStoreIsRestored(t *testing.T) {
-	Convey("Given two daemons, and a store that is restored from a copy without version 2, the target and a daemon", t, func() {
+	Convey("Given two daemons, and a store that is restored from a copy without version 2, a target and a daemon", t, func() {
 		env := newTestEnv(t)
 		env.configure(1, "/a/", "/always/")
 		store := env.store.Listener.Addr().String()
 		first, _ := env.startDaemon("vm-1", store)
-		eventually(func() bool { status, _ := get(first.Callers, "/a/x"); return status == 503 }) // no target
+		env.registerTarget("i-1", env.target)
+		eventually(func() bool { status, _ := get(first.Callers, "/a/x"); return status == 200 })
 		eventually(func() bool { return env.hasMember("vm-1") })
 		restore := env.copyStore()
-		env.registerTarget("i-1", env.target)
+		env.startTarget("i-2", func(rw http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(rw, "served") })
 		second, _ := env.startDaemon("vm-2", store)
 		env.configure(2, "/b/", "/always/")
 		daemons := map[string]Settings{"vm-1": first, "vm-2": second}
@@ -103,6 +97,10 @@
 		for _, s := range daemons {
 			eventually(func() bool { return inForce(s, "/b/x", "/a/x") })
 		}
+		hasTarget := func(g *Gateway) bool { return g.fleet.Has("i-2") }
+		for _, g := range env.gateways {
+			eventually(func() bool { return hasTarget(g) })
+		}
 		directory := func(s Settings) (out int) {
 			_, body := get(s.Directory, "/-/resolve?name=h&zone=p")
 			var answer struct {
@@ -115,7 +113,10 @@
 			eventually(func() bool { return directory(s) == 2 })
 		}
 		stopCalls := callContinuously("/always/x", first, second)
-		env.restore(restore, 1, daemons)
+		restore()
+		env.awaitEra(platform.TargetKind, 1, func(g *Gateway) { So(hasTarget(g), ShouldBeTrue) })
+		env.awaitEra(platform.ConfigurationKind, 1, func(*Gateway) {})
+		env.awaitEra(memberKind, 1, func(*Gateway) {})
 		for _, s := range daemons { // they keep the version in force, the target and each other
 			So(inForce(s, "/b/x", "/a/x"), ShouldBeTrue)
 			So(directory(s), ShouldEqual, 2)
@@ -141,7 +142,8 @@
 		for _, s := range daemons {
 			eventually(func() bool { return inForce(s, "/d/x", "/c/x") })
 		}
-		env.restore(restore, 2, daemons)
+		restore()
+		env.awaitEra(platform.ConfigurationKind, 2, func(*Gateway) {})
 		for _, s := range daemons {
 			So(inForce(s, "/d/x", "/c/x"), ShouldBeTrue)
 		}
