--- a/exchange/era_test.go
+++ b/exchange/era_test.go
@@ -150,3 +150,37 @@
 	}
 	return restorations
 }
+
+// BenchmarkRestoration reports, for a restoration of the store that loses one change and is
+// followed by another a second later, the reads of the store in two seconds from it, and
+// the time from the change after it until all daemons have that.
+func BenchmarkRestoration(b *testing.B) {
+	for _, restored := range []bool{false, true} {
+		b.Run(fmt.Sprintf("restored=%v", restored), func(b *testing.B) {
+			var reads int
+			var agreement time.Duration
+			for seed := range uint64(b.N) {
+				f := newSimFleet(seed, simConfiguration(1, 60))
+				f.run(f.now.Add(5 * time.Second))
+				copied := f.stored
+				f.store(simConfiguration(2, 60))
+				f.run(f.now.Add(maxSpread))
+				if restored {
+					f.stored = f.stored.restored(copied)
+				}
+				before := f.reads
+				f.run(f.now.Add(time.Second))
+				f.store(simConfiguration(3, 60))
+				written := f.now
+				for f.outdated() > 0 {
+					f.run(f.now.Add(10 * time.Millisecond))
+				}
+				agreement += f.now.Sub(written)
+				f.run(written.Add(time.Second))
+				reads += f.reads - before
+			}
+			b.ReportMetric(float64(reads)/float64(b.N), "reads/op")
+			b.ReportMetric(float64(agreement.Milliseconds())/float64(b.N), "ms/agreement")
+		})
+	}
+}
