gateway: peers with different newer versions don't postpone the fetch of one

Each heartbeat of another version began the grace time anew. Found by reading; no test, as the heartbeats of two such peers would have to alternate.

--- a/gateway/document.go
+++ b/gateway/document.go
@@ -32,13 +32,13 @@
 type newerVersions struct {
 	g *Gateway
 
-	mu      sync.Mutex
-	version int64     // the newer version that a peer has
-	since   time.Time // when this daemon heard of it, or last asked for it
+	mu     sync.Mutex
+	active int64     // version in force here when this daemon heard of a newer one
+	since  time.Time // when that was, or when it last asked for the newer one
 }
 
-// note records the version that a peer has in force, and fetches it if a read of the
-// store since then has not brought it.
+// note records the version that a peer has in force. If it is newer than the one in force
+// here, and reads of the store since then have brought none, note fetches it.
 func (n *newerVersions) note(from peer.Identity, version int64) {
 	active := int64(-1)
 	if table := n.g.table.Load(); table != nil {
@@ -51,8 +51,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
-	case version != n.version:
-		n.version, n.since = version, time.Now()
+	case active != n.active || n.since.IsZero():
+		n.active, n.since = active, time.Now()
 	case matched.After(n.since.Add(newerVersionGrace)):
 		n.since = time.Now()
 		go n.fetch(from)
