--- a/exchange/dataset.go
+++ b/exchange/dataset.go
@@ -36,7 +36,7 @@
 	latest        announcedState   // as reported by the update with the highest revision
 	era           int64            // of the entries, see objectstore.Position
 	storeRevision int64            // revision of the store at the last read or match; -1 before the first
-	heard         heardEra         // a newer era
+	expected      expectedEra      // a newer era
 	freshAt       time.Time        // when the entries were last known to match the store
 	nextRead      time.Time        // when this daemon should read the store next
 }
@@ -53,7 +53,9 @@
 
 // Position returns the position of the store that the entries matched last; its revision
 // is negative before the first read.
-func (d *Dataset) Position() objectstore.Position { return d.position() }
+func (d *Dataset) Position() objectstore.Position {
+	return objectstore.Position{Era: d.era, Revision: d.storeRevision}
+}
 
 // LastMatch returns when the entries were last known to match the store, or the zero
 // time if they never were.
@@ -94,7 +96,7 @@
 	}
 	d.freshAt = at
 	next := at.Add(d.period + d.drawJitter())
-	if d.heard.era > d.era && d.nextRead.Before(next) {
+	if d.expected.era > d.era && d.nextRead.Before(next) {
 		return // the entries matched an older era
 	}
 	d.nextRead = next
@@ -111,8 +113,8 @@
 // only. Otherwise each of the daemons that read the store at the same time, or start,
 // would send all values to all others.
 func (d *Dataset) ApplyRead(sentAt time.Time, objects []objectstore.Object, at objectstore.Position) (Change, Update) {
-	d.checkHeard(sentAt, at.Era)
-	if at.Before(d.position()) {
+	d.checkExpected(sentAt, at.Era)
+	if at.Before(d.Position()) {
 		return Change{}, Update{Kind: d.kind, Era: d.era, StoreRevision: d.storeRevision, Checksum: d.checksum}
 	}
 	storeEntries := make([]Entry, len(objects))
@@ -149,13 +151,13 @@
 	case u.Era > d.era && d.empty():
 		d.era = u.Era
 	case u.Era > d.era:
-		d.HearEra(now, u.Era)
+		d.ExpectEra(now, u.Era)
 		return Change{}
 	}
 	if u.Era == d.era {
 		d.noteAnnounced(u)
 	}
-	if u.position().Before(d.position()) {
+	if u.position().Before(d.Position()) {
 		return Change{}
 	}
 	var c Change
@@ -216,7 +218,7 @@
 // ApplySnapshot applies a peer's snapshot, received at now, and returns the change. A
 // snapshot older than the dataset changes nothing.
 func (d *Dataset) ApplySnapshot(now time.Time, s Snapshot) Change {
-	if s.position().Before(d.position()) || s.Unchanged && (s.Era != d.era || s.Checksum != d.checksum) {
+	if s.position().Before(d.Position()) || s.Unchanged && (s.Era != d.era || s.Checksum != d.checksum) {
 		return Change{}
 	}
 	var c Change
--- a/exchange/era.go
+++ b/exchange/era.go
@@ -12,38 +12,33 @@
 // eras are not comparable: the same revision may belong to another value. So a dataset
 // holds entries of one era, and the first read or snapshot of the next era replaces them.
 
-// heardEra is an era that was read elsewhere.
-type heardEra struct {
+// expectedEra is an era that was read elsewhere.
+type expectedEra struct {
 	era int64
 	at  time.Time // when this daemon heard of it
 }
 
-// position returns the position of the store that the entries matched last.
-func (d *Dataset) position() objectstore.Position {
-	return objectstore.Position{Era: d.era, Revision: d.storeRevision}
-}
-
 // empty reports whether nothing was read or received yet.
 func (d *Dataset) empty() bool { return !d.Loaded() && len(d.entries) == 0 }
 
-// HearEra brings the next read forward because a peer, or this daemon in another kind, has
+// ExpectEra brings the next read forward because a peer, or this daemon in another kind, has
 // read a newer era. The delay is random, so that the daemons that hear of it don't all read
 // at once.
-func (d *Dataset) HearEra(now time.Time, era int64) {
-	if era <= max(d.era, d.heard.era) {
+func (d *Dataset) ExpectEra(now time.Time, era int64) {
+	if era <= max(d.era, d.expected.era) {
 		return
 	}
-	d.heard = heardEra{era, now}
+	d.expected = expectedEra{era, now}
 	if soon := now.Add(time.Duration(d.random.Float64() * float64(d.period))); soon.Before(d.nextRead) {
 		d.nextRead = soon
 	}
 }
 
-// checkHeard forgets the newer era that was read elsewhere if a later read of this daemon,
+// checkExpected forgets the newer era that was read elsewhere if a later read of this daemon,
 // sent at sentAt, returned an older one.
-func (d *Dataset) checkHeard(sentAt time.Time, era int64) {
-	if era < d.heard.era && sentAt.After(d.heard.at) {
-		d.heard = heardEra{}
+func (d *Dataset) checkExpected(sentAt time.Time, era int64) {
+	if era < d.expected.era && sentAt.After(d.expected.at) {
+		d.expected = expectedEra{}
 	}
 }
 
--- a/exchange/era_test.go
+++ b/exchange/era_test.go
@@ -141,7 +141,7 @@
 		copies = append(copies, f.stored)
 		f.run(f.now.Add(time.Duration(f.random.Int64N(int64(maxStep)))))
 		for i, d := range f.daemons {
-			position := d.dataset.position()
+			position := d.dataset.Position()
 			if last, ok := latest[d.dataset]; ok && position.Before(last) {
 				t.Errorf("step %d: daemon %d goes back from %v to %v", step, i, last, position)
 			}
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -269,7 +269,7 @@
 	d.mu.Lock()
 	d.storeRecoveredAt = now // entries that the copy lacks may return
 	for other, dataset := range d.byKind {
-		dataset.HearEra(now, era)
+		dataset.ExpectEra(now, era)
 		d.wakeReader(other)
 	}
 	d.mu.Unlock()
