node: a watch whose history is gone goes on from a list

What operators would see, on the project's own path: after the store discarded its history, or came back from an older copy, new versions of the configuration are not activated, for as long as the store's revision is below its old height: the watch got 410 and was repeated from the same revision.

Fix: on 410 the kind is listed, and the watch goes on from the list's revision. A case of TestFleet failed before (no end within 80 s: watch from a revision that the restored store doesn't have).

--- a/node/configuration.go
+++ b/node/configuration.go
@@ -121,6 +121,11 @@
 			continue
 		}
 		objects, revision, err := v.n.platform.Watch(ctx, configuration.ObjectKind, sinceRevision)
+		if errors.Is(err, objectstore.ErrHistoryGone) { // it was discarded, or the store was restored from an older copy
+			var position objectstore.Position
+			objects, position, err = v.n.platform.List(ctx, configuration.ObjectKind)
+			revision = position.Revision
+		}
 		if ctx.Err() != nil {
 			return
 		}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
 
@@ -21,6 +22,7 @@
 	"github.com/vanillaroad/vanillaroad/internal/jsontime"
 	"github.com/vanillaroad/vanillaroad/internal/standin"
 	"github.com/vanillaroad/vanillaroad/objectstore"
+	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/settings"
 )
 
@@ -134,6 +136,9 @@
 	return f.all(func(n *Node) bool { return len(n.view.Load().Live()) == len(f.nodes) })
 }
 
+// copyMargin separates the writes before a copy of the store from those after it.
+const copyMargin = 20 * time.Millisecond
+
 func TestFleet(t *testing.T) {
 	Convey("Given five daemons with a configuration", t, func() {
 		leaks := goleak.IgnoreCurrent()
@@ -188,6 +193,28 @@
 			waitUntil(func() bool { return f.allActive(versions) })
 			So(len(f.nodes[4].snapshot.Load().Document.Targets), ShouldEqual, 100+versions-1)
 		})
+		Convey("versions that are written after the store's history was lost become active", func() {
+			ctx := context.Background()
+			store := platform.NewClient(f.server.URL+"/0", metrics.NewRegistry())
+			defer store.Close()
+			time.Sleep(copyMargin)
+			copied := time.Now()
+			time.Sleep(copyMargin)
+			const unrelated = 50 // writes that raise the store's revision beyond what follows
+			for i := range unrelated {
+				_, err := store.Put(ctx, "unrelated", fmt.Sprint(i), []byte(`1`), 0)
+				So(err, ShouldBeNil)
+			}
+			_, err := f.apply(0, f.document(101), 1, 0)
+			So(err, ShouldBeNil)
+			waitUntil(func() bool { return f.allActive(2) })
+			f.platform.Restore(standin.Restoration{AgeMillis: int(time.Since(copied).Milliseconds())})
+			for base := int64(1); base <= 2; base++ {
+				_, err := configuration.Write(ctx, store, configuration.Change{WriteID: fmt.Sprint("w-", base), Document: f.document(200), BaseVersion: base})
+				So(err, ShouldBeNil)
+			}
+			waitUntil(func() bool { return f.allActive(3) })
+		})
 		Convey("a draining daemon is in no daemon's directory answers once it has announced the stop, and refuses work after that", func() {
 			refusalStarted := f.nodes[2].Drain()
 			drainedAddress := f.nodes[2].self.APIAddress
