--- a/exchange/dataset.go
+++ b/exchange/dataset.go
@@ -96,7 +96,7 @@
 	}
 	d.freshAt = at
 	next := at.Add(d.period + d.drawJitter())
-	if d.expected.era > d.era && d.nextRead.Before(next) {
+	if d.ExpectsEra() && d.nextRead.Before(next) {
 		return // the entries matched an older era
 	}
 	d.nextRead = next
--- a/exchange/era.go
+++ b/exchange/era.go
@@ -21,6 +21,10 @@
 // empty reports whether nothing was read or received yet.
 func (d *Dataset) empty() bool { return !d.Loaded() && len(d.entries) == 0 }
 
+// ExpectsEra reports whether a newer era was read elsewhere, and the next read was brought
+// forward for it.
+func (d *Dataset) ExpectsEra() bool { return d.expected.era > d.era }
+
 // ExpectEra brings the next read forward because a peer, or this daemon in another kind, has
 // read a newer era. The delay is random, so that the daemons that hear of it don't all read
 // at once.
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -248,9 +248,9 @@
 	defer d.applyMu.Unlock()
 	d.mu.Lock()
 	origin, before := changeOrigin{source, dataset.LastMatch()}, dataset.Position()
-	nextRead := dataset.NextRead()
+	expected := dataset.ExpectsEra()
 	c := mutate(dataset)
-	if dataset.NextRead().Before(nextRead) {
+	if !expected && dataset.ExpectsEra() {
 		d.wakeReader(kind)
 	}
 	after := dataset.Position()
@@ -269,8 +269,9 @@
 	d.mu.Lock()
 	d.storeRecoveredAt = now // entries that the copy lacks may return
 	for other, dataset := range d.byKind {
-		dataset.ExpectEra(now, era)
-		d.wakeReader(other)
+		if dataset.ExpectEra(now, era); dataset.ExpectsEra() {
+			d.wakeReader(other)
+		}
 	}
 	d.mu.Unlock()
 	if kind == memberKind { // once a restoration, not for each kind
@@ -278,7 +279,9 @@
 	}
 }
 
-// wakeReader lets refresh look at the time of the next read again.
+// wakeReader lets refresh look at the time of the next read again. It is not called for
+// other reasons than a new era: a read that is due a little earlier than before is left to
+// the daemon that reads next.
 func (d *datasets) wakeReader(kind string) {
 	select {
 	case d.wake[kind] <- struct{}{}:
