--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -15,6 +15,8 @@
 	LogLinesLost     Number = 710
 	CopyFailed       Number = 711
 	TargetTerminated Number = 712
+	CallerLeft       Number = 713
+	IdleClosed       Number = 714
 )
 
 var forwardEntries = []Entry{
@@ -22,7 +24,7 @@
 	{RequestFailed, "request_failed", Warn, "A request failed without an answer from a target; the field outcome says whether it ran.", "See docs/OPERATIONS.md."},
 	{AttemptLost, "attempt_lost", Warn, "An attempt at a target ended without a complete answer.", "Look for target_suspected events of the same target."},
 	{AnswerResumed, "answer_resumed", Info, "A streamed answer continues at another target.", ""},
-	{AnswerTruncated, "answer_cut_short", Warn, "A streamed answer was truncated.", "Read the preceding attempt_lost events of the request."},
+	{AnswerTruncated, "answer_cut_short", Warn, "A streamed answer was truncated; no_attempt says why it was not continued.", "Read the preceding attempt_lost events of the request."},
 	{TargetSuspected, "target_suspected", Warn, "A target did not answer a probe and temporarily gets no new requests.", "Check the target if it persists."},
 	{TargetTerminated, "target_ended", Warn, "The process of a target has terminated: its address refuses connections or is used by another process.", "Check the target if its entry remains."},
 	{EntryRefused, "entry_refused", Warn, "An invalid entry of a target or daemon was ignored; its previous entry stays active.", "Find out what wrote the entry."},
@@ -30,5 +32,7 @@
 	{TargetLeaving, "target_leaving", Info, "A target is leaving and gets no new requests.", ""},
 	{TargetRemoved, "target_gone", Info, "The entry of a target was removed.", ""},
 	{CopyFailed, "copy_failed", Info, "The KV cache of a running request could not be copied to another target.", ""},
+	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
+	{IdleClosed, "idle_connections_closed", Info, "Connections of callers were closed that had been idle for longer than the configuration allows.", ""},
 	{LogLinesLost, "log_lines_lost", Warn, "Log lines were dropped because the log reader is slow.", "Check the process that reads the log."},
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -34,7 +34,7 @@
 	answer, err := c.run(ctx)
 	if answer == nil {
 		if canceledByCaller(ctx) {
-			w.Abort()
+			f.abortLeft(r, w)
 			return
 		}
 		f.failRequest(r, w, err)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -241,6 +241,12 @@
 	w.Fail(err)
 }
 
+// abortLeft ends a request whose caller disconnected before its answer began.
+func (f *Forwarder) abortLeft(r *Request, w Responder) {
+	f.Events.Record(event.CallerLeft, r.ID, event.F("route", r.Route.Name), event.F("after", time.Since(r.Received).String()))
+	w.Abort()
+}
+
 // Names of the histograms, all in milliseconds.
 const (
 	metricCall       = "forward.call_ms"        // from the arrival of a call to its answer
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -31,6 +31,7 @@
 	targetFailure *bufferedAnswer // server error of a target, used if no attempt succeeds
 	lastErr       *failure.Error  // of the latest attempt
 	mayHaveRun    bool            // a target may have run the request
+	noAttempt     string          // why no further attempt was planned, for the log; empty while there is one
 }
 
 func newStream(f *Forwarder, r *Request, w Responder) *stream {
@@ -90,10 +91,11 @@
 	switch {
 	case s.headSent:
 		s.forwarder.Events.Record(event.AnswerTruncated, s.request.ID, event.F("route", s.request.Route.Name), event.F("error", s.lastErr.Error()),
+			event.F("attempts", strconv.Itoa(len(s.tried))), event.F("no_attempt", s.noAttempt),
 			event.F("last_event", strconv.FormatInt(s.lastEventID, 10)), event.F("after", time.Since(s.request.Received).String()))
 		s.responder.Abort()
 	case canceledByCaller(ctx):
-		s.responder.Abort()
+		s.forwarder.abortLeft(s.request, s.responder)
 	case s.targetFailure != nil:
 		s.responder.Answer(s.targetFailure.status, s.targetFailure.header, s.targetFailure.body)
 	default:
@@ -137,12 +139,14 @@
 // start soonest. It returns false if no attempt is possible.
 func (s *stream) planAttempt(ctx context.Context) (Attempt, bool) {
 	if !s.request.attemptsLeft(len(s.tried)) {
+		s.noAttempt = "the attempts of the route are used up"
 		return Attempt{}, false
 	}
 	var promptHolders map[string]bool
 	if !s.standbyReady(time.Now()) {
 		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
 			s.lastErr = contextError(ctx, failure.NotRun, "route", s.request.Service)
+			s.noAttempt = s.lastErr.Error()
 			return Attempt{}, false
 		}
 		promptHolders = s.promptHolders(ctx)
@@ -153,6 +157,10 @@
 		s.lastErr = refusal
 	}
 	if !allowed {
+		s.noAttempt = "the retry budget is exhausted"
+		if refusal != nil {
+			s.noAttempt = refusal.Error()
+		}
 		return Attempt{}, false
 	}
 	now := time.Now()
@@ -169,6 +177,7 @@
 			if s.lastErr == nil {
 				s.lastErr = noTargetError(s.request, err)
 			}
+			s.noAttempt = err.Error()
 			return Attempt{}, false
 		}
 		a.Target = t
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -4,8 +4,11 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
+
+	"github.com/vanillaroad/vanillaroad/event"
 )
 
 // idleCheckInterval is the time between two checks for idle connections.
@@ -60,9 +63,14 @@
 			if table == nil || table.Limits.IdleTimeout <= 0 {
 				continue
 			}
-			for _, c := range g.idleConns.removeExpired(now, table.Limits.IdleTimeout) {
+			expired := g.idleConns.removeExpired(now, table.Limits.IdleTimeout)
+			for _, c := range expired {
 				_ = c.Close() // the caller may already have closed it
 			}
+			if len(expired) > 0 {
+				g.events.Record(event.IdleClosed, "", event.F("connections", strconv.Itoa(len(expired))),
+					event.F("limit", table.Limits.IdleTimeout.String()), event.F("version", strconv.FormatInt(table.Version, 10)))
+			}
 		}
 	}
 }
