--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -40,10 +40,11 @@
 	full          map[string]bool            // targets without memory for a copy
 	cancelRun     map[string]func()          // by target; each ends the run there, as a move does
 	listening     map[string]bool            // targets that accept connections, see Connect
+	paused        map[string]chan struct{}   // targets that are silent; closed when they go on
 }
 
 func newFakeTargetClient() *fakeTargetClient {
-	return &fakeTargetClient{behaviours: make(map[string]behaviour), running: make(map[string]int), dead: make(map[string]bool), copies: make(map[string]string), full: make(map[string]bool), cancelRun: make(map[string]func()), listening: make(map[string]bool)}
+	return &fakeTargetClient{behaviours: make(map[string]behaviour), running: make(map[string]int), dead: make(map[string]bool), copies: make(map[string]string), full: make(map[string]bool), cancelRun: make(map[string]func()), listening: make(map[string]bool), paused: make(map[string]chan struct{})}
 }
 
 func (s *fakeTargetClient) Send(ctx context.Context, a Attempt) (*Answer, error) {
@@ -73,6 +74,9 @@
 		<-ctx.Done()
 		return Report{}, ctx.Err()
 	}
+	if !s.awaitResume(ctx, t.ID) {
+		return Report{}, ctx.Err()
+	}
 	return Report{StartMillis: t.StartMillis}, nil
 }
 
@@ -93,6 +97,9 @@
 		<-ctx.Done()
 		return Copy{}, fleet.Target{}, ctx.Err()
 	}
+	if !s.awaitResume(ctx, source.ID) {
+		return Copy{}, fleet.Target{}, ctx.Err()
+	}
 	if stop != nil {
 		stop()
 	}
