--- a/gateway/idle_test.go
+++ b/gateway/idle_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -25,3 +27,59 @@
 		}
 	})
 }
+
+// pipeListener accepts one connection, without a network.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *pipeListener) Close() error   { close(l.done); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestRequestsOnIdleConnectionsAreAnswered guards against requests that are lost because
+// their connection was closed as idle while they arrived: net/http reports a connection
+// as active only once it has the complete header.
+func TestRequestsOnIdleConnectionsAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newIdleTracker()
+		listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		server := &http.Server{ConnState: tracker.stateChanged, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
+		go func() { _ = server.Serve(listener) }()
+		defer func() { _ = server.Close() }()
+		caller, accepted := net.Pipe()
+		listener.conns <- accepted
+		answers := bufio.NewReader(caller)
+		request := func(parts ...string) error {
+			for _, p := range parts {
+				if _, err := io.WriteString(caller, p); err != nil {
+					return err
+				}
+				synctest.Wait()
+				for _, c := range tracker.removeExpired(time.Now(), 15*time.Second) {
+					_ = c.Close()
+				}
+			}
+			answer, err := http.ReadResponse(answers, nil)
+			if err == nil {
+				_ = answer.Body.Close()
+			}
+			return err
+		}
+		if err := request("GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal("first request:", err)
+		}
+		time.Sleep(20 * time.Second)
+		if err := request("GET / HTTP/1.1\r\n", "Host: h\r\n\r\n"); err != nil {
+			t.Error("a request whose first bytes were read before its connection expired:", err)
+		}
+	})
+}
