forward: a request is taken from a silent target only if another one can get it

The run was given up first, on an unanswered probe or a long gap, and the next attempt was planned then; it failed if no other target was ready, the route's attempts or the retry budget were used up, or the stream can't be resumed.

Now the retry budget of the next attempt is consumed, and a target for it must be ready, before the run is given up; otherwise the attempt goes on until its target answers, breaks the connection or is known to have terminated (connection refused, another target at its address, a new incarnation). The loss of its entry is no such evidence. If all others refuse a stream that was taken from a silent target, or can't be reached, it returns to that target, once, and stays. A repeatable call is handled in the same way.

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -17,6 +17,7 @@
 	TargetTerminated Number = 712
 	CallerLeft       Number = 713
 	IdleClosed       Number = 714
+	AttemptKept      Number = 715
 )
 
 var forwardEntries = []Entry{
@@ -32,6 +33,7 @@
 	{TargetLeaving, "target_leaving", Info, "A target is leaving and gets no new requests.", ""},
 	{TargetRemoved, "target_gone", Info, "The entry of a target was removed.", ""},
 	{CopyFailed, "copy_failed", Info, "The KV cache of a running request could not be copied to another target.", ""},
+	{AttemptKept, "attempt_kept", Warn, "The target of a stream is silent, and the attempt goes on because no other target can take it.", "Look for target_suspected events of the same target, and retry_denied."},
 	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
 	{IdleClosed, "idle_connections_closed", Info, "Connections of callers were closed that had been idle for longer than the configuration allows.", ""},
 	{LogLinesLost, "log_lines_lost", Warn, "Log lines were dropped because the log reader is slow.", "Check the process that reads the log."},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,7 +34,8 @@
 type targetState struct {
 	Target
 	replaced            bool      // another target registered at its address
-	ended               bool      // a new incarnation registered, or the entry was removed without leaving
+	superseded          bool      // a new incarnation registered
+	removed             bool      // the entry was removed without leaving
 	terminatedUntil     time.Time // its process is considered terminated until then
 	missingSince        time.Time // when its entry, which may return, disappeared; zero if present
 	suspectUntil        time.Time // it is considered failed until then
@@ -94,7 +95,7 @@
 	case s == nil:
 		f.addToIndexes(newTargetState(t))
 	case s.StartMillis != t.StartMillis || s.Address != t.Address:
-		s.ended = true
+		s.superseded = true
 		s.markLost()
 		restarted := newTargetState(t)
 		restarted.running, restarted.prefillTokens, restarted.memoryTokens = s.running, s.prefillTokens, s.memoryTokens // each request and copy subtracts its part when it ends
@@ -157,7 +158,7 @@
 		}
 		return
 	}
-	s.ended = !s.Leaving
+	s.removed = !s.Leaving
 	f.drop(s)
 }
 
--- a/fleet/incarnation.go
+++ b/fleet/incarnation.go
@@ -26,10 +26,21 @@
 // has terminated, another incarnation or target took its place, or its entry was removed
 // although it was not leaving.
 func (i Incarnation) Ended(now time.Time) bool {
+	return i.check(func(s *targetState) bool { return s.removed || s.superseded || s.terminated(now) })
+}
+
+// Terminated reports whether the process of the incarnation is known to run no more. A
+// target whose entry was removed may still run: it was cut off from the store, or it
+// leaves without notice.
+func (i Incarnation) Terminated(now time.Time) bool {
+	return i.check(func(s *targetState) bool { return s.superseded || s.terminated(now) })
+}
+
+func (i Incarnation) check(condition func(*targetState) bool) bool {
 	if i.state == nil {
 		return false
 	}
 	i.fleet.mu.Lock()
 	defer i.fleet.mu.Unlock()
-	return i.state.ended || i.state.terminated(now)
+	return condition(i.state)
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -54,13 +54,15 @@
 	target        fleet.Target    // of the last attempt
 	mayHaveRun    bool            // a target may have run the request
 	targetFailure *bufferedAnswer // server error of a target, used if no attempt succeeds
+	retryReserved bool            // the next attempt has its retry budget
 }
 
 // run sends the request until there is an answer or no attempt is left.
 func (c *call) run(ctx context.Context) (*bufferedAnswer, *failure.Error) {
 	var lastErr *failure.Error
 	for failedDials := 0; ; {
-		allowed, refusal := c.forwarder.allowAttempt(ctx, c.request, len(c.tried))
+		allowed, refusal := c.forwarder.allowAttempt(ctx, c.request, len(c.tried), c.retryReserved)
+		c.retryReserved = false
 		if refusal != nil {
 			lastErr = refusal
 		}
@@ -110,15 +112,9 @@
 // attempt sends the request to one target. It returns the answer if it is final,
 // otherwise the reason why the attempt failed.
 func (c *call) attempt(ctx context.Context, t fleet.Target) (*bufferedAnswer, *failure.Error) {
-	attemptCtx, cancel := c.attemptContext(ctx)
-	defer cancel()
 	incarnation := c.forwarder.Fleet.Incarnation(t.ID)
 	active := c.forwarder.Fleet.Begin(time.Now(), t.ID, fleet.Demand{})
-	answer, err := c.forwarder.TargetClient.Send(attemptCtx, Attempt{Request: c.request, Target: t, TimeLeft: c.request.timeLeft()})
-	var body []byte
-	if err == nil {
-		body, err = readBody(answer.Body)
-	}
+	answer, body, gaveUp, err := c.send(ctx, Attempt{Request: c.request, Target: t, TimeLeft: c.request.timeLeft()})
 	now := time.Now()
 	switch {
 	case errors.Is(err, ErrNotSent):
@@ -127,7 +123,7 @@
 	case err != nil:
 		active.Done(now, true)
 		c.mayHaveRun = true
-		return nil, c.handleNoAnswer(ctx, now, incarnation, err, attemptCtx.Err() != nil)
+		return nil, c.handleNoAnswer(ctx, now, incarnation, err, gaveUp || ctx.Err() != nil)
 	case answer.NotRun:
 		active.Done(now, false)
 		return nil, c.forwarder.handleRefusal(t, answer, false)
@@ -152,18 +148,9 @@
 	return buffered, nil
 }
 
-// attemptContext returns a context for one attempt. It has a timeout of its own if the
-// call may still be sent to another target.
-func (c *call) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if !c.request.Route.Repeatable() || c.request.Route.LatencyObjective <= 0 || len(c.tried)+1 >= c.request.Route.MaxAttempts {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeout(ctx, attemptTimeoutFactor*c.request.Route.LatencyObjective)
-}
-
 // handleNoAnswer returns the error of an attempt that was sent and received no complete
-// answer. timedOut reports whether the attempt was abandoned because of its own
-// deadline. A slow request counts as a crash of the target only once the target is known
+// answer. timedOut reports whether the attempt was abandoned because it took too
+// long. A slow request counts as a crash of the target only once the target is known
 // to have ended.
 func (c *call) handleNoAnswer(ctx context.Context, now time.Time, target fleet.Incarnation, err error, timedOut bool) *failure.Error {
 	if timedOut && !canceledByCaller(ctx) {
--- a/forward/run.go
+++ b/forward/run.go
@@ -30,6 +30,7 @@
 	failed       bool            // the attempt failed because of the target
 	endReported  bool            // the run's end was reported to the crash tracker
 	progressed   bool            // the run's progress was reported
+	kept         bool            // it was recorded that the attempt goes on although its target is silent
 }
 
 // answerPart is one result of the reading goroutine: the head (status and header) of
@@ -85,10 +86,14 @@
 			a.stream.lastErr = contextError(ctx, failure.Unknown, "await answer", a.attempt.Target.ID)
 			return endCanceled
 		case <-a.lost:
-			return a.abandon("the target is taken for dead")
+			if end, done := a.handleSuspected(); done {
+				return end
+			}
 		case p := <-a.probeResults:
 			if p.Alive && a.stream.request.Route.Repeatable() && a.detector.eventsUndelivered(a.stream.request.ID, p.Report) {
-				return a.abandon("the target runs the request, and its answer does not arrive")
+				if end, done := a.giveUp("the target runs the request, and its answer does not arrive"); done {
+					return end
+				}
 			}
 			if p.Alive && a.detector.firstEventSeen && runMissing(p.completedAt, a.firstEventAt, a.stream.request.ID, p.Report) {
 				return a.abandon("the target no longer has the request")
@@ -103,16 +108,17 @@
 			action, wait := a.detector.next(time.Now())
 			switch action {
 			case stallAbandon:
-				if !a.startMove(ctx) {
-					return a.abandon("the stream is silent")
+				if end, done := a.handleStall(ctx); done {
+					return end
 				}
+				wait = gapProbeInterval
 			case stallProbe:
 				a.stream.forwarder.Prober.Probe(a.attempt.Target, a.probeResults)
 			}
 			timer.Reset(max(wait, time.Millisecond))
 		case m := <-a.moveResults:
 			if m.err != nil {
-				return a.abandon("the stream is silent, and not moved: " + m.err.Error())
+				return a.abandonSilent("the stream is silent, and not moved: " + m.err.Error())
 			}
 			a.copier.current = &m.standbyCopy
 			end := a.abandon("the stream is silent, and was moved")
@@ -145,9 +151,6 @@
 // another target. A move loses no tokens and needs no standby copy. startMove returns
 // false if the run can't be moved.
 func (a *streamAttempt) startMove(ctx context.Context) bool {
-	if a.moving {
-		return true
-	}
 	if !a.detector.firstEventSeen || a.stream.forwarder.Fleet.State(time.Now(), a.attempt.Target.ID) != fleet.Ready {
 		return false
 	}
@@ -270,6 +273,7 @@
 		s.forwarder.CrashTracker.ReportProgress(s.request)
 	}
 	a.detector.recordEvent(now)
+	a.kept = false
 	if p.event.ID >= 0 && p.event.ID <= s.lastEventID {
 		return 0, false // the caller has received it already
 	}
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -150,6 +150,28 @@
 	}
 }
 
+// TestRefusedStreamReturnsToItsTarget guards against streams that are cut because they
+// were taken from a silent target and all others, which looked ready, refuse them.
+func TestRefusedStreamReturnsToItsTarget(t *testing.T) {
+	for name, other := range map[string]behaviour{"refuse": answering(http.StatusServiceUnavailable, true), "are unreachable": failing(ErrNotSent)} {
+		t.Run("others "+name, inBubble(func(t *testing.T) {
+			s, first := newFixtureWithBroken(other, pausable(50, eventGap))
+			go func() {
+				time.Sleep(20*eventGap + eventGap/2)
+				s.client.pauseFor(silence, first)
+			}()
+			got := s.serve(t, streamRoute)
+			synctest.Wait()
+			if !got.receivedAll(50) {
+				t.Errorf("the caller got %d events (want 51), ended %v (want true), error %v; sent to %v", len(got.events), got.ended, got.err, s.client.attempts())
+			}
+			if s.client.maxConcurrent > 1 {
+				t.Errorf("the request ran on %d targets at once, want at most 1", s.client.maxConcurrent)
+			}
+		}))
+	}
+}
+
 // TestSilentTargetsEndNoCall guards against repeatable calls that fail because their
 // target was given up for silence although no other target could get them.
 func TestSilentTargetsEndNoCall(t *testing.T) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -25,13 +25,17 @@
 	lastEventAt  time.Time     // when the caller received the latest event
 	longestGap   time.Duration // longest time between two events
 
-	tried         map[string]bool // targets that the request was sent to
-	lostPlaces    []string        // places of targets that lost the request
-	standby       *standbyCopy    // copy of the latest run's KV cache, once that run is lost
-	targetFailure *bufferedAnswer // server error of a target, used if no attempt succeeds
-	lastErr       *failure.Error  // of the latest attempt
-	mayHaveRun    bool            // a target may have run the request
-	noAttempt     string          // why no further attempt was planned, for the log; empty while there is one
+	tried         map[string]bool     // targets that the request was sent to
+	lostPlaces    []string            // places of targets that lost the request
+	standby       *standbyCopy        // copy of the latest run's KV cache, once that run is lost
+	targetFailure *bufferedAnswer     // server error of a target, used if no attempt succeeds
+	lastErr       *failure.Error      // of the latest attempt
+	mayHaveRun    bool                // a target may have run the request
+	silent        []fleet.Incarnation // targets that were given up although they may still run, latest last
+	returned      bool                // to a target in silent; the stream is not taken from a silent target any more
+	notSent       int                 // attempts whose target was not reached
+	retryReserved bool                // the next attempt has its retry budget
+	noAttempt     string              // why no further attempt was planned, for the log; empty while there is one
 }
 
 func newStream(f *Forwarder, r *Request, w Responder) *stream {
@@ -56,7 +60,6 @@
 // run sends the request to one target after another until its answer is complete or no
 // attempt is left.
 func (s *stream) run(ctx context.Context) {
-	notSent := 0
 	for {
 		a, ok := s.planAttempt(ctx)
 		if !ok {
@@ -72,9 +75,8 @@
 				event.F("longest_pause", s.longestGap.String()), event.F("after", time.Since(s.request.Received).String()))
 			return
 		case endNotSent:
-			if notSent++; notSent <= s.request.maxAttempts() {
-				continue
-			}
+			s.notSent++
+			continue
 		case endTargetLost:
 			if s.mayHaveRun && !s.request.Route.Repeatable() {
 				break
@@ -140,7 +142,11 @@
 func (s *stream) planAttempt(ctx context.Context) (Attempt, bool) {
 	if !s.request.attemptsLeft(len(s.tried)) {
 		s.noAttempt = "the attempts of the route are used up"
-		return Attempt{}, false
+		return s.planReturn(ctx)
+	}
+	if s.notSent > s.request.maxAttempts() {
+		s.noAttempt = "too many targets can't be reached"
+		return s.planReturn(ctx)
 	}
 	var promptHolders map[string]bool
 	if !s.standbyReady(time.Now()) {
@@ -152,7 +158,8 @@
 		promptHolders = s.promptHolders(ctx)
 	}
 	// The last step that may take time, so that the target is picked by the latest state.
-	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried))
+	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried), s.retryReserved)
+	s.retryReserved = false
 	if refusal != nil {
 		s.lastErr = refusal
 	}
@@ -168,17 +175,14 @@
 	if s.standbyReady(now) {
 		a.Target, a.Resume = s.standby.holder, s.standby.copy
 	} else {
-		t, err := s.forwarder.Fleet.Pick(now, fleet.Criteria{
-			PromptHolders: promptHolders,
-			Service:       s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
-			MemoryTokens: max(1, s.memoryTokens()), CapacityTokens: s.capacityTokens(),
-		})
+		t, err := s.forwarder.Fleet.Pick(now, s.targetCriteria(promptHolders))
 		if err != nil {
 			if s.lastErr == nil {
 				s.lastErr = noTargetError(s.request, err)
 			}
 			s.noAttempt = err.Error()
-			return Attempt{}, false
+			s.retryReserved = len(s.tried) > 0 // the budget of this attempt is not used yet
+			return s.planReturn(ctx)
 		}
 		a.Target = t
 	}
@@ -189,6 +193,15 @@
 	return a, true
 }
 
+// targetCriteria returns what the next attempt needs of its target.
+func (s *stream) targetCriteria(promptHolders map[string]bool) fleet.Criteria {
+	return fleet.Criteria{
+		PromptHolders: promptHolders,
+		Service:       s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
+		MemoryTokens: max(1, s.memoryTokens()), CapacityTokens: s.capacityTokens(),
+	}
+}
+
 // standbyReady reports whether the next attempt can resume from a standby copy.
 func (s *stream) standbyReady(now time.Time) bool {
 	return s.standby != nil && s.forwarder.Fleet.State(now, s.standby.holder.ID) == fleet.Ready && !s.tried[s.standby.holder.ID]
