gateway: an idle connection isn't closed once bytes of its next request were read

Callers saw requests without an answer or a refusal (LOST) when a connection was closed as idle while a request arrived on it, above all when a change of the configuration lowers the idle timeout and many connections expire within a second. The tracker went by the states of net/http, in which a connection is idle until the complete header was read: the request could even be passed on to a target before the close.

A tracked connection is busy from the read that gets the first bytes. Expiry and that read decide by one atomic state: either the connection stays open, or the bytes aren't delivered and no request is served.

TestRequestsOnIdleConnectionsAreAnswered failed before with a closed connection. TestIdleConnectionsExpire keeps its cases; it makes tracked connections now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,7 +153,7 @@
 			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: g.idleConns.stateChanged,
 			BaseContext: func(net.Listener) context.Context { return g.requestCtx },
 		},
-		listener: l,
+		listener: trackedListener{l},
 	})
 	return nil
 }
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/event"
@@ -14,35 +15,111 @@
 // idleCheckInterval is the time between two checks for idle connections.
 const idleCheckInterval = time.Second
 
-// idleTracker records since when each connection is idle, so that connections idle for
-// longer than the configuration allows can be closed. The idle timeout of http.Server
-// can't be changed while it runs.
+// idleTracker records since when each connection of a trackedListener is idle, so that
+// connections idle for longer than the configuration allows can be closed. The idle
+// timeout of http.Server can't be changed while it runs. A connection is idle from the
+// end of an answer until the first bytes of the next request were read; http.StateActive
+// comes later, with the complete header.
 type idleTracker struct {
-	mu        sync.Mutex
-	idleSince map[net.Conn]time.Time
+	start time.Time
+
+	mu    sync.Mutex
+	conns map[*trackedConn]struct{} // open connections
+}
+
+func newIdleTracker() *idleTracker {
+	return &idleTracker{start: time.Now(), conns: make(map[*trackedConn]struct{})}
 }
 
-func newIdleTracker() *idleTracker { return &idleTracker{idleSince: make(map[net.Conn]time.Time)} }
+// trackedListener accepts connections that an idleTracker can track.
+type trackedListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l trackedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &trackedConn{Conn: c}, nil
+}
+
+// trackedConn is a connection whose state is either busy, idle or expired. An expired
+// connection delivers no more bytes, so that no request is served whose answer can't be
+// sent.
+type trackedConn struct {
+	net.Conn
+	state atomic.Int64 // connBusy, connExpired, or since when it is idle in nanoseconds from idleTracker.start, at least 1
+}
+
+const (
+	connBusy    = 0
+	connExpired = -1
+)
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	for {
+		state := c.state.Load()
+		switch {
+		case state == connExpired:
+			return 0, net.ErrClosed
+		case state == connBusy, c.state.CompareAndSwap(state, connBusy):
+			return n, err
+		}
+	}
+}
+
+// CloseWrite closes the sending side. http.Server uses it so that the last answer is not
+// lost with the connection.
+func (c *trackedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
 
 // stateChanged is the ConnState hook of http.Server.
 func (i *idleTracker) stateChanged(c net.Conn, s http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if s == http.StateIdle {
-		i.idleSince[c] = time.Now()
+	conn, ok := c.(*trackedConn)
+	if !ok {
 		return
 	}
-	delete(i.idleSince, c)
+	switch s {
+	case http.StateNew:
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.conns[conn] = struct{}{}
+	case http.StateIdle:
+		conn.state.CompareAndSwap(connBusy, max(1, int64(time.Since(i.start))))
+	case http.StateActive:
+		conn.markBusy()
+	case http.StateClosed, http.StateHijacked:
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		delete(i.conns, conn)
+	}
+}
+
+// markBusy marks an idle connection as busy. Its next request may have been read together
+// with the previous one.
+func (c *trackedConn) markBusy() {
+	if state := c.state.Load(); state > connBusy {
+		c.state.CompareAndSwap(state, connBusy)
+	}
 }
 
-// removeExpired removes and returns the connections that have been idle for at least
-// limit.
-func (i *idleTracker) removeExpired(now time.Time, limit time.Duration) (out []net.Conn) {
+// expire marks the connections as expired that have been idle for at least limit, and
+// returns them.
+func (i *idleTracker) expire(now time.Time, limit time.Duration) (out []net.Conn) {
+	latest := int64(now.Sub(i.start) - limit)
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for c, idleSince := range i.idleSince {
-		if now.Sub(idleSince) >= limit {
-			delete(i.idleSince, c)
+	for c := range i.conns {
+		if state := c.state.Load(); state > connBusy && state <= latest && c.state.CompareAndSwap(state, connExpired) {
 			out = append(out, c)
 		}
 	}
@@ -63,7 +140,7 @@
 			if table == nil || table.Limits.IdleTimeout <= 0 {
 				continue
 			}
-			expired := g.idleConns.removeExpired(now, table.Limits.IdleTimeout)
+			expired := g.idleConns.expire(now, table.Limits.IdleTimeout)
 			for _, c := range expired {
 				_ = c.Close() // the caller may already have closed it
 			}
--- a/gateway/idle_test.go
+++ b/gateway/idle_test.go
@@ -13,16 +13,19 @@
 func TestIdleConnectionsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tracker := newIdleTracker()
-		a, b := net.Pipe()
+		pipeA, pipeB := net.Pipe()
+		a, b := &trackedConn{Conn: pipeA}, &trackedConn{Conn: pipeB}
+		tracker.stateChanged(a, http.StateNew)
+		tracker.stateChanged(b, http.StateNew)
 		tracker.stateChanged(a, http.StateIdle)
 		time.Sleep(10 * time.Second)
 		tracker.stateChanged(b, http.StateIdle)
-		if got := tracker.removeExpired(time.Now(), 15*time.Second); len(got) != 0 {
+		if got := tracker.expire(time.Now(), 15*time.Second); len(got) != 0 {
 			t.Fatal("a connection expired before it was idle for the limit")
 		}
 		tracker.stateChanged(a, http.StateActive)
 		time.Sleep(15 * time.Second)
-		if got := tracker.removeExpired(time.Now(), 15*time.Second); len(got) != 1 || got[0] != b {
+		if got := tracker.expire(time.Now(), 15*time.Second); len(got) != 1 || got[0] != net.Conn(b) {
 			t.Fatalf("expired connections %v, want only the one that stayed idle", got)
 		}
 	})
@@ -53,7 +56,7 @@
 		tracker := newIdleTracker()
 		listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
 		server := &http.Server{ConnState: tracker.stateChanged, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
-		go func() { _ = server.Serve(listener) }()
+		go func() { _ = server.Serve(trackedListener{listener}) }()
 		defer func() { _ = server.Close() }()
 		caller, accepted := net.Pipe()
 		listener.conns <- accepted
@@ -64,7 +67,7 @@
 					return err
 				}
 				synctest.Wait()
-				for _, c := range tracker.removeExpired(time.Now(), 15*time.Second) {
+				for _, c := range tracker.expire(time.Now(), 15*time.Second) {
 					_ = c.Close()
 				}
 			}
