--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,6 +22,9 @@
 	Leaving     bool
 	StartMillis int64 // Unix time of its start in milliseconds; 0 if not stated
 	Sequence    int64 // of its heartbeats since its start
+	// SoftwareVersion is the version of its software, not of the model's weights. A
+	// stream that one version began makes no sense when another continues it.
+	SoftwareVersion string
 }
 
 // missingGrace is how long a target is kept after its entry disappeared, if the entry
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -34,7 +34,10 @@
 	Service     string
 	Workspace   string
 	LastEventID string // last event that the caller received of a stream to resume; empty for none
-	Prompt      Prompt
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream
+	// to resume; empty if not stated.
+	Resumes string
+	Prompt  Prompt
 }
 
 // Prompt describes the work that a request causes on a model engine.
--- a/forward/run.go
+++ b/forward/run.go
@@ -287,7 +287,7 @@
 	s.recordDelivery(now, p.event.ID)
 	if !s.lostAt.IsZero() {
 		s.forwarder.recordDuration(metricResume, now.Sub(s.lostAt))
-		s.forwarder.Events.Record(event.AnswerResumed, s.request.ID, event.F("target", a.attempt.Target.ID), event.F("after", now.Sub(s.lostAt).String()),
+		s.forwarder.Events.Record(event.AnswerResumed, s.request.ID, event.F("target", a.attempt.Target.ID), event.F("version", a.attempt.Target.SoftwareVersion), event.F("after", now.Sub(s.lostAt).String()),
 			event.F("from_copy", strconv.FormatBool(a.attempt.Resume != (Copy{}))))
 		s.lostAt = time.Time{}
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -70,8 +70,8 @@
 		case endComplete:
 			s.responder.End()
 			s.forwarder.CrashTracker.ReportCompletion(s.request)
-			s.forwarder.Events.Record(event.RequestAnswered, s.request.ID, event.F("route", s.request.Route.Name), event.F("target", a.Target.ID),
-				event.F("attempts", strconv.Itoa(len(s.tried))), event.F("first_event", s.firstEventAt.Sub(s.request.Received).String()),
+			s.forwarder.Events.Record(event.RequestAnswered, s.request.ID, event.F("route", s.request.Route.Name), event.F("target", a.Target.ID), event.F("version", a.Target.SoftwareVersion),
+				event.F("resumes", s.request.Resumes), event.F("attempts", strconv.Itoa(len(s.tried))), event.F("first_event", s.firstEventAt.Sub(s.request.Received).String()),
 				event.F("longest_pause", s.longestGap.String()), event.F("after", time.Since(s.request.Received).String()))
 			return
 		case endNotSent:
@@ -286,7 +286,7 @@
 	if s.lostAt.IsZero() {
 		s.lostAt = time.Now()
 	}
-	s.forwarder.Events.Record(event.AttemptLost, s.request.ID, event.F("target", a.Target.ID), event.F("place", a.Target.Place),
+	s.forwarder.Events.Record(event.AttemptLost, s.request.ID, event.F("target", a.Target.ID), event.F("place", a.Target.Place), event.F("version", a.Target.SoftwareVersion),
 		event.F("error", err.Error()), event.F("last_event", strconv.FormatInt(s.lastEventID, 10)), event.F("resumed_from_copy", strconv.FormatBool(a.Resume != (Copy{}))),
 		event.F("copy", s.describeCopy()))
 }
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -59,7 +59,7 @@
 		if t.Leaving {
 			targetEvent = event.TargetLeaving
 		}
-		g.events.Record(targetEvent, "", event.F("target", t.ID), event.F("address", t.Address), event.F("place", t.Place), event.F("born", strconv.FormatInt(t.StartMillis, 10)))
+		g.events.Record(targetEvent, "", event.F("target", t.ID), event.F("address", t.Address), event.F("place", t.Place), event.F("version", t.SoftwareVersion), event.F("born", strconv.FormatInt(t.StartMillis, 10)))
 		if c.NewEra {
 			g.fleet.PutRestored(t)
 			continue
