forward: a stream continues only at the software version that began it

Engines don't check the version.

A stream has a version from its first event on. The next target, the standby copy, the holder of a copy, the successor of a silent target and the return to one must have it; a stream that no such target can take stays or ends as cut.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -40,6 +40,8 @@
 	// Affinity, if not empty, is a key that ranks equally loaded targets in the same
 	// order on every daemon.
 	Affinity string
+	// SoftwareVersion is the only software version that the target may have; nil for any.
+	SoftwareVersion *string
 	// PromptHolders has the IDs of targets whose KV cache is known to hold the prompt.
 	PromptHolders map[string]bool
 	// AvoidPlaces are places to use only if no other place has a target.
@@ -51,6 +53,11 @@
 	ForCopy bool
 }
 
+// allowsVersion reports whether a target with a software version meets the criteria.
+func (c *Criteria) allowsVersion(version string) bool {
+	return c.SoftwareVersion == nil || *c.SoftwareVersion == version
+}
+
 // Pick returns the target to which a request should be sent. Targets whose entries are
 // missing are considered only if the service has no other candidates. The error is
 // routing.ErrNoTarget if none is usable.
@@ -88,7 +95,7 @@
 	list := f.services[criteria.Service]
 	candidates := make([]routing.Candidate, 0, len(list))
 	for _, s := range list {
-		if criteria.Exclude[s.ID] || s.missingSince.IsZero() == missing {
+		if criteria.Exclude[s.ID] || s.missingSince.IsZero() == missing || !criteria.allowsVersion(s.SoftwareVersion) {
 			continue
 		}
 		running, prefillTokens, memoryTokens := s.totalLoad()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -25,6 +25,7 @@
 	lastEventAt  time.Time     // when the caller received the latest event
 	longestGap   time.Duration // longest time between two events
 
+	version       *string             // software version of the target that began the stream; nil before the first event
 	tried         map[string]bool     // targets that the request was sent to
 	lostPlaces    []string            // places of targets that lost the request
 	standby       *standbyCopy        // copy of the latest run's KV cache, once that run is lost
@@ -196,15 +197,21 @@
 // targetCriteria returns what the next attempt needs of its target.
 func (s *stream) targetCriteria(promptHolders map[string]bool) fleet.Criteria {
 	return fleet.Criteria{
-		PromptHolders: promptHolders,
-		Service:       s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
+		SoftwareVersion: s.version, PromptHolders: promptHolders,
+		Service: s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
 		MemoryTokens: max(1, s.memoryTokens()), CapacityTokens: s.capacityTokens(),
 	}
 }
 
 // standbyReady reports whether the next attempt can resume from a standby copy.
 func (s *stream) standbyReady(now time.Time) bool {
-	return s.standby != nil && s.forwarder.Fleet.State(now, s.standby.holder.ID) == fleet.Ready && !s.tried[s.standby.holder.ID]
+	return s.standby != nil && s.allowsVersion(s.standby.holder) && s.forwarder.Fleet.State(now, s.standby.holder.ID) == fleet.Ready && !s.tried[s.standby.holder.ID]
+}
+
+// allowsVersion reports whether the stream may continue at a target: at any before its
+// first event, later at those of the software version that began it.
+func (s *stream) allowsVersion(t fleet.Target) bool {
+	return s.version == nil || *s.version == t.SoftwareVersion
 }
 
 // objectiveMissed reports whether the answer can no longer meet the objectives of its
@@ -237,8 +244,8 @@
 	return s.forwarder.CacheLocator.Find(ctx, s.forwarder.Fleet.RankByHash(time.Now(), s.request.Service, s.request.Prompt.CacheKey, maxCacheQueries), s.request.Prompt.CacheKey)
 }
 
-// pickCopyTarget picks the target for a copy of the KV cache of the run on t, except
-// for the targets in failed. It prefers another place, so that the loss of a place
+// pickCopyTarget picks the target for a copy of the KV cache of the run on t, of the same
+// software version, except for the targets in failed. It prefers another place, so that the loss of a place
 // leaves either the run or its copy.
 func (s *stream) pickCopyTarget(now time.Time, t fleet.Target, failed map[string]bool) (fleet.Target, bool) {
 	model := s.forwarder.Model(s.request.Service)
@@ -249,7 +256,7 @@
 	maps.Copy(exclude, s.tried)
 	maps.Copy(exclude, failed)
 	c, err := s.forwarder.Fleet.Pick(now, fleet.Criteria{
-		Service: s.request.Service, Exclude: exclude, AvoidPlaces: append([]string{t.Place}, s.lostPlaces...),
+		SoftwareVersion: &t.SoftwareVersion, Service: s.request.Service, Exclude: exclude, AvoidPlaces: append([]string{t.Place}, s.lostPlaces...),
 		MemoryTokens: s.memoryTokens(), CapacityTokens: model.KVCacheTokens, ForCopy: true,
 	})
 	return c, err == nil
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -105,7 +105,7 @@
 		previous := s.silent[last]
 		s.silent = s.silent[:last]
 		id, now := previous.Target.ID, time.Now()
-		if state := s.forwarder.Fleet.State(now, id); previous.Terminated(now) || state == fleet.Unknown || state == fleet.Leaving {
+		if state := s.forwarder.Fleet.State(now, id); previous.Terminated(now) || !s.allowsVersion(previous.Target) || state == fleet.Unknown || state == fleet.Leaving {
 			continue
 		}
 		allowed, refusal := s.forwarder.allowSend(ctx, s.request, !s.retryReserved)
