origin, gateway: a stream that its caller takes up continues at the version that began it

Each daemon records the version of the target that brings a request its first event, before it passes the event on, and sends new records to all daemons with its next load report. A daemon that has no record of a stream asks the daemons that have run longest. A stream also stays at the service that began it, or is refused if its route no longer has it.

--- a/exchange/member_list.go
+++ b/exchange/member_list.go
@@ -185,6 +185,18 @@
 	return a < b
 }
 
+// LongestRunning returns the other live daemons that have run longest, at most limit.
+func (l *MemberList) LongestRunning(now time.Time, limit int) []Member {
+	var live []Member
+	for _, m := range l.others {
+		if l.Live(now, m.ID) {
+			live = append(live, m)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return l.startedBefore(live[i].ID, live[j].ID) })
+	return live[:min(limit, len(live))]
+}
+
 func (l *MemberList) incarnationOf(id string) uint64 {
 	if id == l.self {
 		return l.incarnation
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -195,6 +195,18 @@
 	return f.targets[id] != nil
 }
 
+// SoftwareVersions returns the software versions of the registered targets of a service.
+func (f *Fleet) SoftwareVersions(service string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var versions []string
+	for _, s := range f.services[service] {
+		versions = append(versions, s.SoftwareVersion)
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
 // Len returns the number of targets.
 func (f *Fleet) Len() int {
 	f.mu.Lock()
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/origin"
 )
 
 // behaviour is how a fake target answers one attempt.
@@ -282,15 +283,39 @@
 func (*fakeCrashTracker) ReportProgress(*Request)     {}
 func (c *fakeCrashTracker) ReportCompletion(*Request) { c.completions.Add(1) }
 
+// fakeOrigins knows the origins that it was given, and those of the test's own requests.
+type fakeOrigins struct {
+	mu       sync.Mutex
+	known    map[string]origin.Origin
+	versions []string
+	err      error // of Versions
+}
+
+func (o *fakeOrigins) Record(id string, where origin.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.known[id] = where
+}
+
+func (o *fakeOrigins) Find(_ context.Context, id string) (origin.Origin, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	found, ok := o.known[id]
+	return found, ok
+}
+
+func (o *fakeOrigins) Versions(context.Context, string) ([]string, error) { return o.versions, o.err }
+
 // fixture is a forwarder over fake targets, each in a place of its own.
 type fixture struct {
 	*Forwarder
 	client       *fakeTargetClient
 	crashTracker *fakeCrashTracker
+	origins      *fakeOrigins
 }
 
 func newFixture(targets map[string]behaviour) *fixture {
-	s := &fixture{client: newFakeTargetClient(), crashTracker: &fakeCrashTracker{}}
+	s := &fixture{client: newFakeTargetClient(), crashTracker: &fakeCrashTracker{}, origins: &fakeOrigins{known: make(map[string]origin.Origin), versions: []string{""}}}
 	events := event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 16)
 	f := fleet.New("place-a", 1)
 	for id, b := range targets {
@@ -298,7 +323,7 @@
 		f.Put(fleet.Target{ID: id, Service: "svc", Address: id + ":1", Place: "place-" + id, Slots: 8})
 	}
 	s.Forwarder = &Forwarder{
-		TargetClient: s.client, Fleet: f, Events: events, CrashTracker: s.crashTracker, Prober: NewProber(s.client, f, events),
+		TargetClient: s.client, Fleet: f, Events: events, CrashTracker: s.crashTracker, Origins: s.origins, Prober: NewProber(s.client, f, events),
 		CacheLocator: NewCacheLocator(s.client),
 		Metrics:      metrics.NewRegistry(), PlacementLimiter: NewPlacementLimiter(), RetryBudget: NewRetryBudget(time.Now().Add(-time.Minute), RetryBudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
 		Model: func(string) *ingress.Model { return &ingress.Model{KVCacheTokens: 50_000, StandbyCopies: true} },
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -200,6 +200,7 @@
 	RetryBudget      *RetryBudget
 	PlacementLimiter *rate.Limiter // see NewPlacementLimiter
 	CrashTracker     CrashTracker
+	Origins          OriginTracker
 	Events           *event.Recorder
 	Metrics          metrics.Registry
 	// Model returns the properties of a service's model engines, nil if it has none.
@@ -230,7 +231,7 @@
 		return
 	}
 	if r.Route.Kind == ingress.Streaming {
-		newStream(f, r, w).run(ctx)
+		f.serveStream(ctx, r, w)
 		return
 	}
 	f.call(ctx, r, w)
--- a/forward/run.go
+++ b/forward/run.go
@@ -280,8 +280,8 @@
 	if p.event.ID >= 0 && s.lastEventID >= 0 && p.event.ID != s.lastEventID+1 {
 		return a.abandon("event " + strconv.FormatInt(p.event.ID, 10) + " follows " + strconv.FormatInt(s.lastEventID, 10)), true
 	}
-	if s.version == nil {
-		s.version = &a.attempt.Target.SoftwareVersion
+	if !s.originRecorded {
+		s.beginAt(a.attempt.Target.SoftwareVersion)
 	}
 	if err := s.responder.Event(p.event.Raw); err != nil {
 		s.lastErr = failure.Wrap(err, failure.Canceled, failure.Unknown, "answer the caller", "")
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -25,18 +25,19 @@
 	lastEventAt  time.Time     // when the caller received the latest event
 	longestGap   time.Duration // longest time between two events
 
-	version       *string             // software version of the target that began the stream; nil before the first event
-	tried         map[string]bool     // targets that the request was sent to
-	lostPlaces    []string            // places of targets that lost the request
-	standby       *standbyCopy        // copy of the latest run's KV cache, once that run is lost
-	targetFailure *bufferedAnswer     // server error of a target, used if no attempt succeeds
-	lastErr       *failure.Error      // of the latest attempt
-	mayHaveRun    bool                // a target may have run the request
-	silent        []fleet.Incarnation // targets that were given up although they may still run, latest last
-	returned      bool                // to a target in silent; the stream is not taken from a silent target any more
-	notSent       int                 // attempts whose target was not reached
-	retryReserved bool                // the next attempt has its retry budget
-	noAttempt     string              // why no further attempt was planned, for the log; empty while there is one
+	version        *string             // software version of the target that began the stream; nil before the first event
+	originRecorded bool                // of this request
+	tried          map[string]bool     // targets that the request was sent to
+	lostPlaces     []string            // places of targets that lost the request
+	standby        *standbyCopy        // copy of the latest run's KV cache, once that run is lost
+	targetFailure  *bufferedAnswer     // server error of a target, used if no attempt succeeds
+	lastErr        *failure.Error      // of the latest attempt
+	mayHaveRun     bool                // a target may have run the request
+	silent         []fleet.Incarnation // targets that were given up although they may still run, latest last
+	returned       bool                // to a target in silent; the stream is not taken from a silent target any more
+	notSent        int                 // attempts whose target was not reached
+	retryReserved  bool                // the next attempt has its retry budget
+	noAttempt      string              // why no further attempt was planned, for the log; empty while there is one
 }
 
 func newStream(f *Forwarder, r *Request, w Responder) *stream {
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -31,6 +31,16 @@
 	storeRetryMax = time.Second
 )
 
+// retryStore makes calls to the store until one succeeds or ctx is done.
+func retryStore(ctx context.Context, call func(context.Context) error) {
+	for backoff := storeRetryMin; ctx.Err() == nil; backoff = min(2*backoff, storeRetryMax) {
+		if err := call(ctx); err == nil {
+			return
+		}
+		pause.For(ctx, withJitter(backoff))
+	}
+}
+
 // missingEntryGrace is the time after an outage of the store in which the entries of
 // live targets may still be missing.
 const missingEntryGrace = 2 * time.Second
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	peers        *peers
 	crashTracker *crashTracker
 	verdicts     *verdicts
+	origins      *origins
 
 	table     atomic.Pointer[ingress.Table]  // active configuration; nil until the first one is activated
 	document  atomic.Pointer[exchange.Entry] // of which table was made
@@ -97,13 +98,13 @@
 		g.events.Record(event.EraInvalid, "", event.F("stated", stated), event.F("latest", strconv.FormatInt(latest, 10)))
 	}
 	g.store = store
-	g.members, g.datasets = newMembers(g), newDatasets(g)
+	g.members, g.datasets, g.origins = newMembers(g), newDatasets(g), newOrigins(g)
 	g.crashTracker = newCrashTracker(g.events, func(request quarantine.RequestKey) { g.peers.crashReports.sendToAll(request) },
 		func(request quarantine.RequestKey) { g.verdicts.save(request) })
 	g.newer = &newerVersions{g: g}
 	g.verdicts = newVerdicts(g.store, g.events, g.crashTracker.reportsOn, g.crashTracker.applyReports)
 	g.forwarder = &forward.Forwarder{
-		TargetClient: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, PlacementLimiter: forward.NewPlacementLimiter(),
+		TargetClient: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, Origins: g.origins, PlacementLimiter: forward.NewPlacementLimiter(),
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
 		RetryBudget: forward.NewRetryBudget(time.Now(), s.RetryBudget.budgetSettings()),
 		Model:       g.model,
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -49,12 +49,7 @@
 		return
 	}
 	defer m.registering.Store(false)
-	for backoff := storeRetryMin; ctx.Err() == nil; backoff = min(2*backoff, storeRetryMax) {
-		if err := m.writeEntry(ctx); err == nil {
-			return
-		}
-		pause.For(ctx, withJitter(backoff))
-	}
+	retryStore(ctx, m.writeEntry)
 }
 
 // writeEntry writes the entry unless the store already has it. It overwrites any other
@@ -189,6 +184,26 @@
 	return live, silent
 }
 
+// mostExperienced returns the peer addresses of at most limit daemons: the live ones that
+// have run longest. A daemon that has just started knows of none; it gets other registered
+// daemons or the seeds.
+func (m *members) mostExperienced(limit int) (addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	candidates := m.list.LongestRunning(time.Now(), limit)
+	if len(candidates) == 0 {
+		candidates = slices.Clone(m.list.Others())
+		rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	}
+	for _, o := range candidates {
+		addresses = append(addresses, o.Peers)
+	}
+	if len(addresses) == 0 {
+		addresses = slices.DeleteFunc(slices.Clone(m.g.settings.Load().Seeds), func(seed string) bool { return seed == m.self.Peers })
+	}
+	return addresses[:min(limit, len(addresses))]
+}
+
 // directory returns the addresses that callers should connect to.
 func (m *members) directory() []string {
 	m.mu.Lock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
+	"github.com/vanillaroad/vanillaroad/origin"
 	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/quarantine"
 )
@@ -26,6 +27,7 @@
 	kindCrashReports                                      // []quarantine.CrashReport
 	kindClaim                                             // exchange.Claim
 	kindDocument                                          // documentQuery, answered by documentAnswer
+	kindOriginQuery                                       // originQuery, answered by originAnswer
 )
 
 // Timing of messages between daemons.
@@ -53,6 +55,7 @@
 	Loads   map[string]fleet.DaemonLoad `msgpack:"s,omitempty"`
 	Leaving bool                        `msgpack:"l,omitempty"`
 	Version int64                       `msgpack:"v,omitempty"` // of the configuration in force
+	Origins []origin.Record             `msgpack:"o,omitempty"` // of streams that began since the last report
 }
 
 // peers exchanges messages with the other daemons.
@@ -85,6 +88,7 @@
 	peer.HandleTyped(t, kindCrashReports, p.handleCrashReports)
 	peer.HandleTyped(t, kindClaim, p.handleClaim)
 	peer.HandleTyped(t, kindDocument, g.serveDocument)
+	peer.HandleTyped(t, kindOriginQuery, g.origins.handleQuery)
 	return p, nil
 }
 
@@ -149,6 +153,7 @@
 		case <-ctx.Done():
 			return
 		case <-p.g.fleet.LoadChanged():
+		case <-p.g.origins.added:
 		case <-ticker.C:
 			p.g.expireTargets()
 			p.expirePeerState()
@@ -160,9 +165,9 @@
 	}
 }
 
-// loadReport returns the report that this daemon sends to its peers now.
+// loadReport returns the report to send to all peers now. Each new origin is in one report.
 func (g *Gateway) loadReport() loadReport {
-	report := loadReport{Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load()}
+	report := loadReport{Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), Origins: g.origins.takeUnsent()}
 	if table := g.table.Load(); table != nil {
 		report.Version = table.Version
 	}
@@ -249,6 +254,7 @@
 	if p.g.members.recordHeartbeat(from, report.Leaving) {
 		p.sendKnownCrashReports(from)
 	}
+	p.g.origins.apply(report.Origins)
 	p.g.fleet.SetPeerLoads(from.ID, report.Loads)
 	p.g.newer.note(from, report.Version)
 	return nil, nil
--- a/gateway/poison_daemon_test.go
+++ b/gateway/poison_daemon_test.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
+	"github.com/vanillaroad/vanillaroad/origin"
 	"github.com/vanillaroad/vanillaroad/quarantine"
 )
 
@@ -126,7 +127,7 @@
 	v.ctx = d.ctx
 	go v.load(d.ctx)
 	d.Forwarder = &forward.Forwarder{
-		TargetClient: s, Fleet: f, Events: events, Metrics: metrics.NewRegistry(), CrashTracker: d.tracker,
+		TargetClient: s, Fleet: f, Events: events, Metrics: metrics.NewRegistry(), CrashTracker: d.tracker, Origins: singleVersion{},
 		Prober: forward.NewProber(s, f, events), CacheLocator: forward.NewCacheLocator(s), PlacementLimiter: forward.NewPlacementLimiter(),
 		RetryBudget: forward.NewRetryBudget(time.Now().Add(-time.Minute), forward.RetryBudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
 		Model:       func(string) *ingress.Model { return nil },
@@ -175,3 +176,13 @@
 	defer s.mu.Unlock()
 	return time.Now().Before(s.silentUntil[id])
 }
+
+// singleVersion is the forward.OriginTracker of daemons whose targets all have one software
+// version.
+type singleVersion struct{}
+
+func (singleVersion) Record(string, origin.Origin) {}
+func (singleVersion) Find(context.Context, string) (origin.Origin, bool) {
+	return origin.Origin{}, false
+}
+func (singleVersion) Versions(context.Context, string) ([]string, error) { return []string{""}, nil }
--- a/gateway/verdicts.go
+++ b/gateway/verdicts.go
@@ -110,12 +110,7 @@
 }
 
 func (v *verdicts) writeUntilDone(request quarantine.RequestKey) {
-	for backoff := storeRetryMin; v.ctx.Err() == nil; backoff = min(2*backoff, storeRetryMax) {
-		if err := v.write(v.ctx, request); err == nil {
-			return
-		}
-		pause.For(v.ctx, withJitter(backoff))
-	}
+	retryStore(v.ctx, func(ctx context.Context) error { return v.write(ctx, request) })
 }
 
 // write stores the crash reports of a request unless another daemon has. It also deletes
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -64,6 +64,16 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// Allows reports whether requests on the route may go to a service.
+func (r *Route) Allows(service string) bool {
+	for _, s := range r.Services {
+		if s.Service == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // PickService picks the service of a request by weight. point selects it and must be
 // uniformly distributed in [0, 1).
 func (r *Route) PickService(point float64) string {
