forward: a stream isn't ended by a target's report from before its silence

Callers saw a stream cut right after its target had gone on (LOST). A report shows the state of some time ago; that of a target that was silent shows the state before the silence. A run that began just before it is missing there, and the attempt was abandoned at once, although the run had just sent its next event, even if the route's attempts or the retry budget were used up or the stream can't be resumed.

A missing run is now handled like silence: the run is given up only if another target can get the request. A target that lost the run by a restart is still detected by its incarnation.

--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -41,6 +41,7 @@
 	cancelRun     map[string]func()          // by target; each ends the run there, as a move does
 	listening     map[string]bool            // targets that accept connections, see Connect
 	paused        map[string]chan struct{}   // targets that are silent; closed when they go on
+	reportedRuns  map[string]RunStatus       // in the report of each target; nil if not stated
 }
 
 func newFakeTargetClient() *fakeTargetClient {
@@ -77,7 +78,7 @@
 	if !s.awaitResume(ctx, t.ID) {
 		return Report{}, ctx.Err()
 	}
-	return Report{StartMillis: t.StartMillis}, nil
+	return Report{StartMillis: t.StartMillis, Running: s.reportedRuns}, nil
 }
 
 func (s *fakeTargetClient) Copy(_ context.Context, source fleet.Target, _ string, destination fleet.Target) (Copy, error) {
--- a/forward/run.go
+++ b/forward/run.go
@@ -96,7 +96,9 @@
 				}
 			}
 			if p.Alive && a.detector.firstEventSeen && runMissing(p.completedAt, a.firstEventAt, a.stream.request.ID, p.Report) {
-				return a.abandon("the target no longer has the request")
+				if end, done := a.giveUp("the target no longer reports the request"); done { // the report of a target that was silent may be old
+					return end
+				}
 			}
 		case <-a.copier.unusable:
 			a.copier.replaceTarget(time.Now())
