forward: a run is given up only with all that its continuation or return needs

The state of a request that was taken from silent targets is one type for streams and calls (succession). Before a run is given up, the quarantine must allow a further send, and the retry budget of the next attempt and of a return is consumed; the latter is given back with the first event, unused budget at the end. A moved run and, after a return, a broken one may return, twice at most. A kept attempt looks for a successor at each timer.

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -19,6 +19,7 @@
 	IdleClosed       Number = 714
 	AttemptKept      Number = 715
 	OriginAssumed    Number = 716
+	RequestReturned  Number = 717
 )
 
 var forwardEntries = []Entry{
@@ -36,6 +37,7 @@
 	{CopyFailed, "copy_failed", Info, "The KV cache of a running request could not be copied to another target.", ""},
 	{AttemptKept, "attempt_kept", Warn, "The target of a stream is silent, and the attempt goes on because no other target can take it.", "Look for target_suspected events of the same target, and retry_denied."},
 	{OriginAssumed, "origin_assumed", Info, "No daemon knows the stream that a caller takes up; it continues at the only software version that may have begun it.", ""},
+	{RequestReturned, "request_returned", Info, "A request returns to a target that it was taken from for silence, because no other target can get it.", ""},
 	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
 	{IdleClosed, "idle_connections_closed", Info, "Connections of callers were closed that had been idle for longer than the configuration allows.", ""},
 	{LogLinesLost, "log_lines_lost", Warn, "Log lines were dropped because the log reader is slow.", "Check the process that reads the log."},
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -81,23 +82,38 @@
 // so. It returns false if the retry would exceed the budget of this window, or of a
 // later window if no further request arrived until then.
 func (b *RetryBudget) AllowRetry(now time.Time, service string) bool {
+	return b.AllowRetries(now, service, 1)
+}
+
+// AllowRetries is AllowRetry for n retries: it counts all or none.
+func (b *RetryBudget) AllowRetries(now time.Time, service string, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.usage(now, service)
 	slack := b.slackShare(now)
-	for i, retryTime := range append(s.retries, now) {
+	all := slices.Concat(s.retries, slices.Repeat([]time.Time{now}, n))
+	for i, retryTime := range all {
 		// Check the windows that contain this retry and all later ones, but no earlier
 		// retry. The last of these windows begins at this retry.
-		retries := len(s.retries) + 1 - i
+		retries := len(all) - i
 		requests := len(timesAfter(s.requests, retryTime.Add(-b.settings.Window)))
 		if float64(retries) > ratioFactor*b.settings.Ratio*float64(requests)+slack {
 			return false
 		}
 	}
-	s.retries = append(s.retries, now)
+	s.retries = all
 	return true
 }
 
+// Release takes back a retry that was counted and not made.
+func (b *RetryBudget) Release(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.services[service]; s != nil && len(s.retries) > 0 {
+		s.retries = s.retries[:len(s.retries)-1]
+	}
+}
+
 // slackShare returns this daemon's share of the slack. It is 0 during the first window
 // after the start, because the previous process of this daemon may have used it up.
 func (b *RetryBudget) slackShare(now time.Time) float64 {
--- a/forward/call.go
+++ b/forward/call.go
@@ -54,30 +54,23 @@
 	target        fleet.Target    // of the last attempt
 	mayHaveRun    bool            // a target may have run the request
 	targetFailure *bufferedAnswer // server error of a target, used if no attempt succeeds
-	retryReserved bool            // the next attempt has its retry budget
+	succession    succession
 }
 
 // run sends the request until there is an answer or no attempt is left.
 func (c *call) run(ctx context.Context) (*bufferedAnswer, *failure.Error) {
 	var lastErr *failure.Error
+	defer c.forwarder.releaseRetries(c.request, &c.succession)
 	for failedDials := 0; ; {
-		allowed, refusal := c.forwarder.allowAttempt(ctx, c.request, len(c.tried), c.retryReserved)
-		c.retryReserved = false
-		if refusal != nil {
+		target, refusal := c.planAttempt(ctx, failedDials)
+		if refusal != nil && (lastErr == nil || refusal.Code != failure.NoTarget) {
 			lastErr = refusal
 		}
-		if !allowed {
+		if target == nil {
 			break
 		}
-		target, err := c.forwarder.Fleet.Pick(time.Now(), fleet.Criteria{Service: c.request.Service, Exclude: c.tried})
-		if err != nil {
-			if lastErr == nil {
-				lastErr = noTargetError(c.request, err)
-			}
-			break
-		}
-		c.target = target
-		answer, attemptErr := c.attempt(ctx, target)
+		c.target = *target
+		answer, attemptErr := c.attempt(ctx, *target)
 		if answer != nil {
 			return answer, nil
 		}
@@ -86,9 +79,7 @@
 			break
 		}
 		if attemptErr.Code == failure.NoTarget { // the target was not reached, so nothing was sent
-			if failedDials++; failedDials >= c.maxFailedDials() {
-				break
-			}
+			failedDials++
 			continue
 		}
 		c.tried[target.ID] = true
@@ -105,6 +96,31 @@
 	return nil, lastErr
 }
 
+// planAttempt returns the target of the next attempt, nil if there is none. refusal is the
+// reason, unless the route's attempts or the retry budget are used up.
+func (c *call) planAttempt(ctx context.Context, failedDials int) (t *fleet.Target, refusal *failure.Error) {
+	allowed := false
+	if failedDials < c.maxFailedDials() {
+		allowed, refusal = c.forwarder.allowAttempt(ctx, c.request, len(c.tried), c.succession.takeRetry())
+	}
+	if allowed {
+		picked, err := c.forwarder.Fleet.Pick(time.Now(), fleet.Criteria{Service: c.request.Service, Exclude: c.tried})
+		if err == nil {
+			return &picked, nil
+		}
+		refusal = noTargetError(c.request, err)
+		c.succession.retryReserved = len(c.tried) > 0 // not used
+	}
+	back, ok, returnRefusal := c.forwarder.planReturn(ctx, c.request, &c.succession, func(fleet.Target) bool { return true })
+	if ok {
+		return &back, nil
+	}
+	if returnRefusal != nil {
+		refusal = returnRefusal
+	}
+	return nil, refusal
+}
+
 // maxFailedDials is the number of failed connection attempts after which a request
 // fails.
 func (c *call) maxFailedDials() int { return 2 + c.request.Route.MaxAttempts }
@@ -123,12 +139,16 @@
 	case err != nil:
 		active.Done(now, true)
 		c.mayHaveRun = true
+		if gaveUp {
+			c.succession.silent = append(c.succession.silent, incarnation)
+		}
 		return nil, c.handleNoAnswer(ctx, now, incarnation, err, gaveUp || ctx.Err() != nil)
 	case answer.NotRun:
 		active.Done(now, false)
 		return nil, c.forwarder.handleRefusal(t, answer, false)
 	}
 	c.mayHaveRun = true
+	c.forwarder.releaseReturn(c.request, &c.succession)
 	serverError := answer.Status >= http.StatusInternalServerError
 	active.Done(now, serverError)
 	c.forwarder.Fleet.MarkAnswered(t.ID)
--- a/forward/run.go
+++ b/forward/run.go
@@ -107,15 +107,9 @@
 		case c := <-a.copier.results:
 			a.copier.handleResult(c)
 		case <-timer.C:
-			action, wait := a.detector.next(time.Now())
-			switch action {
-			case stallAbandon:
-				if end, done := a.handleStall(ctx); done {
-					return end
-				}
-				wait = gapProbeInterval
-			case stallProbe:
-				a.stream.forwarder.Prober.Probe(a.attempt.Target, a.probeResults)
+			wait, end, done := a.handleTimer(ctx)
+			if done {
+				return end
 			}
 			timer.Reset(max(wait, time.Millisecond))
 		case m := <-a.moveResults:
@@ -123,7 +117,7 @@
 				return a.abandonSilent("the stream is silent, and not moved: " + m.err.Error())
 			}
 			a.copier.current = &m.standbyCopy
-			end := a.abandon("the stream is silent, and was moved")
+			end := a.abandonSilent("the stream is silent, and was moved")
 			if m.holder.ID == a.attempt.Target.ID {
 				delete(a.stream.tried, a.attempt.Target.ID) // the target stopped the run and still holds the KV cache, so the run can resume there
 			}
@@ -212,7 +206,7 @@
 	case p.err != nil:
 		s.forwarder.Prober.Check(t) // other streams on the target need the result at once
 		a.reportBroken(ctx)
-		return a.abandon(p.err.Error()), true
+		return a.abandonBroken(p.err.Error()), true
 	case p.answer.NotRun:
 		_ = p.answer.Body.Close()
 		s.tried[t.ID] = true
@@ -264,7 +258,7 @@
 	if p.err != nil {
 		s.forwarder.Prober.Check(a.attempt.Target)
 		a.reportBroken(ctx)
-		return a.abandon(p.err.Error()), true
+		return a.abandonBroken(p.err.Error()), true
 	}
 	if !a.detector.firstEventSeen {
 		a.firstEventAt = now
@@ -275,6 +269,7 @@
 		s.forwarder.CrashTracker.ReportProgress(s.request)
 	}
 	a.detector.recordEvent(now)
+	s.forwarder.releaseReturn(s.request, &s.succession)
 	a.kept = false
 	if p.event.ID >= 0 && p.event.ID <= s.lastEventID {
 		return 0, false // the caller has received it already
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -25,19 +25,17 @@
 	lastEventAt  time.Time     // when the caller received the latest event
 	longestGap   time.Duration // longest time between two events
 
-	version        *string             // software version of the target that began the stream; nil before the first event
-	originRecorded bool                // of this request
-	tried          map[string]bool     // targets that the request was sent to
-	lostPlaces     []string            // places of targets that lost the request
-	standby        *standbyCopy        // copy of the latest run's KV cache, once that run is lost
-	targetFailure  *bufferedAnswer     // server error of a target, used if no attempt succeeds
-	lastErr        *failure.Error      // of the latest attempt
-	mayHaveRun     bool                // a target may have run the request
-	silent         []fleet.Incarnation // targets that were given up although they may still run, latest last
-	returned       bool                // to a target in silent; the stream is not taken from a silent target any more
-	notSent        int                 // attempts whose target was not reached
-	retryReserved  bool                // the next attempt has its retry budget
-	noAttempt      string              // why no further attempt was planned, for the log; empty while there is one
+	version        *string         // software version of the target that began the stream; nil before the first event
+	originRecorded bool            // of this request
+	tried          map[string]bool // targets that the request was sent to
+	lostPlaces     []string        // places of targets that lost the request
+	standby        *standbyCopy    // copy of the latest run's KV cache, once that run is lost
+	targetFailure  *bufferedAnswer // server error of a target, used if no attempt succeeds
+	lastErr        *failure.Error  // of the latest attempt
+	mayHaveRun     bool            // a target may have run the request
+	notSent        int             // attempts whose target was not reached
+	succession     succession
+	noAttempt      string // why no further attempt was planned, for the log; empty while there is one
 }
 
 func newStream(f *Forwarder, r *Request, w Responder) *stream {
@@ -62,6 +60,7 @@
 // run sends the request to one target after another until its answer is complete or no
 // attempt is left.
 func (s *stream) run(ctx context.Context) {
+	defer s.forwarder.releaseRetries(s.request, &s.succession)
 	for {
 		a, ok := s.planAttempt(ctx)
 		if !ok {
@@ -160,8 +159,7 @@
 		promptHolders = s.promptHolders(ctx)
 	}
 	// The last step that may take time, so that the target is picked by the latest state.
-	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried), s.retryReserved)
-	s.retryReserved = false
+	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried), s.succession.takeRetry())
 	if refusal != nil {
 		s.lastErr = refusal
 	}
@@ -183,7 +181,7 @@
 				s.lastErr = noTargetError(s.request, err)
 			}
 			s.noAttempt = err.Error()
-			s.retryReserved = len(s.tried) > 0 // the budget of this attempt is not used yet
+			s.succession.retryReserved = len(s.tried) > 0 // the budget of this attempt is not used yet
 			return s.planReturn(ctx)
 		}
 		a.Target = t
@@ -195,6 +193,15 @@
 	return a, true
 }
 
+// planReturn plans an attempt at a target that the stream was taken from.
+func (s *stream) planReturn(ctx context.Context) (Attempt, bool) {
+	t, ok, refusal := s.forwarder.planReturn(ctx, s.request, &s.succession, s.allowsVersion)
+	if refusal != nil {
+		s.lastErr = refusal
+	}
+	return Attempt{Request: s.request, Target: t, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(time.Now())}, ok
+}
+
 // targetCriteria returns what the next attempt needs of its target.
 func (s *stream) targetCriteria(promptHolders map[string]bool) fleet.Criteria {
 	return fleet.Criteria{
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -6,49 +6,128 @@
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 )
 
 // A target that is not at fault may be silent for a second or more and then go on. A
 // request is therefore taken from a silent target only once another target can get it:
-// the retry budget for the next attempt is consumed first. Without a successor the
-// request stays where it is until its target answers, breaks the connection or is known
-// to have terminated.
-
-// reserveRetry reports whether a request that was sent to so many targets can be sent to
-// another one, and consumes retry budget for it if so. criteria must exclude the former.
-func (f *Forwarder) reserveRetry(now time.Time, r *Request, attempts int, criteria fleet.Criteria) bool {
-	if !r.Route.Repeatable() || !r.attemptsLeft(attempts) {
+// the retry budget for the next attempt is consumed first, and that for the return if the
+// other target refuses. Without a successor the request stays where it is until its target
+// answers, breaks the connection or is known to have terminated.
+
+// maxReturns is how often a request returns to targets that it was taken from.
+const maxReturns = 2
+
+// succession is the state of a request that was taken from silent targets.
+type succession struct {
+	silent         []fleet.Incarnation // targets that it was taken from, latest last
+	retryReserved  bool                // the next attempt has its retry budget
+	returnReserved bool                // the next return has its retry budget
+	returns        int
+}
+
+// takeRetry uses the retry budget that is reserved for the next attempt, if there is any.
+func (c *succession) takeRetry() (reserved bool) {
+	reserved, c.retryReserved = c.retryReserved, false
+	return reserved
+}
+
+// reserveSuccessor reports whether a request can be sent to another target than the
+// current one. tried are the targets that it was sent to so far. If so, the next attempt
+// and a return have their retry budget.
+func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current string, criteria fleet.Criteria) bool {
+	if c.retryReserved {
+		return true
+	}
+	now := time.Now()
+	criteria.Exclude = withID(tried, current)
+	if c.returns > 0 || !r.Route.Repeatable() || !r.attemptsLeft(len(criteria.Exclude)) { // after a return, no more changes back and forth
 		return false
 	}
 	if _, err := f.Fleet.Pick(now, criteria); err != nil {
 		return false
 	}
-	return f.RetryBudget.AllowRetry(now, r.Service)
+	if f.CrashTracker.Check(doneContext, r) != nil {
+		return false
+	}
+	retries := 2
+	if c.returnReserved {
+		retries = 1
+	}
+	if !f.RetryBudget.AllowRetries(now, r.Service, retries) {
+		return false
+	}
+	c.retryReserved, c.returnReserved = true, true
+	return true
+}
+
+// doneContext makes calls that may block return at once.
+var doneContext = func() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}()
+
+// releaseReturn gives back the retry budget for a return that is not needed.
+func (f *Forwarder) releaseReturn(r *Request, c *succession) {
+	if c.returnReserved {
+		c.returnReserved = false
+		f.RetryBudget.Release(r.Service)
+	}
+}
+
+// releaseRetries gives back all retry budget that a request did not use.
+func (f *Forwarder) releaseRetries(r *Request, c *succession) {
+	f.releaseReturn(r, c)
+	if c.takeRetry() {
+		f.RetryBudget.Release(r.Service)
+	}
 }
 
-// reserveSuccessor reports whether the stream can continue at another target than the
-// current one. If so, the next attempt has its retry budget.
-func (s *stream) reserveSuccessor(now time.Time, current string) bool {
-	if s.retryReserved || s.returned {
-		return s.retryReserved
+// planReturn returns the target to which a request returns once no other target can get
+// it, and false if there is none. The request is sent to no further target, so the route's
+// limit on them allows it. suits decides whether a target may still be used. refusal is as
+// in allowSend.
+func (f *Forwarder) planReturn(ctx context.Context, r *Request, c *succession, suits func(fleet.Target) bool) (t fleet.Target, ok bool, refusal *failure.Error) {
+	for len(c.silent) > 0 && c.returns < maxReturns {
+		last := len(c.silent) - 1
+		previous := c.silent[last]
+		c.silent = c.silent[:last]
+		now := time.Now()
+		if state := f.Fleet.State(now, previous.Target.ID); previous.Terminated(now) || !suits(previous.Target) || state == fleet.Unknown || state == fleet.Leaving {
+			continue
+		}
+		reserved := c.takeRetry()
+		if !reserved {
+			reserved, c.returnReserved = c.returnReserved, false
+		}
+		allowed, refusal := f.allowSend(ctx, r, !reserved)
+		if !allowed {
+			return fleet.Target{}, false, refusal
+		}
+		c.returns++
+		f.Events.Record(event.RequestReturned, r.ID, event.F("target", previous.Target.ID))
+		return previous.Target, true, nil
 	}
-	criteria := s.targetCriteria(nil)
-	criteria.Exclude = withID(s.tried, current)
-	s.retryReserved = s.forwarder.reserveRetry(now, s.request, len(criteria.Exclude), criteria)
-	return s.retryReserved
+	return fleet.Target{}, false, nil
 }
 
 // giveUp ends the attempt because its target is silent, and returns how and true. If the
 // stream has no successor, giveUp returns false and the attempt goes on.
 func (a *streamAttempt) giveUp(reason string) (attemptEnd, bool) {
-	if !a.stream.reserveSuccessor(time.Now(), a.attempt.Target.ID) {
+	if !a.hasSuccessor() {
 		a.keep(reason)
 		return 0, false
 	}
 	return a.abandonSilent(reason), true
 }
 
+func (a *streamAttempt) hasSuccessor() bool {
+	s := a.stream
+	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.attempt.Target.ID, s.targetCriteria(nil))
+}
+
 // keep records that the attempt goes on although its target is silent.
 func (a *streamAttempt) keep(reason string) {
 	if a.kept {
@@ -62,7 +141,16 @@
 
 // abandonSilent abandons an attempt whose target may still run.
 func (a *streamAttempt) abandonSilent(reason string) attemptEnd {
-	a.stream.silent = append(a.stream.silent, a.incarnation)
+	a.stream.succession.silent = append(a.stream.succession.silent, a.incarnation)
+	return a.abandon(reason)
+}
+
+// abandonBroken abandons an attempt whose connection broke. After a return, that may be
+// the effect of an earlier move which the target has carried out late.
+func (a *streamAttempt) abandonBroken(reason string) attemptEnd {
+	if a.stream.succession.returns > 0 {
+		return a.abandonSilent(reason)
+	}
 	return a.abandon(reason)
 }
 
@@ -72,53 +160,38 @@
 	if a.incarnation.Terminated(now) {
 		return a.abandon("the target has terminated"), true
 	}
-	a.lost = nil
+	a.lost = nil // without an entry there is no next suspicion
 	if id := a.attempt.Target.ID; a.stream.forwarder.Fleet.Has(id) {
 		a.lost = a.stream.forwarder.Fleet.Lost(id) // the next suspicion
 	}
 	return a.giveUp("the target is taken for dead")
 }
 
-// handleStall handles a stream that was silent for too long: its run moves to another
-// target, or is abandoned.
-func (a *streamAttempt) handleStall(ctx context.Context) (attemptEnd, bool) {
-	const reason = "the stream is silent"
+// handleTimer handles a stream that was silent for a time: its target is probed, the run
+// moves to another target, or the attempt is abandoned. If the attempt goes on,
+// handleTimer returns the time until the next call.
+func (a *streamAttempt) handleTimer(ctx context.Context) (wait time.Duration, end attemptEnd, done bool) {
+	action, wait := a.detector.next(time.Now())
 	switch {
 	case a.moving:
-		return 0, false
-	case !a.stream.reserveSuccessor(time.Now(), a.attempt.Target.ID):
-		a.keep(reason)
-		a.stream.forwarder.Prober.Probe(a.attempt.Target, a.probeResults)
-		return 0, false
-	case a.startMove(ctx):
-		return 0, false
-	}
-	return a.abandonSilent(reason), true
-}
-
-// planReturn plans an attempt at a target that was given up for silence, once no other
-// target can get the request. The request is sent to no further target, so the route's
-// limit on them allows it.
-func (s *stream) planReturn(ctx context.Context) (Attempt, bool) {
-	for len(s.silent) > 0 {
-		last := len(s.silent) - 1
-		previous := s.silent[last]
-		s.silent = s.silent[:last]
-		id, now := previous.Target.ID, time.Now()
-		if state := s.forwarder.Fleet.State(now, id); previous.Terminated(now) || !s.allowsVersion(previous.Target) || state == fleet.Unknown || state == fleet.Leaving {
-			continue
+		return gapProbeInterval, 0, false
+	case action == stallAbandon && a.hasSuccessor():
+		if a.startMove(ctx) {
+			return gapProbeInterval, 0, false
 		}
-		allowed, refusal := s.forwarder.allowSend(ctx, s.request, !s.retryReserved)
-		s.retryReserved, s.returned = false, true // no changes back and forth between targets that are silent by turns
-		if refusal != nil {
-			s.lastErr = refusal
+		return 0, a.abandonSilent("the stream is silent"), true
+	case action == stallAbandon:
+		a.keep("the stream is silent")
+		wait = gapProbeInterval
+	case a.kept:
+		if end, done := a.giveUp("the target is silent"); done {
+			return 0, end, true
 		}
-		if !allowed {
-			return Attempt{}, false
-		}
-		return Attempt{Request: s.request, Target: previous.Target, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now)}, true
 	}
-	return Attempt{}, false
+	if action != stallWait {
+		a.stream.forwarder.Prober.Probe(a.attempt.Target, a.probeResults)
+	}
+	return wait, 0, false
 }
 
 // send sends the call to one target and reads the answer. While another target can get
@@ -143,7 +216,8 @@
 		case <-done:
 			return answer, body, gaveUp, err
 		case <-timer.C:
-			if gaveUp = c.reserveSuccessor(time.Now(), a.Target.ID); gaveUp {
+			gaveUp = c.forwarder.reserveSuccessor(c.request, &c.succession, c.tried, a.Target.ID, fleet.Criteria{Service: c.request.Service})
+			if gaveUp {
 				cancel() // done follows
 				continue
 			}
@@ -162,14 +236,6 @@
 	return answer, body, err
 }
 
-// reserveSuccessor reports whether the call can be sent to another target than the
-// current one. If so, the next attempt has its retry budget.
-func (c *call) reserveSuccessor(now time.Time, current string) bool {
-	exclude := withID(c.tried, current)
-	c.retryReserved = c.forwarder.reserveRetry(now, c.request, len(exclude), fleet.Criteria{Service: c.request.Service, Exclude: exclude})
-	return c.retryReserved
-}
-
 // withID returns a copy of a set of ids with one more.
 func withID(set map[string]bool, id string) map[string]bool {
 	out := make(map[string]bool, len(set)+1)
