gateway: a taken-up stream isn't refused because the store is away

While the store couldn't be read, a stream whose origin no daemon knew, or whose caller names none, was refused even with a single software version in service. A daemon that hears most of the others now goes by what they and it know: versions at which streams began and those of registered targets. New versions register in the store, so none is missed while it is away for all. A daemon that hears less than half of the others still refuses.

TestStreamIsTakenUpDuringAnOutage failed before with status 503.

--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -144,6 +144,13 @@
 	return time.Until(dataset.NextRead()), !d.storeDown || kind == platform.ConfigurationKind || !dataset.Loaded()
 }
 
+// storeFailed reports whether the last call to the store failed.
+func (d *datasets) storeFailed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.storeDown
+}
+
 // recordStoreState records the result of a call to the store, and an event when the
 // store fails or recovers.
 func (d *datasets) recordStoreState(err error) {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -184,6 +184,14 @@
 	return live, silent
 }
 
+// hearsMost reports whether more than half of the registered daemons are live, this one
+// included.
+func (m *members) hearsMost() bool {
+	live, silent := m.othersByLiveness()
+	registered := len(live) + len(silent) + 1
+	return 2*(len(live)+1) > registered
+}
+
 // mostExperienced returns the peer addresses of at most limit daemons: the live ones that
 // have run longest. A daemon that has just started knows of none; it gets other registered
 // daemons or the seeds.
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -29,6 +29,9 @@
 	// caller who is refused can still go to another daemon.
 	originQueryTimeout = 150 * time.Millisecond
 	versionsTimeout    = 300 * time.Millisecond
+	// versionsTTL is how long stored versions that were read are reused, so that many
+	// callers who take up streams at once cause one read.
+	versionsTTL = time.Second
 )
 
 // origins tracks where streams began. It implements forward.OriginTracker. Records of new
@@ -43,11 +46,19 @@
 	mu     sync.Mutex
 	ledger *origin.Ledger
 	unsent []origin.Record
+	seen   map[string]origin.Versions // at which streams began, as far as this daemon knows, by service
 	noted  map[string]origin.Versions // that are known to be stored, or are being stored, by service
+	stored map[string]storedVersions  // as read last, by service
+}
+
+// storedVersions are the versions of a service that were read from the store.
+type storedVersions struct {
+	versions origin.Versions // not modified
+	readAt   time.Time
 }
 
 func newOrigins(g *Gateway) *origins {
-	return &origins{g: g, added: make(chan struct{}, 1), ledger: origin.NewLedger(), noted: make(map[string]origin.Versions)}
+	return &origins{g: g, added: make(chan struct{}, 1), ledger: origin.NewLedger(), seen: make(map[string]origin.Versions), noted: make(map[string]origin.Versions), stored: make(map[string]storedVersions)}
 }
 
 // Record implements forward.OriginTracker.
@@ -55,22 +66,36 @@
 	now, record := time.Now(), origin.Record{RequestID: requestID, Origin: where}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.ledger.Add(now, record) {
+	if o.add(now, record) {
 		o.unsent = append(o.unsent, record)
 		select {
 		case o.added <- struct{}{}:
 		default:
 		}
 	}
-	if o.noted[where.Service] == nil {
-		o.noted[where.Service] = make(origin.Versions)
-	}
-	if versions := o.noted[where.Service]; !versions.Fresh(now, where.SoftwareVersion) {
+	if versions := versionsOf(o.noted, where.Service); !versions.Fresh(now, where.SoftwareVersion) {
 		versions.Note(now, where.SoftwareVersion)
 		go o.storeVersion(where)
 	}
 }
 
+// add adds a record. It returns false if the request has one.
+func (o *origins) add(now time.Time, r origin.Record) bool {
+	added := o.ledger.Add(now, r)
+	if added {
+		versionsOf(o.seen, r.Service).Note(now, r.SoftwareVersion)
+	}
+	return added
+}
+
+// versionsOf returns the versions of a service, which may be modified.
+func versionsOf(services map[string]origin.Versions, service string) origin.Versions {
+	if services[service] == nil {
+		services[service] = make(origin.Versions)
+	}
+	return services[service]
+}
+
 // takeUnsent returns the records that were not sent to the other daemons yet.
 func (o *origins) takeUnsent() []origin.Record {
 	o.mu.Lock()
@@ -86,7 +111,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, r := range records {
-		o.ledger.Add(now, r)
+		o.add(now, r)
 	}
 }
 
@@ -96,41 +121,56 @@
 	return o.ledger.Find(requestID)
 }
 
-// originQuery requests the origin of the stream of a request from a peer.
+// originQuery requests from a peer the origin of the stream of a request, or if that is
+// empty the software versions of a service.
 type originQuery struct {
-	RequestID string `msgpack:"i"`
+	RequestID string `msgpack:"i,omitempty"`
+	Service   string `msgpack:"s,omitempty"`
 }
 
 // originAnswer answers an originQuery.
 type originAnswer struct {
-	Known  bool          `msgpack:"k"`
-	Origin origin.Origin `msgpack:"o"`
+	Known    bool          `msgpack:"k"`
+	Origin   origin.Origin `msgpack:"o"`
+	Versions []string      `msgpack:"v,omitempty"`
 }
 
 func (o *origins) handleQuery(_ context.Context, _ peer.Identity, q originQuery) (any, error) {
+	if q.RequestID == "" {
+		return originAnswer{Known: true, Versions: o.versionsHere(q.Service)}, nil
+	}
 	found, known := o.findHere(q.RequestID)
-	return originAnswer{known, found}, nil
+	return originAnswer{Known: known, Origin: found}, nil
 }
 
-// Find implements forward.OriginTracker.
-func (o *origins) Find(ctx context.Context, requestID string) (origin.Origin, bool) {
-	if found, known := o.findHere(requestID); known {
-		return found, true
-	}
-	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
-	defer cancel()
+// queryPeers sends a query to some daemons. It returns a channel with an answer for each;
+// one that does not answer within originQueryTimeout counts as a daemon that does not
+// know. cancel ends the remaining queries.
+func (o *origins) queryPeers(ctx context.Context, q originQuery) (answers <-chan originAnswer, n int, cancel func()) {
+	ctx, cancel = context.WithTimeout(ctx, originQueryTimeout)
 	addresses := o.g.members.mostExperienced(maxOriginQueries)
-	answers := make(chan originAnswer, len(addresses))
+	out := make(chan originAnswer, len(addresses))
 	for _, address := range addresses {
 		go func() {
 			var answer originAnswer
-			if err := o.g.peers.transport.Call(ctx, address, kindOriginQuery, originQuery{requestID}, &answer); err != nil {
-				o.g.peers.countLost(1) // counts as a daemon that doesn't know it
+			if err := o.g.peers.transport.Call(ctx, address, kindOriginQuery, q, &answer); err != nil {
+				o.g.peers.countLost(1)
+				answer = originAnswer{}
 			}
-			answers <- answer
+			out <- answer
 		}()
 	}
-	for range addresses {
+	return out, len(addresses), cancel
+}
+
+// Find implements forward.OriginTracker.
+func (o *origins) Find(ctx context.Context, requestID string) (origin.Origin, bool) {
+	if found, known := o.findHere(requestID); known {
+		return found, true
+	}
+	answers, n, cancel := o.queryPeers(ctx, originQuery{RequestID: requestID})
+	defer cancel()
+	for range n {
 		if answer := <-answers; answer.Known {
 			o.apply([]origin.Record{{RequestID: requestID, Origin: answer.Origin}})
 			return answer.Origin, true
@@ -139,24 +179,76 @@
 	return origin.Origin{}, false
 }
 
-// Versions implements forward.OriginTracker. It returns the stored versions and those of
-// the registered targets.
+// Versions implements forward.OriginTracker. It returns the stored versions, those that
+// this daemon knows of and those of the registered targets. While the store can't be read,
+// the other daemons are asked; a daemon that hears less than half of them returns an error,
+// because it may have missed a version.
 func (o *origins) Versions(ctx context.Context, service string) ([]string, error) {
+	versions := o.versionsHere(service)
+	stored, err := o.storedVersions(ctx, service)
+	if err != nil {
+		others, ok := o.peerVersions(ctx, service)
+		if !ok {
+			return nil, errors.Wrap(err, "read software versions")
+		}
+		versions = append(versions, others...)
+	}
+	versions = append(versions, stored.Recent(time.Now())...)
+	slices.Sort(versions)
+	return slices.Compact(versions), nil
+}
+
+// versionsHere returns the software versions of a service that this daemon knows of.
+func (o *origins) versionsHere(service string) []string {
+	registered := o.g.fleet.SoftwareVersions(service)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append(registered, o.seen[service].Recent(time.Now())...)
+}
+
+// peerVersions returns the software versions of a service that the other daemons know of.
+// It returns false if this daemon doesn't hear most of them, or none answers.
+func (o *origins) peerVersions(ctx context.Context, service string) (versions []string, ok bool) {
+	if !o.g.members.hearsMost() {
+		return nil, false
+	}
+	answers, n, cancel := o.queryPeers(ctx, originQuery{Service: service})
+	defer cancel()
+	ok = n == 0
+	for range n {
+		answer := <-answers
+		ok = ok || answer.Known
+		versions = append(versions, answer.Versions...)
+	}
+	return versions, ok
+}
+
+// storedVersions returns the stored versions of a service.
+func (o *origins) storedVersions(ctx context.Context, service string) (origin.Versions, error) {
+	o.mu.Lock()
+	latest, ok := o.stored[service]
+	o.mu.Unlock()
+	if ok && time.Since(latest.readAt) < versionsTTL {
+		return latest.versions, nil
+	}
+	if o.g.datasets.storeFailed() {
+		return nil, objectstore.ErrUnavailable
+	}
 	read := o.reads.DoChan(service, func() (any, error) {
 		ctx, cancel := context.WithTimeout(o.g.peers.ctx, versionsTimeout)
 		defer cancel()
-		stored, _, err := o.readVersions(ctx, service)
-		return stored, err
+		readAt := time.Now()
+		versions, _, err := o.readVersions(ctx, service)
+		if err == nil {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.stored[service] = storedVersions{versions, readAt}
+		}
+		return versions, err
 	})
 	select {
 	case result := <-read:
-		if result.Err != nil {
-			return nil, errors.Wrap(result.Err, "read software versions")
-		}
-		versions := result.Val.(origin.Versions).Recent(time.Now())
-		versions = append(versions, o.g.fleet.SoftwareVersions(service)...)
-		slices.Sort(versions)
-		return slices.Compact(versions), nil
+		return result.Val.(origin.Versions), result.Err
 	case <-ctx.Done():
 		return nil, errors.WithStack(ctx.Err())
 	}
--- a/gateway/taken_up_test.go
+++ b/gateway/taken_up_test.go
@@ -172,3 +172,30 @@
 		}
 	}
 }
+
+// TestStreamIsTakenUpDuringAnOutage guards against streams that are refused because the
+// software versions can't be read from the store, and checks that a daemon which hears no
+// other assumes none.
+func TestStreamIsTakenUpDuringAnOutage(t *testing.T) {
+	e := newStreamEnv(t)
+	e.addTarget("i-1", "v1")
+	e.addTarget("i-2", "v1")
+	store := e.store.Listener.Addr().String()
+	first, stopFirst := e.startDaemon("vm-1", store)
+	second, _ := e.startDaemon("vm-2", store)
+	e.ready(first)
+	e.ready(second)
+	eventually(func() bool { return e.gateways["vm-2"].members.hearsMost() && len(e.gateways["vm-2"].members.directory()) == 2 })
+	e.store.CloseClientConnections()
+	e.store.Close()
+	eventually(e.gateways["vm-2"].datasets.storeFailed)
+	if id, status := e.takeUp(second.Callers, "unknown", 2, 3); status != http.StatusOK {
+		t.Errorf("the other daemon knows a single software version: request %s got status %d, want 200", id, status)
+	}
+	stopFirst()
+	eventually(func() bool { return !e.gateways["vm-2"].members.hearsMost() })
+	eventually(func() bool { // until the versions that were read before the outage are no longer reused
+		_, status := e.takeUp(second.Callers, "unknown", 2, 3)
+		return status == http.StatusServiceUnavailable
+	})
+}
