forward: a stream that has begun waits a moment for a target of its version

Callers who took a stream up were refused, and streams were cut, while the few targets of their software version were suspected or avoided for a second or so: a stream is bound to its version (ORDER), so no other daemon or target can serve it meanwhile. Such a stream now waits up to 1.6 s, a suspicion and a little, if a target of its version is registered and may recover. If there is none, it is refused or ends at once, as before; so are new requests.

TestTakenUpStreamAwaitsItsVersion failed before: refused, no target passes the filters.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -89,6 +89,19 @@
 	return f.targets[c.Target.Name].Target, nil
 }
 
+// MayRecover reports whether a target that meets the criteria is registered and gets no
+// new work only for a while: it is suspected or avoided.
+func (f *Fleet) MayRecover(now time.Time, criteria Criteria) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services[criteria.Service] {
+		if state := s.state(now); !criteria.Exclude[s.ID] && criteria.allowsVersion(s.SoftwareVersion) && (state == Suspected || state == Avoided) {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the targets of the service with their observed state. If missing
 // is set, it returns those whose entries are missing, otherwise all others.
 func (f *Fleet) candidates(now time.Time, criteria Criteria, missing bool) []routing.Candidate {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // stream is one request with a streamed answer, over all its attempts.
@@ -149,6 +150,9 @@
 		s.noAttempt = "too many targets can't be reached"
 		return s.planReturn(ctx)
 	}
+	if len(s.succession.silent) == 0 {
+		s.awaitTarget(ctx)
+	}
 	var promptHolders map[string]bool
 	if !s.standbyReady(time.Now()) {
 		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
@@ -193,6 +197,28 @@
 	return a, true
 }
 
+// Limits of the wait for a target of a stream that has begun.
+const (
+	// maxTargetWait covers a suspicion. A caller can't get the stream anywhere else: it is
+	// bound to the targets of its software version, which may be few.
+	maxTargetWait      = fleet.SuspectDuration + 100*time.Millisecond
+	targetPollInterval = 20 * time.Millisecond
+)
+
+// awaitTarget waits while a stream that has begun has no target which is ready, and one
+// that may be soon.
+func (s *stream) awaitTarget(ctx context.Context) {
+	if s.version == nil || s.standbyReady(time.Now()) {
+		return
+	}
+	for end := time.Now().Add(maxTargetWait); time.Now().Before(end); {
+		now, criteria := time.Now(), s.targetCriteria(nil)
+		if _, err := s.forwarder.Fleet.Pick(now, criteria); err == nil || !s.forwarder.Fleet.MayRecover(now, criteria) || !pause.For(ctx, targetPollInterval) {
+			return
+		}
+	}
+}
+
 // planReturn plans an attempt at a target that the stream was taken from.
 func (s *stream) planReturn(ctx context.Context) (Attempt, bool) {
 	t, ok, refusal := s.forwarder.planReturn(ctx, s.request, &s.succession, s.allowsVersion)
--- a/forward/version_test.go
+++ b/forward/version_test.go
@@ -1,12 +1,17 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/origin"
 )
 
 // setVersions gives the targets of a fixture software versions.
@@ -72,3 +77,36 @@
 		}
 	}))
 }
+
+// TestTakenUpStreamAwaitsItsVersion guards against streams that are refused, or cut, while
+// the targets of their software version are only suspected for a while.
+func TestTakenUpStreamAwaitsItsVersion(t *testing.T) {
+	for name, origins := range map[string]map[string]origin.Origin{
+		"known origin": {"r0": {Service: "svc", SoftwareVersion: "v1"}}, "other version": {"r0": {Service: "svc", SoftwareVersion: "v9"}},
+	} {
+		t.Run(name, inBubble(func(t *testing.T) {
+			s := newFixture(map[string]behaviour{"a": streaming(50, -1, eventGap, nil), "b": streaming(50, -1, eventGap, nil)})
+			s.setVersions(map[string]string{"a": "v1", "b": "v2"})
+			s.origins.known = origins
+			now := time.Now()
+			s.Fleet.Suspect(now, "a")
+			c := &fakeResponder{}
+			route := streamRoute
+			route.Services = []ingress.WeightedService{{Service: "svc", Weight: 1}}
+			s.Serve(context.Background(), &Request{
+				ID: "r1", Received: now, Deadline: now.Add(25 * time.Second), Route: &route, Service: "svc", LastEventID: "9", Resumes: "r0",
+			}, c)
+			synctest.Wait()
+			switch name {
+			case "known origin":
+				if len(c.events) != 41 || !c.ended || s.client.attempts()[0] != "a" {
+					t.Errorf("the caller got %d events (want 41), ended %v, error %v; sent to %v (want a)", len(c.events), c.ended, c.err, s.client.attempts())
+				}
+			default: // no target has the version, now or soon
+				if c.err == nil || c.err.Outcome != failure.NotRun || time.Since(now) > 0 || len(s.client.sent) > 0 {
+					t.Errorf("error %v after %v (want a refusal at once), sent to %v", c.err, time.Since(now), s.client.attempts())
+				}
+			}
+		}))
+	}
+}
