forward: attempt_kept names why a request stays at its silent target

Found in the review: the event told operators to look for retry_denied, which the reservation does not record, and not which condition failed.

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -35,7 +35,7 @@
 	{TargetLeaving, "target_leaving", Info, "A target is leaving and gets no new requests.", ""},
 	{TargetRemoved, "target_gone", Info, "The entry of a target was removed.", ""},
 	{CopyFailed, "copy_failed", Info, "The KV cache of a running request could not be copied to another target.", ""},
-	{AttemptKept, "attempt_kept", Warn, "The target of a stream is silent, and the attempt goes on because no other target can take it.", "Look for target_suspected events of the same target, and retry_denied."},
+	{AttemptKept, "attempt_kept", Warn, "The target of a stream is silent, and the attempt goes on because no other target can take it; no_attempt says why.", "Look for target_suspected events of the same target."},
 	{OriginAssumed, "origin_assumed", Info, "No daemon knows the stream that a caller takes up; it continues at the only software version that may have begun it.", ""},
 	{RequestReturned, "request_returned", Info, "A request returns to a target that it was taken from for silence, because no other target can get it.", ""},
 	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -143,7 +143,7 @@
 // start soonest. It returns false if no attempt is possible.
 func (s *stream) planAttempt(ctx context.Context) (Attempt, bool) {
 	if !s.request.attemptsLeft(len(s.tried)) {
-		s.noAttempt = "the attempts of the route are used up"
+		s.noAttempt = errAttemptsUsedUp.Error()
 		return s.planReturn(ctx)
 	}
 	if s.notSent > s.request.maxAttempts() {
@@ -168,7 +168,7 @@
 		s.lastErr = refusal
 	}
 	if !allowed {
-		s.noAttempt = "the retry budget is exhausted"
+		s.noAttempt = errBudgetExhausted.Error()
 		if refusal != nil {
 			s.noAttempt = refusal.Error()
 		}
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
@@ -33,33 +35,45 @@
 	return reserved
 }
 
-// reserveSuccessor reports whether a request can be sent to another target than the
-// current one. tried are the targets that it was sent to so far. If so, the next attempt
-// and a return have their retry budget.
-func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current string, criteria fleet.Criteria) bool {
-	if c.retryReserved {
-		return true
-	}
+// Reasons why a request stays at a silent target.
+var (
+	errNotRepeatable   = errors.New("the request must not be sent again")
+	errHasReturned     = errors.New("the request has returned to a target") // no more changes back and forth
+	errAttemptsUsedUp  = errors.New("the attempts of the route are used up")
+	errBudgetExhausted = errors.New("the retry budget is exhausted")
+)
+
+// reserveSuccessor reserves what a request needs to be sent to another target than the
+// current one: the next attempt and a return have their retry budget then. tried are the
+// targets that it was sent to so far. The error is why the request stays.
+func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current string, criteria fleet.Criteria) error {
 	now := time.Now()
 	criteria.Exclude = withID(tried, current)
-	if c.returns > 0 || !r.Route.Repeatable() || !r.attemptsLeft(len(criteria.Exclude)) { // after a return, no more changes back and forth
-		return false
+	switch {
+	case c.retryReserved:
+		return nil
+	case !r.Route.Repeatable():
+		return errNotRepeatable
+	case c.returns > 0:
+		return errHasReturned
+	case !r.attemptsLeft(len(criteria.Exclude)):
+		return errAttemptsUsedUp
 	}
 	if _, err := f.Fleet.Pick(now, criteria); err != nil {
-		return false
+		return err
 	}
-	if f.CrashTracker.Check(doneContext, r) != nil {
-		return false
+	if refusal := f.CrashTracker.Check(doneContext, r); refusal != nil {
+		return refusal
 	}
 	retries := 2
 	if c.returnReserved {
 		retries = 1
 	}
 	if !f.RetryBudget.AllowRetries(now, r.Service, retries) {
-		return false
+		return errBudgetExhausted
 	}
 	c.retryReserved, c.returnReserved = true, true
-	return true
+	return nil
 }
 
 // doneContext makes calls that may block return at once.
@@ -116,26 +130,27 @@
 // giveUp ends the attempt because its target is silent, and returns how and true. If the
 // stream has no successor, giveUp returns false and the attempt goes on.
 func (a *streamAttempt) giveUp(reason string) (attemptEnd, bool) {
-	if !a.hasSuccessor() {
-		a.keep(reason)
+	if err := a.reserveSuccessor(); err != nil {
+		a.keep(reason, err)
 		return 0, false
 	}
 	return a.abandonSilent(reason), true
 }
 
-func (a *streamAttempt) hasSuccessor() bool {
+func (a *streamAttempt) reserveSuccessor() error {
 	s := a.stream
 	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.attempt.Target.ID, s.targetCriteria(nil))
 }
 
-// keep records that the attempt goes on although its target is silent.
-func (a *streamAttempt) keep(reason string) {
+// keep records that the attempt goes on although its target is silent, because there is no
+// successor.
+func (a *streamAttempt) keep(reason string, noSuccessor error) {
 	if a.kept {
 		return
 	}
 	a.kept = true
 	s := a.stream
-	s.forwarder.Events.Record(event.AttemptKept, s.request.ID, event.F("target", a.attempt.Target.ID), event.F("reason", reason),
+	s.forwarder.Events.Record(event.AttemptKept, s.request.ID, event.F("target", a.attempt.Target.ID), event.F("reason", reason), event.F("no_attempt", noSuccessor.Error()),
 		event.F("attempts", strconv.Itoa(len(withID(s.tried, a.attempt.Target.ID)))), event.F("last_event", strconv.FormatInt(s.lastEventID, 10)))
 }
 
@@ -171,20 +186,23 @@
 // moves to another target, or the attempt is abandoned. If the attempt goes on,
 // handleTimer returns the time until the next call.
 func (a *streamAttempt) handleTimer(ctx context.Context) (wait time.Duration, end attemptEnd, done bool) {
+	const reason = "the stream is silent"
 	action, wait := a.detector.next(time.Now())
 	switch {
 	case a.moving:
 		return gapProbeInterval, 0, false
-	case action == stallAbandon && a.hasSuccessor():
-		if a.startMove(ctx) {
-			return gapProbeInterval, 0, false
-		}
-		return 0, a.abandonSilent("the stream is silent"), true
 	case action == stallAbandon:
-		a.keep("the stream is silent")
+		err := a.reserveSuccessor()
+		if err == nil && !a.startMove(ctx) {
+			return 0, a.abandonSilent(reason), true
+		}
 		wait = gapProbeInterval
+		if err == nil {
+			return wait, 0, false // until the move has ended
+		}
+		a.keep(reason, err)
 	case a.kept:
-		if end, done := a.giveUp("the target is silent"); done {
+		if end, done := a.giveUp(reason); done {
 			return 0, end, true
 		}
 	}
@@ -216,7 +234,7 @@
 		case <-done:
 			return answer, body, gaveUp, err
 		case <-timer.C:
-			gaveUp = c.forwarder.reserveSuccessor(c.request, &c.succession, c.tried, a.Target.ID, fleet.Criteria{Service: c.request.Service})
+			gaveUp = c.forwarder.reserveSuccessor(c.request, &c.succession, c.tried, a.Target.ID, fleet.Criteria{Service: c.request.Service}) == nil
 			if gaveUp {
 				cancel() // done follows
 				continue
