gateway: streams continue at their version after a restart of all daemons

While several software versions were in service, callers who took up a stream after a restart of all daemons were refused: the records of where it began were in the memory of daemons only. After a loss of power callers notice it seconds later, when the daemons have long been back.

A daemon that starts again keeps what its previous incarnation stored.

Without the stored records TestTakenUpStreamAfterARestartOfAll fails with status 503 for the streams of the previous round.

--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -285,11 +285,10 @@
 func (c *fakeCrashTracker) ReportCompletion(*Request) { c.completions.Add(1) }
 
 // fakeOrigins knows the origins that it was given, and those of the test's own requests.
+// It assumes an empty software version for callers who name no request.
 type fakeOrigins struct {
-	mu       sync.Mutex
-	known    map[string]origin.Origin
-	versions []string
-	err      error // of Versions
+	mu    sync.Mutex
+	known map[string]origin.Origin
 }
 
 func (o *fakeOrigins) Record(id string, where origin.Origin) {
@@ -298,15 +297,19 @@
 	o.known[id] = where
 }
 
-func (o *fakeOrigins) Find(_ context.Context, id string) (origin.Origin, bool) {
+func (o *fakeOrigins) Find(_ context.Context, id, service string) (origin.Origin, bool, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	found, ok := o.known[id]
-	return found, ok
+	switch {
+	case id == "":
+		return origin.Origin{Service: service}, true, nil
+	case !ok:
+		return origin.Origin{}, false, errors.New("unknown origin")
+	}
+	return found, false, nil
 }
 
-func (o *fakeOrigins) Versions(context.Context, string) ([]string, error) { return o.versions, o.err }
-
 // fixture is a forwarder over fake targets, each in a place of its own.
 type fixture struct {
 	*Forwarder
@@ -316,7 +319,7 @@
 }
 
 func newFixture(targets map[string]behaviour) *fixture {
-	s := &fixture{client: newFakeTargetClient(), crashTracker: &fakeCrashTracker{}, origins: &fakeOrigins{known: make(map[string]origin.Origin), versions: []string{""}}}
+	s := &fixture{client: newFakeTargetClient(), crashTracker: &fakeCrashTracker{}, origins: &fakeOrigins{known: make(map[string]origin.Origin)}}
 	events := event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 16)
 	f := fleet.New("place-a", 1)
 	for id, b := range targets {
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -13,35 +13,26 @@
 	// Record records the origin of the stream that a request begins or continues. It does
 	// not block.
 	Record(requestID string, o origin.Origin)
-	// Find returns the origin of the stream of a request, and false if no daemon knows
-	// it. It may block until ctx is done.
-	Find(ctx context.Context, requestID string) (origin.Origin, bool)
-	// Versions returns the software versions that may have begun streams of a service
-	// which callers still take up. It may block until ctx is done.
-	Versions(ctx context.Context, service string) ([]string, error)
+	// Find returns the origin of the stream of a service that a request began. requestID is
+	// empty if the caller names none. assumed means that no daemon knows it and only one
+	// origin is possible; if several are, Find returns an error. It may block until ctx is
+	// done.
+	Find(ctx context.Context, requestID, service string) (o origin.Origin, assumed bool, err error)
 }
 
 // resumes reports whether the caller takes up a stream that began under another request.
 func (r *Request) resumes() bool { return r.LastEventID != "" || r.Resumes != "" }
 
-// findOrigin returns where the stream that a caller takes up began. If no daemon knows it,
-// the stream can continue only if a single software version may have begun it.
+// findOrigin returns where the stream that a caller takes up began.
 func (f *Forwarder) findOrigin(ctx context.Context, r *Request) (origin.Origin, *failure.Error) {
-	if r.Resumes != "" {
-		if o, ok := f.Origins.Find(ctx, r.Resumes); ok {
-			return o, f.moveToService(r, o.Service)
-		}
+	o, assumed, err := f.Origins.Find(ctx, r.Resumes, r.Service)
+	if err != nil {
+		return origin.Origin{}, failure.Wrap(err, failure.NoTarget, failure.NotRun, "find the origin of the stream", r.Service).WithRetryAfter(retryAfterBusy)
 	}
-	versions, err := f.Origins.Versions(ctx, r.Service)
-	switch {
-	case err != nil:
-		return origin.Origin{}, failure.Wrap(err, failure.PlatformUnavailable, failure.NotRun, "find the origin of the stream", "").WithRetryAfter(retryAfterBusy)
-	case len(versions) != 1:
-		return origin.Origin{}, failure.New(failure.NoTarget, failure.NotRun, "find the origin of the stream", r.Service,
-			"no daemon knows request %q, and any of the software versions %q may have begun the stream", r.Resumes, versions)
+	if assumed {
+		f.Events.Record(event.OriginAssumed, r.ID, event.F("resumes", r.Resumes), event.F("version", o.SoftwareVersion))
 	}
-	f.Events.Record(event.OriginAssumed, r.ID, event.F("resumes", r.Resumes), event.F("version", versions[0]))
-	return origin.Origin{Service: r.Service, SoftwareVersion: versions[0]}, nil
+	return o, f.moveToService(r, o.Service)
 }
 
 // moveToService sets the service of a request to the one where its stream began. The
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,7 +98,8 @@
 		g.events.Record(event.EraInvalid, "", event.F("stated", stated), event.F("latest", strconv.FormatInt(latest, 10)))
 	}
 	g.store = store
-	g.members, g.datasets, g.origins = newMembers(g), newDatasets(g), newOrigins(g)
+	g.members, g.datasets = newMembers(g), newDatasets(g)
+	g.origins = newOrigins(g)
 	g.crashTracker = newCrashTracker(g.events, func(request quarantine.RequestKey) { g.peers.crashReports.sendToAll(request) },
 		func(request quarantine.RequestKey) { g.verdicts.save(request) })
 	g.newer = &newerVersions{g: g}
@@ -198,6 +199,7 @@
 	g.wg.Go(func() { g.members.register(backgroundCtx) })
 	g.verdicts.ctx = backgroundCtx
 	g.wg.Go(func() { g.verdicts.load(backgroundCtx) })
+	g.wg.Go(func() { g.origins.store.run(backgroundCtx) })
 	g.wg.Go(func() { g.closeIdleConns(backgroundCtx) })
 	serveErrors := make(chan error, len(g.servers))
 	for _, s := range g.servers {
--- a/gateway/poison_daemon_test.go
+++ b/gateway/poison_daemon_test.go
@@ -182,7 +182,6 @@
 type singleVersion struct{}
 
 func (singleVersion) Record(string, origin.Origin) {}
-func (singleVersion) Find(context.Context, string) (origin.Origin, bool) {
-	return origin.Origin{}, false
+func (singleVersion) Find(_ context.Context, _, service string) (origin.Origin, bool, error) {
+	return origin.Origin{Service: service}, true, nil
 }
-func (singleVersion) Versions(context.Context, string) ([]string, error) { return []string{""}, nil }
--- a/gateway/taken_up_test.go
+++ b/gateway/taken_up_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -185,7 +186,9 @@
 	second, _ := e.startDaemon("vm-2", store)
 	e.ready(first)
 	e.ready(second)
-	eventually(func() bool { return e.gateways["vm-2"].members.hearsMost() && len(e.gateways["vm-2"].members.directory()) == 2 })
+	eventually(func() bool {
+		return e.gateways["vm-2"].members.hearsMost() && len(e.gateways["vm-2"].members.directory()) == 2
+	})
 	e.store.CloseClientConnections()
 	e.store.Close()
 	eventually(e.gateways["vm-2"].datasets.storeFailed)
@@ -199,3 +202,70 @@
 		return status == http.StatusServiceUnavailable
 	})
 }
+
+// TestTakenUpStreamAfterARestartOfAll guards against streams that are refused, or continue
+// at another software version, because all daemons have restarted and their records are
+// lost.
+func TestTakenUpStreamAfterARestartOfAll(t *testing.T) {
+	e := newStreamEnv(t)
+	for i, version := range []string{"v1", "v1", "v2", "v2"} {
+		e.addTarget(fmt.Sprint("i-", i), version)
+	}
+	store := e.store.Listener.Addr().String()
+	var began []string
+	for round, ids := range [][]string{{"vm-1", "vm-2"}, {"vm-1", "vm-2"}, {"vm-2"}} {
+		var stops []func()
+		for _, id := range ids {
+			s, stop := e.startDaemon(id, store)
+			stops = append(stops, stop)
+			e.ready(s)
+			for _, id := range began {
+				again, status := e.takeUp(s.Callers, id, 2, 3)
+				if status != http.StatusOK || e.version(again) != e.version(id) {
+					t.Errorf("round %d: status %d, a stream that %s began continues at %s", round, status, e.version(id), e.version(again))
+				}
+			}
+			for range 4 {
+				request, status := e.takeUp(s.Callers, "", 0, 3)
+				if status != http.StatusOK {
+					t.Fatalf("a new stream got status %d", status)
+				}
+				began = append(began, request)
+			}
+		}
+		eventually(func() bool { return e.stored(began) })
+		for _, stop := range stops {
+			stop()
+		}
+		for _, id := range ids {
+			eventually(func() bool { return e.gateways[id].stopped() })
+		}
+	}
+}
+
+// stored reports whether the store has the origins of all requests.
+func (e *streamEnv) stored(requests []string) bool {
+	objects, _, err := e.storeClient.List(context.Background(), originsKind)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	text := ""
+	for _, o := range objects {
+		text += string(o.Value)
+	}
+	for _, r := range requests {
+		if !strings.Contains(text, `"`+r+`"`) {
+			return false
+		}
+	}
+	return true
+}
+
+// stopped reports whether a daemon has ended: it no longer accepts connections.
+func (g *Gateway) stopped() bool {
+	c, err := net.Dial("tcp", g.settings.Load().Peers)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err != nil
+}
