soak: gateway processes under stops, reloads, changes and faults, checked by the platform's rules

No test ran the real program: stops, reloads and kills were simulated within one process. The soak starts vanillaroad-gateway processes on loopback with clients, engines and a store of its own, disturbs them by seed, and checks LOST, TWICE, REFUSED, MIXED, ORDER and DENIED from what clients and engines see.

--- /dev/null
+++ b/internal/soak/engine_test.go
@@ -0,0 +1,257 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// task is the work that a request asks an engine for. Its text is the first line of the
+// request's body or, for GET requests, the last element of the path.
+type task struct {
+	key    string
+	events int           // of a stream; 0 for a call
+	first  time.Duration // until the first event or the answer
+	gap    time.Duration // between events
+}
+
+func (w task) String() string {
+	return fmt.Sprintf("%s,%d,%d,%d", w.key, w.events, w.first.Milliseconds(), w.gap.Milliseconds())
+}
+
+func parseTask(text string) (w task, err error) {
+	fields := strings.Split(text, ",")
+	if len(fields) != 4 {
+		return w, fmt.Errorf("task %q", text)
+	}
+	var numbers [3]int
+	for i := range numbers {
+		if numbers[i], err = strconv.Atoi(fields[i+1]); err != nil {
+			return w, err
+		}
+	}
+	return task{fields[0], numbers[0], time.Duration(numbers[1]) * time.Millisecond, time.Duration(numbers[2]) * time.Millisecond}, nil
+}
+
+// event returns event i of a stream, counted from 1.
+func (w task) event(i int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, w.key, i) }
+
+// answerBytes is the size of the answer to a call.
+const answerBytes = 800
+
+// answer returns the answer to a call.
+func (w task) answer() []byte {
+	return bytes.Repeat([]byte(w.key+" "), answerBytes/(len(w.key)+1))
+}
+
+// run is the work of one engine on one request.
+type run struct {
+	engine       string
+	began, ended time.Time // ended is zero while the engine works
+	complete     bool
+}
+
+// ledger records what the engines ran, by request id.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string][]*run
+}
+
+func (l *ledger) begin(id, engine string) *run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := &run{engine: engine, began: time.Now()}
+	l.runs[id] = append(l.runs[id], r)
+	return r
+}
+
+func (l *ledger) end(r *run, complete bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.ended, r.complete = time.Now(), complete
+}
+
+// of returns copies of the runs of a request.
+func (l *ledger) of(id string) (out []run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.runs[id] {
+		out = append(out, *r)
+	}
+	return out
+}
+
+// engine serves streams and calls as the platform's engines do. It never breaks off
+// by itself.
+type engine struct {
+	id, service, address string
+	ledger               *ledger
+	silentUntil          atomic.Int64 // Unix nanoseconds
+
+	mu      sync.Mutex
+	running map[string]int // events made, by request id
+}
+
+func startEngine(t *testing.T, l *ledger, id, service, address string) *engine {
+	e := &engine{id: id, service: service, address: address, ledger: l, running: make(map[string]int)}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: e}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return e
+}
+
+// entry is the object by which the engine registers itself.
+func (e *engine) entry() any {
+	return map[string]any{"service": e.service, "address": e.address, "zone": "p", "version": "v1", "slots": 32, "state": "ready", "cold_left_ms": 0, "seq": 1}
+}
+
+// silence makes the engine send nothing for d.
+func (e *engine) silence(d time.Duration) { e.silentUntil.Store(time.Now().Add(d).UnixNano()) }
+
+func (e *engine) pause(r *http.Request, d time.Duration) bool {
+	until := time.Now().Add(d)
+	for {
+		if silent := time.Unix(0, e.silentUntil.Load()); silent.After(until) {
+			until = silent
+		}
+		left := time.Until(until)
+		if left <= 0 {
+			return r.Context().Err() == nil
+		}
+		select {
+		case <-r.Context().Done():
+			return false
+		case <-time.After(left):
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !e.pause(r, 0) {
+		return
+	}
+	if expected := r.Header.Get("Vanillaroad-Expect-Instance"); expected != "" && expected != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if strings.HasPrefix(r.URL.Path, "/-/") {
+		e.report(w, r)
+		return
+	}
+	id := r.Header.Get("Vanillaroad-Request-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	text, _, _ := strings.Cut(string(body), "\n")
+	if r.Method == http.MethodGet {
+		text = r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
+	}
+	work, err := parseTask(text)
+	if !e.pause(r, time.Millisecond) { // the time in which net/http notices a closed connection
+		return
+	}
+	if err != nil || id == "" {
+		w.Header().Set("Vanillaroad-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Vanillaroad-Request-Id", id)
+	w.Header().Set("Vanillaroad-Upstream-Stamp", e.id+"/"+id)
+	this := e.ledger.begin(id, e.id)
+	complete := false
+	defer func() { e.ledger.end(this, complete) }()
+	if work.events == 0 {
+		if e.pause(r, work.first) {
+			_, err := w.Write(work.answer())
+			complete = err == nil
+		}
+		return
+	}
+	complete = e.stream(w, r, work, id)
+}
+
+// stream sends the events after Last-Event-Id and reports whether it sent them all.
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, work task, id string) bool {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
+	w.Header().Set("Content-Type", "text/event-stream")
+	e.progress(id, last)
+	defer e.progress(id, -1)
+	wait := work.first
+	for i := last + 1; i <= work.events; i++ {
+		if !e.pause(r, wait) {
+			return false
+		}
+		wait = work.gap
+		if _, err := io.WriteString(w, work.event(i)); err != nil {
+			return false
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return false
+		}
+		e.progress(id, i)
+	}
+	return true
+}
+
+// progress records the events made of a running stream; -1 removes it.
+func (e *engine) progress(id string, events int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if events < 0 {
+		delete(e.running, id)
+		return
+	}
+	e.running[id] = events
+}
+
+func (e *engine) report(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/-/report" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	runs := [][]any{}
+	e.mu.Lock()
+	for id, events := range e.running {
+		runs = append(runs, []any{id, 100 + events, events, 5})
+	}
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"stage": "both", "models": []any{}, "busy": false, "seq": 1, "queued": 0, "active": len(runs), "kv_used": 0, "kv_total": 90000, "handles": 0, "runs": runs})
+}
+
+// drawStream draws a stream of 1 to 12 s.
+func drawStream(rng *rand.Rand, key string) task {
+	gap := time.Duration(30+rng.IntN(21)) * time.Millisecond
+	length := time.Second + upTo(rng, 11*time.Second)
+	return task{key, max(1, int(length/gap)), time.Duration(20+rng.IntN(200)) * time.Millisecond, gap}
+}
+
+// drawCall draws a call, of which one in ten is slow.
+func drawCall(rng *rand.Rand, key string) task {
+	work := time.Duration(5+rng.IntN(100)) * time.Millisecond
+	if rng.IntN(10) == 0 {
+		work += upTo(rng, 3*time.Second)
+	}
+	return task{key: key, first: work}
+}
+
+// upTo draws a duration below limit.
+func upTo(rng *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(rng.Int64N(int64(limit)))
+}
--- /dev/null
+++ b/internal/soak/faults_test.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// fault does something to the site. It returns once its effect has ended.
+type fault func(s *site, rng *rand.Rand)
+
+// plannedFaults are those around which no request may be lost.
+var plannedFaults = []fault{terminate, terminate, reloadSettings, changeConfiguration}
+
+// unplannedFaults excuse lost requests.
+var unplannedFaults = []fault{kill, suspend, holdLink, resetLink}
+
+// inject injects faults until done is closed, each after a pause, so that they overlap.
+func (s *site) inject(done <-chan struct{}, seed uint64, faults []fault, maxPause time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(upTo(rng, maxPause)):
+		}
+		inject, faultRNG := faults[rng.IntN(len(faults))], rand.New(rand.NewPCG(rng.Uint64(), 2))
+		running.Go(func() { inject(s, faultRNG) })
+	}
+}
+
+// terminate stops a daemon as the platform does, and starts it again.
+func terminate(s *site, rng *rand.Rand) {
+	d := s.reserve(rng)
+	if d == nil {
+		return
+	}
+	defer s.release(d)
+	from := time.Now()
+	d.signal(syscall.SIGTERM)
+	if !d.awaitEnd(grace) {
+		d.signal(syscall.SIGKILL)
+		d.awaitEnd(time.Minute)
+	}
+	s.note(&s.planned, span{"SIGTERM", d.id, from, time.Now()})
+	s.restart(d)
+}
+
+// restart starts a daemon and waits until it is ready and its callers are back.
+func (s *site) restart(d *daemon) {
+	time.Sleep(restartDelay)
+	if err := d.start(); err != nil {
+		s.t.Error(err)
+	}
+	s.awaitReady(d)
+	time.Sleep(contact)
+}
+
+// reloadSettings changes a daemon's settings file and signals it.
+func reloadSettings(s *site, rng *rand.Rand) {
+	d := s.reserve(rng)
+	if d == nil {
+		return
+	}
+	defer s.release(d)
+	if err := d.writeSettings([]string{"info", "warn"}[rng.IntN(2)]); err != nil {
+		s.t.Error(err)
+	}
+	time.Sleep(upTo(rng, 200*time.Millisecond))
+	from := time.Now()
+	d.signal(syscall.SIGHUP)
+	s.note(&s.planned, span{"SIGHUP", d.id, from, from.Add(configApply)})
+	time.Sleep(configApply)
+}
+
+func changeConfiguration(s *site, _ *rand.Rand) {
+	s.mu.Lock()
+	from := time.Now()
+	s.configure()
+	until := time.Now().Add(configApply + time.Second)
+	s.mu.Unlock()
+	s.note(&s.planned, span{"configuration", "", from, until})
+	time.Sleep(time.Until(until))
+}
+
+func silenceEngine(s *site, rng *rand.Rand) {
+	from, e := time.Now(), s.engines[rng.IntN(len(s.engines))]
+	d := 500*time.Millisecond + upTo(rng, time.Second)
+	e.silence(d)
+	s.note(&s.planned, span{"silence of " + e.id, "", from, from.Add(d)})
+	time.Sleep(d)
+}
+
+func kill(s *site, rng *rand.Rand) {
+	d := s.reserve(rng)
+	if d == nil {
+		return
+	}
+	defer s.release(d)
+	from := time.Now()
+	d.signal(syscall.SIGKILL)
+	d.awaitEnd(time.Minute)
+	time.Sleep(restartDelay)
+	if err := d.start(); err != nil {
+		s.t.Error(err)
+	}
+	s.note(&s.troubles, span{"SIGKILL", d.id, from, time.Now()})
+	s.awaitReady(d)
+	time.Sleep(contact)
+}
+
+func suspend(s *site, rng *rand.Rand) {
+	d := s.reserve(rng)
+	if d == nil {
+		return
+	}
+	defer s.release(d)
+	from := time.Now()
+	d.signal(syscall.SIGSTOP)
+	time.Sleep(100*time.Millisecond + upTo(rng, 3*time.Second))
+	d.signal(syscall.SIGCONT)
+	s.note(&s.troubles, span{"SIGSTOP", d.id, from, time.Now()})
+	time.Sleep(contact)
+}
+
+func holdLink(s *site, rng *rand.Rand) {
+	from, d := time.Now(), 100*time.Millisecond+upTo(rng, 3*time.Second)
+	s.links[rng.IntN(len(s.links))].hold(d)
+	s.note(&s.troubles, span{"held link", "", from, from.Add(d)})
+	time.Sleep(d)
+}
+
+func resetLink(s *site, rng *rand.Rand) {
+	s.links[rng.IntN(len(s.links))].reset()
+	now := time.Now()
+	s.note(&s.troubles, span{"reset link", "", now, now})
+}
--- /dev/null
+++ b/internal/soak/site_test.go
@@ -0,0 +1,208 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+	"github.com/vanillaroad/vanillaroad/platform"
+)
+
+// span is a time in which something was done to the site. daemon is empty if it
+// concerns all of them.
+type span struct {
+	kind, daemon string
+	from, until  time.Time
+}
+
+// site consists of a store, engines, daemons and clients.
+type site struct {
+	t       *testing.T
+	rng     *rand.Rand
+	store   *platform.Client
+	links   []*proxy // to the store and to each engine
+	engines []*engine
+	daemons []*daemon
+	ledger  *ledger
+	record  *record
+	version int
+	// idleTimeout is the limit of the configuration in force, in nanoseconds.
+	idleTimeout atomic.Int64
+	start       time.Time
+
+	mu       sync.Mutex
+	planned  []span
+	troubles []span
+	busy     map[string]bool // daemons to which something is being done
+}
+
+// loopbackNet returns the first two numbers of addresses that no other site uses until
+// the test ends.
+func loopbackNet(t *testing.T, rng *rand.Rand) string {
+	for {
+		prefix := fmt.Sprintf("127.%d.%d", 1+rng.IntN(250), rng.IntN(250))
+		lock, err := net.Listen("tcp", prefix+".250:8700")
+		if err == nil {
+			t.Cleanup(func() { _ = lock.Close() })
+			return prefix
+		}
+	}
+}
+
+func newSite(t *testing.T, seed uint64, o options) *site {
+	program, err := buildGateway()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &site{
+		t: t, rng: rand.New(rand.NewPCG(seed, 0)), ledger: &ledger{runs: make(map[string][]*run)},
+		record: &record{outcomes: make(map[string]int)}, busy: make(map[string]bool),
+	}
+	dir := t.TempDir()
+	if *keepLogs != "" {
+		dir = filepath.Join(*keepLogs, fmt.Sprint("seed-", seed))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	prefix := loopbackNet(t, rand.New(rand.NewPCG(rand.Uint64(), 0)))
+	store := httptest.NewServer(standin.NewPlatform().Handler())
+	t.Cleanup(func() {
+		store.CloseClientConnections()
+		store.Close()
+	})
+	s.store = platform.NewClient(store.URL, metrics.NewRegistry())
+	t.Cleanup(s.store.Close)
+	storeAddress := prefix + ".251:8742"
+	s.links = append(s.links, startProxy(t, storeAddress, store.Listener.Addr().String()))
+	s.configure()
+	for i := range o.engines {
+		service := "model"
+		if i%3 == 0 {
+			service = "booking"
+		}
+		e := startEngine(t, s.ledger, fmt.Sprint("i-", i), service, fmt.Sprintf("%s.%d:8686", prefix, 100+i))
+		s.links = append(s.links, startProxy(t, fmt.Sprintf("%s.%d:8687", prefix, 100+i), e.address))
+		e.address = fmt.Sprintf("%s.%d:8687", prefix, 100+i)
+		s.engines = append(s.engines, e)
+		s.put(platform.TargetKind, e.id, e.entry())
+	}
+	for i := range o.daemons {
+		s.daemons = append(s.daemons, &daemon{id: fmt.Sprint("vm-", i), ip: fmt.Sprintf("%s.%d", prefix, 1+i), dir: dir, program: program, store: storeAddress})
+	}
+	for i, d := range s.daemons {
+		for j := range min(3, len(s.daemons)) {
+			d.seeds = append(d.seeds, s.daemons[(i+j)%len(s.daemons)].peers())
+		}
+		if err := d.writeSettings("info"); err != nil {
+			t.Fatal(err)
+		}
+		if err := d.start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			d.signal(syscall.SIGKILL)
+			d.awaitEnd(time.Minute)
+		})
+	}
+	for _, d := range s.daemons {
+		s.awaitReady(d)
+	}
+	s.start = time.Now()
+	return s
+}
+
+// awaitReady waits until a daemon is ready. The test's own time limit applies.
+func (s *site) awaitReady(d *daemon) {
+	for {
+		resp, err := http.Get("http://" + d.readiness() + "/-/readiness")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (s *site) put(kind, name string, value any) {
+	b, err := json.Marshal(value)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	old, _ := s.store.Get(context.Background(), kind, name) // version 0 if there is none
+	if _, err := s.store.Put(context.Background(), kind, name, b, old.Version); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// configure writes a new version of the configuration, with other timeouts and routes.
+func (s *site) configure() {
+	s.version += 1 + s.rng.IntN(3)
+	route := func(name, kind, service string, timeout, objective time.Duration, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "service": service, "public": true,
+			"timeout_ms": timeout.Milliseconds(), "slo_ms": objective.Milliseconds(), "gap_target_ms": 700, "max_attempts": attempts, "resumable": kind == "streaming",
+		}
+	}
+	callTimeout := callDeadline - upTo(s.rng, 1500*time.Millisecond)
+	routes := []map[string]any{
+		route(kindStream, "streaming", "model", streamDeadline, 4500*time.Millisecond, 5),
+		route(kindBook, "non_idempotent", "booking", callTimeout, time.Second, 1),
+		route(kindRead, "idempotent", "booking", callTimeout, 4*time.Second, 2),
+	}
+	for i := range s.rng.IntN(20) {
+		routes = append(routes, route(fmt.Sprint("other-", i), "idempotent", "booking", callTimeout, time.Second, 2))
+	}
+	idle := []time.Duration{time.Second, 3 * time.Second, 15 * time.Second}[s.rng.IntN(3)]
+	s.put(platform.ConfigurationKind, platform.ConfigurationName, map[string]any{
+		"version": s.version, "routes": routes, "services": []any{map[string]any{"name": "model"}, map[string]any{"name": "booking"}},
+		"limits": map[string]any{"max_header_bytes": 16 << 10, "max_body_bytes": 1 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": idle.Milliseconds()},
+	})
+	s.idleTimeout.Store(int64(idle))
+}
+
+// note records a span of planned work or of trouble, and logs it.
+func (s *site) note(list *[]span, sp span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*list = append(*list, sp)
+	s.t.Logf("%7.3f s to %.3f s  %s %s", sp.from.Sub(s.start).Seconds(), sp.until.Sub(s.start).Seconds(), sp.kind, sp.daemon)
+}
+
+// reserve picks a daemon to which nothing is being done, as long as half of them are
+// left, and returns nil if there is none.
+func (s *site) reserve(rng *rand.Rand) *daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if 2*len(s.busy) >= len(s.daemons) {
+		return nil
+	}
+	for {
+		if d := s.daemons[rng.IntN(len(s.daemons))]; !s.busy[d.id] {
+			s.busy[d.id] = true
+			return d
+		}
+	}
+}
+
+func (s *site) release(d *daemon) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.busy, d.id)
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,107 @@
+// Package soak runs gateway processes with clients, engines and a store on loopback
+// addresses, disturbs them, and checks the platform's rules from what clients and
+// engines see.
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+)
+
+var (
+	seeds        = flag.Int("soak.seeds", 1, "number of seeds of each test")
+	firstSeed    = flag.Uint64("soak.first", 1, "first seed")
+	parallel     = flag.Int("soak.parallel", 3, "number of seeds that run at the same time")
+	length       = flag.Duration("soak.length", 25*time.Second, "time in which faults are injected, for each seed")
+	daemonCount  = flag.Int("soak.daemons", 6, "number of daemons of each seed")
+	clientCount  = flag.Int("soak.clients", 60, "number of clients of each seed")
+	keepLogs     = flag.String("soak.logs", "", "directory in which the logs of the daemons are kept")
+	raceDetector = flag.Bool("soak.race", false, "build the daemons with the race detector")
+)
+
+// options describe a site and what is done to it.
+type options struct {
+	daemons, engines, clients int
+	length                    time.Duration
+	planned, unplanned        []fault
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	code := m.Run()
+	if program, err := buildGateway(); err == nil {
+		_ = os.RemoveAll(filepath.Dir(program))
+	}
+	os.Exit(code)
+}
+
+// soak runs a site for each seed.
+func soak(t *testing.T, o options) {
+	o.daemons, o.clients, o.length = *daemonCount, *clientCount, *length
+	o.engines = 3 + o.daemons
+	slots := make(chan struct{}, *parallel)
+	for i := range uint64(*seeds) {
+		seed := *firstSeed + i
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			for _, b := range sortedBroken(newSite(t, seed, o).soak(seed, o)) {
+				t.Error(b)
+			}
+		})
+	}
+}
+
+// soak runs clients and faults, and returns the broken rules.
+func (s *site) soak(seed uint64, o options) []string {
+	var directory []string
+	for _, d := range s.daemons {
+		directory = append(directory, d.directory())
+	}
+	var clients, faults sync.WaitGroup
+	clientsDone, faultsDone := make(chan struct{}), make(chan struct{})
+	for i := range o.clients {
+		c := &client{
+			name: fmt.Sprint("c", i), rng: rand.New(rand.NewPCG(seed, uint64(1000+i))), record: s.record, directory: directory,
+			patience: []int{1, 1, 3}[i%3], stubborn: i%4 == 3, idleTimeout: &s.idleTimeout, ledger: s.ledger,
+		}
+		kinds := []string{kindStream}
+		if i%2 == 1 {
+			kinds = []string{kindBook, kindRead}
+		}
+		clients.Go(func() { c.run(clientsDone, kinds) })
+	}
+	faults.Go(func() { s.inject(faultsDone, seed, o.planned, time.Second) })
+	if len(o.unplanned) > 0 {
+		faults.Go(func() { s.inject(faultsDone, seed+1<<32, o.unplanned, 8*time.Second) })
+	}
+	time.Sleep(o.length)
+	close(faultsDone)
+	faults.Wait()
+	close(clientsDone)
+	clients.Wait()
+	return s.check()
+}
+
+// TestSoakPlanned guards against requests that are lost around the stop of a daemon, a
+// reload of its settings or a change of the configuration.
+func TestSoakPlanned(t *testing.T) { soak(t, options{planned: plannedFaults}) }
+
+// TestSoakSilence guards against requests that are lost because an engine is silent for
+// a while and then goes on.
+func TestSoakSilence(t *testing.T) {
+	soak(t, options{planned: append([]fault{silenceEngine}, plannedFaults...)})
+}
+
+// TestSoakTrouble guards against broken rules while daemons are killed and suspended,
+// and links are held up and reset.
+func TestSoakTrouble(t *testing.T) {
+	soak(t, options{planned: plannedFaults, unplanned: unplannedFaults})
+}
