--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -82,7 +82,7 @@
 	if denied > deniedLimit(len(s.record.attempts)) {
 		broken = append(broken, fmt.Sprintf("DENIED: %d requests", denied))
 	}
-	s.t.Logf("%d attempts, %d SIGTERM; unread %d, timed out %d, excused %d, lost %d, cut at other times %d; %d broken rules", len(s.record.attempts),
+	s.t.Logf("%s: %d attempts, %d SIGTERM; unread %d, timed out %d, excused %d, lost %d, cut at other times %d; %d broken rules", s.t.Name(), len(s.record.attempts),
 		s.countPlanned("SIGTERM"), counts[unread], counts[timedOut], counts[excused], counts[lost], counts[cut], len(broken))
 	s.t.Logf("attempts %v; requests %v", statuses, s.record.outcomes)
 	return broken
@@ -140,7 +140,7 @@
 // cutAtEndOfGrace reports whether an engine was still at work on a request near the end
 // of the grace period of a daemon that got a SIGTERM, and the request was not sent late.
 func cutAtEndOfGrace(a *attempt, runs []run, signaled time.Time) bool {
-	if len(runs) == 0 || a.ended.Before(signaled) || a.ended.After(signaled.Add(grace+time.Second)) {
+	if len(runs) == 0 || a.kind == kindStream && runs[len(runs)-1].firstEvent.IsZero() || a.ended.Before(signaled) || a.ended.After(signaled.Add(grace+time.Second)) {
 		return false
 	}
 	return a.sent.Sub(signaled) <= lateSend && !runs[len(runs)-1].ended.Before(signaled.Add(grace*5/6))
@@ -183,7 +183,7 @@
 	add("begun %s, sent %s, ended %s; status %d (%s), complete: %t, %d events of %d; error %v", at(a.begun), at(a.sent), at(a.ended),
 		a.status, http.StatusText(a.status), a.complete, a.events, a.work.events, a.err)
 	for _, r := range s.ledger.of(a.id) {
-		add("run at %s from %s to %s, complete: %t", r.engine, at(r.began), at(r.ended), r.complete)
+		add("run at %s from %s to %s, first event %s, complete: %t", r.engine, at(r.began), at(r.ended), at(r.firstEvent), r.complete)
 	}
 	for _, p := range append(append([]span(nil), s.planned...), s.troubles...) {
 		concerned := p.daemon == "" || s.callersOf(p.daemon) == a.daemon
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -114,11 +114,7 @@
 
 // run sends requests until done is closed.
 func (c *client) run(done <-chan struct{}, kinds []string) {
-	defer func() {
-		for _, conn := range c.pool {
-			_ = conn.Close()
-		}
-	}()
+	defer c.close()
 	for {
 		select {
 		case <-done:
@@ -129,6 +125,12 @@
 	}
 }
 
+func (c *client) close() {
+	for _, conn := range c.pool {
+		_ = conn.Close()
+	}
+}
+
 // request sends a request until it is answered, it must not be sent again, or its time
 // is used up.
 func (c *client) request(kind string) {
@@ -144,6 +146,9 @@
 		conn, reused, err := c.connect(try == 0, failed)
 		if err != nil {
 			c.record.count(kind, "unconnected")
+			if *keepLogs != "" {
+				c.record.count(fmt.Sprint(time.Now().Truncate(time.Second).Format("05"), err), "")
+			}
 			if !c.wait(50*time.Millisecond, deadline) {
 				break
 			}
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -58,7 +58,9 @@
 type run struct {
 	engine       string
 	began, ended time.Time // ended is zero while the engine works
-	complete     bool
+	// firstEvent is when the run of a stream left the queue; zero before, and of calls.
+	firstEvent time.Time
+	complete   bool
 }
 
 // ledger records what the engines ran, by request id.
@@ -81,6 +83,14 @@
 	r.ended, r.complete = time.Now(), complete
 }
 
+func (l *ledger) start(r *run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.firstEvent.IsZero() {
+		r.firstEvent = time.Now()
+	}
+}
+
 // of returns copies of the runs of a request.
 func (l *ledger) of(id string) (out []run) {
 	l.mu.Lock()
@@ -183,20 +193,24 @@
 		}
 		return
 	}
-	complete = e.stream(w, r, work, id)
+	complete = e.stream(w, r, work, id, this)
 }
 
 // stream sends the events after Last-Event-Id and reports whether it sent them all.
-func (e *engine) stream(w http.ResponseWriter, r *http.Request, work task, id string) bool {
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, work task, id string, this *run) bool {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.progress(id, last)
 	defer e.progress(id, -1)
+	if len(id)%2 == 0 && http.NewResponseController(w).Flush() != nil { // some send the head while the request is in the queue
+		return false
+	}
 	wait := work.first
 	for i := last + 1; i <= work.events; i++ {
 		if !e.pause(r, wait) {
 			return false
 		}
+		e.ledger.start(this)
 		wait = work.gap
 		if _, err := io.WriteString(w, work.event(i)); err != nil {
 			return false
@@ -235,11 +249,15 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"stage": "both", "models": []any{}, "busy": false, "seq": 1, "queued": 0, "active": len(runs), "kv_used": 0, "kv_total": 90000, "handles": 0, "runs": runs})
 }
 
-// drawStream draws a stream of 1 to 12 s.
+// drawStream draws a stream of 1 to 12 s, of which one in eight is in the queue for long.
 func drawStream(rng *rand.Rand, key string) task {
+	first := time.Duration(20+rng.IntN(200)) * time.Millisecond
+	if rng.IntN(8) == 0 {
+		first += upTo(rng, 8*time.Second)
+	}
 	gap := time.Duration(30+rng.IntN(21)) * time.Millisecond
 	length := time.Second + upTo(rng, 11*time.Second)
-	return task{key, max(1, int(length/gap)), time.Duration(20+rng.IntN(200)) * time.Millisecond, gap}
+	return task{key, max(1, int(length/gap)), first, gap}
 }
 
 // drawCall draws a call, of which one in ten is slow.
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"bufio"
+	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -39,6 +42,8 @@
 		return
 	}
 	defer s.release(d)
+	late := s.connectLateCallers(rng, d)
+	defer late.Wait()
 	from := time.Now()
 	d.signal(syscall.SIGTERM)
 	if !d.awaitEnd(grace) {
@@ -49,6 +54,32 @@
 	s.restart(d)
 }
 
+// lateCallers is the number of callers that use an open connection to a stopping daemon
+// about as long after the signal as callers may keep an answer of the directory.
+const lateCallers = 12
+
+// connectLateCallers opens connections to a daemon that gets a SIGTERM now. One request
+// is sent on each at about lateSend.
+func (s *site) connectLateCallers(rng *rand.Rand, d *daemon) *sync.WaitGroup {
+	var callers sync.WaitGroup
+	for i := range lateCallers {
+		conn, err := net.Dial("tcp", d.callers())
+		if err != nil {
+			continue // the daemon has just started
+		}
+		c := s.newClient(fmt.Sprintf("late%d-%d", rng.Uint32(), i), rng.Uint64())
+		c.stubborn = true
+		c.pool = []*clientConn{{Conn: conn, address: d.callers(), reader: bufio.NewReader(conn), usedAt: time.Now().Add(time.Hour)}}
+		wait := lateSend - 100*time.Millisecond + upTo(rng, 200*time.Millisecond)
+		callers.Go(func() {
+			defer c.close()
+			time.Sleep(wait)
+			c.request(kindStream)
+		})
+	}
+	return &callers
+}
+
 // restart starts a daemon and waits until it is ready and its callers are back.
 func (s *site) restart(d *daemon) {
 	time.Sleep(restartDelay)
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -75,7 +76,7 @@
 	dir := t.TempDir()
 	if *keepLogs != "" {
 		dir = filepath.Join(*keepLogs, fmt.Sprint("seed-", seed))
-		if err := os.MkdirAll(dir, 0o700); err != nil {
+		if err := errors.Join(os.RemoveAll(dir), os.MkdirAll(dir, 0o700)); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,17 +61,11 @@
 
 // soak runs clients and faults, and returns the broken rules.
 func (s *site) soak(seed uint64, o options) []string {
-	var directory []string
-	for _, d := range s.daemons {
-		directory = append(directory, d.directory())
-	}
 	var clients, faults sync.WaitGroup
 	clientsDone, faultsDone := make(chan struct{}), make(chan struct{})
 	for i := range o.clients {
-		c := &client{
-			name: fmt.Sprint("c", i), rng: rand.New(rand.NewPCG(seed, uint64(1000+i))), record: s.record, directory: directory,
-			patience: []int{1, 1, 3}[i%3], stubborn: i%4 == 3, idleTimeout: &s.idleTimeout, ledger: s.ledger,
-		}
+		c := s.newClient(fmt.Sprint("c", i), seed<<16+uint64(i))
+		c.patience, c.stubborn = []int{1, 1, 3}[i%3], i%4 == 3
 		kinds := []string{kindStream}
 		if i%2 == 1 {
 			kinds = []string{kindBook, kindRead}
@@ -90,6 +84,14 @@
 	return s.check()
 }
 
+func (s *site) newClient(name string, seed uint64) *client {
+	c := &client{name: name, rng: rand.New(rand.NewPCG(seed, 3)), record: s.record, patience: 1, idleTimeout: &s.idleTimeout, ledger: s.ledger}
+	for _, d := range s.daemons {
+		c.directory = append(c.directory, d.directory())
+	}
+	return c
+}
+
 // TestSoakPlanned guards against requests that are lost around the stop of a daemon, a
 // reload of its settings or a change of the configuration.
 func TestSoakPlanned(t *testing.T) { soak(t, options{planned: plannedFaults}) }
