platform: the head of a stream is sent with its first event

Callers lost streams around a SIGTERM: status 200 and no event, then a closed connection (LOST). An engine may send the head of its answer while the request is in its queue; we passed it on at once, so at the end of the grace period only a cut was left, of a request on which no engine was at work.

The head waits for the first event. Objectives are measured to the first event, so nothing is later than before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -164,7 +164,7 @@
 type Responder interface {
 	Answer(status int, header http.Header, body []byte)
 	Fail(err *failure.Error)
-	// Begin starts a stream.
+	// Begin starts a stream. Its head may be sent as late as the first event.
 	Begin(status int, header http.Header) error
 	// Event passes on one complete event.
 	Event(raw []byte) error
