gateway: a stopping daemon closes a connection only after the answer on it

A stopping daemon counted a request as running from the end of its body to the return of its handler, and closed all connections once it counted none. A request whose body was still being read, or whose answer net/http had not flushed yet, lost its connection (LOST).

The daemon now goes by its connections, which are busy from the first byte that was read to the end of the answer. At the end of a stop it accepts no more of them and closes those that aren't busy, until none is left or the time for answers is over.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -162,7 +162,7 @@
 
 func (g *Gateway) closeListeners() {
 	for _, s := range g.servers {
-		_ = s.listener.Close() // no connection has been accepted yet
+		_ = s.listener.Close() // it may be closed already
 	}
 }
 
@@ -214,10 +214,7 @@
 		g.events.Record(event.NodeFailed, "", event.F("error", err.Error()))
 	}
 	g.cancelRequests(forward.ErrStopping) // requests still running at the end of the grace period
-	g.awaitRequests(time.Now().Add(cancelAnswerTime))
-	for _, s := range g.servers {
-		_ = s.Close()
-	}
+	g.closeConns(time.Now().Add(cancelAnswerTime))
 	stop()
 	g.peers.transport.Close()
 	g.wg.Wait()
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -43,17 +43,18 @@
 	return &trackedConn{Conn: c}, nil
 }
 
-// trackedConn is a connection whose state is either busy, idle or expired. An expired
+// trackedConn is a connection whose state is unused, busy, idle or expired. An expired
 // connection delivers no more bytes, so that no request is served whose answer can't be
 // sent.
 type trackedConn struct {
 	net.Conn
-	state atomic.Int64 // connBusy, connExpired, or since when it is idle in nanoseconds from idleTracker.start, at least 1
+	state atomic.Int64 // connBusy, connExpired, connUnused, or since when it is idle in nanoseconds from idleTracker.start, at least 1
 }
 
 const (
 	connBusy    = 0
 	connExpired = -1
+	connUnused  = -2 // nothing was read yet
 )
 
 // Read implements net.Conn.
@@ -90,11 +91,14 @@
 	}
 	switch s {
 	case http.StateNew:
+		conn.state.Store(connUnused)
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		i.conns[conn] = struct{}{}
 	case http.StateIdle:
-		conn.state.CompareAndSwap(connBusy, max(1, int64(time.Since(i.start))))
+		if state := conn.state.Load(); state != connExpired {
+			conn.state.CompareAndSwap(state, max(1, int64(time.Since(i.start))))
+		}
 	case http.StateActive:
 		conn.markBusy()
 	case http.StateClosed, http.StateHijacked:
@@ -126,6 +130,30 @@
 	return out
 }
 
+// busy returns the number of connections on which a request is read or answered.
+func (i *idleTracker) busy() (n int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.conns {
+		if c.state.Load() == connBusy {
+			n++
+		}
+	}
+	return n
+}
+
+// retire marks all connections as expired that are not busy, and returns them.
+func (i *idleTracker) retire() (out []net.Conn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.conns {
+		if state := c.state.Load(); state != connBusy && state != connExpired && c.state.CompareAndSwap(state, connExpired) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // closeIdleConns closes connections that exceed the configured idle timeout, until ctx
 // is done.
 func (g *Gateway) closeIdleConns(ctx context.Context) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -64,9 +64,27 @@
 	g.awaitRequests(deadline)
 }
 
-// awaitRequests waits until no request is running, or until deadline.
+// awaitRequests waits until no request is read or answered, or until deadline.
 func (g *Gateway) awaitRequests(deadline time.Time) {
-	for g.inFlight.Load() > 0 && time.Now().Before(deadline) {
+	for g.idleConns.busy() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
 }
+
+// closeConns accepts no more connections and closes the open ones, each after the answer
+// to the request that is being read or answered on it, or at the deadline.
+func (g *Gateway) closeConns(deadline time.Time) {
+	g.closeListeners()
+	for {
+		for _, c := range g.idleConns.retire() {
+			_ = c.Close() // the caller may already have closed it
+		}
+		if g.idleConns.busy() == 0 || !time.Now().Before(deadline) {
+			break
+		}
+		time.Sleep(drainPollInterval)
+	}
+	for _, s := range g.servers {
+		_ = s.Close()
+	}
+}
