gateway: a stopping daemon refuses requests that can't be expected to end in time

Callers lost streams around a SIGTERM: a stopping daemon accepted new streams for 3 s and cut them at the end of its grace period, as in the users' log (answer_cut_short, "the daemon stops, and the request was not done in time", 7.9 s after the request). The platform excuses such a cut for requests sent up to 3 s after the signal, which is also when the daemon began to refuse: one that was sent a moment later, while the daemon was late, was lost.

A stop now has a plan. A request is served if its deadline is before the end of the grace period or, in the first quarter of it, if at most a tenth of its route's recent requests took longer than what is left; others are refused at once with 503, and their callers go to another daemon. Nothing that is uncertain is begun later than 2 s after the signal.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -47,9 +47,9 @@
 	CacheKey        string // cache key of the prompt part that is specific to the request or its session; empty for none
 }
 
-// answerDeadline returns the time by which the request must be answered: the earlier of
+// AnswerDeadline returns the time by which the request must be answered: the earlier of
 // the caller's deadline and the timeout of the route. It is zero if there is neither.
-func (r *Request) answerDeadline() time.Time {
+func (r *Request) AnswerDeadline() time.Time {
 	deadline := r.Received.Add(r.Route.Timeout)
 	if r.Route.Timeout <= 0 || !r.Deadline.IsZero() && r.Deadline.Before(deadline) {
 		return r.Deadline
@@ -60,7 +60,7 @@
 // timeLeft returns the time until the request must be answered, at least a millisecond;
 // 0 if it has no deadline.
 func (r *Request) timeLeft() time.Duration {
-	deadline := r.answerDeadline()
+	deadline := r.AnswerDeadline()
 	if deadline.IsZero() {
 		return 0
 	}
@@ -220,7 +220,7 @@
 // final answer or ctx is done. ctx must end when the caller disconnects.
 func (f *Forwarder) Serve(ctx context.Context, r *Request, w Responder) {
 	f.RetryBudget.CountRequest(time.Now(), r.Service)
-	deadline := r.answerDeadline()
+	deadline := r.AnswerDeadline()
 	if !deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,8 +52,9 @@
 	document  atomic.Pointer[exchange.Entry] // of which table was made
 	tableMu   sync.Mutex                     // held while a table is activated
 	newer     *newerVersions
-	draining  atomic.Bool  // a planned stop has started
-	refusing  atomic.Bool  // new requests are refused
+	draining  atomic.Bool              // a planned stop has started
+	stopping  atomic.Pointer[stopPlan] // nil until a planned stop has started
+	durations *routeDurations
 	inFlight  atomic.Int64 // callers' requests being served
 	idleConns *idleTracker
 
@@ -86,7 +87,7 @@
 	logger := level.NewFilter(log.With(log.NewJSONLogger(logOutput), "ts", log.DefaultTimestampUTC, "node", s.ID),
 		level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
 	g := &Gateway{
-		metrics: metrics.NewRegistry(), idleConns: newIdleTracker(),
+		metrics: metrics.NewRegistry(), idleConns: newIdleTracker(), durations: newRouteDurations(),
 		events:       event.NewRecorder(s.ID, event.NewClock(time.Now), logger, s.EventRing),
 		targetClient: platform.NewTargetClient(), fleet: fleet.New(s.Place, rand.Uint64()),
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,14 +1,12 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/forward"
-	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // drainRetryAfter is the delay after which a caller that is refused by a draining
@@ -19,13 +17,35 @@
 func (g *Gateway) serve(r *http.Request, req *forward.Request, w forward.Responder) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.refusing.Load() {
+	if p := g.stopping.Load(); p != nil && !p.admits(time.Now(), req.AnswerDeadline(), req.Route.Name, g.durations) {
 		err := failure.New(failure.Draining, failure.NotRun, "admit", "", "this daemon stops").WithRetryAfter(drainRetryAfter)
 		g.recordRefusal(req.ID, err)
 		w.Fail(err)
 		return
 	}
-	g.forwarder.Serve(r.Context(), req, w)
+	answer := &observedResponder{Responder: w}
+	g.forwarder.Serve(r.Context(), req, answer)
+	if answer.succeeded && req.LastEventID == "" {
+		g.durations.record(req.Route.Name, time.Since(req.Received))
+	}
+}
+
+// observedResponder notes whether the caller got a complete and successful answer.
+type observedResponder struct {
+	forward.Responder
+	succeeded bool
+}
+
+// Answer implements forward.Responder.
+func (o *observedResponder) Answer(status int, header http.Header, body []byte) {
+	o.succeeded = status < http.StatusMultipleChoices
+	o.Responder.Answer(status, header, body)
+}
+
+// End implements forward.Responder.
+func (o *observedResponder) End() {
+	o.succeeded = true
+	o.Responder.End()
 }
 
 // recordRefusal records the event of a request that was refused before it was
@@ -49,19 +69,18 @@
 	drainPollInterval = 10 * time.Millisecond
 )
 
-// drain removes this daemon from the directory, serves new requests while callers may
-// still use older directory answers, then refuses new requests and waits for the
+// drain removes this daemon from the directory, serves new requests that can end in time
+// while callers may still use older directory answers, then refuses all and waits for the
 // running ones until the grace period is nearly over.
 func (g *Gateway) drain() {
-	deadline := time.Now().Add(g.settings.Load().Grace.Std() - shutdownReserve)
+	s := g.settings.Load()
+	plan := newStopPlan(time.Now(), s.Grace.Std(), s.DirectoryTTL.Std())
+	g.stopping.Store(plan)
 	g.draining.Store(true)
 	g.events.Record(event.NodeDraining, "")
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
 	g.peers.sendToAll(kindLoad, g.loadReport())
-	pause.For(ctx, min(staleDirectoryTTLs*g.settings.Load().DirectoryTTL.Std(), g.settings.Load().Grace.Std()/2))
-	g.refusing.Store(true)
-	g.awaitRequests(deadline)
+	time.Sleep(time.Until(plan.refuseAll))
+	g.awaitRequests(plan.deadline)
 }
 
 // awaitRequests waits until no request is read or answered, or until deadline.
--- a/gateway/stop_review_test.go
+++ b/gateway/stop_review_test.go
@@ -26,7 +26,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := &Gateway{events: event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 16), idleConns: newIdleTracker()}
 				g.requestCtx, g.cancelRequests = context.WithCancelCause(context.Background())
-				g.refusing.Store(true)
+				g.stopping.Store(&stopPlan{}) // refuses all requests
 				table := ingress.NewTable(ingress.Document{Version: 1, Routes: []ingress.Route{{
 					Name: "a", Host: "h", Prefix: "/a/", Kind: ingress.Idempotent, Services: []ingress.WeightedService{{Service: "svc", Weight: 1}},
 				}}})
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -177,3 +177,47 @@
 		t.Errorf("%d of %d requests got no answer, the first one: %s", len(lost), requests, lost[0])
 	}
 }
+
+func TestStopPlan(t *testing.T) {
+	start := time.Now()
+	durations := newRouteDurations()
+	for range 2 * durationSamples {
+		durations.record("short", 50*time.Millisecond)
+		durations.record("long", 7*time.Second)
+	}
+	for range durationSamples / 8 {
+		durations.record("mixed", 7*time.Second)
+	}
+	for range durationSamples {
+		durations.record("mixed", 50*time.Millisecond)
+	}
+	durations.record("mixed", 7*time.Second)
+	plan := newStopPlan(start, 8*time.Second, time.Second)
+	for _, c := range []struct {
+		name    string
+		after   time.Duration
+		timeout time.Duration // 0 for none
+		route   string
+		want    bool
+	}{
+		{"a route whose requests are short", 0, 25 * time.Second, "short", true},
+		{"no deadline", 0, 0, "short", true},
+		{"a route whose requests could just end", 500 * time.Millisecond, 25 * time.Second, "long", true},
+		{"a route whose requests take too long", 800 * time.Millisecond, 25 * time.Second, "long", false},
+		{"few requests of the route take too long", 1900 * time.Millisecond, 25 * time.Second, "mixed", true},
+		{"an unknown route", 0, 25 * time.Second, "new", false},
+		{"an unknown route with a short timeout", 0, 800 * time.Millisecond, "new", true},
+		{"late and probably in time", 2100 * time.Millisecond, 25 * time.Second, "short", false},
+		{"late and certainly in time", 2100 * time.Millisecond, 800 * time.Millisecond, "short", true},
+		{"after the last directory answers have expired", 3 * time.Second, 800 * time.Millisecond, "short", false},
+	} {
+		now := start.Add(c.after)
+		var answerBy time.Time
+		if c.timeout > 0 {
+			answerBy = now.Add(c.timeout)
+		}
+		if got := plan.admits(now, answerBy, c.route, durations); got != c.want {
+			t.Errorf("%s: admitted %t, want %t", c.name, got, c.want)
+		}
+	}
+}
