platform, forward: a refusal counts by its head, whatever follows (REFUSED)

A 503 with Vanillaroad-Not-Executed whose body has no end counted as an attempt that may have run: a non-idempotent call failed with an unknown outcome instead of going to another target, and up to 16 MiB were read. The call read each body before it looked at the head.

TestRefusalsWithoutEnd of forward before: status 0 and 'more than bytes', or 'no answer in time' with slow bytes, where the other target's answer is wanted; bytes read of three bodies.

The call doesn't read it at all.

--- a/forward/successor.go
+++ b/forward/successor.go
@@ -250,6 +250,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if answer.NotRun {
+		_ = answer.Body.Close() // the head says all; the body may have no end
+		return answer, nil, nil
+	}
 	body, err := readBody(answer.Body)
 	return answer, body, err
 }
