forward: the answers that a daemon buffers share a bounded memory (MEMORY)

Each call buffers up to 16 MiB, so 18 answers without an end exceed the 284 MB of the process, which is killed with all its requests.

Bodies grow within a shared budget (internal/membudget). When it is used up, the largest body that is still growing loses its memory and its read is stopped; one without an end becomes the largest sooner or later, and shorter answers stay complete (the test's 200 KiB answers among the endless ones all arrive). Up to 8 KiB an answer is free, so short ones always pass. An answer of up to 16 MiB is still possible. Its memory counts until the caller has been sent it.

--- a/forward/call.go
+++ b/forward/call.go
@@ -12,10 +12,17 @@
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 )
 
-// maxAnswerBytes bounds an answer that is buffered until it is complete.
-const maxAnswerBytes = 16 << 20
+// Limits of buffered answers.
+const (
+	// maxAnswerBytes bounds an answer that is buffered until it is complete.
+	maxAnswerBytes = 16 << 20
+	// MaxBufferedBytes bounds what the buffered answers of a daemon hold together, apart
+	// from membudget.FreeBytes of each.
+	MaxBufferedBytes = 64 << 20
+)
 
 // attemptTimeoutFactor is how long a repeatable call waits for one target before it is
 // sent to another, in multiples of the route's latency objective.
@@ -31,6 +38,7 @@
 // call forwards a request and buffers the answer until it is complete.
 func (f *Forwarder) call(ctx context.Context, r *Request, w Responder) {
 	c := &call{forwarder: f, request: r, tried: make(map[string]bool)}
+	defer c.releaseMemory()
 	answer, err := c.run(ctx)
 	if answer == nil {
 		if canceledByCaller(ctx) {
@@ -55,6 +63,8 @@
 	mayHaveRun    bool            // a target may have run the request
 	targetFailure *bufferedAnswer // server error of a target, used if no attempt succeeds
 	succession    succession
+
+	memory []*membudget.Share // of the bodies that were read
 }
 
 // run sends the request until there is an answer or no attempt is left.
@@ -187,15 +197,25 @@
 	return failure.Wrap(err, failure.TargetLost, failure.Unknown, "await answer", c.target.ID)
 }
 
+// readBody reads and closes the body of an answer.
+func (c *call) readBody(body io.ReadCloser) ([]byte, error) {
+	memory := c.forwarder.Buffers.NewShare()
+	c.memory = append(c.memory, memory)
+	return readBody(memory, body)
+}
+
+// releaseMemory releases the memory of the bodies once the call is answered.
+func (c *call) releaseMemory() {
+	for _, memory := range c.memory {
+		memory.Release()
+	}
+}
+
 // readBody reads and closes a body.
-func readBody(body io.ReadCloser) ([]byte, error) {
-	defer func() { _ = body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes+1))
+func readBody(memory *membudget.Share, body io.ReadCloser) ([]byte, error) {
+	b, err := memory.ReadAll(body, maxAnswerBytes)
 	if err != nil {
 		return nil, errors.Wrap(ErrNoAnswer, err.Error())
 	}
-	if len(b) > maxAnswerBytes {
-		return nil, errors.Wrapf(ErrNoAnswer, "more than %d bytes", maxAnswerBytes)
-	}
 	return b, nil
 }
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"math"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -11,6 +15,7 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 )
 
 // endlessBody repeats text until it is closed or ctx ends: as fast as it is read if gap is
@@ -20,8 +25,26 @@
 	cancel context.CancelFunc
 	text   string
 	gap    time.Duration
-	read   *atomic.Int64
+	bytes  *byteCount
 	rest   string
+	held   atomic.Int64
+	closed sync.Once
+}
+
+// byteCount counts the bytes that are read of all bodies of a test.
+type byteCount struct {
+	mu   sync.Mutex
+	read int64 // of all bodies
+	held int64 // of the bodies that are open
+	peak int64 // largest value of held
+}
+
+func (c *byteCount) add(read, held int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read += read
+	c.held += held
+	c.peak = max(c.peak, c.held)
 }
 
 // Read implements io.Reader.
@@ -46,24 +69,26 @@
 		copied := copy(p[n:], b.rest)
 		n, b.rest = n+copied, b.rest[copied:]
 	}
-	b.read.Add(int64(n))
+	b.held.Add(int64(n))
+	b.bytes.add(int64(n), int64(n))
 	return n, nil
 }
 
 // Close implements io.Closer.
 func (b *endlessBody) Close() error {
 	b.cancel()
+	b.closed.Do(func() { b.bytes.add(0, -b.held.Load()) })
 	return nil
 }
 
 // endless answers with a head like that of answer, and a body without an end. It counts
 // the bytes that are read of all its bodies.
-func endless(answer Answer, text string, gap time.Duration, read *atomic.Int64) behaviour {
+func endless(answer Answer, text string, gap time.Duration, bytes *byteCount) behaviour {
 	return func(ctx context.Context, _ Attempt, _ *fakeTargetClient) (*Answer, error) {
 		a := answer
 		a.Header = http.Header{}
 		ctx, cancel := context.WithCancel(ctx)
-		a.Body = &endlessBody{ctx: ctx, cancel: cancel, text: text, gap: gap, read: read}
+		a.Body = &endlessBody{ctx: ctx, cancel: cancel, text: text, gap: gap, bytes: bytes}
 		return &a, nil
 	}
 }
@@ -82,7 +107,7 @@
 		for kindName, kind := range map[string]ingress.Kind{"idempotent": ingress.Idempotent, "non-idempotent": ingress.NonIdempotent} {
 			t.Run(name+" "+kindName, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					var read atomic.Int64
+					var read byteCount
 					refusal := endless(Answer{Status: http.StatusServiceUnavailable, NotRun: true}, "a", gap, &read)
 					route := callRoute
 					route.Kind = kind
@@ -94,7 +119,7 @@
 					if got := s.serve(t, route); got.err == nil || got.err.Outcome != failure.NotRun {
 						t.Errorf("status %d, error %v, want an error with outcome not-run", got.status, got.err)
 					}
-					if n := read.Load(); n != 0 {
+					if n := read.read; n != 0 {
 						t.Errorf("%d bytes of the bodies were read, want none", n)
 					}
 				})
@@ -102,3 +127,43 @@
 		}
 	}
 }
+
+// TestEndlessAnswersLeaveMemory guards against answers without an end that together use up
+// the memory of the daemon, and keep complete answers from being read.
+func TestEndlessAnswersLeaveMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const endlessRequests, completeRequests, completeBytes = 60, 60, 200 << 10
+		var bytes byteCount
+		route := callRoute
+		route.Kind = ingress.NonIdempotent
+		endlessFixture := newFixture(map[string]behaviour{
+			"a": endless(Answer{Status: http.StatusOK, Signed: true}, strings.Repeat("a", 64<<10), time.Millisecond, &bytes),
+		})
+		completeFixture := newFixture(map[string]behaviour{"b": func(context.Context, Attempt, *fakeTargetClient) (*Answer, error) {
+			return &Answer{Status: http.StatusOK, Signed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(strings.Repeat("b", completeBytes)))}, nil
+		}})
+		completeFixture.Buffers = endlessFixture.Buffers                       // as in one daemon
+		endlessFixture.CrashTracker = &limitedCrashTracker{limit: math.MaxInt} // for concurrent use
+		var wg sync.WaitGroup
+		for range endlessRequests {
+			wg.Go(func() {
+				if got := endlessFixture.serve(t, route); got.err == nil || got.err.Outcome != failure.Unknown {
+					t.Errorf("status %d, error %v, want an error with an unknown outcome", got.status, got.err)
+				}
+			})
+		}
+		for range completeRequests {
+			time.Sleep(5 * time.Millisecond)
+			if got := completeFixture.serve(t, route); got.status != http.StatusOK || len(got.body) != completeBytes {
+				t.Errorf("status %d with %d bytes, error %v, want the complete answer", got.status, len(got.body), got.err)
+			}
+		}
+		wg.Wait()
+		if limit := int64(MaxBufferedBytes + endlessRequests*membudget.FreeBytes); bytes.peak > limit {
+			t.Errorf("%d bytes were held at one time, want at most %d", bytes.peak, limit)
+		}
+		if n := endlessFixture.Buffers.Used(); n != 0 {
+			t.Errorf("%d bytes are in use after the answers, want none", n)
+		}
+	})
+}
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 	"github.com/vanillaroad/vanillaroad/origin"
 )
 
@@ -246,14 +247,17 @@
 type fakeResponder struct {
 	status  int
 	header  http.Header
+	body    []byte
 	events  []string
 	err     *failure.Error
 	ended   bool
 	aborted bool
 }
 
-func (c *fakeResponder) Answer(status int, h http.Header, _ []byte) { c.status, c.header = status, h }
-func (c *fakeResponder) Fail(err *failure.Error)                    { c.err = err }
+func (c *fakeResponder) Answer(status int, h http.Header, body []byte) {
+	c.status, c.header, c.body = status, h, body
+}
+func (c *fakeResponder) Fail(err *failure.Error) { c.err = err }
 func (c *fakeResponder) Begin(status int, h http.Header) error {
 	c.status, c.header = status, h
 	return nil
@@ -328,8 +332,8 @@
 	}
 	s.Forwarder = &Forwarder{
 		TargetClient: s.client, Fleet: f, Events: events, CrashTracker: s.crashTracker, Origins: s.origins, Prober: NewProber(s.client, f, events),
-		CacheLocator: NewCacheLocator(s.client),
-		Metrics:      metrics.NewRegistry(), PlacementLimiter: NewPlacementLimiter(), RetryBudget: NewRetryBudget(time.Now().Add(-time.Minute), RetryBudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
+		CacheLocator: NewCacheLocator(s.client), Buffers: membudget.New(MaxBufferedBytes),
+		Metrics: metrics.NewRegistry(), PlacementLimiter: NewPlacementLimiter(), RetryBudget: NewRetryBudget(time.Now().Add(-time.Minute), RetryBudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
 		Model: func(string) *ingress.Model { return &ingress.Model{KVCacheTokens: 50_000, StandbyCopies: true} },
 	}
 	s.RetryBudget.SetDaemons(1)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 )
 
 // Request is one caller's request, received completely.
@@ -201,6 +202,7 @@
 	PlacementLimiter *rate.Limiter // see NewPlacementLimiter
 	CrashTracker     CrashTracker
 	Origins          OriginTracker
+	Buffers          *membudget.Budget // for answers, see MaxBufferedBytes
 	Events           *event.Recorder
 	Metrics          metrics.Registry
 	// Model returns the properties of a service's model engines, nil if it has none.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
@@ -37,6 +38,8 @@
 	notSent        int             // attempts whose target was not reached
 	succession     succession
 	noAttempt      string // why no further attempt was planned, for the log; empty while there is one
+
+	failureMemory *membudget.Share // of targetFailure; nil for none
 }
 
 func newStream(f *Forwarder, r *Request, w Responder) *stream {
@@ -62,6 +65,7 @@
 // attempt is left.
 func (s *stream) run(ctx context.Context) {
 	defer s.forwarder.releaseRetries(s.request, &s.succession)
+	defer s.releaseFailure()
 	for {
 		a, ok := s.planAttempt(ctx)
 		if !ok {
@@ -342,13 +346,22 @@
 
 // keepFailure keeps the answer of a target that failed, in case no attempt succeeds.
 func (s *stream) keepFailure(a *Answer) error {
-	body, err := readBody(a.Body)
+	memory := s.forwarder.Buffers.NewShare()
+	body, err := readBody(memory, a.Body)
 	if err == nil {
-		s.targetFailure = &bufferedAnswer{a.Status, a.Header, body}
+		s.releaseFailure()
+		s.targetFailure, s.failureMemory = &bufferedAnswer{a.Status, a.Header, body}, memory
 	}
 	return err
 }
 
+// releaseFailure releases the memory of targetFailure.
+func (s *stream) releaseFailure() {
+	if s.failureMemory != nil {
+		s.failureMemory.Release()
+	}
+}
+
 // isEventStream reports whether an answer's body is a stream of events.
 func isEventStream(a *Answer) bool { return a.Status == http.StatusOK && a.Signed }
 
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -254,7 +254,7 @@
 		_ = answer.Body.Close() // the head says all; the body may have no end
 		return answer, nil, nil
 	}
-	body, err := readBody(answer.Body)
+	body, err := c.readBody(answer.Body)
 	return answer, body, err
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/quarantine"
@@ -108,6 +109,7 @@
 		TargetClient: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, Origins: g.origins, PlacementLimiter: forward.NewPlacementLimiter(),
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
 		RetryBudget: forward.NewRetryBudget(time.Now(), s.RetryBudget.budgetSettings()),
+		Buffers:     membudget.New(forward.MaxBufferedBytes),
 		Model:       g.model,
 	}
 	var err error
--- a/gateway/poison_daemon_test.go
+++ b/gateway/poison_daemon_test.go
@@ -15,6 +15,7 @@
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/origin"
 	"github.com/vanillaroad/vanillaroad/quarantine"
@@ -130,6 +131,7 @@
 		TargetClient: s, Fleet: f, Events: events, Metrics: metrics.NewRegistry(), CrashTracker: d.tracker, Origins: singleVersion{},
 		Prober: forward.NewProber(s, f, events), CacheLocator: forward.NewCacheLocator(s), PlacementLimiter: forward.NewPlacementLimiter(),
 		RetryBudget: forward.NewRetryBudget(time.Now().Add(-time.Minute), forward.RetryBudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
+		Buffers:     membudget.New(forward.MaxBufferedBytes),
 		Model:       func(string) *ingress.Model { return nil },
 	}
 	d.RetryBudget.SetDaemons(1)
