forward: an event without an end is read up to its limit (MEMORY)

The limit of an event, 1 MiB, was checked after each complete line. A target that sends a line without an end was read until the memory of the daemon was used up.

Lines are now read in parts and the limit is checked before each part is kept. Events, also those that wait to be passed on, use the daemon's memory for answers, so that many of them together stay within it. The stream goes on at another target as after a broken connection.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -47,6 +48,11 @@
 	c.peak = max(c.peak, c.held)
 }
 
+func newEndlessBody(ctx context.Context, text string, gap time.Duration, bytes *byteCount) *endlessBody {
+	ctx, cancel := context.WithCancel(ctx)
+	return &endlessBody{ctx: ctx, cancel: cancel, text: text, gap: gap, bytes: bytes}
+}
+
 // Read implements io.Reader.
 func (b *endlessBody) Read(p []byte) (int, error) {
 	if b.gap > 0 && b.rest == "" {
@@ -87,8 +93,7 @@
 	return func(ctx context.Context, _ Attempt, _ *fakeTargetClient) (*Answer, error) {
 		a := answer
 		a.Header = http.Header{}
-		ctx, cancel := context.WithCancel(ctx)
-		a.Body = &endlessBody{ctx: ctx, cancel: cancel, text: text, gap: gap, bytes: bytes}
+		a.Body = newEndlessBody(ctx, text, gap, bytes)
 		return &a, nil
 	}
 }
@@ -167,3 +172,80 @@
 		}
 	})
 }
+
+// joinedBody is a body that begins with the text start.
+type joinedBody struct {
+	start *strings.Reader
+	*endlessBody
+}
+
+// Read implements io.Reader.
+func (b *joinedBody) Read(p []byte) (int, error) {
+	if b.start.Len() > 0 {
+		return b.start.Read(p)
+	}
+	return b.endlessBody.Read(p)
+}
+
+// streamThenEndless streams the events 0 to last at once, and then text without an end.
+func streamThenEndless(last int, text string, gap time.Duration, bytes *byteCount) behaviour {
+	return func(ctx context.Context, _ Attempt, _ *fakeTargetClient) (*Answer, error) {
+		var start strings.Builder
+		for i := range last + 1 {
+			fmt.Fprintf(&start, "id: %d\ndata: %d\n\n", i, i)
+		}
+		body := &joinedBody{strings.NewReader(start.String()), newEndlessBody(ctx, text, gap, bytes)}
+		return &Answer{Status: http.StatusOK, Signed: true, Framed: true, Header: http.Header{}, Body: body}, nil
+	}
+}
+
+// TestEventWithoutEnd guards against an event without an end, in one line or many, that
+// uses up the memory of the daemon or ends its stream.
+func TestEventWithoutEnd(t *testing.T) {
+	for name, text := range map[string]string{"one line": "data", "many lines": "data: a\n", "many comments": ": a\r\n"} {
+		for _, last := range []int{-1, 19} {
+			t.Run(fmt.Sprint(name, " after ", last+1, " events"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var bytes byteCount
+					s, _ := newFixtureWithBroken(streaming(50, -1, eventGap, nil), streamThenEndless(last, text, 0, &bytes))
+					if got := s.serve(t, streamRoute); !got.receivedAll(50) {
+						t.Errorf("the caller received %d events (want 51, each once and in order), ended %v (want true), error %v", len(got.events), got.ended, got.err)
+					}
+					synctest.Wait()
+					const readBufferBytes = 4 << 10
+					if limit := int64(maxEventBytes + readBufferBytes); bytes.read > limit {
+						t.Errorf("%d bytes were read, want at most %d", bytes.read, limit)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestEndlessEventsLeaveMemory guards against events without an end that together use up
+// the memory of the daemon.
+func TestEndlessEventsLeaveMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 150
+		var bytes byteCount
+		budget := membudget.New(MaxBufferedBytes)
+		var wg sync.WaitGroup
+		for range streams {
+			wg.Go(func() {
+				events := newEventReader(newEndlessBody(t.Context(), strings.Repeat("a", 4<<10), time.Millisecond, &bytes), budget.NewShare())
+				defer events.close()
+				if _, err := events.next(); err == nil {
+					t.Error("an event without an end was read without an error")
+				}
+			})
+		}
+		wg.Wait()
+		const readBufferBytes = 4 << 10
+		if limit := int64(MaxBufferedBytes + streams*(membudget.FreeBytes+readBufferBytes)); bytes.peak > limit {
+			t.Errorf("%d bytes were held at one time, want at most %d", bytes.peak, limit)
+		}
+		if n := budget.Used(); n != 0 {
+			t.Errorf("%d bytes are in use afterwards, want none", n)
+		}
+	})
+}
--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 )
 
 func TestEventReader(t *testing.T) {
@@ -24,7 +26,7 @@
 			{"nothing", "", nil, nil, io.EOF},
 		}
 		for _, c := range cases {
-			r := newEventReader(strings.NewReader(c.in))
+			r := newEventReader(io.NopCloser(strings.NewReader(c.in)), membudget.New(0).NewShare())
 			var raw []string
 			var ids []int64
 			var err error
@@ -45,7 +47,7 @@
 		}
 	})
 	Convey("An event id that is not a number is an error", t, func() {
-		_, err := newEventReader(strings.NewReader("id: x\n\n")).next()
+		_, err := newEventReader(io.NopCloser(strings.NewReader("id: x\n\n")), membudget.New(0).NewShare()).next()
 		So(err, ShouldNotBeNil)
 	})
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -53,8 +53,9 @@
 	if !isEventStream(answer) {
 		return // relay reads the body
 	}
-	defer func() { _ = answer.Body.Close() }()
-	for events := newEventReader(answer.Body); ; {
+	events := newEventReader(answer.Body, a.stream.forwarder.Buffers.NewShare())
+	defer events.close()
+	for {
 		ev, err := events.next()
 		if !sendUnlessDone(ctx, a.parts, answerPart{event: ev, err: err}) || err != nil {
 			return
