--- a/forward/run.go
+++ b/forward/run.go
@@ -31,6 +31,9 @@
 	endReported  bool            // the run's end was reported to the crash tracker
 	progressed   bool            // the run's progress was reported
 	kept         bool            // it was recorded that the attempt goes on although its target is silent
+	unnumbered   []byte          // events without an id that were not passed on yet
+	idleBytes    int             // see maxIdleBytes
+	nextRepeated int64           // id after the last event that the caller had received before
 }
 
 // answerPart is one result of the reading goroutine: the head (status and header) of
@@ -254,13 +257,16 @@
 func (a *streamAttempt) handleEvent(ctx context.Context, p answerPart) (attemptEnd, bool) {
 	s, now := a.stream, time.Now()
 	if isEndOfStream(p.err) {
-		return endComplete, true
+		return a.endStream(), true
 	}
 	if p.err != nil {
 		s.forwarder.Prober.Check(a.attempt.Target)
 		a.reportBroken(ctx)
 		return a.abandonBroken(p.err.Error()), true
 	}
+	if !s.isProgress(p.event) {
+		return a.handleIdleEvent(p.event)
+	}
 	if !a.detector.firstEventSeen {
 		a.firstEventAt = now
 		a.active.MarkFirstEvent(now)
@@ -272,16 +278,13 @@
 	a.detector.recordEvent(now)
 	s.forwarder.releaseReturn(s.request, &s.succession)
 	a.kept = false
-	if p.event.ID >= 0 && p.event.ID <= s.lastEventID {
-		return 0, false // the caller has received it already
-	}
-	if p.event.ID >= 0 && s.lastEventID >= 0 && p.event.ID != s.lastEventID+1 {
+	if s.lastEventID >= 0 && p.event.ID != s.lastEventID+1 {
 		return a.abandon("event " + strconv.FormatInt(p.event.ID, 10) + " follows " + strconv.FormatInt(s.lastEventID, 10)), true
 	}
 	if !s.originRecorded {
 		s.beginAt(a.attempt.Target.SoftwareVersion)
 	}
-	if err := s.responder.Event(p.event.Raw); err != nil {
+	if err := s.responder.Event(a.takeUnnumbered(p.event.Raw)); err != nil {
 		s.lastErr = failure.Wrap(err, failure.Canceled, failure.Unknown, "answer the caller", "")
 		return endCanceled, true
 	}
