--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -173,6 +173,43 @@
 	})
 }
 
+// TestFailuresWithoutEnd guards against requests that wait for the body of a failure, or
+// fail with it, while another target could get them.
+func TestFailuresWithoutEnd(t *testing.T) {
+	for name, gap := range map[string]time.Duration{"fast": 0, "slow": 10 * time.Millisecond, "silent": time.Hour} {
+		for _, status := range []int{http.StatusNotFound, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+			t.Run(fmt.Sprint(name, " status ", status), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var bytes byteCount
+					failing := endless(Answer{Status: status, Signed: true}, strings.Repeat("a", 4<<10), gap, &bytes)
+					s, first := newFixtureWithBroken(streaming(50, -1, eventGap, nil), failing)
+					start := time.Now()
+					got := s.serve(t, streamRoute)
+					if limit := 51*eventGap + failureTimeout + 2*placementInterval; !got.receivedAll(50) || time.Since(start) > limit {
+						t.Errorf("a stream: %d events (want 51), error %v, after %v (want at most %v); sent to %v", len(got.events), got.err, time.Since(start), limit, s.client.attempts())
+					}
+					synctest.Wait()
+					if bytes.held != 0 {
+						t.Errorf("the answer of %s is not closed", first)
+					}
+					s = newFixtureWithFirst(failing, answering(http.StatusOK, false))
+					if got := s.serve(t, callRoute); got.status != http.StatusOK {
+						t.Errorf("a call: status %d, error %v, want the answer of the other target; sent to %v", got.status, got.err, s.client.attempts())
+					}
+					s = newFixtureWithFirst(failing, failing)
+					route := callRoute
+					route.Kind = ingress.NonIdempotent
+					start = time.Now()
+					got = s.serve(t, route)
+					if got.status != 0 || got.err == nil || got.err.Outcome != failure.Unknown || len(s.client.attempts()) != 1 || time.Since(start) > route.Timeout {
+						t.Errorf("a non-idempotent call: status %d, error %v after %v, sent to %v, want an error with an unknown outcome after one send within the route's timeout", got.status, got.err, time.Since(start), s.client.attempts())
+					}
+				})
+			})
+		}
+	}
+}
+
 // joinedBody is a body that begins with the text start.
 type joinedBody struct {
 	start *strings.Reader
--- a/forward/run.go
+++ b/forward/run.go
@@ -241,15 +241,16 @@
 	s := a.stream
 	s.mayHaveRun, a.failed = true, true
 	s.tried[a.attempt.Target.ID] = true
+	end := endTargetLost
 	err := s.keepFailure(answer)
 	if err == nil {
 		err = errors.Errorf("status %d", answer.Status)
+		if answer.Status < 500 {
+			end = endNoRetry
+		}
 	}
 	s.recordLoss(failure.Wrap(err, failure.TargetLost, failure.Ran, "send", a.attempt.Target.ID), a.attempt)
-	if answer.Status < 500 {
-		return endNoRetry
-	}
-	return endTargetLost
+	return end
 }
 
 // handleEvent handles an event or the end of the stream. If the attempt has ended, it
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -344,8 +344,14 @@
 	return s.standby.holder.ID + " in " + s.standby.holder.Place + " " + string(s.forwarder.Fleet.State(time.Now(), s.standby.holder.ID))
 }
 
+// failureTimeout bounds the body of a failure that a target answers a stream with. Body and
+// head usually arrive together, and the stream has to go on.
+const failureTimeout = time.Second
+
 // keepFailure keeps the answer of a target that failed, in case no attempt succeeds.
 func (s *stream) keepFailure(a *Answer) error {
+	timer := time.AfterFunc(failureTimeout, func() { _ = a.Body.Close() })
+	defer timer.Stop()
 	memory := s.forwarder.Buffers.NewShare()
 	body, err := readBody(memory, a.Body)
 	if err == nil {
