--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,8 +27,10 @@
 	gap    time.Duration
 	bytes  *byteCount
 	rest   string
-	held   atomic.Int64
-	closed sync.Once
+
+	// Guarded by bytes.mu.
+	held   int64
+	closed bool
 }
 
 // byteCount counts the bytes that are read of all bodies of a test.
@@ -40,12 +41,24 @@
 	peak int64 // largest value of held
 }
 
-func (c *byteCount) add(read, held int64) {
+// add counts n bytes that were read of a body.
+func (c *byteCount) add(b *endlessBody, n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read += n
+	if !b.closed {
+		b.held += n
+		c.held += n
+		c.peak = max(c.peak, c.held)
+	}
+}
+
+// close counts a body as closed.
+func (c *byteCount) close(b *endlessBody) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.read += read
-	c.held += held
-	c.peak = max(c.peak, c.held)
+	c.held -= b.held
+	b.held, b.closed = 0, true
 }
 
 func newEndlessBody(ctx context.Context, text string, gap time.Duration, bytes *byteCount) *endlessBody {
@@ -75,15 +88,14 @@
 		copied := copy(p[n:], b.rest)
 		n, b.rest = n+copied, b.rest[copied:]
 	}
-	b.held.Add(int64(n))
-	b.bytes.add(int64(n), int64(n))
+	b.bytes.add(b, int64(n))
 	return n, nil
 }
 
 // Close implements io.Closer.
 func (b *endlessBody) Close() error {
 	b.cancel()
-	b.closed.Do(func() { b.bytes.add(0, -b.held.Load()) })
+	b.bytes.close(b)
 	return nil
 }
 
@@ -210,6 +222,24 @@
 	}
 }
 
+// TestUnsignedStreamIsNoAnswer guards against a success without the target's signature that
+// is passed on because no attempt at a stream succeeds.
+func TestUnsignedStreamIsNoAnswer(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNoContent} {
+		synctest.Test(t, func(t *testing.T) {
+			broken := unsigned(answering(status, false))
+			s, _ := newFixtureWithBroken(streaming(50, -1, eventGap, nil), broken)
+			if got := s.serve(t, streamRoute); !got.receivedAll(50) {
+				t.Errorf("status %d: %d events (want 51), error %v; sent to %v", got.status, len(got.events), got.err, s.client.attempts())
+			}
+			s = newFixture(map[string]behaviour{"a": broken})
+			if got := s.serve(t, streamRoute); got.status != 0 || got.err == nil || got.err.Outcome != failure.Unknown {
+				t.Errorf("status %d, error %v, want an error with an unknown outcome", got.status, got.err)
+			}
+		})
+	}
+}
+
 // joinedBody is a body that begins with the text start.
 type joinedBody struct {
 	start *strings.Reader
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
@@ -350,6 +352,10 @@
 
 // keepFailure keeps the answer of a target that failed, in case no attempt succeeds.
 func (s *stream) keepFailure(a *Answer) error {
+	if a.Status < http.StatusMultipleChoices && !a.Signed {
+		_ = a.Body.Close()
+		return errors.Wrap(ErrNoAnswer, "a success without the target's signature")
+	}
 	timer := time.AfterFunc(failureTimeout, func() { _ = a.Body.Close() })
 	defer timer.Stop()
 	memory := s.forwarder.Buffers.NewShare()
