target: answers of targets have limits, and a truncated reply is none (MIXED, MEMORY)

vanillaroadd read the head of a target's answer up to 10 MiB and documents without a limit, for up to 2 s; a stream event could hold 1 MiB in each of many streams. A reply of a plain service of more than 1 MiB was cut off there and passed on as complete.

Heads end after 16 KiB, stream events after 64 KiB, replies after 1 MiB, other documents after 4 MiB, each with ErrLost. The time was bounded already: by answerTimeout, which includes the body, by the context of a call, and by the stall limit of a generation.

--- a/target/client.go
+++ b/target/client.go
@@ -21,15 +21,22 @@
 const (
 	dialTimeout   = time.Second
 	answerTimeout = 2 * time.Second // of a call other than Generate, Attach and Call
-	maxLineBytes  = 1 << 20         // of a stream event, and of the body of a Reply
+	maxHeadBytes  = 16 << 10        // of an answer's status and headers
+	maxLineBytes  = 64 << 10        // of a stream event
+	maxReplyBytes = 1 << 20         // of the body of a Reply
+	maxBodyBytes  = 4 << 20         // of any other answer
 )
 
 // Client is the HTTP client of one target. It implements Engine and PlainService.
 type Client struct {
 	base string
 	http *http.Client
+	dial dialFunc
 }
 
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 var (
 	_ Engine       = (*Client)(nil)
 	_ PlainService = (*Client)(nil)
@@ -37,12 +44,17 @@
 
 // NewClient returns a client of the target at address, an IP:port.
 func NewClient(address string) *Client {
+	return newClient(address, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+func newClient(address string, dial dialFunc) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     10 * time.Second,
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    16,
+		IdleConnTimeout:        10 * time.Second,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, dial: dial}
 }
 
 // Close releases idle connections.
@@ -162,7 +174,7 @@
 // stay silent forever while new ones work.
 func (c *Client) Probe(ctx context.Context) (uint64, error) {
 	probeClient := &Client{base: c.base, http: &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true,
+		DialContext: c.dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 	var l Load
 	err := probeClient.roundTrip(ctx, http.MethodGet, "/health", nil, &l)
@@ -212,7 +224,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(out); err != nil {
 		return errors.Wrap(ErrLost, err.Error())
 	}
 	return nil
@@ -229,9 +241,12 @@
 		return Reply{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxLineBytes))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 	if err != nil {
 		return Reply{}, errors.Wrap(ErrLost, err.Error())
 	}
+	if len(b) > maxReplyBytes {
+		return Reply{}, errors.Wrapf(ErrLost, "a reply of more than %d bytes", maxReplyBytes)
+	}
 	return Reply{Status: resp.StatusCode, Body: string(b)}, nil
 }
