peer: the hello of a connection is small (MEMORY)

The handshake read a frame of up to 4 MiB from whatever answers at, or connects to, the address of a daemon; addresses are used again.

A hello's frame has at most maxHelloBytes. Its time was bounded already by dialTimeout, that of other frames by silenceTimeout.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -158,7 +158,7 @@
 			c.close(err)
 			return
 		}
-		e, err := readFrame(r)
+		e, err := readFrame(r, maxFrameBytes)
 		if err != nil {
 			c.close(silenceError(err))
 			return
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -12,6 +12,10 @@
 // value, one megabyte, so that any platform object can be relayed.
 const maxFrameBytes = 4 << 20
 
+// maxHelloBytes is the maximum size of the body of a hello frame. It is small, because
+// anything may listen at, or connect to, the address of a daemon that has ended.
+const maxHelloBytes = 4 << 10
+
 // headerBytes is the size of the length prefix of a frame.
 const headerBytes = 4
 
@@ -32,15 +36,15 @@
 	return n, errors.Wrap(err, "write frame")
 }
 
-// readFrame reads one envelope. Its buffer grows with the received data, so that a false
-// length prefix can't make it allocate much memory.
-func readFrame(r io.Reader) (*envelope, error) {
+// readFrame reads one envelope whose body has at most maxBytes. Its buffer grows with the
+// received data, so that a false length prefix can't make it allocate much memory.
+func readFrame(r io.Reader, maxBytes uint32) (*envelope, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, errors.Wrap(err, "read frame header")
 	}
 	n := binary.BigEndian.Uint32(header[:])
-	if n > maxFrameBytes {
+	if n > maxBytes {
 		return nil, errors.WithStack(ErrFrameTooLarge)
 	}
 	body, err := io.ReadAll(io.LimitReader(r, int64(n)))
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -162,7 +162,7 @@
 	if _, err := writeFrame(nc, &envelope{Kind: kindHello, Body: body, Time: t.timestamp()}); err != nil {
 		return Identity{}, err
 	}
-	e, err := readFrame(nc)
+	e, err := readFrame(nc, maxHelloBytes)
 	if err != nil {
 		return Identity{}, err
 	}
--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -96,7 +96,7 @@
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{0, 0, 0, 9, 1})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		e, err := readFrame(bytes.NewReader(b))
+		e, err := readFrame(bytes.NewReader(b), maxFrameBytes)
 		if err == nil && e == nil {
 			t.Fatal("readFrame returned neither a frame nor an error, want one of them")
 		}
