--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -316,3 +316,46 @@
 		}
 	})
 }
+
+// TestSlowEventWithoutEnd guards against a stream that waits for an event whose bytes
+// arrive without end, also before the first event, when silence is no sign of a loss.
+func TestSlowEventWithoutEnd(t *testing.T) {
+	for name, text := range map[string]string{"one line": "a", "many lines": "data: a\n"} {
+		for _, last := range []int{-1, 19} {
+			t.Run(fmt.Sprint(name, " after ", last+1, " events"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var bytes byteCount
+					s, _ := newFixtureWithBroken(streaming(50, -1, eventGap, nil), streamThenEndless(last, text, eventGap, &bytes))
+					start := time.Now()
+					got := s.serve(t, streamRoute)
+					if limit := slowEventTime + 52*eventGap + 2*placementInterval; !got.receivedAll(50) || time.Since(start) > limit {
+						t.Errorf("the caller received %d events (want 51, each once and in order) in %v (want at most %v), ended %v, error %v", len(got.events), time.Since(start), limit, got.ended, got.err)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestSilenceWithinAnEvent guards against a limit of slow events that ends a stream whose
+// target is silent for a while within an event.
+func TestSilenceWithinAnEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, w := io.Pipe()
+		go func() {
+			for i := range 40 {
+				_, _ = fmt.Fprintf(w, "id: %d\nda", i)
+				time.Sleep(2 * slowEventTime)
+				_, _ = fmt.Fprintf(w, "ta: %d\n\n", i)
+			}
+			_ = w.Close()
+		}()
+		events := newEventReader(r, membudget.New(0).NewShare())
+		defer events.close()
+		for i := range 40 {
+			if ev, err := events.next(); err != nil || ev.ID != int64(i) {
+				t.Fatalf("event %d, error %v, want event %d", ev.ID, err, i)
+			}
+		}
+	})
+}
