forward: test of calls whose answer has no end

Found nothing: the attempt's timeout covers the body, and leaves time for another target where the route allows one; a call that may not be repeated ends within its route's timeout.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -222,6 +222,43 @@
 	}
 }
 
+// TestAnswersWithoutEnd guards against calls whose answer has no length and no end, and
+// takes the time in which another target could answer, or passes the route's timeout.
+func TestAnswersWithoutEnd(t *testing.T) {
+	for name, gap := range map[string]time.Duration{"fast": 0, "slow": 10 * time.Millisecond, "silent": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var bytes byteCount
+				first := endless(Answer{Status: http.StatusOK, Signed: true}, strings.Repeat("a", 4<<10), gap, &bytes)
+				s := newFixtureWithFirst(first, answering(http.StatusOK, false))
+				start := time.Now()
+				got := s.serve(t, callRoute)
+				const sends = 2 * time.Nanosecond // see fakeTargetClient.Send
+				if limit := attemptTimeoutFactor*callRoute.LatencyObjective + sends; got.status != http.StatusOK || len(got.body) != 0 || time.Since(start) > limit {
+					t.Errorf("status %d with %d bytes, error %v after %v, want the answer of the other target within %v", got.status, len(got.body), got.err, time.Since(start), limit)
+				}
+				for _, kind := range []ingress.Kind{ingress.Idempotent, ingress.NonIdempotent} {
+					s = newFixtureWithFirst(first, first)
+					route := callRoute
+					route.Kind = kind
+					start = time.Now()
+					got = s.serve(t, route)
+					if got.status != 0 || got.err == nil || got.err.Outcome != failure.Unknown || time.Since(start) > route.Timeout {
+						t.Errorf("status %d, error %v after %v, want an error with an unknown outcome within the route's timeout", got.status, got.err, time.Since(start))
+					}
+					if kind == ingress.NonIdempotent && len(s.client.attempts()) != 1 {
+						t.Errorf("sent to %v, want one target", s.client.attempts())
+					}
+				}
+				synctest.Wait()
+				if bytes.held != 0 {
+					t.Error("an answer is not closed")
+				}
+			})
+		})
+	}
+}
+
 // TestUnsignedStreamIsNoAnswer guards against a success without the target's signature that
 // is passed on because no attempt at a stream succeeds.
 func TestUnsignedStreamIsNoAnswer(t *testing.T) {
