forward: a retry that is not sent uses no retry budget

Callers saw repeatable requests fail although a target was ready: the retry budget of an attempt was consumed even if its target could not be reached, so that a small budget was used up before anything was sent.

The budget counts arrivals at targets, so that of an attempt without one is kept for the next attempt.

--- a/forward/call.go
+++ b/forward/call.go
@@ -80,6 +80,7 @@
 		}
 		if attemptErr.Code == failure.NoTarget { // the target was not reached, so nothing was sent
 			failedDials++
+			c.succession.retryReserved = len(c.tried) > 0 // the budget of this attempt is not used
 			continue
 		}
 		c.tried[target.ID] = true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -78,6 +78,7 @@
 			return
 		case endNotSent:
 			s.notSent++
+			s.succession.retryReserved = len(s.tried) > 0 // the budget of this attempt is not used
 			continue
 		case endTargetLost:
 			if s.mayHaveRun && !s.request.Route.Repeatable() {
