forward: reserved retry budget counts at the time of the send

Budget that was reserved was also lost if the crash tracker refused the send.

A reservation now has its time. It is given back exactly, and a reserved retry counts when it is sent.

TestReleasedRetry fails with the former Release.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -105,12 +105,17 @@
 	return true
 }
 
-// Release takes back a retry that was counted and not made.
-func (b *RetryBudget) Release(service string) {
+// Release takes back the latest retry that was counted at or before a time, because it
+// was not made or was made later.
+func (b *RetryBudget) Release(at time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.services[service]; s != nil && len(s.retries) > 0 {
-		s.retries = s.retries[:len(s.retries)-1]
+	s := b.services[service]
+	if s == nil {
+		return
+	}
+	if i := len(s.retries) - len(timesAfter(s.retries, at)) - 1; i >= 0 {
+		s.retries = slices.Delete(s.retries, i, i+1)
 	}
 }
 
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -77,3 +77,21 @@
 		}
 	})
 }
+
+// TestReleasedRetry guards against more retries than the budget allows, because a
+// released retry was taken off the count at another time than its own.
+func TestReleasedRetry(t *testing.T) {
+	Convey("A released retry counts no more, the others still do until their window ends", t, func() {
+		b := NewRetryBudget(epoch.Add(-time.Hour), RetryBudgetSettings{Slack: 2.3, Window: 10 * time.Second})
+		b.SetDaemons(1)
+		at := func(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
+		So(b.AllowRetry(at(0), "s"), ShouldBeTrue)
+		So(b.AllowRetry(at(5), "s"), ShouldBeTrue)
+		So(b.AllowRetry(at(6), "s"), ShouldBeFalse)
+		b.Release(at(0), "s")
+		b.Release(at(0), "other")
+		So(b.AllowRetry(at(6), "s"), ShouldBeTrue)
+		So(b.AllowRetry(at(11), "s"), ShouldBeFalse)
+		So(b.AllowRetry(at(15), "s"), ShouldBeTrue)
+	})
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -70,6 +70,7 @@
 			break
 		}
 		c.target = *target
+		plannedAt := time.Now()
 		answer, attemptErr := c.attempt(ctx, *target)
 		if answer != nil {
 			return answer, nil
@@ -80,7 +81,7 @@
 		}
 		if attemptErr.Code == failure.NoTarget { // the target was not reached, so nothing was sent
 			failedDials++
-			c.succession.retryReserved = len(c.tried) > 0 // the budget of this attempt is not used
+			c.succession.keepRetry(plannedAt, len(c.tried))
 			continue
 		}
 		c.tried[target.ID] = true
@@ -102,7 +103,7 @@
 func (c *call) planAttempt(ctx context.Context, failedDials int) (t *fleet.Target, refusal *failure.Error) {
 	allowed := false
 	if failedDials < c.maxFailedDials() {
-		allowed, refusal = c.forwarder.allowAttempt(ctx, c.request, len(c.tried), c.succession.takeRetry())
+		allowed, refusal = c.forwarder.allowAttempt(ctx, c.request, len(c.tried), take(&c.succession.retryReserved))
 	}
 	if allowed {
 		picked, err := c.forwarder.Fleet.Pick(time.Now(), fleet.Criteria{Service: c.request.Service, Exclude: c.tried})
@@ -110,7 +111,7 @@
 			return &picked, nil
 		}
 		refusal = noTargetError(c.request, err)
-		c.succession.retryReserved = len(c.tried) > 0 // not used
+		c.succession.keepRetry(time.Now(), len(c.tried))
 	}
 	back, ok, returnRefusal := c.forwarder.planReturn(ctx, c.request, &c.succession, func(fleet.Target) bool { return true })
 	if ok {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -272,25 +272,30 @@
 func (r *Request) attemptsLeft(attempts int) bool { return attempts < r.maxAttempts() }
 
 // allowAttempt reports whether a request may be sent to one more target after so many
-// attempts. If so, it consumes retry budget for a retry, unless that is reserved. It is
-// called before each send, because targets may have crashed since the previous one, while
-// they ran this request or others with the same content. See allowSend for the error.
-func (f *Forwarder) allowAttempt(ctx context.Context, r *Request, attempts int, reserved bool) (bool, *failure.Error) {
+// attempts. It is called before each send, because targets may have crashed since the
+// previous one, while they ran this request or others with the same content. See
+// allowSend for reserved and the error.
+func (f *Forwarder) allowAttempt(ctx context.Context, r *Request, attempts int, reserved time.Time) (bool, *failure.Error) {
 	if !r.attemptsLeft(attempts) {
 		return false, nil
 	}
-	return f.allowSend(ctx, r, attempts > 0 && !reserved)
+	return f.allowSend(ctx, r, attempts > 0, reserved)
 }
 
 // allowSend reports whether a request may be sent to a target now. If isRetry is set, it
-// consumes retry budget. If the request is quarantined or ctx is done, allowSend returns
-// the reason. It may block, see CrashTracker.
-func (f *Forwarder) allowSend(ctx context.Context, r *Request, isRetry bool) (bool, *failure.Error) {
-	if err := f.CrashTracker.Check(ctx, r); err != nil {
-		return false, err
+// consumes retry budget, instead of that which was reserved at a time, if there is any: a
+// retry counts when it is made. If the request is quarantined or ctx is done, allowSend
+// returns the reason. It may block, see CrashTracker.
+func (f *Forwarder) allowSend(ctx context.Context, r *Request, isRetry bool, reserved time.Time) (bool, *failure.Error) {
+	err := f.CrashTracker.Check(ctx, r)
+	if err == nil && ctx.Err() != nil {
+		err = contextError(ctx, failure.NotRun, "quarantine", "")
+	}
+	if !reserved.IsZero() {
+		f.RetryBudget.Release(reserved, r.Service)
 	}
-	if ctx.Err() != nil {
-		return false, contextError(ctx, failure.NotRun, "quarantine", "")
+	if err != nil {
+		return false, err
 	}
 	if isRetry && !f.RetryBudget.AllowRetry(time.Now(), r.Service) {
 		f.Events.Record(event.RetryDenied, r.ID, event.F("service", r.Service))
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -67,6 +67,7 @@
 		if !ok {
 			break
 		}
+		plannedAt := time.Now()
 		end := s.attempt(ctx, a)
 		switch end {
 		case endComplete:
@@ -78,7 +79,7 @@
 			return
 		case endNotSent:
 			s.notSent++
-			s.succession.retryReserved = len(s.tried) > 0 // the budget of this attempt is not used
+			s.succession.keepRetry(plannedAt, len(s.tried))
 			continue
 		case endTargetLost:
 			if s.mayHaveRun && !s.request.Route.Repeatable() {
@@ -164,7 +165,7 @@
 		promptHolders = s.promptHolders(ctx)
 	}
 	// The last step that may take time, so that the target is picked by the latest state.
-	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried), s.succession.takeRetry())
+	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried), take(&s.succession.retryReserved))
 	if refusal != nil {
 		s.lastErr = refusal
 	}
@@ -186,7 +187,7 @@
 				s.lastErr = noTargetError(s.request, err)
 			}
 			s.noAttempt = err.Error()
-			s.succession.retryReserved = len(s.tried) > 0 // the budget of this attempt is not used yet
+			s.succession.keepRetry(time.Now(), len(s.tried))
 			return s.planReturn(ctx)
 		}
 		a.Target = t
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -24,17 +24,26 @@
 // succession is the state of a request that was taken from silent targets.
 type succession struct {
 	silent         []fleet.Incarnation // targets that it was taken from, latest last
-	retryReserved  bool                // the next attempt has its retry budget
-	returnReserved bool                // the next return has its retry budget
+	retryReserved  time.Time           // when the retry budget of the next attempt was consumed; zero if it was not
+	returnReserved time.Time           // the same of the next return
 	returns        int
 }
 
-// takeRetry uses the retry budget that is reserved for the next attempt, if there is any.
-func (c *succession) takeRetry() (reserved bool) {
-	reserved, c.retryReserved = c.retryReserved, false
+// take empties a reservation and returns it.
+func take(reservation *time.Time) time.Time {
+	reserved := *reservation
+	*reservation = time.Time{}
 	return reserved
 }
 
+// keepRetry keeps the retry budget that was just consumed for an attempt that is not made,
+// if it is one after so many others.
+func (c *succession) keepRetry(now time.Time, attempts int) {
+	if attempts > 0 {
+		c.retryReserved = now
+	}
+}
+
 // Reasons why a request stays at a silent target.
 var (
 	errNotRepeatable   = errors.New("the request must not be sent again")
@@ -50,7 +59,7 @@
 	now := time.Now()
 	criteria.Exclude = withID(tried, current)
 	switch {
-	case c.retryReserved:
+	case !c.retryReserved.IsZero():
 		return nil
 	case !r.Route.Repeatable():
 		return errNotRepeatable
@@ -66,13 +75,16 @@
 		return refusal
 	}
 	retries := 2
-	if c.returnReserved {
+	if !c.returnReserved.IsZero() {
 		retries = 1
 	}
 	if !f.RetryBudget.AllowRetries(now, r.Service, retries) {
 		return errBudgetExhausted
 	}
-	c.retryReserved, c.returnReserved = true, true
+	c.retryReserved = now
+	if c.returnReserved.IsZero() {
+		c.returnReserved = now
+	}
 	return nil
 }
 
@@ -85,17 +97,16 @@
 
 // releaseReturn gives back the retry budget for a return that is not needed.
 func (f *Forwarder) releaseReturn(r *Request, c *succession) {
-	if c.returnReserved {
-		c.returnReserved = false
-		f.RetryBudget.Release(r.Service)
+	if reserved := take(&c.returnReserved); !reserved.IsZero() {
+		f.RetryBudget.Release(reserved, r.Service)
 	}
 }
 
 // releaseRetries gives back all retry budget that a request did not use.
 func (f *Forwarder) releaseRetries(r *Request, c *succession) {
 	f.releaseReturn(r, c)
-	if c.takeRetry() {
-		f.RetryBudget.Release(r.Service)
+	if reserved := take(&c.retryReserved); !reserved.IsZero() {
+		f.RetryBudget.Release(reserved, r.Service)
 	}
 }
 
@@ -112,11 +123,11 @@
 		if state := f.Fleet.State(now, previous.Target.ID); previous.Terminated(now) || !suits(previous.Target) || state == fleet.Unknown || state == fleet.Leaving {
 			continue
 		}
-		reserved := c.takeRetry()
-		if !reserved {
-			reserved, c.returnReserved = c.returnReserved, false
+		reserved := take(&c.retryReserved)
+		if reserved.IsZero() {
+			reserved = take(&c.returnReserved)
 		}
-		allowed, refusal := f.allowSend(ctx, r, !reserved)
+		allowed, refusal := f.allowSend(ctx, r, true, reserved)
 		if !allowed {
 			return fleet.Target{}, false, refusal
 		}
