forward: a request waits until it can return to the silent target it was taken from

Callers saw streams cut, and repeatable calls fail, after they were taken from a silent target and no other target took them (LOST): the return was tried once, within the silence. If the target could not be connected to yet, refused, was avoided after a refusal, or the retry budget did not suffice at that moment, the request ended, although the target went on soon after.

The return is now tried every 150 ms, or as soon as another target is ready, until a target receives the request and does not refuse it, the targets that it was taken from have terminated, the quarantine refuses it, or its deadline. Only returns that arrive count against the limit of two. A stream that waits takes a placement only if it has a target and retry budget for it, so it delays no new streams; a denial of retry budget is recorded once.

TestRefusedStreamWaitsForItsTarget failed before with 19 of 51 events.

--- a/forward/call.go
+++ b/forward/call.go
@@ -67,6 +67,9 @@
 			lastErr = refusal
 		}
 		if target == nil {
+			if c.succession.awaitReturn(ctx) {
+				continue
+			}
 			break
 		}
 		c.target = *target
@@ -104,6 +107,9 @@
 	allowed := false
 	if failedDials < c.maxFailedDials() {
 		allowed, refusal = c.forwarder.allowAttempt(ctx, c.request, len(c.tried), take(&c.succession.retryReserved))
+		if refusal != nil {
+			c.succession.silent = nil
+		}
 	}
 	if allowed {
 		picked, err := c.forwarder.Fleet.Pick(time.Now(), fleet.Criteria{Service: c.request.Service, Exclude: c.tried})
@@ -141,6 +147,7 @@
 	case err != nil:
 		active.Done(now, true)
 		c.mayHaveRun = true
+		c.succession.arrived(t.ID)
 		if gaveUp {
 			c.succession.silent = append(c.succession.silent, incarnation)
 		}
@@ -150,6 +157,7 @@
 		return nil, c.forwarder.handleRefusal(t, answer, false)
 	}
 	c.mayHaveRun = true
+	c.succession.arrived(t.ID)
 	c.forwarder.releaseReturn(c.request, &c.succession)
 	serverError := answer.Status >= http.StatusInternalServerError
 	active.Done(now, serverError)
--- a/forward/return_test.go
+++ b/forward/return_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,9 +12,54 @@
 	"github.com/vanillaroad/vanillaroad/fleet"
 )
 
+// unreachableWhilePaused answers like b, but can't be connected to while its target is
+// paused.
+func unreachableWhilePaused(b behaviour) behaviour {
+	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+		dialCtx, cancel := context.WithTimeout(ctx, simDialTimeout)
+		defer cancel()
+		if !s.awaitResume(dialCtx, a.Target.ID) {
+			return nil, errors.WithStack(ErrNotSent)
+		}
+		return b(ctx, a, s)
+	}
+}
+
+// serveSilent serves a stream whose target is silent from its 20th event on, and whose
+// other targets answer with other.
+func serveSilent(t *testing.T, first, other behaviour, change func(s *fixture, first string)) {
+	t.Helper()
+	s, id := newFixtureWithBroken(other, first)
+	go func() {
+		time.Sleep(20*eventGap + eventGap/2)
+		if change != nil {
+			change(s, id)
+		}
+		s.client.pauseFor(silence, id)
+	}()
+	got := s.serve(t, streamRoute)
+	time.Sleep(2 * silence) // the target goes on
+	synctest.Wait()
+	if !got.receivedAll(50) {
+		t.Errorf("the caller got %d events (want 51), ended %v (want true), error %v; sent to %v", len(got.events), got.ended, got.err, s.client.attempts())
+	}
+	if s.client.maxConcurrent > 1 {
+		t.Errorf("the request ran on %d targets at once, want at most 1", s.client.maxConcurrent)
+	}
+}
+
 // oneRetry allows one retry in two seconds.
 var oneRetry = RetryBudgetSettings{Slack: 1.2, Window: 2 * time.Second}
 
+// TestRefusedStreamWaitsForItsTarget guards against streams that are cut because they
+// were taken from a silent target, no other takes them, and that target can't be
+// connected to yet.
+func TestRefusedStreamWaitsForItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		serveSilent(t, unreachableWhilePaused(pausable(50, eventGap)), answering(http.StatusServiceUnavailable, true), nil)
+	})
+}
+
 // TestUnsentRetryUsesNoBudget guards against requests that fail because their retry
 // budget was used for a target that could not be reached.
 func TestUnsentRetryUsesNoBudget(t *testing.T) {
--- a/forward/run.go
+++ b/forward/run.go
@@ -198,6 +198,9 @@
 // the attempt has ended, it returns how and true.
 func (a *streamAttempt) handleHead(ctx context.Context, p answerPart) (attemptEnd, bool) {
 	s, t := a.stream, a.attempt.Target
+	if !errors.Is(p.err, ErrNotSent) && (p.answer == nil || !p.answer.NotRun) {
+		s.succession.arrived(t.ID)
+	}
 	switch {
 	case errors.Is(p.err, ErrNotSent):
 		s.recordLoss(s.forwarder.handleUnreachable(t, p.err), a.attempt)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -65,8 +65,12 @@
 	for {
 		a, ok := s.planAttempt(ctx)
 		if !ok {
+			if s.succession.awaitReturn(ctx) {
+				continue
+			}
 			break
 		}
+		s.noAttempt = ""
 		plannedAt := time.Now()
 		end := s.attempt(ctx, a)
 		switch end {
@@ -155,6 +159,9 @@
 	if len(s.succession.silent) == 0 {
 		s.awaitTarget(ctx)
 	}
+	if s.noAttempt != "" && !s.canPlace(time.Now()) {
+		return s.planReturn(ctx)
+	}
 	var promptHolders map[string]bool
 	if !s.standbyReady(time.Now()) {
 		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
@@ -167,7 +174,7 @@
 	// The last step that may take time, so that the target is picked by the latest state.
 	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried), take(&s.succession.retryReserved))
 	if refusal != nil {
-		s.lastErr = refusal
+		s.lastErr, s.succession.silent = refusal, nil
 	}
 	if !allowed {
 		s.noAttempt = errBudgetExhausted.Error()
@@ -221,6 +228,18 @@
 	}
 }
 
+// canPlace reports whether a target is ready for a stream that waits, and reserves the
+// retry budget for it if so. Streams that wait use up no placements.
+func (s *stream) canPlace(now time.Time) bool {
+	if _, err := s.forwarder.Fleet.Pick(now, s.targetCriteria(nil)); err != nil {
+		return false
+	}
+	if s.succession.retryReserved.IsZero() && s.forwarder.RetryBudget.AllowRetry(now, s.request.Service) {
+		s.succession.retryReserved = now
+	}
+	return !s.succession.retryReserved.IsZero()
+}
+
 // planReturn plans an attempt at a target that the stream was taken from.
 func (s *stream) planReturn(ctx context.Context) (Attempt, bool) {
 	t, ok, refusal := s.forwarder.planReturn(ctx, s.request, &s.succession, s.allowsVersion)
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // A target that is not at fault may be silent for a second or more and then go on. A
@@ -18,15 +20,48 @@
 // other target refuses. Without a successor the request stays where it is until its target
 // answers, breaks the connection or is known to have terminated.
 
-// maxReturns is how often a request returns to targets that it was taken from.
-const maxReturns = 2
+const (
+	// maxReturns is how often a request returns to targets that it was taken from. A
+	// return that is refused or not sent doesn't count.
+	maxReturns = 2
+	// returnInterval is the time between two attempts to return. It is the shortest
+	// backoff of a target that refused.
+	returnInterval = 150 * time.Millisecond
+)
 
 // succession is the state of a request that was taken from silent targets.
 type succession struct {
 	silent         []fleet.Incarnation // targets that it was taken from, latest last
 	retryReserved  time.Time           // when the retry budget of the next attempt was consumed; zero if it was not
 	returnReserved time.Time           // the same of the next return
+	returnedAt     time.Time           // when the latest return was sent; zero before the first
 	returns        int
+	denialRecorded bool // that the retry budget for a return is exhausted
+}
+
+// recordDenial records once that a return has to wait for retry budget.
+func (c *succession) recordDenial(f *Forwarder, r *Request) {
+	if !c.denialRecorded {
+		c.denialRecorded = true
+		f.Events.Record(event.RetryDenied, r.ID, event.F("service", r.Service))
+	}
+}
+
+// arrived records that a target received the request and did not refuse it.
+func (c *succession) arrived(id string) {
+	before := len(c.silent)
+	c.silent = slices.DeleteFunc(c.silent, func(i fleet.Incarnation) bool { return i.Target.ID == id })
+	if len(c.silent) < before {
+		c.returns++
+	}
+}
+
+// awaitReturn waits until it is time to look again for a target, if the request may return
+// to one that it was taken from. It returns false if there is none or ctx ends.
+func (c *succession) awaitReturn(ctx context.Context) bool {
+	now := time.Now()
+	c.silent = slices.DeleteFunc(c.silent, func(i fleet.Incarnation) bool { return i.Terminated(now) })
+	return len(c.silent) > 0 && c.returns < maxReturns && pause.For(ctx, returnInterval)
 }
 
 // take empties a reservation and returns it.
@@ -63,7 +98,7 @@
 		return nil
 	case !r.Route.Repeatable():
 		return errNotRepeatable
-	case c.returns > 0:
+	case !c.returnedAt.IsZero():
 		return errHasReturned
 	case !r.attemptsLeft(len(criteria.Exclude)):
 		return errAttemptsUsedUp
@@ -115,23 +150,36 @@
 // limit on them allows it. suits decides whether a target may still be used. refusal is as
 // in allowSend.
 func (f *Forwarder) planReturn(ctx context.Context, r *Request, c *succession, suits func(fleet.Target) bool) (t fleet.Target, ok bool, refusal *failure.Error) {
-	for len(c.silent) > 0 && c.returns < maxReturns {
-		last := len(c.silent) - 1
-		previous := c.silent[last]
-		c.silent = c.silent[:last]
-		now := time.Now()
-		if state := f.Fleet.State(now, previous.Target.ID); previous.Terminated(now) || !suits(previous.Target) || state == fleet.Unknown || state == fleet.Leaving {
+	now := time.Now()
+	if c.returns >= maxReturns || now.Sub(c.returnedAt) < returnInterval {
+		return fleet.Target{}, false, nil
+	}
+	for _, previous := range slices.Backward(c.silent) {
+		switch state := f.Fleet.State(now, previous.Target.ID); {
+		case previous.Terminated(now) || !suits(previous.Target):
+			continue
+		case state == fleet.Unknown || state == fleet.Leaving || state == fleet.Avoided:
 			continue
 		}
 		reserved := take(&c.retryReserved)
 		if reserved.IsZero() {
 			reserved = take(&c.returnReserved)
 		}
+		if reserved.IsZero() {
+			if !f.RetryBudget.AllowRetry(now, r.Service) {
+				c.recordDenial(f, r)
+				return fleet.Target{}, false, nil
+			}
+			reserved = now
+		}
 		allowed, refusal := f.allowSend(ctx, r, true, reserved)
+		if refusal != nil {
+			c.silent = nil // no further send is allowed
+		}
 		if !allowed {
 			return fleet.Target{}, false, refusal
 		}
-		c.returns++
+		c.returnedAt = time.Now()
 		f.Events.Record(event.RequestReturned, r.ID, event.F("target", previous.Target.ID))
 		return previous.Target, true, nil
 	}
@@ -167,7 +215,8 @@
 
 // abandonSilent abandons an attempt whose target may still run.
 func (a *streamAttempt) abandonSilent(reason string) attemptEnd {
-	a.stream.succession.silent = append(a.stream.succession.silent, a.incarnation)
+	c := &a.stream.succession
+	c.silent = append(slices.DeleteFunc(c.silent, func(i fleet.Incarnation) bool { return i.Target.ID == a.attempt.Target.ID }), a.incarnation)
 	return a.abandon(reason)
 }
 
