--- a/forward/call.go
+++ b/forward/call.go
@@ -77,9 +77,13 @@
 			lastErr = refusal
 		}
 		if target == nil {
+			if c.succession.awaitReturn(ctx) {
+				continue
+			}
 			break
 		}
 		c.target = *target
+		plannedAt := time.Now()
 		answer, attemptErr := c.attempt(ctx, *target)
 		if answer != nil {
 			return answer, nil
@@ -90,6 +94,7 @@
 		}
 		if attemptErr.Code == failure.NoTarget { // the target was not reached, so nothing was sent
 			failedDials++
+			c.succession.keepRetry(plannedAt, len(c.tried))
 			continue
 		}
 		c.tried[target.ID] = true
@@ -111,7 +116,10 @@
 func (c *call) planAttempt(ctx context.Context, failedDials int) (t *fleet.Target, refusal *failure.Error) {
 	allowed := false
 	if failedDials < c.maxFailedDials() {
-		allowed, refusal = c.forwarder.allowAttempt(ctx, c.request, len(c.tried), c.succession.takeRetry())
+		allowed, refusal = c.forwarder.allowAttempt(ctx, c.request, len(c.tried), take(&c.succession.retryReserved))
+		if refusal != nil {
+			c.succession.silent = nil
+		}
 	}
 	if allowed {
 		picked, err := c.forwarder.Fleet.Pick(time.Now(), fleet.Criteria{Service: c.request.Service, Exclude: c.tried})
@@ -119,7 +127,7 @@
 			return &picked, nil
 		}
 		refusal = noTargetError(c.request, err)
-		c.succession.retryReserved = len(c.tried) > 0 // not used
+		c.succession.keepRetry(time.Now(), len(c.tried))
 	}
 	back, ok, returnRefusal := c.forwarder.planReturn(ctx, c.request, &c.succession, func(fleet.Target) bool { return true })
 	if ok {
@@ -149,6 +157,7 @@
 	case err != nil:
 		active.Done(now, true)
 		c.mayHaveRun = true
+		c.succession.arrived(t.ID)
 		if gaveUp {
 			c.succession.silent = append(c.succession.silent, incarnation)
 		}
@@ -158,6 +167,7 @@
 		return nil, c.forwarder.handleRefusal(t, answer, false)
 	}
 	c.mayHaveRun = true
+	c.succession.arrived(t.ID)
 	c.forwarder.releaseReturn(c.request, &c.succession)
 	serverError := answer.Status >= http.StatusInternalServerError
 	active.Done(now, serverError)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -71,8 +71,13 @@
 	for {
 		a, ok := s.planAttempt(ctx)
 		if !ok {
+			if s.succession.awaitReturn(ctx) {
+				continue
+			}
 			break
 		}
+		s.noAttempt = ""
+		plannedAt := time.Now()
 		end := s.attempt(ctx, a)
 		switch end {
 		case endComplete:
@@ -84,6 +89,7 @@
 			return
 		case endNotSent:
 			s.notSent++
+			s.succession.keepRetry(plannedAt, len(s.tried))
 			continue
 		case endTargetLost:
 			if s.mayHaveRun && !s.request.Route.Repeatable() {
@@ -159,6 +165,9 @@
 	if len(s.succession.silent) == 0 {
 		s.awaitTarget(ctx)
 	}
+	if s.noAttempt != "" && !s.canPlace(time.Now()) {
+		return s.planReturn(ctx)
+	}
 	var promptHolders map[string]bool
 	if !s.standbyReady(time.Now()) {
 		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
@@ -169,9 +178,9 @@
 		promptHolders = s.promptHolders(ctx)
 	}
 	// The last step that may take time, so that the target is picked by the latest state.
-	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried), s.succession.takeRetry())
+	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried), take(&s.succession.retryReserved))
 	if refusal != nil {
-		s.lastErr = refusal
+		s.lastErr, s.succession.silent = refusal, nil
 	}
 	if !allowed {
 		s.noAttempt = errBudgetExhausted.Error()
@@ -191,7 +200,7 @@
 				s.lastErr = noTargetError(s.request, err)
 			}
 			s.noAttempt = err.Error()
-			s.succession.retryReserved = len(s.tried) > 0 // the budget of this attempt is not used yet
+			s.succession.keepRetry(time.Now(), len(s.tried))
 			return s.planReturn(ctx)
 		}
 		a.Target = t
@@ -225,6 +234,18 @@
 	}
 }
 
+// canPlace reports whether a target is ready for a stream that waits, and reserves the
+// retry budget for it if so. Streams that wait use up no placements.
+func (s *stream) canPlace(now time.Time) bool {
+	if _, err := s.forwarder.Fleet.Pick(now, s.targetCriteria(nil)); err != nil {
+		return false
+	}
+	if s.succession.retryReserved.IsZero() && s.forwarder.RetryBudget.AllowRetry(now, s.request.Service) {
+		s.succession.retryReserved = now
+	}
+	return !s.succession.retryReserved.IsZero()
+}
+
 // planReturn plans an attempt at a target that the stream was taken from.
 func (s *stream) planReturn(ctx context.Context) (Attempt, bool) {
 	t, ok, refusal := s.forwarder.planReturn(ctx, s.request, &s.succession, s.allowsVersion)
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // A target that is not at fault may be silent for a second or more and then go on. A
@@ -18,23 +20,65 @@
 // other target refuses. Without a successor the request stays where it is until its target
 // answers, breaks the connection or is known to have terminated.
 
-// maxReturns is how often a request returns to targets that it was taken from.
-const maxReturns = 2
+const (
+	// maxReturns is how often a request returns to targets that it was taken from. A
+	// return that is refused or not sent doesn't count.
+	maxReturns = 2
+	// returnInterval is the time between two attempts to return. It is the shortest
+	// backoff of a target that refused.
+	returnInterval = 150 * time.Millisecond
+)
 
 // succession is the state of a request that was taken from silent targets.
 type succession struct {
 	silent         []fleet.Incarnation // targets that it was taken from, latest last
-	retryReserved  bool                // the next attempt has its retry budget
-	returnReserved bool                // the next return has its retry budget
+	retryReserved  time.Time           // when the retry budget of the next attempt was consumed; zero if it was not
+	returnReserved time.Time           // the same of the next return
+	returnedAt     time.Time           // when the latest return was sent; zero before the first
 	returns        int
+	denialRecorded bool // that the retry budget for a return is exhausted
+}
+
+// recordDenial records once that a return has to wait for retry budget.
+func (c *succession) recordDenial(f *Forwarder, r *Request) {
+	if !c.denialRecorded {
+		c.denialRecorded = true
+		f.Events.Record(event.RetryDenied, r.ID, event.F("service", r.Service))
+	}
+}
+
+// arrived records that a target received the request and did not refuse it.
+func (c *succession) arrived(id string) {
+	before := len(c.silent)
+	c.silent = slices.DeleteFunc(c.silent, func(i fleet.Incarnation) bool { return i.Target.ID == id })
+	if len(c.silent) < before {
+		c.returns++
+	}
+}
+
+// awaitReturn waits until it is time to look again for a target, if the request may return
+// to one that it was taken from. It returns false if there is none or ctx ends.
+func (c *succession) awaitReturn(ctx context.Context) bool {
+	now := time.Now()
+	c.silent = slices.DeleteFunc(c.silent, func(i fleet.Incarnation) bool { return i.Terminated(now) })
+	return len(c.silent) > 0 && c.returns < maxReturns && pause.For(ctx, returnInterval)
 }
 
-// takeRetry uses the retry budget that is reserved for the next attempt, if there is any.
-func (c *succession) takeRetry() (reserved bool) {
-	reserved, c.retryReserved = c.retryReserved, false
+// take empties a reservation and returns it.
+func take(reservation *time.Time) time.Time {
+	reserved := *reservation
+	*reservation = time.Time{}
 	return reserved
 }
 
+// keepRetry keeps the retry budget that was just consumed for an attempt that is not made,
+// if it is one after so many others.
+func (c *succession) keepRetry(now time.Time, attempts int) {
+	if attempts > 0 {
+		c.retryReserved = now
+	}
+}
+
 // Reasons why a request stays at a silent target.
 var (
 	errNotRepeatable   = errors.New("the request must not be sent again")
@@ -50,11 +94,11 @@
 	now := time.Now()
 	criteria.Exclude = withID(tried, current)
 	switch {
-	case c.retryReserved:
+	case !c.retryReserved.IsZero():
 		return nil
 	case !r.Route.Repeatable():
 		return errNotRepeatable
-	case c.returns > 0:
+	case !c.returnedAt.IsZero():
 		return errHasReturned
 	case !r.attemptsLeft(len(criteria.Exclude)):
 		return errAttemptsUsedUp
@@ -66,13 +110,16 @@
 		return refusal
 	}
 	retries := 2
-	if c.returnReserved {
+	if !c.returnReserved.IsZero() {
 		retries = 1
 	}
 	if !f.RetryBudget.AllowRetries(now, r.Service, retries) {
 		return errBudgetExhausted
 	}
-	c.retryReserved, c.returnReserved = true, true
+	c.retryReserved = now
+	if c.returnReserved.IsZero() {
+		c.returnReserved = now
+	}
 	return nil
 }
 
@@ -85,17 +132,16 @@
 
 // releaseReturn gives back the retry budget for a return that is not needed.
 func (f *Forwarder) releaseReturn(r *Request, c *succession) {
-	if c.returnReserved {
-		c.returnReserved = false
-		f.RetryBudget.Release(r.Service)
+	if reserved := take(&c.returnReserved); !reserved.IsZero() {
+		f.RetryBudget.Release(reserved, r.Service)
 	}
 }
 
 // releaseRetries gives back all retry budget that a request did not use.
 func (f *Forwarder) releaseRetries(r *Request, c *succession) {
 	f.releaseReturn(r, c)
-	if c.takeRetry() {
-		f.RetryBudget.Release(r.Service)
+	if reserved := take(&c.retryReserved); !reserved.IsZero() {
+		f.RetryBudget.Release(reserved, r.Service)
 	}
 }
 
@@ -104,23 +150,36 @@
 // limit on them allows it. suits decides whether a target may still be used. refusal is as
 // in allowSend.
 func (f *Forwarder) planReturn(ctx context.Context, r *Request, c *succession, suits func(fleet.Target) bool) (t fleet.Target, ok bool, refusal *failure.Error) {
-	for len(c.silent) > 0 && c.returns < maxReturns {
-		last := len(c.silent) - 1
-		previous := c.silent[last]
-		c.silent = c.silent[:last]
-		now := time.Now()
-		if state := f.Fleet.State(now, previous.Target.ID); previous.Terminated(now) || !suits(previous.Target) || state == fleet.Unknown || state == fleet.Leaving {
+	now := time.Now()
+	if c.returns >= maxReturns || now.Sub(c.returnedAt) < returnInterval {
+		return fleet.Target{}, false, nil
+	}
+	for _, previous := range slices.Backward(c.silent) {
+		switch state := f.Fleet.State(now, previous.Target.ID); {
+		case previous.Terminated(now) || !suits(previous.Target):
 			continue
+		case state == fleet.Unknown || state == fleet.Leaving || state == fleet.Avoided:
+			continue
+		}
+		reserved := take(&c.retryReserved)
+		if reserved.IsZero() {
+			reserved = take(&c.returnReserved)
 		}
-		reserved := c.takeRetry()
-		if !reserved {
-			reserved, c.returnReserved = c.returnReserved, false
+		if reserved.IsZero() {
+			if !f.RetryBudget.AllowRetry(now, r.Service) {
+				c.recordDenial(f, r)
+				return fleet.Target{}, false, nil
+			}
+			reserved = now
+		}
+		allowed, refusal := f.allowSend(ctx, r, true, reserved)
+		if refusal != nil {
+			c.silent = nil // no further send is allowed
 		}
-		allowed, refusal := f.allowSend(ctx, r, !reserved)
 		if !allowed {
 			return fleet.Target{}, false, refusal
 		}
-		c.returns++
+		c.returnedAt = time.Now()
 		f.Events.Record(event.RequestReturned, r.ID, event.F("target", previous.Target.ID))
 		return previous.Target, true, nil
 	}
@@ -156,7 +215,8 @@
 
 // abandonSilent abandons an attempt whose target may still run.
 func (a *streamAttempt) abandonSilent(reason string) attemptEnd {
-	a.stream.succession.silent = append(a.stream.succession.silent, a.incarnation)
+	c := &a.stream.succession
+	c.silent = append(slices.DeleteFunc(c.silent, func(i fleet.Incarnation) bool { return i.Target.ID == a.attempt.Target.ID }), a.incarnation)
 	return a.abandon(reason)
 }
 
