--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -136,7 +136,7 @@
 
 // check returns the violations of one request, after its end.
 func (q *simRequest) check() []string {
-	deadline := q.answerDeadline()
+	deadline := q.AnswerDeadline()
 	if q.final == "" {
 		q.faultf("no end")
 	}
