forward: the property test gives targets software versions (ORDER)

Targets have up to three versions by the seed; a stream whose caller has an event may be sent to targets of that event's version only. Buffers of answers are set.

--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 	"github.com/vanillaroad/vanillaroad/origin"
 )
 
@@ -53,6 +54,7 @@
 	*Request
 	plan     simPlan
 	arrivals []simArrival
+	begunBy  int // number of runs when the first event was received; 0 before
 	runs     []*simRun
 	active   int // concurrent runs
 	started  int
@@ -117,6 +119,9 @@
 	if want := simEvent(q.ID, len(q.received)); string(raw) != want {
 		q.faultf("event %q, want %q", raw, want)
 	}
+	if len(q.received) == 0 {
+		q.begunBy = len(q.runs)
+	}
 	q.received = append(q.received, string(raw))
 	return nil
 }
@@ -150,6 +155,11 @@
 	if len(targets) > q.maxAttempts() {
 		q.faultf("sent to %d targets, allowed are %d", len(targets), q.maxAttempts())
 	}
+	for _, r := range q.runs[q.begunBy:] {
+		if v, want := r.process.SoftwareVersion, q.runs[max(0, q.begunBy-1)].process.SoftwareVersion; q.begunBy > 0 && v != want {
+			q.faultf("continues at %s of version %s a stream that version %s began", r.process.ID, v, want)
+		}
+	}
 	if q.err != nil && q.err.Outcome == failure.NotRun && q.started > 0 {
 		q.faultf("reported as not run (%v) and ran", q.err)
 	}
@@ -225,7 +235,7 @@
 func simulate(seed uint64) (faults, history []string) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	const length = 6 * time.Second
-	w := &simulation{start: time.Now(), processes: make(map[string]*simProcess), requests: make(map[string]*simRequest)}
+	w := &simulation{start: time.Now(), versions: 1 + int(seed%3), processes: make(map[string]*simProcess), requests: make(map[string]*simRequest)}
 	events := event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 4096)
 	e := &simEntries{simulation: w, fleet: fleet.New("place-0", seed)}
 	var addresses []string
@@ -237,7 +247,7 @@
 	budget := budgets[random.IntN(len(budgets))]
 	model := &ingress.Model{KVCacheTokens: 50_000, StandbyCopies: random.IntN(4) > 0}
 	f := &Forwarder{
-		TargetClient: w, Fleet: e.fleet, Events: events, CrashTracker: discardCrashes{}, Origins: &fakeOrigins{known: make(map[string]origin.Origin)}, Prober: NewProber(w, e.fleet, events), CacheLocator: NewCacheLocator(w),
+		TargetClient: w, Fleet: e.fleet, Events: events, CrashTracker: discardCrashes{}, Origins: &fakeOrigins{known: make(map[string]origin.Origin)}, Prober: NewProber(w, e.fleet, events), CacheLocator: NewCacheLocator(w), Buffers: membudget.New(MaxBufferedBytes),
 		Metrics: metrics.NewRegistry(), PlacementLimiter: NewPlacementLimiter(), RetryBudget: NewRetryBudget(time.Now().Add(-time.Minute), budget),
 		Model: func(string) *ingress.Model { return model },
 	}
--- a/forward/simulation_faults_test.go
+++ b/forward/simulation_faults_test.go
@@ -19,7 +19,11 @@
 
 // startProcess starts a process at an address and registers it.
 func (e *simEntries) startProcess(id, address, place string) *simProcess {
-	t := fleet.Target{ID: id, Service: "svc", Address: address, Place: place, Slots: 8, StartMillis: time.Now().UnixMilli()}
+	e.mu.Lock()
+	e.started++
+	version := fmt.Sprint("v", e.started%e.versions)
+	e.mu.Unlock()
+	t := fleet.Target{ID: id, Service: "svc", Address: address, Place: place, Slots: 8, StartMillis: time.Now().UnixMilli(), SoftwareVersion: version}
 	p := &simProcess{Target: t, broken: make(chan struct{}), runs: make(map[string]*simRun), copies: make(map[string]bool)}
 	e.mu.Lock()
 	e.processes[address] = p
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -58,6 +58,8 @@
 // simulation is a set of simulated targets on a virtual clock. It implements
 // TargetClient.
 type simulation struct {
+	versions  int // software versions of the targets
+	started   int // processes
 	mu        sync.Mutex
 	start     time.Time
 	processes map[string]*simProcess // by address
