--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -207,6 +207,14 @@
 	return slices.Compact(versions)
 }
 
+// IsCurrent reports whether t is the registered incarnation of a target.
+func (f *Fleet) IsCurrent(t Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.targets[t.ID]
+	return s != nil && s.StartMillis == t.StartMillis && s.Address == t.Address
+}
+
 // Len returns the number of targets.
 func (f *Fleet) Len() int {
 	f.mu.Lock()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -266,7 +266,7 @@
 
 // standbyReady reports whether the next attempt can resume from a standby copy.
 func (s *stream) standbyReady(now time.Time) bool {
-	return s.standby != nil && s.allowsVersion(s.standby.holder) && s.forwarder.Fleet.State(now, s.standby.holder.ID) == fleet.Ready && !s.tried[s.standby.holder.ID]
+	return s.standby != nil && s.allowsVersion(s.standby.holder) && s.forwarder.Fleet.IsCurrent(s.standby.holder) && s.forwarder.Fleet.State(now, s.standby.holder.ID) == fleet.Ready && !s.tried[s.standby.holder.ID]
 }
 
 // allowsVersion reports whether the stream may continue at a target: at any before its
@@ -368,8 +368,8 @@
 }
 
 // failureTimeout bounds the body of a failure that a target answers a stream with. Body and
-// head usually arrive together, and the stream has to go on.
-const failureTimeout = time.Second
+// head usually arrive together; a target may be silent in between for a second or more.
+const failureTimeout = 3 * time.Second
 
 // keepFailure keeps the answer of a target that failed, in case no attempt succeeds.
 func (s *stream) keepFailure(a *Answer) error {
