forward: a request stays longer at a silent target that it can't return to

Callers saw requests cut, or got no answer until their deadline, that were taken from a silent target which was leaving or had no entry, if the other targets did not take them: no request may be sent to such a target again.

Such a target now keeps its request for 2 s of silence, the longest silence of a target that is not at fault, unless it is known to have terminated. A dead machine breaks the connection within about that time by TCP keep-alive.

--- a/forward/return_test.go
+++ b/forward/return_test.go
@@ -91,3 +91,39 @@
 		}
 	}))
 }
+
+// slowFor answers a call after d.
+func slowFor(d time.Duration) behaviour {
+	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+		select {
+		case <-time.After(d):
+			return answering(http.StatusOK, false)(ctx, a, s)
+		case <-ctx.Done():
+			return nil, ErrNoAnswer
+		}
+	}
+}
+
+// TestSilentLeavingTargetKeepsItsRequest guards against requests that are taken from a
+// silent target to which they can't return, because it is leaving or has no entry, and
+// that no other target takes.
+func TestSilentLeavingTargetKeepsItsRequest(t *testing.T) {
+	full := answering(http.StatusServiceUnavailable, true)
+	changes := map[string]func(s *fixture, id string){
+		"leaving": func(s *fixture, id string) {
+			s.Fleet.Put(fleet.Target{ID: id, Service: "svc", Address: id + ":1", Place: "place-" + id, Slots: 8, Leaving: true})
+		},
+		"without an entry": func(s *fixture, id string) { s.Fleet.Remove(time.Now(), id, false) },
+	}
+	for name, change := range changes {
+		t.Run("a stream, "+name, inBubble(func(t *testing.T) { serveSilent(t, pausable(50, eventGap), full, change) }))
+		t.Run("a call, "+name, inBubble(func(t *testing.T) {
+			s := newFixture(map[string]behaviour{"a": slowFor(3 * callRoute.LatencyObjective), "b": full})
+			s.Fleet.Begin(time.Now(), "b", fleet.Demand{}) // so that a is picked first
+			time.AfterFunc(callRoute.LatencyObjective/2, func() { change(s, "a") })
+			if got := s.serve(t, callRoute); got.status != http.StatusOK {
+				t.Errorf("status %d, error %v, want the target's answer; sent to %v", got.status, got.err, s.client.attempts())
+			}
+		}))
+	}
+}
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -40,7 +40,6 @@
 	events  int
 	stop    chan struct{} // closed by a move
 	end     runEnd
-	endedAt time.Time
 }
 
 // runEnd is how a run ended.
@@ -233,7 +232,6 @@
 
 // leaveRun removes an ended run from its process.
 func (w *simulation) leaveRun(r *simRun) {
-	r.endedAt = time.Now()
 	w.logf("%s at %s: %s after %d events", r.request.ID, r.process.ID, r.end, r.events)
 	if !r.began {
 		return
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -27,8 +27,17 @@
 	// returnInterval is the time between two attempts to return. It is the shortest
 	// backoff of a target that refused.
 	returnInterval = 150 * time.Millisecond
+	// longestSilence is the longest silence of a target that is not at fault.
+	longestSilence = 2 * time.Second
 )
 
+// mayTake reports whether a request may be taken from a target that is silent for so long.
+// It can't return to a target that is leaving or has no entry, and stays there longer.
+func (f *Forwarder) mayTake(now time.Time, i fleet.Incarnation, silence time.Duration) bool {
+	state := f.Fleet.State(now, i.Target.ID)
+	return silence >= longestSilence || i.Terminated(now) || state != fleet.Unknown && state != fleet.Leaving
+}
+
 // succession is the state of a request that was taken from silent targets.
 type succession struct {
 	silent         []fleet.Incarnation // targets that it was taken from, latest last
@@ -84,15 +93,17 @@
 	errNotRepeatable   = errors.New("the request must not be sent again")
 	errHasReturned     = errors.New("the request has returned to a target") // no more changes back and forth
 	errAttemptsUsedUp  = errors.New("the attempts of the route are used up")
+	errNoReturn        = errors.New("the request can't return to its target")
 	errBudgetExhausted = errors.New("the retry budget is exhausted")
 )
 
 // reserveSuccessor reserves what a request needs to be sent to another target than the
 // current one: the next attempt and a return have their retry budget then. tried are the
-// targets that it was sent to so far. The error is why the request stays.
-func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current string, criteria fleet.Criteria) error {
+// targets that it was sent to so far, and silence is the time since the current one sent
+// anything. The error is why the request stays.
+func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current fleet.Incarnation, silence time.Duration, criteria fleet.Criteria) error {
 	now := time.Now()
-	criteria.Exclude = withID(tried, current)
+	criteria.Exclude = withID(tried, current.Target.ID)
 	switch {
 	case !c.retryReserved.IsZero():
 		return nil
@@ -102,6 +113,8 @@
 		return errHasReturned
 	case !r.attemptsLeft(len(criteria.Exclude)):
 		return errAttemptsUsedUp
+	case !f.mayTake(now, current, silence):
+		return errNoReturn
 	}
 	if _, err := f.Fleet.Pick(now, criteria); err != nil {
 		return err
@@ -198,7 +211,7 @@
 
 func (a *streamAttempt) reserveSuccessor() error {
 	s := a.stream
-	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.attempt.Target.ID, s.targetCriteria(nil))
+	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.incarnation, time.Since(a.detector.lastProgress), s.targetCriteria(nil))
 }
 
 // keep records that the attempt goes on although its target is silent, because there is no
@@ -275,14 +288,14 @@
 // send sends the call to one target and reads the answer. While another target can get
 // the call, it is given up after attemptTimeoutFactor times the route's latency
 // objective.
-func (c *call) send(ctx context.Context, a Attempt) (answer *Answer, body []byte, gaveUp bool, err error) {
+func (c *call) send(ctx context.Context, a Attempt, target fleet.Incarnation) (answer *Answer, body []byte, gaveUp bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if !c.request.Route.Repeatable() || c.request.Route.LatencyObjective <= 0 || !c.request.attemptsLeft(len(c.tried)+1) {
 		answer, body, err = c.exchange(ctx, a)
 		return answer, body, false, err
 	}
-	done := make(chan struct{})
+	done, sentAt := make(chan struct{}), time.Now()
 	go func() {
 		defer close(done)
 		answer, body, err = c.exchange(ctx, a)
@@ -294,7 +307,7 @@
 		case <-done:
 			return answer, body, gaveUp, err
 		case <-timer.C:
-			gaveUp = c.forwarder.reserveSuccessor(c.request, &c.succession, c.tried, a.Target.ID, fleet.Criteria{Service: c.request.Service}) == nil
+			gaveUp = c.forwarder.reserveSuccessor(c.request, &c.succession, c.tried, target, time.Since(sentAt), fleet.Criteria{Service: c.request.Service}) == nil
 			if gaveUp {
 				cancel() // done follows
 				continue
