generation: a silent target keeps its answer until another one is granted

Callers of the API saw answers end incomplete although their target was silent for 1.6 s only and then went on (LOST): when the probe of the silent target timed out, the run was ended and only then was another target requested. If none was granted until the resume deadline, the answer ended.

With the objective latency_first, a run whose connection is only silent now goes on until a standby is granted: its target is probed again and a standby requested again, and a token of either is used. Excluded targets are allowed again after a failed request for a standby, as for other attempts. A broken connection, another incarnation and the resume deadline are handled as before.

--- a/generation/loss.go
+++ b/generation/loss.go
@@ -167,7 +167,7 @@
 		}
 	case probing:
 		if now.Sub(a.probeTimeoutStart) > s.ProbeTimeout.Std() {
-			return m.loseCurrent(now, EndSilent)
+			return m.handleProbeTimeout(now)
 		}
 		if now.Sub(a.probeTimeoutStart) >= standbyDelay && !m.resumeOverdue(now) {
 			return m.requestStandby()
@@ -176,6 +176,19 @@
 	return nil
 }
 
+// handleProbeTimeout handles a probe that was not answered in time. If the connection of
+// the attempt is only silent and no standby is granted, the attempt goes on, since its
+// target may send the rest: it is probed again, and the standby is requested again.
+func (m *Machine) handleProbeTimeout(now time.Time) []Decision {
+	a := m.current
+	granted := m.standby != nil && m.standby.holdsTarget()
+	if a.connectionFailed || granted || m.setup.Objective == configuration.ResourcesFirst {
+		return m.loseCurrent(now, EndSilent)
+	}
+	a.phase = streaming
+	return m.suspect(now)
+}
+
 // established reports whether an attempt has received an event from its target and
 // the target is not suspected.
 func (m *Machine) established() bool {
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -190,7 +190,7 @@
 	case a == nil || a.phase != routing:
 		return nil
 	case a == m.standby:
-		m.standby = nil
+		m.standby, m.excluded = nil, nil // an excluded target may have recovered
 		return nil
 	case a.target != "": // the target of the stream to join is not available
 		return m.startAttempt(now)
