--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 	"github.com/vanillaroad/vanillaroad/origin"
 )
 
@@ -239,7 +240,7 @@
 	f := &Forwarder{
 		TargetClient: w, Fleet: e.fleet, Events: events, CrashTracker: discardCrashes{}, Origins: &fakeOrigins{known: make(map[string]origin.Origin)}, Prober: NewProber(w, e.fleet, events), CacheLocator: NewCacheLocator(w),
 		Metrics: metrics.NewRegistry(), PlacementLimiter: NewPlacementLimiter(), RetryBudget: NewRetryBudget(time.Now().Add(-time.Minute), budget),
-		Model: func(string) *ingress.Model { return model },
+		Buffers: membudget.New(MaxBufferedBytes), Model: func(string) *ingress.Model { return model },
 	}
 	f.RetryBudget.SetDaemons(1)
 
