forward: the body of a failure may come after a silence of its target

Callers of streams got an error of ours instead of their target's failure if the target was silent between the head and the body for more than a second: since the body had one second. It now has the longest silence of a target that is not at fault, and half a second.

--- a/forward/return_test.go
+++ b/forward/return_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -127,3 +128,18 @@
 		}))
 	}
 }
+
+// TestSilenceWithinAFailure guards against streams whose target answers with an error
+// status and is silent before the body: its answer was given up after a second.
+func TestSilenceWithinAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFixture(map[string]behaviour{"a": func(context.Context, Attempt, *fakeTargetClient) (*Answer, error) {
+			r, w := io.Pipe()
+			time.AfterFunc(silence, func() { _ = w.Close() })
+			return &Answer{Status: http.StatusInternalServerError, Signed: true, Framed: true, Header: http.Header{}, Body: r}, nil
+		}})
+		if got := s.serve(t, streamRoute); got.status != http.StatusInternalServerError {
+			t.Errorf("status %d, error %v, want the target's answer", got.status, got.err)
+		}
+	})
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -368,8 +368,9 @@
 }
 
 // failureTimeout bounds the body of a failure that a target answers a stream with. Body and
-// head usually arrive together, and the stream has to go on.
-const failureTimeout = time.Second
+// head usually arrive together, and the stream has to go on; but the target may be silent
+// in between.
+const failureTimeout = longestSilence + 500*time.Millisecond
 
 // keepFailure keeps the answer of a target that failed, in case no attempt succeeds.
 func (s *stream) keepFailure(a *Answer) error {
