--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -249,7 +249,7 @@
 	f := &Forwarder{
 		TargetClient: w, Fleet: e.fleet, Events: events, CrashTracker: discardCrashes{}, Origins: &fakeOrigins{known: make(map[string]origin.Origin)}, Prober: NewProber(w, e.fleet, events), CacheLocator: NewCacheLocator(w), Buffers: membudget.New(MaxBufferedBytes),
 		Metrics: metrics.NewRegistry(), PlacementLimiter: NewPlacementLimiter(), RetryBudget: NewRetryBudget(time.Now().Add(-time.Minute), budget),
-		Model: func(string) *ingress.Model { return model },
+		Buffers: membudget.New(MaxBufferedBytes), Model: func(string) *ingress.Model { return model },
 	}
 	f.RetryBudget.SetDaemons(1)
 
