--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -109,7 +109,7 @@
 	silentUntil          atomic.Int64 // Unix nanoseconds
 
 	mu      sync.Mutex
-	running map[string]int // events made, by request id
+	running map[string]int // events made by the run, by request id; without those in the queue
 }
 
 func startEngine(t *testing.T, l *ledger, id, service, address string) *engine {
@@ -200,7 +200,6 @@
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, work task, id string, this *run) bool {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
 	w.Header().Set("Content-Type", "text/event-stream")
-	e.progress(id, last)
 	defer e.progress(id, -1)
 	if len(id)%2 == 0 && http.NewResponseController(w).Flush() != nil { // some send the head while the request is in the queue
 		return false
@@ -218,7 +217,7 @@
 		if http.NewResponseController(w).Flush() != nil {
 			return false
 		}
-		e.progress(id, i)
+		e.progress(id, i-last)
 	}
 	return true
 }
