--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,7 +52,7 @@
 	t.Parallel()
 	for i := range uint64(*seeds) {
 		seed := *firstSeed + i
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
 			sites <- struct{}{}
 			defer func() { <-sites }()
