--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -247,7 +247,7 @@
 	budget := budgets[random.IntN(len(budgets))]
 	model := &ingress.Model{KVCacheTokens: 50_000, StandbyCopies: random.IntN(4) > 0}
 	f := &Forwarder{
-		TargetClient: w, Fleet: e.fleet, Events: events, CrashTracker: discardCrashes{}, Origins: &fakeOrigins{known: make(map[string]origin.Origin)}, Prober: NewProber(w, e.fleet, events), CacheLocator: NewCacheLocator(w), Buffers: membudget.New(MaxBufferedBytes),
+		TargetClient: w, Fleet: e.fleet, Events: events, CrashTracker: discardCrashes{}, Origins: &fakeOrigins{known: make(map[string]origin.Origin)}, Prober: NewProber(w, e.fleet, events), CacheLocator: NewCacheLocator(w),
 		Metrics: metrics.NewRegistry(), PlacementLimiter: NewPlacementLimiter(), RetryBudget: NewRetryBudget(time.Now().Add(-time.Minute), budget),
 		Buffers: membudget.New(MaxBufferedBytes), Model: func(string) *ingress.Model { return model },
 	}
