fleet: an incarnation whose entry was removed has terminated once another one registers

The removed state was not marked as superseded, since only the registered one is. On a platform with a new id for each start this can't happen.

TestIncarnationTerminated failed before in the case of a restart.

--- a/fleet/incarnation.go
+++ b/fleet/incarnation.go
@@ -33,7 +33,14 @@
 // target whose entry was removed may still run: it was cut off from the store, or it
 // leaves without notice.
 func (i Incarnation) Terminated(now time.Time) bool {
-	return i.check(func(s *targetState) bool { return s.superseded || s.terminated(now) })
+	return i.check(func(s *targetState) bool { return s.superseded || i.replaced() || s.terminated(now) })
+}
+
+// replaced reports whether another incarnation registered after the entry of this one was
+// removed.
+func (i Incarnation) replaced() bool {
+	current := i.fleet.targets[i.Target.ID]
+	return current != nil && (current.StartMillis != i.state.StartMillis || current.Address != i.state.Address)
 }
 
 func (i Incarnation) check(condition func(*targetState) bool) bool {
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -42,3 +42,27 @@
 		So(New("p", 1).Incarnation("i-1").Ended(now), ShouldBeFalse)
 	})
 }
+
+// TestIncarnationTerminated guards against streams that return to a target which has
+// restarted under its id, with another software version, after its entry was removed.
+func TestIncarnationTerminated(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	entry := Target{ID: "i-1", Service: "s", Address: "a:1", StartMillis: 1}
+	restarted := entry
+	restarted.StartMillis = 2
+	for name, c := range map[string]struct {
+		registered []Target // after the entry was removed
+		terminated bool
+	}{"its entry is removed": {nil, false}, "its entry returns": {[]Target{entry}, false}, "it restarts": {[]Target{restarted}, true}} {
+		Convey(name, t, func() {
+			f := New("p", 1)
+			f.Put(entry)
+			i := f.Incarnation("i-1")
+			f.Remove(now, "i-1", false)
+			for _, r := range c.registered {
+				f.Put(r)
+			}
+			So(i.Terminated(now), ShouldEqual, c.terminated)
+		})
+	}
+}
