--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -79,6 +79,13 @@
 			broken = append(broken, fmt.Sprintf("LOST: %s cut %d requests from kept connections", daemon, n))
 		}
 	}
+	for _, d := range s.daemons {
+		d.mu.Lock()
+		for _, end := range d.ownEnds {
+			broken = append(broken, "FAULT: "+end+"\n"+strings.Join(d.logLines("panic", "goroutine ", "fatal"), "\n"))
+		}
+		d.mu.Unlock()
+	}
 	if denied > deniedLimit(len(s.record.attempts)) {
 		broken = append(broken, fmt.Sprintf("DENIED: %d requests", denied))
 	}
--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -54,6 +54,8 @@
 	mu      sync.Mutex
 	process *os.Process // nil while there is none
 	ended   chan struct{}
+	stopped bool     // the process was told to end
+	ownEnds []string // how processes ended that were not
 }
 
 func (d *daemon) address(port int) string { return fmt.Sprintf("%s:%d", d.ip, port) }
@@ -95,12 +97,15 @@
 	}
 	ended := make(chan struct{})
 	d.mu.Lock()
-	d.process, d.ended = command.Process, ended
+	d.process, d.ended, d.stopped = command.Process, ended, false
 	d.mu.Unlock()
 	go func() {
-		_ = command.Wait()
+		err := command.Wait()
 		d.mu.Lock()
 		d.process = nil
+		if !d.stopped {
+			d.ownEnds = append(d.ownEnds, fmt.Sprintf("%s ended by itself at %s: %v", d.id, time.Now().UTC().Format(time.RFC3339Nano), err))
+		}
 		d.mu.Unlock()
 		close(ended)
 	}()
@@ -111,6 +116,7 @@
 func (d *daemon) signal(s syscall.Signal) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.stopped = d.stopped || s == syscall.SIGTERM || s == syscall.SIGKILL
 	return d.process != nil && d.process.Signal(s) == nil
 }
 
