gateway: a request that was read outlives the expiry of its connection

Once a starved process runs again, the idle check and the reads are due at the same moment; a read that came second dropped its bytes, because the connection was marked as expired.

Its reader closes an expired connection now, woken by a read deadline. A read that has got bytes makes it busy again. Bytes that were not read reset the connection, which tells the caller that the request was not read. A stop retires connections the same way.

TestReadRequestsOutliveExpiry failed before (unexpected EOF).

--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/event"
@@ -44,11 +44,12 @@
 }
 
 // trackedConn is a connection whose state is unused, busy, idle or expired. An expired
-// connection delivers no more bytes, so that no request is served whose answer can't be
-// sent.
+// connection is closed by its reader, so that one whose request was read stays open.
 type trackedConn struct {
 	net.Conn
-	state atomic.Int64 // connBusy, connExpired, connUnused, or since when it is idle in nanoseconds from idleTracker.start, at least 1
+
+	mu    sync.Mutex // held while the state and the read deadline change together
+	state int64      // connBusy, connExpired, connUnused, or since when it is idle in nanoseconds from idleTracker.start, at least 1
 }
 
 const (
@@ -59,19 +60,44 @@
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n == 0 {
-		return n, err
+	if c.currentState() == connExpired {
+		return 0, io.EOF
 	}
-	for {
-		state := c.state.Load()
-		switch {
-		case state == connExpired:
-			return 0, net.ErrClosed
-		case state == connBusy, c.state.CompareAndSwap(state, connBusy):
-			return n, err
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.state == connExpired {
+			_ = c.Conn.SetReadDeadline(time.Time{}) // net/http sets its own for each request
 		}
+		c.state = connBusy
+	}
+	return n, err
+}
+
+func (c *trackedConn) currentState() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+func (c *trackedConn) setState(state int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = state
+}
+
+// expireIf marks the connection as expired and wakes its reader, if applies holds for its
+// state, and reports whether it did.
+func (c *trackedConn) expireIf(applies func(state int64) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connExpired || !applies(c.state) {
+		return false
 	}
+	c.state = connExpired
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed already
+	return true
 }
 
 // CloseWrite closes the sending side. http.Server uses it so that the last answer is not
@@ -91,16 +117,14 @@
 	}
 	switch s {
 	case http.StateNew:
-		conn.state.Store(connUnused)
+		conn.setState(connUnused)
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		i.conns[conn] = struct{}{}
 	case http.StateIdle:
-		if state := conn.state.Load(); state != connExpired {
-			conn.state.CompareAndSwap(state, max(1, int64(time.Since(i.start))))
-		}
+		conn.setState(max(1, int64(time.Since(i.start))))
 	case http.StateActive:
-		conn.markBusy()
+		conn.setState(connBusy) // the request may have been read together with the previous one
 	case http.StateClosed, http.StateHijacked:
 		i.mu.Lock()
 		defer i.mu.Unlock()
@@ -108,50 +132,44 @@
 	}
 }
 
-// markBusy marks an idle connection as busy. Its next request may have been read together
-// with the previous one.
-func (c *trackedConn) markBusy() {
-	if state := c.state.Load(); state > connBusy {
-		c.state.CompareAndSwap(state, connBusy)
-	}
-}
-
 // expire marks the connections as expired that have been idle for at least limit, and
 // returns them.
-func (i *idleTracker) expire(now time.Time, limit time.Duration) (out []net.Conn) {
+func (i *idleTracker) expire(now time.Time, limit time.Duration) []net.Conn {
 	latest := int64(now.Sub(i.start) - limit)
+	return i.expireIf(func(state int64) bool { return state > connBusy && state <= latest })
+}
+
+// retire marks all connections as expired that are not busy.
+func (i *idleTracker) retire() { i.expireIf(func(state int64) bool { return state != connBusy }) }
+
+func (i *idleTracker) expireIf(applies func(state int64) bool) (out []net.Conn) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c := range i.conns {
-		if state := c.state.Load(); state > connBusy && state <= latest && c.state.CompareAndSwap(state, connExpired) {
+		if c.expireIf(applies) {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// busy returns the number of connections on which a request is read or answered.
-func (i *idleTracker) busy() (n int) {
+// open returns the number of open connections.
+func (i *idleTracker) open() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for c := range i.conns {
-		if c.state.Load() == connBusy {
-			n++
-		}
-	}
-	return n
+	return len(i.conns)
 }
 
-// retire marks all connections as expired that are not busy, and returns them.
-func (i *idleTracker) retire() (out []net.Conn) {
+// busy returns the number of connections on which a request is read or answered.
+func (i *idleTracker) busy() (n int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c := range i.conns {
-		if state := c.state.Load(); state != connBusy && state != connExpired && c.state.CompareAndSwap(state, connExpired) {
-			out = append(out, c)
+		if c.currentState() == connBusy {
+			n++
 		}
 	}
-	return out
+	return n
 }
 
 // closeIdleConns closes connections that exceed the configured idle timeout, until ctx
@@ -169,9 +187,6 @@
 				continue
 			}
 			expired := g.idleConns.expire(now, table.Limits.IdleTimeout)
-			for _, c := range expired {
-				_ = c.Close() // the caller may already have closed it
-			}
 			if len(expired) > 0 {
 				g.events.Record(event.IdleClosed, "", event.F("connections", strconv.Itoa(len(expired))),
 					event.F("limit", table.Limits.IdleTimeout.String()), event.F("version", strconv.FormatInt(table.Version, 10)))
--- a/gateway/idle_test.go
+++ b/gateway/idle_test.go
@@ -86,3 +86,50 @@
 		}
 	})
 }
+
+// heldConn is a connection whose reads return after release was closed.
+type heldConn struct {
+	net.Conn
+	release chan struct{}
+}
+
+func (c *heldConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	<-c.release
+	return n, err
+}
+
+// TestReadRequestsOutliveExpiry guards against requests that were read from a connection
+// at the moment at which it expired as idle, and were dropped.
+func TestReadRequestsOutliveExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newIdleTracker()
+		listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		server := &http.Server{ConnState: tracker.stateChanged, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
+		go func() { _ = server.Serve(trackedListener{listener}) }()
+		defer func() { _ = server.Close() }()
+		caller, pipe := net.Pipe()
+		accepted := &heldConn{pipe, make(chan struct{})}
+		close(accepted.release)
+		listener.conns <- accepted
+		answers := bufio.NewReader(caller)
+		if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := http.ReadResponse(answers, nil); err != nil {
+			t.Fatal("first request:", err)
+		}
+		synctest.Wait()
+		accepted.release = make(chan struct{})
+		time.Sleep(20 * time.Second)
+		if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		tracker.expire(time.Now(), 15*time.Second)
+		close(accepted.release)
+		if _, err := http.ReadResponse(answers, nil); err != nil {
+			t.Error("a request that was read when its connection expired:", err)
+		}
+	})
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -95,10 +95,8 @@
 func (g *Gateway) closeConns(deadline time.Time) {
 	g.closeListeners()
 	for {
-		for _, c := range g.idleConns.retire() {
-			_ = c.Close() // the caller may already have closed it
-		}
-		if g.idleConns.busy() == 0 || !time.Now().Before(deadline) {
+		g.idleConns.retire()
+		if g.idleConns.open() == 0 || !time.Now().Before(deadline) {
 			break
 		}
 		time.Sleep(drainPollInterval)
