gateway: canceled requests have 200 ms for their answers at the end of a stop

The time is 200 ms, of the 400 ms that are reserved before the end. The test, which is about the order of answers and closes, has a minute: its result depended on the speed of the machine.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,7 +57,9 @@
 	stopping  atomic.Pointer[stopPlan] // nil until a planned stop has started
 	durations *routeDurations
 	inFlight  atomic.Int64 // callers' requests being served
-	idleConns *idleTracker
+	// cancelAnswerTime is cancelAnswerTime, longer in tests on slow machines.
+	cancelAnswerTime time.Duration
+	idleConns        *idleTracker
 
 	servers        []*server
 	requestCtx     context.Context         // parent context of all requests
@@ -88,7 +90,7 @@
 	logger := level.NewFilter(log.With(log.NewJSONLogger(logOutput), "ts", log.DefaultTimestampUTC, "node", s.ID),
 		level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
 	g := &Gateway{
-		metrics: metrics.NewRegistry(), idleConns: newIdleTracker(), durations: newRouteDurations(),
+		metrics: metrics.NewRegistry(), idleConns: newIdleTracker(), cancelAnswerTime: cancelAnswerTime, durations: newRouteDurations(),
 		events:       event.NewRecorder(s.ID, event.NewClock(time.Now), logger, s.EventRing),
 		targetClient: platform.NewTargetClient(), fleet: fleet.New(s.Place, rand.Uint64()),
 	}
@@ -217,7 +219,7 @@
 		g.events.Record(event.NodeFailed, "", event.F("error", err.Error()))
 	}
 	g.cancelRequests(forward.ErrStopping) // requests still running at the end of the grace period
-	g.closeConns(time.Now().Add(cancelAnswerTime))
+	g.closeConns(time.Now().Add(g.cancelAnswerTime))
 	stop()
 	g.peers.transport.Close()
 	g.wg.Wait()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,10 +61,10 @@
 	staleDirectoryTTLs = 3
 	// shutdownReserve is the part of the grace period reserved for the exit of the
 	// process, which takes some tens of milliseconds.
-	shutdownReserve = 300 * time.Millisecond
+	shutdownReserve = 400 * time.Millisecond
 	// cancelAnswerTime is the time allowed for sending callers the errors of their
 	// canceled requests.
-	cancelAnswerTime = 100 * time.Millisecond
+	cancelAnswerTime = 200 * time.Millisecond
 	// drainPollInterval is the time between two checks for running requests.
 	drainPollInterval = 10 * time.Millisecond
 )
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -41,6 +41,7 @@
 	changed := *g.settings.Load()
 	changed.Grace, changed.DirectoryTTL = jsontime.Duration(grace), jsontime.Duration(time.Second)
 	g.settings.Store(&changed)
+	g.cancelAnswerTime = time.Minute // the race detector and a busy machine slow answers down
 	eventually(func() bool { status, _ := get(s.Readiness, "/-/readiness"); return status == http.StatusOK })
 	return s, func() {
 		signal()
