--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -173,17 +174,22 @@
 	s.running[id]--
 }
 
+// nextEvent returns the id of the first event of the answer to an attempt.
+func (a Attempt) nextEvent() int {
+	last, err := strconv.Atoi(a.LastEventID)
+	if err != nil {
+		return 0
+	}
+	return last + 1
+}
+
 // streaming answers with one event per gap, beginning after the last event id of the
 // attempt and ending with the event last. At event breakAt it writes a truncated event
 // and then ends the stream with breakErr, or stays silent if breakErr is nil.
 func streaming(last, breakAt int, gap time.Duration, breakErr error) behaviour {
 	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
 		r, w := io.Pipe()
-		next := 0
-		if a.LastEventID != "" {
-			_, _ = fmt.Sscan(a.LastEventID, &next)
-			next++
-		}
+		next := a.nextEvent()
 		s.startRun(a.Target.ID)
 		s.mu.Lock()
 		s.cancelRun[a.Target.ID] = func() { _ = w.CloseWithError(io.ErrUnexpectedEOF) }
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -65,11 +65,7 @@
 			return nil, ErrNoAnswer
 		}
 		r, w := io.Pipe()
-		next := 0
-		if a.LastEventID != "" {
-			_, _ = fmt.Sscan(a.LastEventID, &next)
-			next++
-		}
+		next := a.nextEvent()
 		s.startRun(a.Target.ID)
 		go func() {
 			defer s.endRun(a.Target.ID)
@@ -139,12 +135,7 @@
 				r.MaxAttempts, r.Resumable = c.attempts, !c.fixed
 				got := s.serve(t, r)
 				synctest.Wait()
-				if !got.receivedAll(50) {
-					t.Errorf("the caller got %d events (want 51), ended %v (want true), error %v; sent to %v", len(got.events), got.ended, got.err, s.client.attempts())
-				}
-				if s.client.maxConcurrent > 1 {
-					t.Errorf("the request ran on %d targets at once, want at most 1", s.client.maxConcurrent)
-				}
+				expectAll(t, s, got)
 			}))
 		}
 	}
@@ -162,12 +153,7 @@
 			}()
 			got := s.serve(t, streamRoute)
 			synctest.Wait()
-			if !got.receivedAll(50) {
-				t.Errorf("the caller got %d events (want 51), ended %v (want true), error %v; sent to %v", len(got.events), got.ended, got.err, s.client.attempts())
-			}
-			if s.client.maxConcurrent > 1 {
-				t.Errorf("the request ran on %d targets at once, want at most 1", s.client.maxConcurrent)
-			}
+			expectAll(t, s, got)
 		}))
 	}
 }
--- a/forward/succession_test.go
+++ b/forward/succession_test.go
@@ -18,11 +18,7 @@
 func mutePausable(last int, gap time.Duration, muteAt int, mute time.Duration) behaviour {
 	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
 		r, w := io.Pipe()
-		next := 0
-		if a.LastEventID != "" {
-			_, _ = fmt.Sscan(a.LastEventID, &next)
-			next++
-		}
+		next := a.nextEvent()
 		s.startRun(a.Target.ID)
 		stopped := make(chan struct{})
 		s.mu.Lock()
@@ -62,6 +58,8 @@
 	}
 }
 
+// expectAll checks that a caller received all events from 0 to 50, from one target at a
+// time.
 func expectAll(t *testing.T, s *fixture, got *fakeResponder) {
 	t.Helper()
 	if !got.receivedAll(50) {
