gateway: a SIGHUP during the start doesn't end the process

The signal was handled only after the daemon had bound its addresses; before that its default action ended the process (found by the soak, by reading its start).

--- a/cmd/vanillaroad-gateway/main.go
+++ b/cmd/vanillaroad-gateway/main.go
@@ -24,6 +24,8 @@
 }
 
 func run(path string) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // at once: without a handler the signal ends the process
 	s, err := gateway.LoadSettings(path)
 	if err != nil {
 		return err
@@ -36,8 +38,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	go g.WatchSettings(ctx, path, reload)
 	return g.Run(ctx)
 }
