--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/internal/membudget"
-	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // stream is one request with a streamed answer, over all its attempts.
@@ -150,179 +148,6 @@
 	}
 }
 
-// planAttempt plans the next attempt. It picks the target that holds a copy of the
-// run's KV cache if that target is ready, otherwise the target that is expected to
-// start soonest. It returns false if no attempt is possible.
-func (s *stream) planAttempt(ctx context.Context) (Attempt, bool) {
-	if !s.request.attemptsLeft(len(s.tried)) {
-		s.noAttempt = errAttemptsUsedUp.Error()
-		return s.planReturn(ctx)
-	}
-	if s.notSent > s.request.maxAttempts() {
-		s.noAttempt = "too many targets can't be reached"
-		return s.planReturn(ctx)
-	}
-	if len(s.succession.silent) == 0 {
-		s.awaitTarget(ctx)
-	}
-	if s.noAttempt != "" && !s.canPlace(time.Now()) {
-		return s.planReturn(ctx)
-	}
-	var promptHolders map[string]bool
-	if !s.standbyReady(time.Now()) {
-		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
-			s.lastErr = contextError(ctx, failure.NotRun, "route", s.request.Service)
-			s.noAttempt = s.lastErr.Error()
-			return Attempt{}, false
-		}
-		promptHolders = s.promptHolders(ctx)
-	}
-	// The last step that may take time, so that the target is picked by the latest state.
-	allowed, refusal := s.forwarder.allowAttempt(ctx, s.request, len(s.tried), take(&s.succession.retryReserved))
-	if refusal != nil {
-		s.lastErr, s.succession.silent = refusal, nil
-	}
-	if !allowed {
-		s.noAttempt = errBudgetExhausted.Error()
-		if refusal != nil {
-			s.noAttempt = refusal.Error()
-		}
-		return Attempt{}, false
-	}
-	now := time.Now()
-	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now)}
-	if s.standbyReady(now) {
-		a.Target, a.Resume = s.standby.holder, s.standby.copy
-	} else {
-		t, err := s.forwarder.Fleet.Pick(now, s.targetCriteria(promptHolders))
-		if err != nil {
-			if s.lastErr == nil {
-				s.lastErr = noTargetError(s.request, err)
-			}
-			s.noAttempt = err.Error()
-			s.succession.keepRetry(time.Now(), len(s.tried))
-			return s.planReturn(ctx)
-		}
-		a.Target = t
-	}
-	s.standby = nil
-	if c, ok := s.pickCopyTarget(now, a.Target, nil); ok {
-		a.CopyTo = &c
-	}
-	return a, true
-}
-
-// Limits of the wait for a target of a stream that has begun.
-const (
-	// maxTargetWait covers a suspicion. A caller can't get the stream anywhere else: it is
-	// bound to the targets of its software version, which may be few.
-	maxTargetWait      = fleet.SuspectDuration + 100*time.Millisecond
-	targetPollInterval = 20 * time.Millisecond
-)
-
-// awaitTarget waits while a stream that has begun has no target which is ready, and one
-// that may be soon.
-func (s *stream) awaitTarget(ctx context.Context) {
-	if s.version == nil || s.standbyReady(time.Now()) {
-		return
-	}
-	for end := time.Now().Add(maxTargetWait); time.Now().Before(end); {
-		now, criteria := time.Now(), s.targetCriteria(nil)
-		if _, err := s.forwarder.Fleet.Pick(now, criteria); err == nil || !s.forwarder.Fleet.MayRecover(now, criteria) || !pause.For(ctx, targetPollInterval) {
-			return
-		}
-	}
-}
-
-// canPlace reports whether a target is ready for a stream that waits, and reserves the
-// retry budget for it if so. Streams that wait use up no placements.
-func (s *stream) canPlace(now time.Time) bool {
-	if _, err := s.forwarder.Fleet.Pick(now, s.targetCriteria(nil)); err != nil {
-		return false
-	}
-	if s.succession.retryReserved.IsZero() && s.forwarder.RetryBudget.AllowRetry(now, s.request.Service) {
-		s.succession.retryReserved = now
-	}
-	return !s.succession.retryReserved.IsZero()
-}
-
-// planReturn plans an attempt at a target that the stream was taken from.
-func (s *stream) planReturn(ctx context.Context) (Attempt, bool) {
-	t, ok, refusal := s.forwarder.planReturn(ctx, s.request, &s.succession, s.allowsVersion)
-	if refusal != nil {
-		s.lastErr = refusal
-	}
-	return Attempt{Request: s.request, Target: t, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(time.Now())}, ok
-}
-
-// targetCriteria returns what the next attempt needs of its target.
-func (s *stream) targetCriteria(promptHolders map[string]bool) fleet.Criteria {
-	return fleet.Criteria{
-		SoftwareVersion: s.version, PromptHolders: promptHolders,
-		Service: s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
-		MemoryTokens: max(1, s.memoryTokens()), CapacityTokens: s.capacityTokens(),
-	}
-}
-
-// standbyReady reports whether the next attempt can resume from a standby copy.
-func (s *stream) standbyReady(now time.Time) bool {
-	return s.standby != nil && s.allowsVersion(s.standby.holder) && s.forwarder.Fleet.IsCurrent(s.standby.holder) && s.forwarder.Fleet.State(now, s.standby.holder.ID) == fleet.Ready && !s.tried[s.standby.holder.ID]
-}
-
-// allowsVersion reports whether the stream may continue at a target: at any before its
-// first event, later at those of the software version that began it.
-func (s *stream) allowsVersion(t fleet.Target) bool {
-	return s.version == nil || *s.version == t.SoftwareVersion
-}
-
-// objectiveMissed reports whether the answer can no longer meet the objectives of its
-// route: the caller resumes an interrupted answer, the time since the last event exceeds
-// Route.MaxEventGap, or the first event would come after Route.LatencyObjective.
-func (s *stream) objectiveMissed(now time.Time) bool {
-	route := s.request.Route
-	switch {
-	case s.request.LastEventID != "":
-		return true
-	case !s.lastEventAt.IsZero():
-		return route.MaxEventGap > 0 && now.Sub(s.lastEventAt) > route.MaxEventGap
-	}
-	return route.LatencyObjective > 0 && now.Sub(s.request.Received) > route.LatencyObjective
-}
-
-func (s *stream) formatLastEventID() string {
-	if s.lastEventID < 0 {
-		return ""
-	}
-	return strconv.FormatInt(s.lastEventID, 10)
-}
-
-// promptHolders returns the ids of the targets that hold the prompt of a caller who
-// resumes an answer. It returns nil for other callers and after the first attempt.
-func (s *stream) promptHolders(ctx context.Context) map[string]bool {
-	if s.request.LastEventID == "" || s.request.Prompt.CacheKey == "" || len(s.tried) > 0 {
-		return nil
-	}
-	return s.forwarder.CacheLocator.Find(ctx, s.forwarder.Fleet.RankByHash(time.Now(), s.request.Service, s.request.Prompt.CacheKey, maxCacheQueries), s.request.Prompt.CacheKey)
-}
-
-// pickCopyTarget picks the target for a copy of the KV cache of the run on t, of the same
-// software version, except for the targets in failed. It prefers another place, so that the loss of a place
-// leaves either the run or its copy.
-func (s *stream) pickCopyTarget(now time.Time, t fleet.Target, failed map[string]bool) (fleet.Target, bool) {
-	model := s.forwarder.Model(s.request.Service)
-	if !s.request.Route.Repeatable() || model == nil || !model.StandbyCopies {
-		return fleet.Target{}, false
-	}
-	exclude := map[string]bool{t.ID: true}
-	maps.Copy(exclude, s.tried)
-	maps.Copy(exclude, failed)
-	c, err := s.forwarder.Fleet.Pick(now, fleet.Criteria{
-		SoftwareVersion: &t.SoftwareVersion, Service: s.request.Service, Exclude: exclude, AvoidPlaces: append([]string{t.Place}, s.lostPlaces...),
-		MemoryTokens: s.memoryTokens(), CapacityTokens: model.KVCacheTokens, ForCopy: true,
-	})
-	return c, err == nil
-}
-
 // attempt sends the request to one target and passes on the answer.
 func (s *stream) attempt(ctx context.Context, a Attempt) attemptEnd {
 	ctx, cancel := context.WithCancel(ctx)
