soak: a caller's time limit is the one that it states

Trace: Vanillaroad-Deadline-Ms was 15,500, the daemon's line says deadline_past after 15.500 s, and the answer ended less than a millisecond before the caller's own limit, of which the header states whole milliseconds. The rule excuses an answer that reaches the time limit. The check compares with the stated limit now; nothing else is excused.

--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -331,7 +331,10 @@
 	} else {
 		fmt.Fprintf(&body, "%s\n%s", a.work, strings.Repeat("x", c.rng.IntN(5000)))
 	}
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: h.example\r\nVanillaroad-Request-Id: %s\r\nVanillaroad-Deadline-Ms: %d\r\n", method, path, a.id, time.Until(a.deadline).Milliseconds())
+	now := time.Now()
+	left := a.deadline.Sub(now).Truncate(time.Millisecond)
+	a.deadline = now.Add(left) // as the daemon gets it
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: h.example\r\nVanillaroad-Request-Id: %s\r\nVanillaroad-Deadline-Ms: %d\r\n", method, path, a.id, left.Milliseconds())
 	if lastEvent > 0 {
 		fmt.Fprintf(&head, "Last-Event-Id: %d\r\n", lastEvent)
 	}
