forward: simulated targets end answers that have neither length nor chunks (LOST)

The simulated targets framed three answers in four, and one that was not framed still broke off with an error and within an event. A process that ends closes its connections like one that has sent all: the reader sees a plain end, within an event, between two or before the first. Now answers are framed or not by run; a run whose process ended, that was moved or reached its time limit ends anywhere, others only within an event or by a reset. A move can be carried out late, at a target that was silent, and its answer can be lost. A completed run whose answer is cut is a violation too.

--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -36,7 +36,11 @@
 	leaveAfter     time.Duration // when its caller leaves; 0 for never
 	prefill, gap   time.Duration
 	lastEvent      int
-	framed         bool
+	framing        simFraming
+	cut            simCut // how its runs break off
+	lateMoves      bool   // a silent target carries out moves later, although nobody waits for them
+	lostMoves      bool   // the answers to moves are lost
+	moveDelay      time.Duration
 	headLast       bool // the head of a call's answer arrives with the body
 	newConnections bool // its sends open new connections
 	serverErrors   map[int]bool
@@ -164,8 +168,8 @@
 		q.faultf("reported as not run (%v) and ran", q.err)
 	}
 	if last := q.lastRun(); !q.complete() && !q.left && q.endedAt.Before(deadline) && last != nil &&
-		(last.end == runCanceled || last.end == runMoved) && q.simulation.upAt(last.process, q.endedAt) {
-		q.faultf("given up (%s, error %v) although its target %s was only silent", q.final, q.err, last.process.ID)
+		(last.end == runCanceled || last.end == runMoved || last.end == runComplete) && q.simulation.upAt(last.process, q.endedAt) {
+		q.faultf("given up (%s, error %v) although its target %s was only silent or had completed it", q.final, q.err, last.process.ID)
 	}
 	return q.faults
 }
@@ -206,7 +210,8 @@
 		Request: &Request{ID: fmt.Sprintf("r%d", n), Method: http.MethodPost, Header: http.Header{}, Route: route, Service: "svc"},
 		plan: simPlan{
 			at: time.Duration(random.Int64N(int64(length))), deadline: between(random, 2*time.Second, 25*time.Second), prefill: between(random, 20*time.Millisecond, time.Second),
-			gap: between(random, 15*time.Millisecond, 90*time.Millisecond), lastEvent: random.IntN(120), framed: random.IntN(4) > 0,
+			gap: between(random, 15*time.Millisecond, 90*time.Millisecond), lastEvent: random.IntN(120), framing: simFraming(random.IntN(4)), cut: simCut(random.IntN(3)),
+			lateMoves: random.IntN(2) == 0, lostMoves: random.IntN(8) == 0, moveDelay: between(random, 0, 600*time.Millisecond),
 			headLast: random.IntN(2) == 0, newConnections: random.IntN(2) == 0, serverErrors: make(map[int]bool),
 		},
 	}
--- a/forward/simulation_calls_test.go
+++ b/forward/simulation_calls_test.go
@@ -61,10 +61,17 @@
 
 // Move implements TargetClient.
 func (w *simulation) Move(ctx context.Context, source fleet.Target, id string, destination fleet.Target) (Copy, fleet.Target, error) {
+	q := w.requests[id]
 	p, err := w.call(ctx, source)
 	if err != nil {
+		if q.plan.lateMoves && errors.Is(err, ErrNoAnswer) {
+			go w.moveLate(source, id)
+		}
 		return Copy{}, fleet.Target{}, err
 	}
+	if q.plan.lostMoves { // the answer to the move is lost
+		defer func() { <-ctx.Done() }()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := p.runs[id]
@@ -75,11 +82,7 @@
 	if holder == nil || holder.ended || holder.refusing || holder.unreachable || holder.silent != nil || holder.ID != destination.ID {
 		holder, destination = p, source
 	}
-	select {
-	case <-r.stop:
-	default:
-		close(r.stop)
-	}
+	r.stopByMove()
 	name := "move of " + id
 	holder.copies[name] = true
 	return Copy{source.Address, name}, destination, nil
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -38,7 +38,9 @@
 	process *simProcess
 	began   bool
 	events  int
+	framed  bool          // its answer, see Answer.Framed
 	stop    chan struct{} // closed by a move
+	limit   time.Time     // when its target stops work; zero for never
 	end     runEnd
 }
 
@@ -52,6 +54,7 @@
 	runRefused  runEnd = "refused" // not begun
 	runCanceled runEnd = "canceled by the forwarder"
 	runMoved    runEnd = "stopped by a move"
+	runExpired  runEnd = "stopped at its time limit"
 )
 
 // simulation is a set of simulated targets on a virtual clock. It implements
@@ -145,7 +148,10 @@
 		return nil, err
 	}
 	w.mu.Lock()
-	r := &simRun{request: q, process: p, stop: make(chan struct{})}
+	r := &simRun{request: q, process: p, framed: q.plan.framed(len(q.runs)), stop: make(chan struct{})}
+	if a.TimeLeft > 0 {
+		r.limit = time.Now().Add(max(time.Millisecond, a.TimeLeft.Truncate(time.Millisecond)))
+	}
 	q.arrivals = append(q.arrivals, simArrival{sentAt, p.ID})
 	q.runs = append(q.runs, r)
 	w.logf("%s arrives at %s after event %q, from a copy: %v", q.ID, p.ID, a.LastEventID, a.Resume != (Copy{}))
@@ -166,7 +172,7 @@
 	}
 	w.beginRun(r, a)
 	pr, pw := io.Pipe()
-	answer := &Answer{Status: http.StatusOK, Signed: true, Framed: q.plan.framed, Header: http.Header{"X-Target": {p.ID}}, Body: pr}
+	answer := &Answer{Status: http.StatusOK, Signed: true, Framed: r.framed, Header: http.Header{"X-Target": {p.ID}}, Body: pr}
 	if q.plan.serverErrors[len(q.runs)-1] {
 		answer.Status = http.StatusInternalServerError
 	}
@@ -223,6 +229,10 @@
 		case <-r.stop:
 			r.end = runMoved
 		default:
+			if r.expired() {
+				r.end = runExpired
+				break
+			}
 			r.end = runCanceled
 			if ctx.Err() == nil {
 				w.faults = append(w.faults, r.request.ID+": a run ended for no reason")
@@ -247,10 +257,16 @@
 // work waits for d and until the process is not silent. It returns false if the run ends
 // first.
 func (w *simulation) work(ctx context.Context, r *simRun, broken <-chan struct{}, d time.Duration) bool {
+	if !r.limit.IsZero() {
+		d = min(d, time.Until(r.limit))
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		if r.expired() {
+			return false
+		}
 	case <-ctx.Done():
 		return false
 	case <-broken:
@@ -284,8 +300,7 @@
 	for ; next <= plan.lastEvent; next++ {
 		if !w.work(ctx, r, broken, wait) {
 			w.finishRun(ctx, r, broken)
-			_, _ = fmt.Fprintf(pw, "id: %d\nda", next)
-			_ = pw.CloseWithError(io.ErrUnexpectedEOF)
+			w.cutStream(r, next, pw)
 			return
 		}
 		wait = plan.gap
@@ -316,7 +331,7 @@
 	for _, part := range []string{body[:5], body[5:]} {
 		if !w.work(ctx, r, broken, r.request.plan.gap) {
 			w.finishRun(ctx, r, broken)
-			_ = pw.CloseWithError(io.ErrUnexpectedEOF)
+			w.cutCall(r, pw)
 			return
 		}
 		if _, err := io.WriteString(pw, part); err != nil {
