--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -43,12 +43,13 @@
 	full          map[string]bool            // targets without memory for a copy
 	cancelRun     map[string]func()          // by target; each ends the run there, as a move does
 	listening     map[string]bool            // targets that accept connections, see Connect
+	ended         map[string]bool            // targets whose addresses refuse probes
 	paused        map[string]chan struct{}   // targets that are silent; closed when they go on
 	reportedRuns  map[string]RunStatus       // in the report of each target; nil if not stated
 }
 
 func newFakeTargetClient() *fakeTargetClient {
-	return &fakeTargetClient{behaviours: make(map[string]behaviour), running: make(map[string]int), dead: make(map[string]bool), copies: make(map[string]string), full: make(map[string]bool), cancelRun: make(map[string]func()), listening: make(map[string]bool), paused: make(map[string]chan struct{})}
+	return &fakeTargetClient{behaviours: make(map[string]behaviour), running: make(map[string]int), dead: make(map[string]bool), copies: make(map[string]string), full: make(map[string]bool), cancelRun: make(map[string]func()), listening: make(map[string]bool), ended: make(map[string]bool), paused: make(map[string]chan struct{})}
 }
 
 func (s *fakeTargetClient) Send(ctx context.Context, a Attempt) (*Answer, error) {
@@ -72,8 +73,11 @@
 
 func (s *fakeTargetClient) Report(ctx context.Context, t fleet.Target) (Report, error) {
 	s.mu.Lock()
-	dead := s.dead[t.ID]
+	dead, ended := s.dead[t.ID], s.ended[t.ID]
 	s.mu.Unlock()
+	if ended {
+		return Report{}, errors.WithStack(ErrNotListening)
+	}
 	if dead {
 		<-ctx.Done()
 		return Report{}, ctx.Err()
@@ -371,28 +375,3 @@
 	Name: "stream", Kind: ingress.Streaming, Resumable: true, Timeout: 25 * time.Second,
 	LatencyObjective: 4500 * time.Millisecond, MaxEventGap: 700 * time.Millisecond, MaxAttempts: 5,
 }
-
-// limitedCrashTracker refuses every request after limit reported crashes.
-type limitedCrashTracker struct {
-	limit int
-
-	mu      sync.Mutex
-	crashed int
-}
-
-func (c *limitedCrashTracker) Check(context.Context, *Request) *failure.Error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.crashed < c.limit {
-		return nil
-	}
-	return failure.New(failure.Quarantined, failure.NotRun, "quarantine", "", "%d targets failed under this request", c.crashed)
-}
-func (c *limitedCrashTracker) ReportCrash(*Request, fleet.Target, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.crashed++
-}
-func (*limitedCrashTracker) ReportLoss(*Request, fleet.Incarnation, bool) {}
-func (*limitedCrashTracker) ReportProgress(*Request)                      {}
-func (*limitedCrashTracker) ReportCompletion(*Request)                    {}
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -107,3 +109,28 @@
 		})
 	}
 }
+
+// limitedCrashTracker refuses every request after limit reported crashes.
+type limitedCrashTracker struct {
+	limit int
+
+	mu      sync.Mutex
+	crashed int
+}
+
+func (c *limitedCrashTracker) Check(context.Context, *Request) *failure.Error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.crashed < c.limit {
+		return nil
+	}
+	return failure.New(failure.Quarantined, failure.NotRun, "quarantine", "", "%d targets failed under this request", c.crashed)
+}
+func (c *limitedCrashTracker) ReportCrash(*Request, fleet.Target, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashed++
+}
+func (*limitedCrashTracker) ReportLoss(*Request, fleet.Incarnation, bool) {}
+func (*limitedCrashTracker) ReportProgress(*Request)                      {}
+func (*limitedCrashTracker) ReportCompletion(*Request)                    {}
