--- a/forward/run.go
+++ b/forward/run.go
@@ -260,13 +260,17 @@
 // returns how and true.
 func (a *streamAttempt) handleEvent(ctx context.Context, p answerPart) (attemptEnd, bool) {
 	s, now := a.stream, time.Now()
-	if isEndOfStream(p.err) {
-		return a.endStream(), true
+	err := p.err
+	if isEndOfStream(err) {
+		if a.mayBeComplete() {
+			return a.endStream(), true
+		}
+		err = errNoEvents
 	}
-	if p.err != nil {
+	if err != nil {
 		s.forwarder.Prober.Check(a.attempt.Target)
 		a.reportBroken(ctx)
-		return a.abandonBroken(p.err.Error()), true
+		return a.abandonBroken(err.Error()), true
 	}
 	if !s.isProgress(p.event) {
 		return a.handleIdleEvent(p.event)
