--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/fleet"
 )
 
 // unframed answers like b, without a frame: a connection that ends looks like the end of
@@ -40,3 +44,95 @@
 		}
 	})(t)
 }
+
+// cutAtEnd answers like cutting, and ends the target's process at that moment.
+func cutAtEnd(cutAt int) behaviour {
+	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+		time.AfterFunc(time.Duration(cutAt-a.nextEvent())*eventGap-time.Millisecond, func() { s.end(a.Target.ID) })
+		return cutting(cutAt)(ctx, a, s)
+	}
+}
+
+// TestUnframedStreamOfAnEndedTarget guards against a stream that looks complete although
+// its target's process ended between two events, and against a crash that counts as a
+// completion.
+func TestUnframedStreamOfAnEndedTarget(t *testing.T) {
+	for name, change := range map[string]func(s *fixture, first string){
+		"it is registered":  func(*fixture, string) {},
+		"it has no entry":   func(s *fixture, first string) { s.Fleet.Remove(time.Now(), first, false) },
+		"it is leaving":     func(s *fixture, first string) { s.Fleet.Put(s.leaving(first)) },
+		"it was superseded": func(s *fixture, first string) { s.Fleet.Put(s.successor(first)) },
+	} {
+		t.Run(name, inBubble(func(t *testing.T) {
+			s, first := newFixtureWithBroken(streaming(50, -1, eventGap, nil), cutAtEnd(20))
+			time.AfterFunc(10*eventGap, func() { change(s, first) })
+			expectAll(t, s, s.serve(t, streamRoute))
+			if crashed := s.crashTracker.crashed; len(crashed) != 1 || crashed[0] != first {
+				t.Errorf("crashes %v, want one of the first target", crashed)
+			}
+		}))
+	}
+	t.Run("it can't be resumed", inBubble(func(t *testing.T) {
+		s, _ := newFixtureWithBroken(streaming(50, -1, eventGap, nil), cutAtEnd(20))
+		route := streamRoute
+		route.Resumable = false
+		if got := s.serve(t, route); got.ended || !got.aborted {
+			t.Errorf("ended %v, aborted %v, want it cut", got.ended, got.aborted)
+		}
+		if n := s.crashTracker.completions.Load(); n != 0 {
+			t.Errorf("%d completions, want none", n)
+		}
+	}))
+}
+
+// TestUnframedStreamOfASilentTarget guards against a complete stream that is cut because
+// its target is silent after its end, and no other target takes it.
+func TestUnframedStreamOfASilentTarget(t *testing.T) {
+	for name, other := range map[string]behaviour{"others refuse": answering(http.StatusServiceUnavailable, true), "others are ready": streaming(50, -1, eventGap, nil)} {
+		t.Run(name, inBubble(func(t *testing.T) {
+			s, first := newFixtureWithBroken(other, cutting(51))
+			time.AfterFunc(51*eventGap-time.Millisecond, func() { s.client.pauseFor(silence, first) })
+			expectAll(t, s, s.serve(t, streamRoute))
+		}))
+	}
+	t.Run("no attempt is left", inBubble(func(t *testing.T) {
+		s, first := newFixtureWithBroken(streaming(50, -1, eventGap, nil), cutting(51))
+		time.AfterFunc(51*eventGap-time.Millisecond, func() { s.client.pauseFor(silence, first) })
+		route := streamRoute
+		route.MaxAttempts = 1
+		expectAll(t, s, s.serve(t, route))
+	}))
+}
+
+// TestUnframedStreamOfASoundTarget guards against complete streams that are sent again.
+func TestUnframedStreamOfASoundTarget(t *testing.T) {
+	inBubble(func(t *testing.T) {
+		s, first := newFixtureWithBroken(streaming(50, -1, eventGap, nil), cutting(51))
+		start := time.Now()
+		expectAll(t, s, s.serve(t, streamRoute))
+		if got, limit := time.Since(start), 51*eventGap+2*placementInterval; len(s.client.attempts()) != 1 || got > limit {
+			t.Errorf("sent to %v in %v, want the target %s alone and at most %v", s.client.attempts(), got, first, limit)
+		}
+		if n := s.crashTracker.completions.Load(); n != 1 {
+			t.Errorf("%d completions, want one", n)
+		}
+	})(t)
+}
+
+// entry returns the entry of a target.
+func (s *fixture) entry(id string) fleet.Target { return s.Fleet.Incarnation(id).Target }
+
+// leaving returns the entry of a target that leaves.
+func (s *fixture) leaving(id string) fleet.Target {
+	t := s.entry(id)
+	t.Leaving = true
+	return t
+}
+
+// successor returns the entry of another target at the address of one.
+func (s *fixture) successor(id string) fleet.Target {
+	t := s.entry(id)
+	t.ID, t.StartMillis = id+"-next", t.StartMillis+1
+	s.client.behaviours[t.ID] = s.client.behaviours[id]
+	return t
+}
