--- a/forward/ending.go
+++ b/forward/ending.go
@@ -1,9 +1,15 @@
 package forward
 
-import "github.com/pkg/errors"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // An answer that is not framed ends with its connection. Its end looks the same whether
 // the target has sent all of it, the target's process has ended, or the run was stopped.
+// It is believed once a probe which started after it shows that the process still runs.
+// While the target is silent, the request is handled like that of any silent target.
 
 // errNoEvents means that a connection ended before the first event of an answer without a
 // frame.
@@ -12,5 +18,53 @@
 // mayBeComplete reports whether a stream that ends between two events may be complete. The
 // answer to a request for the events after one may have none.
 func (a *streamAttempt) mayBeComplete() bool {
-	return a.framed || a.stream.lastEventID >= 0 || len(a.unnumbered) > 0
+	return a.stream.lastEventID >= 0 || len(a.unnumbered) > 0
+}
+
+// awaitConfirmation begins the wait for a sign that the target still runs.
+func (a *streamAttempt) awaitConfirmation() {
+	a.endedAt = time.Now()
+	a.probeEnd()
+}
+
+// awaitsConfirmation reports whether the answer has ended and that is not confirmed yet.
+func (a *streamAttempt) awaitsConfirmation() bool { return !a.endedAt.IsZero() }
+
+func (a *streamAttempt) probeEnd() {
+	a.stream.forwarder.Prober.ProbeSince(a.attempt.Target, a.probeResults, a.endedAt)
+}
+
+// endTime returns when the run ended: now if its end was not received.
+func (a *streamAttempt) endTime() time.Time {
+	if a.endedAt.IsZero() {
+		return time.Now()
+	}
+	return a.endedAt
+}
+
+// handleConfirmation handles the result of a probe of a target whose answer has ended. If
+// the attempt has ended, it returns how and true.
+func (a *streamAttempt) handleConfirmation(p ProbeResult) (attemptEnd, bool) {
+	switch {
+	case p.terminated:
+		a.endReported = true
+		a.stream.forwarder.CrashTracker.ReportCrash(a.stream.request, a.attempt.Target, a.atStart(a.endedAt))
+		return a.abandon("the target terminated, and its answer may be incomplete"), true
+	case p.Alive && !p.startedAt.Before(a.endedAt):
+		return a.endStream(), true
+	case p.Alive:
+		a.probeEnd()
+	}
+	return 0, false
+}
+
+// handleUnconfirmed is handleTimer for a target whose answer has ended.
+func (a *streamAttempt) handleUnconfirmed() (wait time.Duration, end attemptEnd, done bool) {
+	if time.Since(a.endedAt) >= probeTimeout {
+		if end, done := a.giveUp("the target is silent since the end of its answer"); done {
+			return 0, end, true
+		}
+	}
+	a.probeEnd()
+	return gapProbeInterval, 0, false
 }
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -32,6 +32,8 @@
 type ProbeResult struct {
 	Alive       bool
 	Report      Report
+	terminated  bool // the target's process has certainly ended
+	startedAt   time.Time
 	completedAt time.Time
 }
 
@@ -57,9 +59,15 @@
 
 // Probe probes t and sends the outcome to reply, unless reply is full.
 func (p *Prober) Probe(t fleet.Target, reply chan<- ProbeResult) {
+	p.ProbeSince(t, reply, time.Time{})
+}
+
+// ProbeSince is like Probe, but reuses only results of probes that started at a time or
+// later. The result of a probe that is in flight may be older.
+func (p *Prober) ProbeSince(t fleet.Target, reply chan<- ProbeResult, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if last, ok := p.lastResults[t.ID]; ok && last.Alive && time.Since(last.completedAt) < probeResultTTL {
+	if last, ok := p.lastResults[t.ID]; ok && last.Alive && time.Since(last.completedAt) < probeResultTTL && !last.startedAt.Before(since) {
 		deliver(reply, last)
 		return
 	}
@@ -73,10 +81,11 @@
 func (p *Prober) runProbe(t fleet.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	report, err := p.client.Report(ctx, t)
 	now := time.Now()
 	terminated := errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening) || err == nil && restarted(t, report)
-	result := ProbeResult{Alive: err == nil && !terminated, Report: report, completedAt: now}
+	result := ProbeResult{Alive: err == nil && !terminated, Report: report, terminated: terminated, startedAt: startedAt, completedAt: now}
 	p.mu.Lock()
 	waiters := p.pending[t.ID]
 	delete(p.pending, t.ID)
--- a/forward/run.go
+++ b/forward/run.go
@@ -27,6 +27,7 @@
 	moveResults  chan copyResult // outcome of the move to another target
 	moving       bool            // a move was started, its outcome is pending
 	framed       bool            // see Answer.Framed
+	endedAt      time.Time       // when an answer that is not framed ended, if that is not confirmed yet; zero otherwise
 	failed       bool            // the attempt failed because of the target
 	endReported  bool            // the run's end was reported to the crash tracker
 	progressed   bool            // the run's progress was reported
@@ -94,6 +95,12 @@
 				return end
 			}
 		case p := <-a.probeResults:
+			if a.awaitsConfirmation() {
+				if end, done := a.handleConfirmation(p); done {
+					return end
+				}
+				continue
+			}
 			if p.Alive && a.stream.request.Route.Repeatable() && a.detector.eventsUndelivered(a.stream.request.ID, p.Report) {
 				if end, done := a.giveUp("the target runs the request, and its answer does not arrive"); done {
 					return end
@@ -172,7 +179,7 @@
 func (a *streamAttempt) abandon(reason string) attemptEnd {
 	a.stream.mayHaveRun, a.failed = true, true
 	if !a.endReported {
-		a.stream.forwarder.CrashTracker.ReportLoss(a.stream.request, a.incarnation, a.atStart(time.Now()))
+		a.stream.forwarder.CrashTracker.ReportLoss(a.stream.request, a.incarnation, a.atStart(a.endTime()))
 	}
 	a.stream.standby = nil
 	if a.detector.firstEventSeen || a.attempt.Resume != (Copy{}) || a.copier.explicit {
@@ -262,8 +269,12 @@
 	s, now := a.stream, time.Now()
 	err := p.err
 	if isEndOfStream(err) {
-		if a.mayBeComplete() {
+		switch {
+		case a.framed:
 			return a.endStream(), true
+		case a.mayBeComplete():
+			a.awaitConfirmation()
+			return 0, false
 		}
 		err = errNoEvents
 	}
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -259,6 +259,9 @@
 // moves to another target, or the attempt is abandoned. If the attempt goes on,
 // handleTimer returns the time until the next call.
 func (a *streamAttempt) handleTimer(ctx context.Context) (wait time.Duration, end attemptEnd, done bool) {
+	if a.awaitsConfirmation() {
+		return a.handleUnconfirmed()
+	}
 	const reason = "the stream is silent"
 	action, wait := a.detector.next(time.Now())
 	switch {
