--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -136,3 +137,25 @@
 	s.client.behaviours[t.ID] = s.client.behaviours[id]
 	return t
 }
+
+// TestUnframedStreamAtItsTimeLimit guards against a stream that looks complete although its
+// target stopped work at the time limit that it was given, in whole milliseconds.
+func TestUnframedStreamAtItsTimeLimit(t *testing.T) {
+	inBubble(func(t *testing.T) {
+		limited := func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+			r, w := io.Pipe()
+			answer, err := unframed(streaming(1000, -1, eventGap, nil))(ctx, a, s)
+			body := answer.Body
+			go func() { _, _ = io.Copy(w, body) }()
+			time.AfterFunc(a.TimeLeft.Truncate(time.Millisecond), func() { _ = w.Close() })
+			answer.Body = r
+			return answer, err
+		}
+		s := newFixture(map[string]behaviour{"a": limited, "b": limited})
+		route := streamRoute
+		route.Timeout = 2*time.Second + 300*time.Microsecond
+		if got := s.serve(t, route); got.ended || !got.aborted {
+			t.Errorf("ended %v, aborted %v after %d of 1001 events, want it cut", got.ended, got.aborted, len(got.events))
+		}
+	})(t)
+}
