forward: a stream at its time limit is not complete without a frame (ORDER)

A target stops work at the time limit that it is given, in whole milliseconds, so up to one before the request's own deadline. If the route's timeout is shorter than the caller's, the caller still listens, and took the end of a stream without length or chunks for that of the whole stream. An end within that millisecond is left to the deadline, which cuts the answer.

TestUnframedStreamAtItsTimeLimit failed before.

--- a/forward/ending.go
+++ b/forward/ending.go
@@ -15,6 +15,17 @@
 // frame.
 var errNoEvents = errors.New("the answer ends without an event")
 
+// timeLimitUnit is the unit in which targets get their time limit. They stop work up to one
+// unit before it.
+const timeLimitUnit = time.Millisecond
+
+// atTimeLimit reports whether a target may have stopped work at the time limit of the
+// request. Unlike a broken connection that needs no other attempt: the request ends too.
+func (r *Request) atTimeLimit() bool {
+	deadline := r.AnswerDeadline()
+	return !deadline.IsZero() && time.Until(deadline) <= timeLimitUnit
+}
+
 // mayBeComplete reports whether a stream that ends between two events may be complete. The
 // answer to a request for the events after one may have none.
 func (a *streamAttempt) mayBeComplete() bool {
--- a/forward/run.go
+++ b/forward/run.go
@@ -272,6 +272,8 @@
 		switch {
 		case a.framed:
 			return a.endStream(), true
+		case s.request.atTimeLimit():
+			return 0, false // ctx ends
 		case a.mayBeComplete():
 			a.awaitConfirmation()
 			return 0, false
