--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -44,6 +44,7 @@
 	cancelRun     map[string]func()          // by target; each ends the run there, as a move does
 	listening     map[string]bool            // targets that accept connections, see Connect
 	ended         map[string]bool            // targets whose addresses refuse probes
+	reportErr     error                      // of all reports
 	paused        map[string]chan struct{}   // targets that are silent; closed when they go on
 	reportedRuns  map[string]RunStatus       // in the report of each target; nil if not stated
 }
@@ -78,6 +79,9 @@
 	if ended {
 		return Report{}, errors.WithStack(ErrNotListening)
 	}
+	if s.reportErr != nil {
+		return Report{}, s.reportErr
+	}
 	if dead {
 		<-ctx.Done()
 		return Report{}, ctx.Err()
@@ -227,7 +231,7 @@
 // answering answers at once with a status.
 func answering(status int, notRun bool) behaviour {
 	return func(context.Context, Attempt, *fakeTargetClient) (*Answer, error) {
-		return &Answer{Status: status, NotRun: notRun, Signed: !notRun, Header: http.Header{}, Body: io.NopCloser(&io.LimitedReader{})}, nil
+		return &Answer{Status: status, NotRun: notRun, Signed: !notRun, Framed: true, Header: http.Header{}, Body: io.NopCloser(&io.LimitedReader{})}, nil
 	}
 }
 
--- /dev/null
+++ b/forward/unframed_call_test.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/ingress"
+)
+
+// bodyOf answers with a body that is not framed. at is called before it ends.
+func bodyOf(status int, body string, at func(s *fakeTargetClient, id string)) behaviour {
+	return func(_ context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+		if at != nil {
+			at(s, a.Target.ID)
+		}
+		return &Answer{Status: status, Signed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}, nil
+	}
+}
+
+func endTarget(s *fakeTargetClient, id string) { s.end(id) }
+
+// TestUnframedBodyOfAnEndedTarget guards against the part of a body that looks complete
+// because its target's process ended.
+func TestUnframedBodyOfAnEndedTarget(t *testing.T) {
+	nonIdempotent := callRoute
+	nonIdempotent.Kind = ingress.NonIdempotent
+	cases := []struct {
+		name   string
+		route  ingress.Route
+		status int
+		resent bool
+	}{
+		{"a repeatable call", callRoute, http.StatusOK, true},
+		{"a call that must not be repeated", nonIdempotent, http.StatusOK, false},
+		{"a failure of a call that must not be repeated", nonIdempotent, http.StatusInternalServerError, false},
+		{"a failure of a stream", streamRoute, http.StatusInternalServerError, true},
+		{"an error of a stream", streamRoute, http.StatusBadRequest, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, inBubble(func(t *testing.T) {
+			ending := bodyOf(c.status, "the an", endTarget)
+			s := newFixture(map[string]behaviour{"a": ending, "b": bodyOf(http.StatusOK, "the answer", nil)})
+			if c.route.Kind == ingress.Streaming {
+				s.client.behaviours["b"] = answering(http.StatusServiceUnavailable, true)
+			}
+			s.Fleet.Begin(time.Now(), "b", fleet.Demand{}) // so that a is picked first
+			got := s.serve(t, c.route)
+			if string(got.body) == "the an" {
+				t.Errorf("status %d with a part of the body", got.status)
+			}
+			switch attempts := s.client.attempts(); {
+			case c.resent != (len(attempts) > 1):
+				t.Errorf("sent to %v", attempts)
+			case !c.resent && (got.err == nil || got.err.Outcome != failure.Unknown):
+				t.Errorf("error %v, want an unknown outcome", got.err)
+			case c.route.Kind == ingress.Idempotent && string(got.body) != "the answer":
+				t.Errorf("body %q, error %v, want that of the other target", got.body, got.err)
+			}
+			if crashed := s.crashTracker.crashed; len(crashed) != 1 || crashed[0] != "a" {
+				t.Errorf("crashes %v, want one of a", crashed)
+			}
+		}))
+	}
+}
+
+// TestUnframedBodyOfASilentTarget guards against a complete body that is lost because its
+// target is silent after its end, or knows no reports.
+func TestUnframedBodyOfASilentTarget(t *testing.T) {
+	route := callRoute
+	route.Kind, route.Timeout = ingress.NonIdempotent, 5*time.Second
+	for name, at := range map[string]func(*fakeTargetClient, string){
+		"silent":          func(s *fakeTargetClient, id string) { s.pauseFor(silence, id) },
+		"without reports": func(s *fakeTargetClient, _ string) { s.reportErr = ErrNoReport },
+	} {
+		t.Run(name, inBubble(func(t *testing.T) {
+			s := newFixture(map[string]behaviour{"a": bodyOf(http.StatusOK, "the answer", at)})
+			if got := s.serve(t, route); string(got.body) != "the answer" || len(s.client.attempts()) != 1 {
+				t.Errorf("body %q, error %v, sent to %v", got.body, got.err, s.client.attempts())
+			}
+		}))
+	}
+}
