--- a/forward/ending.go
+++ b/forward/ending.go
@@ -1,9 +1,13 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/internal/pause"
 )
 
 // An answer that is not framed ends with its connection. Its end looks the same whether
@@ -26,6 +30,10 @@
 	return !deadline.IsZero() && time.Until(deadline) <= timeLimitUnit
 }
 
+// errMayBeIncomplete means that a target's process ended at the end of an answer without a
+// frame.
+var errMayBeIncomplete = errors.Wrap(ErrNoAnswer, "the target terminated, and its answer may be incomplete")
+
 // mayBeComplete reports whether a stream that ends between two events may be complete. The
 // answer to a request for the events after one may have none.
 func (a *streamAttempt) mayBeComplete() bool {
@@ -60,10 +68,10 @@
 	case p.terminated:
 		a.endReported = true
 		a.stream.forwarder.CrashTracker.ReportCrash(a.stream.request, a.attempt.Target, a.atStart(a.endedAt))
-		return a.abandon("the target terminated, and its answer may be incomplete"), true
-	case p.Alive && !p.startedAt.Before(a.endedAt):
+		return a.abandon(errMayBeIncomplete.Error()), true
+	case p.running && !p.startedAt.Before(a.endedAt):
 		return a.endStream(), true
-	case p.Alive:
+	case p.running:
 		a.probeEnd()
 	}
 	return 0, false
@@ -79,3 +87,30 @@
 	a.probeEnd()
 	return gapProbeInterval, 0, false
 }
+
+// confirmEnd waits until a target shows that its process still runs after the end of a body
+// that is not framed. The error is why the body may be incomplete.
+func (f *Forwarder) confirmEnd(ctx context.Context, r *Request, t fleet.Target, incarnation fleet.Incarnation) error {
+	if r.atTimeLimit() {
+		<-ctx.Done()
+	}
+	for !incarnation.Terminated(time.Now()) {
+		report, err := f.requestReport(ctx, t)
+		switch {
+		case ctx.Err() != nil:
+			return errors.Wrap(ErrNoAnswer, "no sign of the target since the end of its answer")
+		case hasTerminated(t, report, err):
+			return errors.WithStack(errMayBeIncomplete)
+		case isRunning(err):
+			return nil
+		}
+		pause.For(ctx, gapProbeInterval)
+	}
+	return errors.WithStack(errMayBeIncomplete)
+}
+
+func (f *Forwarder) requestReport(ctx context.Context, t fleet.Target) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return f.TargetClient.Report(ctx, t)
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -131,7 +131,7 @@
 	// ErrNotListening means that the connection was refused because no process listens
 	// at the address. The target's process has ended and the request was not sent.
 	ErrNotListening = errors.New("no process listens at the address")
-	// ErrNoReport means that the target answered, and has no report.
+	// ErrNoReport means that the target answered a query, and not with what was asked for.
 	ErrNoReport = errors.New("no report")
 	// ErrOtherTarget means that the address belongs to another target.
 	ErrOtherTarget = errors.New("another target holds the address")
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -32,7 +32,8 @@
 type ProbeResult struct {
 	Alive       bool
 	Report      Report
-	terminated  bool // the target's process has certainly ended
+	running     bool // the target's process answered, perhaps without a report
+	terminated  bool // it has certainly ended
 	startedAt   time.Time
 	completedAt time.Time
 }
@@ -84,8 +85,8 @@
 	startedAt := time.Now()
 	report, err := p.client.Report(ctx, t)
 	now := time.Now()
-	terminated := errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening) || err == nil && restarted(t, report)
-	result := ProbeResult{Alive: err == nil && !terminated, Report: report, terminated: terminated, startedAt: startedAt, completedAt: now}
+	terminated := hasTerminated(t, report, err)
+	result := ProbeResult{Alive: err == nil && !terminated, Report: report, running: isRunning(err) && !terminated, terminated: terminated, startedAt: startedAt, completedAt: now}
 	p.mu.Lock()
 	waiters := p.pending[t.ID]
 	delete(p.pending, t.ID)
@@ -107,6 +108,15 @@
 	}
 }
 
+// hasTerminated reports whether the outcome of a probe shows that the process of a target
+// has ended.
+func hasTerminated(t fleet.Target, r Report, err error) bool {
+	return errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening) || err == nil && restarted(t, r)
+}
+
+// isRunning reports whether the process that was probed answered.
+func isRunning(err error) bool { return err == nil || errors.Is(err, ErrNoReport) }
+
 // restarted reports whether r comes from another process of the target than t, the
 // registered one. That process has no record of the runs of t.
 func restarted(t fleet.Target, r Report) bool {
--- a/forward/run.go
+++ b/forward/run.go
@@ -230,7 +230,7 @@
 		}
 		return endTargetLost, true
 	case !isEventStream(p.answer):
-		return a.handleNonStream(p.answer), true
+		return a.handleNonStream(ctx, p.answer), true
 	}
 	s.mayHaveRun, a.framed = true, p.answer.Framed
 	s.forwarder.Fleet.MarkAnswered(t.ID)
@@ -247,13 +247,19 @@
 
 // handleNonStream handles an answer that is not a stream, which is a failure of the
 // target.
-func (a *streamAttempt) handleNonStream(answer *Answer) attemptEnd {
+func (a *streamAttempt) handleNonStream(ctx context.Context, answer *Answer) attemptEnd {
 	s := a.stream
 	s.mayHaveRun, a.failed = true, true
 	s.tried[a.attempt.Target.ID] = true
 	end := endTargetLost
-	err := s.keepFailure(answer)
-	if err == nil {
+	err := s.keepFailure(answer, func() error {
+		ctx, cancel := context.WithTimeout(ctx, failureTimeout)
+		defer cancel()
+		return s.forwarder.confirmEnd(ctx, s.request, a.attempt.Target, a.incarnation)
+	})
+	if err != nil {
+		a.reportBroken(ctx)
+	} else {
 		err = errors.Errorf("status %d", answer.Status)
 		if answer.Status < 500 {
 			end = endNoRetry
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -198,7 +198,8 @@
 const failureTimeout = longestSilence + 500*time.Millisecond
 
 // keepFailure keeps the answer of a target that failed, in case no attempt succeeds.
-func (s *stream) keepFailure(a *Answer) error {
+// confirmEnd checks the end of a body that is not framed.
+func (s *stream) keepFailure(a *Answer, confirmEnd func() error) error {
 	if a.Status < http.StatusMultipleChoices && !a.Signed {
 		_ = a.Body.Close()
 		return errors.Wrap(ErrNoAnswer, "a success without the target's signature")
@@ -207,11 +208,18 @@
 	defer timer.Stop()
 	memory := s.forwarder.Buffers.NewShare()
 	body, err := readBody(memory, a.Body)
-	if err == nil {
-		s.releaseFailure()
-		s.targetFailure, s.failureMemory = &bufferedAnswer{a.Status, a.Header, body}, memory
+	if err != nil {
+		return err
 	}
-	return err
+	if !a.Framed {
+		if err := confirmEnd(); err != nil {
+			memory.Release()
+			return err
+		}
+	}
+	s.releaseFailure()
+	s.targetFailure, s.failureMemory = &bufferedAnswer{a.Status, a.Header, body}, memory
+	return nil
 }
 
 // releaseFailure releases the memory of targetFailure.
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -252,6 +252,9 @@
 	if id := a.attempt.Target.ID; a.stream.forwarder.Fleet.Has(id) {
 		a.lost = a.stream.forwarder.Fleet.Lost(id) // the next suspicion
 	}
+	if a.awaitsConfirmation() {
+		return 0, false // see handleUnconfirmed
+	}
 	return a.giveUp("the target is taken for dead")
 }
 
@@ -295,13 +298,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if !c.request.Route.Repeatable() || c.request.Route.LatencyObjective <= 0 || !c.request.attemptsLeft(len(c.tried)+1) {
-		answer, body, err = c.exchange(ctx, a)
+		answer, body, err = c.exchange(ctx, a, target)
 		return answer, body, false, err
 	}
 	done, sentAt := make(chan struct{}), time.Now()
 	go func() {
 		defer close(done)
-		answer, body, err = c.exchange(ctx, a)
+		answer, body, err = c.exchange(ctx, a, target)
 	}()
 	timer := time.NewTimer(attemptTimeoutFactor * c.request.Route.LatencyObjective)
 	defer timer.Stop()
@@ -321,7 +324,7 @@
 }
 
 // exchange sends the call to one target and reads the answer.
-func (c *call) exchange(ctx context.Context, a Attempt) (*Answer, []byte, error) {
+func (c *call) exchange(ctx context.Context, a Attempt, target fleet.Incarnation) (*Answer, []byte, error) {
 	answer, err := c.forwarder.TargetClient.Send(ctx, a)
 	if err != nil {
 		return nil, nil, err
@@ -331,6 +334,9 @@
 		return answer, nil, nil
 	}
 	body, err := c.readBody(answer.Body)
+	if err == nil && !answer.Framed {
+		err = c.forwarder.confirmEnd(ctx, c.request, a.Target, target)
+	}
 	return answer, body, err
 }
 
