--- a/forward/forward.go
+++ b/forward/forward.go
@@ -98,7 +98,7 @@
 	// OtherTarget means that the address belongs to another target now.
 	OtherTarget bool
 	// Framed means that the end of the body can be distinguished from a broken
-	// connection: the answer has a content length or a transfer encoding.
+	// connection: the answer has a content length, a transfer encoding or no body.
 	Framed bool
 	// Signed means that the answer has the signature of the target.
 	Signed bool
