--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/fleet"
@@ -16,12 +17,24 @@
 	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
 		answer, err := b(ctx, a, s)
 		if err == nil {
-			answer.Framed = false
+			answer.Framed, answer.Body = false, plainEnd{answer.Body}
 		}
 		return answer, err
 	}
 }
 
+// plainEnd is a body that ends like a complete one if its run is stopped.
+type plainEnd struct{ io.ReadCloser }
+
+// Read implements io.Reader.
+func (b plainEnd) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.ErrUnexpectedEOF {
+		err = io.EOF
+	}
+	return n, err
+}
+
 // end ends the processes of targets.
 func (s *fakeTargetClient) end(ids ...string) {
 	s.mu.Lock()
@@ -159,3 +172,20 @@
 		}
 	})(t)
 }
+
+// TestUnframedStreamOfALateMove guards against a stream that looks complete because a move
+// that timed out is carried out later, when the stream has returned to its target.
+func TestUnframedStreamOfALateMove(t *testing.T) {
+	inBubble(func(t *testing.T) {
+		s, first := newFixtureWithBroken(answering(http.StatusServiceUnavailable, true), unframed(mutePausable(50, eventGap, 20, silence)))
+		s.TargetClient = lateMover{s.client}
+		go func() { // silent altogether just before the move
+			time.Sleep(19*eventGap + time.Duration(abandonShare*float64(streamRoute.MaxEventGap)))
+			s.client.pauseFor(silence, first)
+		}()
+		got := s.serve(t, streamRoute)
+		time.Sleep(2 * silence)
+		synctest.Wait()
+		expectAll(t, s, got)
+	})(t)
+}
