forward: the end of an unframed stream may be that of a late move (ORDER)

A move that times out at a silent target may be carried out once the target goes on. If the stream has returned to it by then, the move stops the new run and closes its connection without its end, which looks complete if the answer has neither length nor chunks. The target runs, so a probe doesn't tell. The first such end at a target with an open move is no longer believed: the stream is sent again for what follows its last event, which is nothing if it was complete. A move ends one run only, so the next end counts.

TestUnframedStreamOfALateMove failed before.

--- a/forward/ending.go
+++ b/forward/ending.go
@@ -40,6 +40,15 @@
 	return a.stream.lastEventID >= 0 || len(a.unnumbered) > 0
 }
 
+// mayBeMoved reports whether the end of the answer may be the effect of an earlier move
+// that the target has carried out late. That can end one run only.
+func (a *streamAttempt) mayBeMoved() bool {
+	id := a.attempt.Target.ID
+	open := a.stream.openMoves[id]
+	delete(a.stream.openMoves, id)
+	return open
+}
+
 // awaitConfirmation begins the wait for a sign that the target still runs.
 func (a *streamAttempt) awaitConfirmation() {
 	a.endedAt = time.Now()
--- a/forward/run.go
+++ b/forward/run.go
@@ -124,6 +124,9 @@
 			}
 			timer.Reset(max(wait, time.Millisecond))
 		case m := <-a.moveResults:
+			if m.err == nil || errors.Is(m.err, ErrRunNotFound) {
+				delete(a.stream.openMoves, a.attempt.Target.ID)
+			}
 			if m.err != nil {
 				return a.abandonSilent("the stream is silent, and not moved: " + m.err.Error())
 			}
@@ -165,7 +168,7 @@
 	if !ok {
 		return false
 	}
-	a.moving = true
+	a.moving, a.stream.openMoves[a.attempt.Target.ID] = true, true
 	go func() {
 		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
@@ -280,6 +283,8 @@
 			return a.endStream(), true
 		case s.request.atTimeLimit():
 			return 0, false // ctx ends
+		case a.mayBeMoved():
+			return a.abandonSilent("an earlier move may have ended the answer"), true
 		case a.mayBeComplete():
 			a.awaitConfirmation()
 			return 0, false
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -37,13 +37,14 @@
 	mayHaveRun     bool            // a target may have run the request
 	notSent        int             // attempts whose target was not reached
 	succession     succession
-	noAttempt      string // why no further attempt was planned, for the log; empty while there is one
+	openMoves      map[string]bool // targets that may still carry out a move of the run
+	noAttempt      string          // why no further attempt was planned, for the log; empty while there is one
 
 	failureMemory *membudget.Share // of targetFailure; nil for none
 }
 
 func newStream(f *Forwarder, r *Request, w Responder) *stream {
-	s := &stream{forwarder: f, request: r, responder: w, lastEventID: -1, tried: make(map[string]bool)}
+	s := &stream{forwarder: f, request: r, responder: w, lastEventID: -1, tried: make(map[string]bool), openMoves: make(map[string]bool)}
 	if id, err := strconv.ParseInt(r.LastEventID, 10, 64); err == nil {
 		s.lastEventID = id
 	}
