--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -177,15 +177,37 @@
 // that timed out is carried out later, when the stream has returned to its target.
 func TestUnframedStreamOfALateMove(t *testing.T) {
 	inBubble(func(t *testing.T) {
-		s, first := newFixtureWithBroken(answering(http.StatusServiceUnavailable, true), unframed(mutePausable(50, eventGap, 20, silence)))
-		s.TargetClient = lateMover{s.client}
-		go func() { // silent altogether just before the move
-			time.Sleep(19*eventGap + time.Duration(abandonShare*float64(streamRoute.MaxEventGap)))
-			s.client.pauseFor(silence, first)
-		}()
-		got := s.serve(t, streamRoute)
-		time.Sleep(2 * silence)
-		synctest.Wait()
-		expectAll(t, s, got)
+		serveWithLateMove(t, unframed(mutePausable(50, eventGap, 20, silence)))
+	})(t)
+}
+
+// serveWithLateMove serves a stream whose target is silent just before its run is to be
+// moved, and carries that out later. The other targets refuse the stream.
+func serveWithLateMove(t *testing.T, b behaviour) {
+	t.Helper()
+	s, first := newFixtureWithBroken(answering(http.StatusServiceUnavailable, true), b)
+	s.TargetClient = lateMover{s.client}
+	go func() {
+		time.Sleep(19*eventGap + time.Duration(abandonShare*float64(streamRoute.MaxEventGap)))
+		s.client.pauseFor(silence, first)
+	}()
+	got := s.serve(t, streamRoute)
+	time.Sleep(2 * silence)
+	synctest.Wait()
+	expectAll(t, s, got)
+}
+
+// TestUnframedStreamAfterALateMove guards against a complete stream that is cut, after a
+// late move has broken its first return, because its end is in doubt and it may not return
+// a third time.
+func TestUnframedStreamAfterALateMove(t *testing.T) {
+	inBubble(func(t *testing.T) {
+		b, runs := mutePausable(50, eventGap, 20, silence), 0
+		serveWithLateMove(t, func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+			if runs++; runs < 3 {
+				return b(ctx, a, s)
+			}
+			return unframed(b)(ctx, a, s)
+		})
 	})(t)
 }
