--- a/forward/run.go
+++ b/forward/run.go
@@ -284,6 +284,7 @@
 		case s.request.atTimeLimit():
 			return 0, false // ctx ends
 		case a.mayBeMoved():
+			s.succession.returns = max(0, s.succession.returns-1) // the move may have undone the return
 			return a.abandonSilent("an earlier move may have ended the answer"), true
 		case a.mayBeComplete():
 			a.awaitConfirmation()
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -22,7 +22,7 @@
 
 const (
 	// maxReturns is how often a request returns to targets that it was taken from. A
-	// return that is refused or not sent doesn't count.
+	// return that is refused or not sent doesn't count, nor one whose end is in doubt.
 	maxReturns = 2
 	// returnInterval is the time between two attempts to return. It is the shortest
 	// backoff of a target that refused.
