--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaroad/vanillaroad/fleet"
 )
 
@@ -211,3 +213,35 @@
 		})
 	})(t)
 }
+
+// TestUnframedStreamIsNotMovedInVain guards against a complete stream that is sent to
+// another target because a move was requested just before its end.
+func TestUnframedStreamIsNotMovedInVain(t *testing.T) {
+	inBubble(func(t *testing.T) {
+		s, _ := newFixtureWithBroken(streaming(50, -1, eventGap, nil), unframed(mutePausable(50, eventGap, 50, 500*time.Millisecond)))
+		s.TargetClient = slowMover{s.client}
+		got := s.serve(t, streamRoute)
+		time.Sleep(2 * silence)
+		synctest.Wait()
+		expectAll(t, s, got)
+		if attempts := s.client.attempts(); len(attempts) != 1 || s.client.moves != 1 {
+			t.Errorf("sent to %v with %d moves, want one target and one move", attempts, s.client.moves)
+		}
+	})(t)
+}
+
+// slowMover reads the request for a move after the run has ended.
+type slowMover struct{ *fakeTargetClient }
+
+func (s slowMover) Move(ctx context.Context, source fleet.Target, _ string, _ fleet.Target) (Copy, fleet.Target, error) {
+	s.mu.Lock()
+	s.moves++
+	s.mu.Unlock()
+	time.Sleep(moveTimeout / 2)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running[source.ID] > 0 {
+		return Copy{}, fleet.Target{}, errors.New("the run goes on")
+	}
+	return Copy{}, fleet.Target{}, errors.WithStack(ErrRunNotFound)
+}
