forward: a stream that ends before it is moved is not sent again (LOST)

The end of an unframed stream was ignored while a move was requested, because the move may have caused it. If the target answered that it has no such run, the stream was complete, and was sent to another target all the same: it used up an attempt of the route and retry budget, and had to return if that was refused. The end is now kept, and confirmed like any other once the target says that it has no such run.

--- a/forward/ending.go
+++ b/forward/ending.go
@@ -56,7 +56,8 @@
 }
 
 // awaitsConfirmation reports whether the answer has ended and that is not confirmed yet.
-func (a *streamAttempt) awaitsConfirmation() bool { return !a.endedAt.IsZero() }
+// During a move, the outcome of that is awaited first.
+func (a *streamAttempt) awaitsConfirmation() bool { return !a.moving && !a.endedAt.IsZero() }
 
 func (a *streamAttempt) probeEnd() {
 	a.stream.forwarder.Prober.ProbeSince(a.attempt.Target, a.probeResults, a.endedAt)
--- a/forward/run.go
+++ b/forward/run.go
@@ -127,6 +127,11 @@
 			if m.err == nil || errors.Is(m.err, ErrRunNotFound) {
 				delete(a.stream.openMoves, a.attempt.Target.ID)
 			}
+			a.moving = false
+			if errors.Is(m.err, ErrRunNotFound) && a.awaitsConfirmation() {
+				a.probeEnd() // the run had ended before the move
+				continue
+			}
 			if m.err != nil {
 				return a.abandonSilent("the stream is silent, and not moved: " + m.err.Error())
 			}
@@ -141,6 +146,9 @@
 				continue // the error results from the end of ctx, not from the target
 			}
 			if a.moving && p.err != nil && !(isEndOfStream(p.err) && a.framed) {
+				if isEndOfStream(p.err) {
+					a.endedAt = time.Now()
+				}
 				continue // the move ended the stream at its target; the outcome of the move follows
 			}
 			if !headReceived {
