forward: the log says whether an answer was framed (LOST)

An answer that was taken for complete or for broken off left the same lines, whether or not it had a length or chunks. request_answered and attempt_lost now have the field framed: true, false, or "no answer".

--- a/forward/call.go
+++ b/forward/call.go
@@ -49,7 +49,7 @@
 		return
 	}
 	f.Events.Record(event.RequestAnswered, r.ID, event.F("route", r.Route.Name), event.F("target", c.target.ID),
-		event.F("status", http.StatusText(answer.status)), event.F("after", time.Since(r.Received).String()))
+		event.F("status", http.StatusText(answer.status)), event.F("framed", c.framed), event.F("after", time.Since(r.Received).String()))
 	f.recordDuration(metricCall, time.Since(r.Received))
 	w.Answer(answer.status, answer.header, answer.body)
 }
@@ -60,6 +60,7 @@
 	request       *Request
 	tried         map[string]bool // targets that the request was sent to
 	target        fleet.Target    // of the last attempt
+	framed        string          // whether the answer of the last attempt is framed, for the log
 	mayHaveRun    bool            // a target may have run the request
 	targetFailure *bufferedAnswer // server error of a target, used if no attempt succeeds
 	succession    succession
@@ -150,6 +151,7 @@
 	active := c.forwarder.Fleet.Begin(time.Now(), t.ID, fleet.Demand{})
 	answer, body, gaveUp, err := c.send(ctx, Attempt{Request: c.request, Target: t, TimeLeft: c.request.timeLeft()}, incarnation)
 	now := time.Now()
+	c.framed = describeFrame(answer)
 	switch {
 	case errors.Is(err, ErrNotSent):
 		active.Done(now, true)
@@ -175,7 +177,7 @@
 	buffered := &bufferedAnswer{answer.Status, answer.Header, body}
 	if serverError && c.request.Route.Repeatable() {
 		c.targetFailure = buffered
-		c.forwarder.Events.Record(event.AttemptLost, c.request.ID, event.F("target", t.ID), event.F("error", "status "+strconv.Itoa(answer.Status)))
+		c.forwarder.Events.Record(event.AttemptLost, c.request.ID, event.F("target", t.ID), event.F("error", "status "+strconv.Itoa(answer.Status)), event.F("framed", c.framed))
 		return nil, failure.New(failure.TargetLost, failure.Ran, "send", t.ID, "the target failed with status %d", answer.Status)
 	}
 	if answer.Status >= http.StatusMultipleChoices {
@@ -199,7 +201,7 @@
 	if ctx.Err() != nil {
 		return contextError(ctx, failure.Unknown, "await answer", c.target.ID)
 	}
-	c.forwarder.Events.Record(event.AttemptLost, c.request.ID, event.F("target", c.target.ID), event.F("error", err.Error()))
+	c.forwarder.Events.Record(event.AttemptLost, c.request.ID, event.F("target", c.target.ID), event.F("error", err.Error()), event.F("framed", c.framed))
 	c.forwarder.Fleet.MarkRefused(now, c.target.ID)
 	if !timedOut {
 		c.forwarder.reportBrokenRun(ctx, c.request, c.target, target, true)
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +20,14 @@
 // frame.
 var errNoEvents = errors.New("the answer ends without an event")
 
+// describeFrame says whether an answer is framed, for the log.
+func describeFrame(a *Answer) string {
+	if a == nil {
+		return "no answer"
+	}
+	return strconv.FormatBool(a.Framed)
+}
+
 // timeLimitUnit is the unit in which targets get their time limit. They stop work up to one
 // unit before it.
 const timeLimitUnit = time.Millisecond
--- a/forward/run.go
+++ b/forward/run.go
@@ -220,6 +220,7 @@
 // the attempt has ended, it returns how and true.
 func (a *streamAttempt) handleHead(ctx context.Context, p answerPart) (attemptEnd, bool) {
 	s, t := a.stream, a.attempt.Target
+	s.framed = describeFrame(p.answer)
 	if !errors.Is(p.err, ErrNotSent) && (p.answer == nil || !p.answer.NotRun) {
 		s.succession.arrived(t.ID)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -38,6 +38,7 @@
 	notSent        int             // attempts whose target was not reached
 	succession     succession
 	openMoves      map[string]bool // targets that may still carry out a move of the run
+	framed         string          // whether the answer of the latest attempt is framed, for the log; see describeFrame
 	noAttempt      string          // why no further attempt was planned, for the log; empty while there is one
 
 	failureMemory *membudget.Share // of targetFailure; nil for none
@@ -84,7 +85,7 @@
 			s.forwarder.CrashTracker.ReportCompletion(s.request)
 			s.forwarder.Events.Record(event.RequestAnswered, s.request.ID, event.F("route", s.request.Route.Name), event.F("target", a.Target.ID), event.F("version", a.Target.SoftwareVersion),
 				event.F("resumes", s.request.Resumes), event.F("attempts", strconv.Itoa(len(s.tried))), event.F("first_event", s.firstEventAt.Sub(s.request.Received).String()),
-				event.F("longest_pause", s.longestGap.String()), event.F("after", time.Since(s.request.Received).String()))
+				event.F("longest_pause", s.longestGap.String()), event.F("framed", s.framed), event.F("after", time.Since(s.request.Received).String()))
 			return
 		case endNotSent:
 			s.notSent++
@@ -154,7 +155,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // the run on this target ends before the next attempt
 	now := time.Now()
-	a.TimeLeft = s.request.timeLeft()
+	a.TimeLeft, s.framed = s.request.timeLeft(), describeFrame(nil)
 	demand := fleet.Demand{PrefillTokens: s.request.Prompt.Tokens, MemoryTokens: s.memoryTokens()}
 	if a.Resume != (Copy{}) {
 		demand.PrefillTokens = 0
@@ -182,7 +183,7 @@
 	}
 	s.forwarder.Events.Record(event.AttemptLost, s.request.ID, event.F("target", a.Target.ID), event.F("place", a.Target.Place), event.F("version", a.Target.SoftwareVersion),
 		event.F("error", err.Error()), event.F("last_event", strconv.FormatInt(s.lastEventID, 10)), event.F("resumed_from_copy", strconv.FormatBool(a.Resume != (Copy{}))),
-		event.F("copy", s.describeCopy()))
+		event.F("copy", s.describeCopy()), event.F("framed", s.framed))
 }
 
 // describeCopy returns the holder of the standby copy and its state, for the log.
--- a/forward/unframed_call_test.go
+++ b/forward/unframed_call_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
@@ -86,3 +87,33 @@
 		}))
 	}
 }
+
+// TestLogSaysWhetherAnswersAreFramed guards against answers that are lost or incomplete for
+// a cause that no line shows: whether their ends were certain.
+func TestLogSaysWhetherAnswersAreFramed(t *testing.T) {
+	for _, route := range []ingress.Route{callRoute, streamRoute} {
+		t.Run(route.Name, inBubble(func(t *testing.T) {
+			s, first := newFixtureWithBroken(streaming(50, -1, eventGap, nil), cutAtEnd(20))
+			if route.Kind != ingress.Streaming {
+				s = newFixture(map[string]behaviour{"a": bodyOf(http.StatusOK, "the an", endTarget), "b": answering(http.StatusOK, false)})
+				s.Fleet.Begin(time.Now(), "b", fleet.Demand{}) // so that a is picked first
+				first = "a"
+			}
+			s.serve(t, route)
+			want := map[event.Number]string{event.AttemptLost: "false", event.RequestAnswered: "true"}
+			for _, e := range s.Events.Events("r1", 0) {
+				framed, ok := want[e.Number]
+				if !ok {
+					continue
+				}
+				if e.Fields["framed"] != framed || (e.Fields["target"] == first) != (e.Number == event.AttemptLost) {
+					t.Errorf("%v of target %s: framed %q, want %s", e.Number, e.Fields["target"], e.Fields["framed"], framed)
+				}
+				delete(want, e.Number)
+			}
+			if len(want) > 0 {
+				t.Errorf("no lines %v", want)
+			}
+		}))
+	}
+}
