--- a/forward/unframed_call_test.go
+++ b/forward/unframed_call_test.go
@@ -117,3 +117,32 @@
 		}))
 	}
 }
+
+// TestUnframedEndWaitsForAWhileOnly guards against requests without a time limit that wait
+// without end for a sign of a target that is gone.
+func TestUnframedEndWaitsForAWhileOnly(t *testing.T) {
+	kill := func(s *fakeTargetClient, id string) { s.kill(id) }
+	for name, c := range map[string]struct {
+		route ingress.Route
+		b     behaviour
+	}{
+		"a call": {ingress.Route{Name: "call", Kind: ingress.NonIdempotent}, bodyOf(http.StatusOK, "the answer", kill)},
+		"a stream": {ingress.Route{Name: "stream", Kind: ingress.Streaming}, func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+			time.AfterFunc(50*eventGap, func() { s.kill(a.Target.ID) })
+			return cutting(51)(ctx, a, s)
+		}},
+	} {
+		t.Run(name, inBubble(func(t *testing.T) {
+			s := newFixture(map[string]behaviour{"a": c.b})
+			got := &fakeResponder{}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			s.Serve(ctx, &Request{ID: "r1", Method: http.MethodPost, Received: time.Now(), Route: &c.route, Service: "svc", Header: http.Header{}}, got)
+			if ctx.Err() != nil || got.ended || got.status == http.StatusOK && !got.aborted {
+				t.Errorf("ended %v, aborted %v, status %d, error %v, context %v, want an incomplete answer within a minute", got.ended, got.aborted, got.status, got.err, ctx.Err())
+			}
+			s.Fleet.Remove(time.Now(), "a", false)
+			time.Sleep(time.Minute) // the last probes
+		}))
+	}
+}
