forward: the wait for a sign of a target after an unframed end is bounded (LOST)

A request without a time limit, at a target that is dark from the end of its answer on and whose entry goes, waited until its caller left: no connection is left that could break. The wait now ends after 5 s, and the answer counts as broken off.

TestUnframedEndWaitsForAWhileOnly failed before.

--- a/forward/ending.go
+++ b/forward/ending.go
@@ -43,6 +43,14 @@
 // frame.
 var errMayBeIncomplete = errors.Wrap(ErrNoAnswer, "the target terminated, and its answer may be incomplete")
 
+// errUnconfirmed means that nothing shows what became of a target since the end of its
+// answer.
+var errUnconfirmed = errors.Wrap(ErrNoAnswer, "no sign of the target since the end of its answer")
+
+// maxUnconfirmed bounds the wait for such a sign, well above the silence of a target that
+// is not at fault.
+const maxUnconfirmed = 5 * time.Second
+
 // mayBeComplete reports whether a stream that ends between two events may be complete. The
 // answer to a request for the events after one may have none.
 func (a *streamAttempt) mayBeComplete() bool {
@@ -98,7 +106,10 @@
 
 // handleUnconfirmed is handleTimer for a target whose answer has ended.
 func (a *streamAttempt) handleUnconfirmed() (wait time.Duration, end attemptEnd, done bool) {
-	if time.Since(a.endedAt) >= probeTimeout {
+	switch silence := time.Since(a.endedAt); {
+	case silence >= maxUnconfirmed:
+		return 0, a.abandon(errUnconfirmed.Error()), true
+	case silence >= probeTimeout:
 		if end, done := a.giveUp("the target is silent since the end of its answer"); done {
 			return 0, end, true
 		}
@@ -110,6 +121,8 @@
 // confirmEnd waits until a target shows that its process still runs after the end of a body
 // that is not framed. The error is why the body may be incomplete.
 func (f *Forwarder) confirmEnd(ctx context.Context, r *Request, t fleet.Target, incarnation fleet.Incarnation) error {
+	ctx, cancel := context.WithTimeout(ctx, maxUnconfirmed)
+	defer cancel()
 	if r.atTimeLimit() {
 		<-ctx.Done()
 	}
@@ -117,7 +130,7 @@
 		report, err := f.requestReport(ctx, t)
 		switch {
 		case ctx.Err() != nil:
-			return errors.Wrap(ErrNoAnswer, "no sign of the target since the end of its answer")
+			return errors.WithStack(errUnconfirmed)
 		case hasTerminated(t, report, err):
 			return errors.WithStack(errMayBeIncomplete)
 		case isRunning(err):
