--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -245,3 +245,43 @@
 	}
 	return Copy{}, fleet.Target{}, errors.WithStack(ErrRunNotFound)
 }
+
+// slowReporter answers probes late, with what it knew when it received them.
+type slowReporter struct {
+	*fakeTargetClient
+	delay time.Duration
+}
+
+func (s slowReporter) Report(ctx context.Context, t fleet.Target) (Report, error) {
+	r, err := s.fakeTargetClient.Report(ctx, t)
+	time.Sleep(s.delay)
+	return r, err
+}
+
+// TestUnframedStreamAndAnOldProbe guards against a stream that looks complete because its
+// target answered a probe just before its process ended.
+func TestUnframedStreamAndAnOldProbe(t *testing.T) {
+	const pause = gapProbeInterval + 20*time.Millisecond // a probe is sent within it
+	ending := func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+		r, w := io.Pipe()
+		answer, err := cutting(20)(ctx, a, s)
+		body := answer.Body
+		go func() {
+			_, _ = io.Copy(w, body)
+			time.Sleep(pause)
+			s.end(a.Target.ID)
+			_ = w.Close()
+		}()
+		answer.Body = r
+		return answer, err
+	}
+	for name, delay := range map[string]time.Duration{"answered before the end": 0, "under way at the end": 100 * time.Millisecond} {
+		t.Run(name, inBubble(func(t *testing.T) {
+			s, _ := newFixtureWithBroken(streaming(50, -1, eventGap, nil), ending)
+			s.TargetClient = slowReporter{s.client, delay}
+			s.Prober = NewProber(s.TargetClient, s.Fleet, s.Events)
+			expectAll(t, s, s.serve(t, streamRoute))
+			time.Sleep(time.Second) // the last probes
+		}))
+	}
+}
