forward: a failing test of unframed ends at targets that reset probes (LOST)

An engine resets the channels beyond its limit, and the one of the answer is gone. The call gets no answer and the stream is cut after its last event.

--- a/forward/unframed_call_test.go
+++ b/forward/unframed_call_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
@@ -146,3 +148,29 @@
 		}))
 	}
 }
+
+// TestUnframedEndOfABusyTarget guards against complete answers that are lost because their
+// target resets the connections of probes: it has too many.
+func TestUnframedEndOfABusyTarget(t *testing.T) {
+	nonIdempotent, onlyOnce := callRoute, streamRoute
+	nonIdempotent.Kind, onlyOnce.MaxAttempts = ingress.NonIdempotent, 1
+	for _, c := range []struct {
+		route ingress.Route
+		b     behaviour
+		body  string
+	}{
+		{nonIdempotent, bodyOf(http.StatusOK, "the answer", nil), "the answer"},
+		{onlyOnce, cutting(51), ""},
+	} {
+		t.Run(c.route.Name, inBubble(func(t *testing.T) {
+			s := newFixture(map[string]behaviour{"a": c.b})
+			s.client.reportErr, s.client.listening["a"] = errors.New("connection reset"), true
+			got := s.serve(t, c.route)
+			if string(got.body) != c.body || c.body == "" && !got.receivedAll(50) {
+				t.Errorf("body %q, %d events, aborted %v, error %v, want a complete answer", got.body, len(got.events), got.aborted, got.err)
+			}
+			s.Fleet.Remove(time.Now(), "a", false)
+			time.Sleep(time.Minute) // the last probes
+		}))
+	}
+}
