--- a/forward/forward.go
+++ b/forward/forward.go
@@ -98,7 +98,7 @@
 	// OtherTarget means that the address belongs to another target now.
 	OtherTarget bool
 	// Framed means that the end of the body can be distinguished from a broken
-	// connection: the answer has a content length or a transfer encoding.
+	// connection: the answer has a content length, a transfer encoding or no body.
 	Framed bool
 	// Signed means that the answer has the signature of the target.
 	Signed bool
@@ -131,6 +131,8 @@
 	// ErrNotListening means that the connection was refused because no process listens
 	// at the address. The target's process has ended and the request was not sent.
 	ErrNotListening = errors.New("no process listens at the address")
+	// ErrNoReport means that the target answered a query, and not with what was asked for.
+	ErrNoReport = errors.New("no report")
 	// ErrOtherTarget means that the address belongs to another target.
 	ErrOtherTarget = errors.New("another target holds the address")
 )
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -32,6 +32,9 @@
 type ProbeResult struct {
 	Alive       bool
 	Report      Report
+	running     bool // the target's process answered, perhaps without a report
+	terminated  bool // it has certainly ended
+	startedAt   time.Time
 	completedAt time.Time
 }
 
@@ -57,9 +60,15 @@
 
 // Probe probes t and sends the outcome to reply, unless reply is full.
 func (p *Prober) Probe(t fleet.Target, reply chan<- ProbeResult) {
+	p.ProbeSince(t, reply, time.Time{})
+}
+
+// ProbeSince is like Probe, but reuses only results of probes that started at a time or
+// later. The result of a probe that is in flight may be older.
+func (p *Prober) ProbeSince(t fleet.Target, reply chan<- ProbeResult, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if last, ok := p.lastResults[t.ID]; ok && last.Alive && time.Since(last.completedAt) < probeResultTTL {
+	if last, ok := p.lastResults[t.ID]; ok && last.Alive && time.Since(last.completedAt) < probeResultTTL && !last.startedAt.Before(since) {
 		deliver(reply, last)
 		return
 	}
@@ -73,10 +82,11 @@
 func (p *Prober) runProbe(t fleet.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	report, err := p.client.Report(ctx, t)
 	now := time.Now()
-	terminated := errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening) || err == nil && restarted(t, report)
-	result := ProbeResult{Alive: err == nil && !terminated, Report: report, completedAt: now}
+	terminated := hasTerminated(t, report, err)
+	result := ProbeResult{Alive: err == nil && !terminated, Report: report, running: isRunning(err) && !terminated, terminated: terminated, startedAt: startedAt, completedAt: now}
 	p.mu.Lock()
 	waiters := p.pending[t.ID]
 	delete(p.pending, t.ID)
@@ -98,6 +108,15 @@
 	}
 }
 
+// hasTerminated reports whether the outcome of a probe shows that the process of a target
+// has ended.
+func hasTerminated(t fleet.Target, r Report, err error) bool {
+	return errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening) || err == nil && restarted(t, r)
+}
+
+// isRunning reports whether the process that was probed answered.
+func isRunning(err error) bool { return err == nil || errors.Is(err, ErrNoReport) }
+
 // restarted reports whether r comes from another process of the target than t, the
 // registered one. That process has no record of the runs of t.
 func restarted(t fleet.Target, r Report) bool {
--- a/forward/run.go
+++ b/forward/run.go
@@ -27,6 +27,7 @@
 	moveResults  chan copyResult // outcome of the move to another target
 	moving       bool            // a move was started, its outcome is pending
 	framed       bool            // see Answer.Framed
+	endedAt      time.Time       // when an answer that is not framed ended, if that is not confirmed yet; zero otherwise
 	failed       bool            // the attempt failed because of the target
 	endReported  bool            // the run's end was reported to the crash tracker
 	progressed   bool            // the run's progress was reported
@@ -94,6 +95,12 @@
 				return end
 			}
 		case p := <-a.probeResults:
+			if a.awaitsConfirmation() {
+				if end, done := a.handleConfirmation(p); done {
+					return end
+				}
+				continue
+			}
 			if p.Alive && a.stream.request.Route.Repeatable() && a.detector.eventsUndelivered(a.stream.request.ID, p.Report) {
 				if end, done := a.giveUp("the target runs the request, and its answer does not arrive"); done {
 					return end
@@ -117,6 +124,14 @@
 			}
 			timer.Reset(max(wait, time.Millisecond))
 		case m := <-a.moveResults:
+			if m.err == nil || errors.Is(m.err, ErrRunNotFound) {
+				delete(a.stream.openMoves, a.attempt.Target.ID)
+			}
+			a.moving = false
+			if errors.Is(m.err, ErrRunNotFound) && a.awaitsConfirmation() {
+				a.probeEnd() // the run had ended before the move
+				continue
+			}
 			if m.err != nil {
 				return a.abandonSilent("the stream is silent, and not moved: " + m.err.Error())
 			}
@@ -131,6 +146,9 @@
 				continue // the error results from the end of ctx, not from the target
 			}
 			if a.moving && p.err != nil && !(isEndOfStream(p.err) && a.framed) {
+				if isEndOfStream(p.err) {
+					a.endedAt = time.Now()
+				}
 				continue // the move ended the stream at its target; the outcome of the move follows
 			}
 			if !headReceived {
@@ -158,7 +176,7 @@
 	if !ok {
 		return false
 	}
-	a.moving = true
+	a.moving, a.stream.openMoves[a.attempt.Target.ID] = true, true
 	go func() {
 		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
@@ -172,7 +190,7 @@
 func (a *streamAttempt) abandon(reason string) attemptEnd {
 	a.stream.mayHaveRun, a.failed = true, true
 	if !a.endReported {
-		a.stream.forwarder.CrashTracker.ReportLoss(a.stream.request, a.incarnation, a.atStart(time.Now()))
+		a.stream.forwarder.CrashTracker.ReportLoss(a.stream.request, a.incarnation, a.atStart(a.endTime()))
 	}
 	a.stream.standby = nil
 	if a.detector.firstEventSeen || a.attempt.Resume != (Copy{}) || a.copier.explicit {
@@ -202,6 +220,7 @@
 // the attempt has ended, it returns how and true.
 func (a *streamAttempt) handleHead(ctx context.Context, p answerPart) (attemptEnd, bool) {
 	s, t := a.stream, a.attempt.Target
+	s.framed = describeFrame(p.answer)
 	if !errors.Is(p.err, ErrNotSent) && (p.answer == nil || !p.answer.NotRun) {
 		s.succession.arrived(t.ID)
 	}
@@ -223,7 +242,7 @@
 		}
 		return endTargetLost, true
 	case !isEventStream(p.answer):
-		return a.handleNonStream(p.answer), true
+		return a.handleNonStream(ctx, p.answer), true
 	}
 	s.mayHaveRun, a.framed = true, p.answer.Framed
 	s.forwarder.Fleet.MarkAnswered(t.ID)
@@ -240,13 +259,19 @@
 
 // handleNonStream handles an answer that is not a stream, which is a failure of the
 // target.
-func (a *streamAttempt) handleNonStream(answer *Answer) attemptEnd {
+func (a *streamAttempt) handleNonStream(ctx context.Context, answer *Answer) attemptEnd {
 	s := a.stream
 	s.mayHaveRun, a.failed = true, true
 	s.tried[a.attempt.Target.ID] = true
 	end := endTargetLost
-	err := s.keepFailure(answer)
-	if err == nil {
+	err := s.keepFailure(answer, func() error {
+		ctx, cancel := context.WithTimeout(ctx, failureTimeout)
+		defer cancel()
+		return s.forwarder.confirmEnd(ctx, s.request, a.attempt.Target, a.incarnation)
+	})
+	if err != nil {
+		a.reportBroken(ctx)
+	} else {
 		err = errors.Errorf("status %d", answer.Status)
 		if answer.Status < 500 {
 			end = endNoRetry
@@ -260,13 +285,26 @@
 // returns how and true.
 func (a *streamAttempt) handleEvent(ctx context.Context, p answerPart) (attemptEnd, bool) {
 	s, now := a.stream, time.Now()
-	if isEndOfStream(p.err) {
-		return a.endStream(), true
+	err := p.err
+	if isEndOfStream(err) {
+		switch {
+		case a.framed:
+			return a.endStream(), true
+		case s.request.atTimeLimit():
+			return 0, false // ctx ends
+		case a.mayBeMoved():
+			s.succession.returns = max(0, s.succession.returns-1) // the move may have undone the return
+			return a.abandonSilent("an earlier move may have ended the answer"), true
+		case a.mayBeComplete():
+			a.awaitConfirmation()
+			return 0, false
+		}
+		err = errNoEvents
 	}
-	if p.err != nil {
+	if err != nil {
 		s.forwarder.Prober.Check(a.attempt.Target)
 		a.reportBroken(ctx)
-		return a.abandonBroken(p.err.Error()), true
+		return a.abandonBroken(err.Error()), true
 	}
 	if !s.isProgress(p.event) {
 		return a.handleIdleEvent(p.event)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -37,13 +37,15 @@
 	mayHaveRun     bool            // a target may have run the request
 	notSent        int             // attempts whose target was not reached
 	succession     succession
-	noAttempt      string // why no further attempt was planned, for the log; empty while there is one
+	openMoves      map[string]bool // targets that may still carry out a move of the run
+	framed         string          // whether the answer of the latest attempt is framed, for the log; see describeFrame
+	noAttempt      string          // why no further attempt was planned, for the log; empty while there is one
 
 	failureMemory *membudget.Share // of targetFailure; nil for none
 }
 
 func newStream(f *Forwarder, r *Request, w Responder) *stream {
-	s := &stream{forwarder: f, request: r, responder: w, lastEventID: -1, tried: make(map[string]bool)}
+	s := &stream{forwarder: f, request: r, responder: w, lastEventID: -1, tried: make(map[string]bool), openMoves: make(map[string]bool)}
 	if id, err := strconv.ParseInt(r.LastEventID, 10, 64); err == nil {
 		s.lastEventID = id
 	}
@@ -83,7 +85,7 @@
 			s.forwarder.CrashTracker.ReportCompletion(s.request)
 			s.forwarder.Events.Record(event.RequestAnswered, s.request.ID, event.F("route", s.request.Route.Name), event.F("target", a.Target.ID), event.F("version", a.Target.SoftwareVersion),
 				event.F("resumes", s.request.Resumes), event.F("attempts", strconv.Itoa(len(s.tried))), event.F("first_event", s.firstEventAt.Sub(s.request.Received).String()),
-				event.F("longest_pause", s.longestGap.String()), event.F("after", time.Since(s.request.Received).String()))
+				event.F("longest_pause", s.longestGap.String()), event.F("framed", s.framed), event.F("after", time.Since(s.request.Received).String()))
 			return
 		case endNotSent:
 			s.notSent++
@@ -153,7 +155,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // the run on this target ends before the next attempt
 	now := time.Now()
-	a.TimeLeft = s.request.timeLeft()
+	a.TimeLeft, s.framed = s.request.timeLeft(), describeFrame(nil)
 	demand := fleet.Demand{PrefillTokens: s.request.Prompt.Tokens, MemoryTokens: s.memoryTokens()}
 	if a.Resume != (Copy{}) {
 		demand.PrefillTokens = 0
@@ -181,7 +183,7 @@
 	}
 	s.forwarder.Events.Record(event.AttemptLost, s.request.ID, event.F("target", a.Target.ID), event.F("place", a.Target.Place), event.F("version", a.Target.SoftwareVersion),
 		event.F("error", err.Error()), event.F("last_event", strconv.FormatInt(s.lastEventID, 10)), event.F("resumed_from_copy", strconv.FormatBool(a.Resume != (Copy{}))),
-		event.F("copy", s.describeCopy()))
+		event.F("copy", s.describeCopy()), event.F("framed", s.framed))
 }
 
 // describeCopy returns the holder of the standby copy and its state, for the log.
@@ -198,7 +200,8 @@
 const failureTimeout = longestSilence + 500*time.Millisecond
 
 // keepFailure keeps the answer of a target that failed, in case no attempt succeeds.
-func (s *stream) keepFailure(a *Answer) error {
+// confirmEnd checks the end of a body that is not framed.
+func (s *stream) keepFailure(a *Answer, confirmEnd func() error) error {
 	if a.Status < http.StatusMultipleChoices && !a.Signed {
 		_ = a.Body.Close()
 		return errors.Wrap(ErrNoAnswer, "a success without the target's signature")
@@ -207,11 +210,18 @@
 	defer timer.Stop()
 	memory := s.forwarder.Buffers.NewShare()
 	body, err := readBody(memory, a.Body)
-	if err == nil {
-		s.releaseFailure()
-		s.targetFailure, s.failureMemory = &bufferedAnswer{a.Status, a.Header, body}, memory
+	if err != nil {
+		return err
 	}
-	return err
+	if !a.Framed {
+		if err := confirmEnd(); err != nil {
+			memory.Release()
+			return err
+		}
+	}
+	s.releaseFailure()
+	s.targetFailure, s.failureMemory = &bufferedAnswer{a.Status, a.Header, body}, memory
+	return nil
 }
 
 // releaseFailure releases the memory of targetFailure.
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -22,7 +22,7 @@
 
 const (
 	// maxReturns is how often a request returns to targets that it was taken from. A
-	// return that is refused or not sent doesn't count.
+	// return that is refused or not sent doesn't count, nor one whose end is in doubt.
 	maxReturns = 2
 	// returnInterval is the time between two attempts to return. It is the shortest
 	// backoff of a target that refused.
@@ -252,6 +252,9 @@
 	if id := a.attempt.Target.ID; a.stream.forwarder.Fleet.Has(id) {
 		a.lost = a.stream.forwarder.Fleet.Lost(id) // the next suspicion
 	}
+	if a.awaitsConfirmation() {
+		return 0, false // see handleUnconfirmed
+	}
 	return a.giveUp("the target is taken for dead")
 }
 
@@ -259,6 +262,9 @@
 // moves to another target, or the attempt is abandoned. If the attempt goes on,
 // handleTimer returns the time until the next call.
 func (a *streamAttempt) handleTimer(ctx context.Context) (wait time.Duration, end attemptEnd, done bool) {
+	if a.awaitsConfirmation() {
+		return a.handleUnconfirmed()
+	}
 	const reason = "the stream is silent"
 	action, wait := a.detector.next(time.Now())
 	switch {
@@ -292,13 +298,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if !c.request.Route.Repeatable() || c.request.Route.LatencyObjective <= 0 || !c.request.attemptsLeft(len(c.tried)+1) {
-		answer, body, err = c.exchange(ctx, a)
+		answer, body, err = c.exchange(ctx, a, target)
 		return answer, body, false, err
 	}
 	done, sentAt := make(chan struct{}), time.Now()
 	go func() {
 		defer close(done)
-		answer, body, err = c.exchange(ctx, a)
+		answer, body, err = c.exchange(ctx, a, target)
 	}()
 	timer := time.NewTimer(attemptTimeoutFactor * c.request.Route.LatencyObjective)
 	defer timer.Stop()
@@ -318,7 +324,7 @@
 }
 
 // exchange sends the call to one target and reads the answer.
-func (c *call) exchange(ctx context.Context, a Attempt) (*Answer, []byte, error) {
+func (c *call) exchange(ctx context.Context, a Attempt, target fleet.Incarnation) (*Answer, []byte, error) {
 	answer, err := c.forwarder.TargetClient.Send(ctx, a)
 	if err != nil {
 		return nil, nil, err
@@ -328,6 +334,9 @@
 		return answer, nil, nil
 	}
 	body, err := c.readBody(answer.Body)
+	if err == nil && !answer.Framed {
+		err = c.forwarder.confirmEnd(ctx, c.request, a.Target, target)
+	}
 	return answer, body, err
 }
 
