--- a/forward/forward.go
+++ b/forward/forward.go
@@ -46,6 +46,9 @@
 	Tokens          int    // length of the prompt; 0 if the request has none
 	MaxOutputTokens int    // largest number of output tokens
 	CacheKey        string // cache key of the prompt part that is specific to the request or its session; empty for none
+	// Parts are the ids of the parts of the prompt that requests share, in order; the
+	// last part of a prompt belongs to its request or session and is not among them.
+	Parts []string
 }
 
 // AnswerDeadline returns the time by which the request must be answered: the earlier of
