--- a/gateway/poison_fleet_test.go
+++ b/gateway/poison_fleet_test.go
@@ -6,16 +6,15 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/forward"
-	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 )
 
@@ -29,15 +28,22 @@
 	maxReportLag = 2 * maxLatency        // a crash report waits for at most one call in flight
 	// maxSimDaemons is the maximum number of daemons; all of them are registered.
 	maxSimDaemons = 8
+	simPlaces     = 4
 )
 
 // poisonFleet simulates daemons and engines without a network, on the virtual clock of
-// a synctest bubble. Requests whose body is poisonBody crash the engines that run them.
+// a synctest bubble. Requests whose body is poisonBody, or whose prompt has the part
+// deadlyPart, crash the engines that run them.
 type poisonFleet struct {
 	random            *rand.Rand
 	eventsBeforeCrash int     // sent by a poison run
+	varyEvents        bool    // a poison run sends up to eventsBeforeCrash events
+	lastEvent         int     // id of the last event of an answer
 	silentCrashes     bool    // a crash is noticed only by probes and by the new entry
 	resetShare        float64 // share of the runs that lose their connection at the start on an engine that runs on
+	cutShare          float64 // share of the runs that lose their connection after some events on an engine that runs on
+	unframedShare     float64 // share of the answers that end with their connection, see forward.Answer.Framed
+	keepIDShare       float64 // share of the crashed engines that return under their id
 	store             simStore
 
 	mu          sync.Mutex
@@ -56,25 +62,36 @@
 	daemon string
 }
 
-const poisonBody = "poison"
+const (
+	poisonBody = "poison"
+	deadlyPart = "dead"
+)
+
+// isPoison reports whether a request crashes engines.
+func isPoison(r *forward.Request) bool {
+	return string(r.Body) == poisonBody || slices.Contains(r.Prompt.Parts, deadlyPart)
+}
 
 // simEngine is one incarnation of an engine.
 type simEngine struct {
 	target fleet.Target
-	runs   map[*io.PipeWriter]bool
+	runs   map[*io.PipeWriter]error // the end of each answer if the engine crashes; nil is a plain one
 	down   bool
 	// replaced reports whether another incarnation has started in its place.
 	replaced bool
 }
 
 func newPoisonFleet(seed uint64, daemons, engines int) *poisonFleet {
-	s := &poisonFleet{random: rand.New(rand.NewPCG(seed, seed)), engines: make(map[string]*simEngine), silentUntil: make(map[string]time.Time), servedBy: make(map[string]string)}
+	s := &poisonFleet{
+		random: rand.New(rand.NewPCG(seed, seed)), lastEvent: 100,
+		engines: make(map[string]*simEngine), silentUntil: make(map[string]time.Time), servedBy: make(map[string]string),
+	}
 	s.store.objects = make(map[string]objectstore.Object)
 	for i := range daemons {
 		s.startDaemon(fmt.Sprint("vm-", i))
 	}
 	for i := range engines {
-		s.startEngine(fmt.Sprint("place-", i%4))
+		s.startEngine(fmt.Sprint("place-", i%simPlaces))
 	}
 	return s
 }
@@ -85,34 +102,68 @@
 	return time.Duration(s.random.Int64N(int64(limit)))
 }
 
+// intN returns a random number below n.
+func (s *poisonFleet) intN(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.IntN(n)
+}
+
 // startEngine starts an engine under a new id and registers it with all daemons.
 func (s *poisonFleet) startEngine(place string) {
 	s.mu.Lock()
 	s.starts++
 	id := fmt.Sprint("i-", s.starts)
-	t := fleet.Target{ID: id, Service: "svc", Address: id + ":1", Place: place, Slots: 64}
-	s.engines[id] = &simEngine{target: t, runs: make(map[*io.PipeWriter]bool)}
+	s.mu.Unlock()
+	s.startIncarnation(fleet.Target{ID: id, Service: "svc", Address: id + ":1", Place: place, Slots: 64})
+}
+
+// startIncarnation starts an incarnation of an engine and registers it with all daemons.
+func (s *poisonFleet) startIncarnation(t fleet.Target) {
+	t.StartMillis = time.Now().UnixMilli()
+	s.mu.Lock()
+	s.engines[t.ID] = &simEngine{target: t, runs: make(map[*io.PipeWriter]error)}
 	s.mu.Unlock()
 	for _, d := range s.running() {
 		d.Fleet.Put(t)
 	}
 }
 
-// crash ends all runs of an engine, which starts again after restartTime.
+// crash records a crash that a poison request causes.
 func (s *poisonFleet) crash(e *simEngine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e.down {
-		return
+	if !e.down {
+		s.crashes = append(s.crashes, time.Now())
+		s.end(e)
+	}
+}
+
+// crashPlace crashes all engines at a place, whatever runs on them.
+func (s *poisonFleet) crashPlace(place string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		if e.target.Place == place && !e.down {
+			s.end(e)
+		}
 	}
+}
+
+// end ends all runs of an engine, which starts again after restartTime. s.mu is held.
+func (s *poisonFleet) end(e *simEngine) {
 	e.down = true
-	s.crashes = append(s.crashes, time.Now())
-	for w := range e.runs {
+	for w, err := range e.runs {
 		if !s.silentCrashes {
-			_ = w.CloseWithError(io.ErrUnexpectedEOF)
+			_ = w.CloseWithError(err)
 		}
 	}
+	keepID := s.random.Float64() < s.keepIDShare
 	time.AfterFunc(restartTime, func() {
+		if keepID {
+			s.startIncarnation(e.target)
+			return
+		}
 		for _, d := range s.running() {
 			d.Fleet.Remove(time.Now(), e.target.ID, false)
 		}
@@ -125,7 +176,7 @@
 
 // Send implements forward.TargetClient.
 func (s *poisonFleet) Send(ctx context.Context, a forward.Attempt) (*forward.Answer, error) {
-	poison := string(a.Request.Body) == poisonBody
+	poison := isPoison(a.Request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.engines[a.Target.ID]
@@ -139,7 +190,17 @@
 		return nil, errors.WithStack(forward.ErrNoAnswer)
 	}
 	r, w := io.Pipe()
-	e.runs[w] = true
+	run := simRun{poison: poison, framed: s.random.Float64() >= s.unframedShare, events: s.eventsBeforeCrash, cutAfter: -1}
+	if s.varyEvents {
+		run.events = s.random.IntN(s.eventsBeforeCrash + 1)
+	}
+	if s.random.Float64() < s.cutShare {
+		run.cutAfter = s.random.IntN(s.lastEvent)
+	}
+	e.runs[w] = io.ErrUnexpectedEOF
+	if !run.framed {
+		e.runs[w] = nil
+	}
 	context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
 	go func() {
 		defer func() {
@@ -147,9 +208,9 @@
 			delete(e.runs, w)
 			s.mu.Unlock()
 		}()
-		s.run(ctx, e, a, poison, w)
+		s.run(ctx, e, a, run, w)
 	}()
-	return &forward.Answer{Status: http.StatusOK, Signed: true, Framed: true, Header: http.Header{}, Body: r}, nil
+	return &forward.Answer{Status: http.StatusOK, Signed: true, Framed: run.framed, Header: http.Header{}, Body: r}, nil
 }
 
 // sendError returns the error of a send to an engine that is down.
@@ -163,11 +224,16 @@
 // errNotListening is the error of a send to an engine that is down.
 var errNotListening = fmt.Errorf("%w: %w", forward.ErrNotSent, forward.ErrNotListening)
 
-// lastEvent is the id of the last event of an answer.
-const lastEvent = 100
+// simRun is what was drawn for a run.
+type simRun struct {
+	poison   bool
+	framed   bool // see forward.Answer.Framed
+	events   int  // sent before a poison run crashes its engine
+	cutAfter int  // number of events after which the connection is lost; -1 for never
+}
 
 // run produces the events of one run, or crashes the engine.
-func (s *poisonFleet) run(ctx context.Context, e *simEngine, a forward.Attempt, poison bool, w *io.PipeWriter) {
+func (s *poisonFleet) run(ctx context.Context, e *simEngine, a forward.Attempt, run simRun, w *io.PipeWriter) {
 	wait := func(d time.Duration) bool {
 		select {
 		case <-time.After(d):
@@ -184,20 +250,31 @@
 		next, _ = strconv.Atoi(a.LastEventID)
 		next++
 	}
-	for sent := 0; next <= lastEvent; next, sent = next+1, sent+1 {
-		if poison && sent == s.eventsBeforeCrash {
+	pending := "" // the end of an event, so that an answer that isn't framed breaks off inside one
+	for sent := 0; next <= s.lastEvent; next, sent = next+1, sent+1 {
+		switch {
+		case run.poison && sent == run.events:
 			if wait(crashDelay) {
 				s.crash(e)
 			}
 			return
-		}
-		if !wait(eventGap) {
+		case sent == run.cutAfter:
+			_ = w.CloseWithError(io.ErrUnexpectedEOF)
 			return
+		case !wait(eventGap):
+			return
+		}
+		text := fmt.Sprintf("%sid: %d\ndata: x\n\n", pending, next)
+		if !run.framed {
+			text, pending = text[:len(text)-1], "\n"
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", next); err != nil {
+		if _, err := io.WriteString(w, text); err != nil {
 			return
 		}
 	}
+	if pending != "" {
+		_, _ = io.WriteString(w, pending)
+	}
 	_ = w.Close()
 }
 
@@ -214,11 +291,12 @@
 // Report implements forward.TargetClient.
 func (s *poisonFleet) Report(ctx context.Context, t fleet.Target) (forward.Report, error) {
 	s.mu.Lock()
-	down := s.engines[t.ID].down
+	e := s.engines[t.ID]
+	down := e.down
 	s.mu.Unlock()
 	switch {
 	case !down:
-		return forward.Report{}, nil
+		return forward.Report{StartMillis: e.target.StartMillis}, nil
 	case s.silentCrashes:
 		<-ctx.Done()
 		return forward.Report{}, ctx.Err()
@@ -245,52 +323,3 @@
 
 // Release implements forward.TargetClient.
 func (*poisonFleet) Release(context.Context, fleet.Target, forward.Copy) error { return errNoCopies }
-
-// simRoute is the route of all requests of the simulation.
-var simRoute = ingress.Route{
-	Name: "stream", Kind: ingress.Streaming, Resumable: true, Timeout: 25 * time.Second,
-	LatencyObjective: 4500 * time.Millisecond, MaxEventGap: 700 * time.Millisecond, MaxAttempts: 5,
-	Services: []ingress.WeightedService{{Service: "svc", Weight: 1}},
-}
-
-// request sends a request to a random daemon, see requestAt.
-func (s *poisonFleet) request(id, body, lastEventID string) *simCaller {
-	s.mu.Lock()
-	if len(s.daemons) == 0 {
-		s.mu.Unlock()
-		return &simCaller{}
-	}
-	d := s.daemons[s.random.IntN(len(s.daemons))]
-	s.mu.Unlock()
-	return s.requestAt(d, id, body, lastEventID)
-}
-
-// requestAt sends a request to a daemon and returns what its caller received. The answer
-// resumes after the event with the id lastEventID, if it is not empty.
-func (s *poisonFleet) requestAt(d *simDaemon, id, body, lastEventID string) *simCaller {
-	c := &simCaller{}
-	now := time.Now()
-	s.mu.Lock()
-	s.servedBy[id] = d.id
-	s.mu.Unlock()
-	d.Serve(d.ctx, &forward.Request{
-		ID: id, Method: http.MethodPost, Host: "h", URI: "/a/1", Body: []byte(body), Header: http.Header{}, Workspace: "w",
-		Received: now, Deadline: now.Add(25 * time.Second), Route: &simRoute, Service: "svc", LastEventID: lastEventID,
-		Prompt: forward.Prompt{Tokens: 5000, MaxOutputTokens: 1000, CacheKey: body},
-	}, c)
-	return c
-}
-
-// simCaller implements forward.Responder.
-type simCaller struct {
-	err      *failure.Error
-	events   int
-	complete bool
-}
-
-func (c *simCaller) Answer(int, http.Header, []byte) {}
-func (c *simCaller) Fail(err *failure.Error)         { c.err = err }
-func (c *simCaller) Begin(int, http.Header) error    { return nil }
-func (c *simCaller) Event([]byte) error              { c.events++; return nil }
-func (c *simCaller) End()                            { c.complete = true }
-func (c *simCaller) Abort()                          {}
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -97,9 +98,14 @@
 	}
 }
 
+var poisonSeeds = flag.Uint64("poison.seeds", 0, "number of `seeds` of each test of poison requests; 0 means the test's own number")
+
 // playSeeds runs a test with several seeds, each in a synctest bubble of its own.
 func playSeeds(t *testing.T, seeds uint64, test func(t *testing.T, seed uint64)) {
 	t.Helper()
+	if *poisonSeeds > 0 {
+		seeds = *poisonSeeds
+	}
 	for seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { test(t, seed) })
--- a/gateway/poison_trouble_test.go
+++ b/gateway/poison_trouble_test.go
@@ -43,6 +43,7 @@
 	// keepKnowledge lets several daemons restart only if no crash is known yet, or the
 	// store has what is known. Otherwise the crashes known to all daemons may be lost.
 	keepKnowledge bool
+	stored        func() bool // reports whether the store has what is known; nil: if it has anything
 
 	mu    sync.Mutex
 	times []outOfTouch
@@ -76,8 +77,11 @@
 }
 
 func (r *troubles) restart(n int) {
-	known := r.fleet.crashCount() > 0 && len(r.fleet.store.names()) == 0
-	if r.keepKnowledge && known && (n > 1 || len(r.fleet.running()) < maxSimDaemons) {
+	stored := r.stored
+	if stored == nil {
+		stored = func() bool { return len(r.fleet.store.names()) > 0 }
+	}
+	if r.keepKnowledge && r.fleet.crashCount() > 0 && !stored() && (n > 1 || len(r.fleet.running()) < maxSimDaemons) {
 		return
 	}
 	downtime := r.fleet.randomDuration(maxDowntime)
@@ -107,12 +111,11 @@
 }
 
 // lateSends returns the sends that count against allowedLateSends, as times after the
-// third crash.
-func (r *troubles) lateSends() (late []time.Duration) {
+// crash with the number limit.
+func (r *troubles) lateSends(limit int) (late []time.Duration) {
 	s := r.fleet
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	limit := quarantineSettings().MaxTargets
 	if len(s.crashes) < limit {
 		return nil
 	}
@@ -141,7 +144,7 @@
 	r := &troubles{fleet: s, keepKnowledge: keepKnowledge}
 	go r.run(ctx)
 	checkNotRefused(t, s.play(t, load, load.duration))
-	if late := r.lateSends(); len(late) > allowedLateSends {
+	if late := r.lateSends(quarantineSettings().MaxTargets); len(late) > allowedLateSends {
 		t.Errorf("%d sends by daemons in touch later than %v after the third crash: %v; %d engines crashed", len(late), contactTime, late, s.crashCount())
 	}
 }
