--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -213,3 +213,22 @@
 		checkNotRefused(t, s.play(t, defaultLoad, maxReportLag))
 	})
 }
+
+// TestUnframedCrashIsNoCompletion guards against answers that end with their connection and
+// count as complete although a crash ended them before the first event of their run: the
+// crashes of a poison request are cleared, and other callers get an answer without its end.
+func TestUnframedCrashIsNoCompletion(t *testing.T) {
+	playSeeds(t, 6, func(t *testing.T, seed uint64) {
+		s := newPoisonFleet(seed, 8, 24)
+		s.unframedShare, s.eventsBeforeCrash = 1, int(seed%3)
+		short := 0
+		for _, c := range s.play(t, defaultLoad, maxReportLag) {
+			if c.complete && c.events <= s.lastEvent {
+				short++
+			}
+		}
+		if short > 0 {
+			t.Errorf("%d of %d other requests got an answer that is short but looks complete", short, defaultLoad.others)
+		}
+	})
+}
