--- a/forward/call.go
+++ b/forward/call.go
@@ -148,7 +148,8 @@
 // otherwise the reason why the attempt failed.
 func (c *call) attempt(ctx context.Context, t fleet.Target) (*bufferedAnswer, *failure.Error) {
 	incarnation := c.forwarder.Fleet.Incarnation(t.ID)
-	active := c.forwarder.Fleet.Begin(time.Now(), t.ID, fleet.Demand{})
+	c.request.SentAt = time.Now()
+	active := c.forwarder.Fleet.Begin(c.request.SentAt, t.ID, fleet.Demand{})
 	answer, body, gaveUp, err := c.send(ctx, Attempt{Request: c.request, Target: t, TimeLeft: c.request.timeLeft()}, incarnation)
 	now := time.Now()
 	c.framed = describeFrame(answer)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -39,6 +39,7 @@
 	// to resume; empty if not stated.
 	Resumes string
 	Prompt  Prompt
+	SentAt  time.Time // of the latest attempt; zero before
 }
 
 // Prompt describes the work that a request causes on a model engine.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -156,6 +156,7 @@
 	defer cancel() // the run on this target ends before the next attempt
 	now := time.Now()
 	a.TimeLeft, s.framed = s.request.timeLeft(), describeFrame(nil)
+	s.request.SentAt = now
 	demand := fleet.Demand{PrefillTokens: s.request.Prompt.Tokens, MemoryTokens: s.memoryTokens()}
 	if a.Resume != (Copy{}) {
 		demand.PrefillTokens = 0
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +39,8 @@
 	target  fleet.Incarnation
 	atStart bool
 	time    time.Time
+	parts   []string
+	ran     time.Duration
 }
 
 // Limits of the losses that wait for the end of their target to become known.
@@ -121,7 +124,10 @@
 
 // ReportCrash implements forward.CrashTracker.
 func (c *crashTracker) ReportCrash(r *forward.Request, t fleet.Target, atStart bool) {
-	c.reportCrash(quarantine.CrashReport{Request: requestKey(r), Target: t.ID, Incarnation: uint64(t.StartMillis), AtStart: atStart, Own: true})
+	c.reportCrash(quarantine.CrashReport{
+		Request: requestKey(r), Target: t.ID, Incarnation: uint64(t.StartMillis), AtStart: atStart, Own: true,
+		Parts: r.Prompt.Parts, Ran: time.Since(r.SentAt),
+	})
 }
 
 func (c *crashTracker) reportCrash(report quarantine.CrashReport) {
@@ -130,7 +136,8 @@
 	standing := c.ledger.Standing(report.Request)
 	c.mu.Unlock()
 	c.events.Record(event.RequestCrashReported, report.Request.ID, append(standingFields(report.Request, standing),
-		event.F("target", report.Target), event.F("at_start", strconv.FormatBool(report.AtStart)), event.F("age", report.Age.String()))...)
+		event.F("target", report.Target), event.F("at_start", strconv.FormatBool(report.AtStart)), event.F("age", report.Age.String()),
+		event.F("parts", strings.Join(report.Parts, ",")), event.F("ran", report.Ran.String()))...)
 	if len(reports) > 0 {
 		c.send(report.Request)
 	}
@@ -149,7 +156,7 @@
 func (c *crashTracker) ReportLoss(r *forward.Request, target fleet.Incarnation, atStart bool) {
 	now := time.Now()
 	c.mu.Lock()
-	c.losses = append(c.losses, loss{requestKey(r), target, atStart, now})
+	c.losses = append(c.losses, loss{requestKey(r), target, atStart, now, r.Prompt.Parts, now.Sub(r.SentAt)})
 	if excess := len(c.losses) - maxLosses; excess > 0 {
 		c.losses = c.losses[excess:]
 	}
@@ -174,7 +181,9 @@
 	c.mu.Unlock()
 	for _, l := range crashed {
 		t := l.target.Target
-		c.reportCrash(quarantine.CrashReport{Request: l.request, Target: t.ID, Incarnation: uint64(t.StartMillis), AtStart: l.atStart, Age: now.Sub(l.time), Own: true})
+		c.reportCrash(quarantine.CrashReport{
+			Request: l.request, Target: t.ID, Incarnation: uint64(t.StartMillis), AtStart: l.atStart, Age: now.Sub(l.time), Own: true, Parts: l.parts, Ran: l.ran,
+		})
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -77,7 +77,11 @@
 	Incarnation uint64        `msgpack:"n,omitempty"`
 	AtStart     bool          `msgpack:"r"` // the request had just started on the target
 	Age         time.Duration `msgpack:"a"` // time since the crash
-	Own         bool          `msgpack:"-"` // this daemon observed the crash
+	// Parts are the ids of the parts of the prompt that requests share; none if unknown.
+	Parts []string `msgpack:"p,omitempty"`
+	// Ran is how long the request had been at the target when it crashed.
+	Ran time.Duration `msgpack:"d,omitempty"`
+	Own bool          `msgpack:"-"` // this daemon observed the crash
 }
 
 // crash is one failure of a target, as recorded in an entry.
@@ -87,6 +91,8 @@
 	time        time.Time
 	weight      int
 	own         bool // this daemon observed it
+	parts       []string
+	ran         time.Duration
 }
 
 // entry holds the crashes recorded for one id or one fingerprint.
@@ -127,7 +133,7 @@
 // crash reports to send to other daemons: none as long as the request is likely to be
 // innocent.
 func (l *Ledger) ReportCrash(now time.Time, report CrashReport) []CrashReport {
-	c := crash{target: report.Target, incarnation: report.Incarnation, time: now.Add(-report.Age), weight: runningWeight, own: report.Own}
+	c := crash{target: report.Target, incarnation: report.Incarnation, time: now.Add(-report.Age), weight: runningWeight, own: report.Own, parts: report.Parts, ran: report.Ran}
 	if report.AtStart {
 		c.weight = startWeight
 	}
@@ -144,7 +150,7 @@
 func (e *entry) reports(now time.Time, request RequestKey) []CrashReport {
 	var out []CrashReport
 	for _, c := range e.crashes {
-		out = append(out, CrashReport{Request: request, Target: c.target, Incarnation: c.incarnation, AtStart: c.weight == startWeight, Age: now.Sub(c.time)})
+		out = append(out, CrashReport{Request: request, Target: c.target, Incarnation: c.incarnation, AtStart: c.weight == startWeight, Age: now.Sub(c.time), Parts: c.parts, Ran: c.ran})
 	}
 	return out
 }
@@ -200,7 +206,7 @@
 func (e *entry) add(c crash, s Settings) {
 	e.trialUntil = time.Time{}
 	for i, existing := range e.crashes {
-		if existing.sameCrash(c, s) {
+		if existing.sameCrash(c, s.SameCrashWindow.Std()) {
 			e.crashes[i].weight = max(existing.weight, c.weight)
 			e.crashes[i].incarnation = max(existing.incarnation, c.incarnation) // one of them may be unknown
 			e.crashes[i].own = existing.own || c.own
@@ -221,9 +227,9 @@
 
 // sameCrash reports whether two reports are about one crash: they are close in time, and
 // not about different incarnations of the target.
-func (c crash) sameCrash(other crash, s Settings) bool {
+func (c crash) sameCrash(other crash, window time.Duration) bool {
 	restarted := c.incarnation != 0 && other.incarnation != 0 && c.incarnation != other.incarnation
-	return c.target == other.target && !restarted && c.time.Sub(other.time).Abs() <= s.SameCrashWindow.Std()
+	return c.target == other.target && !restarted && c.time.Sub(other.time).Abs() <= window
 }
 
 // evict removes the first entry in the order of evictBefore, except for the entry of
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -114,7 +114,7 @@
 	for _, c := range e.crashes {
 		found := false
 		for _, o := range other.crashes {
-			found = found || o.sameCrash(c, l.settings) && o.weight >= c.weight
+			found = found || o.sameCrash(c, l.settings.SameCrashWindow.Std()) && o.weight >= c.weight
 		}
 		if !found {
 			return false
