--- a/event/numbers_generation.go
+++ b/event/numbers_generation.go
@@ -23,6 +23,8 @@
 	CrashReportsCleared  Number = 418
 	VerdictStored        Number = 419
 	VerdictsLoaded       Number = 420
+	PartsBlamed          Number = 421
+	PartsCleared         Number = 422
 )
 
 var generationEntries = []Entry{
@@ -46,5 +48,7 @@
 	{CrashReportsApplied, "crash_reports_applied", Info, "A peer reported crashes that this daemon did not know, or the store had them (member store), of a content that has more than one; fingerprint names the one with the most.", ""},
 	{CrashReportsCleared, "crash_reports_cleared", Info, "A target answered a request, and the recorded crashes of its content were dropped.", ""},
 	{VerdictStored, "verdict_stored", Info, "The crash reports of a refused content were written to the store, for daemons that start.", ""},
+	{PartsBlamed, "parts_blamed", Warn, "Targets crashed under different requests that have these parts of their prompts in common; requests with all of them are refused.", "Find what the parts hold; see target."},
+	{PartsCleared, "parts_cleared", Info, "A request with these parts of its prompt runs well, at this daemon or at member; crashes before are no evidence against them.", ""},
 	{VerdictsLoaded, "verdicts_loaded", Info, "This daemon has read from the store which contents are refused, after its start.", ""},
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -27,10 +27,20 @@
 	events *event.Recorder
 	send   func(quarantine.RequestKey) // delivers the crash reports on a request to the other daemons
 	save   func(quarantine.RequestKey) // stores them, once the request is refused
+	// sendSound reports to the other daemons with which parts requests ran well.
+	sendSound func(soundParts)
+	// runsTrials reports whether this daemon, of all, runs the trials of a blame.
+	runsTrials func(quarantine.Blame) bool
+	// saveParts stores the crash reports for which parts are blamed.
+	saveParts func(quarantine.Blame)
 
 	mu     sync.Mutex
 	ledger *quarantine.Ledger
-	losses []loss // oldest first
+	parts  *quarantine.PartLedger
+	losses []loss         // oldest first
+	blamed map[string]int // crashes of the blames that were logged and stored, by their names
+	// announced holds when the other daemons were told of sound runs with a part.
+	announced map[string]time.Time
 }
 
 // loss is a run that was abandoned. Whether its target crashed is not known.
@@ -65,7 +75,11 @@
 }
 
 func newCrashTracker(events *event.Recorder, send, save func(quarantine.RequestKey)) *crashTracker {
-	return &crashTracker{events: events, send: send, save: save, ledger: quarantine.NewLedger(quarantineSettings())}
+	s := quarantineSettings()
+	return &crashTracker{
+		events: events, send: send, save: save, sendSound: func(soundParts) {}, saveParts: func(quarantine.Blame) {}, runsTrials: func(quarantine.Blame) bool { return false },
+		ledger: quarantine.NewLedger(s), parts: quarantine.NewPartLedger(quarantine.DefaultPartSettings(s)), blamed: make(map[string]int), announced: make(map[string]time.Time),
+	}
 }
 
 // requestKey identifies a request by its id and by a hash of its content, because a
@@ -86,7 +100,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ids, fingerprints := c.ledger.Len()
-	return ids == 0 && fingerprints == 0 && len(c.losses) == 0
+	return ids == 0 && fingerprints == 0 && len(c.losses) == 0 && c.parts.Empty()
 }
 
 // Check implements forward.CrashTracker.
@@ -99,6 +113,9 @@
 		c.mu.Lock()
 		v := c.ledger.Check(time.Now(), key)
 		standing := c.ledger.Standing(key)
+		if v.Refusal == nil {
+			v.Refusal = c.parts.Refusal(time.Now(), r.ID, r.Prompt.Parts, c.runsTrials)
+		}
 		c.mu.Unlock()
 		if v.Refusal != nil {
 			c.events.Record(event.RequestQuarantined, r.ID, event.F("error", v.Refusal.Error()))
@@ -133,6 +150,7 @@
 func (c *crashTracker) reportCrash(report quarantine.CrashReport) {
 	c.mu.Lock()
 	reports := c.ledger.ReportCrash(time.Now(), report)
+	c.parts.ReportCrash(time.Now(), report)
 	standing := c.ledger.Standing(report.Request)
 	c.mu.Unlock()
 	c.events.Record(event.RequestCrashReported, report.Request.ID, append(standingFields(report.Request, standing),
@@ -142,6 +160,8 @@
 		c.send(report.Request)
 	}
 	c.saveRefused(report.Request, standing)
+	c.announceSound(report)
+	c.handleBlame()
 }
 
 // saveRefused stores the crash reports of a request that is refused. Only daemons that
@@ -179,6 +199,7 @@
 	}
 	c.losses = unresolved
 	c.mu.Unlock()
+	defer c.handleBlame() // some follow from the time since the crashes
 	for _, l := range crashed {
 		t := l.target.Target
 		c.reportCrash(quarantine.CrashReport{
@@ -189,6 +210,7 @@
 
 // ReportProgress implements forward.CrashTracker.
 func (c *crashTracker) ReportProgress(r *forward.Request) {
+	c.reportSound(r)
 	if c.empty() {
 		return
 	}
@@ -200,6 +222,7 @@
 
 // ReportCompletion implements forward.CrashTracker.
 func (c *crashTracker) ReportCompletion(r *forward.Request) {
+	c.reportSound(r)
 	if c.empty() {
 		return
 	}
@@ -229,6 +252,9 @@
 	for _, r := range requests {
 		out = append(out, c.ledger.Reports(now, r)...)
 	}
+	for i, r := range out { // a daemon that starts doesn't know which parts were cleared
+		out[i].Parts = c.parts.Suspected(now.Add(-r.Age), r.Parts)
+	}
 	return out
 }
 
@@ -247,6 +273,7 @@
 	for _, report := range reports {
 		crashesBefore := c.ledger.Standing(report.Request).Crashes
 		c.ledger.ReportCrash(time.Now(), report)
+		c.parts.ReportCrash(time.Now(), report)
 		standing := c.ledger.Standing(report.Request)
 		standings[report.Request] = standing
 		newCrashes += standing.Crashes - crashesBefore
@@ -261,4 +288,6 @@
 	for request, standing := range standings {
 		c.saveRefused(request, standing)
 	}
+	c.announceSound(reports...)
+	c.handleBlame()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,7 +107,9 @@
 	g.crashTracker = newCrashTracker(g.events, func(request quarantine.RequestKey) { g.peers.crashReports.sendToAll(request) },
 		func(request quarantine.RequestKey) { g.verdicts.save(request) })
 	g.newer = &newerVersions{g: g}
-	g.verdicts = newVerdicts(g.store, g.events, g.crashTracker.reportsOn, g.crashTracker.applyReports)
+	g.verdicts = newVerdicts(g.store, g.events, g.crashTracker)
+	g.crashTracker.saveParts, g.crashTracker.runsTrials = g.verdicts.saveParts, g.members.runsTrials
+	g.crashTracker.sendSound = func(parts soundParts) { g.peers.sendToAll(kindSoundParts, parts) }
 	g.forwarder = &forward.Forwarder{
 		TargetClient: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, Origins: g.origins, PlacementLimiter: forward.NewPlacementLimiter(),
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -28,6 +28,7 @@
 	kindClaim                                             // exchange.Claim
 	kindDocument                                          // documentQuery, answered by documentAnswer
 	kindOriginQuery                                       // originQuery, answered by originAnswer
+	kindSoundParts                                        // soundParts
 )
 
 // Timing of messages between daemons.
@@ -86,6 +87,7 @@
 	peer.HandleTyped(t, kindLoad, p.handleLoad)
 	peer.HandleTyped(t, kindSuspicion, p.handleSuspicion)
 	peer.HandleTyped(t, kindCrashReports, p.handleCrashReports)
+	peer.HandleTyped(t, kindSoundParts, p.handleSoundParts)
 	peer.HandleTyped(t, kindClaim, p.handleClaim)
 	peer.HandleTyped(t, kindDocument, g.serveDocument)
 	peer.HandleTyped(t, kindOriginQuery, g.origins.handleQuery)
@@ -312,9 +314,17 @@
 	if requests := p.g.crashTracker.requests(); len(requests) > 0 {
 		p.crashReports.send(exchange.Member{ID: to.ID, Peers: to.PeerAddress}, requests...)
 	}
+	if sound := p.g.crashTracker.soundSuspects(); len(sound) > 0 {
+		go p.send(to.PeerAddress, kindSoundParts, sound)
+	}
 }
 
 func (p *peers) handleCrashReports(_ context.Context, from peer.Identity, reports []quarantine.CrashReport) (any, error) {
 	p.g.crashTracker.applyReports(from.ID, reports)
 	return nil, nil
 }
+
+func (p *peers) handleSoundParts(_ context.Context, from peer.Identity, parts soundParts) (any, error) {
+	p.g.crashTracker.applySound(from.ID, parts)
+	return nil, nil
+}
