--- a/gateway/idle_test.go
+++ b/gateway/idle_test.go
@@ -133,3 +133,49 @@
 		}
 	})
 }
+
+// TestPipelinedRequestsAreBusy guards against requests that are cut as if their connection
+// were idle, or not waited for by a stop: nothing is read from the connection for a
+// request that was read together with the previous one.
+func TestPipelinedRequestsAreBusy(t *testing.T) {
+	for name, end := range map[string]func(tracker *idleTracker){
+		"the idle timeout passes":    func(tracker *idleTracker) { tracker.expire(time.Now(), 15*time.Second) },
+		"the daemon stops": func(tracker *idleTracker) { tracker.retire() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tracker := newIdleTracker()
+				listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+				var canceled error
+				server := &http.Server{ConnState: tracker.stateChanged, IdleTimeout: idleTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/slow" {
+						time.Sleep(30 * time.Second)
+						canceled = r.Context().Err()
+					}
+				})}
+				go func() { _ = server.Serve(trackedListener{listener}) }()
+				defer func() { _ = server.Close() }()
+				caller, accepted := net.Pipe()
+				listener.conns <- accepted
+				answers := bufio.NewReader(caller)
+				if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"+"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := http.ReadResponse(answers, nil); err != nil {
+					t.Fatal("first request:", err)
+				}
+				time.Sleep(20 * time.Second)
+				if n := tracker.busy(); n != 1 {
+					t.Errorf("%d busy connections while a request is served, want 1", n)
+				}
+				end(tracker)
+				if _, err := http.ReadResponse(answers, nil); err != nil {
+					t.Error("second request:", err)
+				}
+				if canceled != nil {
+					t.Error("the request was canceled as if its caller had left:", canceled)
+				}
+			})
+		})
+	}
+}
