forward: events that have arrived are passed on first (LOST)

Callers that take their events slowly got streams that were cut, though their target had sent all of it: if the target's process ended meanwhile, or its entry was superseded, the rest was dropped, and a stream that must not be sent again ended. Other streams were taken from a sound target, as if it had been silent while an event was written to the caller, or because its report no longer had the run.

The relay picked at random among the events that were read and the state of the target, which is ahead of the events while the caller is slow. It now leaves an end, a silence or a report of the target alone while a part of the answer waits.

--- a/forward/run.go
+++ b/forward/run.go
@@ -91,6 +91,9 @@
 			a.stream.lastErr = contextError(ctx, failure.Unknown, "await answer", a.attempt.Target.ID)
 			return endCanceled
 		case <-a.lost:
+			if a.eventArrived() {
+				continue
+			}
 			if end, done := a.handleSuspected(); done {
 				return end
 			}
@@ -101,6 +104,9 @@
 				}
 				continue
 			}
+			if a.eventArrived() {
+				continue
+			}
 			if p.Alive && a.stream.request.Route.Repeatable() && a.detector.eventsUndelivered(a.stream.request.ID, p.Report) {
 				if end, done := a.giveUp("the target runs the request, and its answer does not arrive"); done {
 					return end
@@ -118,6 +124,10 @@
 		case c := <-a.copier.results:
 			a.copier.handleResult(c)
 		case <-timer.C:
+			if a.eventArrived() {
+				timer.Reset(time.Millisecond)
+				continue
+			}
 			wait, end, done := a.handleTimer(ctx)
 			if done {
 				return end
@@ -165,6 +175,11 @@
 	}
 }
 
+// eventArrived reports whether a part of the answer waits to be passed on, for instance
+// because the caller takes its events slowly. What is known of the target counts only
+// after that.
+func (a *streamAttempt) eventArrived() bool { return len(a.parts) > 0 }
+
 // startMove stops a stalled run on a target that is alive and moves its KV cache to
 // another target. A move loses no tokens and needs no standby copy. startMove returns
 // false if the run can't be moved.
