--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -58,12 +57,21 @@
 	connUnused  = -2 // nothing was read yet
 )
 
+// lastReadTime bounds the last read of an expired connection. A request may have arrived
+// that was not read yet.
+const lastReadTime = 20 * time.Millisecond
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
-	if c.currentState() == connExpired {
-		return 0, io.EOF
+	var n int
+	var err error
+	if c.currentState() != connExpired {
+		n, err = c.Conn.Read(b)
+	}
+	if n == 0 && c.currentState() == connExpired {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) // fails if the connection is closed already
+		n, err = c.Conn.Read(b)
 	}
-	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/gateway/idle_test.go
+++ b/gateway/idle_test.go
@@ -139,8 +139,8 @@
 // request that was read together with the previous one.
 func TestPipelinedRequestsAreBusy(t *testing.T) {
 	for name, end := range map[string]func(tracker *idleTracker){
-		"the idle timeout passes":    func(tracker *idleTracker) { tracker.expire(time.Now(), 15*time.Second) },
-		"the daemon stops": func(tracker *idleTracker) { tracker.retire() },
+		"the idle timeout passes": func(tracker *idleTracker) { tracker.expire(time.Now(), 15*time.Second) },
+		"the daemon stops":        func(tracker *idleTracker) { tracker.retire() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -179,3 +179,42 @@
 		})
 	}
 }
+
+// TestArrivedRequestsOutliveExpiry guards against requests that are lost because their
+// connection expired as idle after their bytes had arrived and before they were read, for
+// instance while the process waited for a CPU.
+func TestArrivedRequestsOutliveExpiry(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	accepted, err := trackedListener{listener}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	tracker := newIdleTracker()
+	tracker.stateChanged(accepted, http.StateNew)
+	if _, err := io.WriteString(caller, "GET /"); err != nil {
+		t.Fatal(err)
+	}
+	tracker.retire()
+	got := make([]byte, 5)
+	if n, err := accepted.Read(got); err != nil || string(got[:n]) != "GET /" {
+		t.Errorf("read %q and error %v of an expired connection, want the request that had arrived", got[:n], err)
+	}
+	if n := tracker.busy(); n != 1 {
+		t.Errorf("%d busy connections, want the one with the request", n)
+	}
+	tracker.stateChanged(accepted, http.StateIdle)
+	tracker.retire()
+	if n, err := accepted.Read(got); err == nil {
+		t.Errorf("read %q of an expired connection without a request, want an error", got[:n])
+	}
+}
