fleet: a restored entry is no evidence against a target (LOST)

Runs would be given up at once, and streams that must not be sent again cut, when a store comes back from an older copy that holds the entry of a target that is gone, and the target of these runs has its address now. A target that registers at an address counts as its new holder unless it started earlier; without a stated start, as in this deployment, that can't be told, and an entry from before the copy takes the address from the target that has it.

An entry of an unknown target in the first read after a restoration is added, and takes no address from another target.

TestRestoredEntryReplacesNoTarget failed before (the target counts as terminated, with no start stated and with the same). The tests of fleet and TestStoreIsRestored pass.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,10 +90,15 @@
 func (f *Fleet) Put(t Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.targets[t.ID]
-	if s == nil || s.Address != t.Address {
+	if s := f.targets[t.ID]; s == nil || s.Address != t.Address {
 		f.markReplaced(t)
 	}
+	f.put(t)
+}
+
+// put is Put without the effect on other targets with the address.
+func (f *Fleet) put(t Target) {
+	s := f.targets[t.ID]
 	switch {
 	case s == nil:
 		f.addToIndexes(newTargetState(t))
@@ -116,11 +121,18 @@
 
 // PutRestored adds or updates the entry of a target that a store holds which was restored
 // from an older copy. An entry that is older than the known one changes nothing: the
-// target has reported more since, such as that it is leaving, and writes it again.
+// target has reported more since, such as that it is leaving, and writes it again. An
+// unknown target may be one from before whose address another one has now, so its entry is
+// no evidence against that one.
 func (f *Fleet) PutRestored(t Target) {
 	f.mu.Lock()
 	s := f.targets[t.ID]
-	older := s != nil && (t.StartMillis < s.StartMillis || t.StartMillis == s.StartMillis && t.Sequence < s.Sequence)
+	if s == nil {
+		f.put(t)
+		f.mu.Unlock()
+		return
+	}
+	older := t.StartMillis < s.StartMillis || t.StartMillis == s.StartMillis && t.Sequence < s.Sequence
 	if older {
 		s.missingSince = time.Time{}
 	}
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -43,3 +43,25 @@
 		So(f.Has("i-1"), ShouldBeTrue)
 	})
 }
+
+// TestRestoredEntryReplacesNoTarget guards against runs that are given up because a store
+// that was restored holds an entry of a target from before, whose address their own target
+// has now.
+func TestRestoredEntryReplacesNoTarget(t *testing.T) {
+	for _, startMillis := range []int64{0, 5} {
+		Convey("an entry of a target that is gone, of one start", t, func() {
+			f := New("p", 1)
+			f.Put(Target{ID: "i-2", Service: "s", Address: "a:1", Slots: 4, StartMillis: startMillis})
+			current, lost := f.Incarnation("i-2"), f.Lost("i-2")
+			gone := Target{ID: "i-1", Service: "s", Address: "a:1", Slots: 4, StartMillis: startMillis}
+			f.PutRestored(gone)
+			So(current.Terminated(start), ShouldBeFalse)
+			So(f.State(start, "i-2"), ShouldEqual, Ready)
+			select {
+			case <-lost:
+				t.Error("the target counts as lost")
+			default:
+			}
+		})
+	}
+}
