--- a/forward/plan.go
+++ b/forward/plan.go
@@ -34,7 +34,7 @@
 		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
 			s.lastErr = contextError(ctx, failure.NotRun, "route", s.request.Service)
 			s.noAttempt = s.lastErr.Error()
-			return Attempt{}, false
+			return s.planReturn(ctx) // which is no placement
 		}
 		promptHolders = s.promptHolders(ctx)
 	}
--- a/forward/return_test.go
+++ b/forward/return_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/ingress"
 )
 
 // unreachableWhilePaused answers like b, but can't be connected to while its target is
@@ -143,3 +144,20 @@
 		}
 	})
 }
+
+// TestStreamReturnsWhilePlacementsWait guards against streams that are cut because they
+// were taken from a silent target, and more placements wait than can be made before their
+// deadline.
+func TestStreamReturnsWhilePlacementsWait(t *testing.T) {
+	inBubble(func(t *testing.T) {
+		s, first := newFixtureWithBroken(pausable(50, eventGap), pausable(50, eventGap))
+		s.Model = func(string) *ingress.Model { return nil } // no standby copies
+		time.AfterFunc(20*eventGap+eventGap/2, func() {
+			for range 3000 {
+				s.PlacementLimiter.Reserve()
+			}
+			s.client.pauseFor(silence, first)
+		})
+		expectAll(t, s, s.serve(t, streamRoute))
+	})(t)
+}
