soak: engines end answers with their connection, and break some off

On the users' pages an answer, a stream too, may come with neither a length nor chunks and end with its channel, and a stream that ends inside an event has been broken off. The soak's engines framed all answers and never broke one off, so it showed neither.

One answer in three is unframed now. Half of the engines break off one answer in eight, streams and calls, before the head, between events or inside one, by the end of the connection or a reset; an unframed one only in ways that show. A stream that was broken off must be continued; if it can't be, because its attempts are used up or the daemon stops, it isn't counted as LOST, but must not look complete.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -31,15 +32,16 @@
 	answered verdict = iota
 	unread           // the daemon has not read it, or closed the connection at once
 	timedOut
-	excused // by trouble, or by the end of the grace period
-	lost    // around planned work
-	cut     // at another time
+	excused   // by trouble, or by the end of the grace period
+	brokenOff // by its engine, and there was no time or attempt left to continue it
+	lost      // around planned work
+	cut       // at another time
 )
 
 // check returns the broken rules, each with its trace.
 func (s *site) check() (broken []string) {
 	report := func(rule string, a *attempt) { broken = append(broken, rule+"\n"+s.trace(a)) }
-	counts, keptCuts, denied := make(map[verdict]int), make(map[string]int), 0
+	counts, keptCuts, denied, breaks := make(map[verdict]int), make(map[string]int), 0, 0
 	statuses := make(map[string]int)
 	for _, a := range s.record.attempts {
 		statuses[fmt.Sprint(a.kind, " ", a.status, map[bool]string{false: " cut"}[a.complete])]++
@@ -61,6 +63,11 @@
 		}
 		v, reason := s.judge(a, runs)
 		counts[v]++
+		for _, r := range runs {
+			if r.end == runBrokenOff {
+				breaks++
+			}
+		}
 		if v == lost {
 			report("LOST "+reason, a)
 		}
@@ -89,8 +96,8 @@
 	if denied > deniedLimit(len(s.record.attempts)) {
 		broken = append(broken, fmt.Sprintf("DENIED: %d requests", denied))
 	}
-	s.t.Logf("%s: %d attempts, %d SIGTERM; unread %d, timed out %d, excused %d, lost %d, cut at other times %d; %d broken rules", s.t.Name(), len(s.record.attempts),
-		s.countPlanned("SIGTERM"), counts[unread], counts[timedOut], counts[excused], counts[lost], counts[cut], len(broken))
+	s.t.Logf("%s: %d attempts, %d SIGTERM; unread %d, timed out %d, excused %d, lost %d, cut at other times %d, broken off by engines %d of %d; %d broken rules", s.t.Name(), len(s.record.attempts),
+		s.countPlanned("SIGTERM"), counts[unread], counts[timedOut], counts[excused], counts[lost], counts[cut], counts[brokenOff], breaks, len(broken))
 	s.t.Logf("attempts %v; requests %v", statuses, s.record.outcomes)
 	return broken
 }
@@ -119,10 +126,23 @@
 	if s.troubled(a.sent.Add(-contact), a.ended) {
 		return excused, ""
 	}
+	broken := a.events > 0 && brokenByEngine(runs)
 	for _, p := range s.planned {
-		if p.kind == "SIGTERM" && s.callersOf(p.daemon) == a.daemon && cutAtEndOfGrace(a, runs, p.from) {
+		if p.kind != "SIGTERM" || s.callersOf(p.daemon) != a.daemon {
+			continue
+		}
+		if cutAtEndOfGrace(a, runs, p.from) {
 			return excused, ""
 		}
+		if broken && !a.ended.Before(p.from.Add(grace*5/6)) && !a.ended.After(p.from.Add(grace+time.Second)) {
+			return brokenOff, ""
+		}
+	}
+	if broken && len(runs) >= streamAttempts {
+		return brokenOff, ""
+	}
+	if broken {
+		return lost, "after an engine broke it off: it was not continued"
 	}
 	for _, p := range s.planned {
 		if p.daemon != "" && s.callersOf(p.daemon) != a.daemon || a.ended.Before(p.from) {
@@ -153,6 +173,16 @@
 	return a.sent.Sub(signaled) <= lateSend && !runs[len(runs)-1].ended.Before(signaled.Add(grace*5/6))
 }
 
+// brokenByEngine reports whether a stream has made no event since an engine broke it off.
+func brokenByEngine(runs []run) bool {
+	for _, r := range slices.Backward(runs) {
+		if r.end == runBrokenOff || !r.firstEvent.IsZero() {
+			return r.end == runBrokenOff
+		}
+	}
+	return false
+}
+
 // troubled reports whether there was trouble between two times.
 func (s *site) troubled(from, until time.Time) bool {
 	for _, t := range s.troubles {
@@ -190,7 +220,7 @@
 	add("begun %s, sent %s, ended %s; status %d (%s), complete: %t, %d events of %d; error %v, reset: %t", at(a.begun), at(a.sent), at(a.ended),
 		a.status, http.StatusText(a.status), a.complete, a.events, a.work.events, a.err, a.reset)
 	for _, r := range s.ledger.of(a.id) {
-		add("run at %s from %s to %s, first event %s, complete: %t", r.engine, at(r.began), at(r.ended), at(r.firstEvent), r.complete)
+		add("run at %s from %s to %s, first event %s, %v", r.engine, at(r.began), at(r.ended), at(r.firstEvent), r.end)
 	}
 	for _, p := range append(append([]span(nil), s.planned...), s.troubles...) {
 		concerned := p.daemon == "" || s.callersOf(p.daemon) == a.daemon
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -113,6 +113,10 @@
 	maxTries         = 4
 )
 
+// streamAttempts is the number of engines to which the routes of streams allow a request
+// to be sent.
+const streamAttempts = 5
+
 // run sends requests until done is closed.
 func (c *client) run(done <-chan struct{}, kinds []string) {
 	defer c.close()
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -60,7 +60,20 @@
 	began, ended time.Time // ended is zero while the engine works
 	// firstEvent is when the run of a stream left the queue; zero before, and of calls.
 	firstEvent time.Time
-	complete   bool
+	end        runEnd
+}
+
+// runEnd is how a run ended.
+type runEnd int
+
+const (
+	runCanceled runEnd = iota // by the daemon, or not ended yet
+	runComplete
+	runBrokenOff // by the engine
+)
+
+func (e runEnd) String() string {
+	return [...]string{"canceled", "complete", "broken off by the engine"}[e]
 }
 
 // ledger records what the engines ran, by request id.
@@ -77,10 +90,10 @@
 	return r
 }
 
-func (l *ledger) end(r *run, complete bool) {
+func (l *ledger) end(r *run, end runEnd) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.ended, r.complete = time.Now(), complete
+	r.ended, r.end = time.Now(), end
 }
 
 func (l *ledger) start(r *run) {
@@ -101,10 +114,10 @@
 	return out
 }
 
-// engine serves streams and calls as the platform's engines do. It never breaks off
-// by itself.
+// engine serves streams and calls as the platform's engines do.
 type engine struct {
 	id, service, address string
+	faulty               bool // breaks some answers off
 	ledger               *ledger
 	silentUntil          atomic.Int64 // Unix nanoseconds
 
@@ -112,8 +125,8 @@
 	running map[string]int // events made by the run, by request id; without those in the queue
 }
 
-func startEngine(t *testing.T, l *ledger, id, service, address string) *engine {
-	e := &engine{id: id, service: service, address: address, ledger: l, running: make(map[string]int)}
+func startEngine(t *testing.T, l *ledger, id, service, address string, faulty bool) *engine {
+	e := &engine{id: id, service: service, address: address, faulty: faulty, ledger: l, running: make(map[string]int)}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -181,45 +194,61 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	m := drawManner(e.id, id, e.faulty, work.events > 0)
+	if m.unframed {
+		u, unframed, err := unframe(w, r)
+		if err != nil {
+			return
+		}
+		defer func() { _ = u.conn.Close() }()
+		w, r = u, unframed
+	}
 	w.Header().Set("Vanillaroad-Request-Id", id)
 	w.Header().Set("Vanillaroad-Upstream-Stamp", e.id+"/"+id)
-	this := e.ledger.begin(id, e.id)
-	complete := false
-	defer func() { e.ledger.end(this, complete) }()
+	this, end := e.ledger.begin(id, e.id), runCanceled
+	defer func() { e.ledger.end(this, end) }()
 	if work.events == 0 {
-		if e.pause(r, work.first) {
-			_, err := w.Write(work.answer())
-			complete = err == nil
-		}
-		return
+		end = e.call(w, r, work, m)
+	} else {
+		end = e.stream(w, r, work, m, id, this)
 	}
-	complete = e.stream(w, r, work, id, this)
 }
 
-// stream sends the events after Last-Event-Id and reports whether it sent them all.
-func (e *engine) stream(w http.ResponseWriter, r *http.Request, work task, id string, this *run) bool {
+// stream sends the events after Last-Event-Id and returns the run's end.
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, work task, m manner, id string, this *run) runEnd {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
 	w.Header().Set("Content-Type", "text/event-stream")
 	defer e.progress(id, -1)
 	if len(id)%2 == 0 && http.NewResponseController(w).Flush() != nil { // some send the head while the request is in the queue
-		return false
+		return runCanceled
 	}
+	breakAt := last + 1 + int(m.at*float64(work.events-last))
 	wait := work.first
 	for i := last + 1; i <= work.events; i++ {
 		if !e.pause(r, wait) {
-			return false
+			return runCanceled
 		}
 		e.ledger.start(this)
+		if m.breakOff && i == breakAt {
+			if m.inside && writePart(w, work.event(i)) != nil {
+				return runCanceled
+			}
+			breakOff(w, m.reset)
+			return runBrokenOff
+		}
 		wait = work.gap
 		if _, err := io.WriteString(w, work.event(i)); err != nil {
-			return false
+			return runCanceled
 		}
 		if http.NewResponseController(w).Flush() != nil {
-			return false
+			return runCanceled
 		}
 		e.progress(id, i-last)
 	}
-	return true
+	if http.NewResponseController(w).Flush() != nil { // there may have been no event left
+		return runCanceled
+	}
+	return runComplete
 }
 
 // progress records the events made of a running stream; -1 removes it.
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -96,7 +96,7 @@
 		if i%3 == 0 {
 			service = "booking"
 		}
-		e := startEngine(t, s.ledger, fmt.Sprint("i-", i), service, fmt.Sprintf("%s.%d:8686", prefix, 100+i))
+		e := startEngine(t, s.ledger, fmt.Sprint("i-", i), service, fmt.Sprintf("%s.%d:8686", prefix, 100+i), i%2 == 1)
 		s.links = append(s.links, startProxy(t, fmt.Sprintf("%s.%d:8687", prefix, 100+i), e.address))
 		e.address = fmt.Sprintf("%s.%d:8687", prefix, 100+i)
 		s.engines = append(s.engines, e)
@@ -168,7 +168,7 @@
 	}
 	callTimeout := callDeadline - upTo(s.rng, 1500*time.Millisecond)
 	routes := []map[string]any{
-		route(kindStream, "streaming", "model", streamDeadline, 4500*time.Millisecond, 5),
+		route(kindStream, "streaming", "model", streamDeadline, 4500*time.Millisecond, streamAttempts),
 		route(kindBook, "non_idempotent", "booking", callTimeout, time.Second, 1),
 		route(kindRead, "idempotent", "booking", callTimeout, 4*time.Second, 2),
 	}
