--- a/forward/forward.go
+++ b/forward/forward.go
@@ -207,6 +207,9 @@
 	Metrics          metrics.Registry
 	// Model returns the properties of a service's model engines, nil if it has none.
 	Model func(service string) *ingress.Model
+	// StopsAt returns when running requests are canceled because the daemon stops, and the
+	// zero time if no stop is planned. A nil StopsAt means that none ever is.
+	StopsAt func() time.Time
 }
 
 // placementInterval is the minimum time between two placements of long prompts by one
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,7 @@
 		RetryBudget: forward.NewRetryBudget(time.Now(), s.RetryBudget.budgetSettings()),
 		Buffers:     membudget.New(forward.MaxBufferedBytes),
 		Model:       g.model,
+		StopsAt:     g.stopsAt,
 	}
 	var err error
 	if g.peers, err = newPeers(g); err != nil {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// stopsAt returns the deadline of the planned stop, zero if there is none.
+func (g *Gateway) stopsAt() time.Time {
+	if p := g.stopping.Load(); p != nil {
+		return p.deadline
+	}
+	return time.Time{}
+}
+
 // admits reports whether to serve a request that must be answered by answerBy, which is
 // zero if it has no deadline.
 func (p *stopPlan) admits(now, answerBy time.Time, route string, durations *routeDurations) bool {
