forward: a stopping daemon keeps the streams of silent targets

While the daemon stops, a stream whose caller has received events is taken from its target only if the target has terminated, or after two seconds of silence (no sound target is silent for so long) if another one is expected to begin before the stop ends, that is within the objective of the route. A connection that breaks is handled as before: there is nothing left to keep. Calls, and streams without an event, get a complete failure at the end of a stop and are taken from silent targets as before.

--- a/forward/successor.go
+++ b/forward/successor.go
@@ -95,6 +95,7 @@
 	errAttemptsUsedUp  = errors.New("the attempts of the route are used up")
 	errNoReturn        = errors.New("the request can't return to its target")
 	errBudgetExhausted = errors.New("the retry budget is exhausted")
+	errStopsSoon       = errors.New("the daemon stops, and no other target is expected to begin before")
 )
 
 // reserveSuccessor reserves what a request needs to be sent to another target than the
@@ -210,8 +211,33 @@
 }
 
 func (a *streamAttempt) reserveSuccessor() error {
-	s := a.stream
-	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.incarnation, time.Since(a.detector.lastProgress), s.targetCriteria(nil))
+	s, now := a.stream, time.Now()
+	silence := now.Sub(a.detector.lastProgress)
+	if !a.incarnation.Terminated(now) && !s.mayBeginElsewhere(now, silence) {
+		return errStopsSoon
+	}
+	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.incarnation, silence, s.targetCriteria(nil))
+}
+
+// mayBeginElsewhere reports whether a stream may be taken from a target that is silent for
+// so long. While the daemon stops, a stream whose caller has received events stays at a
+// target that may not be at fault, or at any if the next one would begin too late: it
+// would be cut at the end of the stop while no target works on it.
+func (s *stream) mayBeginElsewhere(now time.Time, silence time.Duration) bool {
+	stopsAt := s.forwarder.stopsAt()
+	if stopsAt.IsZero() || s.firstEventAt.IsZero() {
+		return true
+	}
+	objective := s.request.Route.LatencyObjective
+	return silence >= longestSilence && objective > 0 && now.Add(objective).Before(stopsAt)
+}
+
+// stopsAt returns when the daemon stops, zero if no stop is planned.
+func (f *Forwarder) stopsAt() time.Time {
+	if f.StopsAt == nil {
+		return time.Time{}
+	}
+	return f.StopsAt()
 }
 
 // keep records that the attempt goes on although its target is silent, because there is no
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -135,6 +135,22 @@
 	_ = resp.Body.Close()
 }
 
+// TestForwarderKnowsTheStop guards against streams that a stopping daemon takes from silent
+// targets because their forwarder doesn't know of the stop.
+func TestForwarderKnowsTheStop(t *testing.T) {
+	env := newTestEnv(t)
+	_, stop := env.startDaemon("vm-1", env.store.Listener.Addr().String())
+	g := env.gateways["vm-1"]
+	if at := g.forwarder.StopsAt(); !at.IsZero() {
+		t.Errorf("a daemon that runs stops at %v, want no time", at)
+	}
+	stop()
+	eventually(g.draining.Load)
+	if at, want := g.forwarder.StopsAt(), g.stopping.Load().deadline; !at.Equal(want) {
+		t.Errorf("the daemon stops at %v, want %v", at, want)
+	}
+}
+
 // TestCanceledRequestsAreAnswered guards against answers that are lost because the
 // daemon exits before they are sent.
 func TestCanceledRequestsAreAnswered(t *testing.T) {
