soak: the logs of each test are kept in a directory of its own

With -soak.logs, tests of the same seed shared a directory, so that their daemons overwrote each other's settings and logs.

--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -75,7 +75,7 @@
 	}
 	dir := t.TempDir()
 	if *keepLogs != "" {
-		dir = filepath.Join(*keepLogs, fmt.Sprint("seed-", seed))
+		dir = filepath.Join(*keepLogs, t.Name())
 		if err := errors.Join(os.RemoveAll(dir), os.MkdirAll(dir, 0o700)); err != nil {
 			t.Fatal(err)
 		}
