soak: traces show when the test process did not run

A delay of more than 0.2 s of a tick of 20 ms is recorded and printed with the traces now. It excuses nothing.

--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -48,6 +48,7 @@
 	mu       sync.Mutex
 	planned  []span
 	troubles []span
+	stalls   []span          // of the test process, in which engines, links and clients run; excuse nothing
 	busy     map[string]bool // daemons to which something is being done
 }
 
@@ -128,6 +129,27 @@
 	return s
 }
 
+// stallTick is the time between two checks for a stall, stallLimit the delay that counts.
+const (
+	stallTick  = 20 * time.Millisecond
+	stallLimit = 200 * time.Millisecond
+)
+
+// watchStalls records when the test process did not run for a time, for the traces.
+func (s *site) watchStalls(done <-chan struct{}) {
+	for before := time.Now(); ; {
+		select {
+		case <-done:
+			return
+		case <-time.After(stallTick):
+		}
+		if now := time.Now(); now.Sub(before) > stallTick+stallLimit {
+			s.note(&s.stalls, span{"stall", "", before, now})
+		}
+		before = time.Now()
+	}
+}
+
 // awaitReady waits until a daemon is ready.
 func (s *site) awaitReady(d *daemon) { await(d.readiness(), "/-/readiness") }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -76,6 +76,7 @@
 		}
 		clients.Go(func() { c.run(clientsDone, kinds) })
 	}
+	clients.Go(func() { s.watchStalls(clientsDone) })
 	faults.Go(func() { s.inject(faultsDone, seed, o.planned, time.Second) })
 	if len(o.unplanned) > 0 {
 		faults.Go(func() { s.inject(faultsDone, seed+1<<32, o.unplanned, 8*time.Second) })
