soak: clients send nothing once their time is used up

A client that lost its last milliseconds to the directory or a new connection still sent its request, with 0 or less in Vanillaroad-Deadline-Ms. Real clients wait no more then.

--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -113,10 +113,6 @@
 	maxTries         = 4
 )
 
-// streamAttempts is the number of engines to which the routes of streams allow a request
-// to be sent.
-const streamAttempts = 5
-
 // run sends requests until done is closed.
 func (c *client) run(done <-chan struct{}, kinds []string) {
 	defer c.close()
@@ -156,6 +152,10 @@
 			}
 			continue
 		}
+		if time.Until(deadline) < time.Millisecond {
+			_ = conn.Close() // the time was used up by the directory or the connection
+			break
+		}
 		a := &attempt{id: fmt.Sprintf("%s.%d", key, try), kind: kind, daemon: conn.address, work: work, reused: reused, deadline: deadline}
 		retryAfter := c.exchange(conn, a, &lastEvent)
 		a.ended = time.Now()
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -179,6 +179,10 @@
 	}
 }
 
+// streamAttempts is the number of engines to which the routes of streams allow a request
+// to be sent.
+const streamAttempts = 5
+
 // configure writes a new version of the configuration, with other timeouts and routes.
 func (s *site) configure() {
 	s.version += 1 + s.rng.IntN(3)
