--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -152,6 +152,10 @@
 			}
 			continue
 		}
+		if time.Until(deadline) < time.Millisecond {
+			_ = conn.Close() // the time was used up by the directory or the connection
+			break
+		}
 		a := &attempt{id: fmt.Sprintf("%s.%d", key, try), kind: kind, daemon: conn.address, work: work, reused: reused, deadline: deadline}
 		retryAfter := c.exchange(conn, a, &lastEvent)
 		a.ended = time.Now()
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -48,6 +48,7 @@
 	mu       sync.Mutex
 	planned  []span
 	troubles []span
+	stalls   []span          // of the test process, in which engines, links and clients run; excuse nothing
 	busy     map[string]bool // daemons to which something is being done
 }
 
@@ -75,7 +76,7 @@
 	}
 	dir := t.TempDir()
 	if *keepLogs != "" {
-		dir = filepath.Join(*keepLogs, fmt.Sprint("seed-", seed))
+		dir = filepath.Join(*keepLogs, t.Name())
 		if err := errors.Join(os.RemoveAll(dir), os.MkdirAll(dir, 0o700)); err != nil {
 			t.Fatal(err)
 		}
@@ -96,7 +97,7 @@
 		if i%3 == 0 {
 			service = "booking"
 		}
-		e := startEngine(t, s.ledger, fmt.Sprint("i-", i), service, fmt.Sprintf("%s.%d:8686", prefix, 100+i))
+		e := startEngine(t, s.ledger, fmt.Sprint("i-", i), service, fmt.Sprintf("%s.%d:8686", prefix, 100+i), i%2 == 1)
 		s.links = append(s.links, startProxy(t, fmt.Sprintf("%s.%d:8687", prefix, 100+i), e.address))
 		e.address = fmt.Sprintf("%s.%d:8687", prefix, 100+i)
 		s.engines = append(s.engines, e)
@@ -128,6 +129,27 @@
 	return s
 }
 
+// stallTick is the time between two checks for a stall, stallLimit the delay that counts.
+const (
+	stallTick  = 20 * time.Millisecond
+	stallLimit = 200 * time.Millisecond
+)
+
+// watchStalls records when the test process did not run for a time, for the traces.
+func (s *site) watchStalls(done <-chan struct{}) {
+	for before := time.Now(); ; {
+		select {
+		case <-done:
+			return
+		case <-time.After(stallTick):
+		}
+		if now := time.Now(); now.Sub(before) > stallTick+stallLimit {
+			s.note(&s.stalls, span{"stall", "", before, now})
+		}
+		before = time.Now()
+	}
+}
+
 // awaitReady waits until a daemon is ready.
 func (s *site) awaitReady(d *daemon) { await(d.readiness(), "/-/readiness") }
 
@@ -157,6 +179,10 @@
 	}
 }
 
+// streamAttempts is the number of engines to which the routes of streams allow a request
+// to be sent.
+const streamAttempts = 5
+
 // configure writes a new version of the configuration, with other timeouts and routes.
 func (s *site) configure() {
 	s.version += 1 + s.rng.IntN(3)
@@ -168,7 +194,7 @@
 	}
 	callTimeout := callDeadline - upTo(s.rng, 1500*time.Millisecond)
 	routes := []map[string]any{
-		route(kindStream, "streaming", "model", streamDeadline, 4500*time.Millisecond, 5),
+		route(kindStream, "streaming", "model", streamDeadline, 4500*time.Millisecond, streamAttempts),
 		route(kindBook, "non_idempotent", "booking", callTimeout, time.Second, 1),
 		route(kindRead, "idempotent", "booking", callTimeout, 4*time.Second, 2),
 	}
