--- a/forward/ending.go
+++ b/forward/ending.go
@@ -104,8 +104,20 @@
 	return 0, false
 }
 
+// probePatiently probes the target once more, without the timeout of probes that all
+// streams share. A busy target may be slow to report.
+func (a *streamAttempt) probePatiently(ctx context.Context) {
+	a.patient = true
+	t, startedAt := a.attempt.Target, time.Now()
+	go func() {
+		report, err := a.stream.forwarder.requestReport(ctx, t, maxUnconfirmed)
+		terminated := hasTerminated(t, report, err)
+		sendUnlessDone(ctx, a.probeResults, ProbeResult{running: isRunning(err) && !terminated, terminated: terminated, startedAt: startedAt, completedAt: time.Now()})
+	}()
+}
+
 // handleUnconfirmed is handleTimer for a target whose answer has ended.
-func (a *streamAttempt) handleUnconfirmed() (wait time.Duration, end attemptEnd, done bool) {
+func (a *streamAttempt) handleUnconfirmed(ctx context.Context) (wait time.Duration, end attemptEnd, done bool) {
 	switch silence := time.Since(a.endedAt); {
 	case silence >= maxUnconfirmed:
 		return 0, a.abandon(errUnconfirmed.Error()), true
@@ -113,6 +125,9 @@
 		if end, done := a.giveUp("the target is silent since the end of its answer"); done {
 			return 0, end, true
 		}
+		if !a.patient {
+			a.probePatiently(ctx)
+		}
 	}
 	a.probeEnd()
 	return gapProbeInterval, 0, false
@@ -126,8 +141,8 @@
 	if r.atTimeLimit() {
 		<-ctx.Done()
 	}
-	for !incarnation.Terminated(time.Now()) {
-		report, err := f.requestReport(ctx, t)
+	for timeout := probeTimeout; !incarnation.Terminated(time.Now()); timeout *= 2 { // a busy target may be slow to report
+		report, err := f.requestReport(ctx, t, timeout)
 		switch {
 		case ctx.Err() != nil:
 			return errors.WithStack(errUnconfirmed)
@@ -141,8 +156,8 @@
 	return errors.WithStack(errMayBeIncomplete)
 }
 
-func (f *Forwarder) requestReport(ctx context.Context, t fleet.Target) (Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (f *Forwarder) requestReport(ctx context.Context, t fleet.Target, timeout time.Duration) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return f.TargetClient.Report(ctx, t)
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -28,6 +28,7 @@
 	moving       bool            // a move was started, its outcome is pending
 	framed       bool            // see Answer.Framed
 	endedAt      time.Time       // when an answer that is not framed ended, if that is not confirmed yet; zero otherwise
+	patient      bool            // a probe without a short timeout is under way or was made
 	failed       bool            // the attempt failed because of the target
 	endReported  bool            // the run's end was reported to the crash tracker
 	progressed   bool            // the run's progress was reported
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -289,7 +289,7 @@
 // handleTimer returns the time until the next call.
 func (a *streamAttempt) handleTimer(ctx context.Context) (wait time.Duration, end attemptEnd, done bool) {
 	if a.awaitsConfirmation() {
-		return a.handleUnconfirmed()
+		return a.handleUnconfirmed(ctx)
 	}
 	const reason = "the stream is silent"
 	action, wait := a.detector.next(time.Now())
