gateway: a simulated link that is silent loses word of sound parts, too

A daemon that receives nothing still got from others with which parts requests run well, when they brought it up to date.

--- a/gateway/poison_daemon_test.go
+++ b/gateway/poison_daemon_test.go
@@ -42,15 +42,15 @@
 	return d.members.Live(time.Now(), m.ID)
 }
 
-// receiveHeartbeat handles a heartbeat of another daemon.
-func (d *simDaemon) receiveHeartbeat(from *simDaemon) {
+// receiveHeartbeat handles a heartbeat that another daemon sent to d.
+func (s *poisonFleet) receiveHeartbeat(d, from *simDaemon) {
 	d.mu.Lock()
 	_, update := d.members.RecordHeartbeat(time.Now(), from.id, from.incarnation, false)
 	d.mu.Unlock()
 	if requests := d.tracker.requests(); update && len(requests) > 0 {
 		d.sender.send(exchange.Member{ID: from.id, Peers: from.id}, requests...)
 	}
-	if sound := d.tracker.soundSuspects(); update && len(sound) > 0 {
+	if sound := d.tracker.soundSuspects(); update && len(sound) > 0 && !s.silent(from.id) {
 		from.tracker.applySound(d.id, sound)
 	}
 }
@@ -62,7 +62,7 @@
 			d.tracker.resolveLosses(time.Now())
 			for _, other := range s.running() {
 				if other != d && !s.silent(other.id) {
-					other.receiveHeartbeat(d)
+					s.receiveHeartbeat(other, d)
 				}
 			}
 		}
