--- a/exchange/member_list.go
+++ b/exchange/member_list.go
@@ -37,6 +37,8 @@
 	leaving     bool
 	since       time.Time // of the incarnation's first heartbeat, or of its registration if that came later
 	updated     bool      // this daemon has brought the incarnation up to date
+	returned    time.Time // when this daemon heard the other one again after a silence
+	answered    time.Time // when the other one had last asked to be brought up to date
 }
 
 // NewMemberList returns an empty list for an incarnation of the daemon with the id self.
@@ -136,6 +138,9 @@
 		p, h = Started, heartbeat{incarnation: incarnation, since: now}
 	case !wasLive:
 		p = Returned
+		if len(l.HeardAgain(now)) < maxAsked {
+			h.returned = now
+		}
 	}
 	h.at, h.leaving = now, leaving
 	l.heartbeats[id] = h
@@ -147,6 +152,43 @@
 	return p, update
 }
 
+// A daemon that hears others again may have received nothing meanwhile although they heard it.
+// It asks them in its heartbeats for what it missed, all or maxAsked of many, in askPeriod:
+// some heartbeats, as each may be lost. It is shorter than the time between two silences.
+const (
+	maxAsked  = 8
+	askPeriod = silenceTimeout * 2 / 3
+)
+
+// HeardAgain returns the incarnations of the daemons that this one has just heard again after
+// a silence, by id. They are to be told with its heartbeats.
+func (l *MemberList) HeardAgain(now time.Time) map[string]uint64 {
+	var out map[string]uint64
+	for id, h := range l.heartbeats {
+		if h.returned.IsZero() || now.Sub(h.returned) >= askPeriod {
+			continue
+		}
+		if out == nil {
+			out = make(map[string]uint64)
+		}
+		out[id] = h.incarnation
+	}
+	return out
+}
+
+// RecordHeardAgain records what another daemon told with its heartbeat. It reports whether
+// this daemon should bring the other one up to date: once for each silence.
+func (l *MemberList) RecordHeardAgain(now time.Time, id string, heardAgain map[string]uint64) (update bool) {
+	h, known := l.heartbeats[id]
+	incarnation, asked := heardAgain[l.self]
+	if !known || !asked || incarnation != l.incarnation || now.Sub(h.answered) < silenceTimeout {
+		return false
+	}
+	h.answered = now
+	l.heartbeats[id] = h
+	return true
+}
+
 // Live reports whether a daemon has sent a heartbeat within silenceTimeout. This daemon
 // itself is always live.
 func (l *MemberList) Live(now time.Time, id string) bool {
--- a/exchange/member_list_test.go
+++ b/exchange/member_list_test.go
@@ -175,5 +175,48 @@
 	})
 }
 
+// TestUnheardSilence guards against a daemon that received nothing for a time, and is not told
+// what it missed by those that heard it all the while; and against telling it again and again.
+func TestUnheardSilence(t *testing.T) {
+	// b hears a at start and from the end of a silence on; a hears b at all times.
+	play := func(restarted bool) (updates []time.Duration) {
+		a, b := NewMemberList("a", 1), NewMemberList("b", 1)
+		a.RecordHeartbeat(start, "b", 1, false)
+		b.RecordHeartbeat(start, "a", 1, false)
+		const silence = 2 * silenceTimeout
+		if restarted {
+			a = NewMemberList("a", 2)
+		}
+		for at := heartbeatGap; at < 3*silence; at += heartbeatGap {
+			now := start.Add(at)
+			if at%silence == 0 { // two silences
+				b.RecordHeartbeat(now, "a", 1, false)
+			}
+			_, update := a.RecordHeartbeat(now, "b", 1, false)
+			if a.RecordHeardAgain(now, "b", b.HeardAgain(now)) || update {
+				updates = append(updates, at)
+			}
+		}
+		return updates
+	}
+	Convey("A daemon is updated once after each silence of the other one", t, func() {
+		So(play(false), ShouldResemble, []time.Duration{2 * silenceTimeout, 4 * silenceTimeout})
+	})
+	Convey("A daemon that has restarted since is not asked for what its previous incarnation knew", t, func() {
+		So(play(true), ShouldResemble, []time.Duration{heartbeatGap}) // at the first heartbeat that it hears
+	})
+	Convey("Few of many daemons are asked", t, func() {
+		b := NewMemberList("b", 1)
+		for _, at := range []time.Time{start, start.Add(2 * silenceTimeout)} {
+			So(b.HeardAgain(at), ShouldBeEmpty)
+			for i := range 3 * maxAsked {
+				b.RecordHeartbeat(at, fmt.Sprint("a", i), 1, false)
+			}
+		}
+		So(b.HeardAgain(start.Add(2*silenceTimeout)), ShouldHaveLength, maxAsked)
+		So(b.HeardAgain(start.Add(2*silenceTimeout+askPeriod)), ShouldBeEmpty)
+	})
+}
+
 // heartbeatGap is a time between two heartbeats at which a daemon stays live.
 const heartbeatGap = silenceTimeout / 3
--- a/gateway/guarantees_test.go
+++ b/gateway/guarantees_test.go
@@ -13,6 +13,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/vanillaroad/vanillaroad/exchange"
+	"github.com/vanillaroad/vanillaroad/quarantine"
 )
 
 // startTarget starts and registers another target of the service.
@@ -95,6 +96,20 @@
 			So(quarantined(third), ShouldBeTrue)
 			So(kills.Load(), ShouldEqual, killsOnFirst)
 		})
+		Convey("a daemon that hears another one again after a silence is told what it missed", func() {
+			eventually(func() bool { return crashedTargets(second) == crashedTargets(first) })
+			time.Sleep(2 * heartbeatInterval) // it has been told as one that started
+			g := env.gateways[second.ID]
+			g.crashTracker.mu.Lock()
+			g.crashTracker.ledger = quarantine.NewLedger(quarantineSettings())
+			g.crashTracker.mu.Unlock()
+			g.members.mu.Lock()
+			g.members.list.RecordHeartbeat(time.Now().Add(2*time.Second), first.ID, env.gateways[first.ID].members.incarnation, false)
+			g.members.mu.Unlock()
+			eventually(func() bool { return crashedTargets(second) == crashedTargets(first) })
+			So(quarantined(second), ShouldBeTrue)
+			So(kills.Load(), ShouldEqual, killsOnFirst)
+		})
 		Convey("a daemon that starts once all others have stopped reads from the store that it is refused", func() {
 			eventually(func() bool {
 				objects, _, err := env.storeClient.List(context.Background(), verdictKind)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -143,14 +143,23 @@
 
 // recordHeartbeat records a heartbeat of a daemon. It reports whether this daemon should
 // bring the other one up to date, see exchange.MemberList.
-func (m *members) recordHeartbeat(from peer.Identity, leaving bool) (update bool) {
+func (m *members) recordHeartbeat(from peer.Identity, report loadReport) (update bool) {
+	now := time.Now()
 	m.mu.Lock()
-	presence, update := m.list.RecordHeartbeat(time.Now(), from.ID, from.Incarnation, leaving)
+	presence, update := m.list.RecordHeartbeat(now, from.ID, from.Incarnation, report.Leaving)
+	asked := m.list.RecordHeardAgain(now, from.ID, report.HeardAgain)
 	m.mu.Unlock()
 	if presence != exchange.Continuing {
 		m.g.events.Record(event.MemberReturned, "", event.F("member", from.ID))
 	}
-	return update
+	return update || asked
+}
+
+// heardAgain returns the daemons that this one has just heard again after a silence.
+func (m *members) heardAgain() map[string]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list.HeardAgain(time.Now())
 }
 
 func (m *members) others() []exchange.Member {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -57,6 +57,8 @@
 	Leaving bool                        `msgpack:"l,omitempty"`
 	Version int64                       `msgpack:"v,omitempty"` // of the configuration in force
 	Origins []origin.Record             `msgpack:"o,omitempty"` // of streams that began since the last report
+	// HeardAgain asks daemons for what this one may have missed, see exchange.MemberList.
+	HeardAgain map[string]uint64 `msgpack:"h,omitempty"`
 }
 
 // peers exchanges messages with the other daemons.
@@ -169,7 +171,7 @@
 
 // loadReport returns the report to send to all peers now. Each new origin is in one report.
 func (g *Gateway) loadReport() loadReport {
-	report := loadReport{Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), Origins: g.origins.takeUnsent()}
+	report := loadReport{Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain()}
 	if table := g.table.Load(); table != nil {
 		report.Version = table.Version
 	}
@@ -253,7 +255,7 @@
 }
 
 func (p *peers) handleLoad(_ context.Context, from peer.Identity, report loadReport) (any, error) {
-	if p.g.members.recordHeartbeat(from, report.Leaving) {
+	if p.g.members.recordHeartbeat(from, report) {
 		p.sendKnownCrashReports(from)
 	}
 	p.g.origins.apply(report.Origins)
@@ -307,8 +309,8 @@
 	return err
 }
 
-// sendKnownCrashReports sends all crash reports to a daemon that has just started or was
-// disconnected. Without them it would forward requests that the other daemons already
+// sendKnownCrashReports sends all crash reports to a daemon that has just started, was
+// disconnected or asks for them. Without them it would forward requests that the other daemons already
 // refuse, and those would crash more targets.
 func (p *peers) sendKnownCrashReports(to peer.Identity) {
 	if requests := p.g.crashTracker.requests(); len(requests) > 0 {
--- a/gateway/poison_daemon_test.go
+++ b/gateway/poison_daemon_test.go
@@ -44,8 +44,13 @@
 
 // receiveHeartbeat handles a heartbeat that another daemon sent to d.
 func (s *poisonFleet) receiveHeartbeat(d, from *simDaemon) {
+	now := time.Now()
+	from.mu.Lock()
+	heardAgain := from.members.HeardAgain(now)
+	from.mu.Unlock()
 	d.mu.Lock()
-	_, update := d.members.RecordHeartbeat(time.Now(), from.id, from.incarnation, false)
+	_, update := d.members.RecordHeartbeat(now, from.id, from.incarnation, false)
+	update = d.members.RecordHeardAgain(now, from.id, heardAgain) || update
 	d.mu.Unlock()
 	if requests := d.tracker.requests(); update && len(requests) > 0 {
 		d.sender.send(exchange.Member{ID: from.id, Peers: from.id}, requests...)
--- a/gateway/poison_deaf_test.go
+++ b/gateway/poison_deaf_test.go
@@ -71,6 +71,7 @@
 func TestDeafDaemonLearnsOfParts(t *testing.T) {
 	playSeeds(t, 8, func(t *testing.T, seed uint64) {
 		s := newPoisonFleet(seed, maxSimDaemons, 24)
+		s.lastEvent = 3 // the sound request ends before the crashes, so that it doesn't clear them
 		prompt := func(id string, parts ...string) simRequest {
 			return simRequest{id: id, workspace: "w", body: "body of " + id, parts: parts}
 		}
