--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -93,7 +93,7 @@
 		evidence := l.evidence(now, unexplained)
 		worst := ""
 		for p := range evidence {
-			if l.convincing(now, p, evidence[p].all, unexplained) && !l.explained(now, p, evidence) && (worst == "" || l.worse(now, p, worst, evidence)) {
+			if l.convincing(now, p, evidence[p], unexplained) && !l.explained(now, p, evidence) && (worst == "" || l.worse(now, p, worst, evidence)) {
 				worst = p
 			}
 		}
@@ -163,11 +163,10 @@
 	return true
 }
 
-// convincing reports whether some of the crashes, given by their indexes, are enough to
-// blame a part for them.
-func (l *PartLedger) convincing(now time.Time, part string, indexes []int, crashes []partCrash) bool {
-	sound, many := l.recentlySound(now, part), l.settings.MinCrashesIfSound
-	if len(indexes) < l.settings.MinCrashes || sound && len(indexes) < many || sameContent(indexes, crashes) {
+// convincing reports whether the evidence of some crashes is enough to blame a part.
+func (l *PartLedger) convincing(now time.Time, part string, e partEvidence, crashes []partCrash) bool {
+	indexes, sound, many := e.all, l.recentlySound(now, part), l.settings.MinCrashesIfSound
+	if len(indexes) < l.settings.MinCrashes || sound && len(indexes) < many || sameContent(e.settled, crashes) {
 		return false
 	}
 	if l.rounds(part, indexes, crashes) >= l.settings.MinRounds {
@@ -192,6 +191,9 @@
 
 // sameContent reports whether one request, by its content, was present at all of some crashes.
 func sameContent(indexes []int, crashes []partCrash) bool {
+	if len(indexes) == 0 {
+		return true
+	}
 	for content := range crashes[indexes[0]].suspects {
 		if !slices.ContainsFunc(indexes, func(i int) bool { _, ok := crashes[i].suspects[content]; return !ok }) {
 			return true
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -122,6 +122,16 @@
 			}
 			s.check(t, false, "x")
 		},
+		"one request alone, and another beside a crash whose reports are on their way": func(t *testing.T, s *partScene) {
+			for range 4 {
+				s.contents = 0
+				s.crash([]string{"x", "m"})
+			}
+			s.contents = 1
+			s.crash([]string{"m"})
+			s.now = s.now.Add(-s.settings.SettleTime)
+			s.check(t, false, "m")
+		},
 		"targets that fail together": func(t *testing.T, s *partScene) {
 			for range 8 {
 				at := s.now
