--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -108,6 +108,7 @@
 	}
 	for seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { test(t, seed) })
 		})
 	}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -41,7 +41,8 @@
 // DefaultPartSettings returns the settings that go with those of a Ledger.
 func DefaultPartSettings(s Settings) PartSettings {
 	return PartSettings{
-		MinCrashes: s.MaxTargets, MinCrashesIfSound: s.MaxTargets + 2, MaxAmbiguous: s.MaxTargets + 2, SoundTime: time.Minute, MinRounds: 2, RoundTime: 200 * time.Millisecond, ConfirmTime: 2500 * time.Millisecond, TrialDelay: 15 * time.Second,
+		MinCrashes: s.MaxTargets, MinCrashesIfSound: s.MaxTargets + 2, SoundTime: time.Minute, MaxAmbiguous: s.MaxTargets + 2,
+		MinRounds: 2, RoundTime: 200 * time.Millisecond, ConfirmTime: 2500 * time.Millisecond, TrialDelay: 15 * time.Second,
 		SettleTime: 50 * time.Millisecond, Decay: s.Decay.Std(), SameCrashWindow: s.SameCrashWindow.Std(), MaxRecorded: 512, MaxParts: 8192,
 	}
 }
@@ -53,9 +54,11 @@
 // target. A request that runs well clears its parts of all crashes before. Of the parts
 // that are left, the one that was present at the most crashes is blamed, and the crashes
 // that it explains are no evidence against others. No part is blamed for crashes at which
-// one and the same request was present: Ledger refuses that request by itself. Parts that were present at just the
-// same crashes can't be told apart: a request is refused if it has all of them. One that
-// has only some of them may run, and shows which it is, until there are MaxAmbiguous crashes.
+// one and the same request was present: Ledger refuses that request by itself.
+//
+// Parts that were present at just the same crashes can't be told apart: a request is
+// refused if it has all of them. One that has only some of them may run, and shows which
+// it is, until there are MaxAmbiguous crashes.
 type PartLedger struct {
 	settings PartSettings
 	crashes  []partCrash // oldest first
