--- a/exchange/member_list.go
+++ b/exchange/member_list.go
@@ -161,7 +161,7 @@
 )
 
 // HeardAgain returns the incarnations of the daemons that this one has just heard again after
-// a silence, by id. They are to be told with its heartbeats.
+// a silence, by id. Its heartbeats carry them.
 func (l *MemberList) HeardAgain(now time.Time) map[string]uint64 {
 	var out map[string]uint64
 	for id, h := range l.heartbeats {
@@ -176,7 +176,7 @@
 	return out
 }
 
-// RecordHeardAgain records what another daemon told with its heartbeat. It reports whether
+// RecordHeardAgain records the HeardAgain of another daemon's heartbeat. It reports whether
 // this daemon should bring the other one up to date: once for each silence.
 func (l *MemberList) RecordHeardAgain(now time.Time, id string, heardAgain map[string]uint64) (update bool) {
 	h, known := l.heartbeats[id]
--- a/exchange/member_list_test.go
+++ b/exchange/member_list_test.go
@@ -175,8 +175,8 @@
 	})
 }
 
-// TestUnheardSilence guards against a daemon that received nothing for a time, and is not told
-// what it missed by those that heard it all the while; and against telling it again and again.
+// TestUnheardSilence guards against a daemon that received nothing for a time, and does
+// not get what it missed from those that heard it all the while; and against sending it again and again.
 func TestUnheardSilence(t *testing.T) {
 	// b hears a at start and from the end of a silence on; a hears b at all times.
 	play := func(restarted bool) (updates []time.Duration) {
--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -38,7 +38,7 @@
 	lastEvent      int
 	framing        simFraming
 	cut            simCut // how its runs break off
-	lateMoves      bool   // a silent target carries out moves later, although nobody waits for them
+	lateMoves      bool   // a silent target carries out moves later, although the forwarder no longer waits
 	lostMoves      bool   // the answers to moves are lost
 	moveDelay      time.Duration
 	headLast       bool // the head of a call's answer arrives with the body
--- a/gateway/crash_parts.go
+++ b/gateway/crash_parts.go
@@ -36,7 +36,7 @@
 type soundParts map[string]time.Duration
 
 // reportSound records that a request runs well, so that the parts of its prompt don't crash
-// targets. The other daemons are told if that clears a part of crashes.
+// targets. The other daemons get a report if that clears a part of crashes.
 func (c *crashTracker) reportSound(r *forward.Request) {
 	if len(r.Prompt.Parts) == 0 {
 		return
@@ -81,7 +81,7 @@
 // part. It is shorter than the time for which they count.
 const announceInterval = 30 * time.Second
 
-// announceSound tells the other daemons with which parts of crash reports requests ran well
+// announceSound reports to the other daemons with which parts of crash reports requests ran well
 // here before, because parts without a sound run are blamed first.
 func (c *crashTracker) announceSound(reports ...quarantine.CrashReport) {
 	now, sound := time.Now(), make(soundParts)
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -39,7 +39,7 @@
 	parts  *quarantine.PartLedger
 	losses []loss         // oldest first
 	blamed map[string]int // crashes of the blames that were logged and stored, by their names
-	// announced holds when the other daemons were told of sound runs with a part.
+	// announced holds the time of the latest announcement of sound runs, by part.
 	announced map[string]time.Time
 }
 
--- a/gateway/guarantees_test.go
+++ b/gateway/guarantees_test.go
@@ -98,7 +98,7 @@
 		})
 		Convey("a daemon that hears another one again after a silence is told what it missed", func() {
 			eventually(func() bool { return crashedTargets(second) == crashedTargets(first) })
-			time.Sleep(2 * heartbeatInterval) // it has been told as one that started
+			time.Sleep(2 * heartbeatInterval) // it was brought up to date as one that started
 			g := env.gateways[second.ID]
 			g.crashTracker.mu.Lock()
 			g.crashTracker.ledger = quarantine.NewLedger(quarantineSettings())
