forward: log the limits that targets state in their answers (LIMIT)

The adapter decodes the limit of an answer, the fleet keeps the latest statement of each incarnation, and the event target_conditions records a change. No request is sent differently yet.

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -20,6 +20,7 @@
 	AttemptKept      Number = 715
 	OriginAssumed    Number = 716
 	RequestReturned  Number = 717
+	ConditionsStated Number = 718
 )
 
 var forwardEntries = []Entry{
@@ -38,6 +39,7 @@
 	{AttemptKept, "attempt_kept", Warn, "The target of a stream is silent, and the attempt goes on because no other target can take it; no_attempt says why.", "Look for target_suspected events of the same target."},
 	{OriginAssumed, "origin_assumed", Info, "No daemon knows the stream that a caller takes up; it continues at the only software version that may have begun it.", ""},
 	{RequestReturned, "request_returned", Info, "A request returns to a target that it was taken from for silence, because no other target can get it.", ""},
+	{ConditionsStated, "target_conditions", Info, "A target states other conditions in its answers than before: limit is the number of requests a second that it takes from all daemons together, or none.", "A limit that persists: the target needs relief."},
 	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
 	{IdleClosed, "idle_connections_closed", Info, "Connections of callers were closed that had been idle for longer than the configuration allows.", ""},
 	{LogLinesLost, "log_lines_lost", Warn, "Log lines were dropped because the log reader is slow.", "Check the process that reads the log."},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,6 +51,7 @@
 	slowdown            estimate              // measured time to first event over the expected time
 	failureRate         estimate              // fraction of answers that are the target's own failures
 	callLatencyMillis   estimate              // of plain calls
+	statement           Statement             // latest conditions
 	lost                chan struct{}         // closed when the target is declared failed
 	unusable            chan struct{}         // closed when lost is closed, or the target leaves or is removed
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -106,6 +106,8 @@
 	Framed bool
 	// Signed means that the answer has the signature of the target.
 	Signed bool
+	// Conditions are those that the target states in the answer.
+	Conditions fleet.Conditions
 }
 
 // Report is the state of a target as the target itself reports it.
--- a/forward/run.go
+++ b/forward/run.go
@@ -48,7 +48,7 @@
 
 // read sends the attempt and passes its answer to parts, until the answer or ctx ends.
 func (a *streamAttempt) read(ctx context.Context) {
-	answer, err := a.stream.forwarder.TargetClient.Send(ctx, a.attempt)
+	answer, err := a.stream.forwarder.send(ctx, a.attempt)
 	if !sendUnlessDone(ctx, a.parts, answerPart{answer: answer, err: err}) || err != nil {
 		if answer != nil {
 			_ = answer.Body.Close()
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -351,7 +351,7 @@
 
 // exchange sends the call to one target and reads the answer.
 func (c *call) exchange(ctx context.Context, a Attempt, target fleet.Incarnation) (*Answer, []byte, error) {
-	answer, err := c.forwarder.TargetClient.Send(ctx, a)
+	answer, err := c.forwarder.send(ctx, a)
 	if err != nil {
 		return nil, nil, err
 	}
