--- /dev/null
+++ b/gateway/conditions_site_test.go
@@ -0,0 +1,287 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/forward"
+	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
+)
+
+// conditionsSite simulates daemons and targets that state conditions, without a network, on
+// the virtual clock of a synctest bubble.
+type conditionsSite struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	daemons []*conditionsDaemon
+	targets []*conditionsTarget
+	starts  int // of daemons
+	// registered has the ids of all daemons that ever ran; their entries remain.
+	registered map[string]bool
+	outcomes   map[string]int // of requests
+	requests   sync.WaitGroup
+}
+
+// conditionsDaemon is one incarnation of a daemon.
+type conditionsDaemon struct {
+	*forward.Forwarder
+	id      string
+	group   int // daemons hear those of their group
+	ctx     context.Context
+	kill    context.CancelFunc
+	started time.Time
+}
+
+// conditionsTarget is one incarnation of a target.
+type conditionsTarget struct {
+	fleet.Target
+	statements []targetStatement // oldest first
+	arrivals   []time.Time       // of requests
+	failing    bool              // answers with a server error
+	running    int
+}
+
+// targetStatement is the conditions that a target states from a time on.
+type targetStatement struct {
+	from time.Time
+	fleet.Conditions
+}
+
+const (
+	conditionsService = "svc"
+	simServiceTime    = 20 * time.Millisecond
+)
+
+func newConditionsSite(seed uint64, daemons, targets int) *conditionsSite {
+	s := &conditionsSite{random: rand.New(rand.NewPCG(seed, 7)), registered: make(map[string]bool), outcomes: make(map[string]int)}
+	for i := range targets {
+		s.targets = append(s.targets, &conditionsTarget{Target: fleet.Target{ID: fmt.Sprint("i-", i), Service: conditionsService, Address: fmt.Sprintf("i-%d:1", i), Place: fmt.Sprint("place-", i%4), Slots: 6, StartMillis: 1}})
+	}
+	for range daemons {
+		s.startDaemon(s.newDaemonID())
+	}
+	return s
+}
+
+func (s *conditionsSite) newDaemonID() string {
+	s.starts++
+	return fmt.Sprint("vm-", s.starts)
+}
+
+// startDaemon starts an incarnation of a daemon, which knows all targets and no conditions.
+func (s *conditionsSite) startDaemon(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registered[id] = true
+	d := &conditionsDaemon{id: id, started: time.Now()}
+	d.ctx, d.kill = context.WithCancel(context.Background())
+	events := event.NewRecorder(id, event.NewClock(time.Now), log.NewNopLogger(), 16)
+	f := fleet.New("place-0", s.random.Uint64())
+	for _, t := range s.targets {
+		f.Put(t.Target)
+	}
+	d.Forwarder = &forward.Forwarder{
+		TargetClient: &conditionsClient{s}, Fleet: f, Events: events, Metrics: metrics.NewRegistry(), CrashTracker: noCrashes{}, Origins: singleVersion{},
+		PlacementLimiter: forward.NewPlacementLimiter(),
+		RetryBudget:      forward.NewRetryBudget(time.Now().Add(-time.Minute), forward.RetryBudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
+		Buffers:          membudget.New(forward.MaxBufferedBytes),
+		Model:            func(string) *ingress.Model { return nil },
+	}
+	d.Prober, d.CacheLocator = forward.NewProber(d.TargetClient, f, events), forward.NewCacheLocator(d.TargetClient)
+	d.RetryBudget.SetDaemons(len(s.registered))
+	s.daemons = append(s.daemons, d)
+}
+
+// stopDaemon ends a daemon with its requests.
+func (s *conditionsSite) stopDaemon(i int) (id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.daemons[i]
+	d.kill()
+	s.daemons = append(s.daemons[:i:i], s.daemons[i+1:]...)
+	return d.id
+}
+
+// state lets a target state other conditions from now on.
+func (s *conditionsSite) state(t *conditionsTarget, c fleet.Conditions) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.statements = append(t.statements, targetStatement{time.Now(), c})
+}
+
+// restartTarget starts a new incarnation of a target under its id.
+func (s *conditionsSite) restartTarget(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.targets[i]
+	started := &conditionsTarget{Target: old.Target}
+	started.StartMillis = time.Now().UnixMilli()
+	s.targets[i] = started
+	for _, d := range s.daemons {
+		d.Fleet.Put(started.Target)
+	}
+}
+
+// conditionsRoutes are the routes of the requests: two kinds of calls and streams.
+var conditionsRoutes = []*ingress.Route{
+	{Name: "book", Kind: ingress.NonIdempotent, Timeout: 1500 * time.Millisecond, LatencyObjective: 100 * time.Millisecond, MaxAttempts: 3, Priority: 0},
+	{Name: "read", Kind: ingress.Idempotent, Timeout: 1500 * time.Millisecond, LatencyObjective: 100 * time.Millisecond, MaxAttempts: 3, Priority: 1},
+	{Name: "stream", Kind: ingress.Streaming, Resumable: true, Timeout: 10 * time.Second, LatencyObjective: time.Second, MaxEventGap: 700 * time.Millisecond, MaxAttempts: 5, Priority: 2},
+}
+
+// load sends requests at a mean rate to random daemons for a time.
+func (s *conditionsSite) load(perSecond float64, d time.Duration) {
+	end := time.Now().Add(d)
+	for n := 0; ; n++ {
+		s.mu.Lock()
+		gap := time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second))
+		route := conditionsRoutes[s.random.IntN(len(conditionsRoutes))]
+		pick := s.random.Uint64()
+		s.mu.Unlock()
+		time.Sleep(gap)
+		if time.Now().After(end) {
+			return
+		}
+		s.mu.Lock()
+		var daemon *conditionsDaemon
+		if len(s.daemons) > 0 {
+			daemon = s.daemons[pick%uint64(len(s.daemons))]
+		}
+		s.mu.Unlock()
+		if daemon == nil {
+			continue
+		}
+		now := time.Now()
+		r := &forward.Request{ID: fmt.Sprint("r", n), Method: http.MethodPost, Header: http.Header{}, Received: now, Deadline: now.Add(route.Timeout), Route: route, Service: conditionsService}
+		if route.Kind == ingress.Streaming {
+			r.Prompt = forward.Prompt{Tokens: 500, MaxOutputTokens: 100, CacheKey: r.ID}
+		}
+		s.requests.Go(func() { daemon.Serve(daemon.ctx, r, &outcomeCounter{site: s, route: route.Name}) })
+	}
+}
+
+// outcomeCounter counts how the requests of a route end.
+type outcomeCounter struct {
+	site  *conditionsSite
+	route string
+}
+
+func (o *outcomeCounter) count(outcome string) {
+	o.site.mu.Lock()
+	defer o.site.mu.Unlock()
+	o.site.outcomes[o.route+" "+outcome]++
+}
+
+func (o *outcomeCounter) Answer(status int, _ http.Header, _ []byte) {
+	o.count(map[bool]string{true: "served", false: "failed"}[status == http.StatusOK])
+}
+func (o *outcomeCounter) Fail(err *failure.Error)      { o.count(string(err.Outcome)) }
+func (o *outcomeCounter) Begin(int, http.Header) error { return nil }
+func (o *outcomeCounter) Event([]byte) error           { return nil }
+func (o *outcomeCounter) End()                         { o.count("served") }
+func (o *outcomeCounter) Abort()                       { o.count("cut") }
+
+// noCrashes is a forward.CrashTracker that quarantines nothing.
+type noCrashes struct{}
+
+func (noCrashes) Check(context.Context, *forward.Request) *failure.Error { return nil }
+func (noCrashes) ReportCrash(*forward.Request, fleet.Target, bool)       {}
+func (noCrashes) ReportLoss(*forward.Request, fleet.Incarnation, bool)   {}
+func (noCrashes) ReportProgress(*forward.Request)                        {}
+func (noCrashes) ReportCompletion(*forward.Request)                      {}
+
+// conditionsClient is the forward.TargetClient of the daemons of a site.
+type conditionsClient struct{ *conditionsSite }
+
+// Send implements forward.TargetClient.
+func (s *conditionsClient) Send(ctx context.Context, a forward.Attempt) (*forward.Answer, error) {
+	s.mu.Lock()
+	t := s.current(a.Target)
+	if t == nil {
+		s.mu.Unlock()
+		return nil, errors.WithStack(errNotListening)
+	}
+	t.arrivals = append(t.arrivals, time.Now())
+	full := t.running >= t.Slots
+	if !full {
+		t.running++
+	}
+	failing := t.failing
+	s.mu.Unlock()
+	answer := &forward.Answer{Status: http.StatusOK, Signed: true, Framed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))}
+	if full {
+		answer.Status, answer.NotRun, answer.Signed = http.StatusServiceUnavailable, true, false
+	} else {
+		time.Sleep(simServiceTime)
+		if failing {
+			answer.Status = http.StatusInternalServerError
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !full {
+		t.running--
+	}
+	if n := len(t.statements); n > 0 {
+		answer.Conditions = t.statements[n-1].Conditions
+	}
+	if ctx.Err() != nil {
+		return nil, errors.WithStack(forward.ErrNoAnswer)
+	}
+	return answer, nil
+}
+
+// current returns the incarnation that runs at the address of a target, if it is the one
+// that a daemon means. s.mu is held.
+func (s *conditionsClient) current(t fleet.Target) *conditionsTarget {
+	for _, known := range s.targets {
+		if known.ID == t.ID {
+			return known
+		}
+	}
+	return nil
+}
+
+// Connect implements forward.TargetClient.
+func (*conditionsClient) Connect(context.Context, fleet.Target) error { return nil }
+
+// Report implements forward.TargetClient.
+func (s *conditionsClient) Report(_ context.Context, t fleet.Target) (forward.Report, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return forward.Report{StartMillis: s.current(t).StartMillis}, nil
+}
+
+// Copy implements forward.TargetClient.
+func (*conditionsClient) Copy(context.Context, fleet.Target, string, fleet.Target) (forward.Copy, error) {
+	return forward.Copy{}, errNoCopies
+}
+
+// Move implements forward.TargetClient.
+func (*conditionsClient) Move(context.Context, fleet.Target, string, fleet.Target) (forward.Copy, fleet.Target, error) {
+	return forward.Copy{}, fleet.Target{}, errNoCopies
+}
+
+// CachedKeys implements forward.TargetClient.
+func (*conditionsClient) CachedKeys(context.Context, fleet.Target) (map[string]bool, error) {
+	return nil, errNoCopies
+}
+
+// Release implements forward.TargetClient.
+func (*conditionsClient) Release(context.Context, fleet.Target, forward.Copy) error {
+	return errNoCopies
+}
