--- a/exchange/member_list.go
+++ b/exchange/member_list.go
@@ -196,6 +196,22 @@
 	return id == l.self || ok && now.Sub(h.at) < silenceTimeout
 }
 
+// Active returns the ids of the live daemons that are not leaving, this one among them, and
+// the number of live daemons.
+func (l *MemberList) Active(now time.Time) (active []string, live int) {
+	active, live = []string{l.self}, 1
+	for _, m := range l.others {
+		if !l.Live(now, m.ID) {
+			continue
+		}
+		live++
+		if !l.heartbeats[m.ID].leaving {
+			active = append(active, m.ID)
+		}
+	}
+	return active, live
+}
+
 // maxSponsors is how many daemons bring a daemon that has started up to date. More than
 // one does, since their views may differ and a call may fail.
 const maxSponsors = 3
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,8 +52,9 @@
 	failureRate         estimate              // fraction of answers that are the target's own failures
 	callLatencyMillis   estimate              // of plain calls
 	statement           Statement             // latest conditions
-	lost                chan struct{}         // closed when the target is declared failed
-	unusable            chan struct{}         // closed when lost is closed, or the target leaves or is removed
+	throttle            throttle
+	lost                chan struct{} // closed when the target is declared failed
+	unusable            chan struct{} // closed when lost is closed, or the target leaves or is removed
 }
 
 // DaemonLoad is the load of one daemon on one target.
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -37,6 +37,8 @@
 type Criteria struct {
 	Service string
 	Exclude map[string]bool // IDs of targets to which this request was already sent
+	// Priority of the request; 0 is the most urgent. See Fleet.Throttle.
+	Priority int
 	// Affinity, if not empty, is a key that ranks equally loaded targets in the same
 	// order on every daemon.
 	Affinity string
@@ -90,12 +92,14 @@
 }
 
 // MayRecover reports whether a target that meets the criteria is registered and gets no
-// new work only for a while: it is suspected or avoided.
+// new work only for a while: it is suspected, avoided or throttled.
 func (f *Fleet) MayRecover(now time.Time, criteria Criteria) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.services[criteria.Service] {
-		if state := s.state(now); !criteria.Exclude[s.ID] && criteria.allowsVersion(s.SoftwareVersion) && (state == Suspected || state == Avoided) {
+		state := s.state(now)
+		forAWhile := state == Suspected || state == Avoided || state == Ready && s.throttled(now, criteria.Priority)
+		if !criteria.Exclude[s.ID] && criteria.allowsVersion(s.SoftwareVersion) && forAWhile {
 			return true
 		}
 	}
@@ -119,7 +123,7 @@
 		candidates = append(candidates, routing.Candidate{
 			Target:  configuration.Target{Name: s.ID, Address: s.Address, Place: s.Place, Permits: max(1, s.Slots)},
 			Free:    true,
-			Leaving: s.Leaving || s.terminated(now), Down: now.Before(s.suspectUntil) || now.Before(s.avoidUntil),
+			Leaving: s.Leaving || s.terminated(now), Down: now.Before(s.suspectUntil) || now.Before(s.avoidUntil) || s.throttled(now, criteria.Priority),
 			InFlight: s.running, Estimated: float64(running), Slots: s.Slots, Near: near,
 			Start: s.expectedStartDelay(now, prefillTokens+criteria.MemoryTokens, running), Failing: s.failureRate.value(now, 0),
 			Filled: memoryUsage(memoryTokens+criteria.MemoryTokens, criteria.CapacityTokens),
--- a/forward/call.go
+++ b/forward/call.go
@@ -123,11 +123,11 @@
 		}
 	}
 	if allowed {
-		picked, err := c.forwarder.Fleet.Pick(time.Now(), fleet.Criteria{Service: c.request.Service, Exclude: c.tried})
+		picked, err := c.forwarder.pick(ctx, fleet.Criteria{Service: c.request.Service, Exclude: c.tried, Priority: c.request.Route.Priority})
 		if err == nil {
 			return &picked, nil
 		}
-		refusal = noTargetError(c.request, err)
+		refusal = c.forwarder.noTargetError(c.request, err)
 		c.succession.keepRetry(time.Now(), len(c.tried))
 	}
 	back, ok, returnRefusal := c.forwarder.planReturn(ctx, c.request, &c.succession, func(fleet.Target) bool { return true })
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/fleet"
 )
@@ -17,7 +19,10 @@
 	if err != nil || answer.OtherTarget || !answer.Signed && answer.Conditions == (fleet.Conditions{}) {
 		return answer, err
 	}
-	if f.Fleet.RecordStatement(a.Target, fleet.Statement{Conditions: answer.Conditions, At: time.Now()}) {
+	if statement := (fleet.Statement{Conditions: answer.Conditions, At: time.Now()}); f.Fleet.RecordStatement(a.Target, statement) {
+		if f.OnStatement != nil {
+			f.OnStatement(a.Target, statement)
+		}
 		f.Events.Record(event.ConditionsStated, a.Request.ID, event.F("target", a.Target.ID), event.F("limit", describeLimit(answer.Conditions)))
 	}
 	return answer, nil
@@ -30,3 +35,42 @@
 	}
 	return strconv.FormatFloat(c.RequestsPerSecond, 'f', -1, 64)
 }
+
+// maxPermitRequests bounds the permits that are requested for one attempt. Each may take a
+// call to another daemon.
+const maxPermitRequests = 4
+
+// errNoPermit means that the targets that were asked for take no request now.
+var errNoPermit = errors.New("no target takes more requests now")
+
+// resumePriority is the priority of an attempt to continue an answer that has begun. It is
+// more urgent than all routes.
+const resumePriority = -1
+
+// pick picks a target that meets the criteria and takes a permit to send a request to it.
+func (f *Forwarder) pick(ctx context.Context, criteria fleet.Criteria) (fleet.Target, error) {
+	for range maxPermitRequests {
+		t, err := f.Fleet.Pick(time.Now(), criteria)
+		if err != nil {
+			return fleet.Target{}, err
+		}
+		if f.takePermit(ctx, t, criteria.Priority) {
+			return t, nil
+		}
+	}
+	return fleet.Target{}, errNoPermit
+}
+
+// takePermit takes a permit to send a request of a priority to a target. Without one, such
+// requests are kept from the target for a time.
+func (f *Forwarder) takePermit(ctx context.Context, t fleet.Target, priority int) bool {
+	if f.Permits == nil {
+		return true
+	}
+	retryAfter, ok := f.Permits.Take(ctx, t, priority)
+	if !ok {
+		now := time.Now()
+		f.Fleet.Throttle(now, t.ID, priority, now.Add(retryAfter))
+	}
+	return ok
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -200,6 +200,14 @@
 	ReportCompletion(r *Request)
 }
 
+// Permits issues the permits to send requests to targets that limit them.
+type Permits interface {
+	// Take takes a permit to send a request of a priority to a target; lower ones are more
+	// urgent. Without a permit, retryAfter is the time until it is useful to ask again. Take
+	// may block for a call to another daemon.
+	Take(ctx context.Context, t fleet.Target, priority int) (retryAfter time.Duration, ok bool)
+}
+
 // Forwarder forwards requests. Its fields must be set before use.
 type Forwarder struct {
 	TargetClient     TargetClient
@@ -210,9 +218,12 @@
 	PlacementLimiter *rate.Limiter // see NewPlacementLimiter
 	CrashTracker     CrashTracker
 	Origins          OriginTracker
-	Buffers          *membudget.Budget // for answers, see MaxBufferedBytes
-	Events           *event.Recorder
-	Metrics          metrics.Registry
+	Permits          Permits // nil if no target limits requests
+	// OnStatement, if set, is called when a target states other conditions than before.
+	OnStatement func(t fleet.Target, s fleet.Statement)
+	Buffers     *membudget.Budget // for answers, see MaxBufferedBytes
+	Events      *event.Recorder
+	Metrics     metrics.Registry
 	// Model returns the properties of a service's model engines, nil if it has none.
 	Model func(service string) *ingress.Model
 	// StopsAt returns when running requests are canceled because the daemon stops, and the
@@ -339,8 +350,14 @@
 }
 
 // noTargetError returns the error of a request for which no target can be picked.
-func noTargetError(r *Request, err error) *failure.Error {
-	return failure.Wrap(err, failure.NoTarget, failure.NotRun, "route", r.Service).WithRetryAfter(retryAfterBusy)
+func (f *Forwarder) noTargetError(r *Request, err error) *failure.Error {
+	retryAfter := retryAfterBusy
+	if now := time.Now(); r.Route != nil {
+		if next, ok := f.Fleet.NextPermit(now, r.Service, r.Route.Priority); ok {
+			retryAfter = min(retryAfter, next.Sub(now))
+		}
+	}
+	return failure.Wrap(err, failure.NoTarget, failure.NotRun, "route", r.Service).WithRetryAfter(retryAfter)
 }
 
 // recordDuration adds a duration to a histogram.
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -52,13 +52,13 @@
 	}
 	now := time.Now()
 	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now)}
-	if s.standbyReady(now) {
+	if s.standbyReady(now) && s.forwarder.takePermit(ctx, s.standby.holder, s.priority()) {
 		a.Target, a.Resume = s.standby.holder, s.standby.copy
 	} else {
-		t, err := s.forwarder.Fleet.Pick(now, s.targetCriteria(promptHolders))
+		t, err := s.pickTarget(ctx, promptHolders)
 		if err != nil {
 			if s.lastErr == nil {
-				s.lastErr = noTargetError(s.request, err)
+				s.lastErr = s.forwarder.noTargetError(s.request, err)
 			}
 			s.noAttempt = err.Error()
 			s.succession.keepRetry(time.Now(), len(s.tried))
@@ -95,6 +95,27 @@
 	}
 }
 
+// pickTarget picks a target and takes a permit to send the stream to it. A stream that has
+// begun waits for a permit.
+func (s *stream) pickTarget(ctx context.Context, promptHolders map[string]bool) (fleet.Target, error) {
+	for end := time.Now().Add(maxTargetWait); ; {
+		criteria := s.targetCriteria(promptHolders)
+		t, err := s.forwarder.pick(ctx, criteria)
+		now, mayWait := time.Now(), s.version != nil && len(s.succession.silent) == 0
+		if err == nil || !mayWait || !now.Before(end) || !s.forwarder.Fleet.MayRecover(now, criteria) || !pause.For(ctx, targetPollInterval) {
+			return t, err
+		}
+	}
+}
+
+// priority returns the priority of the next attempt.
+func (s *stream) priority() int {
+	if s.version != nil {
+		return resumePriority
+	}
+	return s.request.Route.Priority
+}
+
 // canPlace reports whether a target is ready for a stream that waits, and reserves the
 // retry budget for it if so. Streams that wait use up no placements.
 func (s *stream) canPlace(now time.Time) bool {
@@ -119,7 +140,7 @@
 // targetCriteria returns what the next attempt needs of its target.
 func (s *stream) targetCriteria(promptHolders map[string]bool) fleet.Criteria {
 	return fleet.Criteria{
-		SoftwareVersion: s.version, PromptHolders: promptHolders,
+		SoftwareVersion: s.version, PromptHolders: promptHolders, Priority: s.priority(),
 		Service: s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
 		MemoryTokens: max(1, s.memoryTokens()), CapacityTokens: s.capacityTokens(),
 	}
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -104,7 +104,7 @@
 // anything. The error is why the request stays.
 func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current fleet.Incarnation, silence time.Duration, criteria fleet.Criteria) error {
 	now := time.Now()
-	criteria.Exclude = withID(tried, current.Target.ID)
+	criteria.Exclude, criteria.Priority = withID(tried, current.Target.ID), r.Route.Priority
 	switch {
 	case !c.retryReserved.IsZero():
 		return nil
@@ -175,6 +175,9 @@
 		case state == fleet.Unknown || state == fleet.Leaving || state == fleet.Avoided:
 			continue
 		}
+		if !f.takePermit(ctx, previous.Target, resumePriority) {
+			continue // awaitReturn looks again
+		}
 		reserved := take(&c.retryReserved)
 		if reserved.IsZero() {
 			reserved = take(&c.returnReserved)
--- a/gateway/conditions_site_test.go
+++ b/gateway/conditions_site_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/internal/membudget"
+	"github.com/vanillaroad/vanillaroad/quota"
 )
 
 // conditionsSite simulates daemons and targets that state conditions, without a network, on
@@ -27,7 +29,8 @@
 type conditionsSite struct {
 	mu      sync.Mutex
 	random  *rand.Rand
-	daemons []*conditionsDaemon
+	daemons []*conditionsDaemon // that run
+	ended   []*conditionsDaemon
 	targets []*conditionsTarget
 	starts  int // of daemons
 	// registered has the ids of all daemons that ever ran; their entries remain.
@@ -40,23 +43,26 @@
 type conditionsDaemon struct {
 	*forward.Forwarder
 	id      string
-	group   int // daemons hear those of their group
+	permits *permits
 	ctx     context.Context
 	kill    context.CancelFunc
-	started time.Time
+	// cut daemons exchange no messages with those that aren't; cutAt is when that changed.
+	cut   bool
+	cutAt time.Time
+	endAt time.Time // zero while it runs
 }
 
 // conditionsTarget is one incarnation of a target.
 type conditionsTarget struct {
 	fleet.Target
-	statements []targetStatement // oldest first
-	arrivals   []time.Time       // of requests
-	failing    bool              // answers with a server error
+	statements []statedConditions // oldest first
+	arrivals   []time.Time        // of requests
+	failing    bool               // answers with a server error
 	running    int
 }
 
-// targetStatement is the conditions that a target states from a time on.
-type targetStatement struct {
+// statedConditions are the conditions that a target states from a time on.
+type statedConditions struct {
 	from time.Time
 	fleet.Conditions
 }
@@ -87,7 +93,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.registered[id] = true
-	d := &conditionsDaemon{id: id, started: time.Now()}
+	d := &conditionsDaemon{id: id}
 	d.ctx, d.kill = context.WithCancel(context.Background())
 	events := event.NewRecorder(id, event.NewClock(time.Now), log.NewNopLogger(), 16)
 	f := fleet.New("place-0", s.random.Uint64())
@@ -103,6 +109,7 @@
 	}
 	d.Prober, d.CacheLocator = forward.NewProber(d.TargetClient, f, events), forward.NewCacheLocator(d.TargetClient)
 	d.RetryBudget.SetDaemons(len(s.registered))
+	s.connect(d)
 	s.daemons = append(s.daemons, d)
 }
 
@@ -112,15 +119,102 @@
 	defer s.mu.Unlock()
 	d := s.daemons[i]
 	d.kill()
+	d.endAt = time.Now()
+	s.ended = append(s.ended, d)
 	s.daemons = append(s.daemons[:i:i], s.daemons[i+1:]...)
 	return d.id
 }
 
+// simSilenceTimeout is how long a daemon counts as live after its last heartbeat.
+const simSilenceTimeout = 1500 * time.Millisecond
+
+// hears reports whether a daemon counts another one as live. s.mu is held.
+func (s *conditionsSite) hears(d, other *conditionsDaemon, now time.Time) bool {
+	if !other.endAt.IsZero() {
+		return now.Sub(other.endAt) < simSilenceTimeout && d.cut == other.cut
+	}
+	latest := d.cutAt
+	if other.cutAt.After(latest) {
+		latest = other.cutAt
+	}
+	return d.cut == other.cut || now.Sub(latest) < simSilenceTimeout
+}
+
+// view returns what a daemon knows of the daemons.
+func (s *conditionsSite) view(d *conditionsDaemon) quota.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	v := quota.View{Self: d.id, Registered: len(s.registered)}
+	seen := make(map[string]bool)
+	for _, other := range append(slices.Clone(s.daemons), s.ended...) {
+		if !seen[other.id] && (other == d || s.hears(d, other, now)) {
+			seen[other.id] = true
+			v.Active = append(v.Active, other.id)
+		}
+	}
+	v.Heard = len(v.Active)
+	return v
+}
+
+// setCut cuts a daemon off from the others, or ends that.
+func (s *conditionsSite) setCut(d *conditionsDaemon, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d.cut, d.cutAt = cut, time.Now()
+}
+
+// latency returns the time that a message takes.
+func (s *conditionsSite) latency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.random.Int64N(int64(10 * time.Millisecond)))
+}
+
+// reachable returns the running daemon with an id if another one can send to it.
+func (s *conditionsSite) reachable(from *conditionsDaemon, id string) *conditionsDaemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.daemons {
+		if d.id == id && d.cut == from.cut {
+			return d
+		}
+	}
+	return nil
+}
+
+// connect lets a daemon exchange permits and statements with the others. s.mu is held.
+func (s *conditionsSite) connect(d *conditionsDaemon) {
+	d.permits = newPermits(d.Fleet, func() quota.View { return s.view(d) }, func(ctx context.Context, id string, r permitRequest) (permitReply, error) {
+		to := s.reachable(d, id)
+		if to == nil {
+			<-ctx.Done()
+			return permitReply{}, ctx.Err()
+		}
+		time.Sleep(s.latency())
+		reply := to.permits.handle(r)
+		time.Sleep(s.latency())
+		return reply, nil
+	})
+	d.Permits = d.permits
+	d.OnStatement = func(t fleet.Target, statement fleet.Statement) {
+		message := newTargetStatement(time.Now(), t, statement)
+		s.mu.Lock()
+		others := slices.Clone(s.daemons)
+		s.mu.Unlock()
+		for _, other := range others {
+			if to := s.reachable(d, other.id); to != nil && to != d {
+				time.AfterFunc(s.latency(), func() { to.permits.apply(message) })
+			}
+		}
+	}
+}
+
 // state lets a target state other conditions from now on.
 func (s *conditionsSite) state(t *conditionsTarget, c fleet.Conditions) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.statements = append(t.statements, targetStatement{time.Now(), c})
+	t.statements = append(t.statements, statedConditions{time.Now(), c})
 }
 
 // restartTarget starts a new incarnation of a target under its id.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 	crashTracker *crashTracker
 	verdicts     *verdicts
 	origins      *origins
+	permits      *permits
 
 	table     atomic.Pointer[ingress.Table]  // active configuration; nil until the first one is activated
 	document  atomic.Pointer[exchange.Entry] // of which table was made
@@ -118,6 +119,13 @@
 		Model:       g.model,
 		StopsAt:     g.stopsAt,
 	}
+	g.permits = newPermits(g.fleet, g.members.view, func(ctx context.Context, daemon string, r permitRequest) (permitReply, error) {
+		return g.peers.callPermit(ctx, daemon, r)
+	})
+	g.forwarder.Permits = g.permits
+	g.forwarder.OnStatement = func(t fleet.Target, s fleet.Statement) {
+		g.peers.sendToAll(kindStatement, newTargetStatement(time.Now(), t, s))
+	}
 	var err error
 	if g.peers, err = newPeers(g); err != nil {
 		return nil, err
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -10,6 +11,11 @@
 	"github.com/vanillaroad/vanillaroad/fleet"
 )
 
+var (
+	conditionsSeeds = flag.Uint64("conditions.seeds", 12, "number of seeds of the tests of targets that state conditions")
+	conditionsFirst = flag.Uint64("conditions.first", 0, "first seed")
+)
+
 // What the users' platform allows a target that names a limit to get.
 const (
 	limitContact = 3 * time.Second // from its first statement until the limit holds
@@ -88,7 +94,8 @@
 // daemons together than the limit that they name, while daemons and targets restart, join
 // and don't hear each other.
 func TestTargetsGetNoMoreThanTheirLimit(t *testing.T) {
-	for seed := range uint64(12) {
+	for i := range *conditionsSeeds {
+		seed := *conditionsFirst + i
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const length = 60 * time.Second
@@ -115,7 +122,7 @@
 	}
 }
 
-// disturb restarts daemons and targets and lets daemons join.
+// disturb restarts daemons and targets, lets daemons join and cuts them off from each other.
 func (s *conditionsSite) disturb(d time.Duration) {
 	var restarts sync.WaitGroup
 	defer restarts.Wait()
@@ -141,6 +148,12 @@
 			if running < 24 {
 				s.startDaemon(s.newDaemonID())
 			}
+		case 4, 5:
+			s.mu.Lock()
+			d := s.daemons[pick%len(s.daemons)]
+			cut := d.cut
+			s.mu.Unlock()
+			s.setCut(d, !cut)
 		}
 	}
 }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/peer"
+	"github.com/vanillaroad/vanillaroad/quota"
 )
 
 // memberKind is the kind of the store objects in which daemons register their
@@ -221,6 +222,29 @@
 	return addresses[:min(limit, len(addresses))]
 }
 
+// address returns the address of another registered daemon for its peers.
+func (m *members) address(id string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range m.list.Others() {
+		if o.ID == id {
+			return o.Peers, true
+		}
+	}
+	return "", false
+}
+
+// view returns what this daemon knows of the daemons.
+func (m *members) view() quota.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	active, heard := m.list.Active(time.Now())
+	if m.g.draining.Load() {
+		active = slices.DeleteFunc(active, func(id string) bool { return id == m.self.ID })
+	}
+	return quota.View{Self: m.self.ID, Active: active, Heard: heard, Registered: m.list.Len()}
+}
+
 // directory returns the addresses that callers should connect to.
 func (m *members) directory() []string {
 	m.mu.Lock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -29,6 +29,8 @@
 	kindDocument                                          // documentQuery, answered by documentAnswer
 	kindOriginQuery                                       // originQuery, answered by originAnswer
 	kindSoundParts                                        // soundParts
+	kindStatement                                         // targetStatement
+	kindPermit                                            // permitRequest, answered by permitReply
 )
 
 // Timing of messages between daemons.
@@ -93,6 +95,8 @@
 	peer.HandleTyped(t, kindClaim, p.handleClaim)
 	peer.HandleTyped(t, kindDocument, g.serveDocument)
 	peer.HandleTyped(t, kindOriginQuery, g.origins.handleQuery)
+	peer.HandleTyped(t, kindStatement, p.handleStatement)
+	peer.HandleTyped(t, kindPermit, p.handlePermit)
 	return p, nil
 }
 
@@ -163,6 +167,7 @@
 			p.expirePeerState()
 			p.g.members.expire()
 			p.g.crashTracker.resolveLosses(time.Now())
+			p.g.permits.expire(time.Now())
 		}
 		others := p.sendToAll(kindLoad, p.g.loadReport())
 		pause.For(ctx, loadInterval(others))
@@ -256,7 +261,7 @@
 
 func (p *peers) handleLoad(_ context.Context, from peer.Identity, report loadReport) (any, error) {
 	if p.g.members.recordHeartbeat(from, report) {
-		p.sendKnownCrashReports(from)
+		p.sendKnown(from)
 	}
 	p.g.origins.apply(report.Origins)
 	p.g.fleet.SetPeerLoads(from.ID, report.Loads)
@@ -309,6 +314,16 @@
 	return err
 }
 
+// sendKnown brings a daemon up to date that has just started, was disconnected or asks for
+// it.
+func (p *peers) sendKnown(to peer.Identity) {
+	p.sendKnownCrashReports(to)
+	now := time.Now()
+	for _, s := range p.g.fleet.Constrained() {
+		go p.send(to.PeerAddress, kindStatement, newTargetStatement(now, s.Target, s.Statement))
+	}
+}
+
 // sendKnownCrashReports sends all crash reports to a daemon that has just started, was
 // disconnected or asks for them. Without them it would forward requests that the other daemons already
 // refuse, and those would crash more targets.
@@ -330,3 +345,22 @@
 	p.g.crashTracker.applySound(from.ID, parts)
 	return nil, nil
 }
+
+func (p *peers) handleStatement(_ context.Context, _ peer.Identity, s targetStatement) (any, error) {
+	p.g.permits.apply(s)
+	return nil, nil
+}
+
+// callPermit asks another daemon for a permit.
+func (p *peers) callPermit(ctx context.Context, daemon string, r permitRequest) (reply permitReply, err error) {
+	address, ok := p.g.members.address(daemon)
+	if !ok {
+		return permitReply{}, errors.Errorf("request permit for %s: daemon %s has no entry", r.Statement.ID, daemon)
+	}
+	err = p.transport.Call(ctx, address, kindPermit, r, &reply)
+	return reply, errors.Wrapf(err, "request permit for %s", r.Statement.ID)
+}
+
+func (p *peers) handlePermit(_ context.Context, _ peer.Identity, r permitRequest) (any, error) {
+	return p.g.permits.handle(r), nil
+}
