--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -86,6 +86,9 @@
 			broken = append(broken, fmt.Sprintf("LOST: %s cut %d requests from kept connections", daemon, n))
 		}
 	}
+	for _, e := range s.engines {
+		broken = append(broken, e.checkLimits()...)
+	}
 	for _, d := range s.daemons {
 		d.mu.Lock()
 		for _, end := range d.ownEnds {
@@ -233,7 +236,7 @@
 	for _, r := range s.ledger.of(a.id) {
 		add("run at %s from %s to %s, first event %s, %v", r.engine, at(r.began), at(r.ended), at(r.firstEvent), r.end)
 	}
-	for _, p := range slices.Concat(s.planned, s.troubles, s.stalls) {
+	for _, p := range slices.Concat(s.planned, s.quiet, s.troubles, s.stalls) {
 		concerned := p.daemon == "" || s.callersOf(p.daemon) == a.daemon
 		if concerned && !p.until.Before(a.begun.Add(-contact)) && !p.from.After(a.ended) {
 			add("%s %s from %s to %s", p.kind, p.daemon, at(p.from), at(p.until))
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -120,6 +120,7 @@
 	faulty               bool // breaks some answers off
 	ledger               *ledger
 	silentUntil          atomic.Int64 // Unix nanoseconds
+	conditions           conditions
 
 	mu      sync.Mutex
 	running map[string]int // events made by the run, by request id; without those in the queue
@@ -203,6 +204,7 @@
 		defer func() { _ = u.conn.Close() }()
 		w, r = u, unframed
 	}
+	e.conditions.arrive(w.Header())
 	w.Header().Set("Vanillaroad-Request-Id", id)
 	w.Header().Set("Vanillaroad-Upstream-Stamp", e.id+"/"+id)
 	this, end := e.ledger.begin(id, e.id), runCanceled
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -14,7 +14,7 @@
 type fault func(s *site, rng *rand.Rand)
 
 // plannedFaults are those around which no request may be lost.
-var plannedFaults = []fault{terminate, terminate, reloadSettings, changeConfiguration}
+var plannedFaults = []fault{terminate, terminate, reloadSettings, changeConfiguration, nameLimit}
 
 // unplannedFaults excuse lost requests.
 var unplannedFaults = []fault{kill, suspend, holdLink, resetLink}
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -47,6 +47,7 @@
 
 	mu       sync.Mutex
 	planned  []span
+	quiet    []span // what excuses nothing
 	troubles []span
 	stalls   []span          // of the test process, in which engines, links and clients run; excuse nothing
 	busy     map[string]bool // daemons to which something is being done
