--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -30,7 +30,7 @@
 	{AnswerResumed, "answer_resumed", Info, "A streamed answer continues at another target.", ""},
 	{AnswerTruncated, "answer_cut_short", Warn, "A streamed answer was truncated; no_attempt says why it was not continued.", "Read the preceding attempt_lost events of the request."},
 	{TargetSuspected, "target_suspected", Warn, "A target did not answer a probe and temporarily gets no new requests.", "Check the target if it persists."},
-	{TargetTerminated, "target_ended", Warn, "The process of a target has terminated: its address refuses connections or is used by another process.", "Check the target if its entry remains."},
+	{TargetTerminated, "target_ended", Warn, "The process of a target has terminated: its address refuses connections or is used by another process. member is the daemon that found it, if not this one.", "Check the target if its entry remains."},
 	{EntryRefused, "entry_refused", Warn, "An invalid entry of a target or daemon was ignored; its previous entry stays active.", "Find out what wrote the entry."},
 	{TargetJoined, "target_joined", Info, "A target registered or restarted.", ""},
 	{TargetLeaving, "target_leaving", Info, "A target is leaving and gets no new requests.", ""},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,11 @@
 // New binds the daemon's addresses and connects its components. Call Run to start
 // serving. It returns an error if an address can't be bound.
 func New(s Settings, logOutput io.Writer) (*Gateway, error) {
+	return newGateway(s, logOutput, platform.DialTarget)
+}
+
+// newGateway is New with a function that opens this daemon's own connections to targets.
+func newGateway(s Settings, logOutput io.Writer, dialTarget platform.DialFunc) (*Gateway, error) {
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.MemoryMB<<20)))
 	}
@@ -93,7 +98,7 @@
 	g := &Gateway{
 		metrics: metrics.NewRegistry(), idleConns: newIdleTracker(), cancelAnswerTime: cancelAnswerTime, durations: newRouteDurations(),
 		events:       event.NewRecorder(s.ID, event.NewClock(time.Now), logger, s.EventRing),
-		targetClient: platform.NewTargetClient(), fleet: fleet.New(s.Place, rand.Uint64()),
+		targetClient: platform.NewTargetClient(dialTarget), fleet: fleet.New(s.Place, rand.Uint64()),
 	}
 	g.requestCtx, g.cancelRequests = context.WithCancelCause(context.Background())
 	g.settings.Store(&s)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -104,6 +104,11 @@
 // startDaemon runs a gateway daemon until the test ends, with the store at the given
 // address. stop shuts the daemon down as a signal does.
 func (e *testEnv) startDaemon(id, store string, seeds ...string) (s Settings, stop func()) {
+	return e.startDaemonWithLinks(id, store, platform.DialTarget, seeds...)
+}
+
+// startDaemonWithLinks is startDaemon for a daemon that connects to targets with dial.
+func (e *testEnv) startDaemonWithLinks(id, store string, dial platform.DialFunc, seeds ...string) (s Settings, stop func()) {
 	s = DefaultSettings()
 	s.ID, s.Place, s.Region, s.Store, s.Seeds = id, "p", "r", store, seeds
 	s.RetryBudget = RetryBudget{Ratio: 0.5, Slack: 10, Window: jsontime.Duration(time.Second)}
@@ -115,7 +120,7 @@
 	var err error = syscall.EADDRINUSE
 	for errors.Is(err, syscall.EADDRINUSE) { // another process may bind a free address first
 		s.Callers, s.Directory, s.Readiness, s.Peers, s.Operations = e.freeAddress(), e.freeAddress(), e.freeAddress(), e.freeAddress(), e.freeAddress()
-		g, err = New(s, io.Discard)
+		g, err = newGateway(s, io.Discard, dial)
 	}
 	if err != nil {
 		e.t.Fatal(err)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
@@ -291,13 +292,15 @@
 // can't reach may still be reachable from this daemon, so a target in use is probed. A
 // process that has terminated is gone for all daemons, so a report of its end is
 // applied without a probe.
-func (p *peers) handleSuspicion(_ context.Context, _ peer.Identity, s suspicion) (any, error) {
+func (p *peers) handleSuspicion(_ context.Context, from peer.Identity, s suspicion) (any, error) {
 	now := time.Now()
 	p.mu.Lock()
 	p.suspectedAt[s.ID] = now
 	p.mu.Unlock()
 	if s.Terminated {
-		p.g.fleet.MarkTerminated(now, fleet.Target{ID: s.ID, StartMillis: s.StartMillis})
+		if p.g.fleet.MarkTerminated(now, fleet.Target{ID: s.ID, StartMillis: s.StartMillis}) {
+			p.g.events.Record(event.TargetTerminated, "", event.F("target", s.ID), event.F("member", from.ID))
+		}
 		return nil, nil
 	}
 	if t, used := p.g.fleet.ApplyPeerSuspicion(now, s.ID); used {
