--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -21,6 +21,8 @@
 	OriginAssumed    Number = 716
 	RequestReturned  Number = 717
 	ConditionsStated Number = 718
+	LinksLost        Number = 719
+	LinksRestored    Number = 720
 )
 
 var forwardEntries = []Entry{
@@ -40,6 +42,8 @@
 	{OriginAssumed, "origin_assumed", Info, "No daemon knows the stream that a caller takes up; it continues at the only software version that may have begun it.", ""},
 	{RequestReturned, "request_returned", Info, "A request returns to a target that it was taken from for silence, because no other target can get it.", ""},
 	{ConditionsStated, "target_conditions", Info, "A target states other conditions in its answers than before: limit is the number of requests a second that it takes from all daemons together, or none.", "A limit that persists: the target needs relief."},
+	{LinksLost, "links_lost", Warn, "This daemon reaches no target directly and connects through other daemons; target is the last one that failed.", "Check the network between this VM and the targets."},
+	{LinksRestored, "links_restored", Info, "Targets answer on direct connections again.", ""},
 	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
 	{IdleClosed, "idle_connections_closed", Info, "Connections of callers were closed that had been idle for longer than the configuration allows.", ""},
 	{LogLinesLost, "log_lines_lost", Warn, "Log lines were dropped because the log reader is slow.", "Check the process that reads the log."},
--- a/exchange/member_list.go
+++ b/exchange/member_list.go
@@ -12,6 +12,9 @@
 	Region  string `json:"region"`
 	Callers string `json:"callers"` // IP:port for callers
 	Peers   string `json:"peers"`   // IP:port for other daemons
+	// Relay is the IP:port at which the daemon relays connections to targets; empty if it
+	// doesn't.
+	Relay string `json:"relay,omitempty"`
 }
 
 // silenceTimeout is the time without a heartbeat after which a daemon is considered
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -125,6 +125,37 @@
 	}
 }
 
+// ForgetSuspicions ends the suspicion and avoidance of all targets, because their cause was
+// not at the targets.
+func (f *Fleet) ForgetSuspicions() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.targets {
+		s.suspectUntil, s.avoidUntil, s.consecutiveRefusals = time.Time{}, time.Time{}, 0
+	}
+}
+
+// Sample returns at most limit random targets other than the one with an id, in other places
+// than that one first. It leaves out targets that have terminated.
+func (f *Fleet) Sample(now time.Time, id string, limit int) []Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var elsewhere, samePlace []Target
+	except := f.targets[id]
+	for _, s := range f.targets {
+		switch {
+		case s.ID == id || s.terminated(now):
+		case except != nil && s.Place == except.Place:
+			samePlace = append(samePlace, s.Target)
+		default:
+			elsewhere = append(elsewhere, s.Target)
+		}
+	}
+	f.random.Shuffle(len(elsewhere), func(i, j int) { elsewhere[i], elsewhere[j] = elsewhere[j], elsewhere[i] })
+	out := append(elsewhere, samePlace...)
+	return out[:min(limit, len(out))]
+}
+
 // SamePlaceTargets returns the other targets of t's service in t's place that are
 // neither suspected nor terminated: all that this daemon uses, and at most maxIdle
 // random ones that it does not use and that are not avoided. A target that a peer
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	verdicts     *verdicts
 	origins      *origins
 	permits      *permits
+	links        *links
 
 	table     atomic.Pointer[ingress.Table]  // active configuration; nil until the first one is activated
 	document  atomic.Pointer[exchange.Entry] // of which table was made
@@ -63,6 +64,7 @@
 	idleConns        *idleTracker
 
 	servers        []*server
+	relayListener  net.Listener            // nil if the daemon doesn't relay
 	requestCtx     context.Context         // parent context of all requests
 	cancelRequests context.CancelCauseFunc // cancels requestCtx
 	wg             sync.WaitGroup
@@ -97,9 +99,11 @@
 		level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
 	g := &Gateway{
 		metrics: metrics.NewRegistry(), idleConns: newIdleTracker(), cancelAnswerTime: cancelAnswerTime, durations: newRouteDurations(),
-		events:       event.NewRecorder(s.ID, event.NewClock(time.Now), logger, s.EventRing),
-		targetClient: platform.NewTargetClient(dialTarget), fleet: fleet.New(s.Place, rand.Uint64()),
+		events: event.NewRecorder(s.ID, event.NewClock(time.Now), logger, s.EventRing),
+		fleet:  fleet.New(s.Place, rand.Uint64()),
 	}
+	g.links = newLinks(g, dialTarget)
+	g.targetClient = platform.NewTargetClient(g.links.DialTarget)
 	g.requestCtx, g.cancelRequests = context.WithCancelCause(context.Background())
 	g.settings.Store(&s)
 	g.events.LimitRoutineLogs(routineLinesPerSecond)
@@ -135,7 +139,11 @@
 	if g.peers, err = newPeers(g); err != nil {
 		return nil, err
 	}
-	g.forwarder.Prober.OnSuspect = g.peers.reportSuspect
+	g.forwarder.Prober.OnSuspect = g.links.handleSuspicion
+	if err := g.listenForRelays(s.Relay); err != nil {
+		g.peers.transport.Close()
+		return nil, err
+	}
 	callerHandler := &platform.CallerHandler{
 		Table: g.table.Load, Serve: g.serve, Closing: g.draining.Load, OnRefused: g.recordRefusal,
 		PickService: func(r *ingress.Route) string { return r.PickService(rand.Float64()) },
@@ -181,7 +189,19 @@
 	return nil
 }
 
+// listenForRelays binds the address at which the daemon relays, if it has one.
+func (g *Gateway) listenForRelays(address string) (err error) {
+	if address == "" {
+		return nil
+	}
+	g.relayListener, err = net.Listen("tcp", address)
+	return errors.Wrapf(err, "listen for relays at %s", address)
+}
+
 func (g *Gateway) closeListeners() {
+	if g.relayListener != nil {
+		_ = g.relayListener.Close() // it may be closed already
+	}
 	for _, s := range g.servers {
 		_ = s.listener.Close() // it may be closed already
 	}
@@ -222,6 +242,10 @@
 	g.wg.Go(func() { g.verdicts.load(backgroundCtx) })
 	g.wg.Go(func() { g.origins.store.run(backgroundCtx) })
 	g.wg.Go(func() { g.closeIdleConns(backgroundCtx) })
+	g.wg.Go(func() { g.links.run(backgroundCtx) })
+	if g.relayListener != nil {
+		g.wg.Go(func() { g.links.server.Serve(g.relayListener) })
+	}
 	serveErrors := make(chan error, len(g.servers))
 	for _, s := range g.servers {
 		g.wg.Go(func() { serveErrors <- s.Serve(s.listener) })
@@ -236,6 +260,7 @@
 	}
 	g.cancelRequests(forward.ErrStopping) // requests still running at the end of the grace period
 	g.closeConns(time.Now().Add(g.cancelAnswerTime))
+	g.links.server.Close()
 	stop()
 	g.peers.transport.Close()
 	g.wg.Wait()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -119,7 +119,7 @@
 	var g *Gateway
 	var err error = syscall.EADDRINUSE
 	for errors.Is(err, syscall.EADDRINUSE) { // another process may bind a free address first
-		s.Callers, s.Directory, s.Readiness, s.Peers, s.Operations = e.freeAddress(), e.freeAddress(), e.freeAddress(), e.freeAddress(), e.freeAddress()
+		s.Callers, s.Directory, s.Readiness, s.Peers, s.Operations, s.Relay = e.freeAddress(), e.freeAddress(), e.freeAddress(), e.freeAddress(), e.freeAddress(), e.freeAddress()
 		g, err = newGateway(s, io.Discard, dial)
 	}
 	if err != nil {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -38,7 +38,7 @@
 func newMembers(g *Gateway) *members {
 	s, incarnation := g.settings.Load(), uint64(time.Now().UnixNano())
 	return &members{g: g, incarnation: incarnation, list: exchange.NewMemberList(s.ID, incarnation), self: exchange.Member{
-		ID: s.ID, Place: s.Place, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
+		ID: s.ID, Place: s.Place, Region: s.Region, Callers: s.Callers, Peers: s.Peers, Relay: s.Relay,
 	}}
 }
 
@@ -234,6 +234,19 @@
 	return "", false
 }
 
+// activeOthers returns the other daemons that are live and don't leave.
+func (m *members) activeOthers() (out []exchange.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	active, _ := m.list.Active(time.Now())
+	for _, o := range m.list.Others() {
+		if slices.Contains(active, o.ID) {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
 // view returns what this daemon knows of the daemons.
 func (m *members) view() quota.View {
 	m.mu.Lock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -60,6 +60,8 @@
 	Leaving bool                        `msgpack:"l,omitempty"`
 	Version int64                       `msgpack:"v,omitempty"` // of the configuration in force
 	Origins []origin.Record             `msgpack:"o,omitempty"` // of streams that began since the last report
+	// LinksLost means that the daemon reaches no target and can't relay.
+	LinksLost bool `msgpack:"k,omitempty"`
 	// HeardAgain asks daemons for what this one may have missed, see exchange.MemberList.
 	HeardAgain map[string]uint64 `msgpack:"h,omitempty"`
 }
@@ -177,7 +179,7 @@
 
 // loadReport returns the report to send to all peers now. Each new origin is in one report.
 func (g *Gateway) loadReport() loadReport {
-	report := loadReport{Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain()}
+	report := loadReport{Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), LinksLost: g.links.monitor.Lost(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain()}
 	if table := g.table.Load(); table != nil {
 		report.Version = table.Version
 	}
@@ -264,6 +266,7 @@
 	if p.g.members.recordHeartbeat(from, report) {
 		p.sendKnown(from)
 	}
+	p.g.links.handleHeartbeat(from.ID, report.LinksLost, report.Leaving)
 	p.g.origins.apply(report.Origins)
 	p.g.fleet.SetPeerLoads(from.ID, report.Loads)
 	p.g.newer.note(from, report.Version)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -78,15 +78,17 @@
 	plan.alone = func() bool { return len(g.members.directory()) == 0 }
 	g.stopping.Store(plan)
 	g.draining.Store(true)
+	g.links.server.Stop()
 	g.events.Record(event.NodeDraining, "")
 	g.peers.sendToAll(kindLoad, g.loadReport())
 	time.Sleep(time.Until(plan.refuseAll))
 	g.awaitRequests(plan.deadline)
 }
 
-// awaitRequests waits until no request is read or answered, or until deadline.
+// awaitRequests waits until no request is read or answered and no connection is relayed, or
+// until deadline.
 func (g *Gateway) awaitRequests(deadline time.Time) {
-	for g.idleConns.busy() > 0 && time.Now().Before(deadline) {
+	for (g.idleConns.busy() > 0 || g.links.server.Open() > 0) && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -13,10 +13,13 @@
 	Place  string `json:"place" validate:"required"`      // failure domain
 	Region string `json:"region" validate:"required"`
 
-	Callers    string `json:"callers" validate:"required,hostname_port"`    // IP:port for callers' requests
-	Directory  string `json:"directory" validate:"required,hostname_port"`  // IP:port for directory requests of callers
-	Readiness  string `json:"readiness" validate:"required,hostname_port"`  // IP:port for readiness checks
-	Peers      string `json:"peers" validate:"required,hostname_port"`      // IP:port for other daemons
+	Callers   string `json:"callers" validate:"required,hostname_port"`   // IP:port for callers' requests
+	Directory string `json:"directory" validate:"required,hostname_port"` // IP:port for directory requests of callers
+	Readiness string `json:"readiness" validate:"required,hostname_port"` // IP:port for readiness checks
+	Peers     string `json:"peers" validate:"required,hostname_port"`     // IP:port for other daemons
+	// Relay is the IP:port at which the daemon relays other daemons' connections to targets;
+	// empty for none.
+	Relay      string `json:"relay,omitempty" validate:"omitempty,hostname_port"`
 	Operations string `json:"operations" validate:"required,hostname_port"` // IP:port for metrics
 	// Seeds are peer addresses, IP:port, that a daemon queries when it knows no other
 	// daemon and the store does not respond.
--- a/gateway/stop_answers_test.go
+++ b/gateway/stop_answers_test.go
@@ -24,7 +24,7 @@
 	for name, path := range map[string]string{"served": "/a/x", "refused before it is forwarded": "/none/"} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := &Gateway{events: event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 16), idleConns: newIdleTracker()}
+				g := &Gateway{events: event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 16), idleConns: newIdleTracker(), links: newLinks(nil, nil)}
 				g.requestCtx, g.cancelRequests = context.WithCancelCause(context.Background())
 				g.stopping.Store(&stopPlan{}) // refuses all requests
 				table := ingress.NewTable(ingress.Document{Version: 1, Routes: []ingress.Route{{
--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -74,7 +74,7 @@
 func (d *daemon) writeSettings(logLevel string) error {
 	b, err := json.Marshal(map[string]any{
 		"id": d.id, "place": "p", "region": "r", "callers": d.callers(), "directory": d.directory(), "readiness": d.readiness(),
-		"peers": d.peers(), "seeds": d.seeds, "operations": d.address(7200), "store": d.store, "memory_mb": 284, "log_level": logLevel,
+		"peers": d.peers(), "seeds": d.seeds, "operations": d.address(7200), "relay": d.address(7201), "store": d.store, "memory_mb": 284, "log_level": logLevel,
 		"retry_budget": map[string]any{"ratio": 0.8, "slack": 150, "window": budgetWindow.String()}, "grace": grace.String(),
 	})
 	if err != nil {
--- /dev/null
+++ b/relay/server.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxConnections bounds the relayed connections of a daemon.
+	maxConnections = 1000
+	// connectTimeout bounds the connection to the target, and the check of another one.
+	connectTimeout = 120 * time.Millisecond
+	// writeTimeout bounds one write to a daemon that doesn't read.
+	writeTimeout = 20 * time.Second
+)
+
+// Server relays connections of other daemons. Its fields must be set before use.
+type Server struct {
+	// Connect opens a direct connection to a target. The error is syscall.ECONNREFUSED if
+	// its address refuses connections, and ErrRejected if the target isn't registered.
+	Connect func(ctx context.Context, t Target) (net.Conn, error)
+	// LinksWork reports whether this daemon reaches another target than t, so that a
+	// refusal doesn't come from its own links.
+	LinksWork func(ctx context.Context, t Target) bool
+
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	stopping bool
+}
+
+// Serve accepts connections until l is closed.
+func (s *Server) Serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if !s.add(c) {
+			_ = c.Close()
+			continue
+		}
+		go func() {
+			defer s.remove(c)
+			s.serve(c)
+		}()
+	}
+}
+
+func (s *Server) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = make(map[net.Conn]struct{})
+	}
+	if s.stopping || len(s.conns) >= maxConnections {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	_ = c.Close()
+}
+
+// Open returns the number of relayed connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Stop accepts no further connections. Those that are open go on.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
+// Close breaks all connections.
+func (s *Server) Close() {
+	s.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(keepAlive) // fails if the connection is closed already
+	}
+	_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
+	t, err := readRequest(c)
+	if err != nil {
+		return
+	}
+	target, answer := s.connect(t)
+	if target != nil {
+		defer func() { _ = target.Close() }()
+	}
+	if _, err := c.Write([]byte{byte(answer)}); err != nil || target == nil {
+		return
+	}
+	_ = c.SetDeadline(time.Time{})
+	go func() {
+		_, _ = io.Copy(writerOnly{target}, readerOnly{c}) // any end cancels what the target does
+		_ = target.Close()
+	}()
+	if copyFrames(c, target) != nil {
+		reset(c)
+	}
+}
+
+// connect connects to a target. A refusal counts only if this daemon reaches another
+// target at the same time.
+func (s *Server) connect(t Target) (net.Conn, status) {
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	target, err := s.Connect(ctx, t)
+	switch {
+	case err == nil:
+		return target, statusConnected
+	case errors.Is(err, ErrRejected):
+		return nil, statusRejected
+	case errors.Is(err, syscall.ECONNREFUSED) && s.LinksWork(ctx, t):
+		return nil, statusNotListening
+	}
+	return nil, statusUnreachable
+}
+
+// copyFrames sends the bytes from a target in frames until the connection ends, and a final
+// frame if it ended in order.
+func copyFrames(to io.Writer, target io.Reader) error {
+	buffer := make([]byte, lengthBytes+maxFrameBytes)
+	for {
+		n, readErr := target.Read(buffer[lengthBytes:])
+		if n > 0 || errors.Is(readErr, io.EOF) {
+			binary.BigEndian.PutUint16(buffer, uint16(n))
+			if conn, ok := to.(net.Conn); ok {
+				_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // a closed connection fails below
+			}
+			if _, err := to.Write(buffer[:lengthBytes+n]); err != nil {
+				return err
+			}
+		}
+		if n > 0 && errors.Is(readErr, io.EOF) {
+			continue // the next read returns no bytes
+		}
+		if readErr != nil {
+			if errors.Is(readErr, io.EOF) {
+				return nil
+			}
+			return readErr
+		}
+	}
+}
+
+// reset lets the next close break the connection.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// writerOnly and readerOnly hide the methods by which io.Copy would let the kernel move the
+// bytes, which some hosts don't permit.
+type (
+	writerOnly struct{ io.Writer }
+	readerOnly struct{ io.Reader }
+)
