--- a/fleet/conditions.go
+++ b/fleet/conditions.go
@@ -9,6 +9,10 @@
 	// together.
 	RateLimited       bool    `msgpack:"l,omitempty"`
 	RequestsPerSecond float64 `msgpack:"r,omitempty"`
+	// Brittle means that the target fails if it has to refuse more than
+	// MaxRefusalsPerSecond for want of room.
+	Brittle              bool    `msgpack:"b,omitempty"`
+	MaxRefusalsPerSecond float64 `msgpack:"f,omitempty"`
 }
 
 // Statement is a target's statement of its conditions.
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -23,7 +23,7 @@
 		if f.OnStatement != nil {
 			f.OnStatement(a.Target, statement)
 		}
-		f.Events.Record(event.ConditionsStated, a.Request.ID, event.F("target", a.Target.ID), event.F("limit", describeLimit(answer.Conditions)))
+		f.Events.Record(event.ConditionsStated, a.Request.ID, event.F("target", a.Target.ID), event.F("limit", describeLimit(answer.Conditions)), event.F("brittle", strconv.FormatBool(answer.Conditions.Brittle)))
 	}
 	return answer, nil
 }
--- a/gateway/conditions_site_test.go
+++ b/gateway/conditions_site_test.go
@@ -27,12 +27,13 @@
 // conditionsSite simulates daemons and targets that state conditions, without a network, on
 // the virtual clock of a synctest bubble.
 type conditionsSite struct {
-	mu      sync.Mutex
-	random  *rand.Rand
-	daemons []*conditionsDaemon // that run
-	ended   []*conditionsDaemon
-	targets []*conditionsTarget
-	starts  int // of daemons
+	serviceTime time.Duration // of a request
+	mu          sync.Mutex
+	random      *rand.Rand
+	daemons     []*conditionsDaemon // that run
+	ended       []*conditionsDaemon
+	targets     []*conditionsTarget
+	starts      int // of daemons
 	// registered has the ids of all daemons that ever ran; their entries remain.
 	registered map[string]bool
 	outcomes   map[string]int // of requests
@@ -59,6 +60,9 @@
 	arrivals   []time.Time        // of requests
 	failing    bool               // answers with a server error
 	running    int
+	refusals   []time.Time // for want of room
+	fallen     time.Time   // until when it is down; zero if it never was
+	falls      int
 }
 
 // statedConditions are the conditions that a target states from a time on.
@@ -73,7 +77,7 @@
 )
 
 func newConditionsSite(seed uint64, daemons, targets int) *conditionsSite {
-	s := &conditionsSite{random: rand.New(rand.NewPCG(seed, 7)), registered: make(map[string]bool), outcomes: make(map[string]int)}
+	s := &conditionsSite{serviceTime: simServiceTime, random: rand.New(rand.NewPCG(seed, 7)), registered: make(map[string]bool), outcomes: make(map[string]int)}
 	for i := range targets {
 		s.targets = append(s.targets, &conditionsTarget{Target: fleet.Target{ID: fmt.Sprint("i-", i), Service: conditionsService, Address: fmt.Sprintf("i-%d:1", i), Place: fmt.Sprint("place-", i%4), Slots: 6, StartMillis: 1}})
 	}
@@ -310,17 +314,23 @@
 		return nil, errors.WithStack(errNotListening)
 	}
 	t.arrivals = append(t.arrivals, time.Now())
+	if time.Now().Before(t.fallen) {
+		s.mu.Unlock()
+		return nil, errors.WithStack(errNotListening)
+	}
 	full := t.running >= t.Slots
-	if !full {
+	if full {
+		t.refuse()
+	} else {
 		t.running++
 	}
-	failing := t.failing
+	failing, serviceTime := t.failing, s.serviceTime
 	s.mu.Unlock()
 	answer := &forward.Answer{Status: http.StatusOK, Signed: true, Framed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))}
 	if full {
 		answer.Status, answer.NotRun, answer.Signed = http.StatusServiceUnavailable, true, false
 	} else {
-		time.Sleep(simServiceTime)
+		time.Sleep(serviceTime)
 		if failing {
 			answer.Status = http.StatusInternalServerError
 		}
@@ -339,6 +349,29 @@
 	return answer, nil
 }
 
+// simFallTime is how long a brittle target that has fallen over is down.
+const simFallTime = 4 * time.Second
+
+// refuse records a refusal for want of room. A brittle target falls over at too many.
+func (t *conditionsTarget) refuse() {
+	now := time.Now()
+	t.refusals = append(t.refusals, now)
+	n := len(t.statements)
+	if n == 0 || !t.statements[n-1].Brittle || now.Sub(t.statements[n-1].from) < limitContact {
+		return
+	}
+	recent := 0
+	for _, at := range t.refusals {
+		if now.Sub(at) < time.Second {
+			recent++
+		}
+	}
+	if float64(recent) > t.statements[n-1].MaxRefusalsPerSecond {
+		t.falls++
+		t.fallen, t.refusals = now.Add(simFallTime), nil
+	}
+}
+
 // current returns the incarnation that runs at the address of a target, if it is the one
 // that a daemon means. s.mu is held.
 func (s *conditionsClient) current(t fleet.Target) *conditionsTarget {
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -102,7 +102,7 @@
 				s := newConditionsSite(seed, []int{1, 3, 8, 24}[seed%4], 2+int(seed%5))
 				var background sync.WaitGroup
 				background.Go(func() { s.drawLimits(length) })
-				background.Go(func() { s.disturb(length) })
+				background.Go(func() { s.disturb(length, true) })
 				s.load(60, length)
 				background.Wait()
 				s.requests.Wait()
@@ -123,7 +123,7 @@
 }
 
 // disturb restarts daemons and targets, lets daemons join and cuts them off from each other.
-func (s *conditionsSite) disturb(d time.Duration) {
+func (s *conditionsSite) disturb(d time.Duration, targetsRestart bool) {
 	var restarts sync.WaitGroup
 	defer restarts.Wait()
 	for end := time.Now().Add(d); time.Now().Before(end); {
@@ -143,7 +143,9 @@
 				})
 			}
 		case 2:
-			s.restartTarget(pick % len(s.targets))
+			if targetsRestart {
+				s.restartTarget(pick % len(s.targets))
+			}
 		case 3:
 			if running < 24 {
 				s.startDaemon(s.newDaemonID())
