--- a/fleet/work.go
+++ b/fleet/work.go
@@ -131,6 +131,31 @@
 	}
 }
 
+// TotalLoad returns the load of all daemons on a target, as far as this one knows it.
+func (f *Fleet) TotalLoad(id string) (running, memoryTokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.targets[id]; s != nil {
+		running, _, memoryTokens = s.totalLoad()
+	}
+	return running, memoryTokens
+}
+
+// RunningOf returns the number of requests of a daemon on a target, as it reported; that of
+// this daemon if the peer is empty.
+func (f *Fleet) RunningOf(peer, id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.targets[id]
+	switch {
+	case s == nil:
+		return 0
+	case peer == "":
+		return s.running
+	}
+	return s.peerLoads[peer].Running
+}
+
 // OwnLoads returns the load of this daemon by target ID, without targets that have none.
 func (f *Fleet) OwnLoads() map[string]DaemonLoad {
 	f.mu.Lock()
--- a/forward/call.go
+++ b/forward/call.go
@@ -123,7 +123,7 @@
 		}
 	}
 	if allowed {
-		picked, err := c.forwarder.pick(ctx, fleet.Criteria{Service: c.request.Service, Exclude: c.tried, Priority: c.request.Route.Priority})
+		picked, err := c.forwarder.pick(ctx, c.request.ID, fleet.Criteria{Service: c.request.Service, Exclude: c.tried, Priority: c.request.Route.Priority})
 		if err == nil {
 			return &picked, nil
 		}
@@ -151,6 +151,7 @@
 	c.request.SentAt = time.Now()
 	active := c.forwarder.Fleet.Begin(c.request.SentAt, t.ID, fleet.Demand{})
 	answer, body, gaveUp, err := c.send(ctx, Attempt{Request: c.request, Target: t, TimeLeft: c.request.timeLeft()}, incarnation)
+	c.forwarder.releasePermit(c.request.ID, t, err == nil && answer.lacksRoom())
 	now := time.Now()
 	c.framed = describeFrame(answer)
 	switch {
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -48,29 +48,38 @@
 const resumePriority = -1
 
 // pick picks a target that meets the criteria and takes a permit to send a request to it.
-func (f *Forwarder) pick(ctx context.Context, criteria fleet.Criteria) (fleet.Target, error) {
+func (f *Forwarder) pick(ctx context.Context, requestID string, criteria fleet.Criteria) (fleet.Target, error) {
 	for range maxPermitRequests {
 		t, err := f.Fleet.Pick(time.Now(), criteria)
 		if err != nil {
 			return fleet.Target{}, err
 		}
-		if f.takePermit(ctx, t, criteria.Priority) {
+		if f.takePermit(ctx, requestID, t, criteria) {
 			return t, nil
 		}
 	}
 	return fleet.Target{}, errNoPermit
 }
 
-// takePermit takes a permit to send a request of a priority to a target. Without one, such
-// requests are kept from the target for a time.
-func (f *Forwarder) takePermit(ctx context.Context, t fleet.Target, priority int) bool {
+// takePermit takes a permit to send a request to a target. Without one, requests of the
+// priority are kept from the target for a time.
+func (f *Forwarder) takePermit(ctx context.Context, requestID string, t fleet.Target, criteria fleet.Criteria) bool {
 	if f.Permits == nil {
 		return true
 	}
-	retryAfter, ok := f.Permits.Take(ctx, t, priority)
+	retryAfter, ok := f.Permits.Take(ctx, PermitRequest{
+		RequestID: requestID, Target: t, Priority: criteria.Priority, MemoryTokens: criteria.MemoryTokens, CapacityTokens: criteria.CapacityTokens,
+	})
 	if !ok {
 		now := time.Now()
-		f.Fleet.Throttle(now, t.ID, priority, now.Add(retryAfter))
+		f.Fleet.Throttle(now, t.ID, criteria.Priority, now.Add(retryAfter))
 	}
 	return ok
 }
+
+// releasePermit returns the permit of a request after its attempt at a target.
+func (f *Forwarder) releasePermit(requestID string, t fleet.Target, refused bool) {
+	if f.Permits != nil {
+		f.Permits.Release(requestID, t, refused)
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -110,6 +110,9 @@
 	Conditions fleet.Conditions
 }
 
+// lacksRoom reports whether the target refused the request for want of room.
+func (a *Answer) lacksRoom() bool { return a.NotRun && a.Status == http.StatusServiceUnavailable }
+
 // Report is the state of a target as the target itself reports it.
 type Report struct {
 	StartMillis int64 // start of its process, Unix milliseconds; 0 if not stated
@@ -202,10 +205,22 @@
 
 // Permits issues the permits to send requests to targets that limit them.
 type Permits interface {
-	// Take takes a permit to send a request of a priority to a target; lower ones are more
-	// urgent. Without a permit, retryAfter is the time until it is useful to ask again. Take
-	// may block for a call to another daemon.
-	Take(ctx context.Context, t fleet.Target, priority int) (retryAfter time.Duration, ok bool)
+	// Take takes a permit to send a request to a target. Without one, retryAfter is the time
+	// until it is useful to ask again. Take may block for a call to another daemon.
+	Take(ctx context.Context, p PermitRequest) (retryAfter time.Duration, ok bool)
+	// Release returns the permit of a request, if it has one, when its attempt at a target
+	// has ended. refused reports whether the target refused it for want of room.
+	Release(requestID string, t fleet.Target, refused bool)
+}
+
+// PermitRequest describes a send that needs a permit.
+type PermitRequest struct {
+	RequestID string
+	Target    fleet.Target
+	Priority  int // lower ones are more urgent
+	// MemoryTokens is the KV cache memory that the request needs, and CapacityTokens that of
+	// the target; 0 if not known.
+	MemoryTokens, CapacityTokens int
 }
 
 // Forwarder forwards requests. Its fields must be set before use.
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -52,7 +52,7 @@
 	}
 	now := time.Now()
 	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now)}
-	if s.standbyReady(now) && s.forwarder.takePermit(ctx, s.standby.holder, s.priority()) {
+	if s.standbyReady(now) && s.forwarder.takePermit(ctx, s.request.ID, s.standby.holder, s.targetCriteria(nil)) {
 		a.Target, a.Resume = s.standby.holder, s.standby.copy
 	} else {
 		t, err := s.pickTarget(ctx, promptHolders)
@@ -100,7 +100,7 @@
 func (s *stream) pickTarget(ctx context.Context, promptHolders map[string]bool) (fleet.Target, error) {
 	for end := time.Now().Add(maxTargetWait); ; {
 		criteria := s.targetCriteria(promptHolders)
-		t, err := s.forwarder.pick(ctx, criteria)
+		t, err := s.forwarder.pick(ctx, s.request.ID, criteria)
 		now, mayWait := time.Now(), s.version != nil && len(s.succession.silent) == 0
 		if err == nil || !mayWait || !now.Before(end) || !s.forwarder.Fleet.MayRecover(now, criteria) || !pause.For(ctx, targetPollInterval) {
 			return t, err
--- a/forward/run.go
+++ b/forward/run.go
@@ -29,6 +29,7 @@
 	framed       bool            // see Answer.Framed
 	endedAt      time.Time       // when an answer that is not framed ended, if that is not confirmed yet; zero otherwise
 	patient      bool            // a probe without a short timeout is under way or was made
+	refused      bool            // the target refused the request for want of room
 	failed       bool            // the attempt failed because of the target
 	endReported  bool            // the run's end was reported to the crash tracker
 	progressed   bool            // the run's progress was reported
@@ -251,7 +252,7 @@
 		return a.abandonBroken(p.err.Error()), true
 	case p.answer.NotRun:
 		_ = p.answer.Body.Close()
-		s.tried[t.ID] = true
+		s.tried[t.ID], a.refused = true, p.answer.lacksRoom()
 		s.recordLoss(s.forwarder.handleRefusal(t, p.answer, a.attempt.Resume != (Copy{})), a.attempt)
 		if p.answer.OtherTarget {
 			s.forwarder.Prober.CheckPlace(t)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -169,6 +169,7 @@
 		probeResults: make(chan ProbeResult, 1), parts: make(chan answerPart, 1), moveResults: make(chan copyResult, 1), copier: newCopier(s, a),
 	}
 	defer func() {
+		s.forwarder.releasePermit(s.request.ID, a.Target, attempt.refused)
 		attempt.active.Done(time.Now(), attempt.failed)
 		attempt.copier.finish(!attempt.failed)
 	}()
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -175,7 +175,8 @@
 		case state == fleet.Unknown || state == fleet.Leaving || state == fleet.Avoided:
 			continue
 		}
-		if !f.takePermit(ctx, previous.Target, resumePriority) {
+		criteria := fleet.Criteria{Priority: resumePriority, MemoryTokens: r.Prompt.Tokens + r.Prompt.MaxOutputTokens}
+		if !f.takePermit(ctx, r.ID, previous.Target, criteria) {
 			continue // awaitReturn looks again
 		}
 		reserved := take(&c.retryReserved)
@@ -184,6 +185,7 @@
 		}
 		if reserved.IsZero() {
 			if !f.RetryBudget.AllowRetry(now, r.Service) {
+				f.releasePermit(r.ID, previous.Target, false)
 				c.recordDenial(f, r)
 				return fleet.Target{}, false, nil
 			}
@@ -194,6 +196,7 @@
 			c.silent = nil // no further send is allowed
 		}
 		if !allowed {
+			f.releasePermit(r.ID, previous.Target, false)
 			return fleet.Target{}, false, refusal
 		}
 		c.returnedAt = time.Now()
--- a/gateway/brittle_test.go
+++ b/gateway/brittle_test.go
@@ -30,6 +30,7 @@
 				s.load(1.3*capacity, length)
 				background.Wait()
 				s.requests.Wait()
+				time.Sleep(time.Second) // the end of attempts that were given up
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				falls, refusals, served := 0, 0, 0
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,6 +130,10 @@
 	}
 	g.permits = newPermits(g.fleet, g.members.view, func(ctx context.Context, daemon string, r permitRequest) (permitReply, error) {
 		return g.peers.callPermit(ctx, daemon, r)
+	}, func(daemon string, r permitRelease) {
+		if address, ok := g.members.address(daemon); ok {
+			go g.peers.send(address, kindPermitRelease, r)
+		}
 	})
 	g.forwarder.Permits = g.permits
 	g.forwarder.OnStatement = func(t fleet.Target, s fleet.Statement) {
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -106,6 +106,7 @@
 				s.load(60, length)
 				background.Wait()
 				s.requests.Wait()
+				time.Sleep(time.Second) // the end of attempts that were given up
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				for _, target := range s.targets {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -21,17 +21,18 @@
 
 // Kinds of messages between gateway daemons.
 const (
-	kindUpdate       = peer.ConfigurationBase + 50 + iota // exchange.Update
-	kindSnapshot                                          // exchange.Query, answered by exchange.Snapshot
-	kindLoad                                              // loadReport
-	kindSuspicion                                         // suspicion
-	kindCrashReports                                      // []quarantine.CrashReport
-	kindClaim                                             // exchange.Claim
-	kindDocument                                          // documentQuery, answered by documentAnswer
-	kindOriginQuery                                       // originQuery, answered by originAnswer
-	kindSoundParts                                        // soundParts
-	kindStatement                                         // targetStatement
-	kindPermit                                            // permitRequest, answered by permitReply
+	kindUpdate        = peer.ConfigurationBase + 50 + iota // exchange.Update
+	kindSnapshot                                           // exchange.Query, answered by exchange.Snapshot
+	kindLoad                                               // loadReport
+	kindSuspicion                                          // suspicion
+	kindCrashReports                                       // []quarantine.CrashReport
+	kindClaim                                              // exchange.Claim
+	kindDocument                                           // documentQuery, answered by documentAnswer
+	kindOriginQuery                                        // originQuery, answered by originAnswer
+	kindSoundParts                                         // soundParts
+	kindStatement                                          // targetStatement
+	kindPermit                                             // permitRequest, answered by permitReply
+	kindPermitRelease                                      // permitRelease
 )
 
 // Timing of messages between daemons.
@@ -100,6 +101,7 @@
 	peer.HandleTyped(t, kindOriginQuery, g.origins.handleQuery)
 	peer.HandleTyped(t, kindStatement, p.handleStatement)
 	peer.HandleTyped(t, kindPermit, p.handlePermit)
+	peer.HandleTyped(t, kindPermitRelease, p.handlePermitRelease)
 	return p, nil
 }
 
@@ -367,6 +369,11 @@
 	return reply, errors.Wrapf(err, "request permit for %s", r.Statement.ID)
 }
 
-func (p *peers) handlePermit(_ context.Context, _ peer.Identity, r permitRequest) (any, error) {
-	return p.g.permits.handle(r), nil
+func (p *peers) handlePermit(_ context.Context, from peer.Identity, r permitRequest) (any, error) {
+	return p.g.permits.handle(from.ID, r), nil
+}
+
+func (p *peers) handlePermitRelease(_ context.Context, _ peer.Identity, r permitRelease) (any, error) {
+	p.g.permits.handleRelease(r)
+	return nil, nil
 }
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -24,6 +24,18 @@
 type permitRequest struct {
 	Statement targetStatement `msgpack:"s"`
 	Priority  int             `msgpack:"p,omitempty"`
+	// RequestID identifies the lease of the permit at a brittle target.
+	RequestID      string `msgpack:"i,omitempty"`
+	MemoryTokens   int    `msgpack:"m,omitempty"`
+	CapacityTokens int    `msgpack:"c,omitempty"` // of the target; 0 if not known
+}
+
+// permitRelease tells the grantor of a brittle target that a request has ended.
+type permitRelease struct {
+	Target      string `msgpack:"t"`
+	StartMillis int64  `msgpack:"b,omitempty"`
+	RequestID   string `msgpack:"i"`
+	Refused     bool   `msgpack:"r,omitempty"` // by the target, for want of room
 }
 
 // permitReply answers a permitRequest.
@@ -57,30 +69,48 @@
 	view  func() quota.View
 	// call sends a request to another daemon.
 	call func(ctx context.Context, daemon string, r permitRequest) (permitReply, error)
+	// release sends a release to another daemon.
+	release func(daemon string, r permitRelease)
 
 	mu     sync.Mutex
 	issued *quota.Ledger
-	own    *quota.Ledger        // used while grantors don't answer
-	silent map[string]time.Time // when to call a grantor again that did not answer, by id
+	own    *quota.Ledger // used while grantors don't answer
+	room   *quota.Room
+	held   map[heldPermit]string // grantors of the permits at brittle targets
+	silent map[string]time.Time  // when to call a grantor again that did not answer, by id
+}
+
+// heldPermit identifies a permit that this daemon holds.
+type heldPermit struct {
+	requestID string
+	target    quota.Key
 }
 
 var _ forward.Permits = (*permits)(nil)
 
-func newPermits(f *fleet.Fleet, view func() quota.View, call func(context.Context, string, permitRequest) (permitReply, error)) *permits {
-	return &permits{fleet: f, view: view, call: call, issued: quota.NewLedger(), own: quota.NewLedger(), silent: make(map[string]time.Time)}
+func newPermits(f *fleet.Fleet, view func() quota.View, call func(context.Context, string, permitRequest) (permitReply, error), release func(string, permitRelease)) *permits {
+	return &permits{
+		fleet: f, view: view, call: call, release: release, issued: quota.NewLedger(), own: quota.NewLedger(), room: quota.NewRoom(),
+		held: make(map[heldPermit]string), silent: make(map[string]time.Time),
+	}
 }
 
 // Take implements forward.Permits.
-func (p *permits) Take(ctx context.Context, t fleet.Target, priority int) (retryAfter time.Duration, ok bool) {
+func (p *permits) Take(ctx context.Context, wanted forward.PermitRequest) (retryAfter time.Duration, ok bool) {
+	t := wanted.Target
 	statement := p.fleet.Statement(t.ID)
-	if !statement.RateLimited {
+	if !statement.RateLimited && !statement.Brittle {
 		return 0, true
 	}
-	request := permitRequest{Statement: newTargetStatement(time.Now(), t, statement), Priority: priority}
+	request := permitRequest{
+		Statement: newTargetStatement(time.Now(), t, statement), Priority: wanted.Priority,
+		RequestID: wanted.RequestID, MemoryTokens: wanted.MemoryTokens, CapacityTokens: wanted.CapacityTokens,
+	}
 	view := p.view()
 	grantor := view.Grantor(t.ID)
 	if grantor == view.Self {
-		reply := p.issue(view, request)
+		reply := p.issue(view, view.Self, request)
+		p.hold(wanted, grantor, reply)
 		return reply.RetryAfter, reply.Granted
 	}
 	if p.mayCall(grantor) {
@@ -89,16 +119,70 @@
 		reply, err := p.call(callCtx, grantor, request)
 		if err == nil {
 			p.apply(reply.Statement)
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.own.Forget(keyOf(t))
+			p.hold(wanted, grantor, reply)
 			return reply.RetryAfter, reply.Granted
 		}
 		p.markSilent(grantor)
+		p.release(grantor, newPermitRelease(t, wanted.RequestID, false)) // it may have issued the permit
+	}
+	return p.takeOwn(view, t, statement, wanted.Priority)
+}
+
+// hold records a permit that was granted.
+func (p *permits) hold(wanted forward.PermitRequest, grantor string, reply permitReply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := keyOf(wanted.Target)
+	if grantor != p.view().Self {
+		p.own.Forget(key)
+	}
+	if reply.Granted && reply.Statement.Conditions.Brittle {
+		p.held[heldPermit{wanted.RequestID, key}] = grantor
+	}
+}
+
+// takeOwn takes a permit from this daemon's own fraction, without the grantor. Brittle targets
+// get none until the grantor answers or another daemon takes its place.
+func (p *permits) takeOwn(view quota.View, t fleet.Target, statement fleet.Statement, priority int) (retryAfter time.Duration, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if statement.Brittle {
+		return outdatedRetryDelay, false // the grantor may have filled the target
 	}
+	return p.own.Take(time.Now(), keyOf(t), statement.RequestsPerSecond*view.OwnFraction(), priority)
+}
+
+func newPermitRelease(t fleet.Target, requestID string, refused bool) permitRelease {
+	return permitRelease{Target: t.ID, StartMillis: t.StartMillis, RequestID: requestID, Refused: refused}
+}
+
+// Release implements forward.Permits.
+func (p *permits) Release(requestID string, t fleet.Target, refused bool) {
+	key := heldPermit{requestID, keyOf(t)}
+	p.mu.Lock()
+	grantor, ok := p.held[key]
+	delete(p.held, key)
+	p.mu.Unlock()
+	view := p.view()
+	if !ok {
+		if !refused || !p.fleet.Statement(t.ID).Brittle {
+			return
+		}
+		grantor = view.Grantor(t.ID)
+	}
+	r := newPermitRelease(t, requestID, refused)
+	if grantor == view.Self {
+		p.handleRelease(r)
+		return
+	}
+	p.release(grantor, r)
+}
+
+// handleRelease handles the release of a permit that this daemon issued.
+func (p *permits) handleRelease(r permitRelease) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.own.Take(time.Now(), keyOf(t), statement.RequestsPerSecond*view.OwnFraction(), request.Priority)
+	p.room.Release(time.Now(), quota.Key{Target: r.Target, StartMillis: r.StartMillis}, r.RequestID, r.Refused)
 }
 
 // mayCall reports whether a grantor may be called now.
@@ -116,25 +200,36 @@
 
 // handle answers the request of another daemon. A daemon that isn't the grantor in its own
 // view issues nothing: the views will agree soon.
-func (p *permits) handle(r permitRequest) permitReply {
+func (p *permits) handle(holder string, r permitRequest) permitReply {
 	p.apply(r.Statement)
 	view := p.view()
 	if view.Grantor(r.Statement.ID) != view.Self {
 		return permitReply{RetryAfter: outdatedRetryDelay, Statement: p.latest(r.Statement)}
 	}
-	return p.issue(view, r)
+	return p.issue(view, holder, r)
 }
 
-// issue decides on a request as the grantor.
-func (p *permits) issue(view quota.View, r permitRequest) permitReply {
-	latest := p.latest(r.Statement)
-	if !latest.Conditions.RateLimited {
-		return permitReply{Granted: true, Statement: latest}
-	}
+// issue decides on the request of a daemon as the grantor.
+func (p *permits) issue(view quota.View, holder string, r permitRequest) permitReply {
+	latest, now := p.latest(r.Statement), time.Now()
+	t := p.fleet.Incarnation(r.Statement.ID).Target
+	running, memory := p.fleet.TotalLoad(r.Statement.ID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	retryAfter, ok := p.issued.Take(time.Now(), keyOf(latest.target()), latest.Conditions.RequestsPerSecond*view.GrantorFraction(), r.Priority)
-	return permitReply{Granted: ok, RetryAfter: retryAfter, Statement: latest}
+	reply := permitReply{Granted: true, Statement: latest}
+	key := keyOf(latest.target())
+	if latest.Conditions.Brittle {
+		reported := quota.Size{Requests: running, MemoryTokens: memory}
+		capacity := quota.Size{Requests: t.Slots, MemoryTokens: r.CapacityTokens}.Times(view.GrantorFraction())
+		reply.RetryAfter, reply.Granted = p.room.Take(now, key, r.RequestID, holder, r.Priority, quota.Size{Requests: 1, MemoryTokens: r.MemoryTokens}, reported, capacity)
+	}
+	if reply.Granted && latest.Conditions.RateLimited {
+		reply.RetryAfter, reply.Granted = p.issued.Take(now, key, latest.Conditions.RequestsPerSecond*view.GrantorFraction(), r.Priority)
+		if !reply.Granted {
+			p.room.Release(now, key, r.RequestID, false)
+		}
+	}
+	return reply
 }
 
 // latest returns the latest statement that this daemon knows of the incarnation which made
@@ -156,6 +251,16 @@
 func (p *permits) expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	self := p.view().Self
+	for _, key := range p.room.Keys() {
+		p.room.Reconcile(now, key, func(holder string) int {
+			if holder == self {
+				holder = ""
+			}
+			return p.fleet.RunningOf(holder, key.Target)
+		})
+	}
+	p.room.Expire(now)
 	p.issued.Expire(now)
 	p.own.Expire(now)
 	for id, until := range p.silent {
--- a/quota/room.go
+++ b/quota/room.go
@@ -8,6 +8,11 @@
 	MemoryTokens int // of the KV cache; 0 for plain calls
 }
 
+// Times returns a fraction of a size, at least one request.
+func (s Size) Times(fraction float64) Size {
+	return Size{Requests: max(1, int(float64(s.Requests)*fraction)), MemoryTokens: int(float64(s.MemoryTokens) * fraction)}
+}
+
 // Parameters of a Room.
 const (
 	// refusalPause is how long no lease is issued after the target refused a request for
@@ -16,8 +21,12 @@
 	// growInterval is the time after which a lowered limit rises by one request.
 	growInterval = 500 * time.Millisecond
 	// roomRetryDelay is the time after which it is useful to ask again for a lease.
-	roomRetryDelay = 40 * time.Millisecond
-	// reportLag is the age from which a lease must show in its holder's load report.
+	roomRetryDelay = 15 * time.Millisecond
+	// urgentPeriod is how long a place is left to requests that got no lease.
+	urgentPeriod = 200 * time.Millisecond
+	// reportLag is the age from which a lease must show in its holder's load report. For as
+	// long a grantor that issues its first leases goes by the reports, too: requests that
+	// were sent before have no lease.
 	reportLag = 1500 * time.Millisecond
 )
 
@@ -29,12 +38,14 @@
 }
 
 type roomState struct {
-	leases   map[string]lease // by id
-	used     Size
-	limit    int // of requests; 0 if it was not lowered
-	raisedAt time.Time
-	pausedTo time.Time
-	usedAt   time.Time
+	leases    map[string]lease // by id
+	used      Size
+	denied    map[int]time.Time // the latest request without a lease, by priority
+	limit     int               // of requests; 0 if it was not lowered
+	raisedAt  time.Time
+	pausedTo  time.Time
+	createdAt time.Time
+	usedAt    time.Time
 }
 
 type lease struct {
@@ -46,20 +57,27 @@
 // NewRoom returns a room without leases.
 func NewRoom() *Room { return &Room{targets: make(map[Key]*roomState)} }
 
-// Take takes a lease for a request of a holder at a target with a capacity. A capacity of 0
-// tokens is not known. A request that is larger than the target gets a lease if it is alone.
-func (r *Room) Take(now time.Time, key Key, id, holder string, size, capacity Size) (retryAfter time.Duration, ok bool) {
+// Take takes a lease for a request of a holder at a target with a capacity. reported is what
+// runs at the target as load reports say. Those are too late for plain calls, except that
+// the first leases of a target count on them. A capacity of 0 tokens is not known. A request that is larger than the target gets a lease if it is
+// alone. After a more urgent request got none, one place is left to such for urgentPeriod;
+// priority 0 is the most urgent.
+func (r *Room) Take(now time.Time, key Key, id, holder string, priority int, size, reported, capacity Size) (retryAfter time.Duration, ok bool) {
 	s := r.targets[key]
 	if s == nil {
-		s = &roomState{leases: make(map[string]lease)}
+		s = &roomState{leases: make(map[string]lease), denied: make(map[int]time.Time), createdAt: now}
 		r.targets[key] = s
 	}
 	s.usedAt = now
+	if size.MemoryTokens == 0 && now.Sub(s.createdAt) > reportLag {
+		reported = Size{}
+	}
 	s.grow(now, capacity.Requests)
 	switch {
 	case now.Before(s.pausedTo):
 		return s.pausedTo.Sub(now), false
-	case s.used.Requests > 0 && !s.fits(size, capacity):
+	case !s.fits(s.withReserve(now, priority, size), reported, capacity):
+		s.denied[priority] = now
 		return roomRetryDelay, false
 	}
 	s.leases[id] = lease{holder, size, now}
@@ -68,6 +86,18 @@
 	return 0, true
 }
 
+// withReserve returns the size of a request with the place that it leaves to more urgent
+// ones.
+func (s *roomState) withReserve(now time.Time, priority int, size Size) Size {
+	for p, at := range s.denied {
+		if p < priority && now.Sub(at) < urgentPeriod {
+			size.Requests++
+			break
+		}
+	}
+	return size
+}
+
 // grow raises a lowered limit.
 func (s *roomState) grow(now time.Time, slots int) {
 	for s.limit > 0 && now.Sub(s.raisedAt) >= growInterval {
@@ -78,13 +108,13 @@
 	}
 }
 
-func (s *roomState) fits(size, capacity Size) bool {
-	requests := max(1, capacity.Requests)
+func (s *roomState) fits(size, reported, capacity Size) bool {
+	limit := max(1, capacity.Requests)
 	if s.limit > 0 {
-		requests = min(requests, s.limit)
+		limit = min(limit, s.limit)
 	}
-	memory := s.used.MemoryTokens + size.MemoryTokens
-	return s.used.Requests+size.Requests <= requests && (capacity.MemoryTokens <= 0 || memory <= capacity.MemoryTokens)
+	requests, memory := max(s.used.Requests, reported.Requests), max(s.used.MemoryTokens, reported.MemoryTokens)
+	return requests == 0 || requests+size.Requests <= limit && (capacity.MemoryTokens <= 0 || memory+size.MemoryTokens <= capacity.MemoryTokens)
 }
 
 // Release returns a lease. If the target refused the request, fewer are issued for a time.
