--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,7 +87,7 @@
 // New binds the daemon's addresses and connects its components. Call Run to start
 // serving. It returns an error if an address can't be bound.
 func New(s Settings, logOutput io.Writer) (*Gateway, error) {
-	return newGateway(s, logOutput, platform.DialTarget)
+	return newGateway(s, logOutput, platform.DialTargetFrom(s.Source))
 }
 
 // newGateway is New with a function that opens this daemon's own connections to targets.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -26,6 +26,10 @@
 	Seeds []string `json:"seeds,omitempty" validate:"dive,hostname_port"`
 	Store string   `json:"store" validate:"required,hostname_port"` // IP:port of the platform's store
 
+	// Source is the IP address of this VM from which it connects to targets; chosen by the
+	// system if empty.
+	Source string `json:"source,omitempty" validate:"omitempty,ip"`
+
 	LogLevel  string `json:"log_level" validate:"oneof=debug info warn error"` // minimum severity of logged events
 	EventRing int    `json:"event_ring" validate:"min=16,max=1000000"`         // number of recent events kept in memory for the timeline
 	MemoryMB  int    `json:"memory_mb" validate:"min=0"`                       // memory of the VM; 0 if unknown
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -89,6 +89,7 @@
 	for _, e := range s.engines {
 		broken = append(broken, e.checkLimits()...)
 	}
+	broken = append(broken, s.checkCuts()...)
 	for _, d := range s.daemons {
 		d.mu.Lock()
 		for _, end := range d.ownEnds {
--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -74,7 +74,7 @@
 func (d *daemon) writeSettings(logLevel string) error {
 	b, err := json.Marshal(map[string]any{
 		"id": d.id, "place": "p", "region": "r", "callers": d.callers(), "directory": d.directory(), "readiness": d.readiness(),
-		"peers": d.peers(), "seeds": d.seeds, "operations": d.address(7200), "relay": d.address(7201), "store": d.store, "memory_mb": 284, "log_level": logLevel,
+		"peers": d.peers(), "seeds": d.seeds, "operations": d.address(7200), "relay": d.address(7201), "source": d.ip, "store": d.store, "memory_mb": 284, "log_level": logLevel,
 		"retry_budget": map[string]any{"ratio": 0.8, "slack": 150, "window": budgetWindow.String()}, "grace": grace.String(),
 	})
 	if err != nil {
@@ -166,6 +166,7 @@
 	mu        sync.Mutex
 	heldUntil time.Time
 	conns     map[net.Conn]bool
+	cuts      map[string]*partition // by the IP of a daemon
 }
 
 func startProxy(t *testing.T, address, target string) *proxy {
@@ -189,6 +190,9 @@
 }
 
 func (p *proxy) serve(in net.Conn) {
+	if !p.admits(in) {
+		return
+	}
 	out, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = in.Close()
@@ -215,6 +219,7 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		p.awaitCut(to, from)
 		p.mu.Lock()
 		wait := time.Until(p.heldUntil)
 		p.mu.Unlock()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -17,7 +17,7 @@
 var plannedFaults = []fault{terminate, terminate, reloadSettings, changeConfiguration, nameLimit}
 
 // unplannedFaults excuse lost requests.
-var unplannedFaults = []fault{kill, suspend, holdLink, resetLink}
+var unplannedFaults = []fault{kill, suspend, holdLink, resetLink, cutDaemons}
 
 // inject injects faults until done is closed, each after a pause, so that they overlap.
 func (s *site) inject(done <-chan struct{}, seed uint64, faults []fault, maxPause time.Duration) {
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -48,6 +48,7 @@
 	mu       sync.Mutex
 	planned  []span
 	quiet    []span // what excuses nothing
+	cuts     []linkCut
 	troubles []span
 	stalls   []span          // of the test process, in which engines, links and clients run; excuse nothing
 	busy     map[string]bool // daemons to which something is being done
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -107,6 +107,12 @@
 	soak(t, options{planned: append([]fault{silenceEngine}, plannedFaults...)})
 }
 
+// TestSoakCuts guards against callers of daemons without links to the engines who are served
+// far less often than others.
+func TestSoakCuts(t *testing.T) {
+	soak(t, options{planned: append([]fault{silenceEngine, cutDaemons, cutDaemons, cutDaemons}, plannedFaults...)})
+}
+
 // TestSoakTrouble guards against broken rules while daemons are killed and suspended,
 // and links are held up and reset.
 func TestSoakTrouble(t *testing.T) {
