--- a/forward/crash.go
+++ b/forward/crash.go
@@ -10,9 +10,9 @@
 )
 
 // confirmTimeout bounds the connection attempt that distinguishes a crash of a target from
-// the loss of one connection. A round trip takes a few milliseconds; the rest allows for
-// CPU scheduling delays of this process.
-const confirmTimeout = 50 * time.Millisecond
+// the loss of one connection. A refusal is confirmed by another daemon, which takes two round
+// trips of a few milliseconds; the rest allows for CPU scheduling delays.
+const confirmTimeout = 200 * time.Millisecond
 
 // startPeriod is how long after its first event a run counts as just started. A request
 // that crashes its targets right after their first events counts like one that crashes
@@ -21,7 +21,7 @@
 
 // reportBrokenRun reports that the connection of a run on t broke. t crashed if no process
 // listens at its address any more. If it accepts a connection, only the run's own was
-// lost, and nothing is reported. Otherwise the outcome is not known yet.
+// lost, and nothing is reported. Otherwise the outcome is not known yet, and probes follow.
 func (f *Forwarder) reportBrokenRun(ctx context.Context, r *Request, t fleet.Target, incarnation fleet.Incarnation, atStart bool) {
 	if incarnation.Ended(time.Now()) {
 		f.CrashTracker.ReportCrash(r, t, atStart)
@@ -34,5 +34,6 @@
 		f.CrashTracker.ReportCrash(r, t, atStart)
 	case err != nil:
 		f.CrashTracker.ReportLoss(r, incarnation, atStart)
+		f.Prober.Check(t)
 	}
 }
