--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -257,6 +257,8 @@
 		Buffers: membudget.New(MaxBufferedBytes), Model: func(string) *ingress.Model { return model },
 	}
 	f.RetryBudget.SetDaemons(1)
+	permits := newSimPermits(seed)
+	f.Permits = permits
 
 	var work, background sync.WaitGroup
 	for n := range 10 + random.IntN(50) {
@@ -313,6 +315,7 @@
 		}
 	}
 	faults = append(faults, checkBudget(budget, w.requests)...)
+	faults = append(faults, permits.check()...)
 	history = append(history, fmt.Sprintf("--- history, budget %+v, copies %v", budget, model.StandbyCopies))
 	return faults, append(history, w.log...)
 }
