--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -36,6 +36,26 @@
 	return strconv.FormatFloat(c.RequestsPerSecond, 'f', -1, 64)
 }
 
+// Permits issues the permits to send requests to targets that limit them.
+type Permits interface {
+	// Take takes a permit to send a request to a target. Without one, retryAfter is the time
+	// until it is useful to ask again. Take may block for a call to another daemon.
+	Take(ctx context.Context, p PermitRequest) (retryAfter time.Duration, ok bool)
+	// Release returns the permit of a request, if it has one, when its attempt at a target
+	// has ended. refused reports whether the target refused it for want of room.
+	Release(requestID string, t fleet.Target, refused bool)
+}
+
+// PermitRequest describes a send that needs a permit.
+type PermitRequest struct {
+	RequestID string
+	Target    fleet.Target
+	Priority  int // lower ones are more urgent
+	// MemoryTokens is the KV cache memory that the request needs, and CapacityTokens that of
+	// the target; 0 if not known.
+	MemoryTokens, CapacityTokens int
+}
+
 // maxPermitRequests bounds the permits that are requested for one attempt. Each may take a
 // call to another daemon.
 const maxPermitRequests = 4
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -203,26 +203,6 @@
 	ReportCompletion(r *Request)
 }
 
-// Permits issues the permits to send requests to targets that limit them.
-type Permits interface {
-	// Take takes a permit to send a request to a target. Without one, retryAfter is the time
-	// until it is useful to ask again. Take may block for a call to another daemon.
-	Take(ctx context.Context, p PermitRequest) (retryAfter time.Duration, ok bool)
-	// Release returns the permit of a request, if it has one, when its attempt at a target
-	// has ended. refused reports whether the target refused it for want of room.
-	Release(requestID string, t fleet.Target, refused bool)
-}
-
-// PermitRequest describes a send that needs a permit.
-type PermitRequest struct {
-	RequestID string
-	Target    fleet.Target
-	Priority  int // lower ones are more urgent
-	// MemoryTokens is the KV cache memory that the request needs, and CapacityTokens that of
-	// the target; 0 if not known.
-	MemoryTokens, CapacityTokens int
-}
-
 // Forwarder forwards requests. Its fields must be set before use.
 type Forwarder struct {
 	TargetClient     TargetClient
@@ -367,10 +347,9 @@
 // noTargetError returns the error of a request for which no target can be picked.
 func (f *Forwarder) noTargetError(r *Request, err error) *failure.Error {
 	retryAfter := retryAfterBusy
-	if now := time.Now(); r.Route != nil {
-		if next, ok := f.Fleet.NextPermit(now, r.Service, r.Route.Priority); ok {
-			retryAfter = min(retryAfter, next.Sub(now))
-		}
+	now := time.Now()
+	if next, ok := f.Fleet.NextPermit(now, r.Service, r.Route.Priority); ok {
+		retryAfter = min(retryAfter, next.Sub(now))
 	}
 	return failure.Wrap(err, failure.NoTarget, failure.NotRun, "route", r.Service).WithRetryAfter(retryAfter)
 }
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -16,7 +16,8 @@
 	permitTimeout = 100 * time.Millisecond
 	// grantorRetryDelay is how long a grantor that did not answer is not called.
 	grantorRetryDelay = 300 * time.Millisecond
-	// outdatedRetryDelay is the time to ask again if daemons disagree on the grantor.
+	// outdatedRetryDelay is the time to ask again if daemons disagree on the grantor, or if the
+	// grantor of a brittle target doesn't answer.
 	outdatedRetryDelay = 50 * time.Millisecond
 )
 
