forward, gateway: targets without a report are not taken for dead (RECOVER)

Cause: probeIfQuiet probed plain targets, whose answer to a report query is status 400; a probe without a report suspected its target. With 91 daemons few of them hear a target every 300 ms, so sound booking targets were avoided: 878 refusals (no_target) and 198 suspicions in the first 12 s. A process that answers a probe is alive now, and only targets that run prompts are probed. TestTargetWithoutReportIsNotSuspected failed before.

--- a/forward/probe.go
+++ b/forward/probe.go
@@ -93,7 +93,7 @@
 	p.lastResults[t.ID] = result
 	p.mu.Unlock()
 	switch {
-	case result.Alive:
+	case result.running: // also without a report, which targets without a model don't have
 		p.fleet.MarkAlive(t.ID)
 	case terminated:
 		if p.fleet.MarkTerminated(now, t) {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -316,8 +316,8 @@
 	}
 	probes := 0
 	for id, load := range l.g.fleet.OwnLoads() {
-		if load.Running == 0 || probes == maxQuietProbes {
-			continue
+		if load.MemoryTokens == 0 || probes == maxQuietProbes {
+			continue // other targets than model engines have no report
 		}
 		if t := l.g.fleet.Incarnation(id).Target; t.ID != "" {
 			probes++
