--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -31,7 +31,7 @@
 	CapacityTokens int    `msgpack:"c,omitempty"` // of the target; 0 if not known
 }
 
-// permitRelease tells the grantor of a brittle target that a request has ended.
+// permitRelease reports to the grantor of a brittle target that a request has ended.
 type permitRelease struct {
 	Target      string `msgpack:"t"`
 	StartMillis int64  `msgpack:"b,omitempty"`
