settings: unknown keys are named and ignored

Now a daemon starts without the keys that it doesn't know, logs settings_unknown with their paths, and lists them beside other errors; settings check and gateway check-settings still fail on them.

--- a/cmd/vanillaroad/gateway.go
+++ b/cmd/vanillaroad/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaroad/vanillaroad/gateway"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/settings"
 )
 
 // gatewayCommand groups the offline commands for operators of vanillaroad-gateway.
@@ -26,6 +27,9 @@
 	return &cobra.Command{Use: "check-settings FILE", Short: "Check a daemon's settings file and list every error", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			s, err := gateway.LoadSettings(args[0])
+			if err == nil {
+				err = settings.CheckUnknown(s.Unknown)
+			}
 			if err != nil {
 				return errors.Wrap(errBadInput, err.Error())
 			}
--- a/cmd/vanillaroad/operate.go
+++ b/cmd/vanillaroad/operate.go
@@ -63,7 +63,11 @@
 	root.AddCommand(
 		&cobra.Command{Use: "check FILE", Short: "Check a settings file and list every error", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
-				if _, err := settings.Load(args[0]); err != nil {
+				s, err := settings.Load(args[0])
+				if err == nil {
+					err = settings.CheckUnknown(s.Unknown)
+				}
+				if err != nil {
 					return errors.Wrap(errBadInput, err.Error())
 				}
 				printf(c, "%s is good\n", args[0])
--- a/event/numbers_node.go
+++ b/event/numbers_node.go
@@ -9,6 +9,7 @@
 
 	SettingsReloaded Number = 104
 	SettingsRefused  Number = 105
+	SettingsUnknown  Number = 106
 )
 
 var nodeEntries = []Entry{
@@ -18,4 +19,5 @@
 	{NodeFailed, "node_failed", Error, "The daemon failed and cannot continue.", "Read the fields error and step; restart the VM."},
 	{SettingsReloaded, "settings_reloaded", Info, "The settings file was reloaded.", ""},
 	{SettingsRefused, "settings_refused", Error, "The settings file is invalid; the previous settings stay active.", "Fix the errors listed in the field error."},
+	{SettingsUnknown, "settings_unknown", Warn, "The settings file has keys that this build doesn't know; they are ignored.", "If no other build is in use, correct the keys listed in the field keys."},
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,6 +108,7 @@
 	g.settings.Store(&s)
 	g.events.LimitRoutineLogs(routineLinesPerSecond)
 	store := platform.NewClient("http://"+s.Store, g.metrics)
+	g.reportUnknownSettings(s)
 	store.OnInvalidEra = func(stated string, latest int64) {
 		g.events.Record(event.EraInvalid, "", event.F("stated", stated), event.F("latest", strconv.FormatInt(latest, 10)))
 	}
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"reflect"
+	"strings"
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/event"
@@ -53,6 +54,7 @@
 		g.events.Record(event.SettingsRefused, "", event.F("error", err.Error()))
 		return
 	}
+	g.reportUnknownSettings(s)
 	previous := g.settings.Swap(&s)
 	g.forwarder.RetryBudget.UpdateSettings(s.RetryBudget.budgetSettings())
 	changed := "false"
@@ -61,3 +63,10 @@
 	}
 	g.events.Record(event.SettingsReloaded, "", event.F("changed", changed))
 }
+
+// reportUnknownSettings logs the keys of the settings file that were ignored.
+func (g *Gateway) reportUnknownSettings(s Settings) {
+	if len(s.Unknown) > 0 {
+		g.events.Record(event.SettingsUnknown, "", event.F("keys", strings.Join(s.Unknown, ",")))
+	}
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -39,6 +39,9 @@
 	Grace jsontime.Duration `json:"grace" validate:"gt=0"`
 	// DirectoryTTL is how long callers may cache a directory answer.
 	DirectoryTTL jsontime.Duration `json:"directory_ttl" validate:"gt=0"`
+
+	// Unknown has the paths of the keys that this build doesn't know and ignores.
+	Unknown []string `json:"-"`
 }
 
 // RetryBudget limits the retries that all daemons together make for a service within any
@@ -70,4 +73,8 @@
 
 // LoadSettings reads and validates a settings file. The error lists all invalid
 // settings.
-func LoadSettings(path string) (Settings, error) { return settings.Read(path, DefaultSettings()) }
+func LoadSettings(path string) (Settings, error) {
+	s, unknown, err := settings.Read(path, DefaultSettings())
+	s.Unknown = unknown
+	return s, err
+}
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,6 +141,9 @@
 	n.runPlacement(background)
 	serveErr := make(chan error, 1)
 	n.spawn(func() { serveErr <- n.server.Serve(n.listener) })
+	if unknown := n.settings.Unknown; len(unknown) > 0 {
+		n.events.Record(event.SettingsUnknown, "", event.F("keys", strings.Join(unknown, ",")))
+	}
 	n.events.Record(event.NodeStarted, "", event.F("api", n.settings.APIAddress), event.F("peer", n.settings.PeerAddress))
 	var err error
 	select {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -40,6 +41,9 @@
 	Quarantine   quarantine.Settings   `json:"quarantine"`
 	Confirmation confirmation.Settings `json:"confirmation"`
 	Placement    placement.Settings    `json:"placement"`
+
+	// Unknown has the paths of the keys that this build doesn't know and ignores.
+	Unknown []string `json:"-"`
 }
 
 // Default returns the default settings. Settings without a default are zero.
@@ -61,33 +65,44 @@
 func (f ValidationErrors) Error() string { return "bad settings: " + strings.Join(f, "; ") }
 
 // Load reads and validates the settings file of a daemon.
-func Load(path string) (Settings, error) { return Read(path, Default()) }
+func Load(path string) (Settings, error) {
+	s, unknown, err := Read(path, Default())
+	s.Unknown = unknown
+	return s, err
+}
 
-// Parse decodes b over the defaults and validates the result. Unknown keys are
-// errors.
-func Parse(b []byte) (Settings, error) { return decode(b, Default()) }
+// Parse decodes b over the defaults and validates the result.
+func Parse(b []byte) (Settings, error) {
+	s, unknown, err := decode(b, Default())
+	s.Unknown = unknown
+	return s, err
+}
 
 // Read reads the JSON settings file at path over the defaults and validates the
-// result. T is the settings type of the process. Unknown keys are errors, and all
+// result. T is the settings type of the process. It ignores the keys that T doesn't have
+// and returns their paths: the file may be that of a newer or an older build. All
 // validation errors are reported at once.
-func Read[T any](path string, defaults T) (T, error) {
+func Read[T any](path string, defaults T) (s T, unknown []string, err error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		var zero T
-		return zero, errors.Wrap(err, "read settings")
+		return s, nil, errors.Wrap(err, "read settings")
 	}
-	s, err := decode(b, defaults)
-	return s, errors.Wrap(err, path)
+	s, unknown, err = decode(b, defaults)
+	return s, unknown, errors.Wrap(err, path)
 }
 
-func decode[T any](b []byte, s T) (T, error) {
+func decode[T any](b []byte, s T) (T, []string, error) {
 	dec := json.NewDecoder(bytes.NewReader(b))
-	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
 		var none T
-		return none, ValidationErrors{err.Error()}
+		return none, nil, ValidationErrors{err.Error()}
 	}
-	return s, validateStruct(s)
+	unknown, err := unknownKeys(b, reflect.TypeFor[T]())
+	if err != nil {
+		var none T
+		return none, nil, ValidationErrors{err.Error()}
+	}
+	return s, unknown, validateStruct(s, unknown)
 }
 
 var validate = newValidator()
@@ -99,8 +114,9 @@
 }
 
 // validateStruct checks the validation tags of s. It returns ValidationErrors with
-// all violations, or nil.
-func validateStruct(s any) error {
+// all violations, or nil. The violations also name the unknown keys, as a required setting
+// may be misspelled.
+func validateStruct(s any, unknown []string) error {
 	var fields validator.ValidationErrors
 	err := validate.Struct(s)
 	if err == nil {
@@ -109,10 +125,26 @@
 	if !errors.As(err, &fields) {
 		return errors.WithStack(err)
 	}
-	var out ValidationErrors
+	out := describeUnknown(unknown)
 	for _, f := range fields {
 		_, path, _ := strings.Cut(f.Namespace(), ".")
 		out = append(out, fmt.Sprintf("%s: %v fails %q", path, f.Value(), strings.TrimSpace(f.Tag()+" "+f.Param())))
 	}
 	return out
 }
+
+// CheckUnknown returns ValidationErrors that name the unknown keys of a file, or nil if it
+// has none.
+func CheckUnknown(unknown []string) error {
+	if len(unknown) == 0 {
+		return nil
+	}
+	return describeUnknown(unknown)
+}
+
+func describeUnknown(unknown []string) (out ValidationErrors) {
+	for _, key := range unknown {
+		out = append(out, key+": unknown setting, ignored by this build")
+	}
+	return out
+}
