fleet, forward: targets that state that they leave get no requests (DRAIN)

Nothing read the header in which a target states that it leaves. A daemon sent requests there until the store's entry said so, which may be later, or never.

The statement is one more source of the state that the entry sets, for first sends, retries, resumes, returns, copies and relayed connections, until a new incarnation registers.

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -23,6 +23,7 @@
 	ConditionsStated Number = 718
 	LinksLost        Number = 719
 	LinksRestored    Number = 720
+	PauseRequested   Number = 721
 )
 
 var forwardEntries = []Entry{
@@ -41,7 +42,8 @@
 	{AttemptKept, "attempt_kept", Warn, "The target of a stream is silent, and the attempt goes on because no other target can take it; no_attempt says why.", "Look for target_suspected events of the same target."},
 	{OriginAssumed, "origin_assumed", Info, "No daemon knows the stream that a caller takes up; it continues at the only software version that may have begun it.", ""},
 	{RequestReturned, "request_returned", Info, "A request returns to a target that it was taken from for silence, because no other target can get it.", ""},
-	{ConditionsStated, "target_conditions", Info, "A target states other conditions in its answers than before: limit is the number of requests a second that it takes from all daemons together, or none; a brittle one fails if it has to refuse many.", "A limit that persists: the target needs relief."},
+	{ConditionsStated, "target_conditions", Info, "A target states other conditions in its answers than before: limit is the number of requests a second that it takes from all daemons together, or none; a brittle one fails if it has to refuse many; a leaving one gets no new requests until it starts again.", "A limit that persists: the target needs relief."},
+	{PauseRequested, "target_pause", Info, "A target refused a request and wants no other one from this daemon for the time in the field for.", "A pause that persists: the target needs relief."},
 	{LinksLost, "links_lost", Warn, "This daemon reaches no target directly and connects through other daemons; target is the last one that failed.", "Check the network between this VM and the targets."},
 	{LinksRestored, "links_restored", Info, "Targets answer on direct connections again.", ""},
 	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -79,12 +79,12 @@
 }
 
 // Unusable returns a channel that is closed once the target should get no new
-// requests or copies: it is declared failed (see Lost), leaves or is removed. It is
-// closed already for a target that is unknown, leaving or terminated.
+// requests or copies: it is declared failed (see Lost), leaves, asks for a pause or is
+// removed. It is closed already for a target that is unknown, leaving, paused or terminated.
 func (f *Fleet) Unusable(now time.Time, id string) <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.targets[id]; s != nil && !s.Leaving && !s.terminated(now) {
+	if s := f.targets[id]; s != nil && !s.isLeaving(now) && !now.Before(s.pausedUntil) && !s.terminated(now) {
 		return s.unusable
 	}
 	return closedChannel
@@ -187,7 +187,7 @@
 	Unknown   State = "unknown" // it has no entry, was replaced or has terminated
 	Leaving   State = "leaving"
 	Suspected State = "suspected"
-	Avoided   State = "avoided" // it refused a request recently, or a peer suspects it
+	Avoided   State = "avoided" // it refused a request recently, asked for a pause, or a peer suspects it
 )
 
 // State returns the state of a target at a time.
@@ -201,11 +201,11 @@
 	switch {
 	case s == nil || s.terminated(now):
 		return Unknown
-	case s.Leaving:
+	case s.isLeaving(now):
 		return Leaving
 	case now.Before(s.suspectUntil):
 		return Suspected
-	case now.Before(s.avoidUntil):
+	case now.Before(s.avoidUntil), now.Before(s.pausedUntil):
 		return Avoided
 	}
 	return Ready
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/routing"
@@ -61,11 +62,36 @@
 }
 
 // Pick returns the target to which a request should be sent. Targets whose entries are
-// missing are considered only if the service has no other candidates. The error is
+// missing are considered only if the service has no other candidates, and targets that leave
+// only by the word of another daemon if none else is usable. The error is
 // routing.ErrNoTarget if none is usable.
 func (f *Fleet) Pick(now time.Time, criteria Criteria) (Target, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	t, err := f.pick(now, criteria)
+	if errors.Is(err, routing.ErrNoTarget) && f.distrustRelayedLeaving(now, criteria.Service) {
+		t, err = f.pick(now, criteria)
+	}
+	return t, err
+}
+
+// distrustRelayedLeaving drops what other daemons reported of leaving targets if it leaves a
+// service without any. It reports whether there was something to drop.
+func (f *Fleet) distrustRelayedLeaving(now time.Time, service string) (dropped bool) {
+	for _, s := range f.services[service] {
+		if s.state(now) == Ready {
+			return false
+		}
+	}
+	for _, s := range f.services[service] {
+		if now.Before(s.relayedLeavingUntil) {
+			s.relayedLeavingUntil, dropped = now, true
+		}
+	}
+	return dropped
+}
+
+func (f *Fleet) pick(now time.Time, criteria Criteria) (Target, error) {
 	candidates := f.candidates(now, criteria, false)
 	if len(candidates) == 0 {
 		candidates = f.candidates(now, criteria, true)
@@ -98,6 +124,9 @@
 	defer f.mu.Unlock()
 	for _, s := range f.services[criteria.Service] {
 		state := s.state(now)
+		if s.pausedUntil.Sub(now) > SuspectDuration {
+			continue
+		}
 		forAWhile := state == Suspected || state == Avoided || state == Ready && s.throttled(now, criteria.Priority)
 		if !criteria.Exclude[s.ID] && criteria.allowsVersion(s.SoftwareVersion) && forAWhile {
 			return true
@@ -123,7 +152,8 @@
 		candidates = append(candidates, routing.Candidate{
 			Target:  configuration.Target{Name: s.ID, Address: s.Address, Place: s.Place, Permits: max(1, s.Slots)},
 			Free:    true,
-			Leaving: s.Leaving || s.terminated(now), Down: now.Before(s.suspectUntil) || now.Before(s.avoidUntil) || s.throttled(now, criteria.Priority),
+			Leaving: s.isLeaving(now) || s.terminated(now),
+			Down:     now.Before(s.suspectUntil) || now.Before(s.avoidUntil) || now.Before(s.pausedUntil) || s.throttled(now, criteria.Priority),
 			InFlight: s.running, Estimated: float64(running), Slots: s.Slots, Near: near,
 			Start: s.expectedStartDelay(now, prefillTokens+criteria.MemoryTokens, running), Failing: s.failureRate.value(now, 0),
 			Filled: memoryUsage(memoryTokens+criteria.MemoryTokens, criteria.CapacityTokens),
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/fleet"
@@ -16,6 +17,10 @@
 // from a part of the target that knows of none.
 func (f *Forwarder) send(ctx context.Context, a Attempt) (*Answer, error) {
 	answer, err := f.TargetClient.Send(ctx, a)
+	if err == nil && answer.Pause > 0 && f.Fleet.Pause(time.Now(), a.Target, answer.Pause) {
+		metrics.GetOrRegisterCounter("targets.pauses", f.Metrics).Inc(1)
+		f.Events.Record(event.PauseRequested, a.Request.ID, event.F("target", a.Target.ID), event.F("for", answer.Pause.String()))
+	}
 	if err != nil || answer.OtherTarget || !answer.Signed && answer.Conditions == (fleet.Conditions{}) {
 		return answer, err
 	}
@@ -23,7 +28,7 @@
 		if f.OnStatement != nil {
 			f.OnStatement(a.Target, statement)
 		}
-		f.Events.Record(event.ConditionsStated, a.Request.ID, event.F("target", a.Target.ID), event.F("limit", describeLimit(answer.Conditions)), event.F("brittle", strconv.FormatBool(answer.Conditions.Brittle)))
+		f.Events.Record(event.ConditionsStated, a.Request.ID, event.F("target", a.Target.ID), event.F("limit", describeLimit(answer.Conditions)), event.F("brittle", strconv.FormatBool(answer.Conditions.Brittle)), event.F("leaving", strconv.FormatBool(answer.Conditions.Leaving)))
 	}
 	return answer, nil
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -108,6 +108,9 @@
 	Signed bool
 	// Conditions are those that the target states in the answer.
 	Conditions fleet.Conditions
+	// Pause is how long the target, which refused, wants no other request from this daemon;
+	// 0 if not stated.
+	Pause time.Duration
 }
 
 // lacksRoom reports whether the target refused the request for want of room.
@@ -348,8 +351,8 @@
 func (f *Forwarder) noTargetError(r *Request, err error) *failure.Error {
 	retryAfter := retryAfterBusy
 	now := time.Now()
-	if next, ok := f.Fleet.NextPermit(now, r.Service, r.Route.Priority); ok {
-		retryAfter = min(retryAfter, next.Sub(now))
+	if next, only, ok := f.Fleet.NextPermit(now, r.Service, r.Route.Priority); ok && (only || next.Sub(now) < retryAfter) {
+		retryAfter = next.Sub(now)
 	}
 	return failure.Wrap(err, failure.NoTarget, failure.NotRun, "route", r.Service).WithRetryAfter(retryAfter)
 }
--- a/gateway/conditions_site_test.go
+++ b/gateway/conditions_site_test.go
@@ -65,6 +65,16 @@
 	refusals   []time.Time // for want of room
 	fallen     time.Time   // until when it is down; zero if it never was
 	falls      int
+	exchanges  []conditionsExchange
+	pausing    time.Duration // stated in refusals of all requests; 0 if it refuses only for want of room
+}
+
+// conditionsExchange is one request that arrived at a target, with its answer.
+type conditionsExchange struct {
+	daemon                      *conditionsDaemon
+	received, arrived, answered time.Time // by the daemon; at the target; zero if it was not
+	leaving                     bool
+	pause                       time.Duration
 }
 
 // statedConditions are the conditions that a target states from a time on.
@@ -107,7 +117,7 @@
 		f.Put(t.Target)
 	}
 	d.Forwarder = &forward.Forwarder{
-		TargetClient: &conditionsClient{s}, Fleet: f, Events: events, Metrics: metrics.NewRegistry(), CrashTracker: noCrashes{}, Origins: singleVersion{},
+		TargetClient: &conditionsClient{s, d}, Fleet: f, Events: events, Metrics: metrics.NewRegistry(), CrashTracker: noCrashes{}, Origins: singleVersion{},
 		PlacementLimiter: forward.NewPlacementLimiter(),
 		RetryBudget:      forward.NewRetryBudget(time.Now().Add(-time.Minute), forward.RetryBudgetSettings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}),
 		Buffers:          membudget.New(forward.MaxBufferedBytes),
@@ -348,7 +358,10 @@
 func (noCrashes) ReportCompletion(*forward.Request)                      {}
 
 // conditionsClient is the forward.TargetClient of the daemons of a site.
-type conditionsClient struct{ *conditionsSite }
+type conditionsClient struct {
+	*conditionsSite
+	daemon *conditionsDaemon
+}
 
 // Send implements forward.TargetClient.
 func (s *conditionsClient) Send(ctx context.Context, a forward.Attempt) (*forward.Answer, error) {
@@ -363,7 +376,9 @@
 		s.mu.Unlock()
 		return nil, errors.WithStack(errNotListening)
 	}
-	full := t.running >= t.Slots
+	t.exchanges = append(t.exchanges, conditionsExchange{daemon: s.daemon, received: a.Request.Received, arrived: time.Now()})
+	exchange := len(t.exchanges) - 1
+	full := t.running >= t.Slots || t.pausing > 0
 	if full {
 		t.refuse()
 	} else {
@@ -374,6 +389,7 @@
 	answer := &forward.Answer{Status: http.StatusOK, Signed: true, Framed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))}
 	if full {
 		answer.Status, answer.NotRun, answer.Signed = http.StatusServiceUnavailable, true, false
+		answer.Pause = t.pausing
 	} else {
 		time.Sleep(serviceTime)
 		if failing {
@@ -391,6 +407,8 @@
 	if ctx.Err() != nil {
 		return nil, errors.WithStack(forward.ErrNoAnswer)
 	}
+	e := &t.exchanges[exchange]
+	e.answered, e.leaving, e.pause = time.Now(), answer.Conditions.Leaving, answer.Pause
 	return answer, nil
 }
 
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -367,7 +367,7 @@
 // connectFor connects directly to a registered target for another daemon.
 func (l *links) connectFor(ctx context.Context, t relay.Target) (net.Conn, error) {
 	target := l.g.fleet.Incarnation(t.ID).Target
-	if target.ID == "" || target.Address != t.Address {
+	if target.ID == "" || target.Address != t.Address || !l.g.fleet.MayRelayTo(time.Now(), t.ID) {
 		return nil, relay.ErrRejected
 	}
 	return l.dialDirect(ctx, target)
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -245,7 +245,8 @@
 
 // apply records a statement that another daemon received.
 func (p *permits) apply(s targetStatement) {
-	p.fleet.RecordPeerStatement(s.target(), fleet.Statement{Conditions: s.Conditions, At: time.Now().Add(-s.Age)})
+	now := time.Now()
+	p.fleet.RecordPeerStatement(now, s.target(), fleet.Statement{Conditions: s.Conditions, At: now.Add(-s.Age)})
 }
 
 // expire drops state that is no longer in use.
