--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -379,6 +379,9 @@
 		d.g.applyConfigurationChange(c, origin)
 	case platform.TargetKind:
 		d.g.applyTargetChange(c, d.entriesMayReturn(time.Now()))
+		if origin.source == sourceStore {
+			d.g.noteVersions(c)
+		}
 	case memberKind:
 		d.g.members.applyChange(c, d.entriesMayReturn(time.Now()))
 	}
--- a/gateway/origin_store.go
+++ b/gateway/origin_store.go
@@ -84,19 +84,36 @@
 	if write {
 		s.requestWrite()
 	}
-	if s.noted[r.Service] == nil {
-		s.noted[r.Service] = make(origin.Versions)
+	s.note(ctx, now, r.Origin)
+}
+
+// noteRegistered stores the versions of registered targets before streams begin there, unless
+// that was done lately: the store may be away when they do. It does not block.
+func (s *originStore) noteRegistered(ctx context.Context, now time.Time, service string, versions []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range versions {
+		s.note(ctx, now, origin.Origin{Service: service, SoftwareVersion: v})
 	}
-	if noted := s.noted[r.Service]; !noted.Fresh(now, r.SoftwareVersion) {
-		noted.Note(now, r.SoftwareVersion)
-		go retryStore(ctx, func(ctx context.Context) error {
-			err := s.writeVersion(ctx, r.Origin)
-			if err == nil && s.onStored != nil {
-				s.onStored(storedVersions{r.Service, origin.Versions{r.SoftwareVersion: now}})
-			}
-			return err
-		})
+}
+
+// note stores a version, unless that was done lately. s.mu is held.
+func (s *originStore) note(ctx context.Context, now time.Time, where origin.Origin) {
+	if s.noted[where.Service] == nil {
+		s.noted[where.Service] = make(origin.Versions)
+	}
+	noted := s.noted[where.Service]
+	if noted.Fresh(now, where.SoftwareVersion) {
+		return
 	}
+	noted.Note(now, where.SoftwareVersion)
+	go retryStore(ctx, func(ctx context.Context) error {
+		err := s.writeVersion(ctx, where)
+		if err == nil && s.onStored != nil {
+			s.onStored(storedVersions{where.Service, origin.Versions{where.SoftwareVersion: now}})
+		}
+		return err
+	})
 }
 
 // storedVersions reports to all daemons that software versions of a service are stored, so
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// noteVersions stores the software versions of changed targets. The daemon that read the change
+// does, as it reaches the store.
+func (g *Gateway) noteVersions(c exchange.Change) {
+	services := make(map[string]bool)
+	for _, e := range c.Changed {
+		if t, err := platform.DecodeTarget(toObject(e)); err == nil {
+			services[t.Service] = true
+		}
+	}
+	for service := range services {
+		g.origins.store.noteRegistered(g.peers.ctx, time.Now(), service, g.fleet.SoftwareVersions(service))
+	}
+}
+
 // expireTargets removes the targets whose missing entries did not return in time, and
 // drops the state that other components hold of removed targets.
 func (g *Gateway) expireTargets() {
--- a/gateway/taken_up_test.go
+++ b/gateway/taken_up_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/vanillaroad/vanillaroad/internal/standin"
+	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
@@ -269,3 +271,39 @@
 	}
 	return err != nil
 }
+
+// TestStreamOfAnOutageIsNotJoined guards against text that is joined from two software
+// versions: streams began during an outage of the store, all daemons ended, and the targets
+// of their version had left when the daemons were back.
+func TestStreamOfAnOutageIsNotJoined(t *testing.T) {
+	e := newStreamEnv(t)
+	e.addTarget("i-1", "v1")
+	store := e.store.Listener.Addr().String()
+	s, stop := e.startDaemon("vm-1", store)
+	eventually(e.gateways["vm-1"].ready)
+	eventually(func() bool { return e.noted("v1") })
+	e.platform.SetFaults(standin.PlatformFaults{Down: true})
+	eventually(e.gateways["vm-1"].datasets.storeFailed)
+	began, status := e.takeUp(s.Callers, "", 0, 3)
+	if status != http.StatusOK {
+		t.Fatalf("a new stream got status %d", status)
+	}
+	stop()
+	eventually(e.gateways["vm-1"].stopped)
+	e.platform.SetFaults(standin.PlatformFaults{})
+	if err := e.storeClient.Delete(context.Background(), platform.TargetKind, "i-1", objectstore.AnyVersion); err != nil {
+		t.Fatal(err)
+	}
+	e.addTarget("i-2", "v2")
+	s, _ = e.startDaemon("vm-1", store)
+	eventually(e.gateways["vm-1"].ready)
+	if id, status := e.takeUp(s.Callers, began, 2, 3); status != http.StatusServiceUnavailable || e.version(id) != "" {
+		t.Errorf("a stream that v1 began: status %d (want 503), continued by %q (want by none)", status, e.version(id))
+	}
+}
+
+// noted reports whether the store has a software version, or can't get it.
+func (e *streamEnv) noted(version string) bool {
+	o, err := e.storeClient.Get(context.Background(), versionsKind, "s")
+	return err == nil && strings.Contains(string(o.Value), `"`+version+`"`)
+}
