--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,12 +116,12 @@
 	g.store = store
 	g.members, g.datasets, g.startup = newMembers(g), newDatasets(g), newStartup(g)
 	g.origins = newOrigins(g)
-	g.crashTracker = newCrashTracker(g.events, func(request quarantine.RequestKey) { g.peers.crashReports.sendToAll(request) },
+	g.crashTracker = newCrashTracker(g.events, func(request quarantine.RequestKey) { g.peers.sendCrashes(request) },
 		func(request quarantine.RequestKey) { g.verdicts.save(request) })
 	g.newer = &newerVersions{g: g}
 	g.verdicts = newVerdicts(g.store, g.events, g.crashTracker)
 	g.crashTracker.saveParts, g.crashTracker.runsTrials = g.verdicts.saveParts, g.members.runsTrials
-	g.crashTracker.sendSound = func(parts soundParts) { g.peers.sendToAll(kindSoundParts, parts) }
+	g.crashTracker.sendSound = func(parts soundParts) { g.peers.sendEverywhere(kindSoundParts, parts) }
 	g.forwarder = &forward.Forwarder{
 		TargetClient: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, Origins: g.origins, PlacementLimiter: forward.NewPlacementLimiter(),
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
@@ -139,7 +139,7 @@
 	})
 	g.forwarder.Permits = g.permits
 	g.forwarder.OnStatement = func(t fleet.Target, s fleet.Statement) {
-		g.peers.sendToAll(kindStatement, newTargetStatement(time.Now(), t, s))
+		g.peers.sendEverywhere(kindStatement, newTargetStatement(time.Now(), t, s))
 	}
 	var err error
 	if g.peers, err = newPeers(g); err != nil {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -70,6 +70,8 @@
 	LinksLost bool `msgpack:"k,omitempty"`
 	// HeardAgain asks daemons for what this one may have missed, see exchange.MemberList.
 	HeardAgain map[string]uint64 `msgpack:"h,omitempty"`
+	// Crashes are recent crash reports, in large fleets only.
+	Crashes []quarantine.CrashReport `msgpack:"c,omitempty"`
 	// KnowsReporters is false in reports of older builds, which get reports from each daemon.
 	KnowsReporters bool `msgpack:"d,omitempty"`
 }
@@ -81,6 +83,7 @@
 	ctx       context.Context
 
 	crashReports *crashReportSender
+	crashNews    *crashNews
 	digests      *digests
 
 	mu          sync.Mutex
@@ -99,6 +102,7 @@
 	p := &peers{g: g, transport: t, ctx: context.Background(), suspectedAt: make(map[string]time.Time)}
 	p.digests = newDigests(p)
 	g.origins.store.onStored = func(v storedVersions) { p.broadcast(kindVersions, v) }
+	p.crashNews = newCrashNews(g.crashTracker.reportsOn, func(reports []quarantine.CrashReport) { p.broadcast(kindCrashReports, reports) })
 	p.crashReports = newCrashReportSender(g.members.others, g.members.live, g.crashTracker.reportsOn, p.callCrashReports)
 	peer.HandleTyped(t, kindUpdate, p.handleUpdate)
 	peer.HandleTyped(t, kindSnapshot, p.handleQuery)
@@ -142,6 +146,25 @@
 	return len(others)
 }
 
+// sendCrashes sends the crash reports of a request to all other daemons without waiting.
+func (p *peers) sendCrashes(request quarantine.RequestKey) {
+	if _, large := p.g.members.usesReporters(); large {
+		p.crashNews.add(request)
+		return
+	}
+	p.crashReports.sendToAll(request)
+}
+
+// sendEverywhere sends a message to all other daemons: itself, or in a large fleet along a
+// tree.
+func (p *peers) sendEverywhere(kind peer.Kind, message any) {
+	if _, large := p.g.members.usesReporters(); large {
+		p.broadcast(kind, message)
+		return
+	}
+	p.sendToAll(kind, message)
+}
+
 // send sends a message. Lost messages are counted but not logged, because there are
 // many while a daemon is disconnected. The next message or the next read of the store
 // makes up for a lost one.
@@ -193,6 +216,7 @@
 		}
 		report := p.g.loadReport()
 		if interval, ok := p.g.members.usesReporters(); ok {
+			report.Crashes = p.crashNews.take()
 			p.digests.send(report)
 			pause.For(ctx, interval)
 			continue
@@ -300,6 +324,9 @@
 	}
 	p.g.links.handleHeartbeat(from.ID, report.LinksLost, report.Leaving)
 	p.g.origins.apply(report.Origins)
+	if len(report.Crashes) > 0 {
+		p.g.crashTracker.applyReports(from.ID, report.Crashes)
+	}
 	p.g.fleet.SetPeerLoads(from.ID, report.Loads)
 	p.g.newer.note(from, report.Version)
 }
