forward, gateway: daemons share the probes of a place that is lost

Cause: each daemon that lost a target probed those that it used and five others of the place, and five more for each that it found dead: 295 daemons all probed 49 targets within 1.2 s, each probe of a dead one with a connection through another daemon and a broadcast.

All daemons together now probe each target of a place about seven times, as before in fleets up to 76. A daemon whose streams all still read their prompts takes a silence of 1 s, not 0.3 s, for a sign that its links are lost.

--- a/fleet/health.go
+++ b/fleet/health.go
@@ -177,6 +177,18 @@
 	return append(used, idle[:min(maxIdle, len(idle))]...)
 }
 
+// PlaceSize returns the number of registered targets of t's service in t's place.
+func (f *Fleet) PlaceSize(t Target) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services[t.Service] {
+		if s.Place == t.Place {
+			n++
+		}
+	}
+	return n
+}
+
 // State is the availability of a target for new work: Ready, or the reason why it gets
 // none.
 type State string
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,10 +21,13 @@
 	probeTimeout = 200 * time.Millisecond
 	// probeResultTTL is how long the result of a successful probe is reused.
 	probeResultTTL = 100 * time.Millisecond
-	// maxPlaceProbes is how many targets in the place of a lost target are probed, in
+	// maxPlaceProbes is how many targets in the place of a lost target are probed at most, in
 	// addition to those that this daemon uses. They are drawn at random, so other
 	// daemons probe other targets.
 	maxPlaceProbes = 5
+	// probesPerTarget is how often all daemons together probe such a target about, if they
+	// are so many that maxPlaceProbes of each would be more.
+	probesPerTarget = 7
 	// reprobeDelay is the time until a target that did not answer is probed again. It
 	// lets the second probe complete before the suspicion ends.
 	reprobeDelay = fleet.SuspectDuration - 2*probeTimeout
@@ -48,6 +53,8 @@
 	// reports whether the target's process has certainly ended.
 	OnSuspect func(t fleet.Target, terminated bool)
 
+	daemons atomic.Int64 // that share the targets
+
 	mu          sync.Mutex
 	pending     map[string][]chan<- ProbeResult // channels for the result of the probe in flight, by target id
 	lastResults map[string]ProbeResult          // by target id
@@ -157,14 +164,26 @@
 	}
 }
 
+// SetDaemons sets the number of daemons that share the targets.
+func (p *Prober) SetDaemons(n int) { p.daemons.Store(int64(n)) }
+
 // CheckPlace probes targets of t's service in t's place, since the targets of a place
 // often restart together: those that this daemon uses, and a few others.
 func (p *Prober) CheckPlace(t fleet.Target) {
-	for _, neighbour := range p.fleet.SamePlaceTargets(time.Now(), t, maxPlaceProbes) {
+	now := time.Now()
+	idle := placeProbes(p.fleet.PlaceSize(t), int(p.daemons.Load()), rand.Float64())
+	for _, neighbour := range p.fleet.SamePlaceTargets(now, t, idle) {
 		p.Check(neighbour)
 	}
 }
 
+// placeProbes returns how many idle targets of a place one of the daemons probes. draw is
+// drawn from [0, 1): in large fleets, only some daemons probe one.
+func placeProbes(targets, daemons int, draw float64) int {
+	share := float64(probesPerTarget*targets) / float64(max(1, daemons))
+	return min(maxPlaceProbes, int(share+draw))
+}
+
 // Check probes t to update the fleet.
 func (p *Prober) Check(t fleet.Target) { p.Probe(t, make(chan ProbeResult, 1)) }
 
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -32,8 +32,10 @@
 	// linkCheckInterval is the time between two checks of the links.
 	linkCheckInterval = 100 * time.Millisecond
 	// quietPeriod is the time without bytes of any target after which targets that are in
-	// use are probed.
-	quietPeriod = 300 * time.Millisecond
+	// use are probed, if one of them should be sending events, and quietPrefillPeriod if all
+	// still read prompts: that takes a second.
+	quietPeriod        = 300 * time.Millisecond
+	quietPrefillPeriod = time.Second
 	// maxQuietProbes is the number of targets probed then.
 	maxQuietProbes = 3
 	// restoreCheckInterval is the time between two direct reports that are requested while
@@ -314,8 +316,12 @@
 	if l.monitor.AnsweredSince(now.Add(-quietPeriod)) {
 		return
 	}
+	loads := l.g.fleet.OwnLoads()
+	if !sendsEvents(loads) && l.monitor.AnsweredSince(now.Add(-quietPrefillPeriod)) {
+		return
+	}
 	probes := 0
-	for id, load := range l.g.fleet.OwnLoads() {
+	for id, load := range loads {
 		if load.MemoryTokens == 0 || probes == maxQuietProbes {
 			continue // other targets than model engines have no report
 		}
@@ -326,6 +332,16 @@
 	}
 }
 
+// sendsEvents reports whether a target runs a stream and reads no prompt.
+func sendsEvents(loads map[string]fleet.DaemonLoad) bool {
+	for _, load := range loads {
+		if load.Running > 0 && load.MemoryTokens > 0 && load.PrefillTokens == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // checkRestored requests reports of targets on new direct connections.
 func (l *links) checkRestored(ctx context.Context) {
 	client := platform.NewTargetClient(l.dial)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -172,6 +172,7 @@
 	n := m.list.Len()
 	m.mu.Unlock()
 	m.g.forwarder.RetryBudget.SetDaemons(n)
+	m.g.forwarder.Prober.SetDaemons(n)
 	m.g.fleet.SetStaleness(loadInterval(n - 1))
 	m.g.datasets.setReaders(n)
 }
