gateway: few connections through other daemons at a time while the own links work

Each connection to a target that doesn't answer within 0.1 s, or refuses, is opened through up to three other daemons as well, those of the target's place first. When a place of a large fleet is lost, all 295 daemons ask its 44. A daemon now opens four at a time unless its own links are lost; the other connections fail as the direct one does.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -27,6 +27,10 @@
 	relayDelay = 100 * time.Millisecond
 	// maxRelayAttempts is the number of daemons that are asked to relay one connection.
 	maxRelayAttempts = 3
+	// maxRelayChecks is the number of connections that are opened through other daemons at a
+	// time while this daemon's own links work. When a place is lost, all daemons would ask
+	// the few of that place for each of its targets.
+	maxRelayChecks = 4
 	// relayRetryDelay is how long a daemon that failed to relay is not asked again.
 	relayRetryDelay = time.Second
 	// linkCheckInterval is the time between two checks of the links.
@@ -56,6 +60,7 @@
 	dial    platform.DialFunc // opens a direct connection
 	monitor *uplink.Monitor
 	server  *relay.Server
+	checks  chan struct{} // holds a value for each of the maxRelayChecks that are made
 
 	mu     sync.Mutex
 	relays map[string]*relayState // by id of the daemon
@@ -69,7 +74,7 @@
 }
 
 func newLinks(g *Gateway, dial platform.DialFunc) *links {
-	l := &links{g: g, dial: dial, monitor: uplink.NewMonitor(), relays: make(map[string]*relayState)}
+	l := &links{g: g, dial: dial, monitor: uplink.NewMonitor(), checks: make(chan struct{}, maxRelayChecks), relays: make(map[string]*relayState)}
 	l.server = &relay.Server{Connect: l.connectFor, LinksWork: l.reachesAnother}
 	return l
 }
@@ -197,6 +202,14 @@
 // dialThroughPeers opens a connection to a target through another daemon. The error is
 // syscall.ECONNREFUSED if that daemon finds no process at the target's address.
 func (l *links) dialThroughPeers(ctx context.Context, t fleet.Target) (net.Conn, error) {
+	if !l.monitor.Lost() {
+		select {
+		case l.checks <- struct{}{}:
+			defer func() { <-l.checks }()
+		default:
+			return nil, errors.New("too many connections are being opened through other daemons")
+		}
+	}
 	err := errors.New("no other daemon relays")
 	for _, m := range l.candidates(t) {
 		var conn net.Conn
