fleet, vanillaroad: show what a daemon believes of the targets

Operators could see only in the log why a target got no requests. GET /targets at a daemon's operations address, and 'vanillaroad gateway targets', list the places, the worst first, with what their targets state and for how long.

--- a/cmd/vanillaroad/gateway.go
+++ b/cmd/vanillaroad/gateway.go
@@ -16,10 +16,10 @@
 	"github.com/vanillaroad/vanillaroad/settings"
 )
 
-// gatewayCommand groups the offline commands for operators of vanillaroad-gateway.
+// gatewayCommand groups the commands for operators of vanillaroad-gateway.
 func gatewayCommand() *cobra.Command {
-	c := &cobra.Command{Use: "gateway", Short: "Check the files and read the logs of vanillaroad-gateway daemons"}
-	c.AddCommand(gatewaySettingsCommand(), gatewayConfigurationCommand(), gatewayFollowCommand())
+	c := &cobra.Command{Use: "gateway", Short: "Check the files, read the logs and show the state of vanillaroad-gateway daemons"}
+	c.AddCommand(gatewaySettingsCommand(), gatewayConfigurationCommand(), gatewayFollowCommand(), gatewayTargetsCommand())
 	return c
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -53,9 +53,9 @@
 	callLatencyMillis   estimate              // of plain calls
 	statement           Statement             // latest conditions
 	throttle            throttle
-	leavingStated       bool      // the target stated to this daemon that it leaves
-	relayedLeavingUntil time.Time // another daemon reports that it leaves; zero if none did
-	pausedUntil         time.Time // the target asked this daemon for no requests until then
+	leavingStated       bool          // the target stated to this daemon that it leaves
+	relayedLeavingUntil time.Time     // another daemon reports that it leaves; zero if none did
+	pausedUntil         time.Time     // the target asked this daemon for no requests until then
 	lost                chan struct{} // closed when the target is declared failed
 	unusable            chan struct{} // closed when lost is closed, or the target leaves or is removed
 }
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -150,9 +150,9 @@
 			near = routing.SamePlace
 		}
 		candidates = append(candidates, routing.Candidate{
-			Target:  configuration.Target{Name: s.ID, Address: s.Address, Place: s.Place, Permits: max(1, s.Slots)},
-			Free:    true,
-			Leaving: s.isLeaving(now) || s.terminated(now),
+			Target:   configuration.Target{Name: s.ID, Address: s.Address, Place: s.Place, Permits: max(1, s.Slots)},
+			Free:     true,
+			Leaving:  s.isLeaving(now) || s.terminated(now),
 			Down:     now.Before(s.suspectUntil) || now.Before(s.avoidUntil) || now.Before(s.pausedUntil) || s.throttled(now, criteria.Priority),
 			InFlight: s.running, Estimated: float64(running), Slots: s.Slots, Near: near,
 			Start: s.expectedStartDelay(now, prefillTokens+criteria.MemoryTokens, running), Failing: s.failureRate.value(now, 0),
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/vanillaroad/vanillaroad/internal/exposition"
 )
 
-// operationsHandler serves the metrics for operators.
+// operationsHandler serves the metrics and the state of the targets for operators.
 func (g *Gateway) operationsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -19,5 +21,9 @@
 		exposition.WriteRegistry(&out, g.metrics)
 		_, _ = w.Write(out.Bytes()) // a client that disconnected repeats the request
 	})
+	mux.HandleFunc("GET /targets", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(g.fleet.Describe(time.Now())) // a client that disconnected repeats the request
+	})
 	return mux
 }
