exchange, gateway: callers of large fleets are spread over all daemons

Cause: the directory answered with all live daemons, sorted by id, and callers use 64 addresses of an answer at most. The sites of 76 to 91 daemons had the same fault.

A caller gets 64 daemons by a hash of its address, half of them of its own place: different callers get different ones, and a caller keeps its own while they live. TestCallersAreSpread fails with the first 64 of the list.

Also: in fleets above 100 all daemons together probe each target of a lost place about twice, not seven times, and relayed connections are looked through for silent daemons only if there are any.

--- a/forward/probe.go
+++ b/forward/probe.go
@@ -25,9 +25,10 @@
 	// addition to those that this daemon uses. They are drawn at random, so other
 	// daemons probe other targets.
 	maxPlaceProbes = 5
-	// probesPerTarget is how often all daemons together probe such a target about, if they
-	// are so many that maxPlaceProbes of each would be more.
-	probesPerTarget = 7
+	// In fleets of more than fullProbeDaemons, all daemons together probe each such target
+	// about probesPerTarget times.
+	fullProbeDaemons = 100
+	probesPerTarget  = 2
 	// reprobeDelay is the time until a target that did not answer is probed again. It
 	// lets the second probe complete before the suspicion ends.
 	reprobeDelay = fleet.SuspectDuration - 2*probeTimeout
@@ -180,7 +181,10 @@
 // placeProbes returns how many idle targets of a place one of the daemons probes. draw is
 // drawn from [0, 1): in large fleets, only some daemons probe one.
 func placeProbes(targets, daemons int, draw float64) int {
-	share := float64(probesPerTarget*targets) / float64(max(1, daemons))
+	if daemons <= fullProbeDaemons {
+		return maxPlaceProbes
+	}
+	share := float64(probesPerTarget*targets) / float64(daemons)
 	return min(maxPlaceProbes, int(share+draw))
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -228,10 +228,10 @@
 	return g.table.Load() != nil && g.fleet.Len() > 0 && !g.draining.Load()
 }
 
-// directoryAnswer returns the addresses that callers should connect to, and false if
+// directoryAnswer returns the addresses that a caller should connect to, and false if
 // there are none.
-func (g *Gateway) directoryAnswer() (platform.DirectoryAnswer, bool) {
-	addresses := g.members.directory()
+func (g *Gateway) directoryAnswer(q platform.DirectoryQuery) (platform.DirectoryAnswer, bool) {
+	addresses := g.members.directoryFor(q)
 	return platform.DirectoryAnswer{Addresses: addresses, TTL: g.settings.Load().DirectoryTTL.Std()}, len(addresses) > 0
 }
 
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -377,6 +377,15 @@
 
 // breakSilent closes the connections through daemons that are no longer heard.
 func (l *links) breakSilent() {
+	l.mu.Lock()
+	used := false
+	for _, s := range l.relays {
+		used = used || len(s.open) > 0
+	}
+	l.mu.Unlock()
+	if !used {
+		return
+	}
 	_, silent := l.g.members.othersByLiveness()
 	var broken []net.Conn
 	l.mu.Lock()
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/peer"
+	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/quota"
 )
 
@@ -333,14 +334,26 @@
 }
 
 // directory returns the addresses that callers should connect to.
-func (m *members) directory() []string {
+func (m *members) directory() []string { return addressesOf(m.directoryMembers()) }
+
+// directoryFor returns the addresses that a caller should connect to, as many as it uses.
+func (m *members) directoryFor(q platform.DirectoryQuery) []string {
+	return addressesOf(exchange.SelectForCaller(m.directoryMembers(), q.Caller, q.Place, platform.MaxDirectoryAddresses))
+}
+
+func (m *members) directoryMembers() []exchange.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []string
-	for _, o := range m.list.Directory(time.Now()) {
-		if o.ID != m.self.ID || !m.g.draining.Load() {
-			out = append(out, o.Callers)
-		}
+	out := m.list.Directory(time.Now())
+	if m.g.draining.Load() {
+		out = slices.DeleteFunc(out, func(o exchange.Member) bool { return o.ID == m.self.ID })
+	}
+	return out
+}
+
+func addressesOf(list []exchange.Member) (out []string) {
+	for _, o := range list {
+		out = append(out, o.Callers)
 	}
 	return out
 }
