--- a/exchange/reporters_test.go
+++ b/exchange/reporters_test.go
@@ -289,3 +289,40 @@
 		}
 	}
 }
+
+// TestOlderBuildsGetReports guards against daemons of an older build, which don't know
+// reporters, that hear nobody while the daemons of a large fleet are replaced.
+func TestOlderBuildsGetReports(t *testing.T) {
+	l := NewMemberList("vm-0", 1)
+	l.UseReporters(true)
+	for i := range 12 {
+		id := fmt.Sprint("vm-", i)
+		l.Put(start, Member{ID: id, Place: fmt.Sprint("place-", i%2)})
+		if i > 0 {
+			l.RecordHeartbeat(start, id, 1, false)
+			l.MarkBuild(id, i%3 == 0)
+		}
+	}
+	direct := make(map[string]bool)
+	for _, m := range l.Unrelayed(start, 0, 1) {
+		direct[m.ID] = true
+	}
+	reporters, _ := l.Reporters(start, "place-0")
+	reporters = append(reporters, l.RemoteReporters(start, "place-0", 0)...)
+	for i := 1; i < 12; i++ {
+		if id := fmt.Sprint("vm-", i); direct[id] != (i%3 == 0) {
+			t.Errorf("%s, of an older build: %t, gets reports directly: %t", id, i%3 == 0, direct[id])
+		}
+	}
+	for _, m := range reporters {
+		if direct[m.ID] {
+			t.Errorf("%s is a reporter and has an older build", m.ID)
+		}
+	}
+	if later := start.Add(silenceTimeout); l.Live(later, "vm-3") || !l.Live(later, "vm-1") {
+		t.Error("daemons of an older build must count as silent after silenceTimeout, others later")
+	}
+	if len(reporters) != 2*reportersPerPlace {
+		t.Errorf("%d reporters of two places, want %d", len(reporters), 2*reportersPerPlace)
+	}
+}
