--- a/exchange/reporters.go
+++ b/exchange/reporters.go
@@ -152,10 +152,10 @@
 	return out
 }
 
-// Neighbors returns the other registered daemons of a place.
+// Neighbors returns the other registered daemons of a place, without those of an older build.
 func (l *MemberList) Neighbors(place string) (out []Member) {
 	for _, m := range l.rankedReporters(place) {
-		if m.ID != l.self {
+		if m.ID != l.self && !l.heartbeats[m.ID].olderBuild {
 			out = append(out, m)
 		}
 	}
--- a/exchange/reporters_test.go
+++ b/exchange/reporters_test.go
@@ -291,7 +291,7 @@
 }
 
 // TestOlderBuildsGetReports guards against daemons of an older build, which don't know
-// reporters, that hear nobody while the daemons of a large fleet are replaced.
+// reporters, that get no reports while the daemons of a large fleet are replaced.
 func TestOlderBuildsGetReports(t *testing.T) {
 	l := NewMemberList("vm-0", 1)
 	l.UseReporters(true)
@@ -314,15 +314,15 @@
 			t.Errorf("%s, of an older build: %t, gets reports directly: %t", id, i%3 == 0, direct[id])
 		}
 	}
-	for _, m := range reporters {
+	for _, m := range append(reporters, l.Neighbors("place-0")...) {
 		if direct[m.ID] {
-			t.Errorf("%s is a reporter and has an older build", m.ID)
+			t.Errorf("%s, of an older build, gets reports or digests", m.ID)
 		}
 	}
 	if later := start.Add(silenceTimeout); l.Live(later, "vm-3") || !l.Live(later, "vm-1") {
 		t.Error("daemons of an older build must count as silent after silenceTimeout, others later")
 	}
-	if len(reporters) != 2*reportersPerPlace {
+	if len(reporters) != 2*reportersPerPlace || len(l.Neighbors("place-0")) != 4 {
 		t.Errorf("%d reporters of two places, want %d", len(reporters), 2*reportersPerPlace)
 	}
 }
--- a/gateway/startup.go
+++ b/gateway/startup.go
@@ -52,7 +52,7 @@
 
 	mu       sync.Mutex
 	verdicts bool                    // the stored crash reports are known here
-	encoded  map[string]startDataset // by kind; its checksum tells whether it is the latest
+	encoded  map[string]startDataset // by kind; outdated if its checksum is not that of the dataset
 }
 
 func newStartup(g *Gateway) *startup {
