gateway, peer: log stalls of the daemon, and how long updates and decoding take

Logs couldn't tell a full link from a busy processor. configuration_in_force says how long a read or the arrival of an update took, how long the update waited here and how long the decoding took. daemon_stalled (107) is logged when a check of 250 ms is late by as much, with probes, goroutines, garbage collection and memory since the last such line.

--- a/event/numbers_node.go
+++ b/event/numbers_node.go
@@ -10,6 +10,8 @@
 	SettingsReloaded Number = 104
 	SettingsRefused  Number = 105
 	SettingsUnknown  Number = 106
+
+	DaemonStalled Number = 107
 )
 
 var nodeEntries = []Entry{
@@ -20,4 +22,5 @@
 	{SettingsReloaded, "settings_reloaded", Info, "The settings file was reloaded.", ""},
 	{SettingsRefused, "settings_refused", Error, "The settings file is invalid; the previous settings stay active.", "Fix the errors listed in the field error."},
 	{SettingsUnknown, "settings_unknown", Warn, "The settings file has keys that this build doesn't know; they are ignored.", "If no other build is in use, correct the keys listed in the field keys."},
+	{DaemonStalled, "daemon_stalled", Warn, "The daemon did not run for as long as late says; gc_cycles and gc_ms are those of the garbage collector since the last such line.", "Compare gc_ms with late: a VM without enough memory collects garbage all the time. If it is small, the VM has too little processor time or was paused."},
 }
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -55,6 +55,7 @@
 	OnSuspect func(t fleet.Target, terminated bool)
 
 	daemons atomic.Int64 // that share the targets
+	probes  atomic.Int64 // that were made
 
 	mu          sync.Mutex
 	pending     map[string][]chan<- ProbeResult // channels for the result of the probe in flight, by target id
@@ -87,7 +88,11 @@
 	}
 }
 
+// Probes returns how many probes were made so far.
+func (p *Prober) Probes() int64 { return p.probes.Load() }
+
 func (p *Prober) runProbe(t fleet.Target) {
+	p.probes.Add(1)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	startedAt := time.Now()
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -11,6 +11,7 @@
 	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/objectstore"
+	"github.com/vanillaroad/vanillaroad/peer"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
@@ -191,7 +192,7 @@
 // applyRead applies a read of the store and sends the changes to the peers.
 func (d *datasets) applyRead(ctx context.Context, sentAt time.Time, kind string, objects []objectstore.Object, position objectstore.Position) {
 	var update exchange.Update
-	d.modify(kind, sourceStore, func(dataset *exchange.Dataset) (c exchange.Change) {
+	d.modify(kind, changeOrigin{source: sourceStore, took: time.Since(sentAt)}, func(dataset *exchange.Dataset) (c exchange.Change) {
 		c, update = dataset.ApplyRead(sentAt, objects, position)
 		return c
 	})
@@ -220,8 +221,12 @@
 	d.g.peers.sendUpdate(u)
 }
 
-func (d *datasets) applyUpdate(u exchange.Update) {
-	d.modify(u.Kind, sourceUpdate, func(dataset *exchange.Dataset) exchange.Change {
+func (d *datasets) applyUpdate(ctx context.Context, u exchange.Update) {
+	origin := changeOrigin{source: sourceUpdate}
+	if a, ok := peer.ArrivalOf(ctx); ok {
+		origin.took, origin.waited = a.Last.Sub(a.First), time.Since(a.Last)
+	}
+	d.modify(u.Kind, origin, func(dataset *exchange.Dataset) exchange.Change {
 		c := dataset.ApplyUpdate(time.Now(), u)
 		d.repeats[u.Kind].add(time.Now(), len(u.Changed)-len(c.Changed), u.ValueBytes()-c.ValueBytes())
 		return c
@@ -237,7 +242,7 @@
 }
 
 func (d *datasets) applySnapshot(snapshot exchange.Snapshot) {
-	d.modify(snapshot.Kind, sourceSnapshot, func(dataset *exchange.Dataset) exchange.Change { return dataset.ApplySnapshot(time.Now(), snapshot) })
+	d.modify(snapshot.Kind, changeOrigin{source: sourceSnapshot}, func(dataset *exchange.Dataset) exchange.Change { return dataset.ApplySnapshot(time.Now(), snapshot) })
 }
 
 // Sources of a change, as named in log lines.
@@ -251,7 +256,9 @@
 // changeOrigin says how a change reached this daemon.
 type changeOrigin struct {
 	source    string
-	lastMatch time.Time // when the dataset was last known to match the store, before the change
+	took      time.Duration // of the read of the store, or from an update's first byte to its last
+	waited    time.Duration // of an update, from its last byte to its application
+	lastMatch time.Time     // when the dataset was last known to match the store, before the change
 }
 
 // fields returns the origin and the size of a change for a log line.
@@ -260,13 +267,16 @@
 	if !o.lastMatch.IsZero() {
 		lastMatch = time.Since(o.lastMatch).Round(time.Millisecond).String()
 	}
-	return []event.Field{event.F("source", o.source), event.F("bytes", strconv.Itoa(bytes)), event.F("last_match_ago", lastMatch)}
+	return []event.Field{
+		event.F("source", o.source), event.F("bytes", strconv.Itoa(bytes)), event.F("last_match_ago", lastMatch),
+		event.F("took", o.took.Round(time.Millisecond).String()), event.F("waited", o.waited.Round(time.Millisecond).String()),
+	}
 }
 
 // modify modifies a dataset and applies the resulting change. Changes are applied in
 // the order in which they were made; otherwise an older state of an entry could
 // overwrite a newer one.
-func (d *datasets) modify(kind, source string, mutate func(*exchange.Dataset) exchange.Change) {
+func (d *datasets) modify(kind string, origin changeOrigin, mutate func(*exchange.Dataset) exchange.Change) {
 	dataset := d.byKind[kind]
 	if dataset == nil {
 		return // a newer version of the daemon may send a kind that this one does not know
@@ -274,7 +284,8 @@
 	d.applyMu.Lock()
 	defer d.applyMu.Unlock()
 	d.mu.Lock()
-	origin, before := changeOrigin{source, dataset.LastMatch()}, dataset.Position()
+	origin.lastMatch = dataset.LastMatch()
+	before := dataset.Position()
 	expected := dataset.ExpectsEra()
 	c := mutate(dataset)
 	if !expected && dataset.ExpectsEra() {
@@ -290,7 +301,7 @@
 		defer d.g.startup.setLoaded()
 	}
 	if c.NewEra {
-		d.g.events.Record(event.StoreRestored, "", event.F("kind", kind), event.F("source", source), event.F("era", formatPosition(after)),
+		d.g.events.Record(event.StoreRestored, "", event.F("kind", kind), event.F("source", origin.source), event.F("era", formatPosition(after)),
 			event.F("previous", formatPosition(before)), event.F("changed", strconv.Itoa(len(c.Changed))), event.F("removed", strconv.Itoa(len(c.Removed))))
 		d.handleRestoration(kind, after.Era)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -249,6 +249,7 @@
 	g.wg.Go(func() { g.origins.store.run(backgroundCtx) })
 	g.wg.Go(func() { g.closeIdleConns(backgroundCtx) })
 	g.wg.Go(func() { g.links.run(backgroundCtx) })
+	g.wg.Go(func() { newStallWatch(g.events, g.forwarder.Prober.Probes).run(backgroundCtx) })
 	if g.relayListener != nil {
 		g.wg.Go(func() { g.links.server.Serve(g.relayListener) })
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -257,8 +257,8 @@
 	p.digests.forget(p.g.members.registered)
 }
 
-func (p *peers) handleUpdate(_ context.Context, _ peer.Identity, u exchange.Update) (any, error) {
-	p.g.datasets.applyUpdate(u)
+func (p *peers) handleUpdate(ctx context.Context, _ peer.Identity, u exchange.Update) (any, error) {
+	p.g.datasets.applyUpdate(ctx, u)
 	return nil, nil
 }
 
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -28,6 +28,7 @@
 // later version, as after a restoration of the store from an older copy. One that can't be
 // decoded is ignored. originFields are the fields of the log line about its origin.
 func (g *Gateway) applyConfiguration(e exchange.Entry, originFields []event.Field) {
+	decodeFrom := time.Now()
 	d, err := platform.DecodeDocument(toObject(e))
 	if err != nil {
 		g.events.Record(event.ConfigurationRefused, "", append(originFields, event.F("error", err.Error()))...)
@@ -40,7 +41,8 @@
 	}
 	g.document.Store(&e)
 	g.table.Store(ingress.NewTable(d))
-	g.events.Record(event.ConfigurationActivated, "", append(originFields, event.F("version", strconv.FormatInt(d.Version, 10)))...)
+	g.events.Record(event.ConfigurationActivated, "", append(originFields, event.F("version", strconv.FormatInt(d.Version, 10)),
+		event.F("decoding", time.Since(decodeFrom).Round(time.Millisecond).String()))...)
 }
 
 // applyTargetChange applies changed and removed entries of targets. mayReturn is true if
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -159,11 +159,13 @@
 			c.close(err)
 			return
 		}
+		first := time.Now()
 		e, err := readFrame(r, maxFrameBytes)
 		if err != nil {
 			c.close(silenceError(err))
 			return
 		}
+		e.arrival = Arrival{First: first, Last: time.Now()}
 		c.markAlive()
 		c.transport.countTraffic(e.Kind, e.size)
 		c.transport.observeTime(e.Time)
@@ -259,7 +261,7 @@
 	go func() {
 		defer c.transport.wg.Done()
 		defer func() { <-c.handlerSlots }()
-		ctx, cancel := context.WithCancel(c.transport.ctx)
+		ctx, cancel := context.WithCancel(context.WithValue(c.transport.ctx, arrivalKey{}, e.arrival))
 		defer cancel()
 		body, err := c.transport.dispatch(ctx, c.remote, e.Kind, e.Body)
 		if e.ID == 0 {
--- a/peer/message.go
+++ b/peer/message.go
@@ -69,5 +69,6 @@
 	Time  int64              `msgpack:"t,omitempty"` // event.Time at which the sender wrote the frame; 0 if unknown
 	Body  msgpack.RawMessage `msgpack:"b,omitempty"`
 
-	size int // bytes of the received frame; not encoded
+	size    int     // bytes of the received frame; not encoded
+	arrival Arrival // of the received frame; not encoded
 }
