forward: few checks of targets at a time, one repetition of each

Cause: a small daemon that is busy for some hundred milliseconds gets the answers to its probes too late and suspects sound targets. Each newly suspected target led to probes of others of its place and to a message to all daemons, each failed probe of a suspected target to another one after 1.1 s, whoever had asked for it, and all at once.

Now at most 8 probes that no stream waits for are in flight, the others wait in a queue, each target once, and a suspected target has one repetition. The work for silent targets is bounded by the time that they take, whatever their number.

--- a/fleet/health.go
+++ b/fleet/health.go
@@ -64,6 +64,19 @@
 	return newlySuspected
 }
 
+// ExtendSuspicion lets the suspicion of a target last for another SuspectDuration. It returns
+// false if the target is not suspected.
+func (f *Fleet) ExtendSuspicion(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.targets[id]
+	if s.state(now) != Suspected {
+		return false
+	}
+	s.suspectUntil = now.Add(SuspectDuration)
+	return true
+}
+
 // markLost closes the current lost and unusable channels and replaces them for the next
 // failure.
 func (s *targetState) markLost() {
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -29,6 +29,9 @@
 	// about probesPerTarget times.
 	fullProbeDaemons = 100
 	probesPerTarget  = 2
+	// maxChecks is how many probes are in flight at a time that no stream waits for. Each
+	// costs about a millisecond of processor time, and a silent target takes probeTimeout.
+	maxChecks = 8
 	// reprobeDelay is the time until a target that did not answer is probed again. It
 	// lets the second probe complete before the suspicion ends.
 	reprobeDelay = fleet.SuspectDuration - 2*probeTimeout
@@ -45,7 +48,9 @@
 }
 
 // Prober checks whether targets are alive. At most one probe of a target is in flight,
-// and all streams on the target share its result. It is safe for concurrent use.
+// and all streams on the target share its result. Probes that no stream waits for, the
+// checks, wait for each other, so that their number doesn't grow with that of the targets
+// that seem silent. It is safe for concurrent use.
 type Prober struct {
 	client TargetClient
 	fleet  *fleet.Fleet
@@ -60,11 +65,13 @@
 	mu          sync.Mutex
 	pending     map[string][]chan<- ProbeResult // channels for the result of the probe in flight, by target id
 	lastResults map[string]ProbeResult          // by target id
+	checks      checkQueue
+	recheckDue  map[string]bool // by target id: a check is due after reprobeDelay
 }
 
 // NewProber returns a prober that reports its results to the fleet.
 func NewProber(client TargetClient, f *fleet.Fleet, events *event.Recorder) *Prober {
-	return &Prober{client: client, fleet: f, events: events, pending: make(map[string][]chan<- ProbeResult), lastResults: make(map[string]ProbeResult)}
+	return &Prober{client: client, fleet: f, events: events, pending: make(map[string][]chan<- ProbeResult), lastResults: make(map[string]ProbeResult), checks: newCheckQueue(maxChecks), recheckDue: make(map[string]bool)}
 }
 
 // Probe probes t and sends the outcome to reply, unless reply is full.
@@ -77,7 +84,7 @@
 func (p *Prober) ProbeSince(t fleet.Target, reply chan<- ProbeResult, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if last, ok := p.lastResults[t.ID]; ok && last.Alive && time.Since(last.completedAt) < probeResultTTL && !last.startedAt.Before(since) {
+	if last, ok := p.reusable(t); ok && !last.startedAt.Before(since) {
 		deliver(reply, last)
 		return
 	}
@@ -88,6 +95,13 @@
 	}
 }
 
+// reusable returns the result of the last probe of t, and false if it is too old or the
+// target was not alive. p.mu is held.
+func (p *Prober) reusable(t fleet.Target) (ProbeResult, bool) {
+	last, ok := p.lastResults[t.ID]
+	return last, ok && last.Alive && time.Since(last.completedAt) < probeResultTTL
+}
+
 // Probes returns how many probes were made so far.
 func (p *Prober) Probes() int64 { return p.probes.Load() }
 
@@ -149,11 +163,7 @@
 // that it gets no new work while it is down.
 func (p *Prober) suspect(now time.Time, t fleet.Target, err error) {
 	newlySuspected := p.fleet.Suspect(now, t.ID)
-	time.AfterFunc(reprobeDelay, func() {
-		if p.fleet.State(time.Now(), t.ID) == fleet.Suspected {
-			p.Check(t)
-		}
-	})
+	p.recheckLater(t)
 	if !newlySuspected {
 		return
 	}
@@ -193,8 +203,65 @@
 	return min(maxPlaceProbes, int(share+draw))
 }
 
-// Check probes t to update the fleet.
-func (p *Prober) Check(t fleet.Target) { p.Probe(t, make(chan ProbeResult, 1)) }
+// recheckLater probes a suspected target again after reprobeDelay. Several failed probes of
+// a target lead to one further check.
+func (p *Prober) recheckLater(t fleet.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.recheckDue[t.ID] {
+		return
+	}
+	p.recheckDue[t.ID] = true
+	time.AfterFunc(reprobeDelay, func() {
+		p.mu.Lock()
+		delete(p.recheckDue, t.ID)
+		p.mu.Unlock()
+		if p.fleet.ExtendSuspicion(time.Now(), t.ID) {
+			p.Check(t)
+		}
+	})
+}
+
+// Check probes t to update the fleet, after the checks that are due already.
+func (p *Prober) Check(t fleet.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, inFlight := p.pending[t.ID]
+	if _, known := p.reusable(t); known || inFlight {
+		return
+	}
+	if p.checks.add(time.Now(), t) {
+		p.pending[t.ID] = nil
+		go p.runCheck(t)
+	}
+}
+
+// runCheck makes the check of t, and then those that are due.
+func (p *Prober) runCheck(t fleet.Target) {
+	for more := true; more; {
+		p.runProbe(t)
+		t, more = p.nextCheck()
+	}
+}
+
+// nextCheck returns the target to check next, and false if there is none: the place of the
+// last check is free then.
+func (p *Prober) nextCheck() (fleet.Target, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		c, ok := p.checks.next()
+		if !ok {
+			return fleet.Target{}, false
+		}
+		_, inFlight := p.pending[c.target.ID]
+		if inFlight || p.lastResults[c.target.ID].startedAt.After(c.at) || !p.fleet.Has(c.target.ID) {
+			continue // a stream's probe tells the same, or the target is gone
+		}
+		p.pending[c.target.ID] = nil
+		return c.target, true
+	}
+}
 
 // Forget drops the results of targets for which keep returns false.
 func (p *Prober) Forget(keep func(id string) bool) {
