forward: a probe proves nothing while the daemon itself is late

internal/lag measures how late a wake-up each 50 ms is. A probe that fails while the daemon was late by over 25 ms is made again with twice the time, at most twice in a row. daemon_stalled comes from the same meter.

--- a/forward/probe.go
+++ b/forward/probe.go
@@ -32,6 +32,12 @@
 	// maxChecks is how many probes are in flight at a time that no stream waits for. Each
 	// costs about a millisecond of processor time, and a silent target takes probeTimeout.
 	maxChecks = 8
+	// maxLateness is how late this daemon may be while it waits for the answer to a probe
+	// that then shows that the target is silent. If it is later than that, the answer may
+	// have waited here. The target is probed again at once, with twice the time, at most
+	// maxLateProbes times in a row.
+	maxLateness   = 25 * time.Millisecond
+	maxLateProbes = 2
 	// reprobeDelay is the time until a target that did not answer is probed again. It
 	// lets the second probe complete before the suspicion ends.
 	reprobeDelay = fleet.SuspectDuration - 2*probeTimeout
@@ -59,6 +65,10 @@
 	// reports whether the target's process has certainly ended.
 	OnSuspect func(t fleet.Target, terminated bool)
 
+	// Lateness returns how late this daemon was at most from a time on, because its
+	// processor was busy. It may be nil.
+	Lateness func(since, now time.Time) time.Duration
+
 	daemons atomic.Int64 // that share the targets
 	probes  atomic.Int64 // that were made
 
@@ -67,11 +77,12 @@
 	lastResults map[string]ProbeResult          // by target id
 	checks      checkQueue
 	recheckDue  map[string]bool // by target id: a check is due after reprobeDelay
+	lateProbes  map[string]int  // by target id: probes in a row that ended too late to show anything
 }
 
 // NewProber returns a prober that reports its results to the fleet.
 func NewProber(client TargetClient, f *fleet.Fleet, events *event.Recorder) *Prober {
-	return &Prober{client: client, fleet: f, events: events, pending: make(map[string][]chan<- ProbeResult), lastResults: make(map[string]ProbeResult), checks: newCheckQueue(maxChecks), recheckDue: make(map[string]bool)}
+	return &Prober{client: client, fleet: f, events: events, pending: make(map[string][]chan<- ProbeResult), lastResults: make(map[string]ProbeResult), checks: newCheckQueue(maxChecks), recheckDue: make(map[string]bool), lateProbes: make(map[string]int)}
 }
 
 // Probe probes t and sends the outcome to reply, unless reply is full.
@@ -107,7 +118,10 @@
 
 func (p *Prober) runProbe(t fleet.Target) {
 	p.probes.Add(1)
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	p.mu.Lock()
+	timeout := probeTimeout << p.lateProbes[t.ID]
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	startedAt := time.Now()
 	report, err := p.client.Report(ctx, t)
@@ -118,6 +132,12 @@
 	waiters := p.pending[t.ID]
 	delete(p.pending, t.ID)
 	p.lastResults[t.ID] = result
+	late := !result.running && !terminated && p.lateProbes[t.ID] < maxLateProbes && p.lateness(startedAt, now) > maxLateness
+	if late {
+		p.lateProbes[t.ID]++
+	} else {
+		delete(p.lateProbes, t.ID)
+	}
 	p.mu.Unlock()
 	switch {
 	case result.running: // also without a report, which targets without a model don't have
@@ -127,6 +147,8 @@
 			p.events.Record(event.TargetTerminated, "", event.F("target", t.ID), event.F("place", t.Place))
 			p.reportSuspect(t, true)
 		}
+	case late:
+		p.Check(t)
 	default:
 		p.suspect(now, t, err)
 	}
@@ -135,6 +157,14 @@
 	}
 }
 
+// lateness returns how late this daemon was at most from a time on.
+func (p *Prober) lateness(since, now time.Time) time.Duration {
+	if p.Lateness == nil {
+		return 0
+	}
+	return p.Lateness(since, now)
+}
+
 // hasTerminated reports whether the outcome of a probe shows that the process of a target
 // has ended.
 func hasTerminated(t fleet.Target, r Report, err error) bool {
@@ -268,4 +298,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.lastResults, func(id string, _ ProbeResult) bool { return !keep(id) })
+	maps.DeleteFunc(p.lateProbes, func(id string, _ int) bool { return !keep(id) })
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/lag"
 	"github.com/vanillaroad/vanillaroad/internal/membudget"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
@@ -59,6 +60,7 @@
 	draining  atomic.Bool              // a planned stop has started
 	stopping  atomic.Pointer[stopPlan] // nil until a planned stop has started
 	durations *routeDurations
+	lag       lag.Meter
 	inFlight  atomic.Int64 // callers' requests being served
 	// cancelAnswerTime is cancelAnswerTime, longer in tests on slow machines.
 	cancelAnswerTime time.Duration
@@ -146,6 +148,7 @@
 		return nil, err
 	}
 	g.forwarder.Prober.OnSuspect = g.links.handleSuspicion
+	g.forwarder.Prober.Lateness = g.lag.Since
 	if err := g.listenForRelays(s.Relay); err != nil {
 		g.peers.transport.Close()
 		return nil, err
@@ -249,7 +252,9 @@
 	g.wg.Go(func() { g.origins.store.run(backgroundCtx) })
 	g.wg.Go(func() { g.closeIdleConns(backgroundCtx) })
 	g.wg.Go(func() { g.links.run(backgroundCtx) })
-	g.wg.Go(func() { newStallWatch(g.events, g.forwarder.Prober.Probes).run(backgroundCtx) })
+	g.wg.Go(func() {
+		g.lag.Run(backgroundCtx, stallAbove, newStallWatch(g.events, g.forwarder.Prober.Probes).report)
+	})
 	if g.relayListener != nil {
 		g.wg.Go(func() { g.links.server.Serve(g.relayListener) })
 	}
--- a/gateway/stalls.go
+++ b/gateway/stalls.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"runtime"
 	"runtime/metrics"
 	"strconv"
@@ -10,13 +9,9 @@
 	"github.com/vanillaroad/vanillaroad/event"
 )
 
-// A daemon stalls if it gets no processor time for a while, or has more to do than it gets.
-// All its streams pause meanwhile, and nothing else is logged.
-const (
-	stallCheckInterval = 250 * time.Millisecond
-	// stallAbove is how late a check is that is reported.
-	stallAbove = 250 * time.Millisecond
-)
+// stallAbove is how late the daemon is that is reported. All its streams pause meanwhile, and
+// nothing else is logged.
+const stallAbove = 250 * time.Millisecond
 
 // Names of runtime metrics.
 const (
@@ -27,11 +22,13 @@
 	metricReleased = "/memory/classes/heap/released:bytes"
 )
 
-// stallWatch reports stalls of the daemon.
+// stallWatch reports that the daemon was late, because it got no processor time for a while
+// or had more to do than it gets.
 type stallWatch struct {
-	events  *event.Recorder
-	probes  func() int64 // number of probes of targets so far
-	samples []metrics.Sample
+	events     *event.Recorder
+	probes     func() int64 // number of probes of targets so far
+	samples    []metrics.Sample
+	lastProbes int64 // at the last report
 }
 
 func newStallWatch(events *event.Recorder, probes func() int64) *stallWatch {
@@ -39,37 +36,20 @@
 	for _, name := range []string{metricGCCycles, metricGCTime, metricHeap, metricMapped, metricReleased} {
 		w.samples = append(w.samples, metrics.Sample{Name: name})
 	}
+	metrics.Read(w.samples)
 	return w
 }
 
-// run checks until ctx is done.
-func (w *stallWatch) run(ctx context.Context) {
-	ticker := time.NewTicker(stallCheckInterval)
-	defer ticker.Stop()
-	last, probes := time.Now(), w.probes()
+// report reports that the daemon was late, with what happened since the last report.
+func (w *stallWatch) report(late time.Duration) {
+	cycles, gcTime, lastProbes := w.samples[0].Value.Uint64(), w.samples[1].Value.Float64(), w.lastProbes
 	metrics.Read(w.samples)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
-		late := now.Sub(last) - stallCheckInterval
-		last = now
-		if late < stallAbove {
-			continue
-		}
-		cycles, gcTime := w.samples[0].Value.Uint64(), w.samples[1].Value.Float64()
-		metrics.Read(w.samples)
-		probesBefore := probes
-		probes = w.probes()
-		const mb = 1 << 20
-		w.events.Record(event.DaemonStalled, "", event.F("late", late.Round(time.Millisecond).String()),
-			event.F("probes", strconv.FormatInt(probes-probesBefore, 10)), event.F("goroutines", strconv.Itoa(runtime.NumGoroutine())),
-			event.F("gc_cycles", strconv.FormatUint(w.samples[0].Value.Uint64()-cycles, 10)),
-			event.F("gc_ms", strconv.FormatInt(int64((w.samples[1].Value.Float64()-gcTime)*1000), 10)),
-			event.F("heap_mb", strconv.FormatUint(w.samples[2].Value.Uint64()/mb, 10)),
-			event.F("memory_mb", strconv.FormatUint((w.samples[3].Value.Uint64()-w.samples[4].Value.Uint64())/mb, 10)))
-	}
+	w.lastProbes = w.probes()
+	const mb = 1 << 20
+	w.events.Record(event.DaemonStalled, "", event.F("late", late.Round(time.Millisecond).String()),
+		event.F("probes", strconv.FormatInt(w.lastProbes-lastProbes, 10)), event.F("goroutines", strconv.Itoa(runtime.NumGoroutine())),
+		event.F("gc_cycles", strconv.FormatUint(w.samples[0].Value.Uint64()-cycles, 10)),
+		event.F("gc_ms", strconv.FormatInt(int64((w.samples[1].Value.Float64()-gcTime)*1000), 10)),
+		event.F("heap_mb", strconv.FormatUint(w.samples[2].Value.Uint64()/mb, 10)),
+		event.F("memory_mb", strconv.FormatUint((w.samples[3].Value.Uint64()-w.samples[4].Value.Uint64())/mb, 10)))
 }
