gateway: a busy daemon doesn't open its connections a second time

A connection to a target that isn't open after 100 ms is opened through another daemon besides. On a daemon whose own processor is busy every connection takes that long, and the second one costs more than the first, here and at the other daemon.

It waits for another 100 ms as long as the daemon was late by more than 25 ms since the last look. TestBusyDaemonWaitsForItsOwnConnections/busy failed before (one connection through another daemon where none is due).

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -22,6 +22,10 @@
 	// relayDelay is the time without a direct connection after which one through another
 	// daemon is opened at the same time.
 	relayDelay = 100 * time.Millisecond
+	// maxLinkLateness is how late this daemon may be while it opens a direct connection that
+	// then seems to hang. If it is later than that, the connection may wait here, and one
+	// through another daemon would make more work.
+	maxLinkLateness = 25 * time.Millisecond
 	// maxRelayAttempts is the number of daemons that are asked to relay one connection.
 	maxRelayAttempts = 3
 	// maxRelayChecks is the number of connections that are opened through other daemons at a
@@ -90,6 +94,7 @@
 		err  error
 	}
 	directCtx, cancel := context.WithCancel(ctx)
+	startedAt := time.Now()
 	direct := make(chan result, 1)
 	go func() {
 		conn, err := l.dialDirect(directCtx, t)
@@ -97,14 +102,21 @@
 	}()
 	timer := time.NewTimer(relayDelay)
 	defer timer.Stop()
-	select {
-	case r := <-direct:
-		cancel()
-		if r.err == nil {
-			return r.conn, nil
+	for waiting := true; waiting; {
+		select {
+		case r := <-direct:
+			cancel()
+			if r.err == nil {
+				return r.conn, nil
+			}
+			return l.afterFailure(ctx, t, r.err)
+		case <-timer.C:
+			now := time.Now()
+			if waiting = l.g.lag.Since(startedAt, now) > maxLinkLateness; waiting {
+				startedAt = now
+				timer.Reset(relayDelay)
+			}
 		}
-		return l.afterFailure(ctx, t, r.err)
-	case <-timer.C:
 	}
 	relayed, err := l.dialThroughPeers(ctx, t)
 	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
