peer: a busy daemon keeps its connections to the others

The time for an answer now grows by how late the daemon was. TestBusyDaemonKeepsItsConnections fails without (ErrSilent after 2 s).

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -98,6 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
+	t.Lateness = g.lag.Since
 	p := &peers{g: g, transport: t, ctx: context.Background(), suspectedAt: make(map[string]time.Time)}
 	p.digests = newDigests(p)
 	g.origins.store.onStored = func(v storedVersions) { p.broadcast(kindVersions, v) }
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -191,14 +191,15 @@
 }
 
 // tick runs every pingInterval on a dialed connection. It reports whether to send a
-// ping. It returns ErrSilent if pings stay unanswered for silenceTimeout, and errRetired
-// if the connection is idle; both close the connection.
+// ping. It returns ErrSilent if pings stay unanswered for silenceTimeout, and for as much
+// longer as this daemon itself was late, and errRetired if the connection is idle; both close
+// the connection.
 func (c *conn) tick(now time.Time) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := now.Sub(c.lastUsed)
 	switch {
-	case !c.unansweredSince.IsZero() && now.Sub(c.unansweredSince) >= silenceTimeout:
+	case !c.unansweredSince.IsZero() && now.Sub(c.unansweredSince) >= silenceTimeout+c.transport.lateness(c.unansweredSince, now):
 		return false, errors.WithStack(ErrSilent)
 	case len(c.pendingCalls) == 0 && now.Sub(c.lastPing) < oneWayPingInterval:
 		return false, nil
--- a/peer/conn_test.go
+++ b/peer/conn_test.go
@@ -67,3 +67,20 @@
 		c.close(errRetired)
 	})
 }
+
+// TestBusyDaemonKeepsItsConnections guards against a daemon that was busy for two seconds and
+// then closes its connections to all others, whose answers it has not read yet.
+func TestBusyDaemonKeepsItsConnections(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	const late = time.Second
+	c := newConn(&Transport{Lateness: func(time.Time, time.Time) time.Duration { return late }}, nil, Identity{})
+	c.dialed, c.lastUsed = true, start
+	for _, step := range []struct {
+		after time.Duration
+		want  error
+	}{{pingInterval, nil}, {pingInterval + silenceTimeout, nil}, {pingInterval + silenceTimeout + late, ErrSilent}} {
+		if _, err := c.tick(start.Add(step.after)); !errors.Is(err, step.want) {
+			t.Errorf("%v after its last use, the connection is closed by %v, want %v", step.after, err, step.want)
+		}
+	}
+}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -27,6 +27,11 @@
 	wg     sync.WaitGroup
 	ln     net.Listener
 
+	// Lateness returns how late this daemon was at most from a time on, because its
+	// processor was busy; answers may have waited here then. It may be nil, and must be set
+	// before use.
+	Lateness func(since, now time.Time) time.Duration
+
 	mu           sync.Mutex
 	handlers     map[Kind]Handler
 	conns        map[string]*conn
@@ -329,6 +334,14 @@
 	}
 }
 
+// lateness returns how late this daemon was at most from a time on.
+func (t *Transport) lateness(since, now time.Time) time.Duration {
+	if t.Lateness == nil {
+		return 0
+	}
+	return t.Lateness(since, now)
+}
+
 func (t *Transport) timestamp() int64 {
 	if t.events == nil {
 		return 0
