forward: a busy daemon doesn't take its streams from sound targets

The silence now counts less the time by which the daemon itself was late. TestBusyDaemonKeepsItsStreams fails on two of six cases without.

--- a/forward/successor.go
+++ b/forward/successor.go
@@ -298,7 +298,8 @@
 		return a.handleUnconfirmed(ctx)
 	}
 	const reason = "the stream is silent"
-	action, wait := a.detector.next(time.Now())
+	now := time.Now()
+	action, wait := a.detector.next(now, a.stream.forwarder.Prober.lateness(a.detector.lastProgress, now))
 	switch {
 	case a.moving:
 		return gapProbeInterval, 0, false
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -60,9 +60,10 @@
 // recordEvent records an event of the stream.
 func (d *stallDetector) recordEvent(now time.Time) { d.firstEventSeen, d.lastProgress = true, now }
 
-// next returns what to do now and the time until the next call.
-func (d *stallDetector) next(now time.Time) (stallAction, time.Duration) {
-	silence := now.Sub(d.lastProgress)
+// next returns what to do now and the time until the next call. late is how late this daemon
+// was since the last progress: events may have waited here for so long.
+func (d *stallDetector) next(now time.Time, late time.Duration) (stallAction, time.Duration) {
+	silence := now.Sub(d.lastProgress) - late
 	if d.firstEventSeen && d.hasCopy {
 		limit := time.Duration(abandonShare * float64(d.maxGap))
 		if silence >= limit {
