exchange, gateway: a read of the store is claimed while it runs, too

Cause: a daemon claims a read only if its own last one took long. The first reads of a configuration that has just grown from 98 to 394 kB take 0.3 s on a link of 10 Mbit/s and are claimed by nobody, so others become due meanwhile.

The decision, ClaimRead, is shared by the daemon and the simulation.

--- a/exchange/spread_test.go
+++ b/exchange/spread_test.go
@@ -81,6 +81,7 @@
 	storeDown bool
 	reads     int // calls that the store answered
 	stored    simStore
+	period    time.Duration // between reads of the store
 	loss      float64       // share of the messages between daemons that are lost
 	maxDelay  time.Duration // of messages between daemons and of the store's answers, beyond what links take
 }
@@ -121,9 +122,13 @@
 }
 
 func newSimFleet(seed uint64, value []byte) *simFleet {
+	return newSimFleetWithPeriod(seed, value, simPeriod)
+}
+
+func newSimFleetWithPeriod(seed uint64, value []byte, period time.Duration) *simFleet {
 	f := &simFleet{
 		now: start, random: rand.New(rand.NewPCG(seed, seed)), storeOut: simLink{rate: simStoreLinkRate},
-		stored: simStore{}.put("main", value),
+		stored: simStore{}.put("main", value), period: period,
 	}
 	for range simDaemons {
 		d := &simDaemon{dataset: f.newDataset(), in: simLink{rate: simLinkRate}, out: simLink{rate: simLinkRate}}
@@ -135,7 +140,7 @@
 }
 
 func (f *simFleet) newDataset() *Dataset {
-	d := NewDataset("k", simPeriod, f.random.Uint64())
+	d := NewDataset("k", f.period, f.random.Uint64())
 	d.SetReaders(simDaemons)
 	return d
 }
@@ -180,10 +185,12 @@
 		return
 	}
 	f.reads++
-	if d.readTook >= ClaimAbove {
-		claim := Claim{Kind: "k", Duration: d.readTook}
-		f.broadcast(d, claim, func(o *simDaemon) { o.dataset.ApplyClaim(f.now, claim) })
-	}
+	claim, after := ClaimRead("k", d.readTook, f.period)
+	f.schedule(f.now.Add(after), func() {
+		if d.reading {
+			f.broadcast(d, claim, func(o *simDaemon) { o.dataset.ApplyClaim(f.now, claim) })
+		}
+	})
 	sentAt, read := f.now, f.stored
 	sendUpdate := func(u Update) {
 		f.broadcast(d, u, func(o *simDaemon) { o.dataset.ApplyUpdate(f.now, u) })
@@ -383,3 +390,21 @@
 		})
 	}
 }
+
+// TestSlowReadIsClaimedWhileItRuns guards against daemons that read a configuration which has
+// just become large, because nobody knew yet that its first reader would take long: after
+// 1,600 routes more, 31 to 86 reads of 377 kB were made in three seconds.
+func TestSlowReadIsClaimedWhileItRuns(t *testing.T) {
+	const period, readersPerRound = maxSpread / 5, 3
+	for seed := range uint64(20) {
+		Convey(fmt.Sprintf("Given 91 daemons on links of 10 Mbit/s, fewer than three read a change that adds 1,600 routes per round, seed %d", seed), t, func() {
+			f := newSimFleetWithPeriod(seed, simConfiguration(1, 60), period)
+			f.run(f.now.Add(5 * time.Second))
+			before := f.reads
+			f.store(simConfiguration(2, 1660))
+			f.run(f.now.Add(maxSpread))
+			So(f.outdated(), ShouldEqual, 0)
+			So(f.reads-before, ShouldBeLessThan, readersPerRound*int(maxSpread/period))
+		})
+	}
+}
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -107,11 +107,8 @@
 			continue
 		}
 		if useStore {
-			if readTook >= exchange.ClaimAbove {
-				d.g.peers.broadcast(kindClaim, exchange.Claim{Kind: kind, Duration: readTook})
-			}
 			var ok bool
-			if readTook, ok = d.readStore(ctx, kind); ok {
+			if readTook, ok = d.readStore(ctx, kind, readTook); ok {
 				backoff = storeRetryMin
 				continue
 			}
@@ -126,10 +123,13 @@
 }
 
 // readStore reads a dataset from the store. It returns how long the read took, and
-// whether the store answered. The duration of a failed read is 0.
-func (d *datasets) readStore(ctx context.Context, kind string) (took time.Duration, ok bool) {
+// whether the store answered. The duration of a failed read is 0. expected is how long the
+// last read took.
+func (d *datasets) readStore(ctx context.Context, kind string, expected time.Duration) (took time.Duration, ok bool) {
 	sentAt := time.Now()
+	endClaim := d.claim(kind, expected)
 	objects, position, err := d.g.store.List(ctx, kind)
+	endClaim()
 	if ctx.Err() != nil {
 		return 0, false
 	}
@@ -142,6 +142,21 @@
 	return took, true
 }
 
+// claim claims a read that begins, see exchange.ClaimRead. The returned function is called at
+// its end. While the store is down for this daemon, it claims nothing that would keep others
+// from reading.
+func (d *datasets) claim(kind string, expected time.Duration) (end func()) {
+	claim, after := exchange.ClaimRead(kind, expected, readPeriods(d.g.settings.Load())[kind])
+	switch {
+	case after == 0:
+		d.g.peers.broadcast(kindClaim, claim)
+	case !d.storeFailed():
+		timer := time.AfterFunc(after, func() { d.g.peers.broadcast(kindClaim, claim) })
+		return func() { timer.Stop() }
+	}
+	return func() {}
+}
+
 // withJitter returns a random duration from d/2 to 3d/2.
 func withJitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
