--- a/forward/check_queue.go
+++ b/forward/check_queue.go
@@ -6,7 +6,7 @@
 	"github.com/vanillaroad/vanillaroad/fleet"
 )
 
-// checkQueue decides which checks are in flight. It reads no clock and is not safe for concurrent use.
+// checkQueue decides which checks, probes that no stream waits for, are in flight. It reads no clock and is not safe for concurrent use.
 type checkQueue struct {
 	limit    int
 	inFlight int
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -132,6 +132,7 @@
 	waiters := p.pending[t.ID]
 	delete(p.pending, t.ID)
 	p.lastResults[t.ID] = result
+	// A failure proves nothing while this daemon is late, unless it was for several probes.
 	late := !result.running && !terminated && p.lateProbes[t.ID] < maxLateProbes && p.lateness(startedAt, now) > maxLateness
 	if late {
 		p.lateProbes[t.ID]++
--- a/gateway/stalls.go
+++ b/gateway/stalls.go
@@ -13,7 +13,7 @@
 // nothing else is logged.
 const stallAbove = 250 * time.Millisecond
 
-// Names of runtime metrics.
+// Names of runtime metrics, in the order of stallWatch.samples.
 const (
 	metricGCCycles = "/gc/cycles/total:gc-cycles"
 	metricGCTime   = "/cpu/classes/gc/total:cpu-seconds"
@@ -26,9 +26,9 @@
 // or had more to do than it gets.
 type stallWatch struct {
 	events     *event.Recorder
-	probes     func() int64 // number of probes of targets so far
-	samples    []metrics.Sample
-	lastProbes int64 // at the last report
+	probes     func() int64     // number of probes of targets so far
+	samples    []metrics.Sample // at the last report
+	lastProbes int64            // at the last report
 }
 
 func newStallWatch(events *event.Recorder, probes func() int64) *stallWatch {
