--- /dev/null
+++ b/review/harness/popular_request.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// popularRequest: all clients ask for the same list of free spots. All engines of the service
+// crash once, for 1.2 s. Some seconds later all daemons are killed and started again, which is
+// the final fault. RECOVER is broken if less than a quarter of the requests sent later than
+// recovery_s after that is served, though a quarter or more was before.
+func popularRequest(s *site, trouble bool) (broken bool, err error) {
+	const (
+		recovery = 12 * time.Second
+		calm     = 15 * time.Second // before the engines crash
+		after    = 6 * time.Second  // from there to the final fault
+		down     = 870 * time.Millisecond
+		judged   = 8 * time.Second // after recovery
+	)
+	runs := &ledger{}
+	var engines []*plainEngine
+	for i := range 4 {
+		e, err := s.startPlainEngine(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), booking, runs)
+		if err != nil {
+			return false, err
+		}
+		e.work = func() time.Duration { return 50 * time.Millisecond }
+		engines = append(engines, e)
+	}
+	f := s.newFleet(&ledger{}) // of the other service, which is idle
+	for range 4 {
+		if _, err := f.start("", func(*modelEngine, *http.Request, string) int { return 0 }); err != nil {
+			return false, err
+		}
+	}
+	s.store.put("config", "main", configuration(7, oneTenant(), append(bookingRoutes(), draftRoute()), []any{bookingService(), modelService()}))
+	if err := s.startDaemons(4); err != nil {
+		return false, err
+	}
+	c := newClient(s)
+	var mu sync.Mutex
+	type outcome struct {
+		sent   time.Time
+		served bool
+	}
+	var outcomes []outcome
+	var wg sync.WaitGroup
+	total := calm + after + down + recovery + judged + time.Second
+	wg.Go(func() {
+		every(120, total, func() {
+			sent := time.Now()
+			a := c.attempt(context.Background(), c.newID(), http.MethodGet, "/prosto/mesta", key, "", 1500*time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes = append(outcomes, outcome{sent, a.status == http.StatusOK})
+		})
+	})
+	time.Sleep(calm)
+	if trouble {
+		for i, e := range engines {
+			e.crash(s, 1200*time.Millisecond, fmt.Sprintf("i-%08x", 0x02d9e6b0+i))
+			time.Sleep(20 * time.Millisecond) // no two machines stop at the same moment
+		}
+	}
+	time.Sleep(after)
+	final := time.Now()
+	for _, d := range s.daemons {
+		if err := d.process.Process.Signal(syscall.SIGKILL); err != nil {
+			return false, err
+		}
+		<-d.ended
+	}
+	time.Sleep(down)
+	for _, d := range s.daemons {
+		if err := s.startDaemon(d); err != nil {
+			return false, err
+		}
+	}
+	back := time.Now()
+	wg.Wait()
+	var before, beforeServed, later, laterServed int
+	for _, o := range outcomes {
+		switch {
+		case o.sent.Before(final):
+			before++
+			if o.served {
+				beforeServed++
+			}
+		case o.sent.After(back.Add(recovery)):
+			later++
+			if o.served {
+				laterServed++
+			}
+		}
+	}
+	s.record.conclude("before the final fault %d of %d requests were served; of those sent later than %v after it %d of %d", beforeServed, before, recovery, laterServed, later)
+	if later == 0 || 4*beforeServed < before {
+		return false, fmt.Errorf("too few requests")
+	}
+	return 4*laterServed < later, nil
+}
