--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -61,6 +61,7 @@
 	status     int
 	header     http.Header
 	body       []byte
+	cut        bool // the channel ended after the head, without the end of the body
 	retryAfter time.Duration
 }
 
@@ -125,7 +126,11 @@
 
 // attempt makes one client attempt at a daemon drawn by chance.
 func (c *client) attempt(ctx context.Context, id, method, path, apiKey, body string, limit time.Duration) answer {
-	address := c.addresses[rand.IntN(len(c.addresses))]
+	return c.attemptAt(ctx, c.addresses[rand.IntN(len(c.addresses))], id, method, path, apiKey, body, limit)
+}
+
+// attemptAt makes one client attempt at a daemon.
+func (c *client) attemptAt(ctx context.Context, address, id, method, path, apiKey, body string, limit time.Duration) answer {
 	ch, err := c.take(address)
 	if err != nil {
 		c.record.note("%s %s not sent: %v", id, path, err)
@@ -157,8 +162,8 @@
 	content, err := io.ReadAll(resp.Body)
 	if err != nil {
 		_ = ch.Close()
-		c.record.note("%s answered %d, body cut: %v", id, resp.StatusCode, err)
-		return answer{}
+		c.record.note("%s answered %d, body cut after %d bytes: %v", id, resp.StatusCode, len(content), err)
+		return answer{cut: true}
 	}
 	a := answer{status: resp.StatusCode, header: resp.Header, body: content}
 	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
--- a/review/harness/plain.go
+++ b/review/harness/plain.go
@@ -71,12 +71,14 @@
 	listener net.Listener
 	mu       sync.Mutex
 	down     bool
+	next     *plainEngine // the boot after a crash; nil before
 	conns    map[net.Conn]bool
 }
 
 const (
 	plainSlots = 6
 	plainQueue = 24
+	entryLife  = 3600 * time.Millisecond // three liveness report intervals
 )
 
 // startPlainEngine starts an engine and registers it in the store.
@@ -139,11 +141,24 @@
 			return
 		}
 		next.work = e.work
+		e.mu.Lock()
+		e.next = next
+		e.mu.Unlock()
 		e.record.note("%s is back as %s", e.id, next.id)
 	})
 	time.AfterFunc(entryLife, func() { s.store.remove("servers", e.id) })
 }
 
+// latest returns the boot that runs at the engine's address.
+func (e *plainEngine) latest() *plainEngine {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.next != nil {
+		return e.next.latest()
+	}
+	return e
+}
+
 func (e *plainEngine) serve(c net.Conn) {
 	e.mu.Lock()
 	if e.down {
