--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]caseFunc{
 	"late-extra-answer": lateExtraAnswer,
 	"last-tenant":       lastTenant,
+	"silent-engine":     silentEngine,
 	"popular-request":   popularRequest,
 }
 
