--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -25,6 +25,7 @@
 	"late-extra-answer": lateExtraAnswer,
 	"last-tenant":       lastTenant,
 	"silent-engine":     silentEngine,
+	"silent-then-stop":  silentThenStop,
 	"popular-request":   popularRequest,
 }
 
