forward: a run that was left at a target is stopped there

What callers saw: nothing; two targets worked on the same request (TWICE). Cause: of the ways to leave a target only a move stops the first run. A suspicion, a probe without the run, a broken connection, an event out of order and a failed move close the connection and rely on the target to drop the run. Some targets go on with it, and a silent one may do so much later. Why it works: every left run is kept until its target has answered a move, has terminated or the run's deadline has passed. One request at a time to each target; it waits at a silent one and is the first that it carries out. A run that had not begun counts as ended only once the queue is empty, too. A request returns to a target only after its first run there has ended: a late move would end the next one. Ruled out: leaving it to the next probe (reports are some hundred ms old).

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -24,6 +24,7 @@
 	LinksLost        Number = 719
 	LinksRestored    Number = 720
 	PauseRequested   Number = 721
+	RunStopped       Number = 722
 )
 
 var forwardEntries = []Entry{
@@ -40,6 +41,7 @@
 	{TargetRemoved, "target_gone", Info, "The entry of a target was removed.", ""},
 	{CopyFailed, "copy_failed", Info, "The KV cache of a running request could not be copied to another target.", ""},
 	{AttemptKept, "attempt_kept", Warn, "The target of a stream is silent, and the attempt goes on because no other target can take it; no_attempt says why.", "Look for target_suspected events of the same target."},
+	{RunStopped, "run_stopped", Info, "A target still worked on a request that had been taken from it, and was made to stop; after is the time since then.", ""},
 	{OriginAssumed, "origin_assumed", Info, "No daemon knows the stream that a caller takes up; it continues at the only software version that may have begun it.", ""},
 	{RequestReturned, "request_returned", Info, "A request returns to a target that it was taken from for silence, because no other target can get it.", ""},
 	{ConditionsStated, "target_conditions", Info, "A target states other conditions in its answers than before: limit is the number of requests a second that it takes from all daemons together, or none; a brittle one fails if it has to refuse many; a leaving one gets no new requests until it starts again.", "A limit that persists: the target needs relief."},
--- a/forward/copier.go
+++ b/forward/copier.go
@@ -125,14 +125,17 @@
 	if !intact || !c.explicit || c.current == nil {
 		return
 	}
-	current, source := *c.current, c.source
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
-		defer cancel()
-		if err := c.stream.forwarder.TargetClient.Release(ctx, source, current.copy); err != nil {
-			c.stream.forwarder.Events.Record(event.CopyFailed, c.stream.request.ID, event.F("from", source.ID), event.F("to", current.holder.ID), event.F("error", err.Error()))
-		}
-	}()
+	current := *c.current
+	go c.stream.forwarder.releaseCopy(c.stream.request.ID, c.source, current)
+}
+
+// releaseCopy releases a copy that the target source has made of a run's KV cache.
+func (f *Forwarder) releaseCopy(requestID string, source fleet.Target, c standbyCopy) {
+	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	defer cancel()
+	if err := f.TargetClient.Release(ctx, source, c.copy); err != nil {
+		f.Events.Record(event.CopyFailed, requestID, event.F("from", source.ID), event.F("to", c.holder.ID), event.F("error", err.Error()))
+	}
 }
 
 // handleResult handles the outcome of an explicit copy.
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -355,7 +355,12 @@
 }
 
 // serve serves one request and returns what the caller received.
-func (s *fixture) serve(_ *testing.T, route ingress.Route) *fakeResponder {
+func (s *fixture) serve(t *testing.T, route ingress.Route) *fakeResponder {
+	t.Cleanup(func() {
+		for s.stopper.busy() { // a bubble must not end before
+			time.Sleep(stopTimeout)
+		}
+	})
 	return s.serveFor(context.Background(), route)
 }
 
@@ -379,3 +384,10 @@
 	Name: "stream", Kind: ingress.Streaming, Resumable: true, Timeout: 25 * time.Second,
 	LatencyObjective: 4500 * time.Millisecond, MaxEventGap: 700 * time.Millisecond, MaxAttempts: 5,
 }
+
+// busy reports whether a run that was left may still go on.
+func (s *runStopper) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.runs) > 0
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -164,7 +164,8 @@
 	// added since the previous copy.
 	Copy(ctx context.Context, source fleet.Target, requestID string, destination fleet.Target) (Copy, error)
 	// Move stops a run and moves its KV cache to another target. It returns the target
-	// that holds the cache afterwards, which is source if destination has no room.
+	// that holds the cache afterwards, which is source if destination has no room. A run
+	// may go on if destination can't be reached.
 	Move(ctx context.Context, source fleet.Target, requestID string, destination fleet.Target) (Copy, fleet.Target, error)
 	// CachedKeys returns the keys of the prompt parts that a target holds in its cache,
 	// see Prompt.CacheKey.
@@ -227,6 +228,8 @@
 	// StopsAt returns when running requests are canceled because the daemon stops, and the
 	// zero time if no stop is planned. A nil StopsAt means that none ever is.
 	StopsAt func() time.Time
+
+	stopper runStopper
 }
 
 // placementInterval is the minimum time between two placements of long prompts by one
--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -300,6 +300,9 @@
 	close(stop)
 	background.Wait()
 	time.Sleep(5 * time.Second) // the ends of the runs, releases and probes
+	for f.stopper.busy() {
+		time.Sleep(stopTimeout)
+	}
 	synctest.Wait()
 
 	w.mu.Lock()
--- a/forward/run.go
+++ b/forward/run.go
@@ -34,6 +34,7 @@
 	endReported  bool            // the run's end was reported to the crash tracker
 	progressed   bool            // the run's progress was reported
 	kept         bool            // it was recorded that the attempt goes on although its target is silent
+	stopped      bool            // the target has stopped the run, or knows of none
 	unnumbered   []byte          // events without an id that were not passed on yet
 	idleBytes    int             // see maxIdleBytes
 	nextRepeated int64           // id after the last event that the caller had received before
@@ -137,6 +138,7 @@
 			timer.Reset(max(wait, time.Millisecond))
 		case m := <-a.moveResults:
 			if m.err == nil || errors.Is(m.err, ErrRunNotFound) {
+				a.stopped = true
 				delete(a.stream.openMoves, a.attempt.Target.ID)
 			}
 			a.moving = false
@@ -216,12 +218,26 @@
 		// attempt and a part of the retry budget.
 		a.stream.standby = a.copier.current
 	}
+	a.stopRun()
 	a.stream.tried[a.attempt.Target.ID] = true
 	a.stream.lostPlaces = append(a.stream.lostPlaces, a.attempt.Target.Place)
 	a.stream.recordLoss(failure.New(failure.TargetLost, failure.Unknown, "stream", a.attempt.Target.ID, "%s", reason), a.attempt)
 	return endTargetLost
 }
 
+// stopRun ends the run at a target that may go on with it after the attempt.
+func (a *streamAttempt) stopRun() {
+	now := time.Now()
+	if a.stopped || a.incarnation.Terminated(now) {
+		return
+	}
+	s := a.stream
+	s.forwarder.stopRun(&leftRun{
+		requestID: s.request.ID, service: s.request.Service, target: a.incarnation, begun: a.detector.firstEventSeen,
+		leftAt: now, until: s.request.AnswerDeadline(), tokens: s.memoryTokens(), failed: make(map[string]bool), dueAt: now.Add(stopDelay),
+	})
+}
+
 // atStart reports whether the run has just started.
 func (a *streamAttempt) atStart(now time.Time) bool {
 	return !a.detector.firstEventSeen || now.Sub(a.firstEventAt) < startPeriod
--- a/forward/succession_test.go
+++ b/forward/succession_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -22,7 +23,7 @@
 		s.startRun(a.Target.ID)
 		stopped := make(chan struct{})
 		s.mu.Lock()
-		s.cancelRun[a.Target.ID] = func() { close(stopped) }
+		s.cancelRun[a.Target.ID] = sync.OnceFunc(func() { close(stopped) })
 		s.mu.Unlock()
 		go func() {
 			defer s.endRun(a.Target.ID)
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -172,6 +172,8 @@
 		switch state := f.Fleet.State(now, previous.Target.ID); {
 		case previous.Terminated(now) || !suits(previous.Target):
 			continue
+		case f.stopper.mayRun(previous.Target.ID, r.ID):
+			continue // a late end of the first run would end the next one, too
 		case state == fleet.Unknown || state == fleet.Leaving || state == fleet.Avoided:
 			continue
 		}
