forward: a stream stays at a target that is only silent

Cause: one probe without an answer within 200 ms was taken for the loss of the target, although a target that is not at fault may be silent for two seconds. A silent target accepts connections. Why it works: the prober opens a connection once a probe is unanswered for half of its time. A suspected target that accepts it keeps its streams for two seconds; one that can't be reached is left as soon as before. A run is moved for a stall only once a probe since its last event was answered: a move that waits at a silent target would end the run when that goes on. A move without an answer no longer ends the attempt, and each one that may still be carried out is counted. Ruled out: waiting for all silent targets; a dark one would cost its streams two seconds.

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -33,7 +33,7 @@
 	{AttemptLost, "attempt_lost", Warn, "An attempt at a target ended without a complete answer; framed is as in request_answered.", "Look for target_suspected events of the same target."},
 	{AnswerResumed, "answer_resumed", Info, "A streamed answer continues at another target.", ""},
 	{AnswerTruncated, "answer_cut_short", Warn, "A streamed answer was truncated; no_attempt says why it was not continued.", "Read the preceding attempt_lost events of the request."},
-	{TargetSuspected, "target_suspected", Warn, "A target did not answer a probe and temporarily gets no new requests.", "Check the target if it persists."},
+	{TargetSuspected, "target_suspected", Warn, "A target did not answer a probe and temporarily gets no new requests; accepts says whether it accepted a connection meanwhile.", "Check the target if it persists."},
 	{TargetTerminated, "target_ended", Warn, "The process of a target has terminated: its address refuses connections or is used by another process. member is the daemon that found it, if not this one.", "Check the target if its entry remains."},
 	{EntryRefused, "entry_refused", Warn, "An invalid entry of a target or daemon was ignored; its previous entry stays active.", "Find out what wrote the entry."},
 	{TargetJoined, "target_joined", Info, "A target registered or restarted.", ""},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,6 +42,8 @@
 	terminatedUntil     time.Time // its process is considered terminated until then
 	missingSince        time.Time // when its entry, which may return, disappeared; zero if present
 	suspectUntil        time.Time // it is considered failed until then
+	suspectedAt         time.Time // when the latest suspicion began
+	accepts             bool      // it accepted connections when it was last suspected
 	avoidUntil          time.Time // it gets no new work until then
 	consecutiveRefusals int
 	running             int                   // requests of this daemon
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -148,7 +148,7 @@
 		{"was removed", func(f *Fleet) { f.Remove(start, "t0", false) }, -1},
 		{"has terminated", func(f *Fleet) { f.MarkTerminated(start, Target{ID: "t0"}) }, int(terminatedDuration.Milliseconds())},
 		{"was replaced at its address", func(f *Fleet) { f.Put(Target{ID: "new", Service: "other", Address: "10.0.0.0:1"}) }, -1},
-		{"is suspected", func(f *Fleet) { f.Suspect(start, "t0") }, int(SuspectDuration.Milliseconds())},
+		{"is suspected", func(f *Fleet) { f.Suspect(start, "t0", false) }, int(SuspectDuration.Milliseconds())},
 		{"refused a request", func(f *Fleet) { f.MarkRefused(start, "t0") }, int(2 * avoidBase.Milliseconds())},
 	}
 	for _, c := range cases {
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -49,9 +49,10 @@
 	return c
 }()
 
-// Suspect considers a target failed until it answers or SuspectDuration has passed.
-// It returns false if the target was already suspected or is unknown.
-func (f *Fleet) Suspect(now time.Time, id string) bool {
+// Suspect considers a target failed until it answers or SuspectDuration has passed. accepts
+// reports whether it accepts connections, although it does not answer. Suspect returns false
+// if the target was already suspected or is unknown.
+func (f *Fleet) Suspect(now time.Time, id string, accepts bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.targets[id]
@@ -59,11 +60,23 @@
 		return false
 	}
 	newlySuspected := !now.Before(s.suspectUntil)
-	s.suspectUntil = now.Add(SuspectDuration)
+	if newlySuspected {
+		s.suspectedAt = now
+	}
+	s.suspectUntil, s.accepts = now.Add(SuspectDuration), accepts
 	s.markLost()
 	return newlySuspected
 }
 
+// IsSilent reports whether a target accepts connections and has been suspected for less than
+// limit. Its process, or at least its VM, is up.
+func (f *Fleet) IsSilent(now time.Time, id string, limit time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.targets[id]
+	return s.state(now) == Suspected && s.accepts && now.Sub(s.suspectedAt) < limit
+}
+
 // ExtendSuspicion lets the suspicion of a target last for another SuspectDuration. It returns
 // false if the target is not suspected.
 func (f *Fleet) ExtendSuspicion(now time.Time, id string) bool {
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -21,7 +21,7 @@
 		ended  bool
 	}{
 		{"nothing happens", func(*Fleet) {}, false},
-		{"it does not answer", func(f *Fleet) { f.Suspect(now, "i-1") }, false},
+		{"it does not answer", func(f *Fleet) { f.Suspect(now, "i-1", false) }, false},
 		{"its process has terminated", func(f *Fleet) { f.MarkTerminated(now, entry) }, true},
 		{"it restarts under its id", func(f *Fleet) { f.Put(restarted) }, true},
 		{"another target registers at its address", func(f *Fleet) { f.Put(successor) }, true},
--- a/forward/copier.go
+++ b/forward/copier.go
@@ -38,7 +38,8 @@
 // copyResult is the outcome of an explicit copy or of a move.
 type copyResult struct {
 	standbyCopy
-	err error
+	err        error
+	unanswered bool // the request for a move was not answered in time
 }
 
 // copier maintains a standby copy of a run's KV cache in another place. At first the
@@ -112,7 +113,7 @@
 		if err != nil {
 			c.stream.forwarder.Events.Record(event.CopyFailed, c.stream.request.ID, event.F("from", c.source.ID), event.F("to", destination.ID), event.F("error", err.Error()))
 		}
-		sendUnlessDone(ctx, c.results, copyResult{standbyCopy{destination, newCopy}, err})
+		sendUnlessDone(ctx, c.results, copyResult{standbyCopy: standbyCopy{destination, newCopy}, err: err})
 	}()
 }
 
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -61,8 +61,10 @@
 // that the target has carried out late. That can end one run only.
 func (a *streamAttempt) mayBeMoved() bool {
 	id := a.attempt.Target.ID
-	open := a.stream.openMoves[id]
-	delete(a.stream.openMoves, id)
+	open := a.stream.openMoves[id] > 0
+	if open {
+		a.stream.openMoves[id]--
+	}
 	return open
 }
 
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,6 +114,14 @@
 	return last, ok && last.Alive && time.Since(last.completedAt) < probeResultTTL
 }
 
+// answeredSince reports whether a probe of t that ended after a time shows that it runs.
+func (p *Prober) answeredSince(t fleet.Target, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := p.lastResults[t.ID]
+	return last.running && last.completedAt.After(since)
+}
+
 // Probes returns how many probes were made so far.
 func (p *Prober) Probes() int64 { return p.probes.Load() }
 
@@ -124,6 +133,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	startedAt := time.Now()
+	accepts := p.startConnect(ctx, t, timeout/2)
 	report, err := p.client.Report(ctx, t)
 	now := time.Now()
 	terminated := hasTerminated(t, report, err)
@@ -151,7 +161,7 @@
 	case late:
 		p.Check(t)
 	default:
-		p.suspect(now, t, err)
+		p.suspect(now, t, ctx.Err() != nil && <-accepts, err)
 	}
 	for _, reply := range waiters {
 		deliver(reply, result)
@@ -190,15 +200,25 @@
 	}
 }
 
+// startConnect opens a connection to a target after delay, and closes it. The channel that it
+// returns receives whether the target accepted it before ctx ended.
+func (p *Prober) startConnect(ctx context.Context, t fleet.Target, delay time.Duration) <-chan bool {
+	accepts := make(chan bool, 1)
+	time.AfterFunc(delay, func() {
+		accepts <- ctx.Err() == nil && p.client.Connect(ctx, t) == nil
+	})
+	return accepts
+}
+
 // suspect marks a target as suspected and probes it again before the suspicion ends, so
 // that it gets no new work while it is down.
-func (p *Prober) suspect(now time.Time, t fleet.Target, err error) {
-	newlySuspected := p.fleet.Suspect(now, t.ID)
+func (p *Prober) suspect(now time.Time, t fleet.Target, accepts bool, err error) {
+	newlySuspected := p.fleet.Suspect(now, t.ID, accepts)
 	p.recheckLater(t)
 	if !newlySuspected {
 		return
 	}
-	p.events.Record(event.TargetSuspected, "", event.F("target", t.ID), event.F("place", t.Place), event.F("error", err.Error()))
+	p.events.Record(event.TargetSuspected, "", event.F("target", t.ID), event.F("place", t.Place), event.F("accepts", strconv.FormatBool(accepts)), event.F("error", err.Error()))
 	p.reportSuspect(t, false)
 }
 
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -72,7 +72,7 @@
 func TestCrashNoticedByAnotherStream(t *testing.T) {
 	for name, mark := range map[string]func(*fixture, string){
 		"terminated": func(s *fixture, id string) { s.Fleet.MarkTerminated(time.Now(), fleet.Target{ID: id}) },
-		"suspected":  func(s *fixture, id string) { s.Fleet.Suspect(time.Now(), id) },
+		"suspected":  func(s *fixture, id string) { s.Fleet.Suspect(time.Now(), id, false) },
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			s, first := newFixtureWithBroken(streaming(50, -1, eventGap, nil), hanging)
--- a/forward/run.go
+++ b/forward/run.go
@@ -26,6 +26,7 @@
 	copier       *copier
 	moveResults  chan copyResult // outcome of the move to another target
 	moving       bool            // a move was started, its outcome is pending
+	endedInMove  bool            // the answer ended, or broke off, during the move
 	framed       bool            // see Answer.Framed
 	endedAt      time.Time       // when an answer that is not framed ended, if that is not confirmed yet; zero otherwise
 	patient      bool            // a probe without a short timeout is under way or was made
@@ -139,13 +140,16 @@
 		case m := <-a.moveResults:
 			if m.err == nil || errors.Is(m.err, ErrRunNotFound) {
 				a.stopped = true
-				delete(a.stream.openMoves, a.attempt.Target.ID)
+				a.stream.openMoves[a.attempt.Target.ID]--
 			}
 			a.moving = false
 			if errors.Is(m.err, ErrRunNotFound) && a.awaitsConfirmation() {
 				a.probeEnd() // the run had ended before the move
 				continue
 			}
+			if m.unanswered && !a.endedInMove {
+				continue // the probe that follows shows whether the target is only silent
+			}
 			if m.err != nil {
 				return a.abandonSilent("the stream is silent, and not moved: " + m.err.Error())
 			}
@@ -160,6 +164,7 @@
 				continue // the error results from the end of ctx, not from the target
 			}
 			if a.moving && p.err != nil && !(isEndOfStream(p.err) && a.framed) {
+				a.endedInMove = true
 				if isEndOfStream(p.err) {
 					a.endedAt = time.Now()
 				}
@@ -195,12 +200,13 @@
 	if !ok {
 		return false
 	}
-	a.moving, a.stream.openMoves[a.attempt.Target.ID] = true, true
+	a.moving = true
+	a.stream.openMoves[a.attempt.Target.ID]++
 	go func() {
 		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
 		c, holder, err := a.stream.forwarder.TargetClient.Move(moveCtx, a.attempt.Target, a.stream.request.ID, destination)
-		sendUnlessDone(ctx, a.moveResults, copyResult{standbyCopy{holder, c}, err})
+		sendUnlessDone(ctx, a.moveResults, copyResult{standbyCopy{holder, c}, err, err != nil && moveCtx.Err() != nil})
 	}()
 	return true
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -37,15 +37,15 @@
 	mayHaveRun     bool            // a target may have run the request
 	notSent        int             // attempts whose target was not reached
 	succession     succession
-	openMoves      map[string]bool // targets that may still carry out a move of the run
-	framed         string          // whether the answer of the latest attempt is framed, for the log; see describeFrame
-	noAttempt      string          // why no further attempt was planned, for the log; empty while there is one
+	openMoves      map[string]int // moves of the run that a target may still carry out, by target
+	framed         string         // whether the answer of the latest attempt is framed, for the log; see describeFrame
+	noAttempt      string         // why no further attempt was planned, for the log; empty while there is one
 
 	failureMemory *membudget.Share // of targetFailure; nil for none
 }
 
 func newStream(f *Forwarder, r *Request, w Responder) *stream {
-	s := &stream{forwarder: f, request: r, responder: w, lastEventID: -1, tried: make(map[string]bool), openMoves: make(map[string]bool)}
+	s := &stream{forwarder: f, request: r, responder: w, lastEventID: -1, tried: make(map[string]bool), openMoves: make(map[string]int)}
 	if id, err := strconv.ParseInt(r.LastEventID, 10, 64); err == nil {
 		s.lastEventID = id
 	}
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -124,7 +124,7 @@
 		s, _ := newFixtureWithBroken(streaming(100, -1, eventGap, nil), streaming(100, 80, eventGap, io.ErrUnexpectedEOF))
 		go func() {
 			time.Sleep(time.Second)
-			s.Fleet.Suspect(time.Now(), s.client.attempt(0).CopyTo.ID)
+			s.Fleet.Suspect(time.Now(), s.client.attempt(0).CopyTo.ID, false)
 		}()
 		got := s.serve(t, streamRoute)
 		synctest.Wait()
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -27,7 +27,9 @@
 	// returnInterval is the time between two attempts to return. It is the shortest
 	// backoff of a target that refused.
 	returnInterval = 150 * time.Millisecond
-	// longestSilence is the longest silence of a target that is not at fault.
+	// longestSilence is the longest silence of a target that is not at fault. One that
+	// accepts connections keeps its streams for so long: it may go on with them, and would
+	// do so while another target works on them, too.
 	longestSilence = 2 * time.Second
 )
 
@@ -93,6 +95,7 @@
 	errNotRepeatable   = errors.New("the request must not be sent again")
 	errHasReturned     = errors.New("the request has returned to a target") // no more changes back and forth
 	errAttemptsUsedUp  = errors.New("the attempts of the route are used up")
+	errOnlySilent      = errors.New("the target accepts connections, and may go on")
 	errNoReturn        = errors.New("the request can't return to its target")
 	errBudgetExhausted = errors.New("the retry budget is exhausted")
 	errStopsSoon       = errors.New("the daemon stops, and no other target is expected to begin before")
@@ -221,8 +224,13 @@
 func (a *streamAttempt) reserveSuccessor() error {
 	s, now := a.stream, time.Now()
 	silence := now.Sub(a.detector.lastProgress)
-	if !a.incarnation.Terminated(now) && !s.mayBeginElsewhere(now, silence) {
-		return errStopsSoon
+	if !a.incarnation.Terminated(now) {
+		if s.forwarder.Fleet.IsSilent(now, a.attempt.Target.ID, longestSilence-probeTimeout) {
+			return errOnlySilent
+		}
+		if !s.mayBeginElsewhere(now, silence) {
+			return errStopsSoon
+		}
 	}
 	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.incarnation, silence, s.targetCriteria(nil))
 }
@@ -305,6 +313,8 @@
 	switch {
 	case a.moving:
 		return gapProbeInterval, 0, false
+	case action == stallAbandon && a.isUnclear(now):
+		action, wait = stallProbe, targetPollInterval // a move would be carried out when the target goes on
 	case action == stallAbandon:
 		err := a.reserveSuccessor()
 		if err == nil && !a.startMove(ctx) {
@@ -326,6 +336,13 @@
 	return wait, 0, false
 }
 
+// isUnclear reports whether no probe has shown yet whether the target of a run that has begun
+// is silent, or only its stream is.
+func (a *streamAttempt) isUnclear(now time.Time) bool {
+	f, t := a.stream.forwarder, a.attempt.Target
+	return a.detector.firstEventSeen && f.Fleet.State(now, t.ID) == fleet.Ready && !f.Prober.answeredSince(t, a.detector.lastProgress)
+}
+
 // send sends the call to one target and reads the answer. While another target can get
 // the call, it is given up after attemptTimeoutFactor times the route's latency
 // objective.
--- a/forward/version_test.go
+++ b/forward/version_test.go
@@ -89,7 +89,7 @@
 			s.setVersions(map[string]string{"a": "v1", "b": "v2"})
 			s.origins.known = origins
 			now := time.Now()
-			s.Fleet.Suspect(now, "a")
+			s.Fleet.Suspect(now, "a", false)
 			c := &fakeResponder{}
 			route := streamRoute
 			route.Services = []ingress.WeightedService{{Service: "svc", Weight: 1}}
