forward: a stream is taken from a silent target only to one with room

Cause: the next target was chosen without its room. The streams waited in the queue of a full target while the first one, which had gone on, was idle; a queued request isn't refused, so nothing brought it back before the stop ended. Why it works: the slot of the next target is looked for by the loads of all daemons and held until the attempt begins, so that streams that leave together don't take the same one. Ruled out: a stop too short for the streams: without the silence all end in time.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,6 +55,9 @@
 	MemoryTokens, CapacityTokens int
 	// ForCopy means that the target only stores a standby copy and prefills nothing.
 	ForCopy bool
+	// NeedsRoom means that the target must have a slot and memory free, as far as this
+	// daemon knows. Without it, the request may have to wait in a queue.
+	NeedsRoom bool
 }
 
 // allowsVersion reports whether a target with a software version meets the criteria.
@@ -145,6 +149,9 @@
 			continue
 		}
 		running, prefillTokens, memoryTokens := s.totalLoad()
+		if criteria.NeedsRoom && !s.hasRoom(criteria.MemoryTokens, criteria.CapacityTokens) {
+			continue
+		}
 		near := routing.SameRegion
 		if s.Place == f.place {
 			near = routing.SamePlace
@@ -165,6 +172,37 @@
 	return candidates
 }
 
+// hasRoom reports whether a target has a slot free, and memory for a request with so many
+// tokens, by the loads of all daemons. What is not known is not lacking.
+func (s *targetState) hasRoom(memoryTokens, capacityTokens int) bool {
+	running, _, memory := s.totalLoad()
+	return (s.Slots == 0 || running < s.Slots) && memoryUsage(memory+memoryTokens, capacityTokens) <= 1
+}
+
+// HoldSlot keeps a slot of a target that has room for a request, so that the requests of this
+// daemon that look for room at the same time don't take the same one. It returns false if the
+// target has no room or is unknown. The returned function ends the hold and may be called
+// more than once.
+func (f *Fleet) HoldSlot(id string, memoryTokens, capacityTokens int) (release func(), ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.targets[id]
+	if s == nil || !s.hasRoom(memoryTokens, capacityTokens) {
+		return nil, false
+	}
+	s.running++
+	s.memoryTokens += memoryTokens
+	f.signalLoadChanged()
+	return sync.OnceFunc(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if s := f.targets[id]; s != nil {
+			s.running = max(0, s.running-1)
+			s.memoryTokens = max(0, s.memoryTokens-memoryTokens)
+		}
+	}), true
+}
+
 // promptAsOneBlock represents a prompt as a single block, because PromptHolders only
 // has targets that hold the complete prompt.
 var promptAsOneBlock = []uint64{0}
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -30,7 +30,7 @@
 		return s.planReturn(ctx)
 	}
 	var promptHolders map[string]bool
-	if !s.standbyReady(time.Now()) {
+	if !s.resumesFromCopy(time.Now()) {
 		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
 			s.lastErr = contextError(ctx, failure.NotRun, "route", s.request.Service)
 			s.noAttempt = s.lastErr.Error()
@@ -52,8 +52,10 @@
 	}
 	now := time.Now()
 	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now)}
-	if s.standbyReady(now) && s.forwarder.takePermit(ctx, s.request.ID, s.standby.holder, s.targetCriteria(nil)) {
+	if s.resumesFromCopy(now) && s.forwarder.takePermit(ctx, s.request.ID, s.standby.holder, s.targetCriteria(nil)) {
 		a.Target, a.Resume = s.standby.holder, s.standby.copy
+	} else if slot := s.succession.slot; slot != nil && s.forwarder.isUsable(now, slot.target) && s.forwarder.takePermit(ctx, s.request.ID, slot.target, s.targetCriteria(nil)) {
+		a.Target = slot.target
 	} else {
 		t, err := s.pickTarget(ctx, promptHolders)
 		if err != nil {
@@ -141,14 +143,22 @@
 func (s *stream) targetCriteria(promptHolders map[string]bool) fleet.Criteria {
 	return fleet.Criteria{
 		SoftwareVersion: s.version, PromptHolders: promptHolders, Priority: s.priority(),
-		Service: s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
+		NeedsRoom: s.needsRoom(time.Now()),
+		Service:   s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
 		MemoryTokens: max(1, s.memoryTokens()), CapacityTokens: s.capacityTokens(),
 	}
 }
 
 // standbyReady reports whether the next attempt can resume from a standby copy.
 func (s *stream) standbyReady(now time.Time) bool {
-	return s.standby != nil && s.allowsVersion(s.standby.holder) && s.forwarder.Fleet.IsCurrent(s.standby.holder) && s.forwarder.Fleet.State(now, s.standby.holder.ID) == fleet.Ready && !s.tried[s.standby.holder.ID]
+	return s.standby != nil && s.allowsVersion(s.standby.holder) && s.forwarder.isUsable(now, s.standby.holder) && !s.tried[s.standby.holder.ID]
+}
+
+// resumesFromCopy reports whether the next attempt resumes from a standby copy, as its holder
+// has room, or none is needed.
+func (s *stream) resumesFromCopy(now time.Time) bool {
+	slot := s.succession.slot
+	return s.standbyReady(now) && (slot == nil || slot.target.ID == s.standby.holder.ID)
 }
 
 // allowsVersion reports whether the stream may continue at a target: at any before its
--- /dev/null
+++ b/forward/room_test.go
@@ -0,0 +1,101 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/fleet"
+	"github.com/vanillaroad/vanillaroad/ingress"
+)
+
+// slotQueue is a target that runs a request in each of its slots, and queues the others.
+type slotQueue struct {
+	free   chan struct{} // holds a value for each slot in use
+	queued int           // requests that had to wait
+}
+
+// limit returns a behaviour that answers like b once there is a slot.
+func (q *slotQueue) limit(b behaviour) behaviour {
+	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+		select {
+		case q.free <- struct{}{}:
+		default:
+			s.mu.Lock()
+			q.queued++
+			s.mu.Unlock()
+			select {
+			case q.free <- struct{}{}:
+			case <-ctx.Done():
+				return nil, errors.WithStack(ErrNoAnswer)
+			}
+		}
+		context.AfterFunc(ctx, func() { <-q.free })
+		return b(ctx, a, s)
+	}
+}
+
+// TestNoStreamIsTakenIntoAQueue guards against streams that are cut by a stop while no target
+// works on them: they were taken from a silent target, to which they could have returned, and
+// waited in the queue of a full one (review/3).
+func TestNoStreamIsTakenIntoAQueue(t *testing.T) {
+	const slots, streams = 12, 12
+	for _, busy := range []int{slots, slots - 5, 0} {
+		for _, length := range []time.Duration{500 * time.Millisecond, time.Second, 2500 * time.Millisecond} {
+			for _, copies := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%d of %d slots in use, silent for %v, copies %v", busy, slots, length, copies), inBubble(func(t *testing.T) {
+					q := &slotQueue{free: make(chan struct{}, slots)}
+					s := newFixture(map[string]behaviour{"a": pausable(250, eventGap), "b": q.limit(pausable(250, eventGap))})
+					s.Model = func(string) *ingress.Model { return &ingress.Model{StandbyCopies: copies} }
+					for _, id := range []string{"a", "b"} {
+						s.Fleet.Put(fleet.Target{ID: id, Service: "svc", Address: id + ":1", Place: "place-" + id, Slots: slots})
+					}
+					s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: slots}}) // so that all begin at a
+					for range busy {
+						q.free <- struct{}{}
+					}
+					var work sync.WaitGroup
+					for i := range streams {
+						work.Go(func() {
+							got := &fakeResponder{}
+							s.Serve(context.Background(), newStreamRequest(fmt.Sprint("r", i)), got)
+							if !got.receivedAll(250) {
+								t.Errorf("a caller got %d events (want 251), error %v", len(got.events), got.err)
+							}
+						})
+					}
+					time.Sleep(time.Second)
+					s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: busy}})
+					s.client.pauseFor(length, "a")
+					time.Sleep(length + time.Second)
+					if q.queued > 0 {
+						t.Errorf("%d streams waited in the queue of the target with %d of %d slots in use, want none", q.queued, busy, slots)
+					}
+					for range busy {
+						<-q.free
+					}
+					work.Wait()
+					for s.stopper.busy() {
+						time.Sleep(stopTimeout)
+					}
+					synctest.Wait()
+				}))
+			}
+		}
+	}
+}
+
+// newStreamRequest returns a request for a stream, received now.
+func newStreamRequest(id string) *Request {
+	route, now := streamRoute, time.Now()
+	return &Request{
+		ID: id, Method: http.MethodPost, Received: now, Deadline: now.Add(25 * time.Second), Route: &route, Service: "svc", Header: http.Header{},
+		Prompt: Prompt{CacheKey: id, Tokens: 100, MaxOutputTokens: 100},
+	}
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -201,6 +201,7 @@
 		return false
 	}
 	a.moving = true
+	a.stream.succession.releaseSlot() // the copy takes one at the destination
 	a.stream.openMoves[a.attempt.Target.ID]++
 	go func() {
 		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
@@ -358,6 +359,7 @@
 	}
 	a.detector.recordEvent(now)
 	s.forwarder.releaseReturn(s.request, &s.succession)
+	s.succession.releaseSlot()
 	a.kept = false
 	if s.lastEventID >= 0 && p.event.ID != s.lastEventID+1 {
 		return a.abandon("event " + strconv.FormatInt(p.event.ID, 10) + " follows " + strconv.FormatInt(s.lastEventID, 10)), true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -163,6 +163,7 @@
 	}
 	incarnation := s.forwarder.Fleet.Incarnation(a.Target.ID)
 	active := s.forwarder.Fleet.Begin(now, a.Target.ID, demand)
+	s.succession.releaseSlot()
 	attempt := &streamAttempt{
 		stream: s, attempt: a, incarnation: incarnation, active: active, lost: s.forwarder.Fleet.Lost(a.Target.ID),
 		detector:     newStallDetector(now, s.request.Route.MaxEventGap, a.Resume != (Copy{}), a.CopyTo != nil),
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -17,7 +17,7 @@
 // A target that is not at fault may be silent for a second or more and then go on. A
 // request is therefore taken from a silent target only once another target can get it:
 // the retry budget for the next attempt is consumed first, and that for the return if the
-// other target refuses. Without a successor the request stays where it is until its target
+// other target refuses, and a stream has room there. Without a successor the request stays where it is until its target
 // answers, breaks the connection or is known to have terminated.
 
 const (
@@ -47,7 +47,8 @@
 	returnReserved time.Time           // the same of the next return
 	returnedAt     time.Time           // when the latest return was sent; zero before the first
 	returns        int
-	denialRecorded bool // that the retry budget for a return is exhausted
+	slot           *heldSlot // for the next attempt; nil if none is held
+	denialRecorded bool      // that the retry budget for a return is exhausted
 }
 
 // recordDenial records once that a return has to wait for retry budget.
@@ -104,13 +105,32 @@
 // reserveSuccessor reserves what a request needs to be sent to another target than the
 // current one: the next attempt and a return have their retry budget then. tried are the
 // targets that it was sent to so far, and silence is the time since the current one sent
-// anything. The error is why the request stays.
-func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current fleet.Incarnation, silence time.Duration, criteria fleet.Criteria) error {
+// anything. standby is the copy from which the next attempt may resume, nil for none. The error
+// is why the request stays.
+func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current fleet.Incarnation, silence time.Duration, criteria fleet.Criteria, standby *standbyCopy) error {
 	now := time.Now()
+	c.releaseSlot()
 	criteria.Exclude, criteria.Priority = withID(tried, current.Target.ID), r.Route.Priority
-	switch {
-	case !c.retryReserved.IsZero():
+	if criteria.MemoryTokens > 0 && silence < maxRoomWait {
+		slot, err := f.findRoom(now, criteria, standby)
+		if err != nil {
+			return err
+		}
+		c.slot = slot
+	}
+	if !c.retryReserved.IsZero() {
 		return nil
+	}
+	err := f.reserveRetry(now, r, c, current, silence, criteria)
+	if err != nil {
+		c.releaseSlot()
+	}
+	return err
+}
+
+// reserveRetry is reserveSuccessor without the room at the next target.
+func (f *Forwarder) reserveRetry(now time.Time, r *Request, c *succession, current fleet.Incarnation, silence time.Duration, criteria fleet.Criteria) error {
+	switch {
 	case !r.Route.Repeatable():
 		return errNotRepeatable
 	case !c.returnedAt.IsZero():
@@ -157,6 +177,7 @@
 // releaseRetries gives back all retry budget that a request did not use.
 func (f *Forwarder) releaseRetries(r *Request, c *succession) {
 	f.releaseReturn(r, c)
+	c.releaseSlot()
 	if reserved := take(&c.retryReserved); !reserved.IsZero() {
 		f.RetryBudget.Release(reserved, r.Service)
 	}
@@ -232,7 +253,7 @@
 			return errStopsSoon
 		}
 	}
-	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.incarnation, silence, s.targetCriteria(nil))
+	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.incarnation, silence, s.targetCriteria(nil), a.copier.current)
 }
 
 // mayBeginElsewhere reports whether a stream may be taken from a target that is silent for
@@ -365,7 +386,7 @@
 		case <-done:
 			return answer, body, gaveUp, err
 		case <-timer.C:
-			gaveUp = c.forwarder.reserveSuccessor(c.request, &c.succession, c.tried, target, time.Since(sentAt), fleet.Criteria{Service: c.request.Service}) == nil
+			gaveUp = c.forwarder.reserveSuccessor(c.request, &c.succession, c.tried, target, time.Since(sentAt), fleet.Criteria{Service: c.request.Service}, nil) == nil
 			if gaveUp {
 				cancel() // done follows
 				continue
