fleet: a stream isn't sent to a full target while another one has a slot free

Cause: a full target is scored by what runs there, not as full, so it can win against one whose last slot is free and that still reads a prompt. Why it works: full targets are considered only if no other one can be picked.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -114,6 +115,13 @@
 	if f.staleness > MaxFreshViewAge && len(criteria.PromptHolders) == 0 {
 		scheduler.Picker = routing.BestOfSample{Size: staleViewSampleSize}
 	}
+	if criteria.MemoryTokens > 0 && !criteria.ForCopy {
+		if free := withFreeSlot(candidates); len(free) < len(candidates) {
+			if c, err := scheduler.Pick(request, free, f.random); err == nil {
+				return f.targets[c.Target.Name].Target, nil
+			}
+		}
+	}
 	c, err := scheduler.Pick(request, candidates, f.random)
 	if err != nil {
 		return Target{}, err
@@ -121,6 +129,16 @@
 	return f.targets[c.Target.Name].Target, nil
 }
 
+// withFreeSlot returns the candidates that have a slot free or state no number of slots. A
+// stream in a queue waits for the end of another one, and if the daemon stops, it never begins.
+func withFreeSlot(candidates []routing.Candidate) []routing.Candidate {
+	isFull := func(c routing.Candidate) bool { return c.Slots > 0 && c.Estimated >= float64(c.Slots) }
+	if !slices.ContainsFunc(candidates, isFull) {
+		return candidates
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), isFull)
+}
+
 // MayRecover reports whether a target that meets the criteria is registered and gets no
 // new work only for a while: it is suspected, avoided or throttled.
 func (f *Fleet) MayRecover(now time.Time, criteria Criteria) bool {
