forward: a stream leaves the queue of a full target

Cause: a queued request isn't refused, so the return to the first target was never planned, however long the wait and however idle that target. Why it works: once a report shows that all slots of the target are in use and the stream has waited for half a second, it goes on at another target with room, or returns to one that it was taken from and that is ready.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -197,6 +197,14 @@
 	return (s.Slots == 0 || running < s.Slots) && memoryUsage(memory+memoryTokens, capacityTokens) <= 1
 }
 
+// HasRoom reports whether a registered target has a slot free and memory for a request.
+func (f *Fleet) HasRoom(id string, memoryTokens, capacityTokens int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.targets[id]
+	return s != nil && s.hasRoom(memoryTokens, capacityTokens)
+}
+
 // HoldSlot keeps a slot of a target that has room for a request, so that the requests of this
 // daemon that look for room at the same time don't take the same one. It returns false if the
 // target has no room or is unknown. The returned function ends the hold and may be called
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -15,6 +15,12 @@
 // run's KV cache if that target is ready, otherwise the target that is expected to
 // start soonest. It returns false if no attempt is possible.
 func (s *stream) planAttempt(ctx context.Context) (Attempt, bool) {
+	if s.succession.returnFirst {
+		s.succession.returnFirst = false
+		if a, ok := s.planReturn(ctx); ok {
+			return a, true
+		}
+	}
 	if !s.request.attemptsLeft(len(s.tried)) {
 		s.noAttempt = errAttemptsUsedUp.Error()
 		return s.planReturn(ctx)
--- a/forward/room.go
+++ b/forward/room.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,6 +55,39 @@
 	return f.Fleet.IsCurrent(t) && f.Fleet.State(now, t.ID) == fleet.Ready
 }
 
+// maxQueueTime is how long a stream that has begun stays in the queue of a target while
+// another one has room.
+const maxQueueTime = 500 * time.Millisecond
+
+// isQueued reports whether the result of a probe shows that the target has the stream, whose
+// caller has received events, in its queue.
+func (a *streamAttempt) isQueued(p ProbeResult) bool {
+	r, t := p.Report, a.attempt.Target
+	_, running := r.Running[a.stream.request.ID]
+	return a.stream.version != nil && !a.detector.firstEventSeen && p.completedAt.Sub(a.detector.lastProgress) >= maxQueueTime &&
+		r.Queued > 0 && !running && t.Slots > 0 && len(r.Running) >= t.Slots
+}
+
+// leaveQueue ends the attempt if another target has room, or one that the stream was taken from
+// and that goes on.
+func (a *streamAttempt) leaveQueue() (attemptEnd, bool) {
+	const reason = "the target has the stream in its queue"
+	s := a.stream
+	if a.reserveSuccessor() == nil {
+		return a.abandonSilent(reason), true
+	}
+	if s.succession.returns < maxReturns && slices.ContainsFunc(s.succession.silent, func(i fleet.Incarnation) bool { return s.mayReturnTo(time.Now(), i.Target) }) {
+		s.succession.returnFirst = true
+		return a.abandon(reason), true
+	}
+	return 0, false
+}
+
+// mayReturnTo reports whether a target that the stream was taken from is ready and has room.
+func (s *stream) mayReturnTo(now time.Time, t fleet.Target) bool {
+	return s.allowsVersion(t) && s.forwarder.isUsable(now, t) && s.forwarder.Fleet.HasRoom(t.ID, s.memoryTokens(), s.capacityTokens()) && !s.forwarder.stopper.mayRun(t.ID, s.request.ID)
+}
+
 // releaseSlot ends the hold of a slot, if there is one.
 func (c *succession) releaseSlot() {
 	if c.slot != nil {
--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -91,6 +91,58 @@
 	}
 }
 
+// fullReporter is a client whose target b reports that all of its slots are in use.
+type fullReporter struct {
+	*fakeTargetClient
+	queue *slotQueue
+}
+
+func (s fullReporter) Report(ctx context.Context, t fleet.Target) (Report, error) {
+	r, err := s.fakeTargetClient.Report(ctx, t)
+	if t.ID == "b" {
+		r.Running, r.Queued = make(map[string]RunStatus), 1
+		for i := range len(s.queue.free) {
+			r.Running[fmt.Sprint("other", i)] = RunStatus{Events: 1}
+		}
+	}
+	return r, err
+}
+
+// TestQueuedStreamReturns guards against streams that wait in a queue until their daemon stops
+// while the target that they were taken from is idle: its last room had been taken meanwhile
+// by requests that this daemon did not know of (review/3).
+func TestQueuedStreamReturns(t *testing.T) {
+	const slots = 8
+	for _, length := range []time.Duration{700 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		for _, copies := range []bool{true, false} {
+			t.Run(fmt.Sprintf("silent for %v, copies %v", length, copies), inBubble(func(t *testing.T) {
+				q := &slotQueue{free: make(chan struct{}, slots)}
+				s := newFixture(map[string]behaviour{"a": pausable(150, eventGap), "b": q.limit(pausable(150, eventGap))})
+				client := fullReporter{s.client, q}
+				s.TargetClient, s.Prober = client, NewProber(client, s.Fleet, s.Events)
+				s.Model = func(string) *ingress.Model { return &ingress.Model{StandbyCopies: copies} }
+				s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: slots}}) // so that it begins at a
+				for range slots {
+					q.free <- struct{}{}
+				}
+				time.AfterFunc(time.Second, func() {
+					s.Fleet.SetPeerLoads("vm-2", nil)
+					s.client.pauseFor(length, "a")
+				})
+				start, got := time.Now(), &fakeResponder{}
+				s.Serve(context.Background(), newStreamRequest("r1"), got)
+				if took := time.Since(start); !got.receivedAll(150) || took > 150*eventGap+length+2*time.Second {
+					t.Errorf("the caller got %d events (want 151) in %v, error %v; sent to %v", len(got.events), took, got.err, s.client.attempts())
+				}
+				for s.stopper.busy() {
+					time.Sleep(stopTimeout)
+				}
+				synctest.Wait()
+			}))
+		}
+	}
+}
+
 // newStreamRequest returns a request for a stream, received now.
 func newStreamRequest(id string) *Request {
 	route, now := streamRoute, time.Now()
--- a/forward/run.go
+++ b/forward/run.go
@@ -121,6 +121,11 @@
 					return end
 				}
 			}
+			if p.Alive && a.isQueued(p) {
+				if end, done := a.leaveQueue(); done {
+					return end
+				}
+			}
 		case <-a.copier.unusable:
 			a.copier.replaceTarget(time.Now())
 		case <-a.copier.timerChannel():
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -47,6 +47,7 @@
 	returnReserved time.Time           // the same of the next return
 	returnedAt     time.Time           // when the latest return was sent; zero before the first
 	returns        int
+	returnFirst    bool      // the next attempt is a return, if one is possible
 	slot           *heldSlot // for the next attempt; nil if none is held
 	denialRecorded bool      // that the retry budget for a return is exhausted
 }
