--- a/forward/successor.go
+++ b/forward/successor.go
@@ -365,55 +365,6 @@
 	return a.detector.firstEventSeen && f.Fleet.State(now, t.ID) == fleet.Ready && !f.Prober.answeredSince(t, a.detector.lastProgress)
 }
 
-// send sends the call to one target and reads the answer. While another target can get
-// the call, it is given up after attemptTimeoutFactor times the route's latency
-// objective.
-func (c *call) send(ctx context.Context, a Attempt, target fleet.Incarnation) (answer *Answer, body []byte, gaveUp bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if !c.request.Route.Repeatable() || c.request.Route.LatencyObjective <= 0 || !c.request.attemptsLeft(len(c.tried)+1) {
-		answer, body, err = c.exchange(ctx, a, target)
-		return answer, body, false, err
-	}
-	done, sentAt := make(chan struct{}), time.Now()
-	go func() {
-		defer close(done)
-		answer, body, err = c.exchange(ctx, a, target)
-	}()
-	timer := time.NewTimer(attemptTimeoutFactor * c.request.Route.LatencyObjective)
-	defer timer.Stop()
-	for {
-		select {
-		case <-done:
-			return answer, body, gaveUp, err
-		case <-timer.C:
-			gaveUp = c.forwarder.reserveSuccessor(c.request, &c.succession, c.tried, target, time.Since(sentAt), fleet.Criteria{Service: c.request.Service}, nil) == nil
-			if gaveUp {
-				cancel() // done follows
-				continue
-			}
-			timer.Reset(c.request.Route.LatencyObjective)
-		}
-	}
-}
-
-// exchange sends the call to one target and reads the answer.
-func (c *call) exchange(ctx context.Context, a Attempt, target fleet.Incarnation) (*Answer, []byte, error) {
-	answer, err := c.forwarder.send(ctx, a)
-	if err != nil {
-		return nil, nil, err
-	}
-	if answer.NotRun {
-		_ = answer.Body.Close() // the head says all; the body may have no end
-		return answer, nil, nil
-	}
-	body, err := c.readBody(answer.Body)
-	if err == nil && !answer.Framed {
-		err = c.forwarder.confirmEnd(ctx, c.request, a.Target, target)
-	}
-	return answer, body, err
-}
-
 // withID returns a copy of a set of ids with one more.
 func withID(set map[string]bool, id string) map[string]bool {
 	out := make(map[string]bool, len(set)+1)
