forward: a run is stopped whose caller has left

What callers saw: nothing; targets that don't drop a run when its connection closes work on for callers who have left (GONE, and work in vain). Evidence: TestRunOfALeftCallerIsStopped: without the call the target works on for 4.5 and 3.9 s.

--- a/forward/stopper_test.go
+++ b/forward/stopper_test.go
@@ -159,3 +159,29 @@
 		}))
 	}
 }
+
+// maxWorkForNobody is how long a target may still work on a request whose caller has left.
+const maxWorkForNobody = 500 * time.Millisecond
+
+// TestRunOfALeftCallerIsStopped guards against work for callers who have left, at targets that
+// do not drop a run when its connection closes.
+func TestRunOfALeftCallerIsStopped(t *testing.T) {
+	for _, after := range []time.Duration{eventGap, 20 * eventGap} {
+		t.Run(fmt.Sprint("after ", after), inBubble(func(t *testing.T) {
+			var work workLog
+			b := work.goingOn(150, eventGap, -1, nil)
+			s := newFixture(map[string]behaviour{"a": b, "b": b})
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(after+placementInterval, cancel)
+			s.serveFor(ctx, streamRoute)
+			leftAt := time.Now()
+			time.Sleep(10 * time.Second)
+			synctest.Wait()
+			for _, r := range work.runs {
+				if worked := r.ended.Sub(leftAt); worked > maxWorkForNobody {
+					t.Errorf("%s worked for %v after the caller had left, want at most %v", r.target, worked, maxWorkForNobody)
+				}
+			}
+		}))
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -152,8 +152,9 @@
 
 // attempt sends the request to one target and passes on the answer.
 func (s *stream) attempt(ctx context.Context, a Attempt) attemptEnd {
+	callerCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // the run on this target ends before the next attempt
+	defer cancel() // the connection closes before the next attempt
 	now := time.Now()
 	a.TimeLeft, s.framed = s.request.timeLeft(), describeFrame(nil)
 	s.request.SentAt = now
@@ -175,7 +176,11 @@
 		attempt.copier.finish(!attempt.failed)
 	}()
 	go attempt.read(ctx)
-	return attempt.relay(ctx)
+	end := attempt.relay(ctx)
+	if end == endCanceled && (callerCtx.Err() == nil || canceledByCaller(callerCtx)) {
+		attempt.stopRun() // the caller has left; the target knows the deadline
+	}
+	return end
 }
 
 // recordLoss logs and keeps the reason why an attempt ended.
