forward: a stream that can't return any more waits in a queue

Cause: the next attempt needed room as long as the stream had been taken from some silent target, also once that had terminated or no return was left. Evidence: TestStreamWaitsInAQueueIfItCantReturn fails in 4 of 4 cases before.

--- a/forward/room.go
+++ b/forward/room.go
@@ -99,5 +99,6 @@
 // needsRoom reports whether the next attempt of a stream must not wait in a queue: the stream
 // may still return to a target that it was taken from.
 func (s *stream) needsRoom(now time.Time) bool {
-	return len(s.succession.silent) > 0 && now.Sub(s.lostAt) < maxRoomWait
+	mayReturn := func(i fleet.Incarnation) bool { return !i.Terminated(now) }
+	return now.Sub(s.lostAt) < maxRoomWait && s.succession.returns < maxReturns && slices.ContainsFunc(s.succession.silent, mayReturn)
 }
--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -143,6 +144,36 @@
 	}
 }
 
+// TestStreamWaitsInAQueueIfItCantReturn guards against streams that are cut because they look
+// for a target with room although the one that they were taken from has terminated.
+func TestStreamWaitsInAQueueIfItCantReturn(t *testing.T) {
+	for _, terminatedAfter := range []time.Duration{500 * time.Millisecond, 650 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second} {
+		t.Run(fmt.Sprint("terminated after ", terminatedAfter), inBubble(func(t *testing.T) {
+			s := newFixture(map[string]behaviour{"a": pausable(150, eventGap), "b": streaming(150, 45, eventGap, io.ErrUnexpectedEOF), "c": streaming(150, -1, eventGap, nil)})
+			s.Model = func(string) *ingress.Model { return &ingress.Model{} }
+			s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: 7}, "c": {Running: 8}}) // so that it begins at a
+			time.AfterFunc(time.Second, func() {
+				s.client.pause("a")
+				time.Sleep(terminatedAfter)
+				s.client.mu.Lock()
+				s.client.ended["a"] = true
+				s.client.mu.Unlock()
+				s.Fleet.MarkTerminated(time.Now(), fleet.Target{ID: "a"})
+			})
+			got := &fakeResponder{}
+			s.Serve(context.Background(), newStreamRequest("r1"), got)
+			if !got.receivedAll(150) {
+				t.Errorf("the caller got %d events (want 151), error %v; sent to %v", len(got.events), got.err, s.client.attempts())
+			}
+			s.client.resume("a")
+			for s.stopper.busy() {
+				time.Sleep(stopTimeout)
+			}
+			synctest.Wait()
+		}))
+	}
+}
+
 // newStreamRequest returns a request for a stream, received now.
 func newStreamRequest(id string) *Request {
 	route, now := streamRoute, time.Now()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -69,9 +69,10 @@
 	defer s.forwarder.releaseRetries(s.request, &s.succession)
 	defer s.releaseFailure()
 	for {
+		neededRoom := s.needsRoom(time.Now())
 		a, ok := s.planAttempt(ctx)
 		if !ok {
-			if s.succession.awaitReturn(ctx) {
+			if s.succession.awaitReturn(ctx) || neededRoom && !s.needsRoom(time.Now()) {
 				continue
 			}
 			break
