forward: a run is stopped that begins after it was left

Why it works: such a run is looked for until 2.5 s have passed and the queue is empty. A request may return to that target meanwhile: its first run has not begun, and is no longer looked for.

--- a/forward/stopper.go
+++ b/forward/stopper.go
@@ -30,9 +30,11 @@
 	stopInterval    = 50 * time.Millisecond
 	maxStopInterval = time.Second
 	stopPatience    = 5 * time.Second
-	// queueInterval is the time between two looks at the queue of a target in which a run
-	// may wait that had not begun when it was left.
-	queueInterval = 200 * time.Millisecond
+	// A run that had not begun when it was left may be in the queue of its target, or its
+	// prompt is read. The target doesn't know it as a run then. It is looked for every
+	// queueInterval, for beginTime and until the queue is empty.
+	queueInterval = 250 * time.Millisecond
+	beginTime     = 2500 * time.Millisecond
 )
 
 // leftRun is a run at a target that may still work on it.
@@ -73,11 +75,21 @@
 	}
 }
 
-// mayRun reports whether a run that was left at a target may still go on there.
+// mayRun reports whether a run that has begun and was left at a target may still go on there.
 func (s *runStopper) mayRun(targetID, requestID string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.runs[targetID], func(r *leftRun) bool { return r.requestID == requestID })
+	return slices.ContainsFunc(s.runs[targetID], func(r *leftRun) bool { return r.requestID == requestID && r.begun })
+}
+
+// forget removes the runs of a request that returns to a target: they can't be told from the
+// next one.
+func (s *runStopper) forget(targetID, requestID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.runs[targetID]) > 0 {
+		s.runs[targetID] = slices.DeleteFunc(s.runs[targetID], func(r *leftRun) bool { return r.requestID == requestID })
+	}
 }
 
 // next returns the run at a target that is due first, nil if there is none.
@@ -134,10 +146,8 @@
 		go f.releaseCopy(r.requestID, r.target.Target, standbyCopy{holder, c})
 		return true, 0
 	case errors.Is(err, ErrRunNotFound):
-		if r.begun || f.hasEnded(ctx, r) {
-			return true, 0
-		}
-		return false, queueInterval
+		ended := r.begun || time.Since(r.leftAt) > beginTime && f.hasEnded(ctx, r)
+		return ended, queueInterval
 	case errors.Is(err, ErrOtherTarget) || errors.Is(err, ErrNotListening):
 		return true, 0
 	case ctx.Err() == nil && !errors.Is(err, ErrNotSent):
--- a/forward/stopper_test.go
+++ b/forward/stopper_test.go
@@ -185,3 +185,61 @@
 		}))
 	}
 }
+
+// lateStarter is a client whose targets know a run only once it has begun, and until then have
+// it in their queue, if queued is set.
+type lateStarter struct {
+	*fakeTargetClient
+	beginsAt time.Time
+	queued   bool
+}
+
+func (s lateStarter) Move(ctx context.Context, source fleet.Target, id string, destination fleet.Target) (Copy, fleet.Target, error) {
+	if time.Now().Before(s.beginsAt) {
+		return Copy{}, fleet.Target{}, errors.WithStack(ErrRunNotFound)
+	}
+	return s.fakeTargetClient.Move(ctx, source, id, destination)
+}
+
+func (s lateStarter) Report(context.Context, fleet.Target) (Report, error) {
+	r := Report{Running: make(map[string]RunStatus)}
+	if s.queued && time.Now().Before(s.beginsAt) {
+		r.Queued = 1
+	}
+	return r, nil
+}
+
+// TestLeftRunThatBeginsLaterIsStopped guards against two targets at work on a request that was
+// left at one of them in its queue, or while its prompt was read.
+func TestLeftRunThatBeginsLaterIsStopped(t *testing.T) {
+	for _, c := range []struct {
+		beginsAfter time.Duration
+		queued      bool
+	}{{300 * time.Millisecond, false}, {2 * time.Second, false}, {300 * time.Millisecond, true}, {9 * time.Second, true}} {
+		t.Run(fmt.Sprintf("%+v", c), inBubble(func(t *testing.T) {
+			var work workLog
+			beginsAt := time.Now().Add(c.beginsAfter)
+			late := func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+				go func() { // the run goes on without a connection
+					time.Sleep(time.Until(beginsAt))
+					answer, _ := work.goingOn(150, eventGap, -1, nil)(context.Background(), a, s)
+					_, _ = io.Copy(io.Discard, answer.Body)
+				}()
+				return nil, errors.WithStack(ErrNoAnswer)
+			}
+			s, _ := newFixtureWithBroken(streaming(50, -1, eventGap, nil), late)
+			s.TargetClient = lateStarter{s.client, beginsAt, c.queued}
+			s.Prober = NewProber(s.TargetClient, s.Fleet, s.Events)
+			if got := s.serve(t, streamRoute); !got.receivedAll(50) {
+				t.Errorf("the caller got %d events (want 51), error %v", len(got.events), got.err)
+			}
+			time.Sleep(15 * time.Second)
+			synctest.Wait()
+			for _, r := range work.runs {
+				if worked := r.ended.Sub(r.began); worked > maxOverlap {
+					t.Errorf("the run that was left worked for %v, want at most %v", worked, maxOverlap)
+				}
+			}
+		}))
+	}
+}
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -227,6 +227,7 @@
 			return fleet.Target{}, false, refusal
 		}
 		c.returnedAt = time.Now()
+		f.stopper.forget(previous.Target.ID, r.ID)
 		f.Events.Record(event.RequestReturned, r.ID, event.F("target", previous.Target.ID))
 		return previous.Target, true, nil
 	}
