forward: a stream in a queue stays at a target that has gone on

What callers saw: a stream in the queue of a target that was silent for a second began again elsewhere, at the end of another queue; where the first target doesn't drop runs, both worked on it (TWICE). Cause: once a stream had been kept at a silent target, it was given up at the next chance, also if the target had answered since; and the silence counted up to the present, not to the last probe that showed it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,15 +36,16 @@
 // targetState is a target with its observed state.
 type targetState struct {
 	Target
-	replaced            bool      // another target registered at its address
-	superseded          bool      // a new incarnation registered
-	removed             bool      // the entry was removed without leaving
-	terminatedUntil     time.Time // its process is considered terminated until then
-	missingSince        time.Time // when its entry, which may return, disappeared; zero if present
-	suspectUntil        time.Time // it is considered failed until then
-	suspectedAt         time.Time // when the latest suspicion began
-	accepts             bool      // it accepted connections when it was last suspected
-	avoidUntil          time.Time // it gets no new work until then
+	replaced            bool          // another target registered at its address
+	superseded          bool          // a new incarnation registered
+	removed             bool          // the entry was removed without leaving
+	terminatedUntil     time.Time     // its process is considered terminated until then
+	missingSince        time.Time     // when its entry, which may return, disappeared; zero if present
+	suspectUntil        time.Time     // it is considered failed until then
+	suspectedAt         time.Time     // when the latest suspicion began
+	accepts             bool          // it accepted connections when it was last suspected
+	silentFor           time.Duration // from the beginning of the suspicion to its latest evidence
+	avoidUntil          time.Time     // it gets no new work until then
 	consecutiveRefusals int
 	running             int                   // requests of this daemon
 	prefillTokens       int                   // prompt tokens of this daemon's requests that have had no event
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -63,18 +63,18 @@
 	if newlySuspected {
 		s.suspectedAt = now
 	}
-	s.suspectUntil, s.accepts = now.Add(SuspectDuration), accepts
+	s.suspectUntil, s.accepts, s.silentFor = now.Add(SuspectDuration), accepts, now.Sub(s.suspectedAt)
 	s.markLost()
 	return newlySuspected
 }
 
-// IsSilent reports whether a target accepts connections and has been suspected for less than
-// limit. Its process, or at least its VM, is up.
+// IsSilent reports whether a suspected target accepts connections, and no call of Suspect shows
+// that it has been silent for limit or longer. Its process, or at least its VM, is up.
 func (f *Fleet) IsSilent(now time.Time, id string, limit time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.targets[id]
-	return s.state(now) == Suspected && s.accepts && now.Sub(s.suspectedAt) < limit
+	return s.state(now) == Suspected && s.accepts && s.silentFor < limit
 }
 
 // ExtendSuspicion lets the suspicion of a target last for another SuspectDuration. It returns
--- a/forward/only_silent_test.go
+++ b/forward/only_silent_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -56,3 +57,32 @@
 		}
 	}
 }
+
+// TestStreamInAQueueStaysAfterASilence guards against requests on which two targets work: a
+// stream that had no event yet was taken from a target although that had gone on.
+func TestStreamInAQueueStaysAfterASilence(t *testing.T) {
+	const inQueue = 6 * time.Second
+	for _, length := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1300 * time.Millisecond, 1880 * time.Millisecond} {
+		for _, after := range []time.Duration{200 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprintf("silent for %v after %v", length, after), inBubble(func(t *testing.T) {
+				var work workLog
+				b := func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+					time.Sleep(inQueue)
+					return work.goingOn(50, eventGap, -1, nil)(ctx, a, s)
+				}
+				s := newFixture(map[string]behaviour{"a": b, "b": b})
+				time.AfterFunc(placementInterval+after, func() {
+					first := s.client.attempt(0).Target.ID
+					s.client.mu.Lock()
+					s.client.listening[first] = true
+					s.client.mu.Unlock()
+					s.client.pauseFor(length, first)
+				})
+				got := s.serve(t, streamRoute)
+				if attempts := s.client.attempts(); len(attempts) != 1 || !got.receivedAll(50) {
+					t.Errorf("the caller got %d events (want 51), error %v; sent to %v, want one target", len(got.events), got.err, attempts)
+				}
+			}))
+		}
+	}
+}
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -348,6 +348,8 @@
 			return wait, 0, false // until the move has ended
 		}
 		a.keep(reason, err)
+	case a.kept && a.stream.forwarder.Fleet.State(now, a.attempt.Target.ID) == fleet.Ready:
+		a.kept = false // the target has answered
 	case a.kept:
 		if end, done := a.giveUp(reason); done {
 			return 0, end, true
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -118,16 +118,20 @@
 type engine struct {
 	id, service, address string
 	faulty               bool // breaks some answers off
+	goesOn               bool // works on when a connection has closed, and where it breaks an answer off
 	ledger               *ledger
+	site                 *site
 	silentUntil          atomic.Int64 // Unix nanoseconds
 	conditions           conditions
 
 	mu      sync.Mutex
-	running map[string]int // events made by the run, by request id; without those in the queue
+	running map[string]int    // events made by the run, by request id; without those in the queue
+	stops   map[string]func() // each stops a run, by request id
+	copies  map[string]bool   // of runs at other engines, by name
 }
 
 func startEngine(t *testing.T, l *ledger, id, service, address string, faulty bool) *engine {
-	e := &engine{id: id, service: service, address: address, faulty: faulty, ledger: l, running: make(map[string]int)}
+	e := &engine{id: id, service: service, address: address, faulty: faulty, ledger: l, running: make(map[string]int), stops: make(map[string]func()), copies: make(map[string]bool)}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -173,7 +177,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if strings.HasPrefix(r.URL.Path, "/-/") {
+	switch {
+	case r.URL.Path == pathMove:
+		e.move(w, r)
+		return
+	case strings.HasPrefix(r.URL.Path, "/-/"):
 		e.report(w, r)
 		return
 	}
@@ -195,6 +203,14 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if from := r.Header.Get("Kv-From"); from != "" {
+		if !e.takeCopy(from) {
+			w.Header().Set("Vanillaroad-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		work.first = time.Millisecond
+	}
 	m := drawManner(e.id, id, e.faulty, work.events > 0)
 	if m.unframed {
 		u, unframed, err := unframe(w, r)
@@ -220,7 +236,13 @@
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, work task, m manner, id string, this *run) runEnd {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
 	w.Header().Set("Content-Type", "text/event-stream")
-	defer e.progress(id, -1)
+	defer e.forget(id)
+	r, stopped := e.stoppable(r, id)
+	defer func() {
+		if stopped() {
+			breakOff(w, false) // the end of the stream is not sent
+		}
+	}()
 	if len(id)%2 == 0 && http.NewResponseController(w).Flush() != nil { // some send the head while the request is in the queue
 		return runCanceled
 	}
@@ -232,20 +254,23 @@
 		}
 		e.ledger.start(this)
 		if m.breakOff && i == breakAt {
-			if m.inside && writePart(w, work.event(i)) != nil {
+			if m.inside && writePart(w, work.event(i)) != nil && !e.goesOn {
 				return runCanceled
 			}
 			breakOff(w, m.reset)
-			return runBrokenOff
+			if !e.goesOn {
+				return runBrokenOff
+			}
 		}
 		wait = work.gap
-		if _, err := io.WriteString(w, work.event(i)); err != nil {
+		if _, err := io.WriteString(w, work.event(i)); err != nil && !e.goesOn {
 			return runCanceled
 		}
-		if http.NewResponseController(w).Flush() != nil {
+		if http.NewResponseController(w).Flush() != nil && !e.goesOn {
 			return runCanceled
 		}
 		e.progress(id, i-last)
+		e.copyTo(r.Header.Get("Vanillaroad-Kv-Backup"), id)
 	}
 	if http.NewResponseController(w).Flush() != nil { // there may have been no event left
 		return runCanceled
@@ -253,30 +278,37 @@
 	return runComplete
 }
 
-// progress records the events made of a running stream; -1 removes it.
+// progress records the events made of a running stream.
 func (e *engine) progress(id string, events int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if events < 0 {
-		delete(e.running, id)
-		return
-	}
 	e.running[id] = events
 }
 
+// forget removes a stream that has ended.
+func (e *engine) forget(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.running, id)
+	delete(e.stops, id)
+}
+
 func (e *engine) report(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/-/report" {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	runs := [][]any{}
+	runs, queued := [][]any{}, 0
 	e.mu.Lock()
+	if e.goesOn {
+		queued = len(e.stops) - len(e.running)
+	}
 	for id, events := range e.running {
 		runs = append(runs, []any{id, 100 + events, events, 5})
 	}
 	e.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"stage": "both", "models": []any{}, "busy": false, "seq": 1, "queued": 0, "active": len(runs), "kv_used": 0, "kv_total": 90000, "handles": 0, "runs": runs})
+	_ = json.NewEncoder(w).Encode(map[string]any{"stage": "both", "models": []any{}, "busy": false, "seq": 1, "queued": queued, "active": len(runs), "kv_used": 0, "kv_total": 90000, "handles": 0, "runs": runs})
 }
 
 // drawStream draws a stream of 1 to 12 s, of which one in eight is in the queue for long.
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -41,6 +41,7 @@
 	ledger  *ledger
 	record  *record
 	version int
+	copies  bool // engines hold copies of each other's runs, and move runs
 	// idleTimeout is the limit of the configuration in force, in nanoseconds.
 	idleTimeout atomic.Int64
 	start       time.Time
@@ -74,7 +75,7 @@
 	}
 	s := &site{
 		t: t, rng: rand.New(rand.NewPCG(seed, 0)), ledger: &ledger{runs: make(map[string][]*run)},
-		record: &record{outcomes: make(map[string]int)}, busy: make(map[string]bool),
+		record: &record{outcomes: make(map[string]int)}, busy: make(map[string]bool), copies: o.copies,
 	}
 	dir := t.TempDir()
 	if *keepLogs != "" {
@@ -100,6 +101,7 @@
 			service = "booking"
 		}
 		e := startEngine(t, s.ledger, fmt.Sprint("i-", i), service, fmt.Sprintf("%s.%d:8686", prefix, 100+i), i%2 == 1)
+		e.goesOn, e.site = o.copies && i%4 == 1, s
 		s.links = append(s.links, startProxy(t, fmt.Sprintf("%s.%d:8687", prefix, 100+i), e.address))
 		e.address = fmt.Sprintf("%s.%d:8687", prefix, 100+i)
 		s.engines = append(s.engines, e)
@@ -203,9 +205,13 @@
 	for i := range s.rng.IntN(20) {
 		routes = append(routes, route(fmt.Sprint("other-", i), "idempotent", "booking", callTimeout, time.Second, 2))
 	}
+	model := map[string]any{"name": "model"}
+	if s.copies {
+		model["engine"] = map[string]any{"kv_capacity": 90000, "backups": true, "handle_s": 4}
+	}
 	idle := []time.Duration{time.Second, 3 * time.Second, 15 * time.Second}[s.rng.IntN(3)]
 	s.put(platform.ConfigurationKind, platform.ConfigurationName, map[string]any{
-		"version": s.version, "routes": routes, "services": []any{map[string]any{"name": "model"}, map[string]any{"name": "booking"}},
+		"version": s.version, "routes": routes, "services": []any{model, map[string]any{"name": "booking"}},
 		"limits": map[string]any{"max_header_bytes": 16 << 10, "max_body_bytes": 1 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": idle.Milliseconds()},
 	})
 	s.idleTimeout.Store(int64(idle))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,6 +33,7 @@
 	daemons, engines, clients int
 	length                    time.Duration
 	planned, unplanned        []fault
+	copies                    bool // see site.copies
 }
 
 func TestMain(m *testing.M) {
@@ -107,6 +108,12 @@
 	soak(t, options{planned: append([]fault{silenceEngine}, plannedFaults...)})
 }
 
+// TestSoakGoingOn guards against requests on which two engines work: some engines don't drop a
+// run whose connection has closed, or is broken by them.
+func TestSoakGoingOn(t *testing.T) {
+	soak(t, options{planned: append([]fault{silenceEngine, silenceEngine}, plannedFaults...), copies: true})
+}
+
 // TestSoakCuts guards against callers of daemons without links to the engines who are served
 // far less often than others.
 func TestSoakCuts(t *testing.T) {
