ingress: the last workspace that is removed opens no routes

Cause: an empty list counted as none, and without any workspace no key is required. Ruled out: remembering that there were workspaces; a daemon that starts later would not know. Without the list, or with null, routes stay open as before.

--- a/ingress/table.go
+++ b/ingress/table.go
@@ -132,7 +132,10 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
-	Limits     Limits
+	// RequiresKeys means that routes which are not public require an API key, also if no
+	// workspace is left that holds one.
+	RequiresKeys bool
+	Limits       Limits
 }
 
 // Table is a Document indexed for lookups.
@@ -148,7 +151,7 @@
 // NewTable returns the table of a document, which must not be modified afterwards.
 func NewTable(d Document) *Table {
 	t := &Table{
-		Version: d.Version, Limits: d.Limits, requireKeys: len(d.Workspaces) > 0,
+		Version: d.Version, Limits: d.Limits, requireKeys: d.RequiresKeys || len(d.Workspaces) > 0,
 		routesByHost: make(map[string][]*Route), services: make(map[string]Service), workspaceByKey: make(map[string]*Workspace),
 	}
 	for i := range d.Routes {
@@ -189,7 +192,7 @@
 }
 
 // Authorize returns the workspace of a request on r with an API key, and whether the
-// request is allowed. On public routes, and if the configuration has no workspaces, every
+// request is allowed. On public routes, and if the configuration requires no keys, every
 // request is allowed and the workspace is empty.
 func (t *Table) Authorize(r *Route, key string) (w Workspace, allowed bool) {
 	if !t.requireKeys || r.Public {
