--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -205,6 +205,7 @@
 	}
 	if from := r.Header.Get("Kv-From"); from != "" {
 		if !e.takeCopy(from) {
+			w.Header().Set("Vanillaroad-Request-Id", id)
 			w.Header().Set("Vanillaroad-Not-Executed", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
