--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -356,11 +356,7 @@
 
 // serve serves one request and returns what the caller received.
 func (s *fixture) serve(t *testing.T, route ingress.Route) *fakeResponder {
-	t.Cleanup(func() {
-		for s.stopper.busy() { // a bubble must not end before
-			time.Sleep(stopTimeout)
-		}
-	})
+	t.Cleanup(s.awaitStops)
 	return s.serveFor(context.Background(), route)
 }
 
@@ -385,6 +381,13 @@
 	LatencyObjective: 4500 * time.Millisecond, MaxEventGap: 700 * time.Millisecond, MaxAttempts: 5,
 }
 
+// awaitStops waits until no run that was left may go on. A bubble must not end before.
+func (s *fixture) awaitStops() {
+	for s.stopper.busy() {
+		time.Sleep(stopTimeout)
+	}
+}
+
 // busy reports whether a run that was left may still go on.
 func (s *runStopper) busy() bool {
 	s.mu.Lock()
--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -82,9 +82,7 @@
 						<-q.free
 					}
 					work.Wait()
-					for s.stopper.busy() {
-						time.Sleep(stopTimeout)
-					}
+					s.awaitStops()
 					synctest.Wait()
 				}))
 			}
@@ -135,9 +133,7 @@
 				if took := time.Since(start); !got.receivedAll(150) || took > 150*eventGap+length+2*time.Second {
 					t.Errorf("the caller got %d events (want 151) in %v, error %v; sent to %v", len(got.events), took, got.err, s.client.attempts())
 				}
-				for s.stopper.busy() {
-					time.Sleep(stopTimeout)
-				}
+				s.awaitStops()
 				synctest.Wait()
 			}))
 		}
@@ -166,9 +162,7 @@
 				t.Errorf("the caller got %d events (want 151), error %v; sent to %v", len(got.events), got.err, s.client.attempts())
 			}
 			s.client.resume("a")
-			for s.stopper.busy() {
-				time.Sleep(stopTimeout)
-			}
+			s.awaitStops()
 			synctest.Wait()
 		}))
 	}
