--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -180,8 +180,8 @@
 // brokenByEngine reports whether a stream has made no event since an engine broke it off.
 func brokenByEngine(runs []run) bool {
 	for _, r := range slices.Backward(runs) {
-		if r.end == runBrokenOff || !r.firstEvent.IsZero() {
-			return r.end == runBrokenOff
+		if r.end == runBrokenOff || r.brokeOff || !r.firstEvent.IsZero() {
+			return r.end == runBrokenOff || r.brokeOff
 		}
 	}
 	return false
@@ -257,7 +257,7 @@
 }
 
 // overlap returns the longest time for which two engines worked on a request, apart from
-// trouble.
+// trouble. An engine that is silent works on nothing, and nothing reaches it.
 func (s *site) overlap(runs []run) (longest time.Duration) {
 	for i, one := range runs {
 		for _, other := range runs[:i] {
@@ -269,13 +269,34 @@
 				until = other.ended
 			}
 			if !s.troubled(from.Add(-contact), until) {
-				longest = max(longest, until.Sub(from))
+				longest = max(longest, until.Sub(from)-s.silentTime(one.engine, from, until)-s.silentTime(other.engine, from, until))
 			}
 		}
 	}
 	return longest
 }
 
+// silentTime returns for how long an engine was silent between two times.
+func (s *site) silentTime(engine string, from, until time.Time) (silent time.Duration) {
+	for _, sp := range s.planned { // sorted by the end
+		if sp.kind != silenceOf(engine) {
+			continue
+		}
+		begin, end := sp.from, sp.until
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.After(until) {
+			end = until
+		}
+		if end.After(begin) {
+			silent += end.Sub(begin)
+			from = end // overlapping silences count once
+		}
+	}
+	return silent
+}
+
 // sortedBroken returns the broken rules in a fixed order.
 func sortedBroken(broken []string) []string {
 	sort.Strings(broken)
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -61,6 +61,7 @@
 	// firstEvent is when the run of a stream left the queue; zero before, and of calls.
 	firstEvent time.Time
 	end        runEnd
+	brokeOff   bool // the engine broke its connection, and went on
 }
 
 // runEnd is how a run ended.
@@ -104,6 +105,12 @@
 	}
 }
 
+func (l *ledger) breakOff(r *run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.brokeOff = true
+}
+
 // of returns copies of the runs of a request.
 func (l *ledger) of(id string) (out []run) {
 	l.mu.Lock()
@@ -150,10 +157,13 @@
 // silence makes the engine send nothing for d.
 func (e *engine) silence(d time.Duration) { e.silentUntil.Store(time.Now().Add(d).UnixNano()) }
 
+// silentUntilTime returns the end of its latest silence.
+func (e *engine) silentUntilTime() time.Time { return time.Unix(0, e.silentUntil.Load()) }
+
 func (e *engine) pause(r *http.Request, d time.Duration) bool {
 	until := time.Now().Add(d)
 	for {
-		if silent := time.Unix(0, e.silentUntil.Load()); silent.After(until) {
+		if silent := e.silentUntilTime(); silent.After(until) {
 			until = silent
 		}
 		left := time.Until(until)
@@ -262,6 +272,7 @@
 			if !e.goesOn {
 				return runBrokenOff
 			}
+			e.ledger.breakOff(this)
 		}
 		wait = work.gap
 		if _, err := io.WriteString(w, work.event(i)); err != nil && !e.goesOn {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -118,13 +118,22 @@
 }
 
 func silenceEngine(s *site, rng *rand.Rand) {
-	from, e := time.Now(), s.engines[rng.IntN(len(s.engines))]
+	e := s.engines[rng.IntN(len(s.engines))]
+	s.mu.Lock()
+	from := time.Now()
 	d := 500*time.Millisecond + upTo(rng, time.Second)
+	if until := e.silentUntilTime(); until.After(from.Add(d)) {
+		d = until.Sub(from) // it is silent for longer already
+	}
 	e.silence(d)
-	s.note(&s.planned, span{"silence of " + e.id, "", from, from.Add(d)})
+	s.mu.Unlock()
+	s.note(&s.planned, span{silenceOf(e.id), "", from, from.Add(d)})
 	time.Sleep(d)
 }
 
+// silenceOf is the kind of a span in which an engine is silent.
+func silenceOf(engine string) string { return "silence of " + engine }
+
 func kill(s *site, rng *rand.Rand) {
 	d := s.reserve(rng)
 	if d == nil {
