--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -90,6 +90,54 @@
 	}
 }
 
+// TestStopCutsNoStreamOfASilentTarget guards against streams that are cut at the end of a stop
+// although their target went on long before it: they waited at a full one (review/3).
+func TestStopCutsNoStreamOfASilentTarget(t *testing.T) {
+	const slots, beforeStop = 12, 7600 * time.Millisecond
+	for _, length := range []time.Duration{500 * time.Millisecond, time.Second, 2500 * time.Millisecond} {
+		for _, stopAfter := range []time.Duration{0, 300 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+			for _, accepts := range []bool{true, false} {
+				t.Run(fmt.Sprintf("silent for %v, stop after %v, accepts connections %v", length, stopAfter, accepts), inBubble(func(t *testing.T) {
+					q := &slotQueue{free: make(chan struct{}, slots)}
+					s := newFixture(map[string]behaviour{"a": pausable(150, eventGap), "b": q.limit(pausable(150, eventGap))})
+					for _, id := range []string{"a", "b"} {
+						s.Fleet.Put(fleet.Target{ID: id, Service: "svc", Address: id + ":1", Place: "place-" + id, Slots: slots})
+					}
+					s.client.listening["a"] = accepts
+					s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: slots}})
+					for range slots {
+						q.free <- struct{}{}
+					}
+					silentAt := time.Now().Add(time.Second)
+					signaledAt := silentAt.Add(stopAfter)
+					s.StopsAt = func() time.Time {
+						if time.Now().Before(signaledAt) {
+							return time.Time{}
+						}
+						return signaledAt.Add(beforeStop)
+					}
+					ctx, cancel := context.WithCancelCause(context.Background())
+					defer time.AfterFunc(time.Until(signaledAt.Add(beforeStop)), func() { cancel(ErrStopping) }).Stop()
+					time.AfterFunc(time.Until(silentAt), func() { s.client.pauseFor(length, "a") })
+					var work sync.WaitGroup
+					for i := range slots {
+						work.Go(func() {
+							got := &fakeResponder{}
+							s.Serve(ctx, newStreamRequest(fmt.Sprint("r", i)), got)
+							if !got.receivedAll(150) {
+								t.Errorf("a caller got %d events (want 151), error %v", len(got.events), got.err)
+							}
+						})
+					}
+					work.Wait()
+					s.awaitStops()
+					synctest.Wait()
+				}))
+			}
+		}
+	}
+}
+
 // fullReporter is a client whose target b reports that all of its slots are in use.
 type fullReporter struct {
 	*fakeTargetClient
