--- a/forward/stopper.go
+++ b/forward/stopper.go
@@ -82,7 +82,7 @@
 	return slices.ContainsFunc(s.runs[targetID], func(r *leftRun) bool { return r.requestID == requestID && r.begun })
 }
 
-// forget removes the runs of a request that returns to a target: they can't be told from the
+// forget removes the runs of a request that returns to a target: a move can't distinguish them from the
 // next one.
 func (s *runStopper) forget(targetID, requestID string) {
 	s.mu.Lock()
