--- a/forward/copier.go
+++ b/forward/copier.go
@@ -33,8 +33,18 @@
 type standbyCopy struct {
 	holder fleet.Target
 	copy   Copy
+	origin copyOrigin
 }
 
+// copyOrigin is how a copy was made, for the log.
+type copyOrigin string
+
+const (
+	byBackup copyOrigin = "backup" // continuously, by the target of the run
+	byCopy   copyOrigin = "copy"   // at the request of a copier
+	byMove   copyOrigin = "move"   // which has stopped the run
+)
+
 // copyResult is the outcome of an explicit copy or of a move.
 type copyResult struct {
 	standbyCopy
@@ -63,7 +73,7 @@
 	c := &copier{stream: s, source: a.Target, results: make(chan copyResult, 1), failedTargets: make(map[string]bool), releaseReservation: func() {}}
 	if a.CopyTo != nil {
 		c.releaseReservation = s.forwarder.Fleet.ReserveCopy(a.CopyTo.ID, s.memoryTokens())
-		c.current = &standbyCopy{*a.CopyTo, Copy{a.CopyTo.Address, s.request.ID}}
+		c.current = &standbyCopy{*a.CopyTo, Copy{a.CopyTo.Address, s.request.ID}, byBackup}
 		c.unusable = s.forwarder.Fleet.Unusable(time.Now(), a.CopyTo.ID)
 	}
 	return c
@@ -113,7 +123,7 @@
 		if err != nil {
 			c.stream.forwarder.Events.Record(event.CopyFailed, c.stream.request.ID, event.F("from", c.source.ID), event.F("to", destination.ID), event.F("error", err.Error()))
 		}
-		sendUnlessDone(ctx, c.results, copyResult{standbyCopy: standbyCopy{destination, newCopy}, err: err})
+		sendUnlessDone(ctx, c.results, copyResult{standbyCopy: standbyCopy{destination, newCopy, byCopy}, err: err})
 	}()
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -86,6 +86,8 @@
 	ObjectiveMissed bool
 	// Resume is the copy of the run's KV cache that the target holds; zero for none.
 	Resume Copy
+	// Cause is why the request is sent to this target, for the log.
+	Cause string
 }
 
 // Copy identifies a copy of a run's KV cache. Name is its name at the target with the
@@ -280,6 +282,7 @@
 const (
 	metricCall       = "forward.call_ms"        // from the arrival of a call to its answer
 	metricFirstEvent = "forward.first_event_ms" // from the arrival of a stream request to its first event
+	metricCutSilence = "forward.cut_silence_ms" // from the last event of a stream to its end, if it is cut short
 	metricResume     = "forward.resume_ms"      // from the loss of a run to the next event of the stream
 )
 
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -57,9 +57,9 @@
 		return Attempt{}, false
 	}
 	now := time.Now()
-	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now)}
+	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now), Cause: s.promptCause()}
 	if s.resumesFromCopy(now) && s.forwarder.takePermit(ctx, s.request.ID, s.standby.holder, s.targetCriteria(nil)) {
-		a.Target, a.Resume = s.standby.holder, s.standby.copy
+		a.Target, a.Resume, a.Cause = s.standby.holder, s.standby.copy, string(s.standby.origin)
 	} else if slot := s.succession.slot; slot != nil && s.forwarder.isUsable(now, slot.target) && s.forwarder.takePermit(ctx, s.request.ID, slot.target, s.targetCriteria(nil)) {
 		a.Target = slot.target
 	} else {
@@ -81,6 +81,17 @@
 	return a, true
 }
 
+// promptCause returns the cause of an attempt that begins with the prompt.
+func (s *stream) promptCause() string {
+	switch {
+	case len(s.tried) > 0:
+		return "prompt"
+	case s.request.LastEventID != "":
+		return "taken up by the caller"
+	}
+	return "first"
+}
+
 // Limits of the wait for a target of a stream that has begun.
 const (
 	// maxTargetWait covers a suspicion. A caller can't get the stream anywhere else: it is
@@ -142,7 +153,7 @@
 	if refusal != nil {
 		s.lastErr = refusal
 	}
-	return Attempt{Request: s.request, Target: t, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(time.Now())}, ok
+	return Attempt{Request: s.request, Target: t, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(time.Now()), Cause: "return"}, ok
 }
 
 // targetCriteria returns what the next attempt needs of its target.
--- a/forward/run.go
+++ b/forward/run.go
@@ -34,7 +34,9 @@
 	failed       bool            // the attempt failed because of the target
 	endReported  bool            // the run's end was reported to the crash tracker
 	progressed   bool            // the run's progress was reported
-	kept         bool            // it was recorded that the attempt goes on although its target is silent
+	kept         bool            // the attempt goes on although its stream is silent, see keep
+	noSuccessor  string          // the latest reason; empty if the stream isn't silent
+	keptFor      []string        // the reasons that were logged
 	stopped      bool            // the target has stopped the run, or knows of none
 	unnumbered   []byte          // events without an id that were not passed on yet
 	idleBytes    int             // see maxIdleBytes
@@ -212,7 +214,7 @@
 		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
 		c, holder, err := a.stream.forwarder.TargetClient.Move(moveCtx, a.attempt.Target, a.stream.request.ID, destination)
-		sendUnlessDone(ctx, a.moveResults, copyResult{standbyCopy{holder, c}, err, err != nil && moveCtx.Err() != nil})
+		sendUnlessDone(ctx, a.moveResults, copyResult{standbyCopy{holder, c, byMove}, err, err != nil && moveCtx.Err() != nil})
 	}()
 	return true
 }
@@ -365,7 +367,7 @@
 	a.detector.recordEvent(now)
 	s.forwarder.releaseReturn(s.request, &s.succession)
 	s.succession.releaseSlot()
-	a.kept = false
+	a.kept, a.noSuccessor = false, ""
 	if s.lastEventID >= 0 && p.event.ID != s.lastEventID+1 {
 		return a.abandon("event " + strconv.FormatInt(p.event.ID, 10) + " follows " + strconv.FormatInt(s.lastEventID, 10)), true
 	}
--- a/forward/stopper.go
+++ b/forward/stopper.go
@@ -143,7 +143,7 @@
 	switch {
 	case err == nil:
 		f.Events.Record(event.RunStopped, r.requestID, event.F("target", r.target.Target.ID), event.F("after", time.Since(r.leftAt).String()))
-		go f.releaseCopy(r.requestID, r.target.Target, standbyCopy{holder, c})
+		go f.releaseCopy(r.requestID, r.target.Target, standbyCopy{holder, c, byMove})
 		return true, 0
 	case errors.Is(err, ErrRunNotFound):
 		ended := r.begun || time.Since(r.leftAt) > beginTime && f.hasEnded(ctx, r)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,7 @@
 	openMoves      map[string]int // moves of the run that a target may still carry out, by target
 	framed         string         // whether the answer of the latest attempt is framed, for the log; see describeFrame
 	noAttempt      string         // why no further attempt was planned, for the log; empty while there is one
+	latest         *streamAttempt // nil before the first attempt
 
 	failureMemory *membudget.Share // of targetFailure; nil for none
 }
@@ -107,9 +109,13 @@
 func (s *stream) finish(ctx context.Context) {
 	switch {
 	case s.headSent:
+		if s.noAttempt == "" && s.latest != nil {
+			s.noAttempt = s.latest.noSuccessor
+		}
 		s.forwarder.Events.Record(event.AnswerTruncated, s.request.ID, event.F("route", s.request.Route.Name), event.F("error", s.lastErr.Error()),
 			event.F("attempts", strconv.Itoa(len(s.tried))), event.F("no_attempt", s.noAttempt),
-			event.F("last_event", strconv.FormatInt(s.lastEventID, 10)), event.F("after", time.Since(s.request.Received).String()))
+			event.F("last_event", strconv.FormatInt(s.lastEventID, 10)), event.F("after", time.Since(s.request.Received).String()),
+			event.F("silent_for", s.recordSilence(time.Now()).String()), event.F("last_attempt", s.latest.describe(time.Now())))
 		s.responder.Abort()
 	case canceledByCaller(ctx):
 		s.forwarder.abortLeft(s.request, s.responder)
@@ -176,6 +182,7 @@
 		attempt.active.Done(time.Now(), attempt.failed)
 		attempt.copier.finish(!attempt.failed)
 	}()
+	s.latest = attempt
 	go attempt.read(ctx)
 	end := attempt.relay(ctx)
 	if end == endCanceled && (callerCtx.Err() == nil || canceledByCaller(callerCtx)) {
@@ -195,6 +202,33 @@
 		event.F("copy", s.describeCopy()), event.F("framed", s.framed))
 }
 
+// recordSilence records how long a stream that is cut short was without an event, and returns it.
+func (s *stream) recordSilence(now time.Time) time.Duration {
+	if s.lastEventAt.IsZero() {
+		return now.Sub(s.request.Received)
+	}
+	silence := now.Sub(s.lastEventAt)
+	s.forwarder.recordDuration(metricCutSilence, silence)
+	return silence
+}
+
+// describe returns what is known of an attempt and its target, for the log.
+func (a *streamAttempt) describe(now time.Time) string {
+	if a == nil {
+		return "none"
+	}
+	f, t := a.stream.forwarder, a.attempt.Target
+	begun := "not begun"
+	if a.detector.firstEventSeen {
+		begun = "begun"
+	}
+	probe := "no probe answered since"
+	if f.Prober.answeredSince(t, a.detector.lastProgress) {
+		probe = "probe answered since"
+	}
+	return strings.Join([]string{t.ID, string(f.Fleet.State(now, t.ID)), "by " + a.attempt.Cause, begun, probe}, ", ")
+}
+
 // describeCopy returns the holder of the standby copy and its state, for the log.
 func (s *stream) describeCopy() string {
 	if s.standby == nil {
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -279,15 +279,17 @@
 	return f.StopsAt()
 }
 
-// keep records that the attempt goes on although its target is silent, because there is no
-// successor.
+// keep records that the attempt goes on although its stream is silent, because there is no
+// successor. Each reason is logged once.
 func (a *streamAttempt) keep(reason string, noSuccessor error) {
-	if a.kept {
+	a.kept = true
+	s, why := a.stream, noSuccessor.Error()
+	a.noSuccessor = why
+	if slices.Contains(a.keptFor, why) {
 		return
 	}
-	a.kept = true
-	s := a.stream
-	s.forwarder.Events.Record(event.AttemptKept, s.request.ID, event.F("target", a.attempt.Target.ID), event.F("reason", reason), event.F("no_attempt", noSuccessor.Error()),
+	a.keptFor = append(a.keptFor, why)
+	s.forwarder.Events.Record(event.AttemptKept, s.request.ID, event.F("target", a.attempt.Target.ID), event.F("reason", reason), event.F("no_attempt", why),
 		event.F("attempts", strconv.Itoa(len(withID(s.tried, a.attempt.Target.ID)))), event.F("last_event", strconv.FormatInt(s.lastEventID, 10)))
 }
 
