--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/internal/lag"
 	"github.com/vanillaroad/vanillaroad/internal/membudget"
+	"github.com/vanillaroad/vanillaroad/internal/recent"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/quarantine"
@@ -59,7 +60,7 @@
 	newer     *newerVersions
 	draining  atomic.Bool              // a planned stop has started
 	stopping  atomic.Pointer[stopPlan] // nil until a planned stop has started
-	durations *routeDurations
+	durations recent.Durations         // of the requests of each route that were answered completely and with success
 	lag       lag.Meter
 	inFlight  atomic.Int64 // callers' requests being served
 	// cancelAnswerTime is cancelAnswerTime, longer in tests on slow machines.
@@ -101,7 +102,7 @@
 	logger := level.NewFilter(log.With(log.NewJSONLogger(logOutput), "ts", log.DefaultTimestampUTC, "node", s.ID),
 		level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
 	g := &Gateway{
-		metrics: metrics.NewRegistry(), idleConns: newIdleTracker(), cancelAnswerTime: cancelAnswerTime, durations: newRouteDurations(),
+		metrics: metrics.NewRegistry(), idleConns: newIdleTracker(), cancelAnswerTime: cancelAnswerTime,
 		events: event.NewRecorder(s.ID, event.NewClock(time.Now), logger, s.EventRing),
 		fleet:  fleet.New(s.Place, rand.Uint64()),
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -17,7 +17,7 @@
 func (g *Gateway) serve(r *http.Request, req *forward.Request, w forward.Responder) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if p := g.stopping.Load(); p != nil && !p.admits(time.Now(), req.AnswerDeadline(), req.Route.Name, g.durations) {
+	if p := g.stopping.Load(); p != nil && !p.admits(time.Now(), req.AnswerDeadline(), req.Route.Name, &g.durations) {
 		err := failure.New(failure.Draining, failure.NotRun, "admit", "", "this daemon stops").WithRetryAfter(p.retryAfter(time.Now()))
 		g.recordRefusal(req.ID, err)
 		w.Fail(err)
@@ -26,7 +26,7 @@
 	answer := &observedResponder{Responder: w}
 	g.forwarder.Serve(r.Context(), req, answer)
 	if answer.succeeded && req.LastEventID == "" {
-		g.durations.record(req.Route.Name, time.Since(req.Received))
+		g.durations.Record(req.Route.Name, time.Since(req.Received))
 	}
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -1,53 +1,10 @@
 package gateway
 
 import (
-	"sync"
 	"time"
-)
-
-// routeDurations records how long the latest requests of each route took that were
-// answered completely and with success.
-type routeDurations struct {
-	mu     sync.Mutex
-	routes map[string][]time.Duration // oldest first, at most durationSamples each
-}
-
-// durationSamples is the number of requests of a route whose durations are kept.
-const durationSamples = 32
 
-func newRouteDurations() *routeDurations {
-	return &routeDurations{routes: make(map[string][]time.Duration)}
-}
-
-// record adds the duration of a request.
-func (d *routeDurations) record(route string, took time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	samples := d.routes[route]
-	if len(samples) == durationSamples {
-		copy(samples, samples[1:])
-		samples = samples[:durationSamples-1]
-	}
-	d.routes[route] = append(samples, took)
-}
-
-// shareAbove returns the share of a route's recent requests that took longer than limit.
-// It is 1 if there are none.
-func (d *routeDurations) shareAbove(route string, limit time.Duration) float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	samples := d.routes[route]
-	if len(samples) == 0 {
-		return 1
-	}
-	longer := 0
-	for _, s := range samples {
-		if s > limit {
-			longer++
-		}
-	}
-	return float64(longer) / float64(len(samples))
-}
+	"github.com/vanillaroad/vanillaroad/internal/recent"
+)
 
 // stopPlan holds the times of a planned stop and decides which new requests are served
 // meanwhile. Others are refused, so that their callers go to another daemon at once
@@ -92,7 +49,7 @@
 
 // admits reports whether to serve a request that must be answered by answerBy, which is
 // zero if it has no deadline.
-func (p *stopPlan) admits(now, answerBy time.Time, route string, durations *routeDurations) bool {
+func (p *stopPlan) admits(now, answerBy time.Time, route string, durations *recent.Durations) bool {
 	switch {
 	case !now.Before(p.refuseAll):
 		return false
@@ -101,7 +58,7 @@
 	case !now.Before(p.refuseUnsure):
 		return false
 	}
-	return durations.shareAbove(route, p.deadline.Sub(now)) <= maxOverrunShare
+	return durations.ShareAbove(route, p.deadline.Sub(now)) <= maxOverrunShare
 }
 
 // retryAfter returns the delay after which a caller that is refused may try again. If all
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/internal/jsontime"
+	"github.com/vanillaroad/vanillaroad/internal/recent"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
@@ -232,18 +233,18 @@
 
 func TestStopPlan(t *testing.T) {
 	start := time.Now()
-	durations := newRouteDurations()
-	for range 2 * durationSamples {
-		durations.record("short", 50*time.Millisecond)
-		durations.record("long", 7*time.Second)
+	durations := &recent.Durations{}
+	for range 2 * recent.MaxSamples {
+		durations.Record("short", 50*time.Millisecond)
+		durations.Record("long", 7*time.Second)
 	}
-	for range durationSamples / 8 {
-		durations.record("mixed", 7*time.Second)
+	for range recent.MaxSamples / 8 {
+		durations.Record("mixed", 7*time.Second)
 	}
-	for range durationSamples {
-		durations.record("mixed", 50*time.Millisecond)
+	for range recent.MaxSamples {
+		durations.Record("mixed", 50*time.Millisecond)
 	}
-	durations.record("mixed", 7*time.Second)
+	durations.Record("mixed", 7*time.Second)
 	plan := newStopPlan(start, 8*time.Second, time.Second)
 	for _, c := range []struct {
 		name    string
