--- /dev/null
+++ b/forward/stop_waiting_test.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/ingress"
+)
+
+// Times of the stops in this file. Grace is how long a daemon has to end after the signal. A stream
+// may be cut at the end of it if a target was at work on it in the last sixth.
+const (
+	testGrace      = 8 * time.Second
+	testStopAfter  = 7600 * time.Millisecond // the signal
+	testMustWork   = testGrace - testGrace/6 // after the signal
+	copiedStart    = 20 * time.Millisecond
+	promptStart    = 1200 * time.Millisecond
+	waitEventGap   = 50 * time.Millisecond
+	waitLastEvent  = 400
+	untilTheSignal = 4 * time.Second // from the request
+)
+
+// waitingFor answers like streaming, but the first run waits from a time after the request on, for
+// so long, while its target answers probes. Runs that have a copy begin soon.
+func waitingFor(requested time.Time, from, length time.Duration, lastWork *time.Time) behaviour {
+	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+		r, w := io.Pipe()
+		next, first := a.nextEvent(), a.LastEventID == ""
+		start := promptStart
+		if a.Resume != (Copy{}) {
+			start = copiedStart
+		}
+		s.mu.Lock()
+		s.cancelRun[a.Target.ID] = func() { _ = w.CloseWithError(io.ErrUnexpectedEOF) }
+		s.mu.Unlock()
+		go func() {
+			for wait := start; next <= waitLastEvent; next, wait = next+1, waitEventGap {
+				if at := time.Since(requested) + wait; first && at > from && at < from+length {
+					wait = from + length - time.Since(requested)
+				}
+				select {
+				case <-time.After(wait):
+				case <-ctx.Done():
+					_ = w.CloseWithError(ctx.Err())
+					return
+				}
+				if _, err := fmt.Fprintf(w, "id: %d\ndata: %d\n\n", next, next); err != nil {
+					return
+				}
+				*lastWork = time.Now()
+			}
+			_ = w.Close()
+		}()
+		return &Answer{Status: http.StatusOK, Signed: true, Framed: true, Header: http.Header{}, Body: r}, nil
+	}
+}
+
+// TestStopLeavesNoStreamWithoutWork guards against streams that a stopping daemon keeps at a target
+// which lets their runs wait, and cuts, although another target could have gone on with them.
+func TestStopLeavesNoStreamWithoutWork(t *testing.T) {
+	for _, copies := range []bool{true, false} {
+		for _, length := range []time.Duration{time.Second, 3 * time.Second, 20 * time.Second} {
+			for from := -2 * time.Second; from <= testMustWork; from += 350 * time.Millisecond {
+				if !copies && from > testStopAfter-2*promptStart-time.Second {
+					continue // no other target could begin in time
+				}
+				t.Run(fmt.Sprintf("copies %v, waits from %v for %v", copies, from, length), inBubble(func(t *testing.T) {
+					requested := time.Now()
+					var lastWork time.Time
+					b := waitingFor(requested, untilTheSignal+from, length, &lastWork)
+					s := newFixture(map[string]behaviour{"a": b, "b": b, "c": b})
+					s.Model = func(string) *ingress.Model { return &ingress.Model{StandbyCopies: copies} }
+					signaled := requested.Add(untilTheSignal)
+					s.StopsAt = func() time.Time {
+						if time.Now().Before(signaled) {
+							return time.Time{}
+						}
+						return signaled.Add(testStopAfter)
+					}
+					ctx, cancel := context.WithCancelCause(context.Background())
+					defer time.AfterFunc(untilTheSignal+testStopAfter, func() { cancel(ErrStopping) }).Stop()
+					got := s.serveFor(ctx, streamRoute)
+					if worked := lastWork.Sub(signaled); worked < testMustWork {
+						t.Errorf("cut after %d events; the last work on it was %v after the signal; sent to %v", len(got.events), worked, s.client.attempts())
+					}
+					for i, e := range got.events {
+						if want := fmt.Sprintf("id: %d\ndata: %d\n\n", i, i); e != want {
+							t.Fatalf("event %d is %q", i, e)
+						}
+					}
+					s.awaitStops()
+					synctest.Wait()
+				}))
+			}
+		}
+	}
+}
