forward: a stopping daemon looks at what is known of the next target

Callers got streams cut at the end of a stop (LOST) although no target had worked on them for up to six seconds and others, which held the copies, had free slots: a run that waits at its target, as after a preemption, was kept there from about 1.1 s after the signal on.

Cause: asked whether another target can begin before the stop ends, and let the route's objective for a first event (4.5 s) answer it; it took a run that waits at a target which answers probes for a target that is silent (2 s of patience); a stream without a copy was not looked at at all; and nothing was asked again as the time left shrank.

Now departure decides by what is known: the slot that is held and whether it is at the holder of the copy, the recent times from a send to a first event (of runs from a copy, and of others), whether the target has answered a probe since the last event. A stream that may go on where it is stays until the latest time at which the next attempt still begins.

TestStoppingDaemonStartsNoLateRuns relied on the constant: its next targets have a copy and free slots, and begin after 4.5 s all the same. It now says so to the daemon, by the starts of other streams, with and without copies (one case before, two now); it fails if the recorded starts are left out.

--- a/forward/call.go
+++ b/forward/call.go
@@ -214,7 +214,7 @@
 		case <-done:
 			return answer, body, gaveUp, err
 		case <-timer.C:
-			gaveUp = c.forwarder.reserveSuccessor(c.request, &c.succession, c.tried, target, time.Since(sentAt), fleet.Criteria{Service: c.request.Service}, nil) == nil
+			gaveUp = c.forwarder.reserveSuccessor(c.request, &c.succession, c.tried, target, time.Since(sentAt), fleet.Criteria{Service: c.request.Service}, nil, nil) == nil
 			if gaveUp {
 				cancel() // done follows
 				continue
--- /dev/null
+++ b/forward/departure.go
@@ -0,0 +1,98 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/fleet"
+)
+
+// While the daemon stops, a stream whose caller has received events must not be without a
+// target that works on it when the stop ends. It leaves a target if the next attempt, by what
+// is known of it, begins before the end. If the current target may go on with the run, the
+// stream stays until the latest time at which that holds.
+
+// Quantile of the recent times to the first event that the next attempt is expected to need.
+const startQuantile = 0.9
+
+// lastLook is the time before the latest time to leave in which a stream leaves a target that
+// may go on: streams are looked at once in gapProbeInterval.
+const lastLook = 2 * gapProbeInterval
+
+// Reasons why a stream stays at a target while the daemon stops.
+var (
+	errStopsSoon = errors.New("the daemon stops, and no other target is expected to begin before")
+	errMayGoOn   = errors.New("the daemon stops, and the target may go on before another one has to begin")
+)
+
+// departure is what decides whether a stream leaves its target while the daemon stops.
+type departure struct {
+	left    time.Duration // until the daemon stops
+	start   time.Duration // expected from the send of the next attempt to its first event
+	mayGoOn bool          // the target may go on with the run, which the next attempt would not make up for
+}
+
+// check returns why the stream stays, nil if it leaves.
+func (d departure) check() error {
+	switch spare := d.left - d.start; {
+	case spare <= 0:
+		return errStopsSoon
+	case spare > lastLook && d.mayGoOn:
+		return errMayGoOn
+	}
+	return nil
+}
+
+// startKind is the kind of a start in Forwarder.starts.
+func startKind(service string, copied bool) string {
+	if copied {
+		return service + " from a copy"
+	}
+	return service
+}
+
+// expectedStart returns how long an attempt takes from its send to its first event. Before
+// there was any such attempt, that is the longest time allowed for one that resumes from a
+// copy, and the objective of the route for others.
+func (f *Forwarder) expectedStart(r *Request, copied bool) time.Duration {
+	start, ok := f.starts.Quantile(startKind(r.Service, copied), startQuantile)
+	switch {
+	case ok:
+		return start
+	case copied:
+		return resumeTimeout
+	case r.Route.LatencyObjective > 0:
+		return r.Route.LatencyObjective
+	}
+	return longestSilence
+}
+
+// departure describes the choice of a stream that has a slot held for the next attempt, or would
+// wait in a queue if that is nil. stalled is set if nothing but the silence of the stream speaks
+// against the run.
+func (a *streamAttempt) departure(now time.Time, slot *heldSlot, stalled bool) departure {
+	s, id, standby := a.stream, a.attempt.Target.ID, a.copier.current
+	f := s.forwarder
+	copied := standby != nil && a.detector.firstEventSeen && slot != nil && slot.target.ID == standby.holder.ID
+	var mayGoOn bool
+	if f.Fleet.State(now, id) != fleet.Suspected && f.Prober.answeredSince(a.attempt.Target, a.detector.lastProgress) {
+		mayGoOn = stalled && !copied
+	} else {
+		mayGoOn = now.Sub(a.detector.lastProgress) < longestSilence || f.Fleet.IsSilent(now, id, longestSilence-probeTimeout)
+	}
+	return departure{left: s.forwarder.stopsAt().Sub(now), start: f.expectedStart(s.request, copied), mayGoOn: mayGoOn}
+}
+
+// isStopping reports whether the daemon stops and the caller has received events.
+func (s *stream) isStopping() bool {
+	return !s.firstEventAt.IsZero() && !s.forwarder.stopsAt().IsZero()
+}
+
+// stopsAt returns when the daemon stops, zero if no stop is planned.
+func (f *Forwarder) stopsAt() time.Time {
+	if f.StopsAt == nil {
+		return time.Time{}
+	}
+	return f.StopsAt()
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/internal/membudget"
+	"github.com/vanillaroad/vanillaroad/internal/recent"
 )
 
 // Request is one caller's request, received completely.
@@ -232,6 +233,7 @@
 	StopsAt func() time.Time
 
 	stopper runStopper
+	starts  recent.Durations // from the send of a stream to its first event, see startKind
 }
 
 // placementInterval is the minimum time between two placements of long prompts by one
@@ -377,23 +379,3 @@
 	// target restarts in about this time.
 	retryAfterBusy = 600 * time.Millisecond
 )
-
-// ErrStopping is the cancellation cause of requests that still run at the end of a
-// planned stop.
-var ErrStopping = errors.New("the daemon stops")
-
-// canceledByCaller reports whether ctx ended because the caller disconnected.
-func canceledByCaller(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), ErrStopping)
-}
-
-// contextError returns the error of a request whose ctx ended before it was answered.
-func contextError(ctx context.Context, outcome failure.Outcome, step, peer string) *failure.Error {
-	if errors.Is(context.Cause(ctx), ErrStopping) {
-		return failure.New(failure.Draining, outcome, step, peer, "the daemon stops, and the request was not done in time")
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return failure.New(failure.DeadlineExceeded, outcome, step, peer, "no answer in time")
-	}
-	return failure.New(failure.Canceled, outcome, step, peer, "the caller left")
-}
--- a/forward/run.go
+++ b/forward/run.go
@@ -358,6 +358,7 @@
 	}
 	if !a.detector.firstEventSeen {
 		a.firstEventAt = now
+		s.forwarder.starts.Record(startKind(s.request.Service, a.attempt.Resume != (Copy{})), now.Sub(s.request.SentAt))
 		a.active.MarkFirstEvent(now)
 	}
 	if !a.progressed && !a.atStart(now) {
--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/recent"
 )
 
 // queued answers like streaming after the request was in the queue of its target, for so
@@ -89,17 +92,23 @@
 // TestStoppingDaemonStartsNoLateRuns guards against streams that a stopping daemon sends to
 // another target so late that no event is expected before its end.
 func TestStoppingDaemonStartsNoLateRuns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s, first := newFixtureWithBroken(queued(streamRoute.LatencyObjective, 50), pausable(50, eventGap))
-		go func() {
-			time.Sleep(20*eventGap + eventGap/2)
-			s.client.pause(first)
-		}()
-		_ = s.serveUntilStop(5 * time.Second)
-		s.client.resume(first)
-		synctest.Wait()
-		if sent := s.client.attempts(); len(sent) > 1 {
-			t.Errorf("sent to %v, want the first target only", sent)
-		}
-	})
+	for _, copies := range []bool{false, true} {
+		t.Run(fmt.Sprint("copies ", copies), inBubble(func(t *testing.T) {
+			s, first := newFixtureWithBroken(queued(streamRoute.LatencyObjective, 50), pausable(50, eventGap))
+			s.Model = func(string) *ingress.Model { return &ingress.Model{StandbyCopies: copies} }
+			for range recent.MaxSamples { // of other streams
+				s.starts.Record(startKind("svc", copies), streamRoute.LatencyObjective)
+			}
+			go func() {
+				time.Sleep(20*eventGap + eventGap/2)
+				s.client.pause(first)
+			}()
+			_ = s.serveUntilStop(5 * time.Second)
+			s.client.resume(first)
+			synctest.Wait()
+			if sent := s.client.attempts(); len(sent) > 1 {
+				t.Errorf("sent to %v, want the first target only", sent)
+			}
+		}))
+	}
 }
--- a/forward/stop_waiting_test.go
+++ b/forward/stop_waiting_test.go
@@ -82,6 +82,9 @@
 						}
 						return signaled.Add(testStopAfter)
 					}
+					for range 8 { // what this daemon has seen of other streams
+						s.starts.Record(startKind("svc", false), promptStart)
+					}
 					ctx, cancel := context.WithCancelCause(context.Background())
 					defer time.AfterFunc(untilTheSignal+testStopAfter, func() { cancel(ErrStopping) }).Stop()
 					got := s.serveFor(ctx, streamRoute)
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -100,15 +100,15 @@
 	errOnlySilent      = errors.New("the target accepts connections, and may go on")
 	errNoReturn        = errors.New("the request can't return to its target")
 	errBudgetExhausted = errors.New("the retry budget is exhausted")
-	errStopsSoon       = errors.New("the daemon stops, and no other target is expected to begin before")
 )
 
 // reserveSuccessor reserves what a request needs to be sent to another target than the
 // current one: the next attempt and a return have their retry budget then. tried are the
 // targets that it was sent to so far, and silence is the time since the current one sent
-// anything. standby is the copy from which the next attempt may resume, nil for none. The error
-// is why the request stays.
-func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current fleet.Incarnation, silence time.Duration, criteria fleet.Criteria, standby *standbyCopy) error {
+// anything. standby is the copy from which the next attempt may resume, nil for none. mayLeave
+// returns why the request stays although there is another target, by the slot that is held
+// there, nil for none; a nil mayLeave always lets it leave. The error is why the request stays.
+func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current fleet.Incarnation, silence time.Duration, criteria fleet.Criteria, standby *standbyCopy, mayLeave func(*heldSlot) error) error {
 	now := time.Now()
 	c.releaseSlot()
 	criteria.Exclude, criteria.Priority = withID(tried, current.Target.ID), r.Route.Priority
@@ -119,6 +119,12 @@
 		}
 		c.slot = slot
 	}
+	if mayLeave != nil {
+		if err := mayLeave(c.slot); err != nil {
+			c.releaseSlot()
+			return err
+		}
+	}
 	if !c.retryReserved.IsZero() {
 		return nil
 	}
@@ -234,49 +240,33 @@
 	return fleet.Target{}, false, nil
 }
 
+// reasonSilent is the reason to leave a target of which nothing is known but that the stream is
+// silent.
+const reasonSilent = "the stream is silent"
+
 // giveUp ends the attempt because its target is silent, and returns how and true. If the
 // stream has no successor, giveUp returns false and the attempt goes on.
 func (a *streamAttempt) giveUp(reason string) (attemptEnd, bool) {
-	if err := a.reserveSuccessor(); err != nil {
+	if err := a.reserveSuccessor(reason == reasonSilent); err != nil {
 		a.keep(reason, err)
 		return 0, false
 	}
 	return a.abandonSilent(reason), true
 }
 
-func (a *streamAttempt) reserveSuccessor() error {
+// reserveSuccessor reserves what the stream needs to continue at another target, if it may
+// leave its own; see departure for stalled.
+func (a *streamAttempt) reserveSuccessor(stalled bool) error {
 	s, now := a.stream, time.Now()
-	silence := now.Sub(a.detector.lastProgress)
-	if !a.incarnation.Terminated(now) {
-		if s.forwarder.Fleet.IsSilent(now, a.attempt.Target.ID, longestSilence-probeTimeout) {
-			return errOnlySilent
-		}
-		if !s.mayBeginElsewhere(now, silence) {
-			return errStopsSoon
-		}
-	}
-	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.incarnation, silence, s.targetCriteria(nil), a.copier.current)
-}
-
-// mayBeginElsewhere reports whether a stream may be taken from a target that is silent for
-// so long. While the daemon stops, a stream whose caller has received events stays at a
-// target that may not be at fault, or at any if the next one would begin too late: it
-// would be cut at the end of the stop while no target works on it.
-func (s *stream) mayBeginElsewhere(now time.Time, silence time.Duration) bool {
-	stopsAt := s.forwarder.stopsAt()
-	if stopsAt.IsZero() || s.firstEventAt.IsZero() {
-		return true
-	}
-	objective := s.request.Route.LatencyObjective
-	return silence >= longestSilence && objective > 0 && now.Add(objective).Before(stopsAt)
-}
-
-// stopsAt returns when the daemon stops, zero if no stop is planned.
-func (f *Forwarder) stopsAt() time.Time {
-	if f.StopsAt == nil {
-		return time.Time{}
+	var mayLeave func(*heldSlot) error
+	switch {
+	case a.incarnation.Terminated(now):
+	case s.isStopping():
+		mayLeave = func(slot *heldSlot) error { return a.departure(now, slot, stalled).check() }
+	case s.forwarder.Fleet.IsSilent(now, a.attempt.Target.ID, longestSilence-probeTimeout):
+		return errOnlySilent
 	}
-	return f.StopsAt()
+	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.incarnation, now.Sub(a.detector.lastProgress), s.targetCriteria(nil), a.copier.current, mayLeave)
 }
 
 // keep records that the attempt goes on although its stream is silent, because there is no
@@ -332,28 +322,31 @@
 	if a.awaitsConfirmation() {
 		return a.handleUnconfirmed(ctx)
 	}
-	const reason = "the stream is silent"
 	now := time.Now()
-	action, wait := a.detector.next(now, a.stream.forwarder.Prober.lateness(a.detector.lastProgress, now))
+	late := a.stream.forwarder.Prober.lateness(a.detector.lastProgress, now)
+	action, wait := a.detector.next(now, late)
+	if a.stream.isStopping() && a.detector.isStalled(now, late) {
+		action = stallAbandon // also without a copy
+	}
 	switch {
 	case a.moving:
 		return gapProbeInterval, 0, false
 	case action == stallAbandon && a.isUnclear(now):
 		action, wait = stallProbe, targetPollInterval // a move would be carried out when the target goes on
 	case action == stallAbandon:
-		err := a.reserveSuccessor()
+		err := a.reserveSuccessor(true)
 		if err == nil && !a.startMove(ctx) {
-			return 0, a.abandonSilent(reason), true
+			return 0, a.abandonSilent(reasonSilent), true
 		}
 		wait = gapProbeInterval
 		if err == nil {
 			return wait, 0, false // until the move has ended
 		}
-		a.keep(reason, err)
+		a.keep(reasonSilent, err)
 	case a.kept && a.stream.forwarder.Fleet.State(now, a.attempt.Target.ID) == fleet.Ready:
 		a.kept = false // the target has answered
 	case a.kept:
-		if end, done := a.giveUp(reason); done {
+		if end, done := a.giveUp(reasonSilent); done {
 			return 0, end, true
 		}
 	}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -60,12 +60,23 @@
 // recordEvent records an event of the stream.
 func (d *stallDetector) recordEvent(now time.Time) { d.firstEventSeen, d.lastProgress = true, now }
 
+// isStalled reports whether a run that has begun is silent for as long as a stream with a
+// standby copy may be.
+func (d *stallDetector) isStalled(now time.Time, late time.Duration) bool {
+	return d.firstEventSeen && now.Sub(d.lastProgress)-late >= d.limit()
+}
+
+// limit is the silence after which a stream with a standby copy continues elsewhere.
+func (d *stallDetector) limit() time.Duration {
+	return time.Duration(abandonShare * float64(d.maxGap))
+}
+
 // next returns what to do now and the time until the next call. late is how late this daemon
 // was since the last progress: events may have waited here for so long.
 func (d *stallDetector) next(now time.Time, late time.Duration) (stallAction, time.Duration) {
 	silence := now.Sub(d.lastProgress) - late
 	if d.firstEventSeen && d.hasCopy {
-		limit := time.Duration(abandonShare * float64(d.maxGap))
+		limit := d.limit()
 		if silence >= limit {
 			return stallAbandon, 0
 		}
