--- a/forward/stop_matrix_test.go
+++ b/forward/stop_matrix_test.go
@@ -68,7 +68,7 @@
 	length time.Duration // of the stall
 	state  targetState   // of a during the stall
 	copies bool          // b holds a copy of the run
-	free   bool          // b has free slots; otherwise what it gets is queued for ever
+	free   string        // target with free slots; empty for none. What others than a get is queued for ever
 }
 
 func (c stopCase) String() string {
@@ -76,23 +76,27 @@
 	if c.length != forGood {
 		length = "for " + c.length.String()
 	}
-	return fmt.Sprintf("%v, copy %v, free slot %v, at %v, %s", c.state, c.copies, c.free, c.at, length)
+	free := "no free slot"
+	if c.free != "" {
+		free = "free slot at " + c.free
+	}
+	return fmt.Sprintf("%v, copy %v, %s, at %v, %s", c.state, c.copies, free, c.at, length)
 }
 
 // mustGoOn reports whether an event of the stream must be made in the last sixth: target a goes on
-// in time, before a queue is better, or b can begin in time if the stream leaves once the patience
-// has ended. A stream that leaves as late as that is possible needs no more.
+// in time, before a queue is better, or another can begin in time if the stream leaves once the
+// patience has ended. A stream that leaves as late as that is possible needs no more.
 func (c stopCase) mustGoOn() bool {
 	start := promptStart
-	if c.copies {
+	if c.copies && c.free == "b" {
 		start = copyStart
 	}
-	continues := c.free && c.at+patience+decisionTime+start < stopLength
+	continues := c.free != "" && c.at+patience+decisionTime+start < stopLength
 	resumes := !c.state.isGone() && c.length != forGood && c.length < maxRoomWait && c.at+c.length+2*eventGap < stopLength
 	return continues || resumes
 }
 
-// stopTargets are the targets a and b of a stopCase.
+// stopTargets are the targets of a stopCase.
 type stopTargets struct {
 	*fakeTargetClient
 	c       stopCase
@@ -166,7 +170,7 @@
 	defer s.mu.Unlock()
 	r := Report{Running: make(map[string]RunStatus)}
 	switch {
-	case t.ID == "b" && !s.c.free:
+	case t.ID != "a" && t.ID != s.c.free:
 		r.Queued = 1
 		for i := range t.Slots {
 			r.Running[fmt.Sprint("other", i)] = RunStatus{Events: 100}
@@ -195,7 +199,7 @@
 	return c, destination, err
 }
 
-// answer is the behaviour of both targets.
+// answer is the behaviour of all targets.
 func (s *stopTargets) answer(ctx context.Context, a Attempt, _ *fakeTargetClient) (*Answer, error) {
 	s.record("sent to %s after event %q, copy %q", a.Target.ID, a.LastEventID, a.Resume.Name)
 	switch err := s.awaitContact(ctx, a.Target.ID); {
@@ -209,7 +213,7 @@
 		s.record("connection to %s closed", a.Target.ID)
 		_ = w.CloseWithError(ctx.Err())
 	})
-	if a.Target.ID == "a" || s.c.free {
+	if a.Target.ID == "a" || a.Target.ID == s.c.free {
 		go s.run(ctx, a, w)
 	}
 	return &Answer{Status: http.StatusOK, Signed: true, Framed: true, Header: http.Header{}, Body: r}, nil
@@ -279,7 +283,7 @@
 	signal := time.Now().Add(beforeSignal)
 	targets := &stopTargets{c: c, signal: signal, resumed: make(chan struct{}), runs: make(map[string]func()), events: make(map[string]int)}
 	s := newFixture(map[string]behaviour{"a": targets.answer, "b": targets.answer})
-	targets.fakeTargetClient = s.client
+	targets.fakeTargetClient, s.client.behaviours["c"] = s.client, targets.answer
 	s.TargetClient, s.Prober = targets, NewProber(targets, s.Fleet, s.Events)
 	s.Model = func(string) *ingress.Model { return &ingress.Model{KVCacheTokens: 50_000, StandbyCopies: c.copies} }
 	s.StopsAt = func() time.Time {
@@ -289,9 +293,14 @@
 		return signal.Add(stopLength)
 	}
 	s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: 8}}) // so that the stream begins at a
-	if c.free {
-		time.AfterFunc(beforeSignal/2, func() { s.Fleet.SetPeerLoads("vm-2", nil) })
-	}
+	time.AfterFunc(beforeSignal/2, func() {
+		switch c.free {
+		case "b":
+			s.Fleet.SetPeerLoads("vm-2", nil)
+		case "c":
+			s.Fleet.Put(fleet.Target{ID: "c", Service: "svc", Address: "c:1", Place: "place-c", Slots: 8})
+		}
+	})
 	resume := sync.OnceFunc(func() { close(targets.resumed) })
 	if c.length != forGood {
 		time.AfterFunc(beforeSignal+c.at+c.length, resume)
@@ -319,7 +328,7 @@
 	var cases []stopCase
 	for _, state := range []targetState{waits, silentListens, silentDark, gone, goneBroken} {
 		for _, copies := range []bool{true, false} {
-			for _, free := range []bool{true, false} {
+			for _, free := range []string{"", "b", "c"} {
 				for _, at := range []time.Duration{-1000, -300, 0, 500, 1000, 2000, 3000, 4000, 4500, 5000, 5500, 6000, 6250, 6500, 7000, 7500} {
 					for _, length := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 7 * time.Second, forGood} {
 						if !state.isGone() || length == forGood {
