--- a/forward/stop_matrix_test.go
+++ b/forward/stop_matrix_test.go
@@ -28,7 +28,7 @@
 // Times of the targets.
 const (
 	copyStart    = 20 * time.Millisecond   // from a send to a run that resumes from a copy
-	promptStart  = 1200 * time.Millisecond // the same if the prompt is prefilled
+	prefillStart = 1200 * time.Millisecond // the same if the prompt is prefilled
 	noticeDelay  = 100 * time.Millisecond  // until a run ends whose connection was closed
 	maxTogether  = 400 * time.Millisecond  // for which two targets may work on a stream
 	beforeSignal = 3 * time.Second         // from the request to the signal
@@ -87,7 +87,7 @@
 // in time, before a queue is better, or another can begin in time if the stream leaves once the
 // patience has ended. A stream that leaves as late as that is possible needs no more.
 func (c stopCase) mustGoOn() bool {
-	start := promptStart
+	start := prefillStart
 	if c.copies && c.free == "b" {
 		start = copyStart
 	}
@@ -239,7 +239,7 @@
 	}()
 	s.addWork(1)
 	defer s.addWork(-1)
-	wait := promptStart
+	wait := prefillStart
 	if a.Resume != (Copy{}) {
 		wait = copyStart
 	}
