forward: a stalled run is moved to the target that has a slot for it

A stream that leaves a target whose run waits has a slot held at another one (findRoom), but the run was moved to a target of copyScheduler's choice, which asks for memory and another place, not for a slot: into the queue of a full one, for as long as that lasts, or to the end of a stop. Now the run goes to the held slot; if that is at the holder of its copy, to a target with room for the memory too, or it isn't moved and resumes from the copy.

Both cases of TestRunIsMovedToAFreeSlot failed before: sent to b and c, which were full.

--- a/forward/plan.go
+++ b/forward/plan.go
@@ -75,7 +75,7 @@
 		a.Target = t
 	}
 	s.standby = nil
-	if c, ok := s.pickCopyTarget(now, a.Target, nil); ok {
+	if c, ok := s.pickCopyTarget(now, a.Target, nil, false); ok {
 		a.CopyTo = &c
 	}
 	return a, true
@@ -214,12 +214,28 @@
 	return s.forwarder.CacheLocator.Find(ctx, s.forwarder.Fleet.RankByHash(time.Now(), s.request.Service, s.request.Prompt.CacheKey, maxCacheQueries), s.request.Prompt.CacheKey)
 }
 
+// pickMoveTarget picks the target that the run on t is moved to: with room, or the one at which
+// a slot is held. The holder of the standby copy needs no move, and may lack the memory for both.
+func (s *stream) pickMoveTarget(now time.Time, t fleet.Target, standby *standbyCopy, failed map[string]bool) (fleet.Target, bool) {
+	slot := s.succession.slot
+	destination, ok := s.pickCopyTarget(now, t, failed, slot != nil)
+	if slot == nil || standby != nil && slot.target.ID == standby.holder.ID || failed[slot.target.ID] {
+		return destination, ok
+	}
+	return slot.target, s.request.Route.Repeatable() && s.copiesRuns()
+}
+
+// copiesRuns reports whether targets of the service copy the KV cache of their runs.
+func (s *stream) copiesRuns() bool {
+	m := s.forwarder.Model(s.request.Service)
+	return m != nil && m.StandbyCopies
+}
+
 // pickCopyTarget picks the target for a copy of the KV cache of the run on t, of the same
 // software version, except for the targets in failed. It prefers another place, so that the
 // loss of a place leaves either the run or its copy.
-func (s *stream) pickCopyTarget(now time.Time, t fleet.Target, failed map[string]bool) (fleet.Target, bool) {
-	model := s.forwarder.Model(s.request.Service)
-	if !s.request.Route.Repeatable() || model == nil || !model.StandbyCopies {
+func (s *stream) pickCopyTarget(now time.Time, t fleet.Target, failed map[string]bool, needsRoom bool) (fleet.Target, bool) {
+	if !s.request.Route.Repeatable() || !s.copiesRuns() {
 		return fleet.Target{}, false
 	}
 	exclude := map[string]bool{t.ID: true}
@@ -227,7 +243,7 @@
 	maps.Copy(exclude, failed)
 	c, err := s.forwarder.Fleet.Pick(now, fleet.Criteria{
 		SoftwareVersion: &t.SoftwareVersion, Service: s.request.Service, Exclude: exclude, AvoidPlaces: append([]string{t.Place}, s.lostPlaces...),
-		MemoryTokens: s.memoryTokens(), CapacityTokens: model.KVCacheTokens, ForCopy: true,
+		MemoryTokens: s.memoryTokens(), CapacityTokens: s.capacityTokens(), ForCopy: true, NeedsRoom: needsRoom,
 	})
 	return c, err == nil
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -203,7 +203,7 @@
 	if !a.detector.firstEventSeen || a.stream.forwarder.Fleet.State(time.Now(), a.attempt.Target.ID) != fleet.Ready {
 		return false
 	}
-	destination, ok := a.stream.pickCopyTarget(time.Now(), a.attempt.Target, a.copier.failedTargets)
+	destination, ok := a.stream.pickMoveTarget(time.Now(), a.attempt.Target, a.copier.current, a.copier.failedTargets)
 	if !ok {
 		return false
 	}
--- a/forward/stop_waiting_test.go
+++ b/forward/stop_waiting_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
 )
 
@@ -103,3 +105,34 @@
 		}
 	}
 }
+
+// TestRunIsMovedToAFreeSlot guards against runs that are moved into the queue of a full target,
+// although a slot is held for them elsewhere.
+func TestRunIsMovedToAFreeSlot(t *testing.T) {
+	full := fleet.DaemonLoad{Running: 8}
+	for name, c := range map[string]struct {
+		places map[string]string
+		loads  map[string]fleet.DaemonLoad
+		want   string
+	}{
+		"the full one is in another place":                    {map[string]string{"a": "p", "b": "q", "c": "p"}, map[string]fleet.DaemonLoad{"b": full, "c": {Running: 7}}, "c"},
+		"the full one has more memory than the copy's holder": {map[string]string{"a": "p", "b": "q", "c": "r"}, map[string]fleet.DaemonLoad{"b": {MemoryTokens: 38_000, Running: 7}, "c": full}, "b"},
+	} {
+		t.Run(name, inBubble(func(t *testing.T) {
+			var lastWork time.Time
+			b := waitingFor(time.Now(), 2*time.Second, 20*time.Second, &lastWork)
+			s := newFixture(map[string]behaviour{"a": b, "b": b, "c": b})
+			for id, place := range c.places {
+				s.Fleet.Put(fleet.Target{ID: id, Service: "svc", Address: id + ":1", Place: place, Slots: 8})
+			}
+			s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": full, "c": {Running: 8, MemoryTokens: 49_000}}) // so that it begins at a, and b holds the copy
+			time.AfterFunc(time.Second, func() { s.Fleet.SetPeerLoads("vm-2", c.loads) })
+			got := s.serve(t, streamRoute)
+			if sent := s.client.attempts(); !slices.Equal(sent, []string{"a", c.want}) || !got.ended {
+				t.Errorf("sent to %v, want a, then %s, which has a slot free; ended: %v", sent, c.want, got.ended)
+			}
+			s.awaitStops()
+			synctest.Wait()
+		}))
+	}
+}
