forward: single starts that took long don't keep streams at their targets

With the 0.9 quantile, one run from a copy that had waited in a queue (they are rare) made the daemon expect the same of all, and a stream stayed where no target worked on it. The median decides whether leaving pays, twice that how late it may be; runs from a copy count from the fourth on. TestStopLeavesNoStreamWithoutWork has such starts now: 21 of its 129 cases fail on the code before.

--- a/forward/departure.go
+++ b/forward/departure.go
@@ -13,8 +13,18 @@
 // is known of it, begins before the end. If the current target may go on with the run, the
 // stream stays until the latest time at which that holds.
 
-// Quantile of the recent times to the first event that the next attempt is expected to need.
-const startQuantile = 0.9
+// startQuantile is the quantile of the recent times from a send to a first event that the next
+// attempt is expected to take: if half of the runs begin in time, it is better to leave than to
+// be cut. lateStart is how many times as long a late one takes. Longer ones were queued, which a
+// held slot avoids.
+const (
+	startQuantile = 0.5
+	lateStart     = 2
+)
+
+// minCopiedStarts is how many runs from a copy show their usual time. They are rare, so an odd
+// one would count for long.
+const minCopiedStarts = 4
 
 // lastLook is the time before the latest time to leave in which a stream leaves a target that
 // may go on: streams are looked at once in gapProbeInterval.
@@ -35,10 +45,10 @@
 
 // check returns why the stream stays, nil if it leaves.
 func (d departure) check() error {
-	switch spare := d.left - d.start; {
-	case spare <= 0:
+	switch {
+	case d.left <= d.start:
 		return errStopsSoon
-	case spare > lastLook && d.mayGoOn:
+	case d.mayGoOn && d.left > lateStart*d.start+lastLook:
 		return errMayGoOn
 	}
 	return nil
@@ -52,11 +62,15 @@
 	return service
 }
 
-// expectedStart returns how long an attempt takes from its send to its first event. Before
-// there was any such attempt, that is the longest time allowed for one that resumes from a
+// expectedStart returns how long an attempt takes from its send to its first event. Before there
+// were enough of them, that is the longest time allowed for one that resumes from a
 // copy, and the objective of the route for others.
 func (f *Forwarder) expectedStart(r *Request, copied bool) time.Duration {
-	start, ok := f.starts.Quantile(startKind(r.Service, copied), startQuantile)
+	samples := 1
+	if copied {
+		samples = minCopiedStarts
+	}
+	start, ok := f.starts.Quantile(startKind(r.Service, copied), startQuantile, samples)
 	switch {
 	case ok:
 		return start
@@ -81,7 +95,7 @@
 	} else {
 		mayGoOn = now.Sub(a.detector.lastProgress) < longestSilence || f.Fleet.IsSilent(now, id, longestSilence-probeTimeout)
 	}
-	return departure{left: s.forwarder.stopsAt().Sub(now), start: f.expectedStart(s.request, copied), mayGoOn: mayGoOn}
+	return departure{left: f.stopsAt().Sub(now), start: f.expectedStart(s.request, copied), mayGoOn: mayGoOn}
 }
 
 // isStopping reports whether the daemon stops and the caller has received events.
--- a/forward/stop_waiting_test.go
+++ b/forward/stop_waiting_test.go
@@ -87,6 +87,9 @@
 					for range 8 { // what this daemon has seen of other streams
 						s.starts.Record(startKind("svc", false), promptStart)
 					}
+					for _, copied := range []bool{false, true} {
+						s.starts.Record(startKind("svc", copied), time.Minute) // one was queued
+					}
 					ctx, cancel := context.WithCancelCause(context.Background())
 					defer time.AfterFunc(untilTheSignal+testStopAfter, func() { cancel(ErrStopping) }).Stop()
 					got := s.serveFor(ctx, streamRoute)
--- a/internal/recent/durations.go
+++ b/internal/recent/durations.go
@@ -52,11 +52,11 @@
 }
 
 // Quantile returns the duration that the given share of the recent durations of a kind don't
-// exceed, and false if there are none. q is above 0 and at most 1.
-func (d *Durations) Quantile(kind string, q float64) (time.Duration, bool) {
+// exceed, and false if there are fewer than samples. q is above 0 and at most 1, samples at least 1.
+func (d *Durations) Quantile(kind string, q float64, samples int) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.kinds[kind]) == 0 {
+	if len(d.kinds[kind]) < samples {
 		return 0, false
 	}
 	sorted := slices.Sorted(slices.Values(d.kinds[kind]))
