forward: what else keeps a stream without work at the end of a stop

- a slot was given up when a move began, so after one that failed the stream went to the full holder of its copy; and a silence of five seconds ended the search for a slot (by reading).

A silent target is recognized before a slot is held, so that its streams don't signal load changes at each look. TestStopLeavesNoStreamWithoutWork wrote a time from two goroutines; it is atomic now.

--- a/forward/departure.go
+++ b/forward/departure.go
@@ -19,7 +19,7 @@
 // held slot avoids.
 const (
 	startQuantile = 0.5
-	lateStart     = 2
+	lateStart     = 1.5
 )
 
 // minCopiedStarts is how many runs from a copy show their usual time. They are rare, so an odd
@@ -40,7 +40,8 @@
 type departure struct {
 	left    time.Duration // until the daemon stops
 	start   time.Duration // expected from the send of the next attempt to its first event
-	mayGoOn bool          // the target may go on with the run, which the next attempt would not make up for
+	silent  bool          // the target has answered no probe since the latest event
+	mayGoOn bool          // the run may go on where it is, with less lost than by leaving
 }
 
 // check returns why the stream stays, nil if it leaves.
@@ -48,7 +49,7 @@
 	switch {
 	case d.left <= d.start:
 		return errStopsSoon
-	case d.mayGoOn && d.left > lateStart*d.start+lastLook:
+	case d.mayGoOn && d.left > time.Duration(lateStart*float64(d.start))+lastLook:
 		return errMayGoOn
 	}
 	return nil
@@ -82,20 +83,21 @@
 	return longestSilence
 }
 
-// departure describes the choice of a stream that has a slot held for the next attempt, or would
-// wait in a queue if that is nil. stalled is set if nothing but the silence of the stream speaks
-// against the run.
-func (a *streamAttempt) departure(now time.Time, slot *heldSlot, stalled bool) departure {
-	s, id, standby := a.stream, a.attempt.Target.ID, a.copier.current
-	f := s.forwarder
-	copied := standby != nil && a.detector.firstEventSeen && slot != nil && slot.target.ID == standby.holder.ID
-	var mayGoOn bool
-	if f.Fleet.State(now, id) != fleet.Suspected && f.Prober.answeredSince(a.attempt.Target, a.detector.lastProgress) {
-		mayGoOn = stalled && !copied
+// planDeparture describes the choice of a stream that has a slot held for the next attempt, or
+// would wait in a queue if that is nil.
+func (a *streamAttempt) planDeparture(now time.Time, slot *heldSlot, evidence evidence) departure {
+	s, id := a.stream, a.attempt.Target.ID
+	f, since := s.forwarder, a.detector.lastProgress
+	d := departure{left: f.stopsAt().Sub(now)}
+	d.silent = f.Fleet.State(now, id) == fleet.Suspected || !f.Prober.answeredSince(a.attempt.Target, since)
+	copied := slot != nil && (a.mayHaveCopy() && slot.target.ID == a.copier.current.holder.ID || evidence == isSilent && !d.silent && a.mayMove(now))
+	d.start = f.expectedStart(s.request, copied)
+	if d.silent {
+		d.mayGoOn = now.Sub(since) < longestSilence || f.Fleet.IsSilent(now, id, longestSilence-probeTimeout)
 	} else {
-		mayGoOn = now.Sub(a.detector.lastProgress) < longestSilence || f.Fleet.IsSilent(now, id, longestSilence-probeTimeout)
+		d.mayGoOn = evidence == isSilent && !copied // else the prompt would be prefilled again
 	}
-	return departure{left: f.stopsAt().Sub(now), start: f.expectedStart(s.request, copied), mayGoOn: mayGoOn}
+	return d
 }
 
 // isStopping reports whether the daemon stops and the caller has received events.
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -124,7 +124,7 @@
 	case silence >= maxUnconfirmed:
 		return 0, a.abandon(errUnconfirmed.Error()), true
 	case silence >= probeTimeout:
-		if end, done := a.giveUp("the target is silent since the end of its answer"); done {
+		if end, done := a.giveUp("the target is silent since the end of its answer", isLost); done {
 			return 0, end, true
 		}
 		if !a.patient {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -284,7 +284,7 @@
 const (
 	metricCall       = "forward.call_ms"        // from the arrival of a call to its answer
 	metricFirstEvent = "forward.first_event_ms" // from the arrival of a stream request to its first event
-	metricCutSilence = "forward.cut_silence_ms" // from the last event of a stream to its end, if it is cut short
+	metricCutSilence = "forward.cut_silence_ms" // from the last event of a stream to the end of a stop that cuts it
 	metricResume     = "forward.resume_ms"      // from the loss of a run to the next event of the stream
 )
 
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -36,7 +36,8 @@
 		return s.planReturn(ctx)
 	}
 	var promptHolders map[string]bool
-	if !s.resumesFromCopy(time.Now()) {
+	// A slot that is held is in the load that other daemons know of.
+	if slot := s.succession.slot; !s.resumesFromCopy(time.Now()) && (slot == nil || !s.isStopping()) {
 		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
 			s.lastErr = contextError(ctx, failure.NotRun, "route", s.request.Service)
 			s.noAttempt = s.lastErr.Error()
@@ -222,7 +223,7 @@
 	if slot == nil || standby != nil && slot.target.ID == standby.holder.ID || failed[slot.target.ID] {
 		return destination, ok
 	}
-	return slot.target, s.request.Route.Repeatable() && s.copiesRuns()
+	return slot.target, s.request.Route.Repeatable()
 }
 
 // copiesRuns reports whether targets of the service copy the KV cache of their runs.
--- a/forward/room.go
+++ b/forward/room.go
@@ -73,7 +73,7 @@
 func (a *streamAttempt) leaveQueue() (attemptEnd, bool) {
 	const reason = "the target has the stream in its queue"
 	s := a.stream
-	if a.reserveSuccessor(false) == nil {
+	if a.reserveSuccessor(isLost) == nil {
 		return a.abandonSilent(reason), true
 	}
 	if s.succession.returns < maxReturns && slices.ContainsFunc(s.succession.silent, func(i fleet.Incarnation) bool { return s.mayReturnTo(time.Now(), i.Target) }) {
--- a/forward/run.go
+++ b/forward/run.go
@@ -114,12 +114,12 @@
 				continue
 			}
 			if p.Alive && a.stream.request.Route.Repeatable() && a.detector.eventsUndelivered(a.stream.request.ID, p.Report) {
-				if end, done := a.giveUp("the target runs the request, and its answer does not arrive"); done {
+				if end, done := a.giveUp("the target runs the request, and its answer does not arrive", isLost); done {
 					return end
 				}
 			}
 			if p.Alive && a.detector.firstEventSeen && runMissing(p.completedAt, a.firstEventAt, a.stream.request.ID, p.Report) {
-				if end, done := a.giveUp("the target no longer reports the request"); done { // the report of a target that was silent may be old
+				if end, done := a.giveUp("the target no longer reports the request", isLost); done { // the report of a target that was silent may be old
 					return end
 				}
 			}
@@ -161,6 +161,9 @@
 				return a.abandonSilent("the stream is silent, and not moved: " + m.err.Error())
 			}
 			a.copier.current = &m.standbyCopy
+			if slot := a.stream.succession.slot; slot != nil && slot.target.ID != m.holder.ID {
+				a.stream.succession.releaseSlot() // the copy takes one at its holder
+			}
 			end := a.abandonSilent("the stream is silent, and was moved")
 			if m.holder.ID == a.attempt.Target.ID {
 				delete(a.stream.tried, a.attempt.Target.ID) // the target stopped the run and still holds the KV cache, so the run can resume there
@@ -196,11 +199,16 @@
 // after that.
 func (a *streamAttempt) eventArrived() bool { return len(a.parts) > 0 }
 
+// mayMove reports whether the run can be moved, as far as is known of its target.
+func (a *streamAttempt) mayMove(now time.Time) bool {
+	return a.detector.firstEventSeen && a.stream.forwarder.Fleet.State(now, a.attempt.Target.ID) == fleet.Ready && a.stream.copiesRuns()
+}
+
 // startMove stops a stalled run on a target that is alive and moves its KV cache to
 // another target. A move loses no tokens and needs no standby copy. startMove returns
 // false if the run can't be moved.
 func (a *streamAttempt) startMove(ctx context.Context) bool {
-	if !a.detector.firstEventSeen || a.stream.forwarder.Fleet.State(time.Now(), a.attempt.Target.ID) != fleet.Ready {
+	if !a.mayMove(time.Now()) {
 		return false
 	}
 	destination, ok := a.stream.pickMoveTarget(time.Now(), a.attempt.Target, a.copier.current, a.copier.failedTargets)
@@ -208,7 +216,6 @@
 		return false
 	}
 	a.moving = true
-	a.stream.succession.releaseSlot() // the copy takes one at the destination
 	a.stream.openMoves[a.attempt.Target.ID]++
 	go func() {
 		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
@@ -226,7 +233,7 @@
 		a.stream.forwarder.CrashTracker.ReportLoss(a.stream.request, a.incarnation, a.atStart(a.endTime()))
 	}
 	a.stream.standby = nil
-	if a.detector.firstEventSeen || a.attempt.Resume != (Copy{}) || a.copier.explicit {
+	if a.mayHaveCopy() {
 		// Before the first event, while the target prefills the prompt, a copy seldom
 		// exists. An attempt to resume from a copy that does not exist uses up an
 		// attempt and a part of the retry budget.
@@ -239,6 +246,11 @@
 	return endTargetLost
 }
 
+// mayHaveCopy reports whether the standby copy of the run may exist, and not only be planned.
+func (a *streamAttempt) mayHaveCopy() bool {
+	return a.copier.current != nil && (a.detector.firstEventSeen || a.attempt.Resume != (Copy{}) || a.copier.explicit)
+}
+
 // stopRun ends the run at a target that may go on with it after the attempt.
 func (a *streamAttempt) stopRun() {
 	now := time.Now()
--- a/forward/stop_matrix_test.go
+++ b/forward/stop_matrix_test.go
@@ -277,8 +277,9 @@
 	}
 }
 
-// serve serves the stream of the case until the end of the stop.
-func (c stopCase) serve(t *testing.T) (*stopTargets, *fakeResponder) {
+// serve serves the stream of the case until the end of the stop. change, which may be nil, changes
+// the targets before.
+func (c stopCase) serve(t *testing.T, change func(*fixture, *stopTargets)) (*stopTargets, *fakeResponder) {
 	t.Helper()
 	signal := time.Now().Add(beforeSignal)
 	targets := &stopTargets{c: c, signal: signal, resumed: make(chan struct{}), runs: make(map[string]func()), events: make(map[string]int)}
@@ -301,6 +302,9 @@
 			s.Fleet.Put(fleet.Target{ID: "c", Service: "svc", Address: "c:1", Place: "place-c", Slots: 8})
 		}
 	})
+	if change != nil {
+		change(s, targets)
+	}
 	resume := sync.OnceFunc(func() { close(targets.resumed) })
 	if c.length != forGood {
 		time.AfterFunc(beforeSignal+c.at+c.length, resume)
@@ -341,7 +345,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.String(), inBubble(func(t *testing.T) {
-			targets, got := c.serve(t)
+			targets, got := c.serve(t, nil)
 			made := targets.lastMade.Sub(targets.signal)
 			if c.mustGoOn() && !got.ended && made <= lastSixth {
 				t.Errorf("the stream was cut, its last event was made %v after the signal, want later than %v", made, lastSixth)
--- a/forward/stop_waiting_test.go
+++ b/forward/stop_waiting_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,34 +15,26 @@
 	"github.com/vanillaroad/vanillaroad/ingress"
 )
 
-// Times of the stops in this file. Grace is how long a daemon has to end after the signal. A stream
-// may be cut at the end of it if a target was at work on it in the last sixth.
 const (
-	testGrace      = 8 * time.Second
-	testStopAfter  = 7600 * time.Millisecond // the signal
-	testMustWork   = testGrace - testGrace/6 // after the signal
-	copiedStart    = 20 * time.Millisecond
-	promptStart    = 1200 * time.Millisecond
-	waitEventGap   = 50 * time.Millisecond
 	waitLastEvent  = 400
 	untilTheSignal = 4 * time.Second // from the request
 )
 
 // waitingFor answers like streaming, but the first run waits from a time after the request on, for
 // so long, while its target answers probes. Runs that have a copy begin soon.
-func waitingFor(requested time.Time, from, length time.Duration, lastWork *time.Time) behaviour {
+func waitingFor(requested time.Time, from, length time.Duration, lastWork *atomic.Int64) behaviour {
 	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
 		r, w := io.Pipe()
 		next, first := a.nextEvent(), a.LastEventID == ""
-		start := promptStart
+		start := prefillStart
 		if a.Resume != (Copy{}) {
-			start = copiedStart
+			start = copyStart
 		}
 		s.mu.Lock()
 		s.cancelRun[a.Target.ID] = func() { _ = w.CloseWithError(io.ErrUnexpectedEOF) }
 		s.mu.Unlock()
 		go func() {
-			for wait := start; next <= waitLastEvent; next, wait = next+1, waitEventGap {
+			for wait := start; next <= waitLastEvent; next, wait = next+1, eventGap {
 				if at := time.Since(requested) + wait; first && at > from && at < from+length {
 					wait = from + length - time.Since(requested)
 				}
@@ -54,7 +47,7 @@
 				if _, err := fmt.Fprintf(w, "id: %d\ndata: %d\n\n", next, next); err != nil {
 					return
 				}
-				*lastWork = time.Now()
+				lastWork.Store(time.Now().UnixNano())
 			}
 			_ = w.Close()
 		}()
@@ -67,13 +60,13 @@
 func TestStopLeavesNoStreamWithoutWork(t *testing.T) {
 	for _, copies := range []bool{true, false} {
 		for _, length := range []time.Duration{time.Second, 3 * time.Second, 20 * time.Second} {
-			for from := -2 * time.Second; from <= testMustWork; from += 350 * time.Millisecond {
-				if !copies && from > testStopAfter-2*promptStart-time.Second {
+			for from := -2 * time.Second; from <= lastSixth; from += 350 * time.Millisecond {
+				if !copies && from > stopLength-2*prefillStart-time.Second {
 					continue // no other target could begin in time
 				}
 				t.Run(fmt.Sprintf("copies %v, waits from %v for %v", copies, from, length), inBubble(func(t *testing.T) {
 					requested := time.Now()
-					var lastWork time.Time
+					var lastWork atomic.Int64
 					b := waitingFor(requested, untilTheSignal+from, length, &lastWork)
 					s := newFixture(map[string]behaviour{"a": b, "b": b, "c": b})
 					s.Model = func(string) *ingress.Model { return &ingress.Model{StandbyCopies: copies} }
@@ -82,18 +75,18 @@
 						if time.Now().Before(signaled) {
 							return time.Time{}
 						}
-						return signaled.Add(testStopAfter)
+						return signaled.Add(stopLength)
 					}
 					for range 8 { // what this daemon has seen of other streams
-						s.starts.Record(startKind("svc", false), promptStart)
+						s.starts.Record(startKind("svc", false), prefillStart)
 					}
 					for _, copied := range []bool{false, true} {
 						s.starts.Record(startKind("svc", copied), time.Minute) // one was queued
 					}
 					ctx, cancel := context.WithCancelCause(context.Background())
-					defer time.AfterFunc(untilTheSignal+testStopAfter, func() { cancel(ErrStopping) }).Stop()
+					defer time.AfterFunc(untilTheSignal+stopLength, func() { cancel(ErrStopping) }).Stop()
 					got := s.serveFor(ctx, streamRoute)
-					if worked := lastWork.Sub(signaled); worked < testMustWork {
+					if worked := time.Unix(0, lastWork.Load()).Sub(signaled); worked < lastSixth {
 						t.Errorf("cut after %d events; the last work on it was %v after the signal; sent to %v", len(got.events), worked, s.client.attempts())
 					}
 					for i, e := range got.events {
@@ -122,7 +115,7 @@
 		"the full one has more memory than the copy's holder": {map[string]string{"a": "p", "b": "q", "c": "r"}, map[string]fleet.DaemonLoad{"b": {MemoryTokens: 38_000, Running: 7}, "c": full}, "b"},
 	} {
 		t.Run(name, inBubble(func(t *testing.T) {
-			var lastWork time.Time
+			var lastWork atomic.Int64
 			b := waitingFor(time.Now(), 2*time.Second, 20*time.Second, &lastWork)
 			s := newFixture(map[string]behaviour{"a": b, "b": b, "c": b})
 			for id, place := range c.places {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -202,13 +202,16 @@
 		event.F("copy", s.describeCopy()), event.F("framed", s.framed))
 }
 
-// recordSilence records how long a stream that is cut short was without an event, and returns it.
+// recordSilence returns how long a stream that is cut short was without an event, and records it
+// at the end of a stop.
 func (s *stream) recordSilence(now time.Time) time.Duration {
 	if s.lastEventAt.IsZero() {
 		return now.Sub(s.request.Received)
 	}
 	silence := now.Sub(s.lastEventAt)
-	s.forwarder.recordDuration(metricCutSilence, silence)
+	if s.lastErr.Code == failure.Draining {
+		s.forwarder.recordDuration(metricCutSilence, silence)
+	}
 	return silence
 }
 
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -112,9 +112,9 @@
 	now := time.Now()
 	c.releaseSlot()
 	criteria.Exclude, criteria.Priority = withID(tried, current.Target.ID), r.Route.Priority
-	if criteria.MemoryTokens > 0 && silence < maxRoomWait {
+	if criteria.MemoryTokens > 0 {
 		slot, err := f.findRoom(now, criteria, standby)
-		if err != nil {
+		if err != nil && silence < maxRoomWait {
 			return err
 		}
 		c.slot = slot
@@ -128,23 +128,24 @@
 	if !c.retryReserved.IsZero() {
 		return nil
 	}
-	err := f.reserveRetry(now, r, c, current, silence, criteria)
+	err := f.reserveRetry(now, r, c, current, silence, criteria, mayLeave != nil)
 	if err != nil {
 		c.releaseSlot()
 	}
 	return err
 }
 
-// reserveRetry is reserveSuccessor without the room at the next target.
-func (f *Forwarder) reserveRetry(now time.Time, r *Request, c *succession, current fleet.Incarnation, silence time.Duration, criteria fleet.Criteria) error {
+// reserveRetry is reserveSuccessor without the room at the next target. stopping is set if the
+// daemon stops: there is hardly time for a return then.
+func (f *Forwarder) reserveRetry(now time.Time, r *Request, c *succession, current fleet.Incarnation, silence time.Duration, criteria fleet.Criteria, stopping bool) error {
 	switch {
 	case !r.Route.Repeatable():
 		return errNotRepeatable
-	case !c.returnedAt.IsZero():
+	case !c.returnedAt.IsZero() && !stopping:
 		return errHasReturned
 	case !r.attemptsLeft(len(criteria.Exclude)):
 		return errAttemptsUsedUp
-	case !f.mayTake(now, current, silence):
+	case !stopping && !f.mayTake(now, current, silence):
 		return errNoReturn
 	}
 	if _, err := f.Fleet.Pick(now, criteria); err != nil {
@@ -154,14 +155,14 @@
 		return refusal
 	}
 	retries := 2
-	if !c.returnReserved.IsZero() {
+	if !c.returnReserved.IsZero() || stopping {
 		retries = 1
 	}
 	if !f.RetryBudget.AllowRetries(now, r.Service, retries) {
 		return errBudgetExhausted
 	}
 	c.retryReserved = now
-	if c.returnReserved.IsZero() {
+	if c.returnReserved.IsZero() && !stopping {
 		c.returnReserved = now
 	}
 	return nil
@@ -240,29 +241,36 @@
 	return fleet.Target{}, false, nil
 }
 
-// reasonSilent is the reason to leave a target of which nothing is known but that the stream is
-// silent.
-const reasonSilent = "the stream is silent"
-
-// giveUp ends the attempt because its target is silent, and returns how and true. If the
-// stream has no successor, giveUp returns false and the attempt goes on.
-func (a *streamAttempt) giveUp(reason string) (attemptEnd, bool) {
-	if err := a.reserveSuccessor(reason == reasonSilent); err != nil {
+// giveUp ends the attempt because its target or its run seems lost, and returns how and true.
+// If the stream has no successor, giveUp returns false and the attempt goes on.
+func (a *streamAttempt) giveUp(reason string, evidence evidence) (attemptEnd, bool) {
+	if err := a.reserveSuccessor(evidence); err != nil {
 		a.keep(reason, err)
 		return 0, false
 	}
 	return a.abandonSilent(reason), true
 }
 
+// evidence is what speaks against a run.
+type evidence int
+
+const (
+	isSilent evidence = iota // nothing but the silence of the stream
+	isLost                   // the target reports that it doesn't run the request, or its answer doesn't arrive
+)
+
 // reserveSuccessor reserves what the stream needs to continue at another target, if it may
-// leave its own; see departure for stalled.
-func (a *streamAttempt) reserveSuccessor(stalled bool) error {
+// leave its own.
+func (a *streamAttempt) reserveSuccessor(evidence evidence) error {
 	s, now := a.stream, time.Now()
 	var mayLeave func(*heldSlot) error
 	switch {
 	case a.incarnation.Terminated(now):
 	case s.isStopping():
-		mayLeave = func(slot *heldSlot) error { return a.departure(now, slot, stalled).check() }
+		if d := a.planDeparture(now, nil, evidence); d.silent && d.check() == errMayGoOn {
+			return errMayGoOn // whatever the slot, which is not held for that
+		}
+		mayLeave = func(slot *heldSlot) error { return a.planDeparture(now, slot, evidence).check() }
 	case s.forwarder.Fleet.IsSilent(now, a.attempt.Target.ID, longestSilence-probeTimeout):
 		return errOnlySilent
 	}
@@ -312,7 +320,7 @@
 	if a.awaitsConfirmation() {
 		return 0, false // see handleUnconfirmed
 	}
-	return a.giveUp("the target is taken for dead")
+	return a.giveUp("the target is taken for dead", isSilent)
 }
 
 // handleTimer handles a stream that was silent for a time: its target is probed, the run
@@ -322,6 +330,7 @@
 	if a.awaitsConfirmation() {
 		return a.handleUnconfirmed(ctx)
 	}
+	const reason = "the stream is silent"
 	now := time.Now()
 	late := a.stream.forwarder.Prober.lateness(a.detector.lastProgress, now)
 	action, wait := a.detector.next(now, late)
@@ -334,19 +343,19 @@
 	case action == stallAbandon && a.isUnclear(now):
 		action, wait = stallProbe, targetPollInterval // a move would be carried out when the target goes on
 	case action == stallAbandon:
-		err := a.reserveSuccessor(true)
+		err := a.reserveSuccessor(isSilent)
 		if err == nil && !a.startMove(ctx) {
-			return 0, a.abandonSilent(reasonSilent), true
+			return 0, a.abandonSilent(reason), true
 		}
 		wait = gapProbeInterval
 		if err == nil {
 			return wait, 0, false // until the move has ended
 		}
-		a.keep(reasonSilent, err)
+		a.keep(reason, err)
 	case a.kept && a.stream.forwarder.Fleet.State(now, a.attempt.Target.ID) == fleet.Ready:
 		a.kept = false // the target has answered
 	case a.kept:
-		if end, done := a.giveUp(reasonSilent); done {
+		if end, done := a.giveUp(reason, isSilent); done {
 			return 0, end, true
 		}
 	}
