forward: a stream doesn't wait in a queue for memory until its daemon stops

While the daemon stops, a run that has not begun after 1.5 times the expected start counts as queued, and leaves for a slot that is held. TestStopLeavesQueuesForMemory: 4 of 4 cases failed before.

--- a/forward/departure.go
+++ b/forward/departure.go
@@ -100,6 +100,13 @@
 	return d
 }
 
+// isOverdue reports whether the run has not begun although most would have. It waits in a queue,
+// perhaps of a target that lacks memory and not slots.
+func (a *streamAttempt) isOverdue(now time.Time, late time.Duration) bool {
+	start := a.stream.forwarder.expectedStart(a.stream.request, a.attempt.Resume != (Copy{}))
+	return !a.detector.firstEventSeen && now.Sub(a.detector.lastProgress)-late >= max(resumeTimeout, time.Duration(lateStart*float64(start)))
+}
+
 // isStopping reports whether the daemon stops and the caller has received events.
 func (s *stream) isStopping() bool {
 	return !s.firstEventAt.IsZero() && !s.forwarder.stopsAt().IsZero()
--- a/forward/stop_paths_test.go
+++ b/forward/stop_paths_test.go
@@ -176,6 +176,32 @@
 	return s.signal.Add(time.Duration(at * float64(time.Second)))
 }
 
+// lacksMemory reports that target b has requests in its queue, and slots free.
+type lacksMemory struct{ *stopTargets }
+
+func (l lacksMemory) Report(ctx context.Context, t fleet.Target) (Report, error) {
+	if t.ID == "b" {
+		return Report{Queued: 1, Running: map[string]RunStatus{}}, nil
+	}
+	return l.stopTargets.Report(ctx, t)
+}
+
+// TestStopLeavesQueuesForMemory guards against streams that are cut in the queue of a target which
+// lacks the memory for them, and has slots free, although another target could go on.
+func TestStopLeavesQueuesForMemory(t *testing.T) {
+	for _, at := range []time.Duration{-500 * ms, 500 * ms, 1500 * ms, 3000 * ms} {
+		t.Run(at.String(), inBubble(func(t *testing.T) {
+			stopCase{at, forGood, goneBroken, false, "c"}.serveStop(t, func(s *fixture, targets *stopTargets) {
+				s.Fleet.SetPeerLoads("vm-2", nil)
+				s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: 3}})
+				time.AfterFunc(beforeSignal/2+10*ms, func() { s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"c": {Running: 5}}) })
+				s.TargetClient = lacksMemory{targets}
+				s.Prober = NewProber(s.TargetClient, s.Fleet, s.Events)
+			})
+		}))
+	}
+}
+
 // idle reports that target b has nothing to do.
 type idle struct{ *stopTargets }
 
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -334,8 +334,14 @@
 	now := time.Now()
 	late := a.stream.forwarder.Prober.lateness(a.detector.lastProgress, now)
 	action, wait := a.detector.next(now, late)
-	if a.stream.isStopping() && a.detector.isStalled(now, late) {
-		action = stallAbandon // also without a copy
+	evidence := isSilent
+	if a.stream.isStopping() {
+		switch {
+		case a.detector.isStalled(now, late):
+			action = stallAbandon // also without a copy
+		case a.isOverdue(now, late):
+			action, evidence = stallAbandon, isLost
+		}
 	}
 	switch {
 	case a.moving:
@@ -343,7 +349,7 @@
 	case action == stallAbandon && a.isUnclear(now):
 		action, wait = stallProbe, targetPollInterval // a move would be carried out when the target goes on
 	case action == stallAbandon:
-		err := a.reserveSuccessor(isSilent)
+		err := a.reserveSuccessor(evidence)
 		if err == nil && !a.startMove(ctx) {
 			return 0, a.abandonSilent(reason), true
 		}
