forward: no more runs are moved to a target than it has slots

The slot held at the destination was given up when a move began, and none was held if the move went elsewhere, so for the tens of milliseconds of a move each stream found the same free slots: of eight runs that wait at once, four were moved into the queue of a target with four slots, and cut there if the stop ended before. The hold lasts until the move has ended, is the next attempt's if the copy is there, and another one is held at a destination that is not the held slot's. After a move that failed, the slot that was held before is still held.

--- a/forward/run.go
+++ b/forward/run.go
@@ -26,6 +26,7 @@
 	copier       *copier
 	moveResults  chan copyResult // outcome of the move to another target
 	moving       bool            // a move was started, its outcome is pending
+	moveSlot     *heldSlot       // for the move, if it is not the one for the next attempt; nil for none
 	endedInMove  bool            // the answer ended, or broke off, during the move
 	framed       bool            // see Answer.Framed
 	endedAt      time.Time       // when an answer that is not framed ended, if that is not confirmed yet; zero otherwise
@@ -150,6 +151,7 @@
 				a.stream.openMoves[a.attempt.Target.ID]--
 			}
 			a.moving = false
+			a.settleMoveSlot(m)
 			if errors.Is(m.err, ErrRunNotFound) && a.awaitsConfirmation() {
 				a.probeEnd() // the run had ended before the move
 				continue
@@ -161,9 +163,6 @@
 				return a.abandonSilent("the stream is silent, and not moved: " + m.err.Error())
 			}
 			a.copier.current = &m.standbyCopy
-			if slot := a.stream.succession.slot; slot != nil && slot.target.ID != m.holder.ID {
-				a.stream.succession.releaseSlot() // the copy takes one at its holder
-			}
 			end := a.abandonSilent("the stream is silent, and was moved")
 			if m.holder.ID == a.attempt.Target.ID {
 				delete(a.stream.tried, a.attempt.Target.ID) // the target stopped the run and still holds the KV cache, so the run can resume there
@@ -199,33 +198,6 @@
 // after that.
 func (a *streamAttempt) eventArrived() bool { return len(a.parts) > 0 }
 
-// mayMove reports whether the run can be moved, as far as is known of its target.
-func (a *streamAttempt) mayMove(now time.Time) bool {
-	return a.detector.firstEventSeen && a.stream.forwarder.Fleet.State(now, a.attempt.Target.ID) == fleet.Ready && a.stream.copiesRuns()
-}
-
-// startMove stops a stalled run on a target that is alive and moves its KV cache to
-// another target. A move loses no tokens and needs no standby copy. startMove returns
-// false if the run can't be moved.
-func (a *streamAttempt) startMove(ctx context.Context) bool {
-	if !a.mayMove(time.Now()) {
-		return false
-	}
-	destination, ok := a.stream.pickMoveTarget(time.Now(), a.attempt.Target, a.copier.current, a.copier.failedTargets)
-	if !ok {
-		return false
-	}
-	a.moving = true
-	a.stream.openMoves[a.attempt.Target.ID]++
-	go func() {
-		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
-		defer cancel()
-		c, holder, err := a.stream.forwarder.TargetClient.Move(moveCtx, a.attempt.Target, a.stream.request.ID, destination)
-		sendUnlessDone(ctx, a.moveResults, copyResult{standbyCopy{holder, c, byMove}, err, err != nil && moveCtx.Err() != nil})
-	}()
-	return true
-}
-
 // abandon ends the attempt because its target is lost or stalled.
 func (a *streamAttempt) abandon(reason string) attemptEnd {
 	a.stream.mayHaveRun, a.failed = true, true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -179,6 +179,9 @@
 	}
 	defer func() {
 		s.forwarder.releasePermit(s.request.ID, a.Target, attempt.refused)
+		if attempt.moveSlot != nil {
+			attempt.moveSlot.release()
+		}
 		attempt.active.Done(time.Now(), attempt.failed)
 		attempt.copier.finish(!attempt.failed)
 	}()
