--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -34,6 +34,7 @@
 	timedOut
 	excused   // by trouble, or by the end of the grace period
 	brokenOff // by its engine, and there was no time, attempt or retry budget left to continue it
+	noneBegan // while it waited, no other engine could begin it before its daemon stopped
 	lost      // around planned work
 	cut       // at another time
 )
@@ -100,9 +101,12 @@
 	if denied > deniedLimit(len(s.record.attempts)) {
 		broken = append(broken, fmt.Sprintf("DENIED: %d requests", denied))
 	}
-	s.t.Logf("%s: %d attempts, %d SIGTERM; unread %d, timed out %d, excused %d, lost %d, cut at other times %d, broken off by engines %d of %d; %d broken rules", s.t.Name(), len(s.record.attempts),
-		s.countPlanned("SIGTERM"), counts[unread], counts[timedOut], counts[excused], counts[lost], counts[cut], counts[brokenOff], breaks, len(broken))
+	s.t.Logf("%s: %d attempts, %d SIGTERM; unread %d, timed out %d, excused %d, begun nowhere %d, lost %d, cut at other times %d, broken off by engines %d of %d; %d broken rules", s.t.Name(), len(s.record.attempts),
+		s.countPlanned("SIGTERM"), counts[unread], counts[timedOut], counts[excused], counts[noneBegan], counts[lost], counts[cut], counts[brokenOff], breaks, len(broken))
 	s.t.Logf("attempts %v; requests %v", statuses, s.record.outcomes)
+	if s.waits {
+		s.t.Log(s.describeAllWaits())
+	}
 	return broken
 }
 
@@ -138,7 +142,10 @@
 		if cutAtEndOfGrace(a, runs, p.from) {
 			return excused, ""
 		}
-		if broken && !a.ended.Before(p.from.Add(grace*5/6)) && !a.ended.After(p.from.Add(grace+time.Second)) {
+		if cutByEndOfGrace(a, p.from) && s.noneCouldBegin(a, runs, p.from) {
+			return noneBegan, ""
+		}
+		if broken && cutByEndOfGrace(a, p.from) {
 			return brokenOff, ""
 		}
 	}
@@ -169,12 +176,18 @@
 }
 
 // cutAtEndOfGrace reports whether an engine was still at work on a request near the end
-// of the grace period of a daemon that got a SIGTERM, and the request was not sent late.
+// of the grace period of a daemon that got a SIGTERM, and the request was not sent late. An
+// engine is not at work on a run that waits.
 func cutAtEndOfGrace(a *attempt, runs []run, signaled time.Time) bool {
 	if len(runs) == 0 || a.kind == kindStream && runs[len(runs)-1].firstEvent.IsZero() || a.ended.Before(signaled) || a.ended.After(signaled.Add(grace+time.Second)) {
 		return false
 	}
-	return a.sent.Sub(signaled) <= lateSend && !runs[len(runs)-1].ended.Before(signaled.Add(grace*5/6))
+	return a.sent.Sub(signaled) <= lateSend && !runs[len(runs)-1].lastWork().Before(signaled.Add(grace*5/6))
+}
+
+// cutByEndOfGrace reports whether a request ended about when the daemon had to.
+func cutByEndOfGrace(a *attempt, signaled time.Time) bool {
+	return !a.ended.Before(signaled.Add(grace*5/6)) && !a.ended.After(signaled.Add(grace+time.Second))
 }
 
 // brokenByEngine reports whether a stream has made no event since an engine broke it off.
@@ -235,7 +248,7 @@
 	add("begun %s, sent %s, ended %s; status %d (%s), complete: %t, %d events of %d; error %v, reset: %t", at(a.begun), at(a.sent), at(a.ended),
 		a.status, http.StatusText(a.status), a.complete, a.events, a.work.events, a.err, a.reset)
 	for _, r := range s.ledger.of(a.id) {
-		add("run at %s from %s to %s, first event %s, %v", r.engine, at(r.began), at(r.ended), at(r.firstEvent), r.end)
+		add("run at %s from %s to %s, first event %s, %v%s", r.engine, at(r.began), at(r.ended), at(r.firstEvent), r.end, r.describeWaits(at))
 	}
 	for _, p := range slices.Concat(s.planned, s.quiet, s.troubles, s.stalls) {
 		concerned := p.daemon == "" || s.callersOf(p.daemon) == a.daemon
@@ -257,7 +270,8 @@
 }
 
 // overlap returns the longest time for which two engines worked on a request, apart from
-// trouble. An engine that is silent works on nothing, and nothing reaches it.
+// trouble. An engine that is silent works on nothing, and nothing reaches it. No engine works on
+// a run that waits.
 func (s *site) overlap(runs []run) (longest time.Duration) {
 	for i, one := range runs {
 		for _, other := range runs[:i] {
@@ -269,7 +283,7 @@
 				until = other.ended
 			}
 			if !s.troubled(from.Add(-contact), until) {
-				longest = max(longest, until.Sub(from)-s.silentTime(one.engine, from, until)-s.silentTime(other.engine, from, until))
+				longest = max(longest, until.Sub(from)-s.silentTime(one.engine, from, until)-s.silentTime(other.engine, from, until)-waitTime(from, until, one, other))
 			}
 		}
 	}
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,7 +62,8 @@
 	// firstEvent is when the run of a stream left the queue; zero before, and of calls.
 	firstEvent time.Time
 	end        runEnd
-	brokeOff   bool // the engine broke its connection, and went on
+	brokeOff   bool   // the engine broke its connection, and went on
+	waits      []span // in which the run was preempted; until is zero if it ended there
 }
 
 // runEnd is how a run ended.
@@ -116,7 +118,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.runs[id] {
-		out = append(out, *r)
+		c := *r
+		c.waits = slices.Clone(r.waits)
+		out = append(out, c)
 	}
 	return out
 }
@@ -130,15 +134,22 @@
 	site                 *site
 	silentUntil          atomic.Int64 // Unix nanoseconds
 	conditions           conditions
+	slots                int // for streams
 
 	mu      sync.Mutex
 	running map[string]int    // events made by the run, by request id; without those in the queue
 	stops   map[string]func() // each stops a run, by request id
 	copies  map[string]bool   // of runs at other engines, by name
+
+	preemption preemption
 }
 
+// manySlots is more than the number of streams that an engine gets.
+const manySlots = 32
+
 func startEngine(t *testing.T, l *ledger, id, service, address string, faulty bool) *engine {
-	e := &engine{id: id, service: service, address: address, faulty: faulty, ledger: l, running: make(map[string]int), stops: make(map[string]func()), copies: make(map[string]bool)}
+	e := &engine{id: id, service: service, address: address, faulty: faulty, ledger: l, slots: manySlots, running: make(map[string]int), stops: make(map[string]func()), copies: make(map[string]bool)}
+	e.preemption.due, e.preemption.waiting = make(map[string]time.Duration), make(map[string]int)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -151,7 +162,7 @@
 
 // entry is the object by which the engine registers itself.
 func (e *engine) entry() any {
-	return map[string]any{"service": e.service, "address": e.address, "zone": "p", "version": "v1", "slots": 32, "state": "ready", "cold_left_ms": 0, "seq": 1}
+	return map[string]any{"service": e.service, "address": e.address, "zone": "p", "version": "v1", "slots": e.slots, "state": "ready", "cold_left_ms": 0, "seq": 1}
 }
 
 // silence makes the engine send nothing for d.
@@ -213,7 +224,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if from := r.Header.Get("Kv-From"); from != "" {
+	from := r.Header.Get("Kv-From")
+	if from != "" {
 		if !e.takeCopy(from) {
 			w.Header().Set("Vanillaroad-Request-Id", id)
 			w.Header().Set("Vanillaroad-Not-Executed", "1")
@@ -222,6 +234,10 @@
 		}
 		work.first = time.Millisecond
 	}
+	if e.site.waits && r.Header.Get("Last-Event-Id") != "" {
+		work.first = e.resumeTime(id, from != "")
+		e.preemptAgain(id)
+	}
 	m := drawManner(e.id, id, e.faulty, work.events > 0)
 	if m.unframed {
 		u, unframed, err := unframe(w, r)
@@ -260,7 +276,7 @@
 	breakAt := last + 1 + int(m.at*float64(work.events-last))
 	wait := work.first
 	for i := last + 1; i <= work.events; i++ {
-		if !e.pause(r, wait) {
+		if !e.pause(r, wait) || !e.admit(r, id) {
 			return runCanceled
 		}
 		e.ledger.start(this)
@@ -283,6 +299,9 @@
 		}
 		e.progress(id, i-last)
 		e.copyTo(r.Header.Get("Vanillaroad-Kv-Backup"), id)
+		if !e.wait(r, this, id, i-last) {
+			return runCanceled
+		}
 	}
 	if http.NewResponseController(w).Flush() != nil { // there may have been no event left
 		return runCanceled
@@ -303,6 +322,8 @@
 	defer e.mu.Unlock()
 	delete(e.running, id)
 	delete(e.stops, id)
+	delete(e.preemption.due, id)
+	delete(e.preemption.waiting, id)
 }
 
 func (e *engine) report(w http.ResponseWriter, r *http.Request) {
@@ -312,12 +333,20 @@
 	}
 	runs, queued := [][]any{}, 0
 	e.mu.Lock()
-	if e.goesOn {
-		queued = len(e.stops) - len(e.running)
+	if e.goesOn || e.site.waits {
+		queued = len(e.stops) - len(e.running) - len(e.preemption.waiting)
 	}
 	for id, events := range e.running {
 		runs = append(runs, []any{id, 100 + events, events, 5})
 	}
+	switch e.preemption.report {
+	case waitQueued:
+		queued += len(e.preemption.waiting)
+	case waitListed:
+		for id, events := range e.preemption.waiting {
+			runs = append(runs, []any{id, 100 + events, events, 5})
+		}
+	}
 	e.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"stage": "both", "models": []any{}, "busy": false, "seq": 1, "queued": queued, "active": len(runs), "kv_used": 0, "kv_total": 90000, "handles": 0, "runs": runs})
--- a/internal/soak/moves_test.go
+++ b/internal/soak/moves_test.go
@@ -38,8 +38,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	events, running := e.movable(request.ID)
 	e.mu.Lock()
-	events, running := e.running[request.ID]
 	stop := e.stops[request.ID]
 	e.mu.Unlock()
 	holder := e.site.engineAt(request.Target)
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -41,7 +41,9 @@
 	ledger  *ledger
 	record  *record
 	version int
-	copies  bool // engines hold copies of each other's runs, and move runs
+	copies  bool     // engines hold copies of each other's runs, and move runs
+	waits   bool     // engines let runs wait
+	again   sync.Map // how long runs wait once they have begun at another engine, by request id
 	// idleTimeout is the limit of the configuration in force, in nanoseconds.
 	idleTimeout atomic.Int64
 	start       time.Time
@@ -75,7 +77,7 @@
 	}
 	s := &site{
 		t: t, rng: rand.New(rand.NewPCG(seed, 0)), ledger: &ledger{runs: make(map[string][]*run)},
-		record: &record{outcomes: make(map[string]int)}, busy: make(map[string]bool), copies: o.copies,
+		record: &record{outcomes: make(map[string]int)}, busy: make(map[string]bool), copies: o.copies, waits: o.waits,
 	}
 	dir := t.TempDir()
 	if *keepLogs != "" {
@@ -96,12 +98,16 @@
 	s.links = append(s.links, startProxy(t, storeAddress, store.Listener.Addr().String()))
 	s.configure()
 	for i := range o.engines {
-		service := "model"
+		service := modelService
 		if i%3 == 0 {
 			service = "booking"
 		}
 		e := startEngine(t, s.ledger, fmt.Sprint("i-", i), service, fmt.Sprintf("%s.%d:8686", prefix, 100+i), i%2 == 1)
-		e.goesOn, e.site = o.copies && i%4 == 1, s
+		if o.slots != nil {
+			e.slots = o.slots(i)
+		}
+		e.goesOn, e.site = o.copies && i%4 == 1 && e.slots == manySlots, s
+		e.preemption.report = waitReportOf(i)
 		s.links = append(s.links, startProxy(t, fmt.Sprintf("%s.%d:8687", prefix, 100+i), e.address))
 		e.address = fmt.Sprintf("%s.%d:8687", prefix, 100+i)
 		s.engines = append(s.engines, e)
@@ -183,6 +189,9 @@
 	}
 }
 
+// modelService is the service of the engines that serve streams.
+const modelService = "model"
+
 // streamAttempts is the number of engines to which the routes of streams allow a request
 // to be sent.
 const streamAttempts = 5
@@ -198,14 +207,14 @@
 	}
 	callTimeout := callDeadline - upTo(s.rng, 1500*time.Millisecond)
 	routes := []map[string]any{
-		route(kindStream, "streaming", "model", streamDeadline, 4500*time.Millisecond, streamAttempts),
+		route(kindStream, "streaming", modelService, streamDeadline, 4500*time.Millisecond, streamAttempts),
 		route(kindBook, "non_idempotent", "booking", callTimeout, time.Second, 1),
 		route(kindRead, "idempotent", "booking", callTimeout, 4*time.Second, 2),
 	}
 	for i := range s.rng.IntN(20) {
 		routes = append(routes, route(fmt.Sprint("other-", i), "idempotent", "booking", callTimeout, time.Second, 2))
 	}
-	model := map[string]any{"name": "model"}
+	model := map[string]any{"name": modelService}
 	if s.copies {
 		model["engine"] = map[string]any{"kv_capacity": 90000, "backups": true, "handle_s": 4}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,7 +33,8 @@
 	daemons, engines, clients int
 	length                    time.Duration
 	planned, unplanned        []fault
-	copies                    bool // see site.copies
+	copies, waits             bool          // see site
+	slots                     func(int) int // of the engine with a number; nil for many
 }
 
 func TestMain(m *testing.M) {
@@ -57,6 +58,10 @@
 			t.Parallel()
 			sites <- struct{}{}
 			defer func() { <-sites }()
+			o := o
+			if o.waits {
+				o.copies, o.slots = waitingSite(seed)
+			}
 			for _, b := range sortedBroken(newSite(t, seed, o).soak(seed, o)) {
 				t.Error(b)
 			}
@@ -79,6 +84,9 @@
 	}
 	clients.Go(func() { s.watchStalls(clientsDone) })
 	faults.Go(func() { s.inject(faultsDone, seed, o.planned, time.Second) })
+	if o.waits {
+		faults.Go(func() { s.inject(faultsDone, seed+2<<32, []fault{preempt}, time.Second) })
+	}
 	if len(o.unplanned) > 0 {
 		faults.Go(func() { s.inject(faultsDone, seed+1<<32, o.unplanned, 8*time.Second) })
 	}
@@ -114,6 +122,12 @@
 	soak(t, options{planned: append([]fault{silenceEngine, silenceEngine}, plannedFaults...), copies: true})
 }
 
+// TestSoakWaiting guards against streams that are lost at the end of a stop because their engine
+// has preempted them, while another one could have gone on with them.
+func TestSoakWaiting(t *testing.T) {
+	soak(t, options{planned: []fault{terminate, terminate, terminate, reloadSettings, changeConfiguration}, waits: true})
+}
+
 // TestSoakCuts guards against callers of daemons without links to the engines who are served
 // far less often than others.
 func TestSoakCuts(t *testing.T) {
