--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/internal/membudget"
+	"github.com/vanillaroad/vanillaroad/internal/recent"
 )
 
 // Request is one caller's request, received completely.
@@ -86,6 +87,8 @@
 	ObjectiveMissed bool
 	// Resume is the copy of the run's KV cache that the target holds; zero for none.
 	Resume Copy
+	// Cause is why the request is sent to this target, for the log.
+	Cause string
 }
 
 // Copy identifies a copy of a run's KV cache. Name is its name at the target with the
@@ -230,6 +233,7 @@
 	StopsAt func() time.Time
 
 	stopper runStopper
+	starts  recent.Durations // from the send of a stream to its first event, see startKind
 }
 
 // placementInterval is the minimum time between two placements of long prompts by one
@@ -280,6 +284,7 @@
 const (
 	metricCall       = "forward.call_ms"        // from the arrival of a call to its answer
 	metricFirstEvent = "forward.first_event_ms" // from the arrival of a stream request to its first event
+	metricCutSilence = "forward.cut_silence_ms" // from the last event of a stream to its end, if it is cut short
 	metricResume     = "forward.resume_ms"      // from the loss of a run to the next event of the stream
 )
 
@@ -374,23 +379,3 @@
 	// target restarts in about this time.
 	retryAfterBusy = 600 * time.Millisecond
 )
-
-// ErrStopping is the cancellation cause of requests that still run at the end of a
-// planned stop.
-var ErrStopping = errors.New("the daemon stops")
-
-// canceledByCaller reports whether ctx ended because the caller disconnected.
-func canceledByCaller(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), ErrStopping)
-}
-
-// contextError returns the error of a request whose ctx ended before it was answered.
-func contextError(ctx context.Context, outcome failure.Outcome, step, peer string) *failure.Error {
-	if errors.Is(context.Cause(ctx), ErrStopping) {
-		return failure.New(failure.Draining, outcome, step, peer, "the daemon stops, and the request was not done in time")
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return failure.New(failure.DeadlineExceeded, outcome, step, peer, "no answer in time")
-	}
-	return failure.New(failure.Canceled, outcome, step, peer, "the caller left")
-}
--- a/forward/run.go
+++ b/forward/run.go
@@ -34,7 +34,9 @@
 	failed       bool            // the attempt failed because of the target
 	endReported  bool            // the run's end was reported to the crash tracker
 	progressed   bool            // the run's progress was reported
-	kept         bool            // it was recorded that the attempt goes on although its target is silent
+	kept         bool            // the attempt goes on although its stream is silent, see keep
+	noSuccessor  string          // the latest reason; empty if the stream isn't silent
+	keptFor      []string        // the reasons that were logged
 	stopped      bool            // the target has stopped the run, or knows of none
 	unnumbered   []byte          // events without an id that were not passed on yet
 	idleBytes    int             // see maxIdleBytes
@@ -201,7 +203,7 @@
 	if !a.detector.firstEventSeen || a.stream.forwarder.Fleet.State(time.Now(), a.attempt.Target.ID) != fleet.Ready {
 		return false
 	}
-	destination, ok := a.stream.pickCopyTarget(time.Now(), a.attempt.Target, a.copier.failedTargets)
+	destination, ok := a.stream.pickMoveTarget(time.Now(), a.attempt.Target, a.copier.current, a.copier.failedTargets)
 	if !ok {
 		return false
 	}
@@ -212,7 +214,7 @@
 		moveCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
 		c, holder, err := a.stream.forwarder.TargetClient.Move(moveCtx, a.attempt.Target, a.stream.request.ID, destination)
-		sendUnlessDone(ctx, a.moveResults, copyResult{standbyCopy{holder, c}, err, err != nil && moveCtx.Err() != nil})
+		sendUnlessDone(ctx, a.moveResults, copyResult{standbyCopy{holder, c, byMove}, err, err != nil && moveCtx.Err() != nil})
 	}()
 	return true
 }
@@ -356,6 +358,7 @@
 	}
 	if !a.detector.firstEventSeen {
 		a.firstEventAt = now
+		s.forwarder.starts.Record(startKind(s.request.Service, a.attempt.Resume != (Copy{})), now.Sub(s.request.SentAt))
 		a.active.MarkFirstEvent(now)
 	}
 	if !a.progressed && !a.atStart(now) {
@@ -365,7 +368,7 @@
 	a.detector.recordEvent(now)
 	s.forwarder.releaseReturn(s.request, &s.succession)
 	s.succession.releaseSlot()
-	a.kept = false
+	a.kept, a.noSuccessor = false, ""
 	if s.lastEventID >= 0 && p.event.ID != s.lastEventID+1 {
 		return a.abandon("event " + strconv.FormatInt(p.event.ID, 10) + " follows " + strconv.FormatInt(s.lastEventID, 10)), true
 	}
