forward: an earlier move that is carried out late doesn't make a stream look complete

Callers could get an unframed stream that ended as complete after 20 of 51 events (ORDER): a move that had timed out was carried out by its target late, during a second one, and ended the run; the second was answered with 404, which relay took for a run that had ended before it. It now asks for open moves, as for an end without a move. TestUnframedStreamOfTwoMoves failed before.

--- a/forward/run.go
+++ b/forward/run.go
@@ -152,7 +152,7 @@
 			}
 			a.moving = false
 			a.settleMoveSlot(m)
-			if errors.Is(m.err, ErrRunNotFound) && a.awaitsConfirmation() {
+			if errors.Is(m.err, ErrRunNotFound) && a.awaitsConfirmation() && !a.mayBeMoved() {
 				a.probeEnd() // the run had ended before the move
 				continue
 			}
