--- a/forward/departure.go
+++ b/forward/departure.go
@@ -9,9 +9,9 @@
 )
 
 // While the daemon stops, a stream whose caller has received events must not be without a
-// target that works on it when the stop ends. It leaves a target if the next attempt, by what
-// is known of it, begins before the end. If the current target may go on with the run, the
-// stream stays until the latest time at which that holds.
+// target that works on it when the stop ends. It leaves its target only if the next attempt, by
+// what is known of it, begins before the end. If the target may go on with the run, the stream
+// stays until the latest time at which the next attempt still does.
 
 // startQuantile is the quantile of the recent times from a send to a first event that the next
 // attempt is expected to take: if half of the runs begin in time, it is better to leave than to
@@ -40,7 +40,7 @@
 type departure struct {
 	left    time.Duration // until the daemon stops
 	start   time.Duration // expected from the send of the next attempt to its first event
-	silent  bool          // the target has answered no probe since the latest event
+	silent  bool          // no probe shows that the target is up since the latest event
 	mayGoOn bool          // the run may go on where it is, with less lost than by leaving
 }
 
@@ -63,9 +63,9 @@
 	return service
 }
 
-// expectedStart returns how long an attempt takes from its send to its first event. Before there
-// were enough of them, that is the longest time allowed for one that resumes from a
-// copy, and the objective of the route for others.
+// expectedStart returns how long an attempt takes from its send to its first event. Before enough
+// of them are known, that is the longest time allowed for one that resumes from a copy, and the
+// objective of the route for others.
 func (f *Forwarder) expectedStart(r *Request, copied bool) time.Duration {
 	samples := 1
 	if copied {
@@ -90,6 +90,7 @@
 	f, since := s.forwarder, a.detector.lastProgress
 	d := departure{left: f.stopsAt().Sub(now)}
 	d.silent = f.Fleet.State(now, id) == fleet.Suspected || !f.Prober.answeredSince(a.attempt.Target, since)
+	// A run that is moved begins as soon as one that resumes from a copy.
 	copied := slot != nil && (a.mayHaveCopy() && slot.target.ID == a.copier.current.holder.ID || evidence == isSilent && !d.silent && a.mayMove(now))
 	d.start = f.expectedStart(s.request, copied)
 	if d.silent {
--- a/forward/stop_many_test.go
+++ b/forward/stop_many_test.go
@@ -57,12 +57,7 @@
 	s.RetryBudget = NewRetryBudget(time.Now().Add(-time.Minute), budget)
 	s.RetryBudget.SetDaemons(1)
 	s.Model = func(string) *ingress.Model { return &ingress.Model{KVCacheTokens: 50_000_000, StandbyCopies: copies} }
-	s.StopsAt = func() time.Time {
-		if time.Now().Before(signaled) {
-			return time.Time{}
-		}
-		return signaled.Add(stopLength)
-	}
+	s.signalAt(signaled)
 	time.AfterFunc(beforeSignal-500*ms, func() {
 		s.Fleet.Put(fleet.Target{ID: "b", Service: "svc", Address: "b:1", Place: "place-b", Slots: 200})
 		s.Fleet.Put(fleet.Target{ID: "c", Service: "svc", Address: "c:1", Place: "place-c", Slots: 200})
@@ -159,12 +154,7 @@
 			}
 			s := newFixture(map[string]behaviour{"a": run, "b": run})
 			s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: 6}})
-			s.StopsAt = func() time.Time {
-				if time.Now().Before(signaled) {
-					return time.Time{}
-				}
-				return signaled.Add(stopLength)
-			}
+			s.signalAt(signaled)
 			time.AfterFunc(time.Second, func() { s.client.pauseFor(900*ms, "a") })
 			s.client.behaviours["c"] = run
 			time.AfterFunc(6*time.Second, func() { // that the stream was never sent to
--- a/forward/stop_matrix_test.go
+++ b/forward/stop_matrix_test.go
@@ -277,6 +277,16 @@
 	}
 }
 
+// signalAt plans a stop of the daemon.
+func (s *fixture) signalAt(signal time.Time) {
+	s.StopsAt = func() time.Time {
+		if time.Now().Before(signal) {
+			return time.Time{}
+		}
+		return signal.Add(stopLength)
+	}
+}
+
 // serve serves the stream of the case until the end of the stop. change, which may be nil, changes
 // the targets before.
 func (c stopCase) serve(t *testing.T, change func(*fixture, *stopTargets)) (*stopTargets, *fakeResponder) {
@@ -287,12 +297,7 @@
 	targets.fakeTargetClient, s.client.behaviours["c"] = s.client, targets.answer
 	s.TargetClient, s.Prober = targets, NewProber(targets, s.Fleet, s.Events)
 	s.Model = func(string) *ingress.Model { return &ingress.Model{KVCacheTokens: 50_000, StandbyCopies: c.copies} }
-	s.StopsAt = func() time.Time {
-		if time.Now().Before(signal) {
-			return time.Time{}
-		}
-		return signal.Add(stopLength)
-	}
+	s.signalAt(signal)
 	s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: 8}}) // so that the stream begins at a
 	time.AfterFunc(beforeSignal/2, func() {
 		switch c.free {
--- a/forward/stop_several_test.go
+++ b/forward/stop_several_test.go
@@ -162,12 +162,7 @@
 						s.Fleet.Put(fleet.Target{ID: "b", Service: "svc", Address: "b:1", Place: "place-b", Slots: free})
 						s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: free}}) // so that all begin at a
 						time.AfterFunc(beforeSignal/2, func() { s.Fleet.SetPeerLoads("vm-2", nil) })
-						s.StopsAt = func() time.Time {
-							if time.Now().Before(signal) {
-								return time.Time{}
-							}
-							return signal.Add(stopLength)
-						}
+						s.signalAt(signal)
 						ctx, cancel := context.WithCancelCause(context.Background())
 						defer time.AfterFunc(beforeSignal+stopLength, func() { cancel(ErrStopping) }).Stop()
 						var work sync.WaitGroup
--- a/forward/stop_waiting_test.go
+++ b/forward/stop_waiting_test.go
@@ -71,12 +71,7 @@
 					s := newFixture(map[string]behaviour{"a": b, "b": b, "c": b})
 					s.Model = func(string) *ingress.Model { return &ingress.Model{StandbyCopies: copies} }
 					signaled := requested.Add(untilTheSignal)
-					s.StopsAt = func() time.Time {
-						if time.Now().Before(signaled) {
-							return time.Time{}
-						}
-						return signaled.Add(stopLength)
-					}
+					s.signalAt(signaled)
 					for range 8 { // what this daemon has seen of other streams
 						s.starts.Record(startKind("svc", false), prefillStart)
 					}
