--- a/forward/run.go
+++ b/forward/run.go
@@ -37,7 +37,7 @@
 	progressed   bool            // the run's progress was reported
 	kept         bool            // the attempt goes on although its stream is silent, see keep
 	noSuccessor  string          // the latest reason; empty if the stream isn't silent
-	keptFor      []string        // the reasons that were logged
+	keptFor      []string        // the reasons that were logged since the latest event
 	stopped      bool            // the target has stopped the run, or knows of none
 	unnumbered   []byte          // events without an id that were not passed on yet
 	idleBytes    int             // see maxIdleBytes
@@ -352,7 +352,7 @@
 	a.detector.recordEvent(now)
 	s.forwarder.releaseReturn(s.request, &s.succession)
 	s.succession.releaseSlot()
-	a.kept, a.noSuccessor = false, ""
+	a.kept, a.noSuccessor, a.keptFor = false, "", nil
 	if s.lastEventID >= 0 && p.event.ID != s.lastEventID+1 {
 		return a.abandon("event " + strconv.FormatInt(p.event.ID, 10) + " follows " + strconv.FormatInt(s.lastEventID, 10)), true
 	}
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -278,7 +278,7 @@
 }
 
 // keep records that the attempt goes on although its stream is silent, because there is no
-// successor. Each reason is logged once.
+// successor. Each reason is logged once between two events.
 func (a *streamAttempt) keep(reason string, noSuccessor error) {
 	a.kept = true
 	s, why := a.stream, noSuccessor.Error()
