gateway: the end of a process waits for its requests, and names those that it doesn't wait out

Run now waits for up to 100 ms of the 400 that are reserved for the exit, and records each request that is left as request_unfinished; all lines are logged once a stop has begun. attempt_lost says what load of the target the daemon believed in, which tells an overcommitted target from a full one.

TestEndOfAStopNamesEveryRequest: without the wait, the process ends before the line of the handler.

--- a/event/event.go
+++ b/event/event.go
@@ -7,6 +7,7 @@
 	"maps"
 	"sort"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -64,8 +65,8 @@
 	wrapped    bool // ring is full: each further event overwrites the oldest one
 	counts     map[Number]int64
 
-	routineLimiter *rate.Limiter // limits log lines about successful requests; nil means no limit
-	suppressed     int64         // lines dropped by routineLimiter since the last one that it let through
+	routineLimiter atomic.Pointer[rate.Limiter] // limits log lines about successful requests; nil means no limit
+	suppressed     int64                        // lines dropped by routineLimiter since the last one that it let through
 }
 
 // LimitRoutineLogs limits the log lines per second for request events of severity
@@ -73,18 +74,23 @@
 // lines as left_out. Warnings, errors and events without a request are always logged.
 // It must be called before the first Record.
 func (r *Recorder) LimitRoutineLogs(perSecond int) {
-	r.routineLimiter = rate.NewLimiter(rate.Limit(perSecond), perSecond)
+	r.routineLimiter.Store(rate.NewLimiter(rate.Limit(perSecond), perSecond))
 }
 
+// LogEverything ends the limit of LimitRoutineLogs, for instance while the daemon stops: each of
+// its last requests can be found in the log then.
+func (r *Recorder) LogEverything() { r.routineLimiter.Store(nil) }
+
 // allowLog reports whether an event is logged. If it is, suppressed is the number of
 // lines that were dropped since the previous line that routineLimiter let through.
 func (r *Recorder) allowLog(s Severity, request string) (logged bool, suppressed int64) {
-	if r.routineLimiter == nil || s > Info || request == "" {
+	limiter := r.routineLimiter.Load()
+	if limiter == nil || s > Info || request == "" {
 		return true, 0
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.routineLimiter.Allow() {
+	if !limiter.Allow() {
 		r.suppressed++
 		return false, 0
 	}
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,3 +116,21 @@
 		})
 	})
 }
+
+// TestEverythingIsLoggedDuringAStop guards against requests of a stopping daemon that no line names,
+// because lines about successful requests are limited.
+func TestEverythingIsLoggedDuringAStop(t *testing.T) {
+	var out bytes.Buffer
+	r := NewRecorder("vm-1", NewClock(time.Now), log.NewJSONLogger(&out), 4)
+	r.LimitRoutineLogs(1)
+	for range 5 {
+		r.Record(RequestAnswered, "before")
+	}
+	r.LogEverything()
+	for range 5 {
+		r.Record(RequestAnswered, "during")
+	}
+	if before, during := strings.Count(out.String(), "before"), strings.Count(out.String(), "during"); before != 1 || during != 5 {
+		t.Errorf("%d lines before the stop and %d during it, want 1 and 5", before, during)
+	}
+}
--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -25,12 +25,14 @@
 	LinksRestored    Number = 720
 	PauseRequested   Number = 721
 	RunStopped       Number = 722
+
+	RequestUnfinished Number = 723
 )
 
 var forwardEntries = []Entry{
 	{RequestAnswered, "request_answered", Info, "A request was answered completely; framed says whether the end of the target's answer is certain, by a length or chunks.", ""},
 	{RequestFailed, "request_failed", Warn, "A request failed without an answer from a target; the field outcome says whether it ran.", "See docs/OPERATIONS.md."},
-	{AttemptLost, "attempt_lost", Warn, "An attempt at a target ended without a complete answer; framed is as in request_answered.", "Look for target_suspected events of the same target."},
+	{AttemptLost, "attempt_lost", Warn, "An attempt at a target ended without a complete answer; framed is as in request_answered, load the target's load as this daemon knew it.", "Look for target_suspected events of the same target."},
 	{AnswerResumed, "answer_resumed", Info, "A streamed answer continues at another target.", ""},
 	{AnswerTruncated, "answer_cut_short", Warn, "A streamed answer was truncated; no_attempt says why it was not continued, silent_for the time since its last event, last_attempt the last target, its state, what the stream was sent there by, whether it has begun there, and whether the target has answered a probe since.", "Read the preceding attempt_lost events of the request."},
 	{TargetSuspected, "target_suspected", Warn, "A target did not answer a probe and temporarily gets no new requests; accepts says whether it accepted a connection meanwhile.", "Check the target if it persists."},
@@ -50,5 +52,6 @@
 	{LinksRestored, "links_restored", Info, "Targets answer on direct connections again.", ""},
 	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
 	{IdleClosed, "idle_connections_closed", Info, "Connections of callers were closed that had been idle for longer than the configuration allows.", ""},
+	{RequestUnfinished, "request_unfinished", Warn, "The daemon ended before the answer of a request did; the caller's connection was closed.", "Compare after with the grace period: the daemon may have had too little processor time."},
 	{LogLinesLost, "log_lines_lost", Warn, "Log lines were dropped because the log reader is slow.", "Check the process that reads the log."},
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -202,7 +203,7 @@
 	}
 	s.forwarder.Events.Record(event.AttemptLost, s.request.ID, event.F("target", a.Target.ID), event.F("place", a.Target.Place), event.F("version", a.Target.SoftwareVersion),
 		event.F("error", err.Error()), event.F("last_event", strconv.FormatInt(s.lastEventID, 10)), event.F("resumed_from_copy", strconv.FormatBool(a.Resume != (Copy{}))),
-		event.F("copy", s.describeCopy()), event.F("framed", s.framed))
+		event.F("copy", s.describeCopy()), event.F("framed", s.framed), event.F("load", s.describeLoad(a.Target)))
 }
 
 // recordSilence returns how long a stream that is cut short was without an event, and records it
@@ -235,6 +236,13 @@
 	return strings.Join([]string{t.ID, string(f.Fleet.State(now, t.ID)), "by " + a.attempt.Cause, begun, probe}, ", ")
 }
 
+// describeLoad returns the load of a target by the daemons' books, for the log: running requests and
+// tokens in memory, each of what the target has.
+func (s *stream) describeLoad(t fleet.Target) string {
+	running, memory := s.forwarder.Fleet.TotalLoad(t.ID)
+	return fmt.Sprintf("%d of %d slots, %d of %d tokens", running, t.Slots, memory, s.capacityTokens())
+}
+
 // describeCopy returns the holder of the standby copy and its state, for the log.
 func (s *stream) describeCopy() string {
 	if s.standby == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,7 +62,7 @@
 	stopping  atomic.Pointer[stopPlan] // nil until a planned stop has started
 	durations recent.Durations         // of the requests of each route that were answered completely and with success
 	lag       lag.Meter
-	inFlight  atomic.Int64 // callers' requests being served
+	requests  openRequests // callers' requests being served
 	// cancelAnswerTime is cancelAnswerTime, longer in tests on slow machines.
 	cancelAnswerTime time.Duration
 	idleConns        *idleTracker
@@ -271,8 +271,7 @@
 	case err = <-serveErrors:
 		g.events.Record(event.NodeFailed, "", event.F("error", err.Error()))
 	}
-	g.cancelRequests(forward.ErrStopping) // requests still running at the end of the grace period
-	g.closeConns(time.Now().Add(g.cancelAnswerTime))
+	g.endRequests()
 	g.links.server.Close()
 	stop()
 	g.peers.transport.Close()
--- a/gateway/idle_test.go
+++ b/gateway/idle_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,7 @@
 type pipeListener struct {
 	conns chan net.Conn
 	done  chan struct{}
+	once  sync.Once
 }
 
 func (l *pipeListener) Accept() (net.Conn, error) {
@@ -45,7 +47,7 @@
 		return nil, net.ErrClosed
 	}
 }
-func (l *pipeListener) Close() error   { close(l.done); return nil }
+func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 // TestRequestsOnIdleConnectionsAreAnswered guards against requests that are lost because
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -15,7 +15,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", exposition.ContentType)
 		var out bytes.Buffer
-		exposition.WriteValue(&out, "requests_in_flight", "gauge", g.inFlight.Load())
+		exposition.WriteValue(&out, "requests_in_flight", "gauge", g.requests.len())
 		exposition.WriteValue(&out, "targets", "gauge", g.fleet.Len())
 		exposition.WriteEvents(&out, g.events.Counts())
 		exposition.WriteRegistry(&out, g.metrics)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -15,8 +15,7 @@
 
 // serve forwards one request, or refuses it while the daemon shuts down.
 func (g *Gateway) serve(r *http.Request, req *forward.Request, w forward.Responder) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
+	defer g.requests.add(req)()
 	if p := g.stopping.Load(); p != nil && !p.admits(time.Now(), req.AnswerDeadline(), req.Route.Name, &g.durations) {
 		err := failure.New(failure.Draining, failure.NotRun, "admit", "", "this daemon stops").WithRetryAfter(p.retryAfter(time.Now()))
 		g.recordRefusal(req.ID, err)
@@ -65,6 +64,9 @@
 	// cancelAnswerTime is the time allowed for sending callers the errors of their
 	// canceled requests.
 	cancelAnswerTime = 200 * time.Millisecond
+	// handlerEndTime is the time allowed for the handlers of requests to end once their
+	// connections are closed.
+	handlerEndTime = 100 * time.Millisecond
 	// drainPollInterval is the time between two checks for running requests.
 	drainPollInterval = 10 * time.Millisecond
 )
@@ -79,6 +81,7 @@
 	g.stopping.Store(plan)
 	g.draining.Store(true)
 	g.links.server.Stop()
+	g.events.LogEverything()
 	g.events.Record(event.NodeDraining, "")
 	g.peers.sendToAll(kindLoad, g.loadReport())
 	time.Sleep(time.Until(plan.refuseAll))
@@ -93,6 +96,19 @@
 	}
 }
 
+// endRequests cancels the requests that are still running at the end of the grace period, closes
+// all connections, and returns once the requests have ended and recorded how.
+func (g *Gateway) endRequests() {
+	g.cancelRequests(forward.ErrStopping)
+	g.closeConns(time.Now().Add(g.cancelAnswerTime))
+	for end := time.Now().Add(handlerEndTime); g.requests.len() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPollInterval)
+	}
+	for _, req := range g.requests.list() {
+		g.events.Record(event.RequestUnfinished, req.ID, event.F("route", req.Route.Name), event.F("after", time.Since(req.Received).String()))
+	}
+}
+
 // closeConns accepts no more connections and closes the open ones, each after the answer
 // to the request that is being read or answered on it, or at the deadline.
 func (g *Gateway) closeConns(deadline time.Time) {
