--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -59,6 +59,9 @@
 	// NeedsRoom means that the target must have a slot and memory free, as far as this
 	// daemon knows. Without it, the request may have to wait in a queue.
 	NeedsRoom bool
+	// NeedsMemory restricts the choice to targets with memory for the request, as far as
+	// this daemon knows. A slot need not be free.
+	NeedsMemory bool
 }
 
 // allowsVersion reports whether a target with a software version meets the criteria.
@@ -167,7 +170,8 @@
 			continue
 		}
 		running, prefillTokens, memoryTokens := s.totalLoad()
-		if criteria.NeedsRoom && !s.hasRoom(criteria.MemoryTokens, criteria.CapacityTokens) {
+		if criteria.NeedsRoom && !s.hasRoom(criteria.MemoryTokens, criteria.CapacityTokens) ||
+			criteria.NeedsMemory && memoryUsage(memoryTokens+criteria.MemoryTokens, criteria.CapacityTokens) > 1 {
 			continue
 		}
 		near := routing.SameRegion
--- a/forward/copier.go
+++ b/forward/copier.go
@@ -91,7 +91,7 @@
 func (c *copier) replaceTarget(now time.Time) {
 	c.releaseReservation()
 	c.current, c.explicitTarget, c.unusable = nil, nil, nil
-	if t, ok := c.stream.pickCopyTarget(now, c.source, c.failedTargets, false); ok {
+	if t, ok := c.stream.pickCopyTarget(now, c.source, c.failedTargets, copyMemory, false); ok {
 		c.releaseReservation = c.stream.forwarder.Fleet.ReserveCopy(t.ID, c.stream.memoryTokens())
 		c.explicitTarget, c.unusable = &t, c.stream.forwarder.Fleet.Unusable(now, t.ID)
 		c.schedule(0)
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -76,7 +76,7 @@
 		a.Target = t
 	}
 	s.standby = nil
-	if c, ok := s.pickCopyTarget(now, a.Target, nil, false); ok {
+	if c, ok := s.pickCopyTarget(now, a.Target, nil, copyMemory, false); ok {
 		a.CopyTo = &c
 	}
 	return a, true
@@ -219,7 +219,7 @@
 // a slot is held. The holder of the standby copy needs no move, and may lack the memory for both.
 func (s *stream) pickMoveTarget(now time.Time, t fleet.Target, standby *standbyCopy, failed map[string]bool) (fleet.Target, bool) {
 	slot := s.succession.slot
-	destination, ok := s.pickCopyTarget(now, t, failed, slot != nil)
+	destination, ok := s.pickCopyTarget(now, t, failed, 0, slot != nil)
 	if slot == nil || standby != nil && slot.target.ID == standby.holder.ID || failed[slot.target.ID] {
 		return destination, ok
 	}
@@ -232,10 +232,15 @@
 	return m != nil && m.StandbyCopies
 }
 
+// copyMemory is the memory that the holder of a standby copy needs, in runs: for the copy, and for
+// the next run. Copies don't yield to runs, which would wait, or be preempted, for want of memory.
+const copyMemory = 2
+
 // pickCopyTarget picks the target for a copy of the KV cache of the run on t, of the same
 // software version, except for the targets in failed. It prefers another place, so that the
-// loss of a place leaves either the run or its copy.
-func (s *stream) pickCopyTarget(now time.Time, t fleet.Target, failed map[string]bool, needsRoom bool) (fleet.Target, bool) {
+// loss of a place leaves either the run or its copy. The target has room for so many runs like
+// this one in its memory; none is needed if memory is 0.
+func (s *stream) pickCopyTarget(now time.Time, t fleet.Target, failed map[string]bool, memory int, needsRoom bool) (fleet.Target, bool) {
 	if !s.request.Route.Repeatable() || !s.copiesRuns() {
 		return fleet.Target{}, false
 	}
@@ -244,7 +249,7 @@
 	maps.Copy(exclude, failed)
 	c, err := s.forwarder.Fleet.Pick(now, fleet.Criteria{
 		SoftwareVersion: &t.SoftwareVersion, Service: s.request.Service, Exclude: exclude, AvoidPlaces: append([]string{t.Place}, s.lostPlaces...),
-		MemoryTokens: s.memoryTokens(), CapacityTokens: s.capacityTokens(), ForCopy: true, NeedsRoom: needsRoom,
+		MemoryTokens: max(1, memory) * s.memoryTokens(), CapacityTokens: s.capacityTokens(), ForCopy: true, NeedsRoom: needsRoom, NeedsMemory: memory > 0,
 	})
 	return c, err == nil
 }
