forward: a run that has not begun has no copy

Cause: an attempt that itself resumed from a copy was taken to have made another one as soon as it was sent. Now only a run that has begun, or an explicit copy that was acknowledged, counts.

--- a/forward/copies_test.go
+++ b/forward/copies_test.go
@@ -28,4 +28,3 @@
 		}))
 	}
 }
-
--- a/forward/run.go
+++ b/forward/run.go
@@ -218,9 +218,10 @@
 	return endTargetLost
 }
 
-// mayHaveCopy reports whether the standby copy of the run may exist, and not only be planned.
+// mayHaveCopy reports whether the standby copy of the run may exist, and not only be planned: a
+// target copies nothing of a run that has not begun.
 func (a *streamAttempt) mayHaveCopy() bool {
-	return a.copier.current != nil && (a.detector.firstEventSeen || a.attempt.Resume != (Copy{}) || a.copier.explicit)
+	return a.copier.current != nil && (a.detector.firstEventSeen || a.copier.explicit)
 }
 
 // stopRun ends the run at a target that may go on with it after the attempt.
