forward: a stream leaves its place at a target that answers only for room that another one has reserved

Cause: the next target's slot was held in this daemon's own books, and its copy believed; no target had granted either. A move that finds no run (the target has preempted it, and has it in its queue) gave up the place, too. Now, while its target answers probes, a stream asks the next one for a reservation of a slot and of the memory for the whole run (POST /-/hold-take), and leaves once it is granted; the next attempt carries it, and is not preempted while it lasts. A refusal keeps the stream where it is; the target is not asked again for half a second. If the holder hasn't the copy after all, the prompt is prefilled there in the reserved room. Room that isn't used is given back. A preempted run may leave so without a copy: its prompt is prefilled again in any case. Targets that are silent, gone, or reserve nothing: as before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -87,6 +87,8 @@
 	ObjectiveMissed bool
 	// Resume is the copy of the run's KV cache that the target holds; zero for none.
 	Resume Copy
+	// Reservation is the id of the room that the target has reserved for the run; empty for none.
+	Reservation string
 	// Cause is why the request is sent to this target, for the log.
 	Cause string
 }
@@ -220,7 +222,8 @@
 	PlacementLimiter *rate.Limiter // see NewPlacementLimiter
 	CrashTracker     CrashTracker
 	Origins          OriginTracker
-	Permits          Permits // nil if no target limits requests
+	Permits          Permits  // nil if no target limits requests
+	Reserver         Reserver // nil if no target reserves room
 	// OnStatement, if set, is called when a target states other conditions than before.
 	OnStatement func(t fleet.Target, s fleet.Statement)
 	Buffers     *membudget.Budget // for answers, see MaxBufferedBytes
--- a/forward/move.go
+++ b/forward/move.go
@@ -16,7 +16,7 @@
 // another target. A move loses no tokens and needs no standby copy. startMove returns
 // false if the run can't be moved.
 func (a *streamAttempt) startMove(ctx context.Context) bool {
-	if !a.mayMove(time.Now()) {
+	if !a.mayMove(time.Now()) || a.unmovable {
 		return false
 	}
 	destination, ok := a.stream.pickMoveTarget(time.Now(), a.attempt.Target, a.copier.current, a.copier.failedTargets)
@@ -43,7 +43,7 @@
 	}
 	release, ok := s.forwarder.Fleet.HoldSlot(destination.ID, s.memoryTokens(), s.capacityTokens())
 	if ok {
-		a.moveSlot = &heldSlot{destination, release}
+		a.moveSlot = &heldSlot{target: destination, release: release}
 	}
 	return ok
 }
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -37,7 +37,7 @@
 	}
 	var promptHolders map[string]bool
 	// A slot that is held is in the load that other daemons know of.
-	if slot := s.succession.slot; !s.resumesFromCopy(time.Now()) && (slot == nil || !s.isStopping()) {
+	if slot := s.succession.slot; !s.resumesFromCopy(time.Now()) && (slot == nil || slot.reservation == "" && !s.isStopping()) {
 		if err := s.forwarder.PlacementLimiter.Wait(ctx); err != nil {
 			s.lastErr = contextError(ctx, failure.NotRun, "route", s.request.Service)
 			s.noAttempt = s.lastErr.Error()
@@ -75,7 +75,7 @@
 		}
 		a.Target = t
 	}
-	s.standby = nil
+	s.standby, a.Reservation = nil, s.succession.takeReservation(a.Target)
 	if c, ok := s.pickCopyTarget(now, a.Target, nil, copyMemory, false); ok {
 		a.CopyTo = &c
 	}
--- a/forward/room.go
+++ b/forward/room.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -24,6 +25,11 @@
 type heldSlot struct {
 	target  fleet.Target
 	release func()
+	// reservation is the id of the target's own reservation; empty if there is none, or the
+	// attempt that uses it was sent. It ends at until, or by endReservation.
+	reservation    string
+	until          time.Time
+	endReservation func()
 }
 
 // findRoom picks a target with room for a stream and holds a slot there. It prefers the holder
@@ -31,7 +37,7 @@
 func (f *Forwarder) findRoom(now time.Time, criteria fleet.Criteria, standby *standbyCopy) (*heldSlot, error) {
 	if standby != nil && !criteria.Exclude[standby.holder.ID] && f.isUsable(now, standby.holder) {
 		if release, ok := f.Fleet.HoldSlot(standby.holder.ID, 0, 0); ok {
-			return &heldSlot{standby.holder, release}, nil
+			return &heldSlot{target: standby.holder, release: release}, nil
 		}
 	}
 	criteria.NeedsRoom = true
@@ -47,7 +53,7 @@
 	if !ok {
 		return nil, errNoRoom
 	}
-	return &heldSlot{t, release}, nil
+	return &heldSlot{target: t, release: release}, nil
 }
 
 // isUsable reports whether t is ready and its registered incarnation.
@@ -70,11 +76,20 @@
 
 // leaveQueue ends the attempt if another target has room, or one that the stream was taken from
 // and that goes on.
-func (a *streamAttempt) leaveQueue() (attemptEnd, bool) {
+func (a *streamAttempt) leaveQueue(ctx context.Context) (attemptEnd, bool) {
 	const reason = "the target has the stream in its queue"
 	s := a.stream
+	if a.reserving {
+		return 0, false
+	}
 	if a.reserveSuccessor(isLost) == nil {
-		return a.abandonSilent(reason), true
+		err := a.reserve(ctx, reason)
+		if err == nil {
+			return a.abandonSilent(reason), true
+		}
+		if errors.Is(err, errReserving) {
+			return 0, false
+		}
 	}
 	if s.succession.returns < maxReturns && slices.ContainsFunc(s.succession.silent, func(i fleet.Incarnation) bool { return s.mayReturnTo(time.Now(), i.Target) }) {
 		s.succession.returnFirst = true
@@ -92,6 +107,9 @@
 func (c *succession) releaseSlot() {
 	if c.slot != nil {
 		c.slot.release()
+		if c.slot.reservation != "" {
+			c.slot.endReservation()
+		}
 		c.slot = nil
 	}
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -26,22 +26,27 @@
 	copier       *copier
 	moveResults  chan copyResult // outcome of the move to another target
 	moving       bool            // a move was started, its outcome is pending
-	moveSlot     *heldSlot       // for the move, if it is not the one for the next attempt; nil for none
-	endedInMove  bool            // the answer ended, or broke off, during the move
-	framed       bool            // see Answer.Framed
-	endedAt      time.Time       // when an answer that is not framed ended, if that is not confirmed yet; zero otherwise
-	patient      bool            // a probe without a short timeout is under way or was made
-	refused      bool            // the target refused the request for want of room
-	failed       bool            // the attempt failed because of the target
-	endReported  bool            // the run's end was reported to the crash tracker
-	progressed   bool            // the run's progress was reported
-	kept         bool            // the attempt goes on although its stream is silent, see keep
-	noSuccessor  string          // the latest reason; empty if the stream isn't silent
-	keptFor      []string        // the reasons that were logged since the latest event
-	stopped      bool            // the target has stopped the run, or knows of none
-	unnumbered   []byte          // events without an id that were not passed on yet
-	idleBytes    int             // see maxIdleBytes
-	nextRepeated int64           // id after the last event that the caller had received before
+	unmovable    bool            // the target has the run in its queue, and can't move it
+	reserving    bool            // another target was asked for a reservation, its answer is pending
+	reservations chan reservation
+	queuedAt     time.Time // when the target last reported a queue; zero if it hasn't
+	preemptedAt  time.Time // when it last did so without the run, which had begun
+	moveSlot     *heldSlot // for the move, if it is not the one for the next attempt; nil for none
+	endedInMove  bool      // the answer ended, or broke off, during the move
+	framed       bool      // see Answer.Framed
+	endedAt      time.Time // when an answer that is not framed ended, if that is not confirmed yet; zero otherwise
+	patient      bool      // a probe without a short timeout is under way or was made
+	refused      bool      // the target refused the request for want of room
+	failed       bool      // the attempt failed because of the target
+	endReported  bool      // the run's end was reported to the crash tracker
+	progressed   bool      // the run's progress was reported
+	kept         bool      // the attempt goes on although its stream is silent, see keep
+	noSuccessor  string    // the latest reason; empty if the stream isn't silent
+	keptFor      []string  // the reasons that were logged since the latest event
+	stopped      bool      // the target has stopped the run, or knows of none
+	unnumbered   []byte    // events without an id that were not passed on yet
+	idleBytes    int       // see maxIdleBytes
+	nextRepeated int64     // id after the last event that the caller had received before
 }
 
 // answerPart is one result of the reading goroutine: the head (status and header) of
@@ -124,8 +129,14 @@
 					return end
 				}
 			}
+			if p.Alive && p.Report.Queued > 0 {
+				a.queuedAt = p.completedAt
+				if a.isPreemptedIn(p) {
+					a.preemptedAt = p.completedAt
+				}
+			}
 			if p.Alive && a.isQueued(p) {
-				if end, done := a.leaveQueue(); done {
+				if end, done := a.leaveQueue(ctx); done {
 					return end
 				}
 			}
@@ -145,6 +156,10 @@
 				return end
 			}
 			timer.Reset(max(wait, time.Millisecond))
+		case r := <-a.reservations:
+			if end, done := a.handleReservation(r); done {
+				return end
+			}
 		case m := <-a.moveResults:
 			if m.err == nil || errors.Is(m.err, ErrRunNotFound) {
 				a.stopped = true
@@ -159,6 +174,10 @@
 			if m.unanswered && !a.endedInMove {
 				continue // the probe that follows shows whether the target is only silent
 			}
+			if errors.Is(m.err, ErrRunNotFound) && !a.endedInMove && a.keepsPlace(time.Now()) {
+				a.unmovable, a.stopped = true, false // it is in the queue, and may go on from there
+				continue
+			}
 			if m.err != nil {
 				return a.abandonSilent("the stream is silent, and not moved: " + m.err.Error())
 			}
@@ -267,7 +286,9 @@
 		return a.abandonBroken(p.err.Error()), true
 	case p.answer.NotRun:
 		_ = p.answer.Body.Close()
-		s.tried[t.ID], a.refused = true, p.answer.lacksRoom()
+		if a.refused = p.answer.lacksRoom(); !s.keepReservation(a.attempt) {
+			s.tried[t.ID] = true
+		}
 		s.recordLoss(s.forwarder.handleRefusal(t, p.answer, a.attempt.Resume != (Copy{})), a.attempt)
 		if p.answer.OtherTarget {
 			s.forwarder.Prober.CheckPlace(t)
@@ -351,6 +372,7 @@
 		s.forwarder.CrashTracker.ReportProgress(s.request)
 	}
 	a.detector.recordEvent(now)
+	a.unmovable = false
 	s.forwarder.releaseReturn(s.request, &s.succession)
 	s.succession.releaseSlot()
 	a.kept, a.noSuccessor, a.keptFor = false, "", nil
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -177,6 +177,7 @@
 		stream: s, attempt: a, incarnation: incarnation, active: active, lost: s.forwarder.Fleet.Lost(a.Target.ID),
 		detector:     newStallDetector(now, s.request.Route.MaxEventGap, a.Resume != (Copy{}), a.CopyTo != nil),
 		probeResults: make(chan ProbeResult, 1), parts: make(chan answerPart, 1), moveResults: make(chan copyResult, 1), copier: newCopier(s, a),
+		reservations: make(chan reservation),
 	}
 	defer func() {
 		s.forwarder.releasePermit(s.request.ID, a.Target, attempt.refused)
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -47,9 +47,10 @@
 	returnReserved time.Time           // the same of the next return
 	returnedAt     time.Time           // when the latest return was sent; zero before the first
 	returns        int
-	returnFirst    bool      // the next attempt is a return, if one is possible
-	slot           *heldSlot // for the next attempt; nil if none is held
-	denialRecorded bool      // that the retry budget for a return is exhausted
+	returnFirst    bool                 // the next attempt is a return, if one is possible
+	slot           *heldSlot            // for the next attempt; nil if none is held
+	refusedAt      map[string]time.Time // when targets refused a reservation, by id
+	denialRecorded bool                 // that the retry budget for a return is exhausted
 }
 
 // recordDenial records once that a return has to wait for retry budget.
@@ -113,7 +114,9 @@
 	c.releaseSlot()
 	criteria.Exclude, criteria.Priority = withID(tried, current.Target.ID), r.Route.Priority
 	if criteria.MemoryTokens > 0 {
-		slot, err := f.findRoom(now, criteria, standby)
+		roomCriteria := criteria
+		roomCriteria.Exclude = c.withRefusals(criteria.Exclude)
+		slot, err := f.findRoom(now, roomCriteria, standby)
 		if err != nil && silence < maxRoomWait {
 			return err
 		}
@@ -335,6 +338,9 @@
 	late := a.stream.forwarder.Prober.lateness(a.detector.lastProgress, now)
 	action, wait := a.detector.next(now, late)
 	evidence := isSilent
+	if a.detector.isStalled(now, late) && a.isPreempted(now) {
+		action = stallAbandon
+	}
 	if a.stream.isStopping() {
 		switch {
 		case a.detector.isStalled(now, late):
@@ -344,18 +350,24 @@
 		}
 	}
 	switch {
-	case a.moving:
+	case a.moving || a.reserving:
 		return gapProbeInterval, 0, false
 	case action == stallAbandon && a.isUnclear(now):
 		action, wait = stallProbe, targetPollInterval // a move would be carried out when the target goes on
 	case action == stallAbandon:
+		wait = gapProbeInterval
 		err := a.reserveSuccessor(evidence)
-		if err == nil && !a.startMove(ctx) {
-			return 0, a.abandonSilent(reason), true
+		if err == nil && a.startMove(ctx) {
+			return wait, 0, false // until the move has ended
 		}
-		wait = gapProbeInterval
 		if err == nil {
-			return wait, 0, false // until the move has ended
+			err = a.reserve(ctx, reason)
+		}
+		switch {
+		case err == nil:
+			return 0, a.abandonSilent(reason), true
+		case errors.Is(err, errReserving):
+			return wait, 0, false
 		}
 		a.keep(reason, err)
 	case a.kept && a.stream.forwarder.Fleet.State(now, a.attempt.Target.ID) == fleet.Ready:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,7 +126,7 @@
 	g.crashTracker.saveParts, g.crashTracker.runsTrials = g.verdicts.saveParts, g.members.runsTrials
 	g.crashTracker.sendSound = func(parts soundParts) { g.peers.sendEverywhere(kindSoundParts, parts) }
 	g.forwarder = &forward.Forwarder{
-		TargetClient: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, Origins: g.origins, PlacementLimiter: forward.NewPlacementLimiter(),
+		TargetClient: g.targetClient, Reserver: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, Origins: g.origins, PlacementLimiter: forward.NewPlacementLimiter(),
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
 		RetryBudget: forward.NewRetryBudget(time.Now(), s.RetryBudget.budgetSettings()),
 		Buffers:     membudget.New(forward.MaxBufferedBytes),
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -106,6 +106,9 @@
 	KVCacheTokens int           // KV cache capacity of an engine, for prompts and outputs
 	StandbyCopies bool          // engines copy the KV cache of a run to a second engine as it grows
 	CopyRetention time.Duration // how long an engine keeps a copy
+	// MaxReservation is the longest time for which an engine reserves a slot and memory; 0 if
+	// it reserves none.
+	MaxReservation time.Duration
 }
 
 // Limits are the configured limits on callers' requests and connections. A zero value
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -141,14 +141,15 @@
 	stops   map[string]func() // each stops a run, by request id
 	copies  map[string]bool   // of runs at other engines, by name
 
-	preemption preemption
+	preemption   preemption
+	reservations map[string]time.Time // when they end, by id
 }
 
 // manySlots is more than the number of streams that an engine gets.
 const manySlots = 32
 
 func startEngine(t *testing.T, l *ledger, id, service, address string, faulty bool) *engine {
-	e := &engine{id: id, service: service, address: address, faulty: faulty, ledger: l, slots: manySlots, running: make(map[string]int), stops: make(map[string]func()), copies: make(map[string]bool)}
+	e := &engine{id: id, service: service, address: address, faulty: faulty, ledger: l, slots: manySlots, running: make(map[string]int), stops: make(map[string]func()), copies: make(map[string]bool), reservations: make(map[string]time.Time)}
 	e.preemption.due, e.preemption.waiting = make(map[string]time.Duration), make(map[string]int)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -202,6 +203,9 @@
 	case r.URL.Path == pathMove:
 		e.move(w, r)
 		return
+	case strings.HasPrefix(r.URL.Path, pathReservations):
+		e.reserve(w, r)
+		return
 	case strings.HasPrefix(r.URL.Path, "/-/"):
 		e.report(w, r)
 		return
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -41,9 +41,11 @@
 	ledger  *ledger
 	record  *record
 	version int
-	copies  bool     // engines hold copies of each other's runs, and move runs
-	waits   bool     // engines let runs wait
-	again   sync.Map // how long runs wait once they have begun at another engine, by request id
+	copies  bool // engines hold copies of each other's runs, and move runs
+	// reserves means that engines reserve slots.
+	reserves bool
+	waits    bool     // engines let runs wait
+	again    sync.Map // how long runs wait once they have begun at another engine, by request id
 	// idleTimeout is the limit of the configuration in force, in nanoseconds.
 	idleTimeout atomic.Int64
 	start       time.Time
@@ -77,7 +79,7 @@
 	}
 	s := &site{
 		t: t, rng: rand.New(rand.NewPCG(seed, 0)), ledger: &ledger{runs: make(map[string][]*run)},
-		record: &record{outcomes: make(map[string]int)}, busy: make(map[string]bool), copies: o.copies, waits: o.waits,
+		record: &record{outcomes: make(map[string]int)}, busy: make(map[string]bool), copies: o.copies, reserves: o.copies && seed%3 > 0, waits: o.waits,
 	}
 	dir := t.TempDir()
 	if *keepLogs != "" {
@@ -216,7 +218,11 @@
 	}
 	model := map[string]any{"name": modelService}
 	if s.copies {
-		model["engine"] = map[string]any{"kv_capacity": 90000, "backups": true, "handle_s": 4}
+		engine := map[string]any{"kv_capacity": 90000, "backups": true, "handle_s": 4}
+		if s.reserves {
+			engine["hold_ms"] = maxReservation.Milliseconds()
+		}
+		model["engine"] = engine
 	}
 	idle := []time.Duration{time.Second, 3 * time.Second, 15 * time.Second}[s.rng.IntN(3)]
 	s.put(platform.ConfigurationKind, platform.ConfigurationName, map[string]any{
--- a/internal/soak/waiting_test.go
+++ b/internal/soak/waiting_test.go
@@ -74,12 +74,13 @@
 	return 500*time.Millisecond + upTo(rng, 6500*time.Millisecond)
 }
 
-// admit waits until the engine has a slot for a run.
+// admit waits until the engine has a slot for a run, which may have one reserved.
 func (e *engine) admit(r *http.Request, id string) bool {
 	for {
 		e.mu.Lock()
 		_, running := e.running[id]
-		if !running && len(e.running) < e.slots {
+		reserved := e.takeReservation(r.Header.Get("Vanillaroad-Hold"))
+		if !running && (reserved || len(e.running)+e.openReservations() < e.slots) {
 			e.running[id], running = 0, true
 		}
 		e.mu.Unlock()
