--- a/forward/reservation_test.go
+++ b/forward/reservation_test.go
@@ -179,3 +179,48 @@
 		t.Errorf("%d reservations were asked for, and %d ended, want some of both", asked, ended)
 	}
 }
+
+// startingLate answers like b, but begins only after d.
+func startingLate(d time.Duration, b behaviour) behaviour {
+	return func(ctx context.Context, a Attempt, s *fakeTargetClient) (*Answer, error) {
+		select {
+		case <-time.After(d):
+			return b(ctx, a, s)
+		case <-ctx.Done():
+			return nil, errors.Wrap(ErrNoAnswer, ctx.Err().Error())
+		}
+	}
+}
+
+// TestResumedRunKeepsItsPlace guards against streams that are sent on from a target which has their
+// copy and admits them next, to one that has not reserved room: three of eight daemons in the record
+// of issue 54.
+func TestResumedRunKeepsItsPlace(t *testing.T) {
+	const lostAt, startsAfter = 60, 3 * time.Second
+	for _, reserves := range []bool{false, true} {
+		for _, stops := range []bool{false, true} {
+			t.Run(fmt.Sprintf("the next target reserves room: %v, the daemon stops: %v", reserves, stops), inBubble(func(t *testing.T) {
+				next := streaming(200, -1, eventGap, nil)
+				s := newFixture(map[string]behaviour{"a": streaming(200, lostAt, eventGap, errors.Wrap(ErrNoAnswer, "broken")), "b": startingLate(startsAfter, next), "c": reservedOnly(false, next)})
+				s.Reserver = &reserver{took: 5 * time.Millisecond, reserved: make(map[string]string), room: func(string) bool { return reserves }}
+				s.Model = func(string) *ingress.Model {
+					return &ingress.Model{KVCacheTokens: 50_000, StandbyCopies: true, MaxReservation: 2 * time.Second}
+				}
+				s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: 2}, "c": {Running: 3, MemoryTokens: 20_000}}) // so that it begins at a, and b has the copy
+				if stops {
+					s.signalAt(time.Now().Add(time.Second))
+				}
+				got, want := s.serve(t, streamRoute), []string{"a", "b"}
+				if reserves {
+					want = append(want, "c")
+				}
+				if sent := s.client.attempts(); !slices.Equal(sent, want) || !got.receivedAll(200) {
+					t.Errorf("sent to %v, want %v; the caller got %d events (want 201), error %v", sent, want, len(got.events), got.err)
+				}
+				s.awaitStops()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			}))
+		}
+	}
+}
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -353,7 +353,7 @@
 	case a.moving || a.reserving:
 		return gapProbeInterval, 0, false
 	case action == stallAbandon && a.isUnclear(now):
-		action, wait = stallProbe, targetPollInterval // a move would be carried out when the target goes on
+		action, wait = stallProbe, targetPollInterval // a move would be carried out when the target goes on, and a place lost
 	case action == stallAbandon:
 		wait = gapProbeInterval
 		err := a.reserveSuccessor(evidence)
@@ -383,11 +383,12 @@
 	return wait, 0, false
 }
 
-// isUnclear reports whether no probe has shown yet whether the target of a run that has begun
-// is silent, or only its stream is.
+// isUnclear reports whether no probe has shown yet whether the target is silent, or only the stream
+// is: the run has begun, or may have a place in the queue.
 func (a *streamAttempt) isUnclear(now time.Time) bool {
 	f, t := a.stream.forwarder, a.attempt.Target
-	return a.detector.firstEventSeen && f.Fleet.State(now, t.ID) == fleet.Ready && !f.Prober.answeredSince(t, a.detector.lastProgress)
+	hasPlace := a.detector.firstEventSeen || f.reservationTime(a.stream.request.Service) > 0
+	return hasPlace && f.Fleet.State(now, t.ID) == fleet.Ready && !f.Prober.answeredSince(t, a.detector.lastProgress)
 }
 
 // withID returns a copy of a set of ids with one more.
