forward: streams without token counts, and targets that don't serve reservations

At least one token is asked for now; a target that doesn't know the request, or its form, reserves nothing, and the stream leaves by the daemons' loads as before. TestStreamLeavesItsPlaceOnlyForReservedRoom fails in 14 of the new cases without the first, and TestTargetsThatReserveNothingGetStreams without the second.

--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -18,14 +18,18 @@
 // Reserver reserves room at targets.
 type Reserver interface {
 	// Reserve reserves a slot, and memory for so many tokens, at a target for at most d, and
-	// returns the id of the reservation. The error is ErrNoRoom if the target refuses.
+	// returns the id of the reservation. tokens is at least 1. The error is ErrNoRoom if the target
+	// refuses, and ErrNoReservations if it doesn't reserve room.
 	Reserve(ctx context.Context, t fleet.Target, tokens int, d time.Duration) (id string, err error)
 	// EndReservation ends a reservation that was not used.
 	EndReservation(ctx context.Context, t fleet.Target, id string) error
 }
 
-// ErrNoRoom means that a target has no room to reserve.
-var ErrNoRoom = errors.New("the target has no room")
+// Errors of a Reserver.
+var (
+	ErrNoRoom         = errors.New("the target has no room")
+	ErrNoReservations = errors.New("the target reserves no room")
+)
 
 // Timing of reservations.
 const (
@@ -106,7 +110,7 @@
 		reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 		defer cancel()
 		r := reservation{target: target, until: now.Add(d), reason: reason}
-		if r.id, r.err = f.Reserver.Reserve(reserveCtx, target, s.memoryTokens(), d); !sendUnlessDone(ctx, a.reservations, r) && r.err == nil {
+		if r.id, r.err = f.Reserver.Reserve(reserveCtx, target, max(1, s.memoryTokens()), d); !sendUnlessDone(ctx, a.reservations, r) && r.err == nil {
 			f.endReservation(target, r.id)
 		}
 	}()
@@ -120,6 +124,8 @@
 	s := a.stream
 	slot := s.succession.slot
 	switch {
+	case errors.Is(r.err, ErrNoReservations) && slot != nil && slot.target.ID == r.target.ID && !a.eventArrived():
+		return a.abandonSilent(r.reason), true
 	case r.err != nil:
 		metrics.GetOrRegisterCounter(metricNotReserved, s.forwarder.Metrics).Inc(1)
 		s.succession.recordRefusal(r.target.ID)
--- a/forward/reservation_test.go
+++ b/forward/reservation_test.go
@@ -20,6 +20,7 @@
 // reserver reserves room at fake targets, as room says.
 type reserver struct {
 	took time.Duration // until a target answers
+	none bool          // targets reserve no room
 	room func(target string) bool
 
 	mu       sync.Mutex
@@ -37,7 +38,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.asked++
-	if tokens <= 0 || !r.room(t.ID) {
+	if tokens <= 0 || r.none {
+		return "", errors.WithStack(ErrNoReservations)
+	}
+	if !r.room(t.ID) {
 		return "", errors.WithStack(ErrNoRoom)
 	}
 	id := fmt.Sprintf("%s-%d", t.ID, len(r.reserved))
@@ -97,14 +101,14 @@
 		room time.Duration // since the request
 		at   string        // where; empty for all other targets
 	}{"never": {time.Hour, ""}, "at once": {0, ""}, "later": {waitsFrom + 2*time.Second, ""}, "at b": {0, "b"}, "at c": {0, "c"}} {
-		for _, copies := range []string{"none", "planned", "made"} {
+		for _, copies := range []string{"none", "planned", "made", "made, no tokens stated"} {
 			for _, took := range []time.Duration{5 * time.Millisecond, time.Second} {
 				for _, signaled := range []time.Duration{time.Hour, time.Second, waitsFrom + time.Second} {
 					t.Run(fmt.Sprintf("room %s, copies %s, asked in %v, stop after %v", name, copies, took, signaled), inBubble(func(t *testing.T) {
 						start := time.Now()
 						var lastWork atomic.Int64
 						b := waitingFor(start, waitsFrom, waitsFor, &lastWork)
-						s := newFixture(map[string]behaviour{"a": b, "b": reservedOnly(copies == "made", b), "c": reservedOnly(copies == "made", b)})
+						s := newFixture(map[string]behaviour{"a": b, "b": reservedOnly(copies != "planned", b), "c": reservedOnly(copies != "planned", b)})
 						client := queueing{s.client, func() bool { at := time.Since(start); return at > waitsFrom && at < waitsFrom+waitsFor }}
 						s.TargetClient, s.Prober = client, NewProber(client, s.Fleet, s.Events)
 						reserver := &reserver{took: took, reserved: make(map[string]string), room: func(id string) bool { return time.Since(start) >= c.room && (c.at == "" || c.at == id) }}
@@ -114,7 +118,11 @@
 						}
 						s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: 2}, "c": {Running: 2}}) // so that it begins at a
 						s.signalAt(start.Add(signaled))
-						got := s.serveFor(context.Background(), streamRoute)
+						got, r := &fakeResponder{}, newStreamRequest("r1")
+						if r.Prompt.Tokens, r.Prompt.MaxOutputTokens = 5000, 1000; copies == "made, no tokens stated" {
+							r.Prompt.Tokens, r.Prompt.MaxOutputTokens = 0, 0
+						}
+						s.Serve(context.Background(), r, got)
 						sent := s.client.attempts()
 						for i := 1; i < len(sent); i++ {
 							if a := s.client.attempt(i); reserver.reserved[a.Reservation] != a.Target.ID {
@@ -224,3 +232,32 @@
 		}
 	}
 }
+
+// TestTargetsThatReserveNothingGetStreams guards against streams that stay where their run waits because
+// no target reserves room: their daemon's knowledge of the others' loads is the best there is then.
+func TestTargetsThatReserveNothingGetStreams(t *testing.T) {
+	for name, change := range map[string]func(*fixture, *reserver){
+		"none stated": func(s *fixture, _ *reserver) {
+			s.Model = func(string) *ingress.Model { return &ingress.Model{StandbyCopies: true} }
+		},
+		"no client":              func(s *fixture, _ *reserver) { s.Reserver = nil },
+		"stated, and not served": func(_ *fixture, r *reserver) { r.none = true },
+	} {
+		t.Run(name, inBubble(func(t *testing.T) {
+			start := time.Now()
+			var lastWork atomic.Int64
+			b := waitingFor(start, 2*time.Second, time.Minute, &lastWork)
+			s := newFixture(map[string]behaviour{"a": b, "b": b})
+			reserver := &reserver{reserved: make(map[string]string), room: func(string) bool { return true }}
+			s.Reserver = reserver
+			client := queueing{s.client, func() bool { return time.Since(start) > 2*time.Second }}
+			s.TargetClient, s.Prober = client, NewProber(client, s.Fleet, s.Events)
+			s.Model = func(string) *ingress.Model { return &ingress.Model{StandbyCopies: true, MaxReservation: time.Second} }
+			s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: 2}}) // so that it begins at a
+			change(s, reserver)
+			if got := s.serve(t, streamRoute); !got.ended || len(s.client.attempts()) != 2 {
+				t.Errorf("sent to %v, want a and b; the stream ended: %v", s.client.attempts(), got.ended)
+			}
+		}))
+	}
+}
