--- a/forward/plan.go
+++ b/forward/plan.go
@@ -154,7 +154,7 @@
 	if refusal != nil {
 		s.lastErr = refusal
 	}
-	return Attempt{Request: s.request, Target: t, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(time.Now()), Cause: "return"}, ok
+	return Attempt{Request: s.request, Target: t, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(time.Now()), Cause: "return", Reservation: s.succession.takeReservation(t)}, ok
 }
 
 // targetCriteria returns what the next attempt needs of its target.
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -139,6 +139,10 @@
 	metrics.GetOrRegisterCounter(metricReserved, s.forwarder.Metrics).Inc(1)
 	slot.reservation, slot.until = r.id, r.until
 	slot.endReservation = func() { go s.forwarder.endReservation(r.target, r.id) }
+	if slot.returns {
+		s.succession.returnFirst = true
+		return a.abandon(r.reason), true
+	}
 	return a.abandonSilent(r.reason), true
 }
 
@@ -161,14 +165,17 @@
 
 // withRefusals adds to a set of target ids those that have just refused a reservation.
 func (c *succession) withRefusals(exclude map[string]bool) map[string]bool {
-	for id, at := range c.refusedAt {
-		if time.Since(at) < reserveInterval {
+	for id := range c.refusedAt {
+		if c.hasRefused(id) {
 			exclude = withID(exclude, id)
 		}
 	}
 	return exclude
 }
 
+// hasRefused reports whether a target has just refused a reservation.
+func (c *succession) hasRefused(id string) bool { return time.Since(c.refusedAt[id]) < reserveInterval }
+
 // takeReservation returns the reservation for the next attempt, which uses it at t, and "" if there
 // is none.
 func (c *succession) takeReservation(t fleet.Target) string {
--- a/forward/room.go
+++ b/forward/room.go
@@ -30,6 +30,7 @@
 	reservation    string
 	until          time.Time
 	endReservation func()
+	returns        bool // the stream was taken from the target, and returns
 }
 
 // findRoom picks a target with room for a stream and holds a slot there. It prefers the holder
@@ -91,16 +92,26 @@
 			return 0, false
 		}
 	}
-	if s.succession.returns < maxReturns && slices.ContainsFunc(s.succession.silent, func(i fleet.Incarnation) bool { return s.mayReturnTo(time.Now(), i.Target) }) {
-		s.succession.returnFirst = true
-		return a.abandon(reason), true
+	i := slices.IndexFunc(s.succession.silent, func(i fleet.Incarnation) bool { return s.mayReturnTo(time.Now(), i.Target) })
+	if i < 0 || s.succession.returns >= maxReturns {
+		return 0, false
+	}
+	if a.keepsPlace(time.Now()) {
+		previous := s.succession.silent[i].Target
+		s.succession.releaseSlot()
+		if release, ok := s.forwarder.Fleet.HoldSlot(previous.ID, s.memoryTokens(), s.capacityTokens()); ok {
+			s.succession.slot = &heldSlot{target: previous, release: release, returns: true}
+			_ = a.reserve(ctx, reason)
+		}
+		return 0, false
 	}
-	return 0, false
+	s.succession.returnFirst = true
+	return a.abandon(reason), true
 }
 
 // mayReturnTo reports whether a target that the stream was taken from is ready and has room.
 func (s *stream) mayReturnTo(now time.Time, t fleet.Target) bool {
-	return s.allowsVersion(t) && s.forwarder.isUsable(now, t) && s.forwarder.Fleet.HasRoom(t.ID, s.memoryTokens(), s.capacityTokens()) && !s.forwarder.stopper.mayRun(t.ID, s.request.ID)
+	return s.allowsVersion(t) && s.forwarder.isUsable(now, t) && !s.succession.hasRefused(t.ID) && s.forwarder.Fleet.HasRoom(t.ID, s.memoryTokens(), s.capacityTokens()) && !s.forwarder.stopper.mayRun(t.ID, s.request.ID)
 }
 
 // releaseSlot ends the hold of a slot, if there is one.
