forward: room that a target has reserved is used, whatever the daemons' loads say

TestReservedRoomOutweighsLoads: both cases failed before. attempt_lost says whether room was reserved.

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -32,7 +32,7 @@
 var forwardEntries = []Entry{
 	{RequestAnswered, "request_answered", Info, "A request was answered completely; framed says whether the end of the target's answer is certain, by a length or chunks.", ""},
 	{RequestFailed, "request_failed", Warn, "A request failed without an answer from a target; the field outcome says whether it ran.", "See docs/OPERATIONS.md."},
-	{AttemptLost, "attempt_lost", Warn, "An attempt at a target ended without a complete answer; framed is as in request_answered, load the target's load as this daemon knew it.", "Look for target_suspected events of the same target."},
+	{AttemptLost, "attempt_lost", Warn, "An attempt at a target ended without a complete answer; framed is as in request_answered, load the target's load as this daemon knew it; reserved says whether the target had reserved room.", "Look for target_suspected events of the same target."},
 	{AnswerResumed, "answer_resumed", Info, "A streamed answer continues at another target.", ""},
 	{AnswerTruncated, "answer_cut_short", Warn, "A streamed answer was truncated; no_attempt says why it was not continued, silent_for the time since its last event, last_attempt the last target, its state, what the stream was sent there by, whether it has begun there, and whether the target has answered a probe since.", "Read the preceding attempt_lost events of the request."},
 	{TargetSuspected, "target_suspected", Warn, "A target did not answer a probe and temporarily gets no new requests; accepts says whether it accepted a connection meanwhile.", "Check the target if it persists."},
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -194,9 +194,9 @@
 	if a.Reservation == "" || a.Resume == (Copy{}) {
 		return false
 	}
-	release, ok := s.forwarder.Fleet.HoldSlot(a.Target.ID, s.memoryTokens(), s.capacityTokens())
+	release, ok := s.forwarder.Fleet.HoldSlot(a.Target.ID, 0, 0)
 	if !ok {
-		return false
+		release = func() {} // the target knows better than the daemons' loads
 	}
 	s.succession.releaseSlot()
 	s.succession.slot = &heldSlot{target: a.Target, release: release, reservation: a.Reservation, until: s.request.SentAt.Add(maxReservation),
--- a/forward/reservation_test.go
+++ b/forward/reservation_test.go
@@ -304,3 +304,31 @@
 		}))
 	}
 }
+
+// TestReservedRoomOutweighsLoads guards against streams that give up the room which a target has reserved
+// because the daemons' loads, which are old, say that it has none (issue 54).
+func TestReservedRoomOutweighsLoads(t *testing.T) {
+	for name, load := range map[string]fleet.DaemonLoad{"no memory": {Running: 2, MemoryTokens: 70_000}, "one slot": {Running: 7, MemoryTokens: 70_000}} {
+		t.Run(name, inBubble(func(t *testing.T) {
+			start := time.Now()
+			var lastWork atomic.Int64
+			b := waitingFor(start, 2*time.Second, 20*time.Second, &lastWork)
+			s := newFixture(map[string]behaviour{"a": b, "b": reservedOnly(false, b)})
+			client := queueing{s.client, func() bool { return time.Since(start) > 2*time.Second }}
+			s.TargetClient, s.Prober = client, NewProber(client, s.Fleet, s.Events)
+			s.Reserver = &reserver{took: 5 * time.Millisecond, reserved: make(map[string]string), room: func(string) bool { return true }}
+			s.Model = func(string) *ingress.Model {
+				return &ingress.Model{KVCacheTokens: 50_000, StandbyCopies: true, MaxReservation: 2 * time.Second}
+			}
+			s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: 2}}) // so that it begins at a
+			time.AfterFunc(time.Second, func() { s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": load}) })
+			got := s.serve(t, streamRoute)
+			if sent, want := s.client.attempts(), []string{"a", "b", "b"}; !slices.Equal(sent, want) || !got.ended {
+				t.Errorf("sent to %v, want %v; ended: %v", sent, want, got.ended)
+			}
+			s.awaitStops()
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}))
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -204,7 +204,7 @@
 	}
 	s.forwarder.Events.Record(event.AttemptLost, s.request.ID, event.F("target", a.Target.ID), event.F("place", a.Target.Place), event.F("version", a.Target.SoftwareVersion),
 		event.F("error", err.Error()), event.F("last_event", strconv.FormatInt(s.lastEventID, 10)), event.F("resumed_from_copy", strconv.FormatBool(a.Resume != (Copy{}))),
-		event.F("copy", s.describeCopy()), event.F("framed", s.framed), event.F("load", s.describeLoad(a.Target)))
+		event.F("copy", s.describeCopy()), event.F("framed", s.framed), event.F("load", s.describeLoad(a.Target)), event.F("reserved", strconv.FormatBool(a.Reservation != "")))
 }
 
 // recordSilence returns how long a stream that is cut short was without an event, and records it
