forward: a return to a target that reserves nothing is a return; the end of a reservation logs nothing

By reading: a stream that waits in a queue and returns to a target that doesn't serve reservations was handled like one that leaves for another target, and a reservation that couldn't be ended was logged as a copy that failed. A lease that is used twice is not taken to last longer than the service's.

--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/fleet"
 )
 
@@ -121,24 +120,25 @@
 // it returns how and true.
 func (a *streamAttempt) handleReservation(r reservation) (attemptEnd, bool) {
 	a.reserving = false
-	s := a.stream
+	s, none := a.stream, errors.Is(r.err, ErrNoReservations)
 	slot := s.succession.slot
 	switch {
-	case errors.Is(r.err, ErrNoReservations) && slot != nil && slot.target.ID == r.target.ID && !a.eventArrived():
-		return a.abandonSilent(r.reason), true
-	case r.err != nil:
+	case r.err != nil && !none:
 		metrics.GetOrRegisterCounter(metricNotReserved, s.forwarder.Metrics).Inc(1)
 		s.succession.recordRefusal(r.target.ID)
 		s.succession.releaseSlot()
 		a.keep(r.reason, errNotReserved)
 		return 0, false
-	case slot == nil || slot.target.ID != r.target.ID || a.eventArrived():
-		go s.forwarder.endReservation(r.target, r.id) // the run goes on
+	case slot == nil || slot.target.ID != r.target.ID || a.eventArrived(): // the run goes on
+		if !none {
+			go s.forwarder.endReservation(r.target, r.id)
+		}
 		return 0, false
+	case !none:
+		metrics.GetOrRegisterCounter(metricReserved, s.forwarder.Metrics).Inc(1)
+		slot.reservation, slot.until = r.id, r.until
+		slot.endReservation = func() { go s.forwarder.endReservation(r.target, r.id) }
 	}
-	metrics.GetOrRegisterCounter(metricReserved, s.forwarder.Metrics).Inc(1)
-	slot.reservation, slot.until = r.id, r.until
-	slot.endReservation = func() { go s.forwarder.endReservation(r.target, r.id) }
 	if slot.returns {
 		s.succession.returnFirst = true
 		return a.abandon(r.reason), true
@@ -146,13 +146,11 @@
 	return a.abandonSilent(r.reason), true
 }
 
-// endReservation ends a reservation that was not used. Without an answer it ends by itself.
+// endReservation ends a reservation that was not used. It ends by itself if that fails.
 func (f *Forwarder) endReservation(t fleet.Target, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
 	defer cancel()
-	if err := f.Reserver.EndReservation(ctx, t, id); err != nil {
-		f.Events.Record(event.CopyFailed, "", event.F("to", t.ID), event.F("error", err.Error()))
-	}
+	_ = f.Reserver.EndReservation(ctx, t, id)
 }
 
 // recordRefusal records that a target has just refused a reservation.
@@ -199,7 +197,7 @@
 		release = func() {} // the target knows better than the daemons' loads
 	}
 	s.succession.releaseSlot()
-	s.succession.slot = &heldSlot{target: a.Target, release: release, reservation: a.Reservation, until: s.request.SentAt.Add(maxReservation),
+	s.succession.slot = &heldSlot{target: a.Target, release: release, reservation: a.Reservation, until: s.request.SentAt.Add(s.forwarder.reservationTime(s.request.Service)),
 		endReservation: func() { go s.forwarder.endReservation(a.Target, a.Reservation) }}
 	return true
 }
