--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -44,6 +44,9 @@
 	headLast       bool // the head of a call's answer arrives with the body
 	newConnections bool // its sends open new connections
 	serverErrors   map[int]bool
+	// waitsAt is the number of events after which its first run is preempted, for waits; 0 for none.
+	waitsAt int
+	waits   time.Duration
 }
 
 // simArrival is the arrival of a request at a target.
@@ -240,7 +243,7 @@
 func simulate(seed uint64) (faults, history []string) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	const length = 6 * time.Second
-	w := &simulation{start: time.Now(), versions: 1 + int(seed%3), processes: make(map[string]*simProcess), requests: make(map[string]*simRequest)}
+	w := &simulation{start: time.Now(), versions: 1 + int(seed%3), processes: make(map[string]*simProcess), requests: make(map[string]*simRequest), reservations: simReservations{open: make(map[string]string)}}
 	events := event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 4096)
 	e := &simEntries{simulation: w, fleet: fleet.New("place-0", seed)}
 	var addresses []string
@@ -256,6 +259,9 @@
 		Metrics: metrics.NewRegistry(), PlacementLimiter: NewPlacementLimiter(), RetryBudget: NewRetryBudget(time.Now().Add(-time.Minute), budget),
 		Buffers: membudget.New(MaxBufferedBytes), Model: func(string) *ingress.Model { return model },
 	}
+	if seed%2 == 1 {
+		f.Reserver, model.MaxReservation = w, time.Second
+	}
 	f.RetryBudget.SetDaemons(1)
 	permits := newSimPermits(seed)
 	f.Permits = permits
@@ -264,6 +270,9 @@
 	for n := range 10 + random.IntN(50) {
 		q := planRequest(random, n, length)
 		q.simulation = w
+		if seed%2 == 1 {
+			q.plan.planWait(seed, n)
+		}
 		w.requests[q.ID] = q
 	}
 	for _, q := range w.requests {
@@ -319,6 +328,7 @@
 	}
 	faults = append(faults, checkBudget(budget, w.requests)...)
 	faults = append(faults, permits.check()...)
+	faults = append(faults, w.checkReservations()...)
 	history = append(history, fmt.Sprintf("--- history, budget %+v, copies %v", budget, model.StandbyCopies))
 	return faults, append(history, w.log...)
 }
--- a/forward/simulation_calls_test.go
+++ b/forward/simulation_calls_test.go
@@ -36,7 +36,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return Report{StartMillis: p.StartMillis, Running: p.reported}, nil
+	return Report{StartMillis: p.StartMillis, Running: p.reported, Queued: p.queued}, nil
 }
 
 // Copy implements TargetClient.
@@ -75,7 +75,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := p.runs[id]
-	if r == nil {
+	if r == nil || r.waits {
 		return Copy{}, fleet.Target{}, errors.WithStack(ErrRunNotFound)
 	}
 	holder := w.processes[destination.Address]
--- a/forward/simulation_faults_test.go
+++ b/forward/simulation_faults_test.go
@@ -100,13 +100,16 @@
 		if p.silent != nil {
 			continue
 		}
-		reported := make(map[string]RunStatus)
+		reported, queued := make(map[string]RunStatus), 0
 		for id, r := range p.runs {
-			if r.events > 0 {
+			switch {
+			case r.waits:
+				queued++
+			case r.events > 0:
 				reported[id] = RunStatus{Tokens: 5000 + r.events, Events: r.events}
 			}
 		}
-		p.reported = reported
+		p.reported, p.queued = reported, queued
 	}
 }
 
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -29,6 +29,7 @@
 	runs        map[string]*simRun
 	copies      map[string]bool
 	reported    map[string]RunStatus // its report, which is older than its state
+	queued      int                  // runs that wait, in the same report
 }
 
 // simRun is one run of a request, or a request that was received and neither refused
@@ -37,6 +38,7 @@
 	request *simRequest
 	process *simProcess
 	began   bool
+	waits   bool // its target has preempted it
 	events  int
 	framed  bool          // its answer, see Answer.Framed
 	stop    chan struct{} // closed by a move
@@ -68,6 +70,8 @@
 	requests  map[string]*simRequest
 	faults    []string // violations seen by the targets
 	log       []string
+
+	reservations simReservations
 }
 
 func (w *simulation) logf(format string, args ...any) {
@@ -152,6 +156,7 @@
 	if a.TimeLeft > 0 {
 		r.limit = time.Now().Add(max(time.Millisecond, a.TimeLeft.Truncate(time.Millisecond)))
 	}
+	w.useReservation(a)
 	q.arrivals = append(q.arrivals, simArrival{sentAt, p.ID})
 	q.runs = append(q.runs, r)
 	w.logf("%s arrives at %s after event %q, from a copy: %v", q.ID, p.ID, a.LastEventID, a.Resume != (Copy{}))
@@ -298,6 +303,10 @@
 		wait = 10 * time.Millisecond
 	}
 	for ; next <= plan.lastEvent; next++ {
+		if plan.waitsAt > 0 && next == plan.waitsAt && r == r.request.runs[0] {
+			wait += plan.waits
+			w.setWaiting(r, true)
+		}
 		if !w.work(ctx, r, broken, wait) {
 			w.finishRun(ctx, r, broken)
 			w.cutStream(r, next, pw)
@@ -305,6 +314,7 @@
 		}
 		wait = plan.gap
 		w.mu.Lock()
+		r.waits = false
 		r.events++
 		w.mu.Unlock()
 		if _, err := io.WriteString(pw, simEvent(r.request.ID, next)); err != nil {
