--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -43,7 +43,7 @@
 func (s *site) check() (broken []string) {
 	report := func(rule string, a *attempt) { broken = append(broken, rule+"\n"+s.trace(a)) }
 	counts, keptCuts, denied, breaks := make(map[verdict]int), make(map[string]int), 0, 0
-	statuses := make(map[string]int)
+	statuses, named := make(map[string]int), s.namedEnds()
 	for _, a := range s.record.attempts {
 		statuses[fmt.Sprint(a.kind, " ", a.status, map[bool]string{false: " cut"}[a.complete])]++
 		if a.violation != "" {
@@ -62,6 +62,9 @@
 		if both := s.overlap(runs); both > maxOverlap {
 			report("TWICE: two engines at work for "+both.String(), a)
 		}
+		if s.mustBeNamed(a, runs) && !named[a.daemon][a.id] {
+			report("UNNAMED: no line of the daemon says how the stream ended", a)
+		}
 		v, reason := s.judge(a, runs)
 		counts[v]++
 		for _, r := range runs {
