gateway: a daemon that starts can read a seed's empty datasets

Cause: a dataset without entries was sent as a nil in a msgpack.RawMessage, which arrives empty and fails to decode (EOF), so that the whole answer of the seed was dropped. Shown by a trial that printed the error beside 24 busy processes: all twelve daemons, kind members.

Now no entries are sent as an empty array, which older builds decode, and an empty message of an older seed is no entries. TestSeedSendsEmptyDatasets failed in both directions before. Ruled out: the time limits of the seed's answer (the reads came 40 ms after the start).

--- a/gateway/startup.go
+++ b/gateway/startup.go
@@ -39,7 +39,16 @@
 // start together.
 type startDataset struct {
 	Snapshot exchange.Snapshot  `msgpack:"s"` // without entries
-	Entries  msgpack.RawMessage `msgpack:"e"` // exchange.Entries
+	Entries  msgpack.RawMessage `msgpack:"e"` // exchange.Entries; a seed of an older build sends nil if there are none
+}
+
+// decode returns the complete snapshot.
+func (d startDataset) decode() (exchange.Snapshot, error) {
+	if len(d.Entries) == 0 { // as a nil is decoded
+		return d.Snapshot, nil
+	}
+	err := msgpack.Unmarshal(d.Entries, &d.Snapshot.Entries)
+	return d.Snapshot, errors.Wrapf(err, "decode the entries of kind %s", d.Snapshot.Kind)
 }
 
 // startup loads the datasets of a daemon that starts from a seed, and serves them.
@@ -89,10 +98,11 @@
 		return false // as of an older build
 	}
 	for _, d := range answer.Datasets {
-		if err := msgpack.Unmarshal(d.Entries, &d.Snapshot.Entries); err != nil {
+		snapshot, err := d.decode()
+		if err != nil {
 			return false
 		}
-		s.g.datasets.applySnapshot(d.Snapshot)
+		s.g.datasets.applySnapshot(snapshot)
 	}
 	s.setVerdictsLoaded(answer.VerdictsLoaded)
 	return true
@@ -132,6 +142,9 @@
 	if known, ok := s.encoded[snapshot.Kind]; ok && known.Snapshot.Checksum == snapshot.Checksum && known.Snapshot.Era == snapshot.Era {
 		return startDataset{snapshot, known.Entries}, nil
 	}
+	if entries == nil {
+		entries = exchange.Entries{} // an older build can't decode a nil
+	}
 	body, err := msgpack.Marshal(entries)
 	if err != nil {
 		return startDataset{}, errors.Wrapf(err, "encode the entries of kind %s", snapshot.Kind)
--- a/gateway/startup_test.go
+++ b/gateway/startup_test.go
@@ -5,10 +5,49 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
+// TestSeedSendsEmptyDatasets guards against daemons that all read the store when they start,
+// because a dataset of their seed is empty: before the first daemon has registered, that of the
+// daemons is.
+func TestSeedSendsEmptyDatasets(t *testing.T) {
+	noEntries, err := msgpack.Marshal(exchange.Entries(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, encode := range map[string]func(exchange.Snapshot) (startDataset, error){
+		"this build":     newStartup(nil).encode,
+		"an older build": func(s exchange.Snapshot) (startDataset, error) { return startDataset{s, noEntries}, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent, err := encode(exchange.Snapshot{Kind: memberKind, StoreRevision: 7})
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := msgpack.Marshal(startAnswer{Datasets: []startDataset{sent}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var received startAnswer
+			if err := msgpack.Unmarshal(body, &received); err != nil {
+				t.Fatal(err)
+			}
+			snapshot, err := received.Datasets[0].decode()
+			if err != nil || snapshot.StoreRevision != 7 || len(snapshot.Entries) != 0 {
+				t.Errorf("an empty dataset arrives as %+v, %v", snapshot, err)
+			}
+			var asOlderBuild exchange.Entries
+			if err := msgpack.Unmarshal(received.Datasets[0].Entries, &asOlderBuild); name == "this build" && err != nil {
+				t.Errorf("an older build can't read an empty dataset of this one: %v", err)
+			}
+		})
+	}
+}
+
 // TestStartAsksSeeds guards against calls to the store that grow with the number of daemons
 // that start together: each made eight of them.
 func TestStartAsksSeeds(t *testing.T) {
