--- a/gateway/startup_test.go
+++ b/gateway/startup_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -59,6 +60,11 @@
 		store := env.store.Listener.Addr().String()
 		seed, _ := env.startDaemon("vm-0", store)
 		eventually(env.gateways["vm-0"].ready)
+		stored := func(kind, name string) bool {
+			_, err := env.storeClient.Get(context.Background(), kind, name)
+			return err == nil
+		}
+		eventually(func() bool { return stored(memberKind, "vm-0") && stored(versionsKind, "s") }) // the seed's own writes
 		before := env.platform.Calls()
 		Convey("daemons that start get what they need from it, and only write their entries", func() {
 			for i := range others {
