gateway: a request whose handler fails is named in the log

It is recorded as request_unfinished with the error now; the panic goes on to net/http, so that the answer doesn't look complete.

TestPanicNamesItsRequest failed before (no event).

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -52,6 +52,6 @@
 	{LinksRestored, "links_restored", Info, "Targets answer on direct connections again.", ""},
 	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
 	{IdleClosed, "idle_connections_closed", Info, "Connections of callers were closed that had been idle for longer than the configuration allows.", ""},
-	{RequestUnfinished, "request_unfinished", Warn, "The daemon ended before the answer of a request did; the caller's connection was closed.", "Compare after with the grace period: the daemon may have had too little processor time."},
+	{RequestUnfinished, "request_unfinished", Warn, "The daemon ended before the answer of a request did, or its handler failed, see error; the caller's connection was closed.", "Without error: compare after with the grace period, the daemon may have had too little processor time. With error: report a bug, with the stack on standard error."},
 	{LogLinesLost, "log_lines_lost", Warn, "Log lines were dropped because the log reader is slow.", "Check the process that reads the log."},
 }
--- a/gateway/open_requests_test.go
+++ b/gateway/open_requests_test.go
@@ -18,6 +18,21 @@
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
+// TestPanicNamesItsRequest guards against connections that a failure of their handler closes without
+// a line of the log that names the request.
+func TestPanicNamesItsRequest(t *testing.T) {
+	g := &Gateway{events: event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 16), forwarder: &forward.Forwarder{}}
+	defer func() {
+		if p := recover(); p == nil {
+			t.Error("net/http doesn't see the panic, and ends the answer as if it were complete")
+		}
+		if got := g.events.Events("r1", 0); len(got) != 1 || got[0].Number != event.RequestUnfinished {
+			t.Errorf("the log has the events %v, want the end of the request", got)
+		}
+	}()
+	g.serve(&http.Request{}, &forward.Request{ID: "r1", Route: &ingress.Route{Name: "a"}}, nil) // panics for want of a retry budget
+}
+
 // TestEndOfAStopNamesEveryRequest guards against streams that are cut by the end of the process
 // without a line of the log that names them: their callers don't read, so that their handlers see
 // the stop once the connection is closed, or later.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -16,6 +17,7 @@
 // serve forwards one request, or refuses it while the daemon shuts down.
 func (g *Gateway) serve(r *http.Request, req *forward.Request, w forward.Responder) {
 	defer g.requests.add(req)()
+	defer g.recordPanic(req)
 	if p := g.stopping.Load(); p != nil && !p.admits(time.Now(), req.AnswerDeadline(), req.Route.Name, &g.durations) {
 		err := failure.New(failure.Draining, failure.NotRun, "admit", "", "this daemon stops").WithRetryAfter(p.retryAfter(time.Now()))
 		g.recordRefusal(req.ID, err)
@@ -29,6 +31,20 @@
 	}
 }
 
+// recordPanic records the end of a request whose handler panics. net/http closes the connection, and
+// writes the stack to standard error.
+func (g *Gateway) recordPanic(req *forward.Request) {
+	if p := recover(); p != nil {
+		g.recordUnfinished(req, event.F("error", fmt.Sprint("panic: ", p)))
+		panic(p)
+	}
+}
+
+// recordUnfinished records that the answer of a request has no end.
+func (g *Gateway) recordUnfinished(req *forward.Request, fields ...event.Field) {
+	g.events.Record(event.RequestUnfinished, req.ID, append(fields, event.F("route", req.Route.Name), event.F("after", time.Since(req.Received).String()))...)
+}
+
 // observedResponder notes whether the caller got a complete and successful answer.
 type observedResponder struct {
 	forward.Responder
@@ -105,7 +121,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	for _, req := range g.requests.list() {
-		g.events.Record(event.RequestUnfinished, req.ID, event.F("route", req.Route.Name), event.F("after", time.Since(req.Received).String()))
+		g.recordUnfinished(req)
 	}
 }
 
