--- a/forward/reservation_test.go
+++ b/forward/reservation_test.go
@@ -263,16 +263,17 @@
 }
 
 // TestQueuedStreamReturnsToReservedRoom guards against streams that leave the queue of a target for
-// the one that they were taken from, which has no room for them any more.
+// the one that they were taken from, which has no room for them any more, and against streams that
+// stay there because it doesn't reserve any.
 func TestQueuedStreamReturnsToReservedRoom(t *testing.T) {
 	const slots = 8
-	for _, reserves := range []bool{true, false} {
-		t.Run(fmt.Sprint("the first target reserves room: ", reserves), inBubble(func(t *testing.T) {
+	for name, c := range map[string]struct{ reserves, none bool }{"reserves room": {reserves: true}, "refuses": {}, "makes no reservations": {none: true}} {
+		t.Run("the first target "+name, inBubble(func(t *testing.T) {
 			q := &slotQueue{free: make(chan struct{}, slots)}
 			s := newFixture(map[string]behaviour{"a": pausable(150, eventGap), "b": q.limit(pausable(150, eventGap))})
 			client := fullReporter{s.client, q}
 			s.TargetClient, s.Prober = client, NewProber(client, s.Fleet, s.Events)
-			s.Reserver = &reserver{took: 5 * time.Millisecond, reserved: make(map[string]string), room: func(string) bool { return reserves }}
+			s.Reserver = &reserver{took: 5 * time.Millisecond, reserved: make(map[string]string), none: c.none, room: func(string) bool { return c.reserves }}
 			s.Model = func(string) *ingress.Model { return &ingress.Model{MaxReservation: time.Second} }
 			s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: slots}}) // so that it begins at a
 			for range slots {
@@ -288,14 +289,14 @@
 				}
 			})
 			got, want := &fakeResponder{}, []string{"a", "b"}
-			if reserves {
+			if c.reserves || c.none {
 				want = append(want, "a")
 			}
 			s.Serve(context.Background(), newStreamRequest("r1"), got)
 			if sent := s.client.attempts(); !slices.Equal(sent, want) || !got.receivedAll(150) {
 				t.Errorf("sent to %v, want %v; the caller got %d events (want 151), error %v", sent, want, len(got.events), got.err)
 			}
-			if sent := s.client.attempts(); reserves && s.client.attempt(len(sent)-1).Reservation == "" {
+			if sent := s.client.attempts(); c.reserves && s.client.attempt(len(sent)-1).Reservation == "" {
 				t.Error("the stream returned without a reservation")
 			}
 			s.awaitStops()
