forward: a stopping daemon keeps a run without a copy that waits for two seconds, as at a silent target

Cause: the last look is computed from the median time of a start, so that one start in some comes too late, and nothing limits how long a run may wait before it.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -37,9 +37,10 @@
 	settings RetryBudgetSettings
 	start    time.Time
 
-	mu       sync.Mutex
-	daemons  int
-	services map[string]*serviceUsage
+	mu         sync.Mutex
+	daemons    int
+	firstKnown time.Duration // see MarkFirstStart; 0 unless it was called
+	services   map[string]*serviceUsage
 }
 
 // serviceUsage holds the recent requests and retries of one service in ascending order
@@ -63,6 +64,15 @@
 	b.daemons = n
 }
 
+// MarkFirstStart records that no process of any daemon has run before those that start now, and
+// that they know each other from a time after the start on. This daemon has its slack from then
+// on, and not only after a window.
+func (b *RetryBudget) MarkFirstStart(known time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.firstKnown = known
+}
+
 // UpdateSettings replaces the settings.
 func (b *RetryBudget) UpdateSettings(s RetryBudgetSettings) {
 	b.mu.Lock()
@@ -120,9 +130,14 @@
 }
 
 // slackShare returns this daemon's share of the slack. It is 0 during the first window
-// after the start, because the previous process of this daemon may have used it up.
+// after the start, because the previous process of this daemon may have used it up, and at the
+// first start of all until the number of daemons is known.
 func (b *RetryBudget) slackShare(now time.Time) float64 {
-	if b.daemons == 0 || now.Sub(b.start) < b.settings.Window {
+	unknown := b.settings.Window
+	if b.firstKnown > 0 {
+		unknown = min(unknown, b.firstKnown)
+	}
+	if b.daemons == 0 || now.Sub(b.start) < unknown {
 		return 0
 	}
 	return slackFactor * b.settings.Slack / float64(b.daemons)
--- a/forward/departure.go
+++ b/forward/departure.go
@@ -96,7 +96,8 @@
 	if d.silent {
 		d.mayGoOn = now.Sub(since) < longestSilence || f.Fleet.IsSilent(now, id, longestSilence-probeTimeout)
 	} else {
-		d.mayGoOn = evidence == isSilent && !copied && !a.isPreempted(now) // else the prompt would be prefilled again
+		// The prompt would be prefilled again.
+		d.mayGoOn = evidence == isSilent && !copied && !a.isPreempted(now) && now.Sub(since) < longestSilence
 	}
 	return d
 }
--- a/forward/stop_waiting_test.go
+++ b/forward/stop_waiting_test.go
@@ -97,6 +97,37 @@
 	}
 }
 
+// TestStopLeavesLongWaitsInTime guards against streams without a copy that a stopping daemon keeps
+// where their run has waited for long, until the only other target, which begins them later than
+// most, can't do that before the end of the stop (issue 54).
+func TestStopLeavesLongWaitsInTime(t *testing.T) {
+	const lateBy = 3 * prefillStart
+	const last = stopLength - lateBy - prefillStart - longestSilence - gapProbeInterval
+	for from := -time.Second; from <= last; from += 350 * time.Millisecond {
+		t.Run(from.String(), inBubble(func(t *testing.T) {
+			requested := time.Now()
+			var lastWork atomic.Int64
+			b := waitingFor(requested, untilTheSignal+from, 20*time.Second, &lastWork)
+			s := newFixture(map[string]behaviour{"a": b, "b": startingLate(lateBy, b)})
+			s.Model = func(string) *ingress.Model { return &ingress.Model{} }
+			s.Fleet.SetPeerLoads("vm-2", map[string]fleet.DaemonLoad{"b": {Running: 2}}) // so that it begins at a
+			signaled := requested.Add(untilTheSignal)
+			s.signalAt(signaled)
+			for range 8 {
+				s.starts.Record(startKind("svc", false), prefillStart)
+			}
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer time.AfterFunc(untilTheSignal+stopLength, func() { cancel(ErrStopping) }).Stop()
+			got := s.serveFor(ctx, streamRoute)
+			if worked := time.Unix(0, lastWork.Load()).Sub(signaled); worked < lastSixth {
+				t.Errorf("cut after %d events; the last work on it was %v after the signal; sent to %v", len(got.events), worked, s.client.attempts())
+			}
+			s.awaitStops()
+			synctest.Wait()
+		}))
+	}
+}
+
 // TestRunIsMovedToAFreeSlot guards against runs that are moved into the queue of a full target,
 // although a slot is held for them elsewhere.
 func TestRunIsMovedToAFreeSlot(t *testing.T) {
