gateway: at the first start of a fleet the slack of the retry budget is used once the daemons know each other

Cause: a daemon has no slack for one window, as an earlier process of it may have used that up.

TestFirstStartHasRetryBudget and TestBudgetIsSharedOut failed to compile before; with the mark left out the first case fails. TestBudgetHolds draws first starts: the sum stays within the limit. A daemon that is stopped within seconds after a restart still has no slack: open.

--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -19,6 +19,17 @@
 		So(b.AllowRetry(epoch.Add(window-1), "s"), ShouldBeFalse)
 		So(b.AllowRetry(epoch.Add(window), "s"), ShouldBeTrue)
 	})
+	Convey("At the first start of all daemons it has slack once they know of each other, at most after a window", t, func() {
+		const window, known = 10 * time.Second, 6 * time.Second
+		b := NewRetryBudget(epoch, RetryBudgetSettings{Slack: 150, Window: window})
+		b.MarkFirstStart(known)
+		So(b.AllowRetry(epoch.Add(window), "s"), ShouldBeFalse)
+		b.SetDaemons(8)
+		So(b.AllowRetry(epoch.Add(known-1), "s"), ShouldBeFalse)
+		So(b.AllowRetry(epoch.Add(known), "s"), ShouldBeTrue)
+		b.UpdateSettings(RetryBudgetSettings{Slack: 150, Window: known / 2})
+		So(b.AllowRetry(epoch.Add(known/2), "s"), ShouldBeTrue)
+	})
 	Convey("With a steady load and places lost in turn, retries are allowed up to the ratio", t, func() {
 		b := NewRetryBudget(epoch, RetryBudgetSettings{Ratio: 0.8, Window: 10 * time.Second})
 		allowed := 0
@@ -46,9 +57,13 @@
 		ratio := rapid.Float64Range(0, 1).Draw(t, "ratio")
 		slack := float64(rapid.IntRange(0, 100).Draw(t, "slack"))
 		daemons := make([]*RetryBudget, rapid.IntRange(1, 5).Draw(t, "daemons"))
+		firstStart := rapid.Bool().Draw(t, "first start")
 		for i := range daemons {
 			daemons[i] = NewRetryBudget(epoch, RetryBudgetSettings{Ratio: ratio, Slack: slack, Window: window})
 			daemons[i].SetDaemons(len(daemons))
+			if firstStart {
+				daemons[i].MarkFirstStart(3 * time.Second)
+			}
 		}
 		now := epoch
 		var requests, retries []time.Time
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -32,6 +32,7 @@
 	storeClient *platform.Client
 	target      *httptest.Server
 	gateways    map[string]*Gateway // by id
+	change      func(*Settings)     // of daemons that start; nil for none
 }
 
 // targetHandler adds the headers of a target, with its signature, to the answers of
@@ -116,6 +117,9 @@
 	// the grace period. The long period keeps requests from being canceled on a slow
 	// machine.
 	s.Grace, s.DirectoryTTL = jsontime.Duration(time.Minute), jsontime.Duration(100*time.Millisecond)
+	if e.change != nil {
+		e.change(&s)
+	}
 	var g *Gateway
 	var err error = syscall.EADDRINUSE
 	for errors.Is(err, syscall.EADDRINUSE) { // another process may bind a free address first
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -60,6 +60,9 @@
 		return
 	}
 	if m.g.datasets.isLoaded(memberKind) && m.createEntry(ctx) == nil {
+		if m.g.settings.Load().FirstStart {
+			m.g.forwarder.RetryBudget.MarkFirstStart(membersKnownWithin)
+		}
 		return
 	}
 	m.register(ctx)
@@ -68,7 +71,12 @@
 // registerDelay is how long a daemon that starts waits for the entries of the others.
 const registerDelay = 2 * seedTimeout
 
-// createEntry writes the entry of a daemon that has none.
+// membersKnownWithin is the time after their start within which daemons that start together know
+// of each other: a daemon that hears nothing of the others' reads needs three read periods.
+const membersKnownWithin = registerDelay + 3*memberReadPeriod
+
+// createEntry writes the entry of a daemon that has none. It fails if there is one, as of an earlier
+// process of this daemon.
 func (m *members) createEntry(ctx context.Context) error {
 	value, err := json.Marshal(m.self)
 	if err != nil {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -39,6 +39,9 @@
 	ReportersAbove int `json:"reporters_above" validate:"min=1"`
 
 	RetryBudget RetryBudget `json:"retry_budget"`
+	// FirstStart means that the whole fleet starts for the first time: no earlier process of any
+	// daemon has used retry budget.
+	FirstStart bool `json:"first_start,omitempty"`
 	// Grace is the time between the stop signal and the kill of the process.
 	Grace jsontime.Duration `json:"grace" validate:"gt=0"`
 	// DirectoryTTL is how long callers may cache a directory answer.
--- a/gateway/startup_test.go
+++ b/gateway/startup_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/exchange"
+	"github.com/vanillaroad/vanillaroad/internal/jsontime"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
@@ -88,3 +90,47 @@
 		})
 	})
 }
+
+// TestFirstStartHasRetryBudget guards against streams that are not moved in the first seconds after
+// the first start of a fleet for want of retry budget, and against slack that is used twice because a
+// daemon has started again.
+func TestFirstStartHasRetryBudget(t *testing.T) {
+	for name, c := range map[string]struct{ first, again, want bool }{
+		"the fleet starts for the first time": {first: true, want: true},
+		"the daemon has an entry":             {first: true, again: true},
+		"the fleet has run":                   {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.configure(1, "/a/")
+			env.registerTarget("i-1", env.target)
+			env.change = func(s *Settings) { s.FirstStart, s.RetryBudget.Window = c.first, jsontime.Duration(time.Hour) }
+			stored := func() bool {
+				_, err := env.storeClient.Get(context.Background(), memberKind, "vm-0")
+				return err == nil
+			}
+			if c.again {
+				env.put(memberKind, "vm-0", exchange.Member{ID: "vm-0"})
+			}
+			started := time.Now()
+			env.startDaemon("vm-0", env.store.Listener.Addr().String())
+			g := env.gateways["vm-0"]
+			eventually(func() bool { return g.datasets.isLoaded(memberKind) && stored() && !g.members.registering.Load() })
+			known := func() bool {
+				g.members.mu.Lock()
+				defer g.members.mu.Unlock()
+				return g.members.list.Registered(g.members.self)
+			}
+			eventually(known)
+			if g.forwarder.RetryBudget.AllowRetry(started.Add(membersKnownWithin/2), "s") {
+				t.Error("slack is used before the number of daemons is known")
+			}
+			allows := func() bool { return g.forwarder.RetryBudget.AllowRetry(time.Now().Add(membersKnownWithin), "s") }
+			if c.want {
+				eventually(allows)
+			} else if allows() {
+				t.Error("slack is used that an earlier process may have used up")
+			}
+		})
+	}
+}
--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -76,6 +76,7 @@
 		"id": d.id, "place": "p", "region": "r", "callers": d.callers(), "directory": d.directory(), "readiness": d.readiness(),
 		"peers": d.peers(), "seeds": d.seeds, "operations": d.address(7200), "relay": d.address(7201), "source": d.ip, "store": d.store, "memory_mb": 284, "log_level": logLevel,
 		"retry_budget": map[string]any{"ratio": 0.8, "slack": 150, "window": budgetWindow.String()}, "grace": grace.String(),
+		"first_start": len(d.starts) == 0,
 	})
 	if err != nil {
 		return err
