--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,6 +35,18 @@
 	planned, unplanned        []fault
 	copies, waits             bool          // see site
 	slots                     func(int) int // of the engine with a number; nil for many
+	also                      []uint64      // seeds, unless flags choose them
+}
+
+// seedsOf returns the seeds of a test.
+func seedsOf(o options) (out []uint64) {
+	for i := range uint64(*seeds) {
+		out = append(out, *firstSeed+i)
+	}
+	if *seeds == 1 && *firstSeed == 1 {
+		out = append(out, o.also...)
+	}
+	return out
 }
 
 func TestMain(m *testing.M) {
@@ -52,8 +64,7 @@
 	o.daemons, o.clients, o.length = *daemonCount, *clientCount, *length
 	o.engines = 3 + o.daemons
 	t.Parallel()
-	for i := range uint64(*seeds) {
-		seed := *firstSeed + i
+	for _, seed := range seedsOf(o) {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
 			sites <- struct{}{}
@@ -125,7 +136,7 @@
 // TestSoakWaiting guards against streams that are lost at the end of a stop because their engine
 // has preempted them, while another one could have gone on with them.
 func TestSoakWaiting(t *testing.T) {
-	soak(t, options{planned: []fault{terminate, terminate, terminate, reloadSettings, changeConfiguration}, waits: true})
+	soak(t, options{planned: []fault{terminate, terminate, terminate, reloadSettings, changeConfiguration}, waits: true, also: []uint64{8}})
 }
 
 // TestSoakCuts guards against callers of daemons without links to the engines who are served
