--- a/forward/departure.go
+++ b/forward/departure.go
@@ -96,7 +96,7 @@
 	if d.silent {
 		d.mayGoOn = now.Sub(since) < longestSilence || f.Fleet.IsSilent(now, id, longestSilence-probeTimeout)
 	} else {
-		// The prompt would be prefilled again.
+		// Elsewhere the prompt would be prefilled again, which costs less than a longer wait.
 		d.mayGoOn = evidence == isSilent && !copied && !a.isPreempted(now) && now.Sub(since) < longestSilence
 	}
 	return d
