fleet, routing, platform: choose targets of plain calls by the load that they state

Targets state running and waiting requests, slots and slowness in each answer (Vanillaroad-Instance-Load); nothing read it. The choice of a target for a plain call used the peers' reports as if they were current: in a large fleet, all daemons pick the target that looked idle half a second ago.

platform decodes the header of answers, refusals and probes; forward records it; fleet keeps the load of other daemons at the time of the statement, the mean load of the service, the call times and the reported load per target. routing.EvenLoad fills the targets up to a common load with the requests that all daemons send within the age of the information, so the choice is the flatter the more there are. Shares are corrected by the load that all daemons report, since a daemon of a large fleet gets few answers from a target.

The sums of the peers' loads are kept instead of added up for each candidate.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,6 +10,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/vanillaroad/vanillaroad/routing"
 )
 
 // Target is the registration entry of one back end.
@@ -51,10 +53,12 @@
 	prefillTokens       int                   // prompt tokens of this daemon's requests that have had no event
 	memoryTokens        int                   // tokens of this daemon's requests and standby copies on it
 	peerLoads           map[string]DaemonLoad // by peer
-	slowdown            estimate              // measured time to first event over the expected time
-	failureRate         estimate              // fraction of answers that are the target's own failures
-	callLatencyMillis   estimate              // of plain calls
-	statement           Statement             // latest conditions
+	peerTotal           DaemonLoad            // sum of peerLoads
+	stated              statedLoad
+	slowdown            estimate  // measured time to first event over the expected time
+	failureRate         estimate  // fraction of answers that are the target's own failures
+	callLatencyMillis   estimate  // of plain calls
+	statement           Statement // latest conditions
 	throttle            throttle
 	leavingStated       bool          // the target stated to this daemon that it leaves
 	relayedLeavingUntil time.Time     // another daemon reports that it leaves; zero if none did
@@ -80,6 +84,11 @@
 	services    map[string][]*targetState        // sorted by ID
 	peerLoads   map[string]map[string]DaemonLoad // by peer, then target
 	loadChanged chan struct{}                    // receives a value when this daemon's load changed
+	// serviceLoads has the services whose targets state their load, by name.
+	serviceLoads map[string]*serviceLoad
+	// scratchTargets and scratchShares are reused by pickEven.
+	scratchTargets []*targetState
+	scratchShares  []routing.Share
 }
 
 // New returns an empty fleet for a daemon in a place. The seed is for the choice
@@ -89,6 +98,7 @@
 		random: rand.New(rand.NewPCG(seed, seed)), place: place,
 		targets: make(map[string]*targetState), services: make(map[string][]*targetState),
 		peerLoads: make(map[string]map[string]DaemonLoad), loadChanged: make(chan struct{}, 1),
+		serviceLoads: make(map[string]*serviceLoad),
 	}
 }
 
--- /dev/null
+++ b/fleet/load_test.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"fmt"
+	"hash/fnv"
+	"testing"
+	"time"
+)
+
+// TestChoiceWithoutStatements guards against a choice that changes where no target states
+// its load. The hashes are those of the picks at 9bdc34c, before loads were stated.
+func TestChoiceWithoutStatements(t *testing.T) {
+	prompt, demand := promptOf(5000)
+	for _, c := range []struct {
+		name      string
+		staleness time.Duration
+		criteria  Criteria
+		demand    Demand
+		want      uint32
+	}{
+		{"calls", 4 * time.Millisecond, Criteria{Service: "s"}, Demand{}, 0x3021be06},
+		{"calls, old reports", 500 * time.Millisecond, Criteria{Service: "s"}, Demand{}, 0x8c300cdc},
+		{"prompts", 4 * time.Millisecond, prompt, demand, 0x9dfcdd7},
+		{"prompts, old reports", 500 * time.Millisecond, prompt, demand, 0xbe55646d},
+	} {
+		f, picks := newTestFleet(6), fnv.New32a()
+		f.SetStaleness(c.staleness)
+		var active []*ActiveRequest
+		for i := range 400 {
+			now := at(5 * i)
+			f.SetPeerLoads(fmt.Sprint("d", i%7), map[string]DaemonLoad{fmt.Sprint("t", i%5): {Running: i % 4, PrefillTokens: 700 * (i % 3)}})
+			picked, err := f.Pick(now, c.criteria)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = picks.Write([]byte(picked.ID))
+			active = append(active, f.Begin(now, picked.ID, c.demand))
+			if i >= 6 {
+				active[i-6].MarkFirstEvent(now)
+				active[i-6].Done(now, i%11 == 0)
+			}
+		}
+		if got := picks.Sum32(); got != c.want {
+			t.Errorf("%s: hash %#x of the picks, want %#x", c.name, got, c.want)
+		}
+	}
+}
+
+// TestShares guards against targets that get more or less than their part: a slow one must
+// get a part by its speed instead of none, and a failing one hardly any.
+func TestShares(t *testing.T) {
+	const picks = 6000
+	for _, c := range []struct {
+		name     string
+		slowness float64 // that t1 states at the end, 0 for none
+		millis   int     // of its calls; those of t0 and t2 take 20 ms
+		failed   bool    // its latest call
+		min, max float64
+	}{
+		{"equal", 0, 20, false, 0.32, 0.35},
+		{"half as fast", 0, 40, false, 0.19, 0.23},
+		{"slow now", 2.5, 20, false, 0.15, 0.22},
+		{"failed", 0, 20, true, 0, 0.001},
+	} {
+		f := newTestFleet(3)
+		f.SetStaleness(500 * time.Millisecond)
+		now := start
+		for range 30 {
+			for i := range 3 {
+				id, millis, load := fmt.Sprint("t", i), 20, LoadStatement{Running: 2, Slots: 6}
+				if i == 1 {
+					millis = c.millis
+				}
+				if c.slowness > 0 {
+					load.Slowness = 1
+				}
+				r := f.Begin(now, id, Demand{})
+				now = now.Add(time.Duration(millis) * time.Millisecond)
+				f.RecordLoad(now, Target{ID: id}, load)
+				r.Done(now, i == 1 && c.failed)
+			}
+		}
+		if c.slowness > 0 {
+			f.RecordLoad(now, Target{ID: "t1"}, LoadStatement{Running: 2, Slots: 6, Slowness: c.slowness})
+		}
+		n := 0
+		for range picks {
+			got, err := f.Pick(now.Add(50*time.Millisecond), Criteria{Service: "s"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got.ID == "t1" {
+				n++
+			}
+		}
+		if share := float64(n) / picks; share < c.min || share > c.max {
+			t.Errorf("%s: t1 gets %.3f of the calls, want %v to %v", c.name, share, c.min, c.max)
+		}
+	}
+}
+
+// TestOverloadIsCorrected guards against a target that stays overloaded because this daemon
+// gets too few answers from it to know its speed, although all daemons report the load.
+func TestOverloadIsCorrected(t *testing.T) {
+	f := newTestFleet(2)
+	f.SetStaleness(500 * time.Millisecond)
+	f.RecordLoad(start, Target{ID: "t0"}, LoadStatement{Running: 1, Slots: 6})
+	late := 0
+	for i := range 2000 {
+		f.SetPeerLoads("peer", map[string]DaemonLoad{"t0": {Running: 20}, "t1": {Running: 10}})
+		got, err := f.Pick(at(10*i), Criteria{Service: "s"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i >= 1000 && got.ID == "t0" {
+			late++
+		}
+	}
+	if late > 250 {
+		t.Errorf("a target with twice the load of the other one gets %d of 1000 calls after 10 s, want 250 at most", late)
+	}
+}
+
+// TestOldStatements guards against statements of an ended incarnation, and against a service
+// that is taken for one whose targets state their load long after they stopped.
+func TestOldStatements(t *testing.T) {
+	f := newTestFleet(2)
+	f.RecordLoad(start, Target{ID: "t0", StartMillis: 7}, LoadStatement{Running: 1, Slots: 6})
+	if f.statesLoad(start, "s") != nil {
+		t.Error("the statement of another incarnation counts")
+	}
+	f.RecordLoad(start, Target{ID: "t0"}, LoadStatement{Running: 1, Slots: 6})
+	if f.statesLoad(start.Add(loadMaxAge), "s") == nil {
+		t.Error("a statement does not count")
+	}
+	if f.statesLoad(start.Add(loadMaxAge+1), "s") != nil {
+		t.Error("a statement counts after loadMaxAge")
+	}
+}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -108,6 +108,11 @@
 		Exclude: criteria.Exclude, Affinity: criteria.Affinity, Blocks: promptAsOneBlock, AvoidPlaces: criteria.AvoidPlaces,
 		System: configuration.NewSystem, FromPlace: f.place,
 	}
+	if criteria.MemoryTokens == 0 && !criteria.ForCopy && len(criteria.PromptHolders) == 0 {
+		if load := f.statesLoad(now, criteria.Service); load != nil {
+			return f.pickEven(now, load, request, candidates)
+		}
+	}
 	scheduler := routing.CallScheduler()
 	switch {
 	case criteria.ForCopy:
@@ -240,13 +245,7 @@
 // totalLoad returns the load of all daemons: running requests, prompt tokens still to
 // be prefilled and tokens in memory.
 func (s *targetState) totalLoad() (running, prefillTokens, memoryTokens int) {
-	running, prefillTokens, memoryTokens = s.running, s.prefillTokens, s.memoryTokens
-	for _, p := range s.peerLoads {
-		running += p.Running
-		prefillTokens += p.PrefillTokens
-		memoryTokens += p.MemoryTokens
-	}
-	return running, prefillTokens, memoryTokens
+	return s.running + s.peerTotal.Running, s.prefillTokens + s.peerTotal.PrefillTokens, s.memoryTokens + s.peerTotal.MemoryTokens
 }
 
 // memoryUsage returns the fraction of a target's memory that is in use, above 1 if it
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -25,6 +25,7 @@
 	demand         Demand
 	prefillPending bool
 	done           bool
+	refused        bool
 	sentAt         time.Time
 	expectedWait   time.Duration // for the first event, without the target's slowdown
 }
@@ -102,6 +103,14 @@
 	}
 }
 
+// MarkRefused records that the target did not run the request, so that its duration says
+// nothing of the target's speed.
+func (r *ActiveRequest) MarkRefused() {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.refused = true
+}
+
 // Done subtracts the request from the load of its target. failed reports whether the
 // request failed because of the target.
 func (r *ActiveRequest) Done(now time.Time, failed bool) {
@@ -127,6 +136,9 @@
 	}
 	s.failureRate.add(now, outcome)
 	if r.demand == (Demand{}) {
+		if !failed && !r.refused {
+			r.fleet.recordCall(now, s, now.Sub(r.sentAt))
+		}
 		s.callLatencyMillis.add(now, float64(now.Sub(r.sentAt))/float64(time.Millisecond))
 	}
 }
@@ -176,12 +188,12 @@
 	defer f.mu.Unlock()
 	for id := range f.peerLoads[peer] {
 		if s := f.targets[id]; s != nil {
-			delete(s.peerLoads, peer)
+			s.setPeerLoad(peer, DaemonLoad{})
 		}
 	}
 	for id, load := range loads {
 		if s := f.targets[id]; s != nil {
-			s.peerLoads[peer] = load
+			s.setPeerLoad(peer, load)
 		}
 	}
 	if len(loads) == 0 {
@@ -191,6 +203,19 @@
 	f.peerLoads[peer] = loads
 }
 
+// setPeerLoad replaces the load of a peer on the target. A zero load removes it.
+func (s *targetState) setPeerLoad(peer string, load DaemonLoad) {
+	old := s.peerLoads[peer]
+	s.peerTotal.Running += load.Running - old.Running
+	s.peerTotal.PrefillTokens += load.PrefillTokens - old.PrefillTokens
+	s.peerTotal.MemoryTokens += load.MemoryTokens - old.MemoryTokens
+	if load == (DaemonLoad{}) {
+		delete(s.peerLoads, peer)
+		return
+	}
+	s.peerLoads[peer] = load
+}
+
 // prefillTime returns the time to prefill tokens at prefillTokensPerMilli.
 func prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / prefillTokensPerMilli * float64(time.Millisecond))
--- a/forward/call.go
+++ b/forward/call.go
@@ -167,6 +167,7 @@
 		}
 		return nil, c.handleNoAnswer(ctx, now, incarnation, err, gaveUp || ctx.Err() != nil)
 	case answer.NotRun:
+		active.MarkRefused()
 		active.Done(now, false)
 		return nil, c.forwarder.handleRefusal(t, answer, false)
 	}
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -12,7 +12,7 @@
 	"github.com/vanillaroad/vanillaroad/fleet"
 )
 
-// send makes an attempt and records the conditions that the target states in the answer.
+// send makes an attempt and records the load and the conditions that the target states in the answer.
 // Answers that the target did not sign count only if they state some: a refusal may come
 // from a part of the target that knows of none.
 func (f *Forwarder) send(ctx context.Context, a Attempt) (*Answer, error) {
@@ -21,6 +21,9 @@
 		metrics.GetOrRegisterCounter("targets.pauses", f.Metrics).Inc(1)
 		f.Events.Record(event.PauseRequested, a.Request.ID, event.F("target", a.Target.ID), event.F("for", answer.Pause.String()))
 	}
+	if err == nil && !answer.OtherTarget {
+		f.Fleet.RecordLoad(time.Now(), a.Target, answer.Load)
+	}
 	if err != nil || answer.OtherTarget || !answer.Signed && answer.Conditions == (fleet.Conditions{}) {
 		return answer, err
 	}
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -161,5 +161,9 @@
 func (f *Forwarder) requestReport(ctx context.Context, t fleet.Target, timeout time.Duration) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return f.TargetClient.Report(ctx, t)
+	report, err := f.TargetClient.Report(ctx, t)
+	if isRunning(err) && !restarted(t, report) {
+		f.Fleet.RecordLoad(time.Now(), t, report.Load)
+	}
+	return report, err
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -113,6 +113,8 @@
 	Signed bool
 	// Conditions are those that the target states in the answer.
 	Conditions fleet.Conditions
+	// Load is the load that the target states in the answer; zero if not stated.
+	Load fleet.LoadStatement
 	// Pause is how long the target, which refused, wants no other request from this daemon;
 	// 0 if not stated.
 	Pause time.Duration
@@ -125,6 +127,9 @@
 type Report struct {
 	StartMillis int64 // start of its process, Unix milliseconds; 0 if not stated
 	Queued      int   // requests that wait to run
+	// Load is the load that the target states with the report, or in an answer without a
+	// report; zero if not stated.
+	Load fleet.LoadStatement
 	// Running holds the requests that the target runs, by request id.
 	Running map[string]RunStatus
 }
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -136,6 +136,9 @@
 	accepts := p.startConnect(ctx, t, timeout/2)
 	report, err := p.client.Report(ctx, t)
 	now := time.Now()
+	if isRunning(err) && !restarted(t, report) {
+		p.fleet.RecordLoad(now, t, report.Load)
+	}
 	terminated := hasTerminated(t, report, err)
 	result := ProbeResult{Alive: err == nil && !terminated, Report: report, running: isRunning(err) && !terminated, terminated: terminated, startedAt: startedAt, completedAt: now}
 	p.mu.Lock()
