fleet: learn the prefill rate; metrics and event of stated loads

- The prefill rate was a constant of one target type, 5 tokens/ms; another type reads 8, so that its backlog counted for 1.6 times what it takes.
It is used only where the targets state their load.
- Shares react to a reported imbalance at once where reports are young.
- The maximum age of reports includes the reporters in large fleets.
- vanillaroad_fleet_load_spread, stated_load and slowness at GET /targets, event load_stated.

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -27,6 +27,8 @@
 	RunStopped       Number = 722
 
 	RequestUnfinished Number = 723
+
+	LoadStated Number = 740
 )
 
 var forwardEntries = []Entry{
@@ -48,6 +50,7 @@
 	{RequestReturned, "request_returned", Info, "A request returns to a target that it was taken from for silence, because no other target can get it.", ""},
 	{ConditionsStated, "target_conditions", Info, "A target states other conditions in its answers than before: limit is the number of requests a second that it takes from all daemons together, or none; a brittle one fails if it has to refuse many; a leaving one gets no new requests until it starts again.", "A limit that persists: the target needs relief."},
 	{PauseRequested, "target_pause", Info, "A target refused a request and wants no other one from this daemon for the time in the field for.", "A pause that persists: the target needs relief."},
+	{LoadStated, "load_stated", Info, "The targets of a service began to state their load in their answers; calls are distributed by it. target is the first one.", ""},
 	{LinksLost, "links_lost", Warn, "This daemon reaches no target directly and connects through other daemons; target is the last one that failed.", "Check the network between this VM and the targets."},
 	{LinksRestored, "links_restored", Info, "Targets answer on direct connections again.", ""},
 	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
--- a/fleet/describe.go
+++ b/fleet/describe.go
@@ -18,6 +18,8 @@
 	Brittle         bool    `json:"brittle,omitempty"`           // as the target states
 	LeavingStated   bool    `json:"leaving_stated,omitempty"`    // by the target, to this daemon
 	LeavingRelayed  bool    `json:"leaving_reported,omitempty"`  // by another daemon
+	StatedLoad      float64 `json:"stated_load,omitempty"`       // requests per slot that it stated to this daemon, averaged over some seconds
+	Slowness        float64 `json:"slowness,omitempty"`          // expected duration of a call, in multiples of the service's mean
 	PauseMillis     int64   `json:"pause_left_millis,omitempty"` // for which the target wants no requests from this daemon
 }
 
@@ -37,6 +39,9 @@
 			if s.statement.RateLimited {
 				d.Limit = s.statement.RequestsPerSecond
 			}
+			if load := f.statesLoad(now, service); load != nil && !s.stated.at.IsZero() {
+				d.StatedLoad, d.Slowness = s.stated.load.mean, s.slowness(now, load)
+			}
 			out = append(out, d)
 		}
 	}
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -61,6 +61,10 @@
 	correctionTime = 5 * time.Second
 	// correctionKeptFor is the time constant with which corrections are forgotten.
 	correctionKeptFor = 30 * time.Second
+	// reactionAge is the time constant with which the immediate reaction to a report falls with
+	// its age. Queues grow and drain within some tenths of a second; a reaction to an older
+	// state makes loads less even.
+	reactionAge = 500 * time.Millisecond
 	// maxLoadRatio bounds the effect of a target that is idle, such as one that has just
 	// returned, or whose queue is long.
 	maxLoadRatio = 3.0
@@ -77,8 +81,8 @@
 	slowness average
 	callTime average // of plain calls without the time in the target's queue, in milliseconds
 	reported average // requests of all daemons per slot, by their reports
-	// correction is the logarithm of slowFactor, by which a target is slower than its call
-	// times show; slowFactor is 0 before the first correction.
+	// slowFactor is by how much a target counts as slower than its call times show; 0 before
+	// the first correction. correction is the logarithm of the part that lasts.
 	correction, slowFactor float64
 }
 
@@ -86,9 +90,9 @@
 type serviceLoad struct {
 	statedAt    time.Time
 	correctedAt time.Time // see correct
-	load        average   // requests per slot
 	others      average   // requests of other daemons per slot
 	callTime    average   // see statedLoad.callTime
+	prefill     prefillRate
 }
 
 // average is a moving average of samples at irregular times.
@@ -112,30 +116,31 @@
 }
 
 // RecordLoad records the load that an incarnation of a target states in an answer that has
-// just arrived, before Done is called on its request. A zero statement is ignored.
-func (f *Fleet) RecordLoad(now time.Time, t Target, l LoadStatement) {
+// just arrived, before Done is called on its request. A zero statement is ignored. It
+// reports whether the targets of the service began to state their load with it.
+func (f *Fleet) RecordLoad(now time.Time, t Target, l LoadStatement) (began bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.targets[t.ID]
 	if l.Slots <= 0 || s == nil || s.StartMillis != t.StartMillis || now.Before(s.stated.at) {
-		return
+		return false
 	}
 	service := f.serviceLoads[s.Service]
 	if service == nil {
 		service = &serviceLoad{}
 		f.serviceLoads[s.Service] = service
 	}
+	began = f.statesLoad(now, s.Service) == nil
 	service.statedAt = now
 	s.stated.latest, s.stated.at = l, now
 	s.stated.others = float64(max(0, l.Running+l.Waiting-s.running))
 	slots := float64(l.Slots)
-	load := float64(l.Running+l.Waiting) / slots
-	s.stated.load.add(now, load, speedMeanTime)
-	service.load.add(now, load, loadMeanTime)
+	s.stated.load.add(now, float64(l.Running+l.Waiting)/slots, speedMeanTime)
 	service.others.add(now, s.stated.others/slots, loadMeanTime)
 	if l.Slowness > 0 {
 		s.stated.slowness.add(now, l.Slowness, speedMeanTime)
 	}
+	return began
 }
 
 // recordCall records the duration of a plain call that a target answered.
@@ -150,6 +155,26 @@
 	service.callTime.add(now, millis, speedMeanTime)
 }
 
+// LoadSpreads returns the largest over the mean load per slot of the targets of each service
+// that state their load, averaged over speedMeanTime, by the answers to this daemon.
+func (f *Fleet) LoadSpreads(now time.Time) map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	spreads := make(map[string]float64)
+	for service := range f.serviceLoads {
+		var sum, largest, n float64
+		for _, s := range f.services[service] {
+			if l := s.stated.load; l.samples > 0 && now.Sub(l.at) <= loadMaxAge {
+				sum, largest, n = sum+l.mean, max(largest, l.mean), n+1
+			}
+		}
+		if sum > 0 {
+			spreads[service] = largest / (sum / n)
+		}
+	}
+	return spreads
+}
+
 // statesLoad returns what is known of the load of a service, or nil if its targets don't
 // state it.
 func (f *Fleet) statesLoad(now time.Time, service string) *serviceLoad {
@@ -174,7 +199,7 @@
 	if len(targets) == 0 {
 		return Target{}, errors.WithStack(routing.ErrNoTarget)
 	}
-	service.correct(now, targets)
+	service.correct(now, f.staleness, targets)
 	for _, s := range targets {
 		share, age := f.share(now, s, service)
 		share.Rate *= healthFactor(s.failureRate.value(now, 0))
@@ -236,7 +261,7 @@
 // correct lowers the shares of the targets that run more requests per slot than the mean of
 // the service, and raises those of the others. It acts on the reports of all daemons, so
 // that it finds the speeds of the targets also where a daemon gets few answers from each.
-func (l *serviceLoad) correct(now time.Time, targets []*targetState) {
+func (l *serviceLoad) correct(now time.Time, staleness time.Duration, targets []*targetState) {
 	elapsed := min(now.Sub(l.correctedAt), maxCorrectionStep)
 	if elapsed < correctionInterval {
 		return
@@ -251,12 +276,12 @@
 	if mean <= 0 {
 		return
 	}
-	kept := decay(elapsed, correctionKeptFor)
+	kept, reaction := decay(elapsed, correctionKeptFor), decay(staleness, reactionAge)
 	for _, s := range targets {
-		ratio := min(maxLoadRatio, max(1/maxLoadRatio, s.stated.reported.mean/mean))
-		correction := kept*s.stated.correction + elapsed.Seconds()/correctionTime.Seconds()*math.Log(ratio)
+		deviation := math.Log(min(maxLoadRatio, max(1/maxLoadRatio, s.stated.reported.mean/mean)))
+		correction := kept*s.stated.correction + elapsed.Seconds()/correctionTime.Seconds()*deviation
 		s.stated.correction = min(maxCorrection, max(-maxCorrection, correction))
-		s.stated.slowFactor = math.Exp(s.stated.correction)
+		s.stated.slowFactor = math.Exp(s.stated.correction + reaction*deviation)
 	}
 }
 
--- a/fleet/load_test.go
+++ b/fleet/load_test.go
@@ -129,7 +129,12 @@
 	if f.statesLoad(start, "s") != nil {
 		t.Error("the statement of another incarnation counts")
 	}
-	f.RecordLoad(start, Target{ID: "t0"}, LoadStatement{Running: 1, Slots: 6})
+	if !f.RecordLoad(start, Target{ID: "t0"}, LoadStatement{Running: 1, Slots: 6}) || f.RecordLoad(start, Target{ID: "t1"}, LoadStatement{Running: 3, Slots: 6}) {
+		t.Error("only the first statement of a service begins it")
+	}
+	if spread := f.LoadSpreads(start)["s"]; spread != 1.5 {
+		t.Errorf("spread %v of loads 1 and 3, want 1.5", spread)
+	}
 	if f.statesLoad(start.Add(loadMaxAge), "s") == nil {
 		t.Error("a statement does not count")
 	}
@@ -137,3 +142,34 @@
 		t.Error("a statement counts after loadMaxAge")
 	}
 }
+
+// TestPrefillRate guards against waits that are expected by the prefill rate of another type
+// of target, and against prompts that were cached or waited and count as measurements.
+func TestPrefillRate(t *testing.T) {
+	f := newTestFleet(6)
+	_, prompt := promptOf(8000)
+	run := func(now time.Time, id string, d time.Duration) {
+		r := f.Begin(now, id, prompt)
+		r.MarkFirstEvent(now.Add(d))
+		r.Done(now.Add(d), false)
+	}
+	for i := range 40 { // no target states its load
+		run(at(5000*i), "t0", time.Second)
+	}
+	if got := f.prefillRate(at(200_000), "s"); got != usualPrefillRate {
+		t.Errorf("rate %v of a service whose targets state no load, want %v", got, usualPrefillRate)
+	}
+	for i := range 40 {
+		now := at(200_000 + 5000*i)
+		f.RecordLoad(now, Target{ID: "t1"}, LoadStatement{Slots: 16})
+		run(now, "t1", time.Second) // 8 tokens a millisecond
+		if i%4 == 0 {
+			run(now, "t2", 50*time.Millisecond) // cached
+		}
+		f.SetPeerLoads("peer", map[string]DaemonLoad{"t3": {Running: 1}})
+		run(now, "t3", 8*time.Second) // another request runs
+	}
+	if got := f.prefillRate(at(395_000), "s"); got != 8 {
+		t.Errorf("rate %v after prompts of 8000 tokens a second, want 8", got)
+	}
+}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -169,7 +169,7 @@
 // is set, it returns those whose entries are missing, otherwise all others.
 func (f *Fleet) candidates(now time.Time, criteria Criteria, missing bool) []routing.Candidate {
 	list := f.services[criteria.Service]
-	candidates := make([]routing.Candidate, 0, len(list))
+	candidates, rate := make([]routing.Candidate, 0, len(list)), f.prefillRate(now, criteria.Service)
 	for _, s := range list {
 		if criteria.Exclude[s.ID] || s.missingSince.IsZero() == missing || !criteria.allowsVersion(s.SoftwareVersion) {
 			continue
@@ -189,7 +189,7 @@
 			Leaving:  s.isLeaving(now) || s.terminated(now),
 			Down:     now.Before(s.suspectUntil) || now.Before(s.avoidUntil) || now.Before(s.pausedUntil) || s.throttled(now, criteria.Priority),
 			InFlight: s.running, Estimated: float64(running), Slots: s.Slots, Near: near,
-			Start: s.expectedStartDelay(now, prefillTokens+criteria.MemoryTokens, running), Failing: s.failureRate.value(now, 0),
+			Start: s.expectedStartDelay(now, prefillTokens+criteria.MemoryTokens, running, rate), Failing: s.failureRate.value(now, 0),
 			Filled: memoryUsage(memoryTokens+criteria.MemoryTokens, criteria.CapacityTokens),
 		})
 		if criteria.PromptHolders[s.ID] {
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -5,17 +5,10 @@
 	"time"
 )
 
-// Parameters of the expected time to first event on a model engine.
-const (
-	// prefillTokensPerMilli is the prefill rate of an idle engine of the type in use,
-	// in tokens per millisecond. targetState.slowdown corrects it for each target.
-	prefillTokensPerMilli = 5.0
-	// delayPerRunning is added to the expected delay of a prompt for each request that
-	// runs on the target. A prefill delays the events of running requests by about a
-	// second. Only a part of that second is counted: otherwise prompts would wait long
-	// for a target without streams.
-	delayPerRunning = 300 * time.Millisecond
-)
+// delayPerRunning is added to the expected delay of a prompt for each request that runs on
+// the target. A prefill delays the events of running requests by about a second. Only a part
+// of that second is counted: otherwise prompts would wait long for a target without streams.
+const delayPerRunning = 300 * time.Millisecond
 
 // ActiveRequest is a request of this daemon on a target. Its methods may be called more
 // than once and concurrently.
@@ -26,6 +19,7 @@
 	prefillPending bool
 	done           bool
 	refused        bool
+	idleTarget     bool // the target was idle, and the prompt is long enough to measure its prefill rate
 	sentAt         time.Time
 	expectedWait   time.Duration // for the first event, without the target's slowdown
 }
@@ -47,8 +41,9 @@
 		r.done = true
 		return r
 	}
-	_, prefillTokens, _ := s.totalLoad()
-	r.expectedWait = prefillTime(prefillTokens + d.PrefillTokens)
+	running, prefillTokens, _ := s.totalLoad()
+	r.expectedWait = prefillTime(prefillTokens+d.PrefillTokens, f.prefillRate(now, s.Service))
+	r.idleTarget = running == 0 && prefillTokens == 0 && d.PrefillTokens >= minMeasuredPrompt
 	s.running++
 	s.prefillTokens += d.PrefillTokens
 	s.memoryTokens += d.MemoryTokens
@@ -97,6 +92,7 @@
 	r.fleet.signalLoadChanged()
 	if s := r.fleet.targets[r.targetID]; s != nil {
 		s.prefillTokens = max(0, s.prefillTokens-r.demand.PrefillTokens)
+		r.fleet.recordFirstEvent(now, s, r)
 		if r.expectedWait > 0 {
 			s.slowdown.add(now, float64(now.Sub(r.sentAt))/float64(r.expectedWait))
 		}
@@ -216,17 +212,12 @@
 	s.peerLoads[peer] = load
 }
 
-// prefillTime returns the time to prefill tokens at prefillTokensPerMilli.
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerMilli * float64(time.Millisecond))
-}
-
 // expectedStartDelay returns the expected delay until the first event of a new request
 // plus the delay that the request causes for the running ones. prefillTokens includes
-// the tokens of the new request. If latencies of plain calls were observed, the result
+// the tokens of the new request, and rate is prefillRate. If latencies of plain calls were observed, the result
 // is based on these.
-func (s *targetState) expectedStartDelay(now time.Time, prefillTokens, running int) time.Duration {
-	base := prefillTime(prefillTokens) + time.Duration(running)*delayPerRunning
+func (s *targetState) expectedStartDelay(now time.Time, prefillTokens, running int, rate float64) time.Duration {
+	base := prefillTime(prefillTokens, rate) + time.Duration(running)*delayPerRunning
 	if latency := s.callLatencyMillis.value(now, 0); latency > 0 {
 		base = time.Duration(latency * float64(time.Millisecond))
 	}
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -22,7 +22,7 @@
 		f.Events.Record(event.PauseRequested, a.Request.ID, event.F("target", a.Target.ID), event.F("for", answer.Pause.String()))
 	}
 	if err == nil && !answer.OtherTarget {
-		f.Fleet.RecordLoad(time.Now(), a.Target, answer.Load)
+		recordLoad(f.Fleet, f.Events, a.Request.ID, a.Target, answer.Load)
 	}
 	if err != nil || answer.OtherTarget || !answer.Signed && answer.Conditions == (fleet.Conditions{}) {
 		return answer, err
@@ -36,6 +36,13 @@
 	return answer, nil
 }
 
+// recordLoad records the load that a target states in an answer.
+func recordLoad(f *fleet.Fleet, events *event.Recorder, requestID string, t fleet.Target, load fleet.LoadStatement) {
+	if f.RecordLoad(time.Now(), t, load) {
+		events.Record(event.LoadStated, requestID, event.F("service", t.Service), event.F("target", t.ID))
+	}
+}
+
 // describeLimit returns the limit of a target for the log.
 func describeLimit(c fleet.Conditions) string {
 	if !c.RateLimited {
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -163,7 +163,7 @@
 	defer cancel()
 	report, err := f.TargetClient.Report(ctx, t)
 	if isRunning(err) && !restarted(t, report) {
-		f.Fleet.RecordLoad(time.Now(), t, report.Load)
+		recordLoad(f.Fleet, f.Events, "", t, report.Load)
 	}
 	return report, err
 }
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -137,7 +137,7 @@
 	report, err := p.client.Report(ctx, t)
 	now := time.Now()
 	if isRunning(err) && !restarted(t, report) {
-		p.fleet.RecordLoad(now, t, report.Load)
+		recordLoad(p.fleet, p.events, "", t, report.Load)
 	}
 	terminated := hasTerminated(t, report, err)
 	result := ProbeResult{Alive: err == nil && !terminated, Report: report, running: isRunning(err) && !terminated, terminated: terminated, startedAt: startedAt, completedAt: now}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -182,7 +182,11 @@
 	m.mu.Unlock()
 	m.g.forwarder.RetryBudget.SetDaemons(n)
 	m.g.forwarder.Prober.SetDaemons(n)
-	m.g.fleet.SetStaleness(loadInterval(n - 1))
+	staleness := loadInterval(n - 1)
+	if interval, ok := m.usesReporters(); ok {
+		staleness = interval + digestInterval
+	}
+	m.g.fleet.SetStaleness(staleness)
 	m.g.datasets.setReaders(n)
 }
 
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -17,6 +17,9 @@
 		var out bytes.Buffer
 		exposition.WriteValue(&out, "requests_in_flight", "gauge", g.requests.len())
 		exposition.WriteValue(&out, "targets", "gauge", g.fleet.Len())
+		if spreads := g.fleet.LoadSpreads(time.Now()); len(spreads) > 0 {
+			exposition.WriteLabeled(&out, "fleet_load_spread", "gauge", "service", spreads)
+		}
 		exposition.WriteEvents(&out, g.events.Counts())
 		exposition.WriteRegistry(&out, g.metrics)
 		_, _ = w.Write(out.Bytes()) // a client that disconnected repeats the request
--- a/internal/exposition/exposition.go
+++ b/internal/exposition/exposition.go
@@ -66,6 +66,14 @@
 	writeValue(out, Prefix+name, kind, value)
 }
 
+// WriteLabeled writes one metric named Prefix plus name with a value for each value of a label.
+func WriteLabeled(out *bytes.Buffer, name, kind, label string, values map[string]float64) {
+	_, _ = fmt.Fprintf(out, "# TYPE %s%s %s\n", Prefix, name, kind)
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		_, _ = fmt.Fprintf(out, "%s%s{%s=%q} %g\n", Prefix, name, label, key, values[key])
+	}
+}
+
 func writeValue(out *bytes.Buffer, name, kind string, value any) {
 	_, _ = fmt.Fprintf(out, "# TYPE %s %s\n%s %v\n", name, kind, name, value)
 }
--- a/internal/exposition/exposition_test.go
+++ b/internal/exposition/exposition_test.go
@@ -35,6 +35,11 @@
 			So(out.String(), ShouldEqual, c.want)
 		})
 	}
+	Convey("metrics with a label are sorted and quoted", t, func() {
+		var out bytes.Buffer
+		WriteLabeled(&out, "n", "gauge", "service", map[string]float64{"b": 1.5, "a\"": 1})
+		So(out.String(), ShouldEqual, "# TYPE vanillaroad_n gauge\nvanillaroad_n{service=\"a\\\"\"} 1\nvanillaroad_n{service=\"b\"} 1.5\n")
+	})
 	Convey("metric names contain no characters that Prometheus rejects", t, func() {
 		So(metricName("platform.calls-a/b"), ShouldEqual, "vanillaroad_platform_calls_a_b")
 	})
