--- a/forward/run.go
+++ b/forward/run.go
@@ -286,6 +286,7 @@
 		return a.abandonBroken(p.err.Error()), true
 	case p.answer.NotRun:
 		_ = p.answer.Body.Close()
+		a.active.MarkRefused()
 		if a.refused = p.answer.lacksRoom(); !s.keepReservation(a.attempt) {
 			s.tried[t.ID] = true
 		}
