fleet, gateway: age of reports through reporters only for stated loads

SetStaleness also selects the picker of the choice without stated loads. With reporters_above set below the size of a small fleet, the longer age changed that choice. The age that includes the reporters is now separate.

--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -12,7 +12,8 @@
 	for _, states := range []bool{false, true} {
 		b.Run(fmt.Sprintf("states load %t", states), func(b *testing.B) {
 			f := newTestFleet(6)
-			f.SetStaleness(750 * time.Millisecond)
+			f.SetStaleness(500 * time.Millisecond)
+			f.SetReportAge(750 * time.Millisecond)
 			for d := range 300 {
 				f.SetPeerLoads(fmt.Sprint("d", d), map[string]DaemonLoad{fmt.Sprint("t", d%6): {Running: 1}})
 			}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -79,6 +79,7 @@
 	mu          sync.Mutex
 	random      *rand.Rand
 	staleness   time.Duration // maximum age of peerLoads
+	reportAge   time.Duration // maximum age of peerLoads with the time at reporters, see SetReportAge
 	place       string        // of this daemon
 	targets     map[string]*targetState
 	services    map[string][]*targetState        // sorted by ID
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -115,6 +115,14 @@
 	return math.Exp(-float64(max(0, age)) / float64(timeConstant))
 }
 
+// SetReportAge sets the maximum age of the peers' reports for the choice by stated loads. In
+// contrast to that of SetStaleness, it includes the time that reports are at reporters.
+func (f *Fleet) SetReportAge(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reportAge = d
+}
+
 // RecordLoad records the load that an incarnation of a target states in an answer that has
 // just arrived, before Done is called on its request. A zero statement is ignored. It
 // reports whether the targets of the service began to state their load with it.
@@ -199,7 +207,7 @@
 	if len(targets) == 0 {
 		return Target{}, errors.WithStack(routing.ErrNoTarget)
 	}
-	service.correct(now, f.staleness, targets)
+	service.correct(now, f.reportAge, targets)
 	for _, s := range targets {
 		share, age := f.share(now, s, service)
 		share.Rate *= healthFactor(s.failureRate.value(now, 0))
@@ -248,7 +256,7 @@
 func (f *Fleet) share(now time.Time, s *targetState, service *serviceLoad) (share routing.Share, age time.Duration) {
 	slots := s.slots()
 	mean := service.others.mean * slots
-	age, others := f.staleness/2+reportDelay, float64(s.peerTotal.Running)
+	age, others := f.reportAge/2+reportDelay, float64(s.peerTotal.Running)
 	if !s.stated.at.IsZero() && now.Sub(s.stated.at) < age {
 		age, others = now.Sub(s.stated.at), s.stated.others
 	}
@@ -261,7 +269,7 @@
 // correct lowers the shares of the targets that run more requests per slot than the mean of
 // the service, and raises those of the others. It acts on the reports of all daemons, so
 // that it finds the speeds of the targets also where a daemon gets few answers from each.
-func (l *serviceLoad) correct(now time.Time, staleness time.Duration, targets []*targetState) {
+func (l *serviceLoad) correct(now time.Time, reportAge time.Duration, targets []*targetState) {
 	elapsed := min(now.Sub(l.correctedAt), maxCorrectionStep)
 	if elapsed < correctionInterval {
 		return
@@ -276,7 +284,7 @@
 	if mean <= 0 {
 		return
 	}
-	kept, reaction := decay(elapsed, correctionKeptFor), decay(staleness, reactionAge)
+	kept, reaction := decay(elapsed, correctionKeptFor), decay(reportAge, reactionAge)
 	for _, s := range targets {
 		deviation := math.Log(min(maxLoadRatio, max(1/maxLoadRatio, s.stated.reported.mean/mean)))
 		correction := kept*s.stated.correction + elapsed.Seconds()/correctionTime.Seconds()*deviation
--- a/fleet/load_test.go
+++ b/fleet/load_test.go
@@ -63,7 +63,7 @@
 		{"failed", 0, 20, true, 0, 0.001},
 	} {
 		f := newTestFleet(3)
-		f.SetStaleness(500 * time.Millisecond)
+		f.SetReportAge(500 * time.Millisecond)
 		now := start
 		for range 30 {
 			for i := range 3 {
@@ -103,7 +103,7 @@
 // gets too few answers from it to know its speed, although all daemons report the load.
 func TestOverloadIsCorrected(t *testing.T) {
 	f := newTestFleet(2)
-	f.SetStaleness(500 * time.Millisecond)
+	f.SetReportAge(500 * time.Millisecond)
 	f.RecordLoad(start, Target{ID: "t0"}, LoadStatement{Running: 1, Slots: 6})
 	late := 0
 	for i := range 2000 {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -182,11 +182,12 @@
 	m.mu.Unlock()
 	m.g.forwarder.RetryBudget.SetDaemons(n)
 	m.g.forwarder.Prober.SetDaemons(n)
-	staleness := loadInterval(n - 1)
+	m.g.fleet.SetStaleness(loadInterval(n - 1))
 	if interval, ok := m.usesReporters(); ok {
-		staleness = interval + digestInterval
+		m.g.fleet.SetReportAge(interval + digestInterval)
+	} else {
+		m.g.fleet.SetReportAge(loadInterval(n - 1))
 	}
-	m.g.fleet.SetStaleness(staleness)
 	m.g.datasets.setReaders(n)
 }
 
--- a/internal/balancemodel/model.go
+++ b/internal/balancemodel/model.go
@@ -168,7 +168,8 @@
 	}
 	for i := range c.Daemons {
 		d := &daemon{fleet: fleet.New("p0", c.Seed+uint64(i)), views: make([]view, len(c.Speeds)), running: make([]int, len(c.Speeds))}
-		d.fleet.SetStaleness(m.staleness())
+		d.fleet.SetStaleness(m.directInterval())
+		d.fleet.SetReportAge(m.staleness())
 		for j := range c.Speeds {
 			d.fleet.Put(fleet.Target{ID: id(j), Service: service, Address: id(j), Place: fmt.Sprint("p", j%3), Slots: c.Slots})
 		}
