--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -108,6 +108,11 @@
 		Exclude: criteria.Exclude, Affinity: criteria.Affinity, Blocks: promptAsOneBlock, AvoidPlaces: criteria.AvoidPlaces,
 		System: configuration.NewSystem, FromPlace: f.place,
 	}
+	if criteria.MemoryTokens == 0 && !criteria.ForCopy && len(criteria.PromptHolders) == 0 {
+		if load := f.statesLoad(now, criteria.Service); load != nil {
+			return f.pickEven(now, load, request, candidates)
+		}
+	}
 	scheduler := routing.CallScheduler()
 	switch {
 	case criteria.ForCopy:
@@ -164,7 +169,7 @@
 // is set, it returns those whose entries are missing, otherwise all others.
 func (f *Fleet) candidates(now time.Time, criteria Criteria, missing bool) []routing.Candidate {
 	list := f.services[criteria.Service]
-	candidates := make([]routing.Candidate, 0, len(list))
+	candidates, rate := make([]routing.Candidate, 0, len(list)), f.prefillRate(now, criteria.Service)
 	for _, s := range list {
 		if criteria.Exclude[s.ID] || s.missingSince.IsZero() == missing || !criteria.allowsVersion(s.SoftwareVersion) {
 			continue
@@ -184,7 +189,7 @@
 			Leaving:  s.isLeaving(now) || s.terminated(now),
 			Down:     now.Before(s.suspectUntil) || now.Before(s.avoidUntil) || now.Before(s.pausedUntil) || s.throttled(now, criteria.Priority),
 			InFlight: s.running, Estimated: float64(running), Slots: s.Slots, Near: near,
-			Start: s.expectedStartDelay(now, prefillTokens+criteria.MemoryTokens, running), Failing: s.failureRate.value(now, 0),
+			Start: s.expectedStartDelay(now, prefillTokens+criteria.MemoryTokens, running, rate), Failing: s.failureRate.value(now, 0),
 			Filled: memoryUsage(memoryTokens+criteria.MemoryTokens, criteria.CapacityTokens),
 		})
 		if criteria.PromptHolders[s.ID] {
@@ -240,13 +245,7 @@
 // totalLoad returns the load of all daemons: running requests, prompt tokens still to
 // be prefilled and tokens in memory.
 func (s *targetState) totalLoad() (running, prefillTokens, memoryTokens int) {
-	running, prefillTokens, memoryTokens = s.running, s.prefillTokens, s.memoryTokens
-	for _, p := range s.peerLoads {
-		running += p.Running
-		prefillTokens += p.PrefillTokens
-		memoryTokens += p.MemoryTokens
-	}
-	return running, prefillTokens, memoryTokens
+	return s.running + s.peerTotal.Running, s.prefillTokens + s.peerTotal.PrefillTokens, s.memoryTokens + s.peerTotal.MemoryTokens
 }
 
 // memoryUsage returns the fraction of a target's memory that is in use, above 1 if it
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -5,17 +5,10 @@
 	"time"
 )
 
-// Parameters of the expected time to first event on a model engine.
-const (
-	// prefillTokensPerMilli is the prefill rate of an idle engine of the type in use,
-	// in tokens per millisecond. targetState.slowdown corrects it for each target.
-	prefillTokensPerMilli = 5.0
-	// delayPerRunning is added to the expected delay of a prompt for each request that
-	// runs on the target. A prefill delays the events of running requests by about a
-	// second. Only a part of that second is counted: otherwise prompts would wait long
-	// for a target without streams.
-	delayPerRunning = 300 * time.Millisecond
-)
+// delayPerRunning is added to the expected delay of a prompt for each request that runs on
+// the target. A prefill delays the events of running requests by about a second. Only a part
+// of that second is counted: otherwise prompts would wait long for a target without streams.
+const delayPerRunning = 300 * time.Millisecond
 
 // ActiveRequest is a request of this daemon on a target. Its methods may be called more
 // than once and concurrently.
@@ -25,6 +18,8 @@
 	demand         Demand
 	prefillPending bool
 	done           bool
+	refused        bool
+	idleTarget     bool // the target was idle, and the prompt is long enough to measure its prefill rate
 	sentAt         time.Time
 	expectedWait   time.Duration // for the first event, without the target's slowdown
 }
@@ -46,8 +41,9 @@
 		r.done = true
 		return r
 	}
-	_, prefillTokens, _ := s.totalLoad()
-	r.expectedWait = prefillTime(prefillTokens + d.PrefillTokens)
+	running, prefillTokens, _ := s.totalLoad()
+	r.expectedWait = prefillTime(prefillTokens+d.PrefillTokens, f.prefillRate(now, s.Service))
+	r.idleTarget = running == 0 && prefillTokens == 0 && d.PrefillTokens >= minMeasuredPrompt
 	s.running++
 	s.prefillTokens += d.PrefillTokens
 	s.memoryTokens += d.MemoryTokens
@@ -96,12 +92,21 @@
 	r.fleet.signalLoadChanged()
 	if s := r.fleet.targets[r.targetID]; s != nil {
 		s.prefillTokens = max(0, s.prefillTokens-r.demand.PrefillTokens)
+		r.fleet.recordFirstEvent(now, s, r)
 		if r.expectedWait > 0 {
 			s.slowdown.add(now, float64(now.Sub(r.sentAt))/float64(r.expectedWait))
 		}
 	}
 }
 
+// MarkRefused records that the target did not run the request, so that its duration says
+// nothing of the target's speed.
+func (r *ActiveRequest) MarkRefused() {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.refused = true
+}
+
 // Done subtracts the request from the load of its target. failed reports whether the
 // request failed because of the target.
 func (r *ActiveRequest) Done(now time.Time, failed bool) {
@@ -127,6 +132,9 @@
 	}
 	s.failureRate.add(now, outcome)
 	if r.demand == (Demand{}) {
+		if !failed && !r.refused {
+			r.fleet.recordCall(now, s, now.Sub(r.sentAt))
+		}
 		s.callLatencyMillis.add(now, float64(now.Sub(r.sentAt))/float64(time.Millisecond))
 	}
 }
@@ -176,12 +184,12 @@
 	defer f.mu.Unlock()
 	for id := range f.peerLoads[peer] {
 		if s := f.targets[id]; s != nil {
-			delete(s.peerLoads, peer)
+			s.setPeerLoad(peer, DaemonLoad{})
 		}
 	}
 	for id, load := range loads {
 		if s := f.targets[id]; s != nil {
-			s.peerLoads[peer] = load
+			s.setPeerLoad(peer, load)
 		}
 	}
 	if len(loads) == 0 {
@@ -191,17 +199,25 @@
 	f.peerLoads[peer] = loads
 }
 
-// prefillTime returns the time to prefill tokens at prefillTokensPerMilli.
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerMilli * float64(time.Millisecond))
+// setPeerLoad replaces the load of a peer on the target. A zero load removes it.
+func (s *targetState) setPeerLoad(peer string, load DaemonLoad) {
+	old := s.peerLoads[peer]
+	s.peerTotal.Running += load.Running - old.Running
+	s.peerTotal.PrefillTokens += load.PrefillTokens - old.PrefillTokens
+	s.peerTotal.MemoryTokens += load.MemoryTokens - old.MemoryTokens
+	if load == (DaemonLoad{}) {
+		delete(s.peerLoads, peer)
+		return
+	}
+	s.peerLoads[peer] = load
 }
 
 // expectedStartDelay returns the expected delay until the first event of a new request
 // plus the delay that the request causes for the running ones. prefillTokens includes
-// the tokens of the new request. If latencies of plain calls were observed, the result
+// the tokens of the new request, and rate is prefillRate. If latencies of plain calls were observed, the result
 // is based on these.
-func (s *targetState) expectedStartDelay(now time.Time, prefillTokens, running int) time.Duration {
-	base := prefillTime(prefillTokens) + time.Duration(running)*delayPerRunning
+func (s *targetState) expectedStartDelay(now time.Time, prefillTokens, running int, rate float64) time.Duration {
+	base := prefillTime(prefillTokens, rate) + time.Duration(running)*delayPerRunning
 	if latency := s.callLatencyMillis.value(now, 0); latency > 0 {
 		base = time.Duration(latency * float64(time.Millisecond))
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -183,6 +183,11 @@
 	m.g.forwarder.RetryBudget.SetDaemons(n)
 	m.g.forwarder.Prober.SetDaemons(n)
 	m.g.fleet.SetStaleness(loadInterval(n - 1))
+	if interval, ok := m.usesReporters(); ok {
+		m.g.fleet.SetReportAge(interval + digestInterval)
+	} else {
+		m.g.fleet.SetReportAge(loadInterval(n - 1))
+	}
 	m.g.datasets.setReaders(n)
 }
 
