fleet: choose by stated loads only where targets state their slowness

Targets of the deployments so far state running, waiting and slots, too, and the choice among them would have changed.

--- a/fleet/load.go
+++ b/fleet/load.go
@@ -89,6 +89,7 @@
 // serviceLoad is what a daemon knows of the load of a service whose targets state it.
 type serviceLoad struct {
 	statedAt    time.Time
+	statesSlow  bool      // a target has stated its slowness
 	correctedAt time.Time // see correct
 	others      average   // requests of other daemons per slot
 	callTime    average   // see statedLoad.callTime
@@ -138,7 +139,7 @@
 		service = &serviceLoad{}
 		f.serviceLoads[s.Service] = service
 	}
-	began = f.statesLoad(now, s.Service) == nil
+	began = service.statedAt.IsZero() || now.Sub(service.statedAt) > loadMaxAge
 	service.statedAt = now
 	s.stated.latest, s.stated.at = l, now
 	s.stated.others = float64(max(0, l.Running+l.Waiting-s.running))
@@ -146,6 +147,7 @@
 	s.stated.load.add(now, float64(l.Running+l.Waiting)/slots, speedMeanTime)
 	service.others.add(now, s.stated.others/slots, loadMeanTime)
 	if l.Slowness > 0 {
+		service.statesSlow = true
 		s.stated.slowness.add(now, l.Slowness, speedMeanTime)
 	}
 	return began
@@ -184,10 +186,11 @@
 }
 
 // statesLoad returns what is known of the load of a service, or nil if its targets don't
-// state it.
+// state it together with their slowness. Targets that don't state their slowness don't share
+// their VMs, and the choice among them is the one without stated loads.
 func (f *Fleet) statesLoad(now time.Time, service string) *serviceLoad {
 	l := f.serviceLoads[service]
-	if l == nil || now.Sub(l.statedAt) > loadMaxAge {
+	if l == nil || !l.statesSlow || now.Sub(l.statedAt) > loadMaxAge {
 		return nil
 	}
 	return l
--- a/fleet/load_test.go
+++ b/fleet/load_test.go
@@ -8,7 +8,8 @@
 )
 
 // TestChoiceWithoutStatements guards against a choice that changes where no target states
-// its load. The hashes are those of the picks at 9bdc34c, before loads were stated.
+// its load, or none states its slowness. The hashes are those of the picks at 9bdc34c, before
+// loads were stated.
 func TestChoiceWithoutStatements(t *testing.T) {
 	prompt, demand := promptOf(5000)
 	for _, c := range []struct {
@@ -23,26 +24,31 @@
 		{"prompts", 4 * time.Millisecond, prompt, demand, 0x9dfcdd7},
 		{"prompts, old reports", 500 * time.Millisecond, prompt, demand, 0xbe55646d},
 	} {
-		f, picks := newTestFleet(6), fnv.New32a()
-		f.SetStaleness(c.staleness)
-		var active []*ActiveRequest
-		for i := range 400 {
-			now := at(5 * i)
-			f.SetPeerLoads(fmt.Sprint("d", i%7), map[string]DaemonLoad{fmt.Sprint("t", i%5): {Running: i % 4, PrefillTokens: 700 * (i % 3)}})
-			picked, err := f.Pick(now, c.criteria)
-			if err != nil {
-				t.Fatal(err)
+		for _, states := range []bool{false, true} {
+			f, picks := newTestFleet(6), fnv.New32a()
+			f.SetStaleness(c.staleness)
+			var active []*ActiveRequest
+			for i := range 400 {
+				now := at(5 * i)
+				f.SetPeerLoads(fmt.Sprint("d", i%7), map[string]DaemonLoad{fmt.Sprint("t", i%5): {Running: i % 4, PrefillTokens: 700 * (i % 3)}})
+				picked, err := f.Pick(now, c.criteria)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = picks.Write([]byte(picked.ID))
+				active = append(active, f.Begin(now, picked.ID, c.demand))
+				if states {
+					f.RecordLoad(now, picked, LoadStatement{Running: i % 5, Slots: 6})
+				}
+				if i >= 6 {
+					active[i-6].MarkFirstEvent(now)
+					active[i-6].Done(now, i%11 == 0)
+				}
 			}
-			_, _ = picks.Write([]byte(picked.ID))
-			active = append(active, f.Begin(now, picked.ID, c.demand))
-			if i >= 6 {
-				active[i-6].MarkFirstEvent(now)
-				active[i-6].Done(now, i%11 == 0)
+			if got := picks.Sum32(); got != c.want {
+				t.Errorf("%s, load stated %t: hash %#x of the picks, want %#x", c.name, states, got, c.want)
 			}
 		}
-		if got := picks.Sum32(); got != c.want {
-			t.Errorf("%s: hash %#x of the picks, want %#x", c.name, got, c.want)
-		}
 	}
 }
 
@@ -67,13 +73,10 @@
 		now := start
 		for range 30 {
 			for i := range 3 {
-				id, millis, load := fmt.Sprint("t", i), 20, LoadStatement{Running: 2, Slots: 6}
+				id, millis, load := fmt.Sprint("t", i), 20, LoadStatement{Running: 2, Slots: 6, Slowness: 1}
 				if i == 1 {
 					millis = c.millis
 				}
-				if c.slowness > 0 {
-					load.Slowness = 1
-				}
 				r := f.Begin(now, id, Demand{})
 				now = now.Add(time.Duration(millis) * time.Millisecond)
 				f.RecordLoad(now, Target{ID: id}, load)
@@ -104,7 +107,7 @@
 func TestOverloadIsCorrected(t *testing.T) {
 	f := newTestFleet(2)
 	f.SetReportAge(500 * time.Millisecond)
-	f.RecordLoad(start, Target{ID: "t0"}, LoadStatement{Running: 1, Slots: 6})
+	f.RecordLoad(start, Target{ID: "t0"}, LoadStatement{Running: 1, Slots: 6, Slowness: 1})
 	late := 0
 	for i := range 2000 {
 		f.SetPeerLoads("peer", map[string]DaemonLoad{"t0": {Running: 20}, "t1": {Running: 10}})
@@ -125,11 +128,11 @@
 // that is taken for one whose targets state their load long after they stopped.
 func TestOldStatements(t *testing.T) {
 	f := newTestFleet(2)
-	f.RecordLoad(start, Target{ID: "t0", StartMillis: 7}, LoadStatement{Running: 1, Slots: 6})
+	f.RecordLoad(start, Target{ID: "t0", StartMillis: 7}, LoadStatement{Running: 1, Slots: 6, Slowness: 1})
 	if f.statesLoad(start, "s") != nil {
 		t.Error("the statement of another incarnation counts")
 	}
-	if !f.RecordLoad(start, Target{ID: "t0"}, LoadStatement{Running: 1, Slots: 6}) || f.RecordLoad(start, Target{ID: "t1"}, LoadStatement{Running: 3, Slots: 6}) {
+	if !f.RecordLoad(start, Target{ID: "t0"}, LoadStatement{Running: 1, Slots: 6, Slowness: 1}) || f.RecordLoad(start, Target{ID: "t1"}, LoadStatement{Running: 3, Slots: 6, Slowness: 1}) {
 		t.Error("only the first statement of a service begins it")
 	}
 	if spread := f.LoadSpreads(start)["s"]; spread != 1.5 {
@@ -161,7 +164,7 @@
 	}
 	for i := range 40 {
 		now := at(200_000 + 5000*i)
-		f.RecordLoad(now, Target{ID: "t1"}, LoadStatement{Slots: 16})
+		f.RecordLoad(now, Target{ID: "t1"}, LoadStatement{Slots: 16, Slowness: 1})
 		run(now, "t1", time.Second) // 8 tokens a millisecond
 		if i%4 == 0 {
 			run(now, "t2", 50*time.Millisecond) // cached
--- a/internal/balancemodel/model.go
+++ b/internal/balancemodel/model.go
@@ -313,7 +313,7 @@
 		t.queue = t.queue[1:]
 		t.running++
 		m.after(time.Duration(float64(c.work)*t.slow/t.speed), func() {
-			c.load = fleet.LoadStatement{Running: t.running, Waiting: len(t.queue), Slots: m.config.Slots}
+			c.load = fleet.LoadStatement{Running: t.running, Waiting: len(t.queue), Slots: m.config.Slots, Slowness: 1}
 			if m.config.StatesSlow {
 				c.load.Slowness = t.slow / t.speed
 			}
