--- a/allowance/budget.go
+++ b/allowance/budget.go
@@ -57,8 +57,11 @@
 // EnableLending lets the daemon lend and borrow. It must be called at the start.
 func (b *Budget) EnableLending() { b.lending = true }
 
-// Lends reports whether the daemon lends and borrows: there are other daemons.
-func (b *Budget) Lends() bool { return b.lending && b.daemons > 1 }
+// Lends reports whether the daemon lends and borrows: there are other daemons, and the limit is
+// not 0.
+func (b *Budget) Lends() bool {
+	return b.lending && b.daemons > 1 && (b.settings.Ratio > 0 || b.settings.Slack > 0)
+}
 
 // CountRequest counts a request that a caller sent to a service.
 func (b *Budget) CountRequest(now time.Time, service string) {
--- a/allowance/lending.go
+++ b/allowance/lending.go
@@ -364,7 +364,7 @@
 		case urgent > 0:
 			earliest(now.Add(roundTimeout))
 		case advance > 0:
-			earliest(later(now.Add(roundTimeout), a.advanceAt.Add(advanceInterval)))
+			earliest(later(now.Add(advanceInterval/2), a.advanceAt.Add(advanceInterval)))
 		}
 	}
 	return next
