ingress: tell which services get requests of different urgency

Cause: nothing derives from the configuration where urgency matters. Change: Table.Contended is true for a service to which routes of different priorities or latency objectives lead, weighted services included; a service of weight 0 gets nothing from a route. Result: go test ./ingress passes.

--- a/ingress/table.go
+++ b/ingress/table.go
@@ -149,6 +149,7 @@
 	routesByHost   map[string][]*Route // by host in lower case; longest prefix first
 	services       map[string]Service
 	workspaceByKey map[string]*Workspace
+	contended      map[string]bool // see Contended
 }
 
 // NewTable returns the table of a document, which must not be modified afterwards.
@@ -168,6 +169,7 @@
 	for _, s := range d.Services {
 		t.services[s.Name] = s
 	}
+	t.contended = contendedServices(d.Routes)
 	for i := range d.Workspaces {
 		for _, k := range d.Workspaces[i].Keys {
 			t.workspaceByKey[k] = &d.Workspaces[i]
@@ -194,6 +196,34 @@
 	return s, ok
 }
 
+// Contended reports whether routes of different priorities or latency objectives lead to a
+// service, so that its requests are not equally urgent.
+func (t *Table) Contended(service string) bool { return t.contended[service] }
+
+// contendedServices returns the services to which routes of different priorities or latency
+// objectives send requests. A service of weight 0 gets none from a route.
+func contendedServices(routes []Route) map[string]bool {
+	type urgency struct {
+		priority  int
+		objective time.Duration
+	}
+	first, contended := make(map[string]urgency), make(map[string]bool)
+	for i := range routes {
+		own := urgency{routes[i].Priority, routes[i].LatencyObjective}
+		for _, s := range routes[i].Services {
+			if s.Weight <= 0 {
+				continue
+			}
+			if other, ok := first[s.Service]; ok && other != own {
+				contended[s.Service] = true
+			} else if !ok {
+				first[s.Service] = own
+			}
+		}
+	}
+	return contended
+}
+
 // Authorize returns the workspace of a request on r with an API key, and whether the
 // request is allowed. On public routes, and if the configuration requires no keys, every
 // request is allowed and the workspace is empty.
--- a/ingress/table_test.go
+++ b/ingress/table_test.go
@@ -67,3 +67,23 @@
 		So((&Route{}).PickService(0.5), ShouldEqual, "")
 	})
 }
+
+// TestContended guards against requests that are treated as equally urgent although their
+// routes differ, and against changed treatment of services whose routes don't differ.
+func TestContended(t *testing.T) {
+	Convey("A service is contended if routes with a weight for it differ in priority or objective", t, func() {
+		to := func(weight int) []WeightedService { return []WeightedService{{"s", weight}, {"other", 1}} }
+		urgent, batch, slow := Route{Services: to(1)}, Route{Priority: 2, Services: to(1)}, Route{LatencyObjective: 9, Services: to(1)}
+		unused := Route{Priority: 2, Services: []WeightedService{{"s", 0}}}
+		for _, c := range []struct {
+			routes []Route
+			want   bool
+		}{
+			{nil, false}, {[]Route{urgent}, false}, {[]Route{urgent, urgent}, false}, {[]Route{urgent, unused}, false},
+			{[]Route{urgent, batch}, true}, {[]Route{urgent, slow}, true}, {[]Route{urgent, urgent, batch}, true},
+		} {
+			So(NewTable(Document{Routes: c.routes}).Contended("s"), ShouldEqual, c.want)
+		}
+		So(NewTable(Document{Routes: []Route{urgent, batch}}).Contended("elsewhere"), ShouldBeFalse)
+	})
+}
