forward: hold or refuse new streams of contended services by an estimate

Cause: where routes of different urgency share a service, urgent streams wait behind others in full targets, targets don't know which is urgent, and all refused callers get the same Retry-After. Change: a new stream of a contended model service asks package overload before its first attempt. Load reports tell other daemons how many streams a daemon holds (field w, absent if none). Attempts carry the priority of the route or workspace, streams that have begun the highest. Refusals for want of a target are spread.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -24,18 +24,20 @@
 
 // Request is one caller's request, received completely.
 type Request struct {
-	ID          string
-	Method      string
-	Host        string
-	URI         string      // path and query, as received
-	Header      http.Header // forwarded to the target
-	Body        []byte
-	Received    time.Time
-	Deadline    time.Time // when the caller stops waiting; zero if not stated
-	Route       *ingress.Route
-	Service     string
-	Workspace   string
-	LastEventID string // last event that the caller received of a stream to resume; empty for none
+	ID        string
+	Method    string
+	Host      string
+	URI       string      // path and query, as received
+	Header    http.Header // forwarded to the target
+	Body      []byte
+	Received  time.Time
+	Deadline  time.Time // when the caller stops waiting; zero if not stated
+	Route     *ingress.Route
+	Service   string
+	Workspace string
+	// WorkspacePriority replaces the priority of the route on contended services; nil for none.
+	WorkspacePriority *int
+	LastEventID       string // last event that the caller received of a stream to resume; empty for none
 	// Resumes is the ID of the caller's attempt that brought the first event of the stream
 	// to resume; empty if not stated.
 	Resumes string
@@ -85,6 +87,9 @@
 	// ObjectiveMissed means that the answer can no longer meet the objectives of its
 	// route. The target prefers requests whose answers still can.
 	ObjectiveMissed bool
+	// Priority is the priority of the attempt at the target, 0 for the highest to 9 for the
+	// lowest; nil if it follows from ObjectiveMissed.
+	Priority *int
 	// Resume is the copy of the run's KV cache that the target holds; zero for none.
 	Resume Copy
 	// Reservation is the id of the room that the target has reserved for the run; empty for none.
@@ -222,8 +227,9 @@
 	PlacementLimiter *rate.Limiter // see NewPlacementLimiter
 	CrashTracker     CrashTracker
 	Origins          OriginTracker
-	Permits          Permits  // nil if no target limits requests
-	Reserver         Reserver // nil if no target reserves room
+	Admission        *Admission // nil if no service is contended
+	Permits          Permits    // nil if no target limits requests
+	Reserver         Reserver   // nil if no target reserves room
 	// OnStatement, if set, is called when a target states other conditions than before.
 	OnStatement func(t fleet.Target, s fleet.Statement)
 	Buffers     *membudget.Budget // for answers, see MaxBufferedBytes
@@ -362,7 +368,7 @@
 func (f *Forwarder) noTargetError(r *Request, err error) *failure.Error {
 	retryAfter := retryAfterBusy
 	now := time.Now()
-	if next, only, ok := f.Fleet.NextPermit(now, r.Service, r.Route.Priority); ok && (only || next.Sub(now) < retryAfter) {
+	if next, only, ok := f.Fleet.NextPermit(now, r.Service, f.priority(r)); ok && (only || next.Sub(now) < retryAfter) {
 		retryAfter = next.Sub(now)
 	}
 	return failure.Wrap(err, failure.NoTarget, failure.NotRun, "route", r.Service).WithRetryAfter(retryAfter)
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -59,6 +59,17 @@
 		}
 		s.version = &o.SoftwareVersion
 	}
+	if !r.resumes() {
+		if err := s.admit(ctx); err != nil {
+			s.admitted()
+			s.lastErr = err
+			s.finish(ctx)
+			return
+		}
+	}
+	if s.admitted != nil {
+		defer s.admitted()
+	}
 	s.run(ctx)
 }
 
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -58,7 +58,7 @@
 		return Attempt{}, false
 	}
 	now := time.Now()
-	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now), Cause: s.promptCause()}
+	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now), Priority: s.targetPriority(now), Cause: s.promptCause()}
 	if s.resumesFromCopy(now) && s.forwarder.takePermit(ctx, s.request.ID, s.standby.holder, s.targetCriteria(nil)) {
 		a.Target, a.Resume, a.Cause = s.standby.holder, s.standby.copy, string(s.standby.origin)
 	} else if slot := s.succession.slot; slot != nil && s.forwarder.isUsable(now, slot.target) && s.forwarder.takePermit(ctx, s.request.ID, slot.target, s.targetCriteria(nil)) {
@@ -121,6 +121,10 @@
 	for end := time.Now().Add(maxTargetWait); ; {
 		criteria := s.targetCriteria(promptHolders)
 		t, err := s.forwarder.pick(ctx, s.request.ID, criteria)
+		if err != nil && criteria.NeedsRoom && s.needsRoomFirst {
+			s.needsRoomFirst = false // what had room is full meanwhile
+			continue
+		}
 		now, mayWait := time.Now(), s.version != nil && len(s.succession.silent) == 0
 		if err == nil || !mayWait || !now.Before(end) || !s.forwarder.Fleet.MayRecover(now, criteria) || !pause.For(ctx, targetPollInterval) {
 			return t, err
@@ -133,7 +137,7 @@
 	if s.version != nil {
 		return resumePriority
 	}
-	return s.request.Route.Priority
+	return s.forwarder.priority(s.request)
 }
 
 // canPlace reports whether a target is ready for a stream that waits, and reserves the
@@ -151,17 +155,18 @@
 // planReturn plans an attempt at a target that the stream was taken from.
 func (s *stream) planReturn(ctx context.Context) (Attempt, bool) {
 	t, ok, refusal := s.forwarder.planReturn(ctx, s.request, &s.succession, s.allowsVersion)
+	now := time.Now()
 	if refusal != nil {
 		s.lastErr = refusal
 	}
-	return Attempt{Request: s.request, Target: t, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(time.Now()), Cause: "return", Reservation: s.succession.takeReservation(t)}, ok
+	return Attempt{Request: s.request, Target: t, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now), Priority: s.targetPriority(now), Cause: "return", Reservation: s.succession.takeReservation(t)}, ok
 }
 
 // targetCriteria returns what the next attempt needs of its target.
 func (s *stream) targetCriteria(promptHolders map[string]bool) fleet.Criteria {
 	return fleet.Criteria{
 		SoftwareVersion: s.version, PromptHolders: promptHolders, Priority: s.priority(),
-		NeedsRoom: s.needsRoom(time.Now()),
+		NeedsRoom: s.needsRoom(time.Now()) || s.needsRoomFirst && len(s.tried) == 0,
 		Service:   s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
 		MemoryTokens: max(1, s.memoryTokens()), CapacityTokens: s.capacityTokens(),
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -45,6 +45,9 @@
 	latest         *streamAttempt // nil before the first attempt
 
 	failureMemory *membudget.Share // of targetFailure; nil for none
+
+	needsRoomFirst bool   // the first attempt is for a target with room, see admit
+	admitted       func() // ends the hold of the stream by admit; nil if there was none
 }
 
 func newStream(f *Forwarder, r *Request, w Responder) *stream {
@@ -87,6 +90,7 @@
 		case endComplete:
 			s.responder.End()
 			s.forwarder.CrashTracker.ReportCompletion(s.request)
+			s.recordRun(time.Now())
 			s.forwarder.Events.Record(event.RequestAnswered, s.request.ID, event.F("route", s.request.Route.Name), event.F("target", a.Target.ID), event.F("version", a.Target.SoftwareVersion),
 				event.F("resumes", s.request.Resumes), event.F("attempts", strconv.Itoa(len(s.tried))), event.F("first_event", s.firstEventAt.Sub(s.request.Received).String()),
 				event.F("longest_pause", s.longestGap.String()), event.F("framed", s.framed), event.F("after", time.Since(s.request.Received).String()))
@@ -128,6 +132,7 @@
 		if s.mayHaveRun {
 			s.lastErr.Outcome = failure.Unknown
 		}
+		s.spreadRetry(s.lastErr)
 		s.forwarder.failRequest(s.request, s.responder, s.lastErr)
 	}
 }
@@ -174,6 +179,9 @@
 	}
 	incarnation := s.forwarder.Fleet.Incarnation(a.Target.ID)
 	active := s.forwarder.Fleet.Begin(now, a.Target.ID, demand)
+	if s.admitted != nil {
+		s.admitted()
+	}
 	s.succession.releaseSlot()
 	attempt := &streamAttempt{
 		stream: s, attempt: a, incarnation: incarnation, active: active, lost: s.forwarder.Fleet.Lost(a.Target.ID),
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -112,7 +112,7 @@
 func (f *Forwarder) reserveSuccessor(r *Request, c *succession, tried map[string]bool, current fleet.Incarnation, silence time.Duration, criteria fleet.Criteria, standby *standbyCopy, mayLeave func(*heldSlot) error) error {
 	now := time.Now()
 	c.releaseSlot()
-	criteria.Exclude, criteria.Priority = withID(tried, current.Target.ID), r.Route.Priority
+	criteria.Exclude, criteria.Priority = withID(tried, current.Target.ID), f.priority(r)
 	if criteria.MemoryTokens > 0 {
 		roomCriteria := criteria
 		roomCriteria.Exclude = c.withRefusals(criteria.Exclude)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,6 +132,7 @@
 		Buffers:     membudget.New(forward.MaxBufferedBytes),
 		Model:       g.model,
 		StopsAt:     g.stopsAt,
+		Admission:   forward.NewAdmission(g.contended),
 	}
 	g.permits = newPermits(g.fleet, g.members.view, func(ctx context.Context, daemon string, r permitRequest) (permitReply, error) {
 		return g.peers.callPermit(ctx, daemon, r)
@@ -227,6 +228,13 @@
 	return s.Model
 }
 
+// contended reports whether the requests of a service differ in urgency, by the active
+// configuration.
+func (g *Gateway) contended(service string) bool {
+	table := g.table.Load()
+	return table != nil && table.Contended(service)
+}
+
 // ready reports whether this daemon accepts new requests.
 func (g *Gateway) ready() bool {
 	return g.table.Load() != nil && g.fleet.Len() > 0 && !g.draining.Load()
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -182,6 +182,7 @@
 	m.mu.Unlock()
 	m.g.forwarder.RetryBudget.SetDaemons(n)
 	m.g.forwarder.Prober.SetDaemons(n)
+	m.g.forwarder.Admission.SetDaemons(n)
 	m.g.fleet.SetStaleness(loadInterval(n - 1))
 	m.g.datasets.setReaders(n)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -73,6 +73,9 @@
 	Crashes []quarantine.CrashReport `msgpack:"c,omitempty"`
 	// KnowsReporters is false in reports of older builds, which get reports from each daemon.
 	KnowsReporters bool `msgpack:"d,omitempty"`
+	// Held has the streams that the daemon holds until a target has room, by service: their
+	// numbers by level of urgency, see overload.Levels.
+	Held map[string][]int `msgpack:"w,omitempty"`
 }
 
 // peers exchanges messages with the other daemons.
@@ -228,7 +231,7 @@
 
 // loadReport returns the report to send to all peers now. Each new origin is in one report.
 func (g *Gateway) loadReport() loadReport {
-	report := loadReport{KnowsReporters: true, Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), LinksLost: g.links.monitor.Lost(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain()}
+	report := loadReport{KnowsReporters: true, Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), LinksLost: g.links.monitor.Lost(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain(), Held: g.forwarder.Admission.Held()}
 	if table := g.table.Load(); table != nil {
 		report.Version = table.Version
 	}
@@ -254,6 +257,7 @@
 	_, silent := p.g.members.othersByLiveness()
 	for _, m := range silent {
 		p.g.fleet.SetPeerLoads(m.ID, nil)
+		p.g.forwarder.Admission.SetPeerHeld(m.ID, nil)
 	}
 	p.digests.forget(p.g.members.registered)
 }
@@ -328,6 +332,7 @@
 		p.g.crashTracker.applyReports(from.ID, report.Crashes)
 	}
 	p.g.fleet.SetPeerLoads(from.ID, report.Loads)
+	p.g.forwarder.Admission.SetPeerHeld(from.ID, report.Held)
 	p.g.newer.note(from, report.Version)
 }
 
