--- a/overload/load.go
+++ b/overload/load.go
@@ -1,9 +1,6 @@
 package overload
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // prefillTokensPerMilli is the prefill rate of an idle target; see fleet, which corrects it for
 // each target by Target.Slowdown.
@@ -65,7 +62,7 @@
 		l.PrefillRate += prefillTokensPerMilli / t.Slowdown * 1000
 		l.Slots += t.Slots
 		room := t.room(usualMemory, capacity)
-		l.FreeSlots += max(0, t.Slots-t.Running-int(math.Floor(min(0, room))))
+		l.FreeSlots += max(0, t.Slots-t.runs(capacity))
 		l.Running += float64(t.Running) + min(0, room)
 		l.Queued -= min(0, room)
 		if backlog >= maxPrefillBacklog {
@@ -80,6 +77,15 @@
 	return l
 }
 
+// runs returns how many of the requests at the target run: those that fit into its memory, by their
+// mean size.
+func (t *Target) runs(capacity int) int {
+	if capacity <= 0 || t.MemoryTokens <= capacity {
+		return t.Running
+	}
+	return int(float64(t.Running) * float64(capacity) / float64(t.MemoryTokens))
+}
+
 // room returns how many requests with so many tokens fit into slots and memory, as a whole
 // number; negative if some of those that are there don't.
 func (t *Target) room(memory float64, capacity int) float64 {
--- a/overload/model_test.go
+++ b/overload/model_test.go
@@ -90,7 +90,7 @@
 		daemons: make([]modelDaemon, daemons), kinds: kinds, counts: make([]modelCount, len(kinds)), returned: make(map[int]int),
 	}
 	for i := range m.daemons {
-		m.daemons[i] = modelDaemon{control: NewController(), view: m.books(), age: time.Duration(40+m.random.IntN(200)) * time.Millisecond}
+		m.daemons[i] = modelDaemon{control: NewController(), view: m.books(), age: time.Duration(4+m.random.IntN(497)) * time.Millisecond}
 		for range minRuns {
 			m.daemons[i].control.RecordRun(10 * time.Second)
 		}
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -24,6 +24,8 @@
 	// minFreeShare is the share of free slots above which nothing is refused, also if memory or
 	// prefill is used up. It is below a half by what the estimate is off at most.
 	minFreeShare = 0.495
+	// freePerSecond is how much it is lowered per second of the age of the knowledge.
+	freePerSecond = 0.03
 	// maxHold is the longest time for which a request is held before it is sent to a target
 	// without room, as a fraction of the time that is useful. Later, the target's queue would
 	// begin the request too late.
@@ -220,7 +222,7 @@
 	if c.moreUrgent(now, t, l) {
 		useful = d.Useful
 	}
-	if useful <= 0 || !run || float64(l.FreeSlots) >= minFreeShare*float64(l.Slots) {
+	if useful <= 0 || !run || float64(l.FreeSlots) >= (minFreeShare-freePerSecond*l.Age.Seconds())*float64(l.Slots) {
 		return 0
 	}
 	p := min(1, (float64(d.Wait+l.PrefillWait)/float64(useful)-refuseFrom)/(refuseAll-refuseFrom))
