platform, exchange: orders of roll-outs, and the status of an object

The daemons have to read orders of kind rollouts and to report on them in the status of the object, which objects did not have so far. Object and the entries that daemons exchange carry the status and the number of the creation for that kind only; other kinds are decoded, sent and compared as before. The status is written by a conditional update. The stand-in of the store has the call, and states created and status with each object.

exchange/era_test.go names the fields of its entries, because the type has more of them now.

--- a/exchange/dataset.go
+++ b/exchange/dataset.go
@@ -120,7 +120,7 @@
 	storeEntries := make([]Entry, len(objects))
 	checksum := uint64(0) // of the store's entries; the dataset may hold newer ones
 	for i, o := range objects {
-		storeEntries[i] = Entry{Name: o.Name, Revision: o.Revision, Value: o.Value}
+		storeEntries[i] = Entry{Name: o.Name, Revision: o.Revision, Value: o.Value, Status: o.Status, Created: o.Created}
 		checksum ^= storeEntries[i].hash()
 	}
 	firstRead, announced := !d.Loaded() || at.Era > d.era, maps.Clone(d.announced)
--- a/exchange/era.go
+++ b/exchange/era.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bytes"
 	"sort"
 	"time"
 
@@ -56,7 +55,7 @@
 	d.announced, d.own, d.latest = make(map[string]int64), ownAnnouncement{}, announcedState{}
 	for _, e := range storeEntries {
 		d.put(e)
-		if old, ok := previous[e.Name]; !ok || !bytes.Equal(old.Value, e.Value) {
+		if old, ok := previous[e.Name]; !ok || !old.sameContent(e) {
 			c.Changed = append(c.Changed, e)
 		}
 	}
--- a/exchange/era_test.go
+++ b/exchange/era_test.go
@@ -32,7 +32,7 @@
 
 		Convey("a read replaces all entries and reports what differs by value, also under the same revision", func() {
 			So(change.NewEra, ShouldBeTrue)
-			So(change.Changed, ShouldResemble, Entries{{"b", 7, []byte("other")}})
+			So(change.Changed, ShouldResemble, Entries{{Name: "b", Revision: 7, Value: []byte("other")}})
 			So(change.Removed, ShouldResemble, []string{"c"})
 			So(reader.names(), ShouldResemble, []string{"a", "b"})
 		})
@@ -60,7 +60,7 @@
 		})
 		Convey("an update or a snapshot of the older era, or of an older build, changes nothing", func() {
 			for _, era := range []int64{0, 1} {
-				So(reader.ApplyUpdate(now, Update{Kind: "k", Era: era, StoreRevision: 99, Changed: Entries{{"c", 99, nil}}}).Empty(), ShouldBeTrue)
+				So(reader.ApplyUpdate(now, Update{Kind: "k", Era: era, StoreRevision: 99, Changed: Entries{{Name: "c", Revision: 99}}}).Empty(), ShouldBeTrue)
 				So(reader.ApplySnapshot(now, Snapshot{Kind: "k", Era: era, StoreRevision: 99}).Empty(), ShouldBeTrue)
 			}
 			So(reader.names(), ShouldResemble, []string{"a", "b"})
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"encoding/binary"
 	"time"
 
@@ -14,6 +15,14 @@
 	Name     string `msgpack:"n"`
 	Revision int64  `msgpack:"r"` // revision of the store at the object's last change
 	Value    []byte `msgpack:"v"`
+	// Status and Created are those of objects with a status, see objectstore.Object.
+	Status  []byte `msgpack:"s,omitempty"`
+	Created int64  `msgpack:"c,omitempty"`
+}
+
+// sameContent reports whether two entries hold the same, under whatever revision.
+func (e Entry) sameContent(other Entry) bool {
+	return bytes.Equal(e.Value, other.Value) && bytes.Equal(e.Status, other.Status) && e.Created == other.Created
 }
 
 // Update is the message in which a daemon that has read the store reports the changes
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -12,7 +12,7 @@
 )
 
 func toObject(e exchange.Entry) objectstore.Object {
-	return objectstore.Object{Name: e.Name, Revision: e.Revision, Version: e.Revision, Value: e.Value}
+	return objectstore.Object{Name: e.Name, Revision: e.Revision, Version: e.Revision, Value: e.Value, Status: e.Status, Created: e.Created}
 }
 
 // applyConfigurationChange activates a changed configuration.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -66,6 +66,7 @@
 	mux.HandleFunc("GET /-/objects/{kind}/{name}", p.withFaults("get", p.get))
 	mux.HandleFunc("POST /-/objects/{kind}", p.withFaults("put", p.create))
 	mux.HandleFunc("PUT /-/objects/{kind}/{name}", p.withFaults("put", p.put))
+	mux.HandleFunc("PUT /-/objects/{kind}/{name}/status", p.withFaults("put", p.putStatus))
 	mux.HandleFunc("DELETE /-/objects/{kind}/{name}", p.withFaults("delete", p.remove))
 	mux.HandleFunc("GET /-/objects/{kind}", p.withFaults("list", p.list))
 	mux.HandleFunc("GET /vms", p.withFaults("vms", p.listVMs))
@@ -179,15 +180,17 @@
 type objectJSON struct {
 	Metadata metadataJSON    `json:"metadata"`
 	Spec     json.RawMessage `json:"spec,omitempty"`
+	Status   json.RawMessage `json:"status"` // null before the first write of it
 }
 
 type metadataJSON struct {
 	Name     string `json:"name"`
 	Revision int64  `json:"revision,omitempty"` // store revision of the last change of the object
+	Created  int64  `json:"created,omitempty"`  // store revision of the creation of the object
 }
 
 func toJSON(o objectstore.Object) objectJSON {
-	return objectJSON{metadataJSON{o.Name, o.Revision}, o.Value}
+	return objectJSON{metadataJSON{o.Name, o.Revision, o.Created}, o.Value, o.Status}
 }
 
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
@@ -260,7 +263,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old, ok := p.currentObject(w, r, revision); ok {
-		old.Deleted, old.Value = true, nil
+		old.Deleted, old.Value, old.Status = true, nil, nil
 		p.storeObject(w, objectKey(r), old)
 	}
 }
@@ -293,6 +296,9 @@
 	p.recordChange(key)
 	p.revision++
 	o.Revision, o.Version = p.revision, p.revision
+	if o.Created == 0 {
+		o.Created = p.revision
+	}
 	p.objects[key] = o
 	p.notifyWatchers()
 	writeJSON(w, toJSON(o))
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -43,6 +43,10 @@
 	Revision int64           `json:"revision"`
 	Deleted  bool            `json:"deleted,omitempty"`
 	Value    json.RawMessage `json:"value,omitempty"`
+	// Status is what the daemons report on the object, and Created the number that the store
+	// gave the object at its creation. Both are set only for kinds that have a status.
+	Status  json.RawMessage `json:"status,omitempty"`
+	Created int64           `json:"created,omitempty"`
 }
 
 // Position is a state of the store. Revisions rise within an era. A store that was
@@ -88,6 +92,14 @@
 	Watch(ctx context.Context, kind string, since int64) ([]Object, int64, error)
 }
 
+// StatusWriter writes the status of objects, which leaves their value.
+type StatusWriter interface {
+	// PutStatus replaces the status of an existing object if its version equals expected, and
+	// returns the object. The errors are those of Store.Put, and ErrNotFound if there is no
+	// object.
+	PutStatus(ctx context.Context, kind, name string, status json.RawMessage, expected int64) (Object, error)
+}
+
 // VMLister reads the VM list. The list lags behind the actual state.
 type VMLister interface {
 	// VMs returns all VMs in the list.
