fleet, forward, gateway: settings of roll-outs, and requests limited by software version

A version under roll-out may get only a share of the requests of its service. Each choice of a target passes a filter of versions to the fleet, and each send to a limited version (calls, streams, resumes, returns, targets of copies and of moves) needs a credit, which is kept from the reservation of the attempt to its send. If all targets of other versions are avoided for a moment, requests wait or fail instead of flooding the new version. The outcome of each send is evidence: server errors, broken streams and invalid responses are failures; refusals, ends by the caller and attempts without a sent byte are not.

Without the settings block forward.Forwarder.Rollouts is nil and no choice changes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -227,6 +227,45 @@
 	return slices.Compact(versions)
 }
 
+// EarliestStarts returns, by the software versions of the registered targets of a service, the
+// earliest time at which a target of the version started, in Unix milliseconds; 0 if a target
+// does not state any.
+func (f *Fleet) EarliestStarts(service string) map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	starts := make(map[string]int64)
+	for _, s := range f.services[service] {
+		if earliest, ok := starts[s.SoftwareVersion]; !ok || s.StartMillis < earliest {
+			starts[s.SoftwareVersion] = s.StartMillis
+		}
+	}
+	return starts
+}
+
+// HasVersion reports whether a service has a target of a version that filter allows and that
+// neither leaves nor has terminated. It may get no new requests for a while.
+func (f *Fleet) HasVersion(now time.Time, service string, filter func(version string) bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.services[service], func(s *targetState) bool {
+		return filter(s.SoftwareVersion) && !s.isLeaving(now) && !s.terminated(now)
+	})
+}
+
+// RunningAt returns the number of requests of all daemons at the targets of a service whose
+// version filter allows, as far as this daemon knows.
+func (f *Fleet) RunningAt(service string, filter func(version string) bool) (running int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services[service] {
+		if filter(s.SoftwareVersion) {
+			n, _, _ := s.totalLoad()
+			running += n
+		}
+	}
+	return running
+}
+
 // IsCurrent reports whether t is the registered incarnation of a target.
 func (f *Fleet) IsCurrent(t Target) bool {
 	f.mu.Lock()
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -47,6 +47,9 @@
 	Affinity string
 	// SoftwareVersion is the only software version that the target may have; nil for any.
 	SoftwareVersion *string
+	// VersionFilter reports whether a target may have a software version; nil allows all. It must
+	// not call the Fleet.
+	VersionFilter func(version string) bool
 	// PromptHolders has the IDs of targets whose KV cache is known to hold the prompt.
 	PromptHolders map[string]bool
 	// AvoidPlaces are places to use only if no other place has a target.
@@ -66,7 +69,7 @@
 
 // allowsVersion reports whether a target with a software version meets the criteria.
 func (c *Criteria) allowsVersion(version string) bool {
-	return c.SoftwareVersion == nil || *c.SoftwareVersion == version
+	return (c.SoftwareVersion == nil || *c.SoftwareVersion == version) && (c.VersionFilter == nil || c.VersionFilter(version))
 }
 
 // Pick returns the target to which a request should be sent. Targets whose entries are
--- a/forward/call.go
+++ b/forward/call.go
@@ -123,7 +123,7 @@
 		}
 	}
 	if allowed {
-		picked, err := c.forwarder.pick(ctx, c.request.ID, fleet.Criteria{Service: c.request.Service, Exclude: c.tried, Priority: c.request.Route.Priority})
+		picked, err := c.forwarder.pick(ctx, c.request.ID, fleet.Criteria{Service: c.request.Service, Exclude: c.tried, Priority: c.request.Route.Priority}, &c.succession)
 		if err == nil {
 			return &picked, nil
 		}
@@ -150,6 +150,7 @@
 	incarnation := c.forwarder.Fleet.Incarnation(t.ID)
 	c.request.SentAt = time.Now()
 	active := c.forwarder.Fleet.Begin(c.request.SentAt, t.ID, fleet.Demand{})
+	observed := c.forwarder.observe(c.request.SentAt, c.request, t, &c.succession)
 	answer, body, gaveUp, err := c.send(ctx, Attempt{Request: c.request, Target: t, TimeLeft: c.request.timeLeft()}, incarnation)
 	c.forwarder.releasePermit(c.request.ID, t, err == nil && answer.lacksRoom())
 	now := time.Now()
@@ -157,9 +158,15 @@
 	switch {
 	case errors.Is(err, ErrNotSent):
 		active.Done(now, true)
+		observed.notSent(now)
 		return nil, c.forwarder.handleUnreachable(t, err)
 	case err != nil:
 		active.Done(now, true)
+		if ctx.Err() != nil || gaveUp {
+			observed.abandon(now, true)
+		} else {
+			observed.record(now, true)
+		}
 		c.mayHaveRun = true
 		c.succession.arrived(t.ID)
 		if gaveUp {
@@ -168,6 +175,7 @@
 		return nil, c.handleNoAnswer(ctx, now, incarnation, err, gaveUp || ctx.Err() != nil)
 	case answer.NotRun:
 		active.Done(now, false)
+		observed.abandon(now, false)
 		return nil, c.forwarder.handleRefusal(t, answer, false)
 	}
 	c.mayHaveRun = true
@@ -175,6 +183,7 @@
 	c.forwarder.releaseReturn(c.request, &c.succession)
 	serverError := answer.Status >= http.StatusInternalServerError
 	active.Done(now, serverError)
+	observed.record(now, serverError || answer.Status < http.StatusMultipleChoices && !answer.Signed)
 	c.forwarder.Fleet.MarkAnswered(t.ID)
 	buffered := &bufferedAnswer{answer.Status, answer.Header, body}
 	if serverError && c.request.Route.Repeatable() {
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -72,10 +72,11 @@
 // more urgent than all routes.
 const resumePriority = -1
 
-// pick picks a target that meets the criteria and takes a permit to send a request to it.
-func (f *Forwarder) pick(ctx context.Context, requestID string, criteria fleet.Criteria) (fleet.Target, error) {
+// pick picks a target that meets the criteria and takes a permit to send a request to it. See
+// pickTarget for c.
+func (f *Forwarder) pick(ctx context.Context, requestID string, criteria fleet.Criteria, c *succession) (fleet.Target, error) {
 	for range maxPermitRequests {
-		t, err := f.Fleet.Pick(time.Now(), criteria)
+		t, err := f.pickTarget(time.Now(), criteria, c)
 		if err != nil {
 			return fleet.Target{}, err
 		}
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -97,7 +97,7 @@
 	case p.terminated:
 		a.endReported = true
 		a.stream.forwarder.CrashTracker.ReportCrash(a.stream.request, a.attempt.Target, a.atStart(a.endedAt))
-		return a.abandon(errMayBeIncomplete.Error()), true
+		return a.abandonFaulty(errMayBeIncomplete.Error()), true
 	case p.running && !p.startedAt.Before(a.endedAt):
 		return a.endStream(), true
 	case p.running:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -224,6 +224,7 @@
 	Origins          OriginTracker
 	Permits          Permits  // nil if no target limits requests
 	Reserver         Reserver // nil if no target reserves room
+	Rollouts         Rollouts // nil if the deployment has no roll-outs
 	// OnStatement, if set, is called when a target states other conditions than before.
 	OnStatement func(t fleet.Target, s fleet.Statement)
 	Buffers     *membudget.Budget // for answers, see MaxBufferedBytes
@@ -266,9 +267,17 @@
 		f.serveStream(ctx, r, w)
 		return
 	}
+	f.countRequest(r)
 	f.call(ctx, r, w)
 }
 
+// countRequest counts a request for the roll-out of its service.
+func (f *Forwarder) countRequest(r *Request) {
+	if f.Rollouts != nil {
+		f.Rollouts.CountRequest(time.Now(), r.Service)
+	}
+}
+
 // failRequest sends an error to the caller and logs it.
 func (f *Forwarder) failRequest(r *Request, w Responder, err *failure.Error) {
 	f.Events.Record(event.RequestFailed, r.ID,
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -59,6 +59,7 @@
 		}
 		s.version = &o.SoftwareVersion
 	}
+	f.countRequest(r)
 	s.run(ctx)
 }
 
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
@@ -59,9 +61,12 @@
 	}
 	now := time.Now()
 	a := Attempt{Request: s.request, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now), Cause: s.promptCause()}
-	if s.resumesFromCopy(now) && s.forwarder.takePermit(ctx, s.request.ID, s.standby.holder, s.targetCriteria(nil)) {
+	mayGetAttempt := func(t fleet.Target) bool {
+		return s.forwarder.takeCredit(now, s.request.Service, t.SoftwareVersion, &s.succession) && s.forwarder.takePermit(ctx, s.request.ID, t, s.targetCriteria(nil))
+	}
+	if s.resumesFromCopy(now) && mayGetAttempt(s.standby.holder) {
 		a.Target, a.Resume, a.Cause = s.standby.holder, s.standby.copy, string(s.standby.origin)
-	} else if slot := s.succession.slot; slot != nil && s.forwarder.isUsable(now, slot.target) && s.forwarder.takePermit(ctx, s.request.ID, slot.target, s.targetCriteria(nil)) {
+	} else if slot := s.succession.slot; slot != nil && s.forwarder.isUsable(now, slot.target) && mayGetAttempt(slot.target) {
 		a.Target = slot.target
 	} else {
 		t, err := s.pickTarget(ctx, promptHolders)
@@ -116,13 +121,13 @@
 }
 
 // pickTarget picks a target and takes a permit to send the stream to it. A stream that has
-// begun waits for a permit.
+// begun waits for a permit, or a credit for a version under roll-out.
 func (s *stream) pickTarget(ctx context.Context, promptHolders map[string]bool) (fleet.Target, error) {
 	for end := time.Now().Add(maxTargetWait); ; {
 		criteria := s.targetCriteria(promptHolders)
-		t, err := s.forwarder.pick(ctx, s.request.ID, criteria)
+		t, err := s.forwarder.pick(ctx, s.request.ID, criteria, &s.succession)
 		now, mayWait := time.Now(), s.version != nil && len(s.succession.silent) == 0
-		if err == nil || !mayWait || !now.Before(end) || !s.forwarder.Fleet.MayRecover(now, criteria) || !pause.For(ctx, targetPollInterval) {
+		if err == nil || !mayWait || !now.Before(end) || !errors.Is(err, errNoCredit) && !s.forwarder.Fleet.MayRecover(now, criteria) || !pause.For(ctx, targetPollInterval) {
 			return t, err
 		}
 	}
@@ -139,7 +144,7 @@
 // canPlace reports whether a target is ready for a stream that waits, and reserves the
 // retry budget for it if so. Streams that wait use up no placements.
 func (s *stream) canPlace(now time.Time) bool {
-	if _, err := s.forwarder.Fleet.Pick(now, s.targetCriteria(nil)); err != nil {
+	if _, err := s.forwarder.pickTarget(now, s.targetCriteria(nil), &s.succession); err != nil {
 		return false
 	}
 	if s.succession.retryReserved.IsZero() && s.forwarder.RetryBudget.AllowRetry(now, s.request.Service) {
@@ -161,8 +166,8 @@
 func (s *stream) targetCriteria(promptHolders map[string]bool) fleet.Criteria {
 	return fleet.Criteria{
 		SoftwareVersion: s.version, PromptHolders: promptHolders, Priority: s.priority(),
-		NeedsRoom: s.needsRoom(time.Now()),
-		Service:   s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
+		NeedsRoom: s.needsRoom(time.Now()), VersionFilter: s.forwarder.allowedVersions(time.Now(), s.request.Service),
+		Service: s.request.Service, Exclude: s.tried, Affinity: s.request.Prompt.CacheKey, AvoidPlaces: s.lostPlaces,
 		MemoryTokens: max(1, s.memoryTokens()), CapacityTokens: s.capacityTokens(),
 	}
 }
@@ -248,7 +253,7 @@
 	maps.Copy(exclude, s.tried)
 	maps.Copy(exclude, failed)
 	c, err := s.forwarder.Fleet.Pick(now, fleet.Criteria{
-		SoftwareVersion: &t.SoftwareVersion, Service: s.request.Service, Exclude: exclude, AvoidPlaces: append([]string{t.Place}, s.lostPlaces...),
+		SoftwareVersion: &t.SoftwareVersion, VersionFilter: s.forwarder.allowedVersions(now, s.request.Service), Service: s.request.Service, Exclude: exclude, AvoidPlaces: append([]string{t.Place}, s.lostPlaces...),
 		MemoryTokens: max(1, memory) * s.memoryTokens(), CapacityTokens: s.capacityTokens(), ForCopy: true, NeedsRoom: needsRoom, NeedsMemory: memory > 0,
 	})
 	return c, err == nil
--- a/forward/progress.go
+++ b/forward/progress.go
@@ -23,7 +23,7 @@
 		return 0, false
 	}
 	if a.idleBytes += len(e.Raw); a.idleBytes > maxIdleBytes {
-		return a.abandon("events bring the stream no further"), true
+		return a.abandonFaulty("events bring the stream no further"), true
 	}
 	return 0, false
 }
--- a/forward/room.go
+++ b/forward/room.go
@@ -34,15 +34,18 @@
 }
 
 // findRoom picks a target with room for a stream and holds a slot there. It prefers the holder
-// of the standby copy, which has the memory already.
-func (f *Forwarder) findRoom(now time.Time, criteria fleet.Criteria, standby *standbyCopy) (*heldSlot, error) {
-	if standby != nil && !criteria.Exclude[standby.holder.ID] && f.isUsable(now, standby.holder) {
+// of the standby copy, which has the memory already. See pickTarget for c.
+func (f *Forwarder) findRoom(now time.Time, criteria fleet.Criteria, standby *standbyCopy, c *succession) (*heldSlot, error) {
+	if standby != nil && !criteria.Exclude[standby.holder.ID] && f.isUsable(now, standby.holder) && f.takeCredit(now, criteria.Service, standby.holder.SoftwareVersion, c) {
 		if release, ok := f.Fleet.HoldSlot(standby.holder.ID, 0, 0); ok {
 			return &heldSlot{target: standby.holder, release: release}, nil
 		}
 	}
 	criteria.NeedsRoom = true
-	t, err := f.Fleet.Pick(now, criteria)
+	t, err := f.pickTarget(now, criteria, c)
+	if errors.Is(err, errNoCredit) {
+		return nil, err
+	}
 	if err != nil {
 		criteria.NeedsRoom = false
 		if _, other := f.Fleet.Pick(now, criteria); other == nil {
--- a/forward/run.go
+++ b/forward/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -38,15 +39,17 @@
 	patient      bool      // a probe without a short timeout is under way or was made
 	refused      bool      // the target refused the request for want of room
 	failed       bool      // the attempt failed because of the target
-	endReported  bool      // the run's end was reported to the crash tracker
-	progressed   bool      // the run's progress was reported
-	kept         bool      // the attempt goes on although its stream is silent, see keep
-	noSuccessor  string    // the latest reason; empty if the stream isn't silent
-	keptFor      []string  // the reasons that were logged since the latest event
-	stopped      bool      // the target has stopped the run, or knows of none
-	unnumbered   []byte    // events without an id that were not passed on yet
-	idleBytes    int       // see maxIdleBytes
-	nextRepeated int64     // id after the last event that the caller had received before
+	faulty       bool      // the target broke the answer, or sent an invalid one
+	observed     observation
+	endReported  bool     // the run's end was reported to the crash tracker
+	progressed   bool     // the run's progress was reported
+	kept         bool     // the attempt goes on although its stream is silent, see keep
+	noSuccessor  string   // the latest reason; empty if the stream isn't silent
+	keptFor      []string // the reasons that were logged since the latest event
+	stopped      bool     // the target has stopped the run, or knows of none
+	unnumbered   []byte   // events without an id that were not passed on yet
+	idleBytes    int      // see maxIdleBytes
+	nextRepeated int64    // id after the last event that the caller had received before
 }
 
 // answerPart is one result of the reading goroutine: the head (status and header) of
@@ -286,6 +289,7 @@
 		return a.abandonBroken(p.err.Error()), true
 	case p.answer.NotRun:
 		_ = p.answer.Body.Close()
+		a.observed.abandon(time.Now(), false)
 		if a.refused = p.answer.lacksRoom(); !s.keepReservation(a.attempt) {
 			s.tried[t.ID] = true
 		}
@@ -315,6 +319,7 @@
 func (a *streamAttempt) handleNonStream(ctx context.Context, answer *Answer) attemptEnd {
 	s := a.stream
 	s.mayHaveRun, a.failed = true, true
+	a.faulty = answer.Status >= http.StatusInternalServerError || answer.Status < http.StatusMultipleChoices
 	s.tried[a.attempt.Target.ID] = true
 	end := endTargetLost
 	err := s.keepFailure(answer, func() error {
@@ -366,6 +371,7 @@
 		a.firstEventAt = now
 		s.forwarder.starts.Record(startKind(s.request.Service, a.attempt.Resume != (Copy{})), now.Sub(s.request.SentAt))
 		a.active.MarkFirstEvent(now)
+		a.observed.record(now, false)
 	}
 	if !a.progressed && !a.atStart(now) {
 		a.progressed = true
@@ -377,7 +383,7 @@
 	s.succession.releaseSlot()
 	a.kept, a.noSuccessor, a.keptFor = false, "", nil
 	if s.lastEventID >= 0 && p.event.ID != s.lastEventID+1 {
-		return a.abandon("event " + strconv.FormatInt(p.event.ID, 10) + " follows " + strconv.FormatInt(s.lastEventID, 10)), true
+		return a.abandonFaulty("event " + strconv.FormatInt(p.event.ID, 10) + " follows " + strconv.FormatInt(s.lastEventID, 10)), true
 	}
 	if !s.originRecorded {
 		s.beginAt(a.attempt.Target.SoftwareVersion)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -173,8 +173,12 @@
 	incarnation := s.forwarder.Fleet.Incarnation(a.Target.ID)
 	active := s.forwarder.Fleet.Begin(now, a.Target.ID, demand)
 	s.succession.releaseSlot()
+	observed := s.forwarder.observe(now, s.request, a.Target, &s.succession)
+	if a.Resume != (Copy{}) {
+		observed.abandon(now, false) // a start without the prompt is not comparable
+	}
 	attempt := &streamAttempt{
-		stream: s, attempt: a, incarnation: incarnation, active: active, lost: s.forwarder.Fleet.Lost(a.Target.ID),
+		stream: s, observed: observed, attempt: a, incarnation: incarnation, active: active, lost: s.forwarder.Fleet.Lost(a.Target.ID),
 		detector:     newStallDetector(now, s.request.Route.MaxEventGap, a.Resume != (Copy{}), a.CopyTo != nil),
 		probeResults: make(chan ProbeResult, 1), parts: make(chan answerPart, 1), moveResults: make(chan copyResult, 1), copier: newCopier(s, a),
 		reservations: make(chan reservation),
@@ -190,6 +194,7 @@
 	s.latest = attempt
 	go attempt.read(ctx)
 	end := attempt.relay(ctx)
+	attempt.observeEnd(time.Now(), end)
 	if end == endCanceled && (callerCtx.Err() == nil || canceledByCaller(callerCtx)) {
 		attempt.stopRun() // the caller has left; the target knows the deadline
 	}
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -51,6 +51,7 @@
 	slot           *heldSlot            // for the next attempt; nil if none is held
 	refusedAt      map[string]time.Time // when targets refused a reservation, by id
 	denialRecorded bool                 // that the retry budget for a return is exhausted
+	credit         *string              // version under roll-out to which the next attempt may go, see takeCredit; nil for none
 }
 
 // recordDenial records once that a return has to wait for retry budget.
@@ -113,10 +114,11 @@
 	now := time.Now()
 	c.releaseSlot()
 	criteria.Exclude, criteria.Priority = withID(tried, current.Target.ID), r.Route.Priority
+	criteria.VersionFilter = f.allowedVersions(now, r.Service)
 	if criteria.MemoryTokens > 0 {
 		roomCriteria := criteria
 		roomCriteria.Exclude = c.withRefusals(criteria.Exclude)
-		slot, err := f.findRoom(now, roomCriteria, standby)
+		slot, err := f.findRoom(now, roomCriteria, standby, c)
 		if err != nil && silence < maxRoomWait {
 			return err
 		}
@@ -151,7 +153,7 @@
 	case !stopping && !f.mayTake(now, current, silence):
 		return errNoReturn
 	}
-	if _, err := f.Fleet.Pick(now, criteria); err != nil {
+	if _, err := f.pickTarget(now, criteria, c); err != nil {
 		return err
 	}
 	if refusal := f.CrashTracker.Check(doneContext, r); refusal != nil {
@@ -188,6 +190,7 @@
 // releaseRetries gives back all retry budget that a request did not use.
 func (f *Forwarder) releaseRetries(r *Request, c *succession) {
 	f.releaseReturn(r, c)
+	f.releaseCredit(r.Service, c)
 	c.releaseSlot()
 	if reserved := take(&c.retryReserved); !reserved.IsZero() {
 		f.RetryBudget.Release(reserved, r.Service)
@@ -211,6 +214,8 @@
 			continue // a late end of the first run would end the next one, too
 		case state == fleet.Unknown || state == fleet.Leaving || state == fleet.Avoided:
 			continue
+		case !f.takeCredit(now, r.Service, previous.Target.SoftwareVersion, c):
+			continue
 		}
 		criteria := fleet.Criteria{Priority: resumePriority, MemoryTokens: r.Prompt.Tokens + r.Prompt.MaxOutputTokens}
 		if !f.takePermit(ctx, r.ID, previous.Target, criteria) {
@@ -307,6 +312,12 @@
 	if a.stream.succession.returns > 0 {
 		return a.abandonSilent(reason)
 	}
+	return a.abandonFaulty(reason)
+}
+
+// abandonFaulty abandons an attempt by a fault of its target.
+func (a *streamAttempt) abandonFaulty(reason string) attemptEnd {
+	a.faulty = true
 	return a.abandon(reason)
 }
 
@@ -314,7 +325,7 @@
 func (a *streamAttempt) handleSuspected() (attemptEnd, bool) {
 	now := time.Now()
 	if a.incarnation.Terminated(now) {
-		return a.abandon("the target has terminated"), true
+		return a.abandonFaulty("the target has terminated"), true
 	}
 	a.lost = nil // without an entry there is no next suspicion
 	if id := a.attempt.Target.ID; a.stream.forwarder.Fleet.Has(id) {
--- /dev/null
+++ b/forward/versions.go
@@ -0,0 +1,184 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/fleet"
+)
+
+// Rollouts decides which software versions of a service get requests while one of them is rolled
+// out, and takes the outcomes of the requests as evidence.
+type Rollouts interface {
+	// CountRequest counts a caller's request for a service.
+	CountRequest(now time.Time, service string)
+	// Versions returns the rule for the requests to a service, nil if any version may get them.
+	Versions(now time.Time, service string) *VersionRule
+	// TakeCredit reports whether a request may be sent to a limited version now, and spends a
+	// credit if so. ReleaseCredit takes the credit back because nothing was sent.
+	TakeCredit(now time.Time, service, version string) bool
+	ReleaseCredit(service, version string)
+	// BeginRun records that a request is sent to a version. It returns nil if its outcome is no
+	// evidence.
+	BeginRun(now time.Time, service, version, route string) ObservedRun
+}
+
+// ObservedRun is one send of a request whose outcome is evidence on a version.
+type ObservedRun interface {
+	// Record records a response, or that there is none by the target's fault. A stream is recorded
+	// at its first event, and once more if it breaks.
+	Record(now time.Time, failed bool, latency time.Duration)
+	// Abandon records that the send ended without the target's fault, unless its outcome is
+	// recorded. ran means that the target may have run it.
+	Abandon(now time.Time, ran bool)
+}
+
+// VersionRule is what a request may be sent to at a moment. It does not change.
+type VersionRule struct {
+	// Allows reports whether a version may get requests, and Limits whether each of them needs a
+	// credit.
+	Allows, Limits func(version string) bool
+	// Preferred is the version that gets new work if it is ready; nil for none.
+	Preferred *string
+}
+
+// errNoCredit means that the only suitable targets are of a version under roll-out, which gets no
+// request now.
+var errNoCredit = errors.New("the version under roll-out gets no more requests now")
+
+// versionRule returns the rule for the requests to a service, nil for none.
+func (f *Forwarder) versionRule(now time.Time, service string) *VersionRule {
+	if f.Rollouts == nil {
+		return nil
+	}
+	return f.Rollouts.Versions(now, service)
+}
+
+// allowedVersions returns the filter of the versions of a service that may get requests, also
+// those that need a credit; nil for all.
+func (f *Forwarder) allowedVersions(now time.Time, service string) func(string) bool {
+	if rule := f.versionRule(now, service); rule != nil {
+		return rule.Allows
+	}
+	return nil
+}
+
+// pickTarget picks the target of the next attempt of a request. A target of a version under
+// roll-out is picked only with a credit, which c keeps for the attempt, unless the service has no
+// other version.
+func (f *Forwarder) pickTarget(now time.Time, criteria fleet.Criteria, c *succession) (fleet.Target, error) {
+	rule := f.versionRule(now, criteria.Service)
+	if rule == nil {
+		return f.Fleet.Pick(now, criteria)
+	}
+	if preferred := rule.Preferred; preferred != nil {
+		criteria.VersionFilter = func(version string) bool { return version == *preferred }
+		if t, err := f.Fleet.Pick(now, criteria); err == nil && f.takeCredit(now, criteria.Service, t.SoftwareVersion, c) {
+			return t, nil
+		}
+	}
+	criteria.VersionFilter = rule.Allows
+	t, err := f.Fleet.Pick(now, criteria)
+	if err != nil || f.takeCredit(now, criteria.Service, t.SoftwareVersion, c) {
+		return t, err
+	}
+	unlimited := func(version string) bool { return rule.Allows(version) && !rule.Limits(version) }
+	criteria.VersionFilter = unlimited
+	if other, err := f.Fleet.Pick(now, criteria); err == nil {
+		return other, nil
+	}
+	// If all targets of other versions were avoided for a moment, their requests must not flood
+	// the new version.
+	if f.Fleet.HasVersion(now, criteria.Service, unlimited) {
+		return fleet.Target{}, errors.WithStack(errNoCredit)
+	}
+	return t, nil
+}
+
+// takeCredit reports whether the next attempt of a request may be sent to a version now. If that
+// needs a credit, c keeps it for the attempt.
+func (f *Forwarder) takeCredit(now time.Time, service, version string, c *succession) bool {
+	rule := f.versionRule(now, service)
+	switch {
+	case rule == nil:
+		return true
+	case !rule.Allows(version):
+		return false
+	case !rule.Limits(version) || c.credit != nil && *c.credit == version:
+		return true
+	}
+	f.releaseCredit(service, c)
+	if !f.Rollouts.TakeCredit(now, service, version) {
+		return false
+	}
+	c.credit = &version
+	return true
+}
+
+// releaseCredit returns the credit that c keeps, if there is one.
+func (f *Forwarder) releaseCredit(service string, c *succession) {
+	if c.credit != nil {
+		f.Rollouts.ReleaseCredit(service, *c.credit)
+		c.credit = nil
+	}
+}
+
+// observation is the evidence of one attempt. The zero observation records nothing.
+type observation struct {
+	forwarder *Forwarder
+	run       ObservedRun
+	sentAt    time.Time
+	service   string
+	credit    *string // that the attempt spends
+}
+
+// observe begins an attempt at a target, which spends the credit that c keeps for its version.
+func (f *Forwarder) observe(now time.Time, r *Request, t fleet.Target, c *succession) observation {
+	if f.Rollouts == nil {
+		return observation{}
+	}
+	o := observation{forwarder: f, sentAt: now, service: r.Service}
+	if c.credit != nil && *c.credit == t.SoftwareVersion {
+		o.credit, c.credit = c.credit, nil
+	}
+	f.releaseCredit(r.Service, c)
+	o.run = f.Rollouts.BeginRun(now, r.Service, t.SoftwareVersion, r.Route.Name)
+	return o
+}
+
+// record records a response, or a failure of the target.
+func (o observation) record(now time.Time, failed bool) {
+	if o.run != nil {
+		o.run.Record(now, failed, now.Sub(o.sentAt))
+	}
+}
+
+// abandon records that the attempt ended without the target's fault.
+func (o observation) abandon(now time.Time, ran bool) {
+	if o.run != nil {
+		o.run.Abandon(now, ran)
+	}
+}
+
+// notSent records that nothing of the request was sent, so that no credit was spent.
+func (o observation) notSent(now time.Time) {
+	o.abandon(now, false)
+	if o.credit != nil {
+		o.forwarder.Rollouts.ReleaseCredit(o.service, *o.credit)
+	}
+}
+
+// observeEnd records the end of an attempt of a stream.
+func (a *streamAttempt) observeEnd(now time.Time, end attemptEnd) {
+	switch {
+	case a.faulty:
+		a.observed.record(now, true)
+	case end == endNotSent:
+		a.observed.notSent(now)
+	case end == endNoRetry, end == endComplete && !a.detector.firstEventSeen: // an error of the caller, or no event was left to send
+		a.observed.record(now, false)
+	default:
+		a.observed.abandon(now, true)
+	}
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/internal/jsontime"
+	"github.com/vanillaroad/vanillaroad/rollout"
 	"github.com/vanillaroad/vanillaroad/settings"
 )
 
@@ -42,6 +43,9 @@
 	// FirstStart means that the whole fleet starts for the first time: no earlier process of any
 	// daemon has used retry budget.
 	FirstStart bool `json:"first_start,omitempty"`
+	// Rollout bounds the requests that reach a version under roll-out. Without it, the daemon
+	// takes no part in roll-outs. Changes take effect at the next start.
+	Rollout *Rollout `json:"rollout,omitempty"`
 	// Grace is the time between the stop signal and the kill of the process.
 	Grace jsontime.Duration `json:"grace" validate:"gt=0"`
 	// DirectoryTTL is how long callers may cache a directory answer.
@@ -70,6 +74,21 @@
 	return forward.RetryBudgetSettings{Ratio: b.Ratio, Slack: b.Slack, Window: b.Window.Std()}
 }
 
+// Rollout bounds the requests that reach a bad version of a service under roll-out.
+type Rollout struct {
+	// Share is the largest share of the requests to the service, over all daemons, from the order
+	// to its time limit, and Slack the number of requests in addition.
+	Share float64 `json:"share" validate:"gt=0,lte=1"`
+	Slack float64 `json:"slack" validate:"min=0"`
+	// RollbackWithin is the time after the 50th bad response after which no request that a caller
+	// sends reaches the version.
+	RollbackWithin jsontime.Duration `json:"rollback_within" validate:"gt=0"`
+}
+
+func (r Rollout) machineSettings() rollout.Settings {
+	return rollout.Settings{Share: r.Share, Slack: r.Slack, RollbackWithin: r.RollbackWithin.Std()}
+}
+
 // Defaults of optional settings.
 const (
 	defaultEventRing = 2048
