--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -4,7 +4,11 @@
 // store calls are inputs. They are not safe for concurrent use. See docs/design/roll-outs.md.
 package rollout
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"time"
+)
 
 // Order is an order to move the traffic of a service to the targets of one version.
 type Order struct {
@@ -14,10 +18,33 @@
 	// known yet. Its version gets the share of the watch phase, and no status is written.
 	Duration time.Duration
 	// Created is the earliest time at which the order may have been written.
-	Created  time.Time
+	Created time.Time
+	// Instance tells an object from a deleted one of the same name: metadata.created of the
+	// store. It is 0 for a presumed order.
+	Instance int64
 	Revision int64
 }
 
+// Presumed reports whether no order is known for the version.
+func (o Order) Presumed() bool { return o.Duration == 0 }
+
+// MaxDuration is the longest duration of a valid order.
+const MaxDuration = 24 * time.Hour
+
+// ParseDuration returns the duration of an order. seconds is duration_s as decoded from JSON.
+func ParseDuration(seconds any) (time.Duration, error) {
+	s, ok := seconds.(float64)
+	switch {
+	case !ok:
+		return 0, fmt.Errorf("duration_s is %v, which is not a number", seconds)
+	case math.IsNaN(s) || s <= 0:
+		return 0, fmt.Errorf("duration_s is %v, which is not positive", s)
+	case s > MaxDuration.Seconds():
+		return 0, fmt.Errorf("duration_s is %v, the longest roll-out takes %v", s, MaxDuration)
+	}
+	return max(time.Duration(s*float64(time.Second)), time.Millisecond), nil
+}
+
 // State is the state of a roll-out as stored in the status of its order. It is empty while the
 // order has no status.
 type State string
@@ -46,9 +73,9 @@
 const (
 	Watch      Phase = "watch"      // the new version gets a fraction of its allowance
 	Switch     Phase = "switch"     // new work goes to the new version
-	Overdue    Phase = "overdue"    // the time limit is over and no final state is stored
-	Completing Phase = "completing" // the verdict is in, the state is not stored
-	Reverting  Phase = "reverting"  // the new version gets nothing, the state is not stored
+	Completing Phase = "completing" // as Switch; completed is to be written
+	Reverting  Phase = "reverting"  // the new version gets nothing; rolled_back is to be written
+	Overdue    Phase = "overdue"    // as Watch; the time limit is over and no final state is stored
 	Ended      Phase = "ended"      // a final state is stored
 )
 
@@ -68,6 +95,11 @@
 	Service, Version, Route string
 	// Failed is set for a 5xx of the target itself, a broken stream and an invalid response.
 	Failed bool
+	// Broken is set with Failed if the connection to the target was lost, and Target is the id
+	// of the target then. All connections that one target loses within a slice are one failure,
+	// because the end of one VM breaks many streams at once and says little of its version.
+	Broken bool
+	Target string
 	// Latency is the time to the response or to the first event.
 	Latency time.Duration
 	// Request is the number that Begin returned, 0 if Begin was not called.
@@ -79,7 +111,7 @@
 	Phase   Phase
 	Verdict Verdict
 	// Write is the state that the status of the order should have, empty if it needs no change.
-	// Only the daemon that writes uses it; see Writer.
+	// Only the daemons that write use it; see Writer.
 	Write State
 	// Reason explains the verdict or the state in one line for the log.
 	Reason string
