gateway: roll-outs

Each daemon with the settings block rollout follows the orders in the store: it holds one machine for each running order, sends its evidence to the two daemons that rank first for the service, spreads verdicts and final states, and writes the status by conditional updates if it ranks first. A version that is seen before an order for it can be known gets its share only. An age of the order that a daemon sees for the first time is bounded, because no order can be written while the store is down.

Tests with three daemons before two targets of each version, with the store down for a part of the time and losing answers to writes: a good version is completed, a bad one rolled back within its share; invalid orders leave the traffic; without the block nothing is read, written or sent.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -25,6 +25,7 @@
 	{"Forwarded requests", 700, forwardEntries},
 	{"Orders to targets", 800, placementEntries},
 	{"Platform and peers", 900, platformEntries},
+	{"Roll-outs", 1000, rolloutEntries},
 }
 
 var catalogue = buildCatalogue()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -252,20 +252,6 @@
 	})
 }
 
-// RunningAt returns the number of requests of all daemons at the targets of a service whose
-// version filter allows, as far as this daemon knows.
-func (f *Fleet) RunningAt(service string, filter func(version string) bool) (running int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, s := range f.services[service] {
-		if filter(s.SoftwareVersion) {
-			n, _, _ := s.totalLoad()
-			running += n
-		}
-	}
-	return running
-}
-
 // IsCurrent reports whether t is the registered incarnation of a target.
 func (f *Fleet) IsCurrent(t Target) bool {
 	f.mu.Lock()
--- a/forward/call.go
+++ b/forward/call.go
@@ -162,17 +162,19 @@
 		return nil, c.forwarder.handleUnreachable(t, err)
 	case err != nil:
 		active.Done(now, true)
-		if ctx.Err() != nil || gaveUp {
-			observed.abandon(now, true)
-		} else {
-			observed.record(now, true)
-		}
 		c.mayHaveRun = true
 		c.succession.arrived(t.ID)
 		if gaveUp {
 			c.succession.silent = append(c.succession.silent, incarnation)
 		}
-		return nil, c.handleNoAnswer(ctx, now, incarnation, err, gaveUp || ctx.Err() != nil)
+		timedOut := gaveUp || ctx.Err() != nil
+		attemptErr, targetLost := c.handleNoAnswer(ctx, now, incarnation, err, timedOut)
+		if timedOut {
+			observed.abandon(now, true)
+		} else {
+			observed.fail(now, targetLost)
+		}
+		return nil, attemptErr
 	case answer.NotRun:
 		active.Done(now, false)
 		observed.abandon(now, false)
@@ -183,7 +185,11 @@
 	c.forwarder.releaseReturn(c.request, &c.succession)
 	serverError := answer.Status >= http.StatusInternalServerError
 	active.Done(now, serverError)
-	observed.record(now, serverError || answer.Status < http.StatusMultipleChoices && !answer.Signed)
+	if serverError || answer.Status < http.StatusMultipleChoices && !answer.Signed {
+		observed.fail(now, false)
+	} else {
+		observed.respond(now)
+	}
 	c.forwarder.Fleet.MarkAnswered(t.ID)
 	buffered := &bufferedAnswer{answer.Status, answer.Header, body}
 	if serverError && c.request.Route.Repeatable() {
@@ -253,20 +259,20 @@
 // handleNoAnswer returns the error of an attempt that was sent and received no complete
 // answer. timedOut reports whether the attempt was abandoned because it took too
 // long. A slow request counts as a crash of the target only once the target is known
-// to have ended.
-func (c *call) handleNoAnswer(ctx context.Context, now time.Time, target fleet.Incarnation, err error, timedOut bool) *failure.Error {
+// to have ended. targetLost is as in reportBrokenRun.
+func (c *call) handleNoAnswer(ctx context.Context, now time.Time, target fleet.Incarnation, err error, timedOut bool) (attemptErr *failure.Error, targetLost bool) {
 	if timedOut && !canceledByCaller(ctx) {
 		c.forwarder.CrashTracker.ReportLoss(c.request, target, true)
 	}
 	if ctx.Err() != nil {
-		return contextError(ctx, failure.Unknown, "await answer", c.target.ID)
+		return contextError(ctx, failure.Unknown, "await answer", c.target.ID), false
 	}
 	c.forwarder.Events.Record(event.AttemptLost, c.request.ID, event.F("target", c.target.ID), event.F("error", err.Error()), event.F("framed", c.framed))
 	c.forwarder.Fleet.MarkRefused(now, c.target.ID)
 	if !timedOut {
-		c.forwarder.reportBrokenRun(ctx, c.request, c.target, target, true)
+		targetLost = c.forwarder.reportBrokenRun(ctx, c.request, c.target, target, true)
 	}
-	return failure.Wrap(err, failure.TargetLost, failure.Unknown, "await answer", c.target.ID)
+	return failure.Wrap(err, failure.TargetLost, failure.Unknown, "await answer", c.target.ID), targetLost
 }
 
 // readBody reads and closes the body of an answer.
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -22,18 +22,21 @@
 // reportBrokenRun reports that the connection of a run on t broke. t crashed if no process
 // listens at its address any more. If it accepts a connection, only the run's own was
 // lost, and nothing is reported. Otherwise the outcome is not known yet, and probes follow.
-func (f *Forwarder) reportBrokenRun(ctx context.Context, r *Request, t fleet.Target, incarnation fleet.Incarnation, atStart bool) {
+// reportBrokenRun reports whether the target seems lost, and not only the connection.
+func (f *Forwarder) reportBrokenRun(ctx context.Context, r *Request, t fleet.Target, incarnation fleet.Incarnation, atStart bool) (targetLost bool) {
 	if incarnation.Ended(time.Now()) {
 		f.CrashTracker.ReportCrash(r, t, atStart)
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	switch err := f.TargetClient.Connect(ctx, t); {
+	err := f.TargetClient.Connect(ctx, t)
+	switch {
 	case errors.Is(err, ErrNotListening):
 		f.CrashTracker.ReportCrash(r, t, atStart)
 	case err != nil:
 		f.CrashTracker.ReportLoss(r, incarnation, atStart)
 		f.Prober.Check(t)
 	}
+	return err != nil
 }
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -95,7 +95,7 @@
 func (a *streamAttempt) handleConfirmation(p ProbeResult) (attemptEnd, bool) {
 	switch {
 	case p.terminated:
-		a.endReported = true
+		a.endReported, a.targetLost = true, true
 		a.stream.forwarder.CrashTracker.ReportCrash(a.stream.request, a.attempt.Target, a.atStart(a.endedAt))
 		return a.abandonFaulty(errMayBeIncomplete.Error()), true
 	case p.running && !p.startedAt.Before(a.endedAt):
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -41,6 +41,8 @@
 	Resumes string
 	Prompt  Prompt
 	SentAt  time.Time // of the latest attempt; zero before
+
+	counted bool // by Rollouts
 }
 
 // Prompt describes the work that a request causes on a model engine.
@@ -267,17 +269,9 @@
 		f.serveStream(ctx, r, w)
 		return
 	}
-	f.countRequest(r)
 	f.call(ctx, r, w)
 }
 
-// countRequest counts a request for the roll-out of its service.
-func (f *Forwarder) countRequest(r *Request) {
-	if f.Rollouts != nil {
-		f.Rollouts.CountRequest(time.Now(), r.Service)
-	}
-}
-
 // failRequest sends an error to the caller and logs it.
 func (f *Forwarder) failRequest(r *Request, w Responder, err *failure.Error) {
 	f.Events.Record(event.RequestFailed, r.ID,
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -59,7 +59,6 @@
 		}
 		s.version = &o.SoftwareVersion
 	}
-	f.countRequest(r)
 	s.run(ctx)
 }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -40,6 +40,7 @@
 	refused      bool      // the target refused the request for want of room
 	failed       bool      // the attempt failed because of the target
 	faulty       bool      // the target broke the answer, or sent an invalid one
+	targetLost   bool      // the target itself seems lost
 	observed     observation
 	endReported  bool     // the run's end was reported to the crash tracker
 	progressed   bool     // the run's progress was reported
@@ -267,7 +268,7 @@
 // reportBroken reports that the connection of the run broke.
 func (a *streamAttempt) reportBroken(ctx context.Context) {
 	a.endReported = true
-	a.stream.forwarder.reportBrokenRun(ctx, a.stream.request, a.attempt.Target, a.incarnation, a.atStart(time.Now()))
+	a.targetLost = a.stream.forwarder.reportBrokenRun(ctx, a.stream.request, a.attempt.Target, a.incarnation, a.atStart(time.Now()))
 }
 
 // handleHead handles the head of the answer, or the error of an attempt without one. If
@@ -371,7 +372,7 @@
 		a.firstEventAt = now
 		s.forwarder.starts.Record(startKind(s.request.Service, a.attempt.Resume != (Copy{})), now.Sub(s.request.SentAt))
 		a.active.MarkFirstEvent(now)
-		a.observed.record(now, false)
+		a.observed.respond(now)
 	}
 	if !a.progressed && !a.atStart(now) {
 		a.progressed = true
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -325,6 +325,7 @@
 func (a *streamAttempt) handleSuspected() (attemptEnd, bool) {
 	now := time.Now()
 	if a.incarnation.Terminated(now) {
+		a.targetLost = true
 		return a.abandonFaulty("the target has terminated"), true
 	}
 	a.lost = nil // without an entry there is no next suspicion
--- a/forward/versions.go
+++ b/forward/versions.go
@@ -11,7 +11,7 @@
 // Rollouts decides which software versions of a service get requests while one of them is rolled
 // out, and takes the outcomes of the requests as evidence.
 type Rollouts interface {
-	// CountRequest counts a caller's request for a service.
+	// CountRequest counts a caller's request for a service, when it is first sent to a target.
 	CountRequest(now time.Time, service string)
 	// Versions returns the rule for the requests to a service, nil if any version may get them.
 	Versions(now time.Time, service string) *VersionRule
@@ -19,21 +19,31 @@
 	// credit if so. ReleaseCredit takes the credit back because nothing was sent.
 	TakeCredit(now time.Time, service, version string) bool
 	ReleaseCredit(service, version string)
-	// BeginRun records that a request is sent to a version. It returns nil if its outcome is no
+	// BeginRun records that a request is sent to a target. It returns nil if its outcome is no
 	// evidence.
-	BeginRun(now time.Time, service, version, route string) ObservedRun
+	BeginRun(now time.Time, t fleet.Target, route string) ObservedRun
 }
 
 // ObservedRun is one send of a request whose outcome is evidence on a version.
 type ObservedRun interface {
-	// Record records a response, or that there is none by the target's fault. A stream is recorded
-	// at its first event, and once more if it breaks.
-	Record(now time.Time, failed bool, latency time.Duration)
+	// Record records a response, or a failure of the target. A stream is recorded at its first
+	// event, and once more if it breaks.
+	Record(now time.Time, end RunEnd, latency time.Duration)
 	// Abandon records that the send ended without the target's fault, unless its outcome is
 	// recorded. ran means that the target may have run it.
 	Abandon(now time.Time, ran bool)
 }
 
+// RunEnd is how a send ended that is evidence.
+type RunEnd int
+
+// Ends of a send.
+const (
+	Responded  RunEnd = iota
+	Failed            // a server error, a broken or an invalid answer of a target that is there
+	TargetLost        // the target itself seems lost, which says little of its version
+)
+
 // VersionRule is what a request may be sent to at a moment. It does not change.
 type VersionRule struct {
 	// Allows reports whether a version may get requests, and Limits whether each of them needs a
@@ -41,6 +51,8 @@
 	Allows, Limits func(version string) bool
 	// Preferred is the version that gets new work if it is ready; nil for none.
 	Preferred *string
+	// Control means that the next plain call goes to another version, for comparison.
+	Control bool
 }
 
 // errNoCredit means that the only suitable targets are of a version under roll-out, which gets no
@@ -72,7 +84,15 @@
 	if rule == nil {
 		return f.Fleet.Pick(now, criteria)
 	}
-	if preferred := rule.Preferred; preferred != nil {
+	unlimited := func(version string) bool { return rule.Allows(version) && !rule.Limits(version) }
+	switch preferred := rule.Preferred; {
+	case preferred == nil:
+	case rule.Control && criteria.MemoryTokens == 0:
+		criteria.VersionFilter = unlimited
+		if t, err := f.Fleet.Pick(now, criteria); err == nil {
+			return t, nil
+		}
+	default:
 		criteria.VersionFilter = func(version string) bool { return version == *preferred }
 		if t, err := f.Fleet.Pick(now, criteria); err == nil && f.takeCredit(now, criteria.Service, t.SoftwareVersion, c) {
 			return t, nil
@@ -83,7 +103,6 @@
 	if err != nil || f.takeCredit(now, criteria.Service, t.SoftwareVersion, c) {
 		return t, err
 	}
-	unlimited := func(version string) bool { return rule.Allows(version) && !rule.Limits(version) }
 	criteria.VersionFilter = unlimited
 	if other, err := f.Fleet.Pick(now, criteria); err == nil {
 		return other, nil
@@ -143,14 +162,29 @@
 		o.credit, c.credit = c.credit, nil
 	}
 	f.releaseCredit(r.Service, c)
-	o.run = f.Rollouts.BeginRun(now, r.Service, t.SoftwareVersion, r.Route.Name)
+	if !r.counted {
+		r.counted = true
+		f.Rollouts.CountRequest(now, r.Service)
+	}
+	o.run = f.Rollouts.BeginRun(now, t, r.Route.Name)
 	return o
 }
 
-// record records a response, or a failure of the target.
-func (o observation) record(now time.Time, failed bool) {
+// respond records a response.
+func (o observation) respond(now time.Time) {
+	if o.run != nil {
+		o.run.Record(now, Responded, now.Sub(o.sentAt))
+	}
+}
+
+// fail records a failure of the target.
+func (o observation) fail(now time.Time, targetLost bool) {
+	end := Failed
+	if targetLost {
+		end = TargetLost
+	}
 	if o.run != nil {
-		o.run.Record(now, failed, now.Sub(o.sentAt))
+		o.run.Record(now, end, now.Sub(o.sentAt))
 	}
 }
 
@@ -173,11 +207,11 @@
 func (a *streamAttempt) observeEnd(now time.Time, end attemptEnd) {
 	switch {
 	case a.faulty:
-		a.observed.record(now, true)
+		a.observed.fail(now, a.targetLost)
 	case end == endNotSent:
 		a.observed.notSent(now)
 	case end == endNoRetry, end == endComplete && !a.detector.firstEventSeen: // an error of the caller, or no event was left to send
-		a.observed.record(now, false)
+		a.observed.respond(now)
 	default:
 		a.observed.abandon(now, true)
 	}
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -27,11 +27,15 @@
 
 // readPeriods returns the read period of each kind.
 func readPeriods(s *Settings) map[string]time.Duration {
-	return map[string]time.Duration{
+	periods := map[string]time.Duration{
 		platform.ConfigurationKind: s.ConfigurationWithin.Std() / readsWithin,
 		platform.TargetKind:        s.LeavingWithin.Std() / readsWithin,
 		memberKind:                 memberReadPeriod,
 	}
+	if s.Rollout != nil {
+		periods[platform.RolloutKind] = rolloutReadPeriod
+	}
+	return periods
 }
 
 // Bounds of the exponential backoff between failed calls to the store. Jitter keeps the
@@ -362,10 +366,13 @@
 		d.g.applyConfigurationChange(c, origin)
 	case platform.TargetKind:
 		d.g.applyTargetChange(c, d.entriesMayReturn(time.Now()))
+		d.g.rollouts.noteTargets(c)
 		if origin.source == sourceStore {
 			d.g.noteVersions(c)
 		}
 	case memberKind:
 		d.g.members.applyChange(c, d.entriesMayReturn(time.Now()))
+	case platform.RolloutKind:
+		d.g.rollouts.applyChange(c, origin)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,8 @@
 	origins      *origins
 	permits      *permits
 	links        *links
+	statuses     objectstore.StatusWriter
+	rollouts     *rollouts // nil if the deployment has no roll-outs
 
 	table     atomic.Pointer[ingress.Table]  // active configuration; nil until the first one is activated
 	document  atomic.Pointer[exchange.Entry] // of which table was made
@@ -116,7 +118,10 @@
 	store.OnInvalidEra = func(stated string, latest int64) {
 		g.events.Record(event.EraInvalid, "", event.F("stated", stated), event.F("latest", strconv.FormatInt(latest, 10)))
 	}
-	g.store = store
+	g.store, g.statuses = store, store
+	if s.Rollout != nil {
+		g.rollouts = newRollouts(g, *s.Rollout)
+	}
 	g.members, g.datasets, g.startup = newMembers(g), newDatasets(g), newStartup(g)
 	g.origins = newOrigins(g)
 	g.crashTracker = newCrashTracker(g.events, func(request quarantine.RequestKey) { g.peers.sendCrashes(request) },
@@ -141,6 +146,9 @@
 		}
 	})
 	g.forwarder.Permits = g.permits
+	if g.rollouts != nil {
+		g.forwarder.Rollouts = g.rollouts
+	}
 	g.forwarder.OnStatement = func(t fleet.Target, s fleet.Statement) {
 		g.peers.sendEverywhere(kindStatement, newTargetStatement(time.Now(), t, s))
 	}
@@ -253,6 +261,9 @@
 	g.wg.Go(func() { g.origins.store.run(backgroundCtx) })
 	g.wg.Go(func() { g.closeIdleConns(backgroundCtx) })
 	g.wg.Go(func() { g.links.run(backgroundCtx) })
+	if g.rollouts != nil {
+		g.wg.Go(func() { g.rollouts.run(backgroundCtx) })
+	}
 	g.wg.Go(func() {
 		g.lag.Run(backgroundCtx, stallAbove, newStallWatch(g.events, g.forwarder.Prober.Probes).report)
 	})
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -9,7 +9,7 @@
 	"github.com/vanillaroad/vanillaroad/internal/exposition"
 )
 
-// operationsHandler serves the metrics and the state of the targets for operators.
+// operationsHandler serves the metrics and the state of the targets and the roll-outs for operators.
 func (g *Gateway) operationsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -25,5 +25,9 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(g.fleet.Describe(time.Now())) // a client that disconnected repeats the request
 	})
+	mux.HandleFunc("GET /rollouts", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(g.rollouts.describe(g.members.self.ID)) // a client that disconnected repeats the request
+	})
 	return mux
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -20,23 +20,25 @@
 
 // Kinds of messages between gateway daemons.
 const (
-	kindUpdate        = peer.ConfigurationBase + 50 + iota // exchange.Update
-	kindSnapshot                                           // exchange.Query, answered by exchange.Snapshot
-	kindLoad                                               // loadReport
-	kindSuspicion                                          // suspicion
-	kindCrashReports                                       // []quarantine.CrashReport
-	kindClaim                                              // exchange.Claim
-	kindDocument                                           // documentQuery, answered by documentAnswer
-	kindOriginQuery                                        // originQuery, answered by originAnswer
-	kindSoundParts                                         // soundParts
-	kindStatement                                          // targetStatement
-	kindPermit                                             // permitRequest, answered by permitReply
-	kindPermitRelease                                      // permitRelease
-	kindReport                                             // sentReport
-	kindDigest                                             // exchange.Digest
-	kindReports                                            // reportsQuery, answered by exchange.Digest
-	kindStart                                              // startQuery, answered by startAnswer
-	kindVersions                                           // storedVersions
+	kindUpdate          = peer.ConfigurationBase + 50 + iota // exchange.Update
+	kindSnapshot                                             // exchange.Query, answered by exchange.Snapshot
+	kindLoad                                                 // loadReport
+	kindSuspicion                                            // suspicion
+	kindCrashReports                                         // []quarantine.CrashReport
+	kindClaim                                                // exchange.Claim
+	kindDocument                                             // documentQuery, answered by documentAnswer
+	kindOriginQuery                                          // originQuery, answered by originAnswer
+	kindSoundParts                                           // soundParts
+	kindStatement                                            // targetStatement
+	kindPermit                                               // permitRequest, answered by permitReply
+	kindPermitRelease                                        // permitRelease
+	kindReport                                               // sentReport
+	kindDigest                                               // exchange.Digest
+	kindReports                                              // reportsQuery, answered by exchange.Digest
+	kindStart                                                // startQuery, answered by startAnswer
+	kindVersions                                             // storedVersions
+	kindRolloutEvidence                                      // rolloutEvidence, answered by rolloutReply
+	kindRolloutVerdict                                       // rolloutVerdict
 )
 
 // Timing of messages between daemons.
@@ -73,6 +75,8 @@
 	Crashes []quarantine.CrashReport `msgpack:"c,omitempty"`
 	// KnowsReporters is false in reports of older builds, which get reports from each daemon.
 	KnowsReporters bool `msgpack:"d,omitempty"`
+	// Rollouts are the verdicts against versions under roll-out that the store doesn't have yet.
+	Rollouts []rolloutVerdict `msgpack:"r,omitempty"`
 }
 
 // peers exchanges messages with the other daemons.
@@ -121,6 +125,10 @@
 	peer.HandleTyped(t, kindReports, p.digests.handleQuery)
 	peer.HandleTyped(t, kindStart, g.startup.handleQuery)
 	peer.HandleTyped(t, kindVersions, g.origins.store.handleVersions)
+	if g.rollouts != nil {
+		peer.HandleTyped(t, kindRolloutEvidence, p.handleRolloutEvidence)
+		peer.HandleTyped(t, kindRolloutVerdict, p.handleRolloutVerdict)
+	}
 	return p, nil
 }
 
@@ -228,7 +236,7 @@
 
 // loadReport returns the report to send to all peers now. Each new origin is in one report.
 func (g *Gateway) loadReport() loadReport {
-	report := loadReport{KnowsReporters: true, Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), LinksLost: g.links.monitor.Lost(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain()}
+	report := loadReport{KnowsReporters: true, Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), LinksLost: g.links.monitor.Lost(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain(), Rollouts: g.rollouts.openVerdicts()}
 	if table := g.table.Load(); table != nil {
 		report.Version = table.Version
 	}
@@ -329,6 +337,7 @@
 	}
 	p.g.fleet.SetPeerLoads(from.ID, report.Loads)
 	p.g.newer.note(from, report.Version)
+	p.g.rollouts.handleVerdicts(from.ID, report.Rollouts...)
 }
 
 func (p *peers) callCrashReports(ctx context.Context, address string, reports []quarantine.CrashReport) error {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -91,9 +91,13 @@
 // expireTargets removes the targets whose missing entries did not return in time, and
 // drops the state that other components hold of removed targets.
 func (g *Gateway) expireTargets() {
-	for _, id := range g.fleet.Expire(time.Now()) {
+	expired := g.fleet.Expire(time.Now())
+	for _, id := range expired {
 		g.events.Record(event.TargetRemoved, "", event.F("target", id), event.F("may_return", "false"))
 	}
+	if len(expired) > 0 {
+		g.rollouts.noteTargets(exchange.Change{Removed: expired})
+	}
 	g.targetClient.Forget(g.fleet.Has)
 	g.forwarder.Prober.Forget(g.fleet.Has)
 	g.forwarder.CacheLocator.Forget(g.fleet.Has)
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -188,6 +188,21 @@
 	return nil, false
 }
 
+// HasService reports whether the configuration names a service, also if only as that of a route.
+func (t *Table) HasService(name string) bool {
+	if _, ok := t.services[name]; ok {
+		return true
+	}
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			if r.Allows(name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Service returns the named service.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
