rollout: SetJudge, Spend and Focus; Prefers also in the watch phase

SetJudge(rank < 2) is to be called by the shell. Prefers is true in the watch phase while a credit is left; Spend counts a resume that must stay at the new version; Focus names the targets to use before the switch.

--- a/allowance/cumulative.go
+++ b/allowance/cumulative.go
@@ -43,6 +43,9 @@
 	return true
 }
 
+// Spend counts a send whether it is allowed or not.
+func (c *Cumulative) Spend() { c.spent++ }
+
 // Release takes back a send that was counted and not made.
 func (c *Cumulative) Release() {
 	if c.spent > 0 {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -45,7 +45,7 @@
 	weights = [kinds]float64{0.6, 0.2, 0.2}
 	// nulls are odds ratios that don't make a version bad. Failures come in clusters, and new
 	// targets may run on slower VMs than the old ones.
-	nulls = [kinds]float64{1.5, 5, 3}
+	nulls = [kinds]float64{1.2, 5, 3}
 	// odds are the odds ratios that are bet on, with their weights.
 	odds        = [kinds][]float64{{5, 50}, {15, 100}, {10, 60}}
 	oddsWeights = []float64{0.3, 0.7}
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,9 @@
 	// switch phase, whatever the slack. With more, too few requests of the old version would be
 	// left to compare with.
 	watchPace = 1.0 / 3
+	// focusFraction is the part of the new version's targets that are used before the switch
+	// phase. The version gets between 4 % and a third of the requests then.
+	focusFraction = 0.15
 	// controlInterval is the number of requests of the switch phase of which one goes to the old
 	// version, for comparison.
 	controlInterval = 5
@@ -51,6 +55,18 @@
 	mostSlice         = 10 * time.Second
 )
 
+// Parameters of judgements.
+const (
+	// Judgements are made at most every leastJudgeInterval, because a judge gets some hundred
+	// reports a second, and every mostJudgeInterval while only the age of requests changes.
+	leastJudgeInterval = 50 * time.Millisecond
+	mostJudgeInterval  = 250 * time.Millisecond
+	// The responses of the switch phase are compared also with those that the old version gave
+	// in the last part of the duration before it, at least for compareLeast.
+	comparePart  = 0.15
+	compareLeast = 3 * time.Second
+)
+
 // Parameters of reports. The intervals grow with the number of daemons, so that a judge receives
 // at most some hundred reports a second.
 const (
@@ -72,6 +88,7 @@
 	daemons       int
 	dithered      bool
 	noTargets     bool
+	judges        bool // the others send it their evidence
 
 	allowance allowance.Cumulative
 	control   int // requests in the switch phase
@@ -86,7 +103,8 @@
 
 	reported        time.Time
 	changed, urgent bool
-	limits          map[string][kinds]int // as of the last judgement
+	judged          time.Time
+	judgement       judgement
 
 	bad          string // reason of a verdict against the version
 	little       bool
@@ -115,7 +133,7 @@
 	m.own = m.pool.source("", 0, 1)
 	m.ownSince = make(map[int]uint64)
 	m.sequence++
-	m.limits = nil
+	m.judged, m.judgement = time.Time{}, judgement{}
 }
 
 // UpdateOrder replaces the order by one with the same target: a presumed order by the one in the
@@ -154,6 +172,10 @@
 	}
 }
 
+// SetJudge states whether this daemon is one of the two that the others send their evidence to.
+// Only these decide at the end if there is little evidence; others know hardly more than their own.
+func (m *Machine) SetJudge(judge bool) { m.judges = judge }
+
 // SetTargets states whether any target of the order's version is known. It is assumed until the
 // first call.
 func (m *Machine) SetTargets(known bool) { m.noTargets = !known }
@@ -188,6 +210,16 @@
 	return m.Allows(m.order.Target) && m.allowance.Left(fraction, part, pace) >= 1
 }
 
+// Spend counts a send to the new version that can go nowhere else, such as the resume of a stream
+// that this version began. The allowance may be exceeded by it; later sends make up for that.
+// Allows still has to be asked.
+func (m *Machine) Spend(now time.Time) {
+	m.advance(now)
+	if !m.completed() {
+		m.allowance.Spend()
+	}
+}
+
 // Release takes back a credit of Allow, because the request was not sent to the new version.
 func (m *Machine) Release() { m.allowance.Release() }
 
@@ -204,10 +236,15 @@
 	return watchFraction, min(max(part, 0), 1), watchPace
 }
 
-// Prefers reports whether new work is due to go to the new version: in the switch phase. Allow is
+// Prefers reports whether new work is due to go to the new version: always in the switch phase,
+// and whenever a credit is left in the watch phase, so that evidence arises as fast as the
+// allowance permits and not as slowly as targets of both versions happen to be chosen. Allow is
 // still asked for each send.
 func (m *Machine) Prefers(now time.Time) bool {
-	return m.completed() || m.Allows(m.order.Target) && m.switching(now)
+	if m.completed() {
+		return true
+	}
+	return m.Allows(m.order.Target) && m.switching(now) || m.Available(now)
 }
 
 // Control reports whether the request that was counted last is one of those that go to the old
@@ -282,7 +319,7 @@
 
 // late reports whether a latency is slow by the last judgement.
 func (m *Machine) late(route string, bucket uint32) bool {
-	limit := m.limits[route][slow]
+	limit := m.judgement.limits[route][slow]
 	return limit > 0 && int(bucket) >= limit
 }
 
@@ -305,7 +342,7 @@
 
 // counts returns the counters of the current slice: this daemon's own and the sum.
 func (m *Machine) counts(now time.Time, name string, isNew bool) (index int, own *Counts, sum *sideSum) {
-	m.changed = true
+	m.changed, m.pool.changed = true, true
 	index = max(m.slice(now), m.pool.last-keptSlices+1)
 	sum = m.pool.at(index).route(name).side(isNew)
 	routes := m.own.slices[index]
@@ -322,6 +359,20 @@
 	}
 }
 
+// Focus returns the targets of the new version that get its requests before the switch phase: a
+// part of them as large as the part of the requests that the version gets, so that each of them
+// has about the load that it would have after the switch. Another part is taken in each slice,
+// because one VM may be slower than others. All daemons take the same.
+func (m *Machine) Focus(now time.Time, targets []string) []string {
+	if m.completed() || m.switching(now) || len(targets) < 2 {
+		return targets
+	}
+	ranked := slices.Sorted(slices.Values(targets))
+	n := int(math.Ceil(focusFraction * float64(len(ranked))))
+	first := m.slice(now) * n % len(ranked)
+	return append(ranked[first:], ranked[:first]...)[:n]
+}
+
 // age returns the age of the order.
 func (m *Machine) age(now time.Time) time.Duration { return now.Sub(m.order.Created) }
 
@@ -479,10 +530,7 @@
 		}
 		return d
 	}
-	m.own.waiting, m.own.at = m.countWaiting(now), now
-	from := m.switchSlice() - max(int(max(m.part(0.15), 3*time.Second)/m.sliceLength()), 1)
-	j := m.pool.judge(now, m.switchSlice(), from)
-	m.limits = j.limits
+	j := m.judge(now)
 	if m.bad == "" && j.wealth >= badThreshold {
 		m.bad = fmt.Sprintf("%s (evidence %.1g)", j.reason, j.wealth)
 	}
@@ -494,7 +542,7 @@
 	age := m.age(now)
 	due := !m.order.Presumed() && age >= m.completeAt()
 	if due && m.bad == "" && responses < littleEvidence {
-		if d.LittleEvidence = true; !m.noTargets {
+		if d.LittleEvidence = true; m.judges && !m.noTargets {
 			m.bad = j.little()
 			m.little = m.bad != ""
 		}
@@ -532,6 +580,21 @@
 	return d
 }
 
+// judge judges the evidence, or returns the last judgement if that is recent or nothing has
+// changed.
+func (m *Machine) judge(now time.Time) judgement {
+	if since := now.Sub(m.judged); since < leastJudgeInterval || since < mostJudgeInterval && !m.pool.changed {
+		return m.judgement
+	}
+	m.own.waiting, m.own.at = m.countWaiting(now), now
+	compareFrom := m.switchSlice() - max(1, int(max(m.part(comparePart), compareLeast)/m.sliceLength()))
+	if m.pool.changed || m.pool.waits(now) {
+		m.judgement = m.pool.judge(now, m.switchSlice(), compareFrom)
+	}
+	m.judged, m.pool.changed = now, false
+	return m.judgement
+}
+
 // Usage returns what the new version got from this daemon: the service's requests that were
 // counted, the sends to the new version, and the credits left now.
 func (m *Machine) Usage(now time.Time) (requests, sent, left int) {
--- a/rollout/pool.go
+++ b/rollout/pool.go
@@ -9,7 +9,8 @@
 type pool struct {
 	sources map[string]*source
 	slices  map[int]*sliceSum
-	last    int // index of the latest slice with a response
+	last    int  // index of the latest slice with a response
+	changed bool // since the last judgement
 }
 
 // source is the evidence of one daemon.
@@ -110,6 +111,7 @@
 	if sum == nil {
 		return
 	}
+	p.changed = true
 	for _, r := range s.slices[slice.Index] {
 		to := sum.route(r.Route)
 		to.new.add(r.New, -1)
@@ -159,6 +161,16 @@
 	side.failures++
 }
 
+// waits reports whether requests wait.
+func (p *pool) waits(now time.Time) bool {
+	for _, s := range p.sources {
+		if len(s.waiting) > 0 && now.Sub(s.at) <= waitingValid {
+			return true
+		}
+	}
+	return false
+}
+
 // atLeast returns the sum of the buckets from one on.
 func atLeast(h *[buckets]int, bucket int) int {
 	sum := 0
--- a/rollout/writer.go
+++ b/rollout/writer.go
@@ -43,8 +43,9 @@
 
 // Parameters of a Writer.
 const (
-	// writers is the number of daemons, in the order of their rank, that write a status.
-	writers = 3
+	// writers is the number of daemons, in the order of their rank, that write a status. They are
+	// the judges: others don't have the evidence.
+	writers = 2
 	// runningDelay and finalDelay are how long a daemon waits for each daemon that ranks before it
 	// to write a state. A daemon that ranks first and is paused or doesn't reach the store may
 	// still be heard by the others. The final state has to be stored before the time limit, so its
