forward, gateway: new work of a version under roll-out goes to a part of its targets

With Machine.Focus the version's share goes to as many of its targets as have about their usual load then, where they have room, as soon as there are credits. A stream that the version began is continued there on a credit that later requests make up for, instead of being cut. Only the first two daemons in rank decide on little evidence.

Tests of forward, fleet, and those of roll-outs in gateway pass.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -227,6 +227,18 @@
 	return slices.Compact(versions)
 }
 
+// TargetsOf returns the ids of the registered targets of a service with a software version, sorted.
+func (f *Fleet) TargetsOf(service, version string) (ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services[service] {
+		if s.SoftwareVersion == version {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
 // EarliestStarts returns, by the software versions of the registered targets of a service, the
 // earliest time at which a target of the version started, in Unix milliseconds; 0 if a target
 // does not state any.
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -57,7 +57,7 @@
 			f.failRequest(r, w, err)
 			return
 		}
-		s.version = &o.SoftwareVersion
+		s.version, s.succession.version = &o.SoftwareVersion, &o.SoftwareVersion
 	}
 	s.run(ctx)
 }
@@ -65,6 +65,6 @@
 // beginAt records that the caller receives the first event of this answer, from a target
 // of a software version.
 func (s *stream) beginAt(version string) {
-	s.version, s.originRecorded = &version, true
+	s.version, s.succession.version, s.originRecorded = &version, &version, true
 	s.forwarder.Origins.Record(s.request.ID, origin.Origin{Service: s.request.Service, SoftwareVersion: version})
 }
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -51,6 +51,7 @@
 	slot           *heldSlot            // for the next attempt; nil if none is held
 	refusedAt      map[string]time.Time // when targets refused a reservation, by id
 	denialRecorded bool                 // that the retry budget for a return is exhausted
+	version        *string              // that began the stream; nil before its first event
 	credit         *string              // version under roll-out to which the next attempt may go, see takeCredit; nil for none
 }
 
--- a/forward/versions.go
+++ b/forward/versions.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,8 +17,9 @@
 	// Versions returns the rule for the requests to a service, nil if any version may get them.
 	Versions(now time.Time, service string) *VersionRule
 	// TakeCredit reports whether a request may be sent to a limited version now, and spends a
-	// credit if so. ReleaseCredit takes the credit back because nothing was sent.
-	TakeCredit(now time.Time, service, version string) bool
+	// credit if so. A stream that the version began can be sent nowhere else; it gets a credit that
+	// later requests make up for. ReleaseCredit takes the credit back because nothing was sent.
+	TakeCredit(now time.Time, service, version string, began bool) bool
 	ReleaseCredit(service, version string)
 	// BeginRun records that a request is sent to a target. It returns nil if its outcome is no
 	// evidence.
@@ -53,6 +55,9 @@
 	Preferred *string
 	// Control means that the next plain call goes to another version, for comparison.
 	Control bool
+	// Spared has the IDs of targets of the preferred version that get no new work yet, so that the
+	// others have their usual load; nil if all get as much as there is.
+	Spared map[string]bool
 }
 
 // errNoCredit means that the only suitable targets are of a version under roll-out, which gets no
@@ -84,35 +89,44 @@
 	if rule == nil {
 		return f.Fleet.Pick(now, criteria)
 	}
-	unlimited := func(version string) bool { return rule.Allows(version) && !rule.Limits(version) }
-	switch preferred := rule.Preferred; {
-	case preferred == nil:
-	case rule.Control && criteria.MemoryTokens == 0:
-		criteria.VersionFilter = unlimited
-		if t, err := f.Fleet.Pick(now, criteria); err == nil {
-			return t, nil
-		}
-	default:
-		criteria.VersionFilter = func(version string) bool { return version == *preferred }
-		if t, err := f.Fleet.Pick(now, criteria); err == nil && f.takeCredit(now, criteria.Service, t.SoftwareVersion, c) {
+	if rule.Preferred != nil && (!rule.Control || criteria.MemoryTokens > 0) {
+		if t, err := f.Fleet.Pick(now, rule.preferredCriteria(criteria)); err == nil && f.takeCredit(now, criteria.Service, t.SoftwareVersion, c) {
 			return t, nil
 		}
 	}
-	criteria.VersionFilter = rule.Allows
-	t, err := f.Fleet.Pick(now, criteria)
-	if err != nil || f.takeCredit(now, criteria.Service, t.SoftwareVersion, c) {
-		return t, err
-	}
+	unlimited := func(version string) bool { return rule.Allows(version) && !rule.Limits(version) }
 	criteria.VersionFilter = unlimited
-	if other, err := f.Fleet.Pick(now, criteria); err == nil {
-		return other, nil
+	t, err := f.Fleet.Pick(now, criteria)
+	if err == nil {
+		return t, nil
 	}
-	// If all targets of other versions were avoided for a moment, their requests must not flood
-	// the new version.
-	if f.Fleet.HasVersion(now, criteria.Service, unlimited) {
-		return fleet.Target{}, errors.WithStack(errNoCredit)
+	hasOther := f.Fleet.HasVersion(now, criteria.Service, unlimited)
+	criteria.VersionFilter = rule.Allows
+	limited, limitedErr := f.Fleet.Pick(now, criteria)
+	switch {
+	case limitedErr != nil:
+		return fleet.Target{}, limitedErr
+	case f.takeCredit(now, criteria.Service, limited.SoftwareVersion, c) || !hasOther:
+		return limited, nil
+	}
+	// If all targets of other versions are avoided for a moment, their requests must not flood the
+	// new version.
+	return fleet.Target{}, errors.WithStack(errNoCredit)
+}
+
+// preferredCriteria returns what an attempt at a target of the preferred version needs.
+func (r *VersionRule) preferredCriteria(criteria fleet.Criteria) fleet.Criteria {
+	preferred := *r.Preferred
+	criteria.VersionFilter = func(version string) bool { return version == preferred }
+	if r.Spared != nil {
+		criteria.NeedsRoom = true // else a queue at few targets would look like a slow version
+		if len(r.Spared) > 0 {
+			exclude := maps.Clone(r.Spared)
+			maps.Copy(exclude, criteria.Exclude)
+			criteria.Exclude = exclude
+		}
 	}
-	return t, nil
+	return criteria
 }
 
 // takeCredit reports whether the next attempt of a request may be sent to a version now. If that
@@ -128,7 +142,7 @@
 		return true
 	}
 	f.releaseCredit(service, c)
-	if !f.Rollouts.TakeCredit(now, service, version) {
+	if !f.Rollouts.TakeCredit(now, service, version, c.version != nil && *c.version == version) {
 		return false
 	}
 	c.credit = &version
--- a/gateway/rollout_run.go
+++ b/gateway/rollout_run.go
@@ -122,7 +122,9 @@
 			o.machine.SetDither(position)
 			_, hasTargets := r.services[service].versions[o.target()]
 			o.machine.SetTargets(hasTargets)
+			o.machine.SetJudge(rank >= 0 && rank < judgesPerService)
 			r.decide(now, o)
+			r.spare(now, service, o)
 			r.tell(o)
 			if !o.ended() {
 				r.report(ctx, now, service, o, ranked)
@@ -138,6 +140,22 @@
 	return active
 }
 
+// spare notes which targets of the version get no new work before the switch phase.
+func (r *rollouts) spare(now time.Time, service string, o *roll) {
+	if phase := o.decision.Phase; phase != rollout.Watch && phase != rollout.Overdue {
+		o.spared = nil
+		return
+	}
+	targets := r.g.fleet.TargetsOf(service, o.target())
+	focus := o.machine.Focus(now, targets)
+	o.spared = make(map[string]bool) // replaced, never modified: rules refer to it
+	for _, id := range targets {
+		if !slices.Contains(focus, id) {
+			o.spared[id] = true
+		}
+	}
+}
+
 // rankDaemons returns the first n daemons in rank for a service.
 func rankDaemons(view quota.View, service string, n int) (ranked []string) {
 	active := slices.Clone(view.Active)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -54,7 +54,8 @@
 	judges        string    // that got it
 	reportFailed  bool      // at one of them, or no report was sent yet
 	endSent       bool
-	failures      int // of the version, that this daemon recorded
+	spared        map[string]bool // targets of the version that get no new work yet; nil in the switch phase
+	failures      int             // of the version, that this daemon recorded
 }
 
 var _ forward.Rollouts = (*rollouts)(nil)
@@ -158,17 +159,24 @@
 		return isPresumed || version == target && !ended
 	}
 	if !ended && o.machine.Prefers(now) {
-		rule.Preferred, rule.Control = &target, o.machine.Control(now)
+		rule.Preferred, rule.Control, rule.Spared = &target, o.machine.Control(now), o.spared
 	}
 	return rule
 }
 
 // TakeCredit implements forward.Rollouts.
-func (r *rollouts) TakeCredit(now time.Time, service, version string) bool {
+func (r *rollouts) TakeCredit(now time.Time, service, version string, began bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o := r.services[service].of(version)
-	return o == nil || o.machine.Allow(now)
+	switch {
+	case o == nil || o.machine.Allow(now):
+		return true
+	case !began || !o.machine.Allows(version):
+		return false
+	}
+	o.machine.Spend(now)
+	return true
 }
 
 // ReleaseCredit implements forward.Rollouts.
