--- a/cmd/vanillaroad/main.go
+++ b/cmd/vanillaroad/main.go
@@ -69,7 +69,7 @@
 	root.AddCommand(
 		directoryCommand(o), generateCommand(o), confirmCommand(o), outcomeCommand(o),
 		applyCommand(o), diffCommand(o), getCommand(o), describeCommand(o), historyCommand(o), rollbackCommand(o),
-		statusCommand(o), membersCommand(o), drainCommand(o), timelineCommand(o), settingsCommand(), traceCommand(o), gatewayCommand(),
+		statusCommand(o), membersCommand(o), drainCommand(o), timelineCommand(o), settingsCommand(), traceCommand(o), gatewayCommand(), rolloutsCommand(o),
 	)
 	return root
 }
--- a/gateway/rollout_run.go
+++ b/gateway/rollout_run.go
@@ -68,7 +68,7 @@
 	} else {
 		o.machine.MarkBad(v.Reason)
 	}
-	o.verdictSource, o.verdictSent = v.from, true
+	o.verdictSource, o.verdictSent, o.reason = v.from, true, v.Reason
 }
 
 // run decides on the roll-outs until ctx is done.
@@ -176,6 +176,9 @@
 	previous := o.decision
 	o.decision = o.machine.Decide(now)
 	order, d := o.machine.Order(), o.decision
+	if d.Reason != "" && !o.ended() {
+		o.reason = d.Reason
+	}
 	requests, sent, _ := o.machine.Usage(now)
 	if requests > 0 {
 		metrics.GetOrRegisterGaugeFloat64(metricShareUsed, r.g.metrics).Update(float64(sent) / float64(requests))
@@ -184,7 +187,7 @@
 		return
 	}
 	about := []event.Field{event.F("service", order.Service), event.F("target", order.Target), event.F("age", now.Sub(order.Created).Round(time.Millisecond).String())}
-	if d.Verdict != previous.Verdict && !o.ended() {
+	if first := previous.Phase == ""; d.Verdict != previous.Verdict && !o.ended() && !(first && d.Verdict == rollout.Undecided) {
 		source := o.verdictSource
 		if source == "" {
 			source = r.g.members.self.ID
@@ -194,7 +197,7 @@
 	if d.Phase == previous.Phase {
 		return
 	}
-	about = append(about, event.F("reason", d.Reason), event.F("little_evidence", strconv.FormatBool(d.LittleEvidence)),
+	about = append(about, event.F("reason", o.reason), event.F("little_evidence", strconv.FormatBool(d.LittleEvidence)),
 		event.F("requests", strconv.Itoa(requests)), event.F("sent", strconv.Itoa(sent)))
 	if !o.ended() {
 		r.g.events.Record(event.RolloutPhase, "", append(about, event.F("phase", string(d.Phase)))...)
@@ -220,7 +223,7 @@
 // verdict returns the verdict against the version.
 func (o *roll) verdict() rolloutVerdict {
 	order := o.machine.Order()
-	return rolloutVerdict{Service: order.Service, Target: order.Target, Instance: order.Instance, Reason: o.decision.Reason}
+	return rolloutVerdict{Service: order.Service, Target: order.Target, Instance: order.Instance, Reason: o.reason}
 }
 
 // openVerdicts returns the verdicts that the store doesn't have yet, for the load reports.
@@ -345,7 +348,7 @@
 		r.verdicts[v.Service] = early // the order is on its way
 		if o != nil && !v.State.Final() {
 			o.machine.MarkBad(v.Reason)
-			o.verdictSent, o.verdictSource = true, from
+			o.verdictSent, o.verdictSource, o.reason = true, from, v.Reason
 		}
 	case v.matches(o.machine.Order()) && !o.ended():
 		if o.decision.Verdict != rollout.Bad || v.State.Final() {
--- a/gateway/rollout_view.go
+++ b/gateway/rollout_view.go
@@ -55,7 +55,7 @@
 			order, d := o.machine.Order(), o.decision
 			v := RolloutView{
 				Service: order.Service, Target: order.Target, Presumed: order.Presumed(), AgeSeconds: now.Sub(order.Created).Seconds(), LimitSeconds: order.Duration.Seconds(),
-				Phase: string(d.Phase), Verdict: string(d.Verdict), Reason: d.Reason, VerdictBy: o.verdictSource, Judges: o.judges, Failures: o.failures, LittleEvidence: d.LittleEvidence,
+				Phase: string(d.Phase), Verdict: string(d.Verdict), Reason: o.reason, VerdictBy: o.verdictSource, Judges: o.judges, Failures: o.failures, LittleEvidence: d.LittleEvidence,
 			}
 			v.Requests, v.Sent, v.CreditsLeft = o.machine.Usage(now)
 			if o.writer != nil {
