--- a/forward/run.go
+++ b/forward/run.go
@@ -330,6 +330,7 @@
 	})
 	if err != nil {
 		a.reportBroken(ctx)
+		a.targetLost = a.targetLost && answer.Status >= http.StatusMultipleChoices // an unsigned success is an invalid answer
 	} else {
 		err = errors.Errorf("status %d", answer.Status)
 		if answer.Status < 500 {
