gateway: a daemon that hears no other one still gets the verdict on a version

A daemon that starts while the store is down has no entry, hears no heartbeats and took itself for the only judge, so it went on with a version that the others had stopped. It now sends its evidence to the daemons that have run longest, whose answers have the verdict and the age of the order.

Tests: the first two daemons in rank stop before the verdict and another one starts while the store is down; versions that are seen before an order.

--- a/gateway/rollout_run.go
+++ b/gateway/rollout_run.go
@@ -246,19 +246,30 @@
 	return out
 }
 
-// report sends this daemon's evidence to the judges if that is due. A new judge gets all of it.
+// report sends this daemon's evidence to the judges if that is due. A new judge gets all of it. A
+// daemon that hears no other one, as it has no entry yet, sends it to those that have run longest: any
+// of them answers with the age of the order and the verdict.
 func (r *rollouts) report(ctx context.Context, now time.Time, service string, o *roll, ranked []string) {
 	judges := slices.Clone(ranked[:min(judgesPerService, len(ranked))])
+	addresses := make(map[string]string) // of the judges
+	for _, judge := range judges {
+		if address, ok := r.g.members.address(judge); ok {
+			addresses[judge] = address
+		}
+	}
+	if len(judges) < judgesPerService {
+		for _, address := range r.g.members.mostExperienced(judgesPerService) {
+			addresses[address] = address
+		}
+	}
 	names := strings.Join(judges, " ")
 	if !o.machine.ReportDue(now) && (names == o.judges && !o.reportFailed || now.Sub(o.calledAt) < r.settings.RollbackWithin/10) {
 		return
 	}
 	o.judges, o.calledAt, o.reportFailed = names, now, false
 	message := rolloutEvidence{Service: service, Evidence: o.machine.Own()}
-	for _, judge := range judges {
-		if address, ok := r.g.members.address(judge); ok {
-			go r.send(ctx, judge, address, message, o)
-		}
+	for judge, address := range addresses {
+		go r.send(ctx, judge, address, message, o)
 	}
 }
 
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -26,10 +26,11 @@
 	total  atomic.Int64    // requests that callers sent
 	failed atomic.Int64    // of them, without a 200
 	bad    atomic.Int64    // part of v2's responses that fail, in percent
+	stops  map[string]func()
 }
 
 func newRolloutEnv(t *testing.T, block *Rollout) *rolloutEnv {
-	e := &rolloutEnv{testEnv: newTestEnv(t)}
+	e := &rolloutEnv{testEnv: newTestEnv(t), stops: make(map[string]func())}
 	e.change = func(s *Settings) { s.Rollout = block }
 	e.configure(1, "/a/")
 	return e
@@ -96,7 +97,8 @@
 
 func (e *rolloutEnv) start(n int) (daemons []Settings) {
 	for i := range n {
-		s, _ := e.startDaemon(fmt.Sprint("vm-", i), e.store.Listener.Addr().String())
+		s, stop := e.startDaemon(fmt.Sprint("vm-", i), e.store.Listener.Addr().String())
+		e.stops[s.ID] = stop
 		daemons = append(daemons, s)
 	}
 	for _, s := range daemons {
@@ -220,3 +222,83 @@
 		})
 	})
 }
+
+// TestRolloutTakeover guards against a roll-out that ends with the daemon that writes its status, and
+// against a daemon that starts in the middle and goes on with a bad version.
+func TestRolloutTakeover(t *testing.T) {
+	Convey("Given daemons with load and an order for a bad version, seen while the store is down", t, func() {
+		e := newRolloutEnv(t, rolloutBlock)
+		e.startTargets(1, 2)
+		daemons := e.start(4)
+		e.order(60)
+		eventually(func() bool { return e.state() == "running" })
+		e.platform.SetFaults(standin.PlatformFaults{Down: true})
+		ranked := rankDaemons(e.gateways["vm-0"].members.view(), "s", 4)
+		So(ranked, ShouldHaveLength, 4)
+		Convey("the daemons that are left roll it back after the first two in rank ended", func() {
+			for _, id := range ranked[:2] {
+				e.stops[id]()
+			}
+			var left []Settings
+			for _, s := range daemons {
+				if s.ID == ranked[2] || s.ID == ranked[3] {
+					left = append(left, s)
+				}
+			}
+			e.bad.Store(60)
+			defer e.load(5*time.Millisecond, left...)()
+			for _, s := range left {
+				eventually(func() bool { return e.gateways[s.ID].rollouts.describe("").Rollouts[0].Verdict == "bad" })
+			}
+			So(e.state(), ShouldEqual, "")
+			started, _ := e.startDaemon("vm-9", e.store.Listener.Addr().String(), left[0].Peers)
+			eventually(func() bool { status, _ := get(started.Callers, "/a/x"); return status == 200 })
+			eventually(func() bool {
+				view := e.gateways["vm-9"].rollouts.describe("").Rollouts
+				return len(view) == 1 && view[0].Verdict == "bad"
+			})
+			sent := e.served[1].Load()
+			for range 50 {
+				_, _ = get(started.Callers, "/a/x")
+			}
+			So(e.served[1].Load(), ShouldEqual, sent)
+			e.platform.SetFaults(standin.PlatformFaults{})
+			eventually(func() bool { return e.state() == "rolled_back" })
+		})
+	})
+}
+
+// TestPresumedVersions guards against a version that gets more than its share because its targets
+// are known before its order, and against a deployment without an order in which a version stays
+// limited, or none may get requests.
+func TestPresumedVersions(t *testing.T) {
+	Convey("Given a daemon", t, func() {
+		e := newRolloutEnv(t, rolloutBlock)
+		e.startTargets(1, 1)
+		e.start(1)
+		r := e.gateways["vm-0"].rollouts
+		limited := func(versions map[string]time.Duration) (out []string) { // by the time since they were seen
+			r.mu.Lock()
+			s := &serviceRollouts{versions: make(map[string]time.Time), presumed: make(map[string]*roll)}
+			r.services["t"] = s
+			for version, ago := range versions {
+				s.versions[version] = time.Now().Add(-ago)
+			}
+			r.presume(time.Now(), "t", s)
+			r.mu.Unlock()
+			rule := r.Versions(time.Now(), "t")
+			for version := range versions {
+				if rule != nil && rule.Limits(version) {
+					out = append(out, version)
+				}
+				So(rule == nil || rule.Allows(version), ShouldBeTrue)
+			}
+			return out
+		}
+		const known, unknown = time.Hour, -time.Hour // before and after the latest read of the orders
+		So(limited(map[string]time.Duration{"v1": known, "v2": unknown}), ShouldResemble, []string{"v2"})
+		So(limited(map[string]time.Duration{"v1": known, "v2": known}), ShouldBeEmpty)
+		So(limited(map[string]time.Duration{"v1": unknown}), ShouldBeEmpty)
+		So(limited(map[string]time.Duration{"v1": unknown, "v2": unknown}), ShouldHaveLength, 1)
+	})
+}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -50,7 +50,7 @@
 	// has none, or its own.
 	verdictSource string
 	verdictSent   bool
-	reason        string // of the latest verdict
+	reason        string    // of the latest verdict
 	calledAt      time.Time // when the latest report to the judges was sent
 	judges        string    // that got it
 	reportFailed  bool      // at one of them, or no report was sent yet
