--- a/rollout/odds.go
+++ b/rollout/odds.go
@@ -65,11 +65,11 @@
 }
 
 // tail returns the probability that at least newBad of the bad responses are the new version's if
-// both versions are equal.
-func (t table) tail() float64 {
+// the odds of a bad response of the new version are null times those of the old one.
+func (t table) tail(null float64) float64 {
 	low, weights := t.logWeights()
 	if t.newBad <= low {
 		return 1
 	}
-	return math.Exp(logSum(0, weights[t.newBad-low:], 0) - logSum(0, weights, 0))
+	return math.Exp(logSum(t.newBad, weights[t.newBad-low:], math.Log(null)) - logSum(low, weights, math.Log(null)))
 }
--- a/rollout/share_test.go
+++ b/rollout/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -11,54 +12,57 @@
 // requests to a bad version later than 5 s after its 50th bad response.
 func TestShare(t *testing.T) {
 	for _, size := range []struct{ daemons, seeds int }{{8, 120}, {90, 60}, {760, 20}} {
-		for seed := range uint64(size.seeds) {
-			r := rand.New(rand.NewPCG(seed, uint64(size.daemons)))
-			rate, d := 100.0, 12*time.Second
-			switch seed % 4 {
-			case 1:
-				rate, d = 2, time.Minute
-			case 2:
-				rate = 400
-			}
-			failures := []float64{0.002, 0.02, 0.3}[r.IntN(3)]
-			split := seed%3 == 0
-			fault := func(f *fleet) {
-				for range 1 + size.daemons/90 {
-					i := r.IntN(len(f.daemons))
-					switch r.IntN(int(10 * time.Second / tick)) {
-					case 0:
-						f.start(i, false)
-					case 1:
-						if f.start(len(f.daemons), false); split {
-							f.daemons[len(f.daemons)-1].side = r.IntN(2)
-						}
-					case 2:
-						f.daemons[i].up = false
-					case 3:
-						f.daemons[i].pausedUntil = f.now.Add(time.Duration(r.IntN(4000)) * time.Millisecond)
-					case 4:
-						if split {
-							side := r.IntN(2)
-							for j := range f.daemons {
-								f.daemons[j].side = side * (j % 2)
+		t.Run(strconv.Itoa(size.daemons), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(size.seeds) {
+				r := rand.New(rand.NewPCG(seed, uint64(size.daemons)))
+				rate, d := 100.0, 12*time.Second
+				switch seed % 4 {
+				case 1:
+					rate, d = 2, time.Minute
+				case 2:
+					rate = 400
+				}
+				failures := []float64{0.002, 0.02, 0.3}[r.IntN(3)]
+				split := seed%3 == 0
+				fault := func(f *fleet) {
+					for range 1 + size.daemons/90 {
+						i := r.IntN(len(f.daemons))
+						switch r.IntN(int(10 * time.Second / tick)) {
+						case 0:
+							f.start(i, false)
+						case 1:
+							if f.start(len(f.daemons), false); split {
+								f.daemons[len(f.daemons)-1].side = r.IntN(2)
+							}
+						case 2:
+							f.daemons[i].up = false
+						case 3:
+							f.daemons[i].pausedUntil = f.now.Add(time.Duration(r.IntN(4000)) * time.Millisecond)
+						case 4:
+							if split {
+								side := r.IntN(2)
+								for j := range f.daemons {
+									f.daemons[j].side = side * (j % 2)
+								}
 							}
 						}
 					}
 				}
+				new := func(string, float64, int) (float64, float64) { return failures, 1 }
+				f := newFleet(site{daemons: size.daemons, rate: rate, duration: d, settle: 6 * time.Second, fault: fault,
+					respond:   respond(good, new, d),
+					storeDown: func(age time.Duration) bool { return seed%5 == 0 && age > 3*time.Second },
+				}, seed).run()
+				limit := settings.Share*float64(f.requestsInTime) + settings.Slack
+				if float64(f.sent) > limit {
+					t.Errorf("%d daemons, seed %d: %d sends of %d requests, at most %.0f are allowed", size.daemons, seed, f.sent, f.requestsInTime, limit)
+				}
+				if failures == 0.3 && !split && f.object.State != Completed && f.sentLate > 0 {
+					t.Errorf("%d daemons, seed %d: %d requests later than 5 s after the 50th bad response", size.daemons, seed, f.sentLate)
+				}
 			}
-			new := func(string, float64, int) (float64, float64) { return failures, 1 }
-			f := newFleet(site{daemons: size.daemons, rate: rate, duration: d, settle: 6 * time.Second, fault: fault,
-				respond:   respond(good, new, d),
-				storeDown: func(age time.Duration) bool { return seed%5 == 0 && age > 3*time.Second },
-			}, seed).run()
-			limit := settings.Share*float64(f.requestsInTime) + settings.Slack
-			if float64(f.sent) > limit {
-				t.Errorf("%d daemons, seed %d: %d sends of %d requests, at most %.0f are allowed", size.daemons, seed, f.sent, f.requestsInTime, limit)
-			}
-			if failures == 0.3 && !split && f.object.State != Completed && f.sentLate > 0 {
-				t.Errorf("%d daemons, seed %d: %d requests later than 5 s after the 50th bad response", size.daemons, seed, f.sentLate)
-			}
-		}
+		})
 	}
 }
 
