--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -310,11 +310,13 @@
 			if t.newBad == 0 {
 				continue
 			}
+			null := nulls[k]
 			if k == failed {
+				null = 1
 				// Without responses of the old version, it is taken for one with ten good ones.
 				t.oldAll = max(t.oldAll, t.oldBad+10)
 			}
-			if p := t.tail(nulls[k]); p <= level {
+			if p := t.tail(null); p <= level {
 				return fmt.Sprintf("little evidence: %s (p %.1g)", g.reason(k), p)
 			}
 		}
