--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -238,6 +238,43 @@
 	return slices.Compact(versions)
 }
 
+// TargetsOf returns the ids of the registered targets of a service with a software version, sorted.
+func (f *Fleet) TargetsOf(service, version string) (ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services[service] {
+		if s.SoftwareVersion == version {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// EarliestStarts returns, by the software versions of the registered targets of a service, the
+// earliest time at which a target of the version started, in Unix milliseconds; 0 if a target
+// does not state any.
+func (f *Fleet) EarliestStarts(service string) map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	starts := make(map[string]int64)
+	for _, s := range f.services[service] {
+		if earliest, ok := starts[s.SoftwareVersion]; !ok || s.StartMillis < earliest {
+			starts[s.SoftwareVersion] = s.StartMillis
+		}
+	}
+	return starts
+}
+
+// HasVersion reports whether a service has a target of a version that filter allows and that
+// neither leaves nor has terminated. It may get no new requests for a while.
+func (f *Fleet) HasVersion(now time.Time, service string, filter func(version string) bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.services[service], func(s *targetState) bool {
+		return filter(s.SoftwareVersion) && !s.isLeaving(now) && !s.terminated(now)
+	})
+}
+
 // IsCurrent reports whether t is the registered incarnation of a target.
 func (f *Fleet) IsCurrent(t Target) bool {
 	f.mu.Lock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,6 +43,8 @@
 	Resumes string
 	Prompt  Prompt
 	SentAt  time.Time // of the latest attempt; zero before
+
+	counted bool // by Rollouts
 }
 
 // Prompt describes the work that a request causes on a model engine.
@@ -235,6 +237,7 @@
 	Admission        *Admission // nil if no service is contended
 	Permits          Permits    // nil if no target limits requests
 	Reserver         Reserver   // nil if no target reserves room
+	Rollouts         Rollouts   // nil if the deployment has no roll-outs
 	// OnStatement, if set, is called when a target states other conditions than before.
 	OnStatement func(t fleet.Target, s fleet.Statement)
 	Buffers     *membudget.Budget // for answers, see MaxBufferedBytes
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -20,25 +20,27 @@
 
 // Kinds of messages between gateway daemons.
 const (
-	kindUpdate        = peer.ConfigurationBase + 50 + iota // exchange.Update
-	kindSnapshot                                           // exchange.Query, answered by exchange.Snapshot
-	kindLoad                                               // loadReport
-	kindSuspicion                                          // suspicion
-	kindCrashReports                                       // []quarantine.CrashReport
-	kindClaim                                              // exchange.Claim
-	kindDocument                                           // documentQuery, answered by documentAnswer
-	kindOriginQuery                                        // originQuery, answered by originAnswer
-	kindSoundParts                                         // soundParts
-	kindStatement                                          // targetStatement
-	kindPermit                                             // permitRequest, answered by permitReply
-	kindPermitRelease                                      // permitRelease
-	kindReport                                             // sentReport
-	kindDigest                                             // exchange.Digest
-	kindReports                                            // reportsQuery, answered by exchange.Digest
-	kindStart                                              // startQuery, answered by startAnswer
-	kindVersions                                           // storedVersions
-	kindCredits                                            // creditRequest, answered by creditReply
-	kindCreditReturn                                       // creditReturn
+	kindUpdate          = peer.ConfigurationBase + 50 + iota // exchange.Update
+	kindSnapshot                                             // exchange.Query, answered by exchange.Snapshot
+	kindLoad                                                 // loadReport
+	kindSuspicion                                            // suspicion
+	kindCrashReports                                         // []quarantine.CrashReport
+	kindClaim                                                // exchange.Claim
+	kindDocument                                             // documentQuery, answered by documentAnswer
+	kindOriginQuery                                          // originQuery, answered by originAnswer
+	kindSoundParts                                           // soundParts
+	kindStatement                                            // targetStatement
+	kindPermit                                               // permitRequest, answered by permitReply
+	kindPermitRelease                                        // permitRelease
+	kindReport                                               // sentReport
+	kindDigest                                               // exchange.Digest
+	kindReports                                              // reportsQuery, answered by exchange.Digest
+	kindStart                                                // startQuery, answered by startAnswer
+	kindVersions                                             // storedVersions
+	kindCredits                                              // creditRequest, answered by creditReply
+	kindCreditReturn                                         // creditReturn
+	kindRolloutEvidence                                      // rolloutEvidence, answered by rolloutReply
+	kindRolloutVerdict                                       // rolloutVerdict
 )
 
 // Timing of messages between daemons.
@@ -78,6 +80,8 @@
 	// Held has the streams that the daemon holds until a target has room, by service: their
 	// numbers by level of urgency, see overload.Levels.
 	Held map[string][]int `msgpack:"w,omitempty"`
+	// Rollouts are the verdicts against versions under roll-out that the store doesn't have yet.
+	Rollouts []rolloutVerdict `msgpack:"r,omitempty"`
 }
 
 // peers exchanges messages with the other daemons.
@@ -127,6 +131,10 @@
 	peer.HandleTyped(t, kindStart, g.startup.handleQuery)
 	peer.HandleTyped(t, kindVersions, g.origins.store.handleVersions)
 	g.credits.handleMessages(t)
+	if g.rollouts != nil {
+		peer.HandleTyped(t, kindRolloutEvidence, p.handleRolloutEvidence)
+		peer.HandleTyped(t, kindRolloutVerdict, p.handleRolloutVerdict)
+	}
 	return p, nil
 }
 
@@ -234,7 +242,7 @@
 
 // loadReport returns the report to send to all peers now. Each new origin is in one report.
 func (g *Gateway) loadReport() loadReport {
-	report := loadReport{KnowsReporters: true, Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), LinksLost: g.links.monitor.Lost(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain(), Held: g.forwarder.Admission.Held()}
+	report := loadReport{KnowsReporters: true, Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), LinksLost: g.links.monitor.Lost(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain(), Held: g.forwarder.Admission.Held(), Rollouts: g.rollouts.openVerdicts()}
 	if table := g.table.Load(); table != nil {
 		report.Version = table.Version
 	}
@@ -337,6 +345,7 @@
 	p.g.fleet.SetPeerLoads(from.ID, report.Loads)
 	p.g.forwarder.Admission.SetPeerHeld(from.ID, report.Held)
 	p.g.newer.note(from, report.Version)
+	p.g.rollouts.handleVerdicts(from.ID, report.Rollouts...)
 }
 
 func (p *peers) callCrashReports(ctx context.Context, address string, reports []quarantine.CrashReport) error {
