gateway: bounds on memory and descriptors that callers hold

Cause: platform/ingress.go read each body with io.ReadAll, bounded per body and not in total; headers could have 1 MB each, the kernel enlarged buffers that nobody read, and connections, also of other daemons, and their frames had no bound. Change: one budget of a third of memory_mb (internal/membudget) covers bodies, buffered answers and callers' connections. Callers that stall lose what they hold when others need it; without one the request is refused with 503 before it is sent. Announced lengths over the limit are refused unread. Connections of each port are bounded by memory and by the new setting max_fds. Event callers_limited and metrics callers_*. Without memory_mb and max_fds a daemon behaves as before. The tests import package gateway, so that go test doesn't reuse results of an older daemon.

--- a/forward/call.go
+++ b/forward/call.go
@@ -20,7 +20,7 @@
 	// maxAnswerBytes bounds an answer that is buffered until it is complete.
 	maxAnswerBytes = 16 << 20
 	// MaxBufferedBytes bounds what the buffered answers of a daemon hold together, apart
-	// from membudget.FreeBytes of each.
+	// from membudget.FreeBytes of each, where the memory of the VM is not known.
 	MaxBufferedBytes = 64 << 20
 )
 
@@ -51,6 +51,9 @@
 	f.Events.Record(event.RequestAnswered, r.ID, event.F("route", r.Route.Name), event.F("target", c.target.ID),
 		event.F("status", http.StatusText(answer.status)), event.F("framed", c.framed), event.F("after", time.Since(r.Received).String()))
 	f.recordDuration(metricCall, time.Since(r.Received))
+	for _, memory := range c.memory {
+		memory.WaitFor(r.Caller)
+	}
 	w.Answer(answer.status, answer.header, answer.body)
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -41,6 +41,8 @@
 	Resumes string
 	Prompt  Prompt
 	SentAt  time.Time // of the latest attempt; zero before
+	// Caller is the connection that the answer goes to; nil if unknown.
+	Caller membudget.Holder
 }
 
 // Prompt describes the work that a request causes on a model engine.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -121,6 +121,7 @@
 	case canceledByCaller(ctx):
 		s.forwarder.abortLeft(s.request, s.responder)
 	case s.targetFailure != nil:
+		s.failureMemory.WaitFor(s.request.Caller)
 		s.responder.Answer(s.targetFailure.status, s.targetFailure.header, s.targetFailure.body)
 	default:
 		if s.mayHaveRun {
--- /dev/null
+++ b/gateway/conn_pool.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
+)
+
+// closedBy is why a connection of a caller was closed, or not accepted.
+type closedBy int
+
+const (
+	closedHeader  closedBy = iota // its header is far over the limit
+	closedMemory                  // others need its memory
+	closedMany                    // there are too many connections
+	closedReasons                 // number of reasons
+)
+
+// closeBatch is the part of the connections of a pool that is closed at a time, so that not
+// every accepted connection compares all others.
+const closeBatch = 1.0 / 32
+
+// connPool bounds the number of connections of one or several listeners.
+type connPool struct {
+	max         int
+	budget      *membudget.Budget
+	headerLimit func() int // size of a header that is not read any further
+
+	mu     sync.Mutex
+	conns  map[*connGuard]*trackedConn // without those that are being closed
+	closed [closedReasons]int64
+}
+
+func newConnPool(size int, budget *membudget.Budget, headerLimit func() int) *connPool {
+	return &connPool{max: max(1, size), budget: budget, headerLimit: headerLimit, conns: make(map[*connGuard]*trackedConn)}
+}
+
+// boundListener accepts connections that a pool bounds.
+type boundListener struct {
+	trackedListener
+	pool *connPool
+}
+
+// Accept implements net.Listener.
+func (l boundListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.trackedListener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if conn, ok := c.(*trackedConn); ok && l.pool.admit(conn, time.Now()) {
+			return c, nil
+		}
+		_ = c.Close() // nothing was read
+	}
+}
+
+// admit adds a connection. If there are too many, others are closed; it returns false if all
+// of them must stay.
+func (p *connPool) admit(c *trackedConn, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.conns) >= p.max && !p.closeSome(now) {
+		p.closed[closedMany]++
+		return false
+	}
+	c.guard = newConnGuard(c.Conn, p, now)
+	p.conns[c.guard] = c
+	return true
+}
+
+// closeSome closes the connections that matter least, and reports whether there are any. The
+// caller holds mu.
+func (p *connPool) closeSome(now time.Time) bool {
+	type candidate struct {
+		guard *connGuard
+		rank  int
+		since time.Time
+	}
+	var candidates []candidate
+	for guard := range p.conns {
+		if rank, since, ok := guard.closeRank(now); ok {
+			candidates = append(candidates, candidate{guard, rank, since})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), a.since.Compare(b.since))
+	})
+	for _, c := range candidates[:min(len(candidates), 1+int(closeBatch*float64(p.max)))] {
+		conn := p.conns[c.guard]
+		if c.rank > 0 {
+			_ = conn.Conn.Close() // it may be closed already
+		} else if !conn.expireIf(func(state int64) bool { return state > connBusy }) {
+			continue // a request arrives
+		}
+		delete(p.conns, c.guard)
+		p.closed[closedMany]++
+	}
+	return len(p.conns) < p.max
+}
+
+// closeUnread closes connections on which the most bytes wait behind a request that is being
+// served, until at most limit bytes of all connections wait.
+func (p *connPool) closeUnread(limit int) {
+	type queue struct {
+		conn  *trackedConn
+		bytes int
+	}
+	var queues []queue
+	sum := 0
+	p.mu.Lock()
+	for guard, conn := range p.conns {
+		if n := guard.unread(); n > 0 {
+			queues = append(queues, queue{conn, n})
+			sum += n
+		}
+	}
+	p.mu.Unlock()
+	slices.SortFunc(queues, func(a, b queue) int { return cmp.Compare(b.bytes, a.bytes) })
+	for _, q := range queues {
+		if sum <= limit {
+			return
+		}
+		sum -= q.bytes
+		p.countClosed(closedMemory, 1)
+		_ = q.conn.Conn.Close() // it may be closed already
+	}
+}
+
+func (p *connPool) remove(g *connGuard) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, g)
+}
+
+func (p *connPool) countClosed(reason closedBy, n int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed[reason] += n
+}
+
+// counts returns the number of open connections and, by reason, those closed since the start.
+func (p *connPool) counts() (open int, closed [closedReasons]int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns), p.closed
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,7 +28,6 @@
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/internal/lag"
-	"github.com/vanillaroad/vanillaroad/internal/membudget"
 	"github.com/vanillaroad/vanillaroad/internal/recent"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
@@ -66,6 +65,7 @@
 	// cancelAnswerTime is cancelAnswerTime, longer in tests on slow machines.
 	cancelAnswerTime time.Duration
 	idleConns        *idleTracker
+	limits           *callerLimits
 
 	servers        []*server
 	relayListener  net.Listener            // nil if the daemon doesn't relay
@@ -106,6 +106,7 @@
 		events: event.NewRecorder(s.ID, event.NewClock(time.Now), logger, s.EventRing),
 		fleet:  fleet.New(s.Place, rand.Uint64()),
 	}
+	g.limits = newCallerLimits(g, s)
 	g.links = newLinks(g, dialTarget)
 	g.targetClient = platform.NewTargetClient(g.links.DialTarget)
 	g.requestCtx, g.cancelRequests = context.WithCancelCause(context.Background())
@@ -129,7 +130,7 @@
 		TargetClient: g.targetClient, Reserver: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, Origins: g.origins, PlacementLimiter: forward.NewPlacementLimiter(),
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
 		RetryBudget: forward.NewRetryBudget(time.Now(), s.RetryBudget.budgetSettings()),
-		Buffers:     membudget.New(forward.MaxBufferedBytes),
+		Buffers:     g.limits.buffers,
 		Model:       g.model,
 		StopsAt:     g.stopsAt,
 	}
@@ -155,19 +156,24 @@
 		return nil, err
 	}
 	callerHandler := &platform.CallerHandler{
-		Table: g.table.Load, Serve: g.serve, Closing: g.draining.Load, OnRefused: g.recordRefusal,
-		PickService: func(r *ingress.Route) string { return r.PickService(rand.Float64()) },
+		Table: g.table.Load, Serve: g.serve, Closing: g.draining.Load, OnRefused: g.limits.recordRefusal,
+		PickService: func(r *ingress.Route) string { return r.PickService(rand.Float64()) }, Conn: connOf,
+	}
+	if s.MemoryMB > 0 {
+		callerHandler.Buffers = g.limits.buffers
 	}
 	for _, l := range []struct {
-		address string
-		handler http.Handler
+		address  string
+		handler  http.Handler
+		maxConns int
+		timeout  time.Duration
 	}{
-		{s.Callers, callerHandler},
-		{s.Directory, platform.DirectoryHandler(g.directoryAnswer)},
-		{s.Readiness, platform.ReadinessHandler(g.ready)},
-		{s.Operations, g.operationsHandler()},
+		{s.Callers, callerHandler, g.limits.conns.callers, 0},
+		{s.Directory, platform.DirectoryHandler(g.directoryAnswer), g.limits.conns.directory, shortRequestTimeout},
+		{s.Readiness, platform.ReadinessHandler(g.ready), g.limits.conns.other, shortRequestTimeout},
+		{s.Operations, g.operationsHandler(), g.limits.conns.other, shortRequestTimeout},
 	} {
-		if err := g.listen(l.address, l.handler); err != nil {
+		if err := g.listen(l.address, l.handler, l.maxConns, l.timeout); err != nil {
 			g.closeListeners()
 			g.peers.transport.Close()
 			return nil, err
@@ -182,20 +188,30 @@
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 120 * time.Second
+	// shortRequestTimeout bounds a request and its answer at the ports that serve no callers'
+	// requests, which have short ones.
+	shortRequestTimeout = 10 * time.Second
 )
 
-func (g *Gateway) listen(address string, h http.Handler) error {
+// listen binds the address of a server. timeout bounds its requests and its answers, each; 0
+// for no bound.
+func (g *Gateway) listen(address string, h http.Handler, maxConns int, timeout time.Duration) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", address)
 	}
-	g.servers = append(g.servers, &server{
+	s := &server{
 		Server: &http.Server{
-			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: g.idleConns.stateChanged,
+			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: g.idleConns.stateChanged, ConnContext: withGuard,
+			ReadTimeout: timeout, WriteTimeout: timeout,
 			BaseContext: func(net.Listener) context.Context { return g.requestCtx },
 		},
 		listener: trackedListener{l},
-	})
+	}
+	if bounded(*g.settings.Load()) {
+		s.listener = boundListener{trackedListener{l}, g.limits.newPool(maxConns)}
+	}
+	g.servers = append(g.servers, s)
 	return nil
 }
 
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -46,6 +46,7 @@
 // connection is closed by its reader, so that one whose request was read stays open.
 type trackedConn struct {
 	net.Conn
+	guard *connGuard // nil if the connection is not bounded
 
 	mu    sync.Mutex // held while the state and the read deadline change together
 	state int64      // connBusy, connExpired, connUnused, or since when it is idle in nanoseconds from idleTracker.start, at least 1
@@ -79,10 +80,25 @@
 			_ = c.Conn.SetReadDeadline(time.Time{}) // net/http sets its own for each request
 		}
 		c.state = connBusy
+		if c.guard != nil {
+			if gerr := c.guard.arrived(n); gerr != nil {
+				return 0, gerr
+			}
+		}
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *trackedConn) Write(b []byte) (int, error) {
+	if c.guard == nil {
+		return c.Conn.Write(b)
+	}
+	c.guard.writes(time.Now())
+	defer c.guard.writes(time.Time{})
+	return c.Conn.Write(b)
+}
+
 func (c *trackedConn) currentState() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,6 +139,9 @@
 	if !ok {
 		return
 	}
+	if conn.guard != nil {
+		conn.guard.stateChanged(s)
+	}
 	switch s {
 	case http.StateNew:
 		conn.setState(connUnused)
@@ -190,6 +209,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			g.limits.check()
 			table := g.table.Load()
 			if table == nil || table.Limits.IdleTimeout <= 0 {
 				continue
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -17,6 +17,7 @@
 		var out bytes.Buffer
 		exposition.WriteValue(&out, "requests_in_flight", "gauge", g.requests.len())
 		exposition.WriteValue(&out, "targets", "gauge", g.fleet.Len())
+		g.limits.writeMetrics(&out)
 		exposition.WriteEvents(&out, g.events.Counts())
 		exposition.WriteRegistry(&out, g.metrics)
 		_, _ = w.Write(out.Bytes()) // a client that disconnected repeats the request
@@ -25,5 +26,22 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(g.fleet.Describe(time.Now())) // a client that disconnected repeats the request
 	})
-	return mux
+	return limitConcurrency(mux, maxOperations)
+}
+
+// maxOperations is the number of requests of operators that are answered at a time. An answer
+// may take megabytes until it was read.
+const maxOperations = 4
+
+// limitConcurrency returns h with at most n requests at a time. Others wait.
+func limitConcurrency(h http.Handler, n int) http.Handler {
+	slots := make(chan struct{}, n)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+			h.ServeHTTP(w, r)
+		case <-r.Context().Done():
+		}
+	})
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -32,7 +32,12 @@
 
 	LogLevel  string `json:"log_level" validate:"oneof=debug info warn error"` // minimum severity of logged events
 	EventRing int    `json:"event_ring" validate:"min=16,max=1000000"`         // number of recent events kept in memory for the timeline
-	MemoryMB  int    `json:"memory_mb" validate:"min=0"`                       // memory of the VM; 0 if unknown
+	// MemoryMB is the memory of the VM; 0 if unknown, and then bodies and connections of
+	// callers are not bounded by memory.
+	MemoryMB int `json:"memory_mb" validate:"min=0"`
+	// MaxFDs is the number of file descriptors that the process may use, of which 200 are
+	// reserved for files; 0 if unknown, and then connections are not bounded by descriptors.
+	MaxFDs int `json:"max_fds,omitempty" validate:"min=0"`
 
 	// ReportersAbove is the number of daemons above which they don't send their load to each
 	// other but to the reporters of their place, which pass it on.
--- a/internal/crowd/site_test.go
+++ b/internal/crowd/site_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	_ "github.com/vanillaroad/vanillaroad/gateway" // so that go test doesn't reuse results of another daemon
 	"github.com/vanillaroad/vanillaroad/internal/standin"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -1,5 +1,6 @@
-// Package membudget bounds the memory that a process uses for answers that it buffers,
-// so that peers that send bytes without end can't exhaust it.
+// Package membudget bounds the memory that a process uses for what others send: requests
+// of callers with their connections, and answers that it buffers. So neither callers nor
+// targets that send bytes without end can exhaust it.
 package membudget
 
 import (
@@ -13,7 +14,7 @@
 var (
 	// ErrExhausted means that the budget is used up, and no share that is still growing
 	// has more of it than this one.
-	ErrExhausted = errors.New("the memory for buffered answers is exhausted")
+	ErrExhausted = errors.New("the memory for requests and answers is exhausted")
 	// ErrTooLong means that a body is longer than allowed.
 	ErrTooLong = errors.New("the body is too long")
 )
@@ -29,12 +30,16 @@
 
 	mu      sync.Mutex
 	used    int64
+	callers int64               // part of used that callers' requests and connections use
+	bodies  int64               // part of callers that bodies use
 	growing map[*Share]struct{} // shares with counted bytes whose answers are not complete
+	waiting map[*Share]struct{} // shares that wait for a caller, see Holder
+	evicted int64
 }
 
 // New returns a budget of limit bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, growing: make(map[*Share]struct{})}
+	return &Budget{limit: limit, growing: make(map[*Share]struct{}), waiting: make(map[*Share]struct{})}
 }
 
 // Used returns the number of bytes that count now.
@@ -48,20 +53,32 @@
 // concurrently.
 type Share struct {
 	budget *Budget
+	kind   kind
 	size   int64
 
 	// Guarded by budget.mu.
 	counted int64  // part of size that counts
 	stop    func() // ends the read that grows the share
+	holder  Holder // the caller that the share waits for; nil for none
 	evicted bool
 }
 
+// kind says what a share holds.
+type kind int
+
+const (
+	answerKind kind = iota
+	bodyKind
+	connKind
+)
+
 // NewShare returns an empty share. It must be released.
 func (b *Budget) NewShare() *Share { return &Share{budget: b} }
 
-// Grow adds n bytes to the share, for a read that stop ends. If the budget is exhausted,
-// the largest growing share loses its bytes and its read is stopped: a body without an end
-// becomes the largest sooner or later. If that is this share, Grow returns ErrExhausted
+// Grow adds n bytes to the share, for a read that stop ends. If the budget is exhausted, the
+// largest share whose caller stalls loses its bytes. If there is none, the largest growing
+// answer loses its bytes and its read is stopped: a body without an end becomes the largest
+// sooner or later. If that is this share, Grow returns ErrExhausted
 // and adds nothing.
 func (s *Share) Grow(n int, stop func()) error {
 	if s.size+int64(n) <= FreeBytes {
@@ -75,25 +92,58 @@
 		return errors.WithStack(ErrExhausted)
 	}
 	counted := s.size + int64(n) - FreeBytes
-	for b.used+counted-s.counted > b.limit {
-		victim := b.largest(s, counted)
+	for !b.fits(s, counted) {
+		victim := b.stalled(s)
+		if victim == nil {
+			victim = b.largest(s, counted)
+		}
 		if victim == nil {
 			return errors.WithStack(ErrExhausted)
 		}
-		b.used -= victim.counted
-		victim.counted, victim.evicted = 0, true
-		delete(b.growing, victim)
-		go victim.stop()
-	}
-	b.used += counted - s.counted
-	s.size, s.counted, s.stop = s.size+int64(n), counted, stop
-	b.growing[s] = struct{}{}
+		b.evict(victim)
+	}
+	b.count(s, counted)
+	s.size, s.stop = s.size+int64(n), stop
+	if s.kind == answerKind {
+		b.growing[s] = struct{}{}
+	}
 	return nil
 }
 
+// count changes the number of bytes of a share that count. The caller holds mu.
+func (b *Budget) count(s *Share, counted int64) {
+	added := counted - s.counted
+	s.counted = counted
+	b.used += added
+	if s.kind != answerKind {
+		b.callers += added
+	}
+	if s.kind == bodyKind {
+		b.bodies += added
+	}
+}
+
+// evict takes the bytes of a share and ends the read or the write that it is for. The caller
+// holds mu.
+func (b *Budget) evict(s *Share) {
+	stop := s.stop
+	if s.holder != nil {
+		stop = s.holder.Evict
+	}
+	b.count(s, 0)
+	s.evicted = true
+	b.evicted++
+	delete(b.growing, s)
+	delete(b.waiting, s)
+	go stop()
+}
+
 // largest returns the largest growing share other than s with more than counted bytes, or
-// nil.
+// nil. Only answers yield to a larger one: a caller's body has a limit.
 func (b *Budget) largest(s *Share, counted int64) *Share {
+	if s.kind != answerKind {
+		return nil
+	}
 	var found *Share
 	for other := range b.growing {
 		if other != s && other.counted > counted {
@@ -132,8 +182,7 @@
 		return
 	}
 	counted := max(0, s.size-FreeBytes)
-	s.budget.used += counted - s.counted
-	s.counted = counted
+	s.budget.count(s, counted)
 	if counted == 0 {
 		delete(s.budget.growing, s)
 	}
@@ -143,9 +192,10 @@
 func (s *Share) Release() {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	s.budget.used -= s.counted
+	s.budget.count(s, 0)
 	delete(s.budget.growing, s)
-	s.size, s.counted, s.evicted = 0, 0, false
+	delete(s.budget.waiting, s)
+	s.size, s.evicted, s.holder = 0, false, nil
 }
 
 // firstBufferBytes is the size of the first buffer for a body; a full buffer is replaced
@@ -156,7 +206,12 @@
 // be empty, grows by the capacity of the returned slice, or is empty after an error.
 func (s *Share) ReadAll(body io.ReadCloser, maxBytes int) ([]byte, error) {
 	defer func() { _ = body.Close() }()
-	b, err := s.read(body, maxBytes)
+	return s.ReadWith(body, maxBytes, func() { _ = body.Close() })
+}
+
+// ReadWith is ReadAll for a body that is not closed and whose read stop ends.
+func (s *Share) ReadWith(body io.Reader, maxBytes int, stop func()) ([]byte, error) {
+	b, err := s.read(body, maxBytes, stop)
 	if err != nil {
 		s.Release()
 		return nil, err
@@ -164,8 +219,7 @@
 	return b, nil
 }
 
-func (s *Share) read(body io.ReadCloser, maxBytes int) ([]byte, error) {
-	stop := func() { _ = body.Close() }
+func (s *Share) read(body io.Reader, maxBytes int, stop func()) ([]byte, error) {
 	var buf []byte
 	for {
 		if full := cap(buf); len(buf) == full {
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 )
 
 // Timeouts and limits of a connection.
@@ -42,6 +44,7 @@
 	transport    *Transport
 	nc           net.Conn
 	remote       Identity
+	remoteHost   string // address that the connection comes from
 	sendQueue    chan *envelope
 	done         chan struct{}
 	closeOnce    sync.Once
@@ -54,6 +57,7 @@
 	pendingCalls    map[uint64]chan *envelope
 	lastCallID      uint64
 	lastUsed        time.Time
+	received        time.Time // time of the last frame
 	lastPing        time.Time // time of the last ping, zero if none
 	unansweredSince time.Time // time of the first ping since the last received frame, zero if none
 	retired         bool      // closed as idle; accepts no further calls
@@ -61,7 +65,7 @@
 
 func newConn(transport *Transport, nc net.Conn, remote Identity) *conn {
 	return &conn{
-		transport: transport, nc: nc, remote: remote,
+		transport: transport, nc: nc, remote: remote, remoteHost: hostOf(nc), received: time.Now(),
 		sendQueue:    make(chan *envelope, sendQueueLen),
 		done:         make(chan struct{}),
 		handlerSlots: make(chan struct{}, maxHandlers),
@@ -160,7 +164,11 @@
 			return
 		}
 		first := time.Now()
-		e, err := readFrame(r, maxFrameBytes)
+		var memory *membudget.Share
+		if c.transport.Buffers != nil {
+			memory = c.transport.Buffers.NewShare()
+		}
+		e, err := readCountedFrame(r, maxFrameBytes, memory, func() { _ = c.nc.Close() })
 		if err != nil {
 			c.close(silenceError(err))
 			return
@@ -221,6 +229,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unansweredSince = time.Time{}
+	c.received = time.Now()
+}
+
+// lastReceived returns the time of the last frame.
+func (c *conn) lastReceived() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
 }
 
 // silenceError returns ErrSilent for an error of a passed read deadline, else err.
@@ -235,9 +251,12 @@
 func (c *conn) handle(e *envelope) {
 	switch {
 	case e.Kind == kindPing:
+		e.release()
 		c.enqueue(&envelope{Kind: kindPong})
 	case e.Kind == kindPong:
+		e.release()
 	case e.Reply:
+		defer e.release() // its call decodes it at once
 		c.mu.Lock()
 		ch := c.pendingCalls[e.ID]
 		delete(c.pendingCalls, e.ID)
@@ -253,15 +272,24 @@
 // serve runs the handler of e in a new goroutine. While maxHandlers of them run, it
 // blocks, and so the connection is not read.
 func (c *conn) serve(e *envelope) {
+	if c.transport.handlers[e.Kind] == nil {
+		e.release()
+		if e.ID != 0 {
+			c.enqueue(&envelope{Kind: e.Kind, ID: e.ID, Reply: true, Error: ErrNoHandler.Error()})
+		}
+		return
+	}
 	select {
 	case c.handlerSlots <- struct{}{}:
 	case <-c.done:
+		e.release()
 		return
 	}
 	c.transport.wg.Add(1)
 	go func() {
 		defer c.transport.wg.Done()
 		defer func() { <-c.handlerSlots }()
+		defer e.release()
 		ctx, cancel := context.WithCancel(context.WithValue(c.transport.ctx, arrivalKey{}, e.arrival))
 		defer cancel()
 		body, err := c.transport.dispatch(ctx, c.remote, e.Kind, e.Body)
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 )
 
 // maxFrameBytes is the maximum size of a frame's body. It exceeds the platform's largest
@@ -39,6 +41,12 @@
 // readFrame reads one envelope whose body has at most maxBytes. Its buffer grows with the
 // received data, so that a false length prefix can't make it allocate much memory.
 func readFrame(r io.Reader, maxBytes uint32) (*envelope, error) {
+	return readCountedFrame(r, maxBytes, nil, nil)
+}
+
+// readCountedFrame is readFrame with a body that counts in memory, unless that is nil. stop
+// ends the read if others need its bytes.
+func readCountedFrame(r io.Reader, maxBytes uint32, memory *membudget.Share, stop func()) (*envelope, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, errors.Wrap(err, "read frame header")
@@ -47,17 +55,29 @@
 	if n > maxBytes {
 		return nil, errors.WithStack(ErrFrameTooLarge)
 	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	e := &envelope{size: headerBytes + int(n), memory: memory}
+	body, err := readFrameBody(r, int(n), memory, stop)
+	if err == nil {
+		err = errors.Wrap(msgpack.Unmarshal(body, e), "decode frame")
+	}
 	if err != nil {
-		return nil, errors.Wrap(err, "read frame body")
+		e.release()
+		return nil, err
 	}
-	if len(body) < int(n) {
-		return nil, errors.Wrap(io.ErrUnexpectedEOF, "read frame body")
+	return e, nil
+}
+
+func readFrameBody(r io.Reader, n int, memory *membudget.Share, stop func()) ([]byte, error) {
+	r = io.LimitReader(r, int64(n))
+	var body []byte
+	var err error
+	if memory == nil {
+		body, err = io.ReadAll(r)
+	} else {
+		body, err = memory.ReadWith(r, n, stop)
 	}
-	e := new(envelope)
-	e.size = headerBytes + int(n)
-	if err := msgpack.Unmarshal(body, e); err != nil {
-		return nil, errors.Wrap(err, "decode frame")
+	if err == nil && len(body) < n {
+		err = io.ErrUnexpectedEOF
 	}
-	return e, nil
+	return body, errors.Wrap(err, "read frame body")
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -9,6 +9,8 @@
 import (
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 )
 
 // ProtocolVersion is exchanged in the handshake. Daemons with different versions don't
@@ -71,4 +73,13 @@
 
 	size    int     // bytes of the received frame; not encoded
 	arrival Arrival // of the received frame; not encoded
+	// memory is what the received frame counts; nil for nothing. It is not encoded.
+	memory *membudget.Share
+}
+
+// release gives the memory of a received frame back once it was handled.
+func (e *envelope) release() {
+	if e.memory != nil {
+		e.memory.Release()
+	}
 }
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillaroad/vanillaroad/event"
+	"github.com/vanillaroad/vanillaroad/internal/membudget"
 )
 
 // Handler handles one message and returns its reply. A nil reply with a nil error is an
@@ -32,10 +33,18 @@
 	// before use.
 	Lateness func(since, now time.Time) time.Duration
 
+	// MaxInbound bounds the accepted connections, and Buffers what received frames hold until
+	// they are handled, apart from membudget.FreeBytes of each. They may be 0 and nil for no
+	// bound, and must be set before use.
+	MaxInbound int
+	Buffers    *membudget.Budget
+
 	mu           sync.Mutex
 	handlers     map[Kind]Handler
 	conns        map[string]*conn
 	inbound      map[*conn]struct{}
+	greeting     map[net.Conn]time.Time // accepted connections in their handshake, with its start
+	rejected     int64                  // accepted connections that were closed because there were too many
 	pendingDials map[string]*pendingDial
 	blockFilter  func(address string) bool
 
@@ -78,7 +87,7 @@
 	t := &Transport{
 		self: self, events: events, ctx: ctx, cancel: cancel, ln: ln,
 		handlers: make(map[Kind]Handler), conns: make(map[string]*conn),
-		inbound: make(map[*conn]struct{}), pendingDials: make(map[string]*pendingDial),
+		inbound: make(map[*conn]struct{}), greeting: make(map[net.Conn]time.Time), pendingDials: make(map[string]*pendingDial),
 	}
 	HandleTyped(t, kindBroadcast, t.handleBroadcast)
 	return t, nil
@@ -127,6 +136,7 @@
 			_ = nc.Close()
 			return
 		}
+		t.makeRoom(nc)
 		go func() {
 			defer t.wg.Done()
 			t.accept(nc)
@@ -136,14 +146,21 @@
 
 func (t *Transport) accept(nc net.Conn) {
 	remote, err := t.handshake(nc)
-	if err != nil || t.isBlocked(remote.PeerAddress) {
-		_ = nc.Close()
-		return
-	}
 	c := newConn(t, nc, remote)
 	t.mu.Lock()
-	t.inbound[c] = struct{}{}
+	delete(t.greeting, nc)
+	if err == nil {
+		t.inbound[c] = struct{}{}
+	}
 	t.mu.Unlock()
+	if err != nil {
+		_ = nc.Close()
+		return
+	}
+	if t.isBlocked(remote.PeerAddress) {
+		c.close(ErrSilent)
+		return
+	}
 	if t.ctx.Err() != nil {
 		c.close(ErrClosed)
 		return
