target, platform: a part of an answer never looks complete after a failed write

Cause: a target that answers during an upload with 200 and no length, sends a part and resets the connection: the kernel reports the reset once, to the write of the request, and the next read finds an orderly end. Both clients returned the part as the complete body. target.Client also passed on replies with status 000, 099 and 600; 1000, 20x and an empty status were refused by both programs, 000, 099 and 600 by the gateway. Change: connections to targets (internal/brokenconn) end in order only if no write has failed; target.Client accepts statuses from 200 to 599 only. Result: TestAnswerDuringUpload, TestReplyDuringUpload and TestInvalidStatus of package target fail before and pass in five runs; TestInvalidStatus of package platform passes before and after.

--- a/target/client.go
+++ b/target/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/internal/brokenconn"
 )
 
 // Limits of a target client.
@@ -49,7 +51,13 @@
 
 func newClient(address string, dial dialFunc) *Client {
 	transport := &http.Transport{
-		DialContext:            dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return brokenconn.New(conn), nil
+		},
 		MaxIdleConnsPerHost:    16,
 		IdleConnTimeout:        10 * time.Second,
 		MaxResponseHeaderBytes: maxHeadBytes,
@@ -120,9 +128,16 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		_ = resp.Body.Close()
+		return nil, errors.Wrapf(ErrLost, "status %d", resp.StatusCode)
+	}
 	return resp, nil
 }
 
+// maxStatus is the largest status of an answer in HTTP.
+const maxStatus = 599
+
 func statusError(resp *http.Response) error {
 	switch {
 	case resp.StatusCode < http.StatusMultipleChoices:
