--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,6 +43,8 @@
 	Resumes string
 	Prompt  Prompt
 	SentAt  time.Time // of the latest attempt; zero before
+	// Caller is the connection that the answer goes to; nil if unknown.
+	Caller membudget.Holder
 
 	counted bool // by Rollouts
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -128,6 +128,7 @@
 	case s.targetFailure != nil && s.targetFailure.check(s.latest.attempt.Target) != nil:
 		s.forwarder.failRequest(s.request, s.responder, s.targetFailure.check(s.latest.attempt.Target))
 	case s.targetFailure != nil:
+		s.failureMemory.WaitFor(s.request.Caller)
 		s.responder.Answer(s.targetFailure.status, s.targetFailure.header, s.targetFailure.body)
 	default:
 		if s.mayHaveRun {
