rollout, allowance: simulations run a tenth of their seeds under the race detector

They have one goroutine, so the race detector finds nothing in them, and take ten times as long under it: minutes on a machine with other work.

--- a/allowance/budget_test.go
+++ b/allowance/budget_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/vanillaroad/vanillaroad/internal/racemode"
 )
 
 var defaultSettings = Settings{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}
@@ -14,7 +16,7 @@
 func TestFleetKeepsLimit(t *testing.T) {
 	for _, c := range []struct{ daemons, seeds int }{{8, 90}, {90, 80}, {300, 24}, {760, 8}} {
 		t.Run(fmt.Sprint(c.daemons), func(t *testing.T) {
-			for seed := range uint64(c.seeds) {
+			for seed := range uint64(racemode.Seeds(c.seeds)) {
 				f := faults{
 					lost: 0.1 * float64(seed%3), duplicated: 0.2 * float64(seed%2), delayed: 0.1 * float64(seed%4),
 					deaths: c.daemons / 4 * int(seed%3), oldBuilds: 0.3 * float64(seed%5/3), partition: seed%4 == 1, fresh: seed%7 == 2,
@@ -42,7 +44,7 @@
 // each, of which a few lose 6 to 12 streams at the same moment, up to 227 in ten seconds.
 func TestVanishedTargetsOfAFewDaemons(t *testing.T) {
 	const daemons, most, length = 91, 227, 60 * time.Second
-	for seed := range uint64(40) {
+	for seed := range uint64(racemode.Seeds(40)) {
 		w := newSimFleet(seed, daemons, defaultSettings, faults{}, length)
 		w.addRequests(0.3, 20*time.Second)
 		w.addEvenLosses(most, 20*time.Second)
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/vanillaroad/vanillaroad/internal/racemode"
 )
 
 // version states the part of responses that fail and how many times slower they are.
@@ -82,7 +84,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			missed := 0
-			for seed := range uint64(20) {
+			for seed := range uint64(racemode.Seeds(20)) {
 				f := newFleet(site{daemons: 8, rate: c.rate, duration: c.duration, respond: respond(c.old, c.new, c.duration), settle: 7 * time.Second}, seed).run()
 				if f.object.State != c.state {
 					missed++
@@ -106,7 +108,7 @@
 // TestFalseAlarms guards against rolling back a good version by chance, with failures as frequent
 // as 1 in 20 and with versions whose common latency changes all the time.
 func TestFalseAlarms(t *testing.T) {
-	for seed := range uint64(*falseAlarmSeeds) {
+	for seed := range uint64(racemode.Seeds(*falseAlarmSeeds)) {
 		r := rand.New(rand.NewPCG(seed, 3))
 		now, d, rate := epoch, 12*time.Second, 5+r.IntN(200)
 		if seed%3 == 0 {
--- a/rollout/share_test.go
+++ b/rollout/share_test.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/vanillaroad/vanillaroad/internal/racemode"
 )
 
 // TestShare guards against more requests to a version under roll-out than its share and the slack
@@ -14,7 +16,7 @@
 	for _, size := range []struct{ daemons, seeds int }{{8, 120}, {90, 60}, {760, 20}} {
 		t.Run(strconv.Itoa(size.daemons), func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(size.seeds) {
+			for seed := range uint64(racemode.Seeds(size.seeds)) {
 				r := rand.New(rand.NewPCG(seed, uint64(size.daemons)))
 				rate, d := 100.0, 12*time.Second
 				switch seed % 4 {
