--- a/forward/admission.go
+++ b/forward/admission.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/overload"
@@ -84,10 +85,9 @@
 	return c
 }
 
-// load returns what is known of a service. a.mu is held.
-func (a *Admission) load(now time.Time, s *stream, r overload.Request) overload.Load {
+// load returns what is known of a service with its ready targets. a.mu is held.
+func (a *Admission) load(s *stream, r overload.Request, ready []fleet.TargetLoad) overload.Load {
 	f, service := s.forwarder, s.request.Service
-	ready := f.Fleet.ReadyLoads(now, service, r.Priority)
 	targets := make([]overload.Target, len(ready))
 	for i, t := range ready {
 		targets[i] = overload.Target(t)
@@ -137,10 +137,11 @@
 		Priority: f.priority(r), Objective: r.Route.LatencyObjective, Timeout: r.Route.Timeout, Received: r.Received, Deadline: r.AnswerDeadline(),
 		Prompt: r.Prompt.Tokens, Memory: s.memoryTokens(), Workspace: r.Workspace,
 	}
-	a.mu.Lock()
 	now := time.Now()
+	ready := f.Fleet.ReadyLoads(now, r.Service, request.Priority)
+	a.mu.Lock()
 	c := a.controller(r.Service)
-	ticket, d := c.Arrive(now, request, a.load(now, s, request), rand.Float64)
+	ticket, d := c.Arrive(now, request, a.load(s, request, ready), rand.Float64)
 	a.mu.Unlock()
 	s.admitted = sync.OnceFunc(func() {
 		a.mu.Lock()
@@ -159,9 +160,10 @@
 		if !pause.For(ctx, d.Again) {
 			return contextError(ctx, failure.NotRun, "admit", r.Service)
 		}
-		a.mu.Lock()
 		now := time.Now()
-		d = c.Reconsider(now, ticket, a.load(now, s, request), rand.Float64)
+		ready := f.Fleet.ReadyLoads(now, r.Service, request.Priority)
+		a.mu.Lock()
+		d = c.Reconsider(now, ticket, a.load(s, request, ready), rand.Float64)
 		a.mu.Unlock()
 	}
 	s.needsRoomFirst = d.Action == overload.Send
--- a/gateway/conn_guard.go
+++ b/gateway/conn_guard.go
@@ -20,6 +20,12 @@
 	// fewer than progressBytes of a body, or that has not read a part of its answer.
 	stallTime     = 2 * time.Second
 	progressBytes = 8 << 10
+	// settleTime is the time after which a body whose bytes have arrived counts as read. The
+	// handler has it some microseconds after its last byte.
+	settleTime = 5 * time.Millisecond
+	// minCloseAge is the age from which a connection without a complete header is closed if
+	// there are too many. Callers who all connect at once need a round trip.
+	minCloseAge = 200 * time.Millisecond
 )
 
 // Limits of headers.
@@ -76,6 +82,7 @@
 	phase    phase
 	since    time.Time // start of the phase, or of a body's latest progress
 	progress int       // bytes of a body since then
+	readAt   time.Time // of the latest bytes of a body
 	header   int       // bytes of the header
 	writing  time.Time // start of a write that has not ended; zero for none
 }
@@ -128,6 +135,7 @@
 	case phaseNew, phaseIdle:
 		g.phase, g.since, g.header = phaseHeader, time.Now(), 0
 	case phaseBody:
+		g.readAt = time.Now()
 		if g.progress += n; g.progress >= progressBytes {
 			g.progress, g.since = 0, time.Now()
 		}
@@ -142,20 +150,26 @@
 	g.mu.Unlock()
 	if tooLong {
 		g.pool.countClosed(closedHeader, 1)
-		// The connection is closed, so an error of the write is the same.
-		_ = g.conn.SetWriteDeadline(time.Now().Add(time.Second))
-		_, _ = g.conn.Write([]byte("HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+		g.refuse("431 Request Header Fields Too Large\r\n")
 		return readError(errors.New("the header is too long"))
 	}
 	if cost > 0 {
 		if err := g.share.Grow(cost, func() {}); err != nil {
 			g.pool.countClosed(closedMemory, 1)
+			g.refuse("503 Service Unavailable\r\nRetry-After: 1\r\n")
 			return readError(err)
 		}
 	}
 	return nil
 }
 
+// refuse answers a request whose header is not read to its end, so that no handler has run. An
+// error of the write doesn't matter, since the connection is closed.
+func (g *connGuard) refuse(status string) {
+	_ = g.conn.SetWriteDeadline(time.Now().Add(time.Second))
+	_, _ = g.conn.Write([]byte("HTTP/1.1 " + status + "Connection: close\r\nContent-Length: 0\r\n\r\n"))
+}
+
 func headerCost(header int) int { return headerFactor * max(0, header-freeHeaderBytes) }
 
 // readError returns an error after which net/http closes a connection without an answer.
@@ -181,6 +195,7 @@
 		if cost := headerCost(header); cost > 0 {
 			g.share.Shrink(cost)
 		}
+		g.share.Renew()
 		g.setPhase(phaseIdle)
 	case http.StateClosed, http.StateHijacked:
 		g.share.Release()
@@ -217,8 +232,10 @@
 // stalled is Stalled for callers that hold mu.
 func (g *connGuard) stalled(now time.Time) bool {
 	switch g.phase {
-	case phaseNew, phaseHeader, phaseBody:
+	case phaseNew, phaseHeader:
 		return now.Sub(g.since) > stallTime
+	case phaseBody:
+		return now.Sub(g.since) > stallTime && now.Sub(g.readAt) > settleTime
 	case phaseServed:
 		return !g.writing.IsZero() && now.Sub(g.writing) > stallTime
 	}
@@ -228,15 +245,25 @@
 // Evict implements membudget.Holder. A caller that has sent no complete request is refused
 // or closed by the reader of its connection.
 func (g *connGuard) Evict() {
+	if g.evict(time.Now()) {
+		g.pool.countClosed(closedMemory, 1)
+	}
+}
+
+// evict is Evict unless the caller has made progress meanwhile. It holds mu, so that a body
+// doesn't end before its deadline is set, which would hit the request that is served then.
+func (g *connGuard) evict(now time.Time) bool {
 	g.mu.Lock()
-	current := g.phase
-	g.mu.Unlock()
-	g.pool.countClosed(closedMemory, 1)
-	if current == phaseServed {
+	defer g.mu.Unlock()
+	switch {
+	case !g.stalled(now):
+		return false
+	case g.phase == phaseServed:
 		_ = g.conn.Close() // it may be closed already
-		return
+	default:
+		_ = g.conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed already
 	}
-	_ = g.conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed already
+	return true
 }
 
 // closeRank returns how early a connection is closed when there are too many: the lowest
@@ -248,7 +275,7 @@
 	switch {
 	case g.phase == phaseIdle:
 		return 0, g.since, true
-	case g.phase == phaseNew, g.phase == phaseHeader, g.stalled(now) && g.phase == phaseBody:
+	case (g.phase == phaseNew || g.phase == phaseHeader) && now.Sub(g.since) > minCloseAge, g.stalled(now) && g.phase == phaseBody:
 		return 1, g.since, true
 	case g.stalled(now):
 		return 2, g.writing, true
--- a/gateway/conn_pool.go
+++ b/gateway/conn_pool.go
@@ -92,6 +92,9 @@
 	})
 	for _, c := range candidates[:min(len(candidates), 1+int(closeBatch*float64(p.max)))] {
 		conn := p.conns[c.guard]
+		if rank, _, ok := c.guard.closeRank(time.Now()); !ok || rank != c.rank {
+			continue // its request is complete meanwhile
+		}
 		if c.rank > 0 {
 			_ = conn.Conn.Close() // it may be closed already
 		} else if !conn.expireIf(func(state int64) bool { return state > connBusy }) {
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -75,11 +75,11 @@
 	}
 	if n > 0 {
 		c.mu.Lock()
-		defer c.mu.Unlock()
 		if c.state == connExpired {
 			_ = c.Conn.SetReadDeadline(time.Time{}) // net/http sets its own for each request
 		}
 		c.state = connBusy
+		c.mu.Unlock() // the guard takes the lock of its pool, under which connections are expired
 		if c.guard != nil {
 			if gerr := c.guard.arrived(n); gerr != nil {
 				return 0, gerr
--- a/internal/membudget/callers.go
+++ b/internal/membudget/callers.go
@@ -44,6 +44,17 @@
 	return s
 }
 
+// Renew lets the share of a connection that lost its bytes, and goes on, count again.
+func (s *Share) Renew() {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	if s.evicted {
+		s.evicted, s.size = false, ConnBytes+FreeBytes
+		s.budget.count(s, ConnBytes)
+		s.budget.waiting[s] = struct{}{}
+	}
+}
+
 // WaitFor makes a share of a complete answer one that waits for h: if h stalls, others get
 // its bytes.
 func (s *Share) WaitFor(h Holder) {
