--- a/forward/budget.go
+++ b/forward/budget.go
@@ -170,13 +170,15 @@
 
 // renew pays again for a retry that was paid for at or before a time, if that is long ago: its stream
 // has waited for a target meanwhile, and a borrowed credit may have expired.
-func (b *RetryBudget) renew(paidAt time.Time, r retry) bool {
-	now := time.Now()
-	if b.needed == nil || !r.begun || now.Sub(paidAt) < maxSendDelay {
+func (b *RetryBudget) renew(ctx context.Context, paidAt time.Time, r retry) bool {
+	b.mu.Lock()
+	borrows := b.needed != nil && b.budget.Lends()
+	b.mu.Unlock()
+	if !borrows || !r.begun || time.Since(paidAt) < maxSendDelay {
 		return true
 	}
 	b.Release(paidAt, r.request.Service)
-	return b.allow(now, r, 1)
+	return b.await(ctx, r)
 }
 
 // Release takes back the latest retry that was counted at or before a time, because it
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -81,7 +81,7 @@
 		}
 		a.Target = t
 	}
-	if isRetry && !s.forwarder.RetryBudget.renew(paidAt, retry{s.request, s.succession.begun}) {
+	if isRetry && !s.forwarder.RetryBudget.renew(ctx, paidAt, retry{s.request, s.succession.begun}) {
 		s.forwarder.releasePermit(s.request.ID, a.Target, false)
 		s.forwarder.recordDenial(retry{s.request, s.succession.begun}, 1)
 		s.noAttempt = errBudgetExhausted.Error()
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -216,6 +216,10 @@
 			continue // a late end of the first run would end the next one, too
 		case state == fleet.Unknown || state == fleet.Leaving || state == fleet.Avoided:
 			continue
+		case !f.allowsVersion(now, r.Service, previous.Target.SoftwareVersion):
+			// It gets no requests any more, so nothing is to be awaited there.
+			c.silent = slices.DeleteFunc(slices.Clone(c.silent), func(i fleet.Incarnation) bool { return i.Target.ID == previous.Target.ID })
+			continue
 		case !f.takeCredit(now, r.Service, previous.Target.SoftwareVersion, c):
 			continue
 		}
--- a/forward/versions.go
+++ b/forward/versions.go
@@ -106,7 +106,10 @@
 	switch {
 	case limitedErr != nil:
 		return fleet.Target{}, limitedErr
-	case f.takeCredit(now, criteria.Service, limited.SoftwareVersion, c) || !hasOther:
+	case f.takeCredit(now, criteria.Service, limited.SoftwareVersion, c):
+		return limited, nil
+	case !hasOther && f.Rollouts.TakeCredit(now, criteria.Service, limited.SoftwareVersion, true):
+		c.credit = &limited.SoftwareVersion // beyond the allowance; later requests make up for it
 		return limited, nil
 	}
 	// If all targets of other versions are avoided for a moment, their requests must not flood the
@@ -129,6 +132,12 @@
 	return criteria
 }
 
+// allowsVersion reports whether a version may get requests, with a credit or without.
+func (f *Forwarder) allowsVersion(now time.Time, service, version string) bool {
+	rule := f.versionRule(now, service)
+	return rule == nil || rule.Allows(version)
+}
+
 // takeCredit reports whether the next attempt of a request may be sent to a version now. If that
 // needs a credit, c keeps it for the attempt.
 func (f *Forwarder) takeCredit(now time.Time, service, version string, c *succession) bool {
--- a/gateway/rollout_orders.go
+++ b/gateway/rollout_orders.go
@@ -195,7 +195,8 @@
 			continue
 		}
 		others = append(others, version)
-		if !matched.After(seen) {
+		// The match may be known a moment before the orders that it brought are applied.
+		if !matched.Add(-rolloutReadPeriod).After(seen) {
 			unknown = append(unknown, version)
 		}
 	}
--- a/gateway/rollout_run.go
+++ b/gateway/rollout_run.go
@@ -22,6 +22,9 @@
 	judgesPerService = 2
 	// writerRanks is the number of ranks that are told apart for the write of a status.
 	writerRanks = 4
+	// retryPerDaemon times the number of daemons is the least time between two reports to a judge
+	// that does not know the order, so that it gets at most some hundred reports a second.
+	retryPerDaemon = 2 * time.Millisecond
 	// earlyVerdictTime is how long a verdict on an unknown order is kept. Daemons repeat it until
 	// the store has the status.
 	earlyVerdictTime = time.Minute
@@ -204,6 +207,7 @@
 		return
 	}
 	o.oldUntil = now.Add(oldVersionGrace)
+	o.machine.DropEvidence()
 	state := rollout.Completed
 	if d.Verdict == rollout.Bad {
 		state = rollout.RolledBack
@@ -263,7 +267,8 @@
 		}
 	}
 	names := strings.Join(judges, " ")
-	if !o.machine.ReportDue(now) && (names == o.judges && !o.reportFailed || now.Sub(o.calledAt) < r.settings.RollbackWithin/10) {
+	retry := max(r.settings.RollbackWithin/10, time.Duration(r.g.members.count())*retryPerDaemon)
+	if !o.machine.ReportDue(now) && (names == o.judges && !o.reportFailed || now.Sub(o.calledAt) < retry) {
 		return
 	}
 	o.judges, o.calledAt, o.reportFailed = names, now, false
@@ -356,7 +361,10 @@
 	o := s.of(v.Target)
 	switch {
 	case o == nil || o.machine.Order().Presumed() && v.Instance != 0:
-		r.verdicts[v.Service] = early // the order is on its way
+		known, ok := r.verdicts[v.Service]
+		if !ok || v.Instance > known.Instance || v.Instance == known.Instance && !known.State.Final() {
+			r.verdicts[v.Service] = early // the order is on its way
+		}
 		if o != nil && !v.State.Final() {
 			o.machine.MarkBad(v.Reason)
 			o.verdictSent, o.verdictSource, o.reason = true, from, v.Reason
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -88,6 +88,12 @@
 	return m
 }
 
+// DropEvidence frees the evidence once the roll-out has ended.
+func (m *Machine) DropEvidence() {
+	m.resetEvidence()
+	clear(m.requests)
+}
+
 func (m *Machine) resetEvidence() {
 	m.pool = newPool()
 	m.own = m.pool.source("", 0, 1)
