--- a/gateway/caller_limits.go
+++ b/gateway/caller_limits.go
@@ -85,7 +85,7 @@
 }
 
 // refusalLinesPerSecond limits the log lines about single requests that were refused for
-// want of memory. CallersLimited tells how many there were.
+// want of memory. The event CallersLimited states their number.
 const refusalLinesPerSecond = 5
 
 // callerLimits bounds what callers hold.
--- a/gateway/rollout_run.go
+++ b/gateway/rollout_run.go
@@ -20,7 +20,7 @@
 	rolloutTick = 100 * time.Millisecond
 	// judgesPerService is the number of daemons that judge a version by the evidence of all.
 	judgesPerService = 2
-	// writerRanks is the number of ranks that are told apart for the write of a status.
+	// writerRanks is the number of ranks that are distinguished when a status is written.
 	writerRanks = 4
 	// retryPerDaemon times the number of daemons is the least time between two reports to a judge
 	// that does not know the order, so that it gets at most some hundred reports a second.
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -277,7 +277,7 @@
 // TestPeerPort guards against crowds at the port of the other daemons.
 func TestPeerPort(t *testing.T) {
 	largest := strings.Repeat("f", 4<<20)
-	// A call without a handler, whose answers nobody reads: {"k": 999, "i": 1}.
+	// A call without a handler, whose responses are not read: {"k": 999, "i": 1}.
 	call := frame("\x82\xa1k\xcd\x03\xe7\xa1i\x01", 9)
 	for _, c := range []struct {
 		name  string
--- a/internal/crowd/site_test.go
+++ b/internal/crowd/site_test.go
@@ -277,7 +277,7 @@
 	return sum
 }
 
-// check tells whether the daemon lives, answers an ordinary request and has kept the bounds.
+// check reports whether the daemon lives, answers an ordinary request and has kept the bounds.
 func (s *site) check() {
 	s.t.Helper()
 	s.ordinaryRequest()
--- a/internal/racemode/off.go
+++ b/internal/racemode/off.go
@@ -1,6 +1,6 @@
 //go:build !race
 
-// Package racemode tells tests whether they run under the race detector, which makes simulations
+// Package racemode reports whether tests run under the race detector, which makes simulations
 // ten times slower and finds nothing in those that have one goroutine.
 package racemode
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -19,7 +19,7 @@
 	Duration time.Duration
 	// Created is the earliest time at which the order may have been written.
 	Created time.Time
-	// Instance tells an object from a deleted one of the same name: metadata.created of the
+	// Instance distinguishes an object from a deleted one of the same name: metadata.created of the
 	// store. It is 0 for a presumed order.
 	Instance int64
 	Revision int64
