forward: a stream that stops waiting for a loan no longer asks for one

At the end of its wait for a loan a stream stated its want once more, so the daemon sent a request for credits that nothing would use.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -130,7 +130,8 @@
 // the gap between two events.
 const maxLoanWait = 150 * time.Millisecond
 
-// await is allow for one retry. A stream that has begun waits for a loan if the daemon borrows.
+// await is allow for one retry. A stream that has begun waits for a loan if the daemon borrows. At the
+// end of its wait it borrows no more, since nothing would use the loan.
 func (b *RetryBudget) await(ctx context.Context, r retry) bool {
 	b.mu.Lock()
 	borrows := b.needed != nil && b.budget.Lends()
@@ -151,7 +152,9 @@
 		select {
 		case <-arrived:
 		case <-timer.C:
-			return b.allow(time.Now(), r, 1)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.budget.Spend(time.Now(), r.request.Service, 1, true)
 		case <-ctx.Done():
 			return false
 		}
