confirmation, gateway: tests reserve ports that no outgoing connection can take

The test asked the system for a free port, closed its listener and opened it again later; meanwhile any process may get that port for an outgoing connection. The gateways' tests did the same. Both now take ports below the range of outgoing connections.

--- a/confirmation/pairs_test.go
+++ b/confirmation/pairs_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -18,6 +17,7 @@
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
+	"github.com/vanillaroad/vanillaroad/internal/freeport"
 	"github.com/vanillaroad/vanillaroad/internal/standin"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/peer"
@@ -53,12 +53,11 @@
 	s := &cluster{store: httptest.NewServer(standin.NewPlatform().Handler()), target: &countingTarget{runs: make(map[string]int)}}
 	var members []membership.Member
 	for i := range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := freeport.Address()
 		So(err, ShouldBeNil)
 		members = append(members, membership.Member{State: membership.Alive, Identity: peer.Identity{
-			ID: fmt.Sprint("vm-", i), Incarnation: uint64(i + 1), Place: fmt.Sprint("place-", i), PeerAddress: l.Addr().String(),
+			ID: fmt.Sprint("vm-", i), Incarnation: uint64(i + 1), Place: fmt.Sprint("place-", i), PeerAddress: address,
 		}})
-		So(l.Close(), ShouldBeNil)
 	}
 	for _, m := range members {
 		s.start(m.Identity, &membership.View{Self: m.Identity, Members: members})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/vanillaroad/vanillaroad/internal/freeport"
 	"github.com/vanillaroad/vanillaroad/internal/jsontime"
 	"github.com/vanillaroad/vanillaroad/internal/standin"
 	"github.com/vanillaroad/vanillaroad/platform"
@@ -94,12 +94,11 @@
 
 // freeAddress returns a free address of the loopback interface.
 func (e *testEnv) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	if err != nil {
 		e.t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // startDaemon runs a gateway daemon until the test ends, with the store at the given
