ingress/lint, platform, cmd: check a configuration before it is sent

check-configuration stopped at the first error and knew only those of decoding. The package ingress/lint works on decoded configurations; platform adds the paths and compares the JSON with the types that it is decoded to. Keys appear only as their number and a hash.

TestWireNamesStayHere also searches ingress/lint and cmd/vanillaroad.

--- a/cmd/vanillaroad/gateway.go
+++ b/cmd/vanillaroad/gateway.go
@@ -11,15 +11,13 @@
 	"github.com/spf13/cobra"
 
 	"github.com/vanillaroad/vanillaroad/gateway"
-	"github.com/vanillaroad/vanillaroad/objectstore"
-	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/settings"
 )
 
 // gatewayCommand groups the commands for operators of vanillaroad-gateway.
-func gatewayCommand() *cobra.Command {
+func gatewayCommand(o *options) *cobra.Command {
 	c := &cobra.Command{Use: "gateway", Short: "Check the files, read the logs and show the state of vanillaroad-gateway daemons"}
-	c.AddCommand(gatewaySettingsCommand(), gatewayConfigurationCommand(), gatewayFollowCommand(), gatewayTargetsCommand())
+	c.AddCommand(gatewaySettingsCommand(), gatewayConfigurationCommand(o), gatewayFollowCommand(), gatewayTargetsCommand())
 	return c
 }
 
@@ -38,22 +36,6 @@
 		}}
 }
 
-func gatewayConfigurationCommand() *cobra.Command {
-	return &cobra.Command{Use: "check-configuration FILE", Short: "Check a configuration in the format of the platform's object store", Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			b, err := os.ReadFile(args[0])
-			if err != nil {
-				return errors.Wrap(errBadInput, err.Error())
-			}
-			d, err := platform.DecodeDocument(objectstore.Object{Name: platform.ConfigurationName, Value: b})
-			if err != nil {
-				return errors.Wrap(errBadInput, err.Error())
-			}
-			printf(c, "good: version %d, %d routes, %d services, %d workspaces\n", d.Version, len(d.Routes), len(d.Services), len(d.Workspaces))
-			return nil
-		}}
-}
-
 // maxLogLine is the longest log line that is read, in bytes.
 const maxLogLine = 1 << 20
 
--- a/cmd/vanillaroad/main.go
+++ b/cmd/vanillaroad/main.go
@@ -21,7 +21,7 @@
 	exitUnknown    = 5 // it is unknown whether the request ran
 	exitIncomplete = 6 // the answer is incomplete
 	exitLagging    = 7 // accepted, but not active on all live daemons within the wait
-	exitDiffers    = 8 // diff found differences
+	exitDiffers    = 8 // diff found differences, or check-configuration warnings without errors
 )
 
 // options holds the flags shared by all commands.
@@ -69,7 +69,7 @@
 	root.AddCommand(
 		directoryCommand(o), generateCommand(o), confirmCommand(o), outcomeCommand(o),
 		applyCommand(o), diffCommand(o), getCommand(o), describeCommand(o), historyCommand(o), rollbackCommand(o),
-		statusCommand(o), membersCommand(o), drainCommand(o), timelineCommand(o), settingsCommand(), traceCommand(o), gatewayCommand(), rolloutsCommand(o),
+		statusCommand(o), membersCommand(o), drainCommand(o), timelineCommand(o), settingsCommand(), traceCommand(o), gatewayCommand(o), rolloutsCommand(o),
 	)
 	return root
 }
@@ -81,8 +81,12 @@
 var (
 	errLagging = errors.New("the version is not active on all live daemons")
 	errDiffers = errors.New("the documents differ")
+	errWarns   = errors.New("the configuration has warnings")
 )
 
+// errStoreSilent means that the platform's store did not answer.
+var errStoreSilent = errors.New("the store did not answer")
+
 func exitCode(err error) int {
 	var f *failure.Error
 	switch {
@@ -90,8 +94,10 @@
 		return exitBadInput
 	case errors.Is(err, errLagging):
 		return exitLagging
-	case errors.Is(err, errDiffers):
+	case errors.Is(err, errDiffers), errors.Is(err, errWarns):
 		return exitDiffers
+	case errors.Is(err, errStoreSilent):
+		return exitRefused
 	case !errors.As(err, &f):
 		return exitFailed
 	}
