exchange, gateway: directory answers leave out daemons that are short of capacity

Each live daemon had the same chance to get a caller, whatever it had left: small VMs get ever more callers in a burst while large ones have room. A daemon with less than an eighth of its memory for callers, its connections or its processor time left states so in its load reports, and answers leave it out until it has had a quarter left for five seconds, or while more than half of the daemons are short. Without a daemon that is short, answers are as before.

--- a/exchange/member_list.go
+++ b/exchange/member_list.go
@@ -34,8 +34,9 @@
 	others      []Member             // without self, sorted by id; replaced, never modified; nil if outdated
 	ranked      map[string][]Member  // by place, see rankedReporters; nil if outdated
 	heartbeats  map[string]heartbeat
-	startedAt   time.Time // when this daemon knew of daemons first
-	relayed     bool      // see UseReporters
+	startedAt   time.Time       // when this daemon knew of daemons first
+	relayed     bool            // see UseReporters
+	short       map[string]bool // daemons that are short of capacity, by id
 	oldest      oldestLive
 }
 
@@ -88,6 +89,7 @@
 func (l *MemberList) drop(id string) {
 	delete(l.members, id)
 	delete(l.missing, id)
+	delete(l.short, id)
 	l.others, l.ranked = nil, nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,7 @@
 	cancelAnswerTime time.Duration
 	idleConns        *idleTracker
 	limits           *callerLimits
+	capacity         *capacity
 
 	servers        []*server
 	relayListener  net.Listener            // nil if the daemon doesn't relay
@@ -110,6 +111,7 @@
 		fleet:  fleet.New(s.Place, rand.Uint64()),
 	}
 	g.limits = newCallerLimits(g, s)
+	g.capacity = &capacity{g: g, lag: g.lag.Since}
 	g.links = newLinks(g, dialTarget)
 	g.targetClient = platform.NewTargetClient(g.links.DialTarget)
 	g.requestCtx, g.cancelRequests = context.WithCancelCause(context.Background())
@@ -275,7 +277,8 @@
 // directoryAnswer returns the addresses that a caller should connect to, and false if
 // there are none.
 func (g *Gateway) directoryAnswer(q platform.DirectoryQuery) (platform.DirectoryAnswer, bool) {
-	addresses := g.members.directoryFor(q)
+	addresses, leftOut := g.members.directoryFor(q)
+	g.capacity.leftOut.Store(int64(leftOut))
 	return platform.DirectoryAnswer{Addresses: addresses, TTL: g.settings.Load().DirectoryTTL.Std()}, len(addresses) > 0
 }
 
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -210,6 +210,7 @@
 			return
 		case now := <-ticker.C:
 			g.limits.check()
+			g.capacity.check(now)
 			table := g.table.Load()
 			if table == nil || table.Limits.IdleTimeout <= 0 {
 				continue
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -234,6 +234,7 @@
 	presence, update := m.list.RecordHeartbeat(now, from.ID, from.Incarnation, report.Leaving)
 	asked := m.list.RecordHeardAgain(now, from.ID, report.HeardAgain)
 	m.list.MarkBuild(from.ID, !report.KnowsReporters)
+	m.list.MarkShort(from.ID, report.Short)
 	m.mu.Unlock()
 	if presence != exchange.Continuing {
 		m.g.events.Record(event.MemberReturned, "", event.F("member", from.ID))
@@ -350,19 +351,34 @@
 // directory returns the addresses that callers should connect to.
 func (m *members) directory() []string { return addressesOf(m.directoryMembers()) }
 
-// directoryFor returns the addresses that a caller should connect to, as many as it uses.
-func (m *members) directoryFor(q platform.DirectoryQuery) []string {
-	return addressesOf(exchange.SelectForCaller(m.directoryMembers(), q.Caller, q.Place, platform.MaxDirectoryAddresses))
+// directoryFor returns the addresses that a caller should connect to, as many as it uses, and the
+// number of daemons that were left out because they are short of capacity.
+func (m *members) directoryFor(q platform.DirectoryQuery) (addresses []string, leftOut int) {
+	m.mu.Lock()
+	list, leftOut := m.list.DirectoryForCallers(time.Now())
+	m.mu.Unlock()
+	return addressesOf(exchange.SelectForCaller(m.withoutDraining(list), q.Caller, q.Place, platform.MaxDirectoryAddresses)), leftOut
 }
 
 func (m *members) directoryMembers() []exchange.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := m.list.Directory(time.Now())
-	if m.g.draining.Load() {
-		out = slices.DeleteFunc(out, func(o exchange.Member) bool { return o.ID == m.self.ID })
+	return m.withoutDraining(m.list.Directory(time.Now()))
+}
+
+// withoutDraining removes this daemon from a list if it is draining.
+func (m *members) withoutDraining(list []exchange.Member) []exchange.Member {
+	if !m.g.draining.Load() {
+		return list
 	}
-	return out
+	return slices.DeleteFunc(list, func(o exchange.Member) bool { return o.ID == m.self.ID })
+}
+
+// markShort records whether a daemon is short of capacity.
+func (m *members) markShort(id string, short bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list.MarkShort(id, short)
 }
 
 func addressesOf(list []exchange.Member) (out []string) {
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -21,6 +21,7 @@
 			exposition.WriteLabeled(&out, "fleet_load_spread", "gauge", "service", spreads)
 		}
 		g.limits.writeMetrics(&out)
+		g.capacity.writeMetrics(&out)
 		exposition.WriteEvents(&out, g.events.Counts())
 		exposition.WriteRegistry(&out, g.metrics)
 		_, _ = w.Write(out.Bytes()) // a client that disconnected repeats the request
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -83,6 +83,8 @@
 	Held map[string][]int `msgpack:"w,omitempty"`
 	// Rollouts are the verdicts against versions under roll-out that the store doesn't have yet.
 	Rollouts []rolloutVerdict `msgpack:"r,omitempty"`
+	// Short means that the daemon is short of capacity, see capacity.
+	Short bool `msgpack:"f,omitempty"`
 }
 
 // peers exchanges messages with the other daemons.
@@ -249,7 +251,7 @@
 
 // loadReport returns the report to send to all peers now. Each new origin is in one report.
 func (g *Gateway) loadReport() loadReport {
-	report := loadReport{KnowsReporters: true, Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), LinksLost: g.links.monitor.Lost(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain(), Held: g.forwarder.Admission.Held(), Rollouts: g.rollouts.openVerdicts()}
+	report := loadReport{KnowsReporters: true, Loads: g.fleet.OwnLoads(), Leaving: g.draining.Load(), LinksLost: g.links.monitor.Lost(), Origins: g.origins.takeUnsent(), HeardAgain: g.members.heardAgain(), Held: g.forwarder.Admission.Held(), Rollouts: g.rollouts.openVerdicts(), Short: g.capacity.short.Load()}
 	if table := g.table.Load(); table != nil {
 		report.Version = table.Version
 	}
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -215,6 +215,18 @@
 // service, so that its requests are not equally urgent.
 func (t *Table) Contended(service string) bool { return t.contended[service] }
 
+// ShortestObjective returns the shortest latency objective of the routes, 0 if none has one.
+func (t *Table) ShortestObjective() (shortest time.Duration) {
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			if o := r.LatencyObjective; o > 0 && (shortest == 0 || o < shortest) {
+				shortest = o
+			}
+		}
+	}
+	return shortest
+}
+
 // contendedServices returns the services to which routes of different priorities or latency
 // objectives send requests. A service of weight 0 gets none from a route.
 func contendedServices(routes []Route) map[string]bool {
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -49,6 +49,15 @@
 	return b.used
 }
 
+// Left returns what is left of the budget, or of the part that callers may use if that is less, as a
+// part of each, 0 to 1.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	used := max(float64(b.used), float64(b.callers)/callersPart) / float64(b.limit)
+	return max(0, 1-used)
+}
+
 // Share is the part of a budget that one request uses. Its methods must not be called
 // concurrently.
 type Share struct {
