forward, fleet: a run that resumed gets its next copy at once, in another place

A stream that resumed from a standby copy was often lost again before it had another one. Causes: with an old view of the loads, the holder is the best of four targets drawn by chance, so that after a resume (two of three places avoided) all four are in avoided places once in five times; a run whose target could not be asked for a continuous copy never got one; a 409 (copy in progress) or any other failure excluded the destination for the rest of the run.

The holder is picked in the least avoided place that has one: the run's own place last, before that the places that lost the stream, latest last. A run without a continuous copy requests explicit ones from its first event on, every 0.1 to 0.4 s until one succeeds. 409 is retried, other failures exclude a destination for 2 s. A copy in the run's place is replaced once another place has room. A copy whose holder became unusable is used if the holder is back when the run is lost and no newer one exists.

Ruled out: the reservation of the previous copy, which ends with the attempt.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -258,6 +258,42 @@
 	})
 }
 
+// TestCopiesGoToTheLeastAvoidedPlace guards against standby copies in the place of their run, by the
+// chance of the sample that is drawn when the view of the loads is old: both are lost together.
+func TestCopiesGoToTheLeastAvoidedPlace(t *testing.T) {
+	cases := []struct {
+		avoid []string // least avoided first
+		down  string   // place whose targets are suspected
+		full  string   // place whose targets have no memory
+		want  string
+	}{
+		{avoid: []string{"p0", "p1"}, want: "p2"},
+		{avoid: []string{"p0", "p2", "p1"}, want: "p0"},
+		{avoid: []string{"p0", "p2", "p1", "p0", "p2"}, want: "p1"},
+		{avoid: []string{"p0", "p1"}, down: "p2", want: "p0"},
+		{avoid: []string{"p0", "p1"}, full: "p2", want: "p0"},
+		{avoid: []string{"p0", "p2", "p1"}, down: "p0", full: "p2", want: "p1"},
+	}
+	for _, c := range cases {
+		f := newTestFleet(6)
+		f.SetStaleness(500 * time.Millisecond)
+		for i := range 6 {
+			switch fmt.Sprint("p", i/2) {
+			case c.down:
+				f.Suspect(start, fmt.Sprint("t", i), false)
+			case c.full:
+				f.ReserveCopy(fmt.Sprint("t", i), 54_000)
+			}
+		}
+		for range 200 {
+			got, err := f.Pick(start, Criteria{Service: "s", AvoidPlaces: c.avoid, MemoryTokens: 6000, CapacityTokens: 55_000, NeedsMemory: true, ForCopy: true})
+			if err != nil || got.Place != c.want {
+				t.Fatalf("%+v: the copy goes to %s, error %v", c, got.Place, err)
+			}
+		}
+	}
+}
+
 // TestCountsReturnToNothing guards against load that is never released: requests and
 // copies begin and end in random order while their targets restart.
 func TestCountsReturnToNothing(t *testing.T) {
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -23,9 +23,8 @@
 	// staleViewSampleSize is how many randomly drawn targets are considered when the
 	// view is older than MaxFreshViewAge. If all were considered, daemons that place
 	// requests at the same time, such as after the loss of a place, would all choose
-	// the one target that looks idle. A standby copy is put into the place of its run
-	// only if all four targets are there: once in 256 times, if the place has a quarter
-	// of the targets.
+	// the one target that looks idle. The sample for a standby copy is drawn from the
+	// targets in the least avoided places, see leastAvoided.
 	staleViewSampleSize = 4
 )
 
@@ -52,7 +51,8 @@
 	VersionFilter func(version string) bool
 	// PromptHolders has the IDs of targets whose KV cache is known to hold the prompt.
 	PromptHolders map[string]bool
-	// AvoidPlaces are places to use only if no other place has a target.
+	// AvoidPlaces are places to use only if no other place has a target. For a copy, a later
+	// one in the list is avoided more.
 	AvoidPlaces []string
 	// MemoryTokens is the KV cache memory that the request needs, and CapacityTokens
 	// the memory of a target of the service; both are 0 for plain calls.
@@ -119,6 +119,7 @@
 	scheduler := routing.CallScheduler()
 	switch {
 	case criteria.ForCopy:
+		candidates = leastAvoided(request, candidates)
 		scheduler = routing.CopyScheduler()
 	case criteria.MemoryTokens > 0:
 		scheduler = routing.PromptScheduler()
@@ -140,6 +141,27 @@
 	return f.targets[c.Target.Name].Target, nil
 }
 
+// leastAvoided returns the candidates for a standby copy in the least avoided places that have
+// an available one. A score is not enough: if two of three places are avoided, a sample of four
+// targets has none in the third place once in five times.
+func leastAvoided(r *routing.Request, candidates []routing.Candidate) []routing.Candidate {
+	rank := func(c *routing.Candidate) int {
+		for i, place := range slices.Backward(r.AvoidPlaces) {
+			if place == c.Target.Place {
+				return i + 1
+			}
+		}
+		return 0
+	}
+	least := len(r.AvoidPlaces) + 1
+	for i := range candidates {
+		if (routing.Available{}).Keep(r, &candidates[i]) {
+			least = min(least, rank(&candidates[i]))
+		}
+	}
+	return slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return rank(&c) != least })
+}
+
 // withFreeSlot returns the candidates that have a slot free or state no number of slots. A
 // stream in a queue waits for the end of another one, and if the daemon stops, it never begins.
 func withFreeSlot(candidates []routing.Candidate) []routing.Candidate {
--- a/forward/copier.go
+++ b/forward/copier.go
@@ -11,19 +11,28 @@
 )
 
 // Timing of explicit copies and moves. The target of a run updates a continuous copy by
-// itself. Once the holder of that copy is unusable, explicit copies are requested one
-// by one.
+// itself. A run that has none, or whose holder is unusable, gets explicit copies, which are
+// requested one by one.
 const (
 	// copyInterval is the time between two explicit copies. After the loss of a run,
 	// the tokens since its last copy are prefilled again, which takes some tens of
 	// milliseconds. The interval is well below the seconds for which targets keep a
 	// copy.
 	copyInterval = time.Second
-	// copyRetryDelay is the time from a failed copy to the next attempt. A copy fails,
-	// for instance, because the run has not begun.
-	copyRetryDelay = 400 * time.Millisecond
+	// copyRetryDelay is the time to the next attempt if a copy failed, the target was making
+	// another copy of the run, or no target had room. It doubles with each one in a row up to
+	// maxCopyRetryDelay. A continuous copy whose holder has failed is in progress for as long
+	// as the target waits for the holder. Where memory is short, searches up to 1.6 s apart
+	// found a place for a copy less often than those 0.4 s apart.
+	copyRetryDelay    = 100 * time.Millisecond
+	maxCopyRetryDelay = 4 * copyRetryDelay
+	// failedCopyTime is how long a target gets no further copy of a run after a failed one.
+	failedCopyTime = 2 * time.Second
 	// copyTimeout bounds one copy, which takes some tens of milliseconds.
 	copyTimeout = time.Second
+	// maxCopyAge is the age that the latest part of a copy may have when its holder
+	// becomes unusable: copyInterval, and the time to notice it.
+	maxCopyAge = copyInterval + 500*time.Millisecond
 	// moveTimeout bounds the move of a stalled run, which takes some tens of
 	// milliseconds. The caller receives no events during the move.
 	moveTimeout = 200 * time.Millisecond
@@ -53,24 +62,30 @@
 }
 
 // copier maintains a standby copy of a run's KV cache in another place. At first the
-// target of the run updates a continuous copy as the cache grows. Once the holder of
-// that copy is unusable, the copier requests explicit copies.
+// target of the run updates a continuous copy as the cache grows. If there is none, or its
+// holder becomes unusable, the copier requests explicit copies.
 type copier struct {
 	stream         *stream
 	source         fleet.Target
+	begun          bool            // the run has sent an event; targets copy no others
 	current        *standbyCopy    // latest copy; nil if there is none
 	explicitTarget *fleet.Target   // receives the explicit copies; nil during continuous copying
 	unusable       <-chan struct{} // closed when the holder becomes unusable
 	copyTimer      *time.Timer     // for the next explicit copy; nil if none is scheduled
+	retryDelay     time.Duration   // see copyRetryDelay
 	results        chan copyResult // of explicit copies
-	// failedTargets holds the ids of targets to which a copy failed.
-	failedTargets      map[string]bool
+	// failedAt holds the times at which copies to targets failed, by id.
+	failedAt map[string]time.Time
+	// previous is the copy before current, whose holder became unusable and may be usable
+	// again; nil if there is none. Its target may have discarded it from previousUntil on.
+	previous           *standbyCopy
+	previousUntil      time.Time
 	explicit           bool   // current is an explicit copy and must be released
 	releaseReservation func() // ends the reservation of the copy's memory
 }
 
 func newCopier(s *stream, a Attempt) *copier {
-	c := &copier{stream: s, source: a.Target, results: make(chan copyResult, 1), failedTargets: make(map[string]bool), releaseReservation: func() {}}
+	c := &copier{stream: s, source: a.Target, results: make(chan copyResult, 1), failedAt: make(map[string]time.Time), retryDelay: copyRetryDelay, releaseReservation: func() {}}
 	if a.CopyTo != nil {
 		c.releaseReservation = s.forwarder.Fleet.ReserveCopy(a.CopyTo.ID, s.memoryTokens())
 		c.current = &standbyCopy{*a.CopyTo, Copy{a.CopyTo.Address, s.request.ID}, byBackup}
@@ -79,6 +94,25 @@
 	return c
 }
 
+// start handles the first event of the run. If no continuous copy was requested, or its holder
+// was lost meanwhile, an explicit one is due.
+func (c *copier) start() {
+	c.begun = true
+	switch {
+	case !c.stream.request.Route.Repeatable() || !c.stream.copiesRuns():
+	case c.current == nil:
+		c.schedule(0)
+	case c.isMisplaced():
+		c.schedule(copyInterval)
+	}
+}
+
+// isMisplaced reports whether the holder of the copy is in the place of the run, and would be lost
+// together with it.
+func (c *copier) isMisplaced() bool {
+	return c.current != nil && c.current.holder.Place == c.source.Place
+}
+
 // timerChannel returns the channel of the timer for the next explicit copy.
 func (c *copier) timerChannel() <-chan time.Time {
 	if c.copyTimer == nil {
@@ -87,17 +121,62 @@
 	return c.copyTimer.C
 }
 
-// replaceTarget picks another target for the copy.
+// replaceTarget picks another target for the copy, whose holder has become unusable.
 func (c *copier) replaceTarget(now time.Time) {
-	c.releaseReservation()
-	c.current, c.explicitTarget, c.unusable = nil, nil, nil
-	if t, ok := c.stream.pickCopyTarget(now, c.source, c.failedTargets, copyMemory, false); ok {
-		c.releaseReservation = c.stream.forwarder.Fleet.ReserveCopy(t.ID, c.stream.memoryTokens())
-		c.explicitTarget, c.unusable = &t, c.stream.forwarder.Fleet.Unusable(now, t.ID)
+	c.dropCurrent(now)
+	if c.chooseTarget(now) && c.begun {
 		c.schedule(0)
-		return
 	}
-	c.schedule(copyRetryDelay)
+}
+
+// dropCurrent gives up the current copy. It is kept as the previous one.
+func (c *copier) dropCurrent(now time.Time) {
+	if c.current != nil && (c.begun || c.explicit) {
+		c.previous = c.current
+		c.previousUntil = now.Add(c.stream.copyRetention() - maxCopyAge)
+	}
+	c.releaseReservation()
+	c.current, c.explicit, c.explicitTarget, c.unusable = nil, false, nil, nil
+}
+
+// chooseTarget picks the target for explicit copies. It returns false, and schedules the next
+// search, if there is none, or none in a better place than the current copy.
+func (c *copier) chooseTarget(now time.Time) bool {
+	t, ok := c.stream.pickCopyTarget(now, c.source, c.failedTargets(now), copyMemory, false)
+	if !ok || c.current != nil && t.Place == c.source.Place {
+		c.retryLater()
+		return false
+	}
+	release, other := c.stream.forwarder.Fleet.ReserveCopy(t.ID, c.stream.memoryTokens()), c.releaseReservation
+	c.releaseReservation = func() { release(); other() } // the current copy keeps its memory
+	c.explicitTarget = &t
+	if c.current == nil {
+		c.unusable = c.stream.forwarder.Fleet.Unusable(now, t.ID)
+	}
+	return true
+}
+
+// failedTargets returns the ids of the targets to which a copy has just failed.
+func (c *copier) failedTargets(now time.Time) map[string]bool {
+	failed := make(map[string]bool)
+	for id, at := range c.failedAt {
+		if now.Sub(at) < failedCopyTime {
+			failed[id] = true
+		}
+	}
+	return failed
+}
+
+// latestCopy returns the copy from which a run that is lost may resume, nil if there is none. It
+// may exist, and not only be planned: a target copies nothing of a run that has not begun.
+func (c *copier) latestCopy(now time.Time) *standbyCopy {
+	switch {
+	case c.current != nil && (c.begun || c.explicit):
+		return c.current
+	case c.previous != nil && now.Before(c.previousUntil):
+		return c.previous
+	}
+	return nil
 }
 
 func (c *copier) schedule(delay time.Duration) {
@@ -108,19 +187,32 @@
 	c.copyTimer.Reset(delay)
 }
 
+// retryLater schedules the next attempt after one that failed.
+func (c *copier) retryLater() {
+	c.schedule(c.retryDelay)
+	c.retryDelay = min(maxCopyRetryDelay, 2*c.retryDelay)
+}
+
 // startCopy starts an explicit copy and does not wait for it. If there is no target for
-// the copy, it picks one, which schedules the copy.
+// the copy, or only one in the run's place, it looks for another one first.
 func (c *copier) startCopy(ctx context.Context) {
-	if c.explicitTarget == nil {
-		c.replaceTarget(time.Now())
-		return
+	if !c.begun {
+		return // see start
+	}
+	if c.explicitTarget == nil || c.isMisplaced() && c.explicitTarget.ID == c.current.holder.ID {
+		if !c.chooseTarget(time.Now()) && !c.explicit {
+			return
+		}
+		if c.explicitTarget == nil {
+			c.explicitTarget = &c.current.holder // which gets an update meanwhile
+		}
 	}
 	destination := *c.explicitTarget
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 		defer cancel()
 		newCopy, err := c.stream.forwarder.TargetClient.Copy(ctx, c.source, c.stream.request.ID, destination)
-		if err != nil {
+		if err != nil && !errors.Is(err, ErrCopyInProgress) {
 			c.stream.forwarder.Events.Record(event.CopyFailed, c.stream.request.ID, event.F("from", c.source.ID), event.F("to", destination.ID), event.F("error", err.Error()))
 		}
 		sendUnlessDone(ctx, c.results, copyResult{standbyCopy: standbyCopy{destination, newCopy, byCopy}, err: err})
@@ -151,17 +243,25 @@
 
 // handleResult handles the outcome of an explicit copy.
 func (c *copier) handleResult(r copyResult) {
+	now := time.Now()
 	switch {
 	case c.explicitTarget == nil || r.holder.ID != c.explicitTarget.ID:
 		// another target was picked after this copy started
 	case r.err == nil:
-		c.current, c.explicit = &r.standbyCopy, true
+		if old := c.current; c.explicit && old.holder.ID != r.holder.ID {
+			go c.stream.forwarder.releaseCopy(c.stream.request.ID, c.source, *old)
+		}
+		c.current, c.explicit, c.retryDelay = &r.standbyCopy, true, copyRetryDelay
+		c.unusable = c.stream.forwarder.Fleet.Unusable(now, r.holder.ID)
 		c.schedule(copyInterval)
-	case errors.Is(r.err, ErrRunNotFound):
-		c.schedule(copyRetryDelay)
+	case errors.Is(r.err, ErrRunNotFound), errors.Is(r.err, ErrCopyInProgress):
+		c.retryLater() // it says nothing of the destination
 	default:
-		c.failedTargets[r.holder.ID] = true
-		c.explicitTarget, c.unusable = nil, nil
-		c.schedule(copyRetryDelay)
+		c.failedAt[r.holder.ID] = now
+		if c.current == nil || c.current.holder.ID == r.holder.ID {
+			c.dropCurrent(now)
+		}
+		c.explicitTarget = nil
+		c.retryLater()
 	}
 }
--- a/forward/departure.go
+++ b/forward/departure.go
@@ -91,7 +91,8 @@
 	d := departure{left: f.stopsAt().Sub(now)}
 	d.silent = f.Fleet.State(now, id) == fleet.Suspected || !f.Prober.answeredSince(a.attempt.Target, since)
 	// A run that is moved begins as soon as one that resumes from a copy.
-	copied := slot != nil && (a.mayHaveCopy() && slot.target.ID == a.copier.current.holder.ID || evidence == isSilent && !d.silent && a.mayMove(now))
+	standby := a.copier.latestCopy(now)
+	copied := slot != nil && (standby != nil && slot.target.ID == standby.holder.ID || evidence == isSilent && !d.silent && a.mayMove(now))
 	d.start = f.expectedStart(s.request, copied)
 	if d.silent {
 		d.mayGoOn = now.Sub(since) < longestSilence || f.Fleet.IsSilent(now, id, longestSilence-probeTimeout)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -159,6 +159,8 @@
 	// ErrRunNotFound means that the target does not run the request or has not begun to
 	// run it.
 	ErrRunNotFound = errors.New("no such run")
+	// ErrCopyInProgress means that the target is making another copy of the run.
+	ErrCopyInProgress = errors.New("another copy of the run is in progress")
 	// ErrNotListening means that the connection was refused because no process listens
 	// at the address. The target's process has ended and the request was not sent.
 	ErrNotListening = errors.New("no process listens at the address")
--- a/forward/move.go
+++ b/forward/move.go
@@ -19,7 +19,7 @@
 	if !a.mayMove(time.Now()) || a.unmovable {
 		return false
 	}
-	destination, ok := a.stream.pickMoveTarget(time.Now(), a.attempt.Target, a.copier.current, a.copier.failedTargets)
+	destination, ok := a.stream.pickMoveTarget(time.Now(), a.attempt.Target, a.copier.current, a.copier.failedTargets(time.Now()))
 	if !ok || !a.holdMoveSlot(destination) {
 		return false
 	}
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -171,7 +172,14 @@
 	if refusal != nil {
 		s.lastErr = refusal
 	}
-	return Attempt{Request: s.request, Target: t, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now), Priority: s.targetPriority(now), Cause: "return", Reservation: s.succession.takeReservation(t)}, ok
+	a := Attempt{Request: s.request, Target: t, LastEventID: s.formatLastEventID(), ObjectiveMissed: s.objectiveMissed(now), Priority: s.targetPriority(now), Cause: "return", Reservation: s.succession.takeReservation(t)}
+	if !ok {
+		return a, false
+	}
+	if c, found := s.pickCopyTarget(now, t, nil, copyMemory, false); found {
+		a.CopyTo = &c
+	}
+	return a, true
 }
 
 // targetCriteria returns what the next attempt needs of its target.
@@ -249,13 +257,22 @@
 	return m != nil && m.StandbyCopies
 }
 
+// copyRetention returns how long targets of the service keep a copy, 0 if that is not known.
+func (s *stream) copyRetention() time.Duration {
+	if m := s.forwarder.Model(s.request.Service); m != nil {
+		return m.CopyRetention
+	}
+	return 0
+}
+
 // copyMemory is the memory that the holder of a standby copy needs, in runs: for the copy, and for
 // the next run. Copies don't yield to runs, which would wait, or be preempted, for want of memory.
 const copyMemory = 2
 
 // pickCopyTarget picks the target for a copy of the KV cache of the run on t, of the same
 // software version, except for the targets in failed. It prefers another place, so that the
-// loss of a place leaves either the run or its copy. The target has room for so many runs like
+// loss of a place leaves either the run or its copy; of the places that lost the run before, it
+// prefers the one where that is longest ago. The target has room for so many runs like
 // this one in its memory; none is needed if memory is 0.
 func (s *stream) pickCopyTarget(now time.Time, t fleet.Target, failed map[string]bool, memory int, needsRoom bool) (fleet.Target, bool) {
 	if !s.request.Route.Repeatable() || !s.copiesRuns() {
@@ -265,7 +282,7 @@
 	maps.Copy(exclude, s.tried)
 	maps.Copy(exclude, failed)
 	c, err := s.forwarder.Fleet.Pick(now, fleet.Criteria{
-		SoftwareVersion: &t.SoftwareVersion, VersionFilter: s.forwarder.allowedVersions(now, s.request.Service), Service: s.request.Service, Exclude: exclude, AvoidPlaces: append([]string{t.Place}, s.lostPlaces...),
+		SoftwareVersion: &t.SoftwareVersion, VersionFilter: s.forwarder.allowedVersions(now, s.request.Service), Service: s.request.Service, Exclude: exclude, AvoidPlaces: append(slices.Clone(s.lostPlaces), t.Place),
 		MemoryTokens: max(1, memory) * s.memoryTokens(), CapacityTokens: s.capacityTokens(), ForCopy: true, NeedsRoom: needsRoom, NeedsMemory: memory > 0,
 	})
 	return c, err == nil
--- a/forward/run.go
+++ b/forward/run.go
@@ -150,6 +150,7 @@
 			a.copier.startCopy(ctx)
 		case c := <-a.copier.results:
 			a.copier.handleResult(c)
+			a.detector.hasCopy = a.detector.hasCopy || a.copier.current != nil
 		case <-timer.C:
 			if a.eventArrived() {
 				timer.Reset(time.Millisecond)
@@ -227,13 +228,10 @@
 	if !a.endReported {
 		a.stream.forwarder.CrashTracker.ReportLoss(a.stream.request, a.incarnation, a.atStart(a.endTime()))
 	}
-	a.stream.standby = nil
-	if a.mayHaveCopy() {
-		// Before the first event, while the target prefills the prompt, a copy seldom
-		// exists. An attempt to resume from a copy that does not exist uses up an
-		// attempt and a part of the retry budget.
-		a.stream.standby = a.copier.current
-	}
+	// Before the first event, while the target prefills the prompt, a copy seldom
+	// exists. An attempt to resume from a copy that does not exist uses up an
+	// attempt and a part of the retry budget.
+	a.stream.standby = a.copier.latestCopy(time.Now())
 	a.stopRun()
 	a.stream.tried[a.attempt.Target.ID] = true
 	a.stream.lostPlaces = append(a.stream.lostPlaces, a.attempt.Target.Place)
@@ -241,12 +239,6 @@
 	return endTargetLost
 }
 
-// mayHaveCopy reports whether the standby copy of the run may exist, and not only be planned: a
-// target copies nothing of a run that has not begun.
-func (a *streamAttempt) mayHaveCopy() bool {
-	return a.copier.current != nil && (a.detector.firstEventSeen || a.copier.explicit)
-}
-
 // stopRun ends the run at a target that may go on with it after the attempt.
 func (a *streamAttempt) stopRun() {
 	now := time.Now()
@@ -372,6 +364,7 @@
 	}
 	if !a.detector.firstEventSeen {
 		a.firstEventAt = now
+		a.copier.start()
 		s.forwarder.starts.Record(startKind(s.request.Service, a.attempt.Resume != (Copy{})), now.Sub(s.request.SentAt))
 		a.active.MarkFirstEvent(now)
 		a.observed.respond(now)
