forward: log and count why a stream was late

A stream adds up what it waits for since its last event, and records stream_paused when that took longer than its route allows: the cause (no_copy and why there was none, retry_credit, silent_target, prefill, copy, no_target, slow_caller), the length and the position; once for each stream and cause, as the counters forward.late_streams.CAUSE. Routes without slo_ms and gap_target_ms have neither.

--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -27,6 +27,7 @@
 	RunStopped       Number = 722
 
 	RequestUnfinished Number = 723
+	StreamPaused      Number = 730
 
 	LoadStated     Number = 740
 	CallersLimited Number = 741
@@ -45,6 +46,7 @@
 	{TargetLeaving, "target_leaving", Info, "A target is leaving and gets no new requests.", ""},
 	{TargetRemoved, "target_gone", Info, "The entry of a target was removed.", ""},
 	{CopyFailed, "copy_failed", Info, "The KV cache of a running request could not be copied to another target.", ""},
+	{StreamPaused, "stream_paused", Info, "A stream got its first event, or the next one, later than its route allows, once for each cause: prefill, no_copy (a run that continued without a copy; why says why it had none), copy (one that resumed from a copy), silent_target, retry_credit, no_target (none was ready or had room) or slow_caller; length is the time without an event, of which the cause had the largest part.", ""},
 	{AttemptKept, "attempt_kept", Warn, "A stream is silent, and its attempt goes on because no other target can take it; no_attempt says why, once for each reason.", "Look for target_suspected events of the same target."},
 	{RunStopped, "run_stopped", Info, "A target still worked on a request that had been taken from it, and was made to stop; after is the time since then.", ""},
 	{OriginAssumed, "origin_assumed", Info, "No daemon knows the stream that a caller takes up; it continues at the only software version that may have begun it.", ""},
--- a/forward/copier.go
+++ b/forward/copier.go
@@ -73,6 +73,7 @@
 	unusable       <-chan struct{} // closed when the holder becomes unusable
 	copyTimer      *time.Timer     // for the next explicit copy; nil if none is scheduled
 	retryDelay     time.Duration   // see copyRetryDelay
+	failure        error           // of the latest attempt to get a copy, for the log; nil for none
 	results        chan copyResult // of explicit copies
 	// failedAt holds the times at which copies to targets failed, by id.
 	failedAt map[string]time.Time
@@ -136,6 +137,7 @@
 		c.previousUntil = now.Add(c.stream.copyRetention() - maxCopyAge)
 	}
 	c.releaseReservation()
+	c.failure = errHolderLost
 	c.current, c.explicit, c.explicitTarget, c.unusable = nil, false, nil, nil
 }
 
@@ -144,6 +146,7 @@
 func (c *copier) chooseTarget(now time.Time) bool {
 	t, ok := c.stream.pickCopyTarget(now, c.source, c.failedTargets(now), copyMemory, false)
 	if !ok || c.current != nil && t.Place == c.source.Place {
+		c.failure = errNoCopyTarget
 		c.retryLater()
 		return false
 	}
@@ -179,6 +182,25 @@
 	return nil
 }
 
+// Reasons why a run has no copy.
+var (
+	errNoCopyTarget = errors.New("no other target has memory for it")
+	errHolderLost   = errors.New("its holder was lost")
+)
+
+// missing returns why there is no copy from which the run may resume, for the log.
+func (c *copier) missing() string {
+	switch {
+	case !c.stream.copiesRuns():
+		return "the service keeps no copies"
+	case !c.begun:
+		return "the run had not begun"
+	case c.failure != nil:
+		return c.failure.Error()
+	}
+	return "none was complete"
+}
+
 func (c *copier) schedule(delay time.Duration) {
 	if c.copyTimer == nil {
 		c.copyTimer = time.NewTimer(delay)
@@ -244,6 +266,7 @@
 // handleResult handles the outcome of an explicit copy.
 func (c *copier) handleResult(r copyResult) {
 	now := time.Now()
+	c.failure = r.err
 	switch {
 	case c.explicitTarget == nil || r.holder.ID != c.explicitTarget.ID:
 		// another target was picked after this copy started
@@ -261,7 +284,7 @@
 		if c.current == nil || c.current.holder.ID == r.holder.ID {
 			c.dropCurrent(now)
 		}
-		c.explicitTarget = nil
+		c.explicitTarget, c.failure = nil, r.err
 		c.retryLater()
 	}
 }
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -49,7 +49,9 @@
 		promptHolders = s.promptHolders(ctx)
 	}
 	// The last step that may take time, so that the target is picked by the latest state.
+	s.waitFor(pauseForCredit)
 	allowed, refusal := s.forwarder.allowAttempt(ctx, retry{s.request, s.succession.begun}, len(s.tried), take(&s.succession.retryReserved))
+	s.waitFor(pauseForTarget)
 	if refusal != nil {
 		s.lastErr, s.succession.silent = refusal, nil
 	}
@@ -88,6 +90,9 @@
 		s.noAttempt = errBudgetExhausted.Error()
 		return Attempt{}, false
 	}
+	if a.Resume == (Copy{}) && s.standby != nil {
+		s.noCopy = s.whyNotResumed(now)
+	}
 	s.standby, a.Reservation = nil, s.succession.takeReservation(a.Target)
 	if c, ok := s.pickCopyTarget(now, a.Target, nil, copyMemory, false); ok {
 		a.CopyTo = &c
--- a/forward/run.go
+++ b/forward/run.go
@@ -231,7 +231,7 @@
 	// Before the first event, while the target prefills the prompt, a copy seldom
 	// exists. An attempt to resume from a copy that does not exist uses up an
 	// attempt and a part of the retry budget.
-	a.stream.standby = a.copier.latestCopy(time.Now())
+	a.stream.standby, a.stream.noCopy = a.copier.latestCopy(time.Now()), a.copier.missing()
 	a.stopRun()
 	a.stream.tried[a.attempt.Target.ID] = true
 	a.stream.lostPlaces = append(a.stream.lostPlaces, a.attempt.Target.Place)
@@ -239,19 +239,6 @@
 	return endTargetLost
 }
 
-// stopRun ends the run at a target that may go on with it after the attempt.
-func (a *streamAttempt) stopRun() {
-	now := time.Now()
-	if a.stopped || a.incarnation.Terminated(now) {
-		return
-	}
-	s := a.stream
-	s.forwarder.stopRun(&leftRun{
-		requestID: s.request.ID, service: s.request.Service, target: a.incarnation, begun: a.detector.firstEventSeen,
-		leftAt: now, until: s.request.AnswerDeadline(), tokens: s.memoryTokens(), failed: make(map[string]bool), dueAt: now.Add(stopDelay),
-	})
-}
-
 // atStart reports whether the run has just started.
 func (a *streamAttempt) atStart(now time.Time) bool {
 	return !a.detector.firstEventSeen || now.Sub(a.firstEventAt) < startPeriod
@@ -273,6 +260,7 @@
 	}
 	switch {
 	case errors.Is(p.err, ErrNotSent):
+		s.markUnused(a.attempt, noCopyUnreachable)
 		s.recordLoss(s.forwarder.handleUnreachable(t, p.err), a.attempt)
 		s.forwarder.Prober.Check(t)
 		return endNotSent, true
@@ -287,6 +275,7 @@
 		if a.refused = p.answer.lacksRoom(); !s.keepReservation(a.attempt) {
 			s.tried[t.ID] = true
 		}
+		s.markUnused(a.attempt, noCopyRefused)
 		s.recordLoss(s.forwarder.handleRefusal(t, p.answer, a.attempt.Resume != (Copy{})), a.attempt)
 		if p.answer.OtherTarget {
 			s.forwarder.Prober.CheckPlace(t)
@@ -384,10 +373,13 @@
 	if !s.originRecorded {
 		s.beginAt(a.attempt.Target.SoftwareVersion)
 	}
+	s.endPause(now)
+	s.waitFor(pauseSlowCaller)
 	if err := s.responder.Event(a.takeUnnumbered(p.event.Raw)); err != nil {
 		s.lastErr = failure.Wrap(err, failure.Canceled, failure.Unknown, "answer the caller", "")
 		return endCanceled, true
 	}
+	s.waitFor(pauseSilent)
 	s.recordDelivery(now, p.event.ID)
 	if !s.lostAt.IsZero() {
 		s.forwarder.recordDuration(metricResume, now.Sub(s.lostAt))
--- a/forward/stopper.go
+++ b/forward/stopper.go
@@ -57,6 +57,19 @@
 	runs map[string][]*leftRun // by target id; one request at a time to each target
 }
 
+// stopRun ends the run at a target that may go on with it after the attempt.
+func (a *streamAttempt) stopRun() {
+	now := time.Now()
+	if a.stopped || a.incarnation.Terminated(now) {
+		return
+	}
+	s := a.stream
+	s.forwarder.stopRun(&leftRun{
+		requestID: s.request.ID, service: s.request.Service, target: a.incarnation, begun: a.detector.firstEventSeen,
+		leftAt: now, until: s.request.AnswerDeadline(), tokens: s.memoryTokens(), failed: make(map[string]bool), dueAt: now.Add(stopDelay),
+	})
+}
+
 // stopRun ends a run that was left.
 func (f *Forwarder) stopRun(r *leftRun) {
 	if m := f.Model(r.service); m == nil || !m.StandbyCopies {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -42,6 +42,8 @@
 	openMoves      map[string]int // moves of the run that a target may still carry out, by target
 	framed         string         // whether the answer of the latest attempt is framed, for the log; see describeFrame
 	noAttempt      string         // why no further attempt was planned, for the log; empty while there is one
+	noCopy         string         // why the latest attempt did not resume from a copy, for the log
+	pauses         *pauseLog
 	latest         *streamAttempt // nil before the first attempt
 
 	failureMemory *membudget.Share // of targetFailure; nil for none
@@ -51,7 +53,7 @@
 }
 
 func newStream(f *Forwarder, r *Request, w Responder) *stream {
-	s := &stream{forwarder: f, request: r, responder: w, lastEventID: -1, tried: make(map[string]bool), openMoves: make(map[string]int)}
+	s := &stream{forwarder: f, request: r, responder: w, lastEventID: -1, tried: make(map[string]bool), openMoves: make(map[string]int), pauses: newPauseLog(r.Received)}
 	if id, err := strconv.ParseInt(r.LastEventID, 10, 64); err == nil {
 		s.lastEventID = id
 	}
@@ -77,8 +79,10 @@
 	defer s.markEnded()
 	for {
 		neededRoom := s.needsRoom(time.Now())
+		s.waitFor(pauseForTarget)
 		a, ok := s.planAttempt(ctx)
 		if !ok {
+			s.waitFor(s.planWait())
 			if s.succession.awaitReturn(ctx) || neededRoom && !s.needsRoom(time.Now()) {
 				continue
 			}
@@ -86,6 +90,7 @@
 		}
 		s.noAttempt = ""
 		plannedAt := time.Now()
+		s.waitFor(s.attemptWait(a))
 		end := s.attempt(ctx, a)
 		switch end {
 		case endComplete:
@@ -118,6 +123,7 @@
 		if s.noAttempt == "" && s.latest != nil {
 			s.noAttempt = s.latest.noSuccessor
 		}
+		s.endPause(time.Now())
 		s.forwarder.Events.Record(event.AnswerTruncated, s.request.ID, event.F("route", s.request.Route.Name), event.F("error", s.lastErr.Error()),
 			event.F("attempts", strconv.Itoa(len(s.tried))), event.F("no_attempt", s.noAttempt),
 			event.F("last_event", strconv.FormatInt(s.lastEventID, 10)), event.F("after", time.Since(s.request.Received).String()),
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -297,6 +297,7 @@
 	a.kept = true
 	s, why := a.stream, noSuccessor.Error()
 	a.noSuccessor = why
+	s.waitFor(a.keptWait(noSuccessor))
 	if slices.Contains(a.keptFor, why) {
 		return
 	}
