forward: a copy in the place of its run is replaced within 0.4 s of room elsewhere

A copy in the run's own place, made while the other places were down, was looked at once a second, and not while it was in progress: a run that was lost 2 s after its second resume still had no other one. A better place is looked for before each explicit copy, also before the first one is complete, and every 0.4 s.

--- a/forward/copier.go
+++ b/forward/copier.go
@@ -104,7 +104,7 @@
 	case c.current == nil:
 		c.schedule(0)
 	case c.isMisplaced():
-		c.schedule(copyInterval)
+		c.schedule(maxCopyRetryDelay)
 	}
 }
 
@@ -125,8 +125,10 @@
 // replaceTarget picks another target for the copy, whose holder has become unusable.
 func (c *copier) replaceTarget(now time.Time) {
 	c.dropCurrent(now)
-	if c.chooseTarget(now) && c.begun {
+	if c.chooseTarget(now) {
 		c.schedule(0)
+	} else {
+		c.retryLater()
 	}
 }
 
@@ -141,21 +143,26 @@
 	c.current, c.explicit, c.explicitTarget, c.unusable = nil, false, nil, nil
 }
 
-// chooseTarget picks the target for explicit copies. It returns false, and schedules the next
-// search, if there is none, or none in a better place than the current copy.
+// chooseTarget picks the target for explicit copies. It returns false if there is none, or none in a
+// better place than the current copy or target.
 func (c *copier) chooseTarget(now time.Time) bool {
 	t, ok := c.stream.pickCopyTarget(now, c.source, c.failedTargets(now), copyMemory, false)
-	if !ok || c.current != nil && t.Place == c.source.Place {
+	switch {
+	case !ok:
 		c.failure = errNoCopyTarget
-		c.retryLater()
+		return false
+	case t.Place == c.source.Place && (c.current != nil || c.explicitTarget != nil):
 		return false
 	}
 	release, other := c.stream.forwarder.Fleet.ReserveCopy(t.ID, c.stream.memoryTokens()), c.releaseReservation
-	c.releaseReservation = func() { release(); other() } // the current copy keeps its memory
-	c.explicitTarget = &t
 	if c.current == nil {
+		other()
+		c.releaseReservation = release
 		c.unusable = c.stream.forwarder.Fleet.Unusable(now, t.ID)
+	} else {
+		c.releaseReservation = func() { release(); other() } // the current copy keeps its memory
 	}
+	c.explicitTarget = &t
 	return true
 }
 
@@ -221,12 +228,14 @@
 	if !c.begun {
 		return // see start
 	}
-	if c.explicitTarget == nil || c.isMisplaced() && c.explicitTarget.ID == c.current.holder.ID {
-		if !c.chooseTarget(time.Now()) && !c.explicit {
-			return
+	if c.explicitTarget == nil || c.explicitTarget.Place == c.source.Place {
+		found := c.chooseTarget(time.Now())
+		if !found && c.explicitTarget == nil && c.explicit {
+			c.explicitTarget = &c.current.holder // which gets an update meanwhile
 		}
 		if c.explicitTarget == nil {
-			c.explicitTarget = &c.current.holder // which gets an update meanwhile
+			c.retryLater()
+			return
 		}
 	}
 	destination := *c.explicitTarget
@@ -277,6 +286,9 @@
 		c.current, c.explicit, c.retryDelay = &r.standbyCopy, true, copyRetryDelay
 		c.unusable = c.stream.forwarder.Fleet.Unusable(now, r.holder.ID)
 		c.schedule(copyInterval)
+		if c.isMisplaced() {
+			c.schedule(maxCopyRetryDelay)
+		}
 	case errors.Is(r.err, ErrRunNotFound), errors.Is(r.err, ErrCopyInProgress):
 		c.retryLater() // it says nothing of the destination
 	default:
