forward: a stream may leave for the previous copy if its holder is back

A run whose copy's holder vanished and returned, with no memory for a copy elsewhere, waited for a target with free memory, although the holder needs none for the run. Found by TestSecondLossSoonAfterAResume.

--- a/forward/successor.go
+++ b/forward/successor.go
@@ -288,7 +288,11 @@
 	case s.forwarder.Fleet.IsSilent(now, a.attempt.Target.ID, longestSilence-probeTimeout):
 		return errOnlySilent
 	}
-	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.incarnation, now.Sub(a.detector.lastProgress), s.targetCriteria(nil), a.copier.current, mayLeave)
+	standby := a.copier.latestCopy(now)
+	if standby == nil {
+		standby = a.copier.current
+	}
+	return s.forwarder.reserveSuccessor(s.request, &s.succession, s.tried, a.incarnation, now.Sub(a.detector.lastProgress), s.targetCriteria(nil), standby, mayLeave)
 }
 
 // keep records that the attempt goes on although its stream is silent, because there is no
