--- a/forward/copy_targets_test.go
+++ b/forward/copy_targets_test.go
@@ -53,8 +53,10 @@
 	hold     map[string]chan bool // unused channels of places that are dark; closed when they return
 }
 
-func newCopyTargets(places, perPlace, capacity, events int) (*fixture, *copyTargets) {
+func newCopyTargets(seed uint64, perPlace, capacity, events int) (*fixture, *copyTargets) {
+	const places = 3
 	s := newFixture(nil)
+	s.Fleet = fleet.New("place-a", seed)
 	w := &copyTargets{
 		fakeTargetClient: s.client, gap: eventGap, events: events, capacity: capacity, targets: make(map[string]fleet.Target), memory: make(map[string]map[string]heldCopy),
 		dark: make(map[string]bool), begun: make(map[string]bool), busy: make(map[string]bool), sent: make(map[string][]Attempt), copied: make(map[bool]int),
