forward: a replaced explicit copy is released only if its name differs

A target may name all copies of a run alike, as the engines of the soak do. The release of a copy in the run's place then freed the one that replaced it. Two cases of TestSecondLossSoonAfterAResume fail without this.

--- a/forward/copier.go
+++ b/forward/copier.go
@@ -284,7 +284,8 @@
 	case c.explicitTarget == nil || r.holder.ID != c.explicitTarget.ID:
 		// another target was picked after this copy started
 	case r.err == nil:
-		if old := c.current; c.explicit && old.holder.ID != r.holder.ID {
+		// A target may give the copies of a run at several others the same name.
+		if old := c.current; c.explicit && old.holder.ID != r.holder.ID && old.copy != r.copy {
 			go c.stream.forwarder.releaseCopy(c.stream.request.ID, c.source, *old)
 		}
 		c.current, c.explicit, c.retryDelay = &r.standbyCopy, true, copyRetryDelay
--- a/forward/copy_targets_test.go
+++ b/forward/copy_targets_test.go
@@ -282,6 +282,17 @@
 	return Copy{source.Address, name}, w.copyPart(ctx, source, id, destination, source.Address+"/"+name, 6000)
 }
 
+// Release implements TargetClient. All explicit copies of a run have the same name.
+func (w *copyTargets) Release(ctx context.Context, source fleet.Target, c Copy) error {
+	if !w.reach(ctx, source) {
+		return errors.WithStack(ErrNoAnswer)
+	}
+	for address := range w.targets {
+		w.free(address, c.Address+"/"+c.Name)
+	}
+	return nil
+}
+
 func (w *copyTargets) countRequest() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/forward/standby_copies_test.go
+++ b/forward/standby_copies_test.go
@@ -166,6 +166,16 @@
 			time.Sleep(lostAt)
 			w.vanish(first.Target.Place)
 		}},
+		{"after memory is free elsewhere, and the explicit copy is in the run's place", []time.Duration{600 * time.Millisecond, time.Second}, func(s *fixture, w *copyTargets, lostAt time.Duration) {
+			first := w.awaitRun(1)
+			time.Sleep(400 * time.Millisecond)
+			release := w.fill(s, first.Target.Place)
+			w.vanishNoticed(s, w.placeOfCopy())
+			time.Sleep(2 * time.Second)
+			release()
+			time.Sleep(lostAt)
+			w.vanish(first.Target.Place)
+		}},
 	}
 	const seeds = 20 // of the sample of targets
 	for _, c := range cases {
