overload: assume how long streams take until enough have ended

A daemon held and refused nothing until eight streams had ended at it. With 87 daemons and 48 streams a second that takes about 15 s, most of a burst.

--- a/forward/admission.go
+++ b/forward/admission.go
@@ -135,7 +135,7 @@
 	a := f.Admission
 	request := overload.Request{
 		Priority: f.priority(r), Objective: r.Route.LatencyObjective, Timeout: r.Route.Timeout, Received: r.Received, Deadline: r.AnswerDeadline(),
-		Prompt: r.Prompt.Tokens, Memory: s.memoryTokens(), Workspace: r.Workspace,
+		Prompt: r.Prompt.Tokens, Memory: s.memoryTokens(), Output: r.Prompt.MaxOutputTokens, Workspace: r.Workspace,
 	}
 	now := time.Now()
 	ready := f.Fleet.ReadyLoads(now, r.Service, request.Priority)
--- a/overload/model_test.go
+++ b/overload/model_test.go
@@ -154,7 +154,7 @@
 	}
 	request := Request{
 		Priority: k.priority, Objective: k.objective, Timeout: modelTimeout, Received: m.time(m.now), Deadline: m.time(r.deadline),
-		Prompt: r.prompt, Memory: r.memory(), Workspace: k.workspace,
+		Prompt: r.prompt, Memory: r.memory(), Output: r.output, Workspace: k.workspace,
 	}
 	ticket, decision := d.control.Arrive(m.time(m.now), request, m.load(d, request), m.random.Float64)
 	r.ticket = ticket
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -58,6 +58,7 @@
 	Deadline  time.Time // zero if there is none
 	Prompt    int       // tokens to prefill
 	Memory    int       // tokens of prompt and output
+	Output    int       // tokens to write at most; 0 if not known
 	Workspace string
 }
 
@@ -92,6 +93,7 @@
 	shares   shares    // of the workspaces
 	refused  rates     // of each level
 	runs     average   // times of streams at targets, in seconds
+	assumed  average   // times that new streams are expected to take, in seconds
 	prompts  average   // tokens
 	memory   average   // tokens
 }
@@ -105,6 +107,9 @@
 	excess := c.shares.add(now, r.Workspace)
 	c.prompts.add(float64(r.Prompt))
 	c.memory.add(float64(r.Memory))
+	if r.Output > 0 {
+		c.assumed.add((prefillTime(r.Prompt) + time.Duration(r.Output)*assumedTokenTime).Seconds())
+	}
 	t := &Ticket{request: r, waited: r.waited()}
 	t.rank = float64(r.Priority) - min(maxAging, t.waited)
 	if l.Room < 1 {
@@ -138,7 +143,7 @@
 	switch {
 	case l.Slots == 0, hold <= 0 || now.Sub(t.request.Received) >= hold:
 		d.Action = SendAnyway
-	case c.runs.samples < minRuns:
+	case !c.knowsRunTime():
 		d.Action = Send // nothing shows how long a wait would be
 	case l.Fits && random() < c.roomShare(now, t, l):
 		d.Action = Send
@@ -188,7 +193,7 @@
 		ahead += l.Queued * atLeast / all
 	}
 	ahead += float64(c.ownAhead(t)) + 1 - l.Room
-	if ahead <= 0 || c.runs.samples < minRuns {
+	if ahead <= 0 || !c.knowsRunTime() {
 		return 0
 	}
 	rate := c.startRate(l)
@@ -208,9 +213,20 @@
 	return rate
 }
 
-// runTime returns the mean time of a stream at a target.
+// runTime returns the mean time of a stream at a target. Until enough streams have ended here, the
+// rest counts with the expected time: a daemon of a large fleet gets a stream each few seconds, and a burst is
+// over before eight of them have ended.
 func (c *Controller) runTime() time.Duration {
-	return max(minRunTime, time.Duration(c.runs.mean*float64(time.Second)))
+	mean := c.runs.mean
+	if missing := minRuns - c.runs.samples; missing > 0 && c.assumed.samples > 0 {
+		mean = (mean*float64(c.runs.samples) + c.assumed.mean*float64(missing)) / minRuns
+	}
+	return max(minRunTime, time.Duration(mean*float64(time.Second)))
+}
+
+// knowsRunTime reports whether runTime is known or can be assumed.
+func (c *Controller) knowsRunTime() bool {
+	return c.runs.samples >= minRuns || c.assumed.samples > 0
 }
 
 // refusal returns the probability with which a request is refused that can't be sent at once: it
@@ -218,7 +234,7 @@
 // that can still be in time. excess is the workspace's share of the requests over a fair share: a
 // workspace above it is refused more, one below it less.
 func (c *Controller) refusal(now time.Time, t *Ticket, d Decision, l Load, excess float64) float64 {
-	useful, run := t.usefulByDeadline(now, c.runTime()), c.runs.samples >= minRuns
+	useful, run := t.usefulByDeadline(now, c.runTime()), c.knowsRunTime()
 	if c.moreUrgent(now, t, l) {
 		useful = d.Useful
 	}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -75,6 +75,28 @@
 	})
 }
 
+// TestBurstAfterTheStart guards against daemons of a large fleet that decide nothing during a burst
+// because too few streams have ended at each of them.
+func TestBurstAfterTheStart(t *testing.T) {
+	counts := func(fresh bool) (urgent, other modelCount) {
+		m := newModel(0, true, 90, 60, modelKinds(burst)...)
+		for i := range m.daemons {
+			if fresh {
+				m.daemons[i].control = NewController()
+			}
+		}
+		m.run(15 * time.Second)
+		m.lose(15, 18*time.Second)
+		m.run(80 * time.Second)
+		return m.counts[0], m.counts[1]
+	}
+	urgent, other := counts(true)
+	knownUrgent, knownOther := counts(false)
+	if urgent.share(urgent.inTime) < 0.95 || 10*other.inTime < 9*knownOther.inTime || urgent.freeAtRefusal+other.freeAtRefusal > 0 {
+		t.Errorf("after a start: urgent %+v, less urgent %+v; later: %+v, %+v", urgent, other, knownUrgent, knownOther)
+	}
+}
+
 // TestReturnOfRefused guards against callers that are refused together and return together.
 func TestReturnOfRefused(t *testing.T) {
 	play(t, true, 1, 3*time.Second, modelKinds(burst), func(t *testing.T, m *model) {
--- a/overload/rates.go
+++ b/overload/rates.go
@@ -95,6 +95,9 @@
 	// minRuns is the number of streams that show their usual time. The first that end after a
 	// start are the short ones.
 	minRuns = 8
+	// assumedTokenTime is the expected time between two tokens of a stream, at a target that runs
+	// several. Targets need 3 to 7 ms for a token of a stream that runs alone.
+	assumedTokenTime = 10 * time.Millisecond
 	// minRunTime bounds the mean time, so that failures at once don't look like free room.
 	minRunTime = 100 * time.Millisecond
 )
