forward, overload: no new standby copies while streams wait for room

A copy of a run takes as much memory as a run. While all targets are full, copies are made of whatever memory becomes free, and new streams wait for it. Daemons that hold streams, or whose peers do, make no new copies of that service. Reports to peers now state only streams that wait, and no longer those that are about to be sent.

--- a/forward/admission.go
+++ b/forward/admission.go
@@ -64,6 +64,26 @@
 	return out
 }
 
+// holds reports whether a daemon holds streams of a service, because no target has room for them.
+func (a *Admission) holds(service string) bool {
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c := a.controllers[service]; c != nil && c.Waiting() {
+		return true
+	}
+	for _, held := range a.peersHeld {
+		for _, n := range held[service] {
+			if n > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // SetPeerHeld replaces what another daemon holds. An empty map removes the daemon.
 func (a *Admission) SetPeerHeld(peer string, held map[string][]int) {
 	a.mu.Lock()
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -166,3 +166,21 @@
 		})
 	}
 }
+
+// TestCopiesYieldToHeldStreams guards against standby copies that take the memory for which new streams
+// wait, at this daemon or at another one.
+func TestCopiesYieldToHeldStreams(t *testing.T) {
+	for name, held := range map[string]map[string][]int{"none held": nil, "held at a peer": {"svc": {0, 0, 1}}, "of another service": {"other": {1}}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFixture(map[string]behaviour{"a": streaming(5, -1, eventGap, nil), "b": streaming(5, -1, eventGap, nil)})
+			s.contend(time.Second)
+			s.Admission.SetPeerHeld("vm-2", held)
+			got := &fakeResponder{}
+			s.Serve(context.Background(), s.request("r1", 0, nil), got)
+			s.awaitStops()
+			if copied, want := s.client.attempt(0).CopyTo != nil, name != "held at a peer"; copied != want || !got.ended {
+				t.Errorf("%s: a copy is made: %v, want %v; complete %v", name, copied, want, got.ended)
+			}
+		})
+	}
+}
--- a/forward/plan.go
+++ b/forward/plan.go
@@ -261,6 +261,9 @@
 	if !s.request.Route.Repeatable() || !s.copiesRuns() {
 		return fleet.Target{}, false
 	}
+	if memory > 0 && s.forwarder.Admission.holds(s.request.Service) {
+		return fleet.Target{}, false // new streams wait for that memory
+	}
 	exclude := map[string]bool{t.ID: true}
 	maps.Copy(exclude, s.tried)
 	maps.Copy(exclude, failed)
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -151,6 +151,7 @@
 		d.Action = Hold
 		d.Again = min(d.Again, hold-now.Sub(t.request.Received))
 	}
+	t.waiting = d.Action == Hold
 	return d
 }
 
--- a/overload/ticket.go
+++ b/overload/ticket.go
@@ -10,6 +10,7 @@
 	request Request
 	rank    float64 // smaller ones come first
 	waited  float64 // see Request.waited
+	waiting bool    // the latest decision was to hold it
 }
 
 // waited returns how long the caller has waited before this request, in multiples of its
@@ -74,10 +75,18 @@
 	return 0
 }
 
-// Held returns how many requests of each level the controller holds, for other daemons.
+// Waiting reports whether a request waits for room.
+func (c *Controller) Waiting() bool {
+	return slices.ContainsFunc(c.held, func(t *Ticket) bool { return t.waiting })
+}
+
+// Held returns how many requests of each level wait for room here, for other daemons. Those that are
+// about to be sent don't count.
 func (c *Controller) Held() (held [Levels]int) {
 	for _, t := range c.held {
-		held[t.level()]++
+		if t.waiting {
+			held[t.level()]++
+		}
 	}
 	return held
 }
