forward: a stopping daemon plans the time left for all targets that a stream may go to

Streams were cut at the end of a stop although another target could have begun them: a run waited, the next target began late and had 0.35 s and up to two looks (0.26 s) more for that, and so had the one after it. Without a copy the stream also left so late (1.5 times the expected start, and 0.26 s, before the end) that there was time for one target only.

What is known before the send doesn't tell which target begins late, so the time left is now planned for all targets with room, up to the attempts of the route: when the stream leaves, how long the first target has, and that the next ones have no more than a late start takes, so that the last one has the rest. The target is probed after half of its time, so that it isn't taken for silent at the end of it. Targets at which the latest run was overdue come last.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -217,6 +217,23 @@
 	return s != nil && s.hasRoom(memoryTokens, capacityTokens)
 }
 
+// CountReady returns how many targets that are ready meet the criteria, at most most.
+func (f *Fleet) CountReady(now time.Time, criteria Criteria, most int) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services[criteria.Service] {
+		if n >= most {
+			break
+		}
+		isReady := s.state(now) == Ready && !s.throttled(now, criteria.Priority)
+		hasRoom := !criteria.NeedsRoom || s.hasRoom(criteria.MemoryTokens, criteria.CapacityTokens)
+		if isReady && hasRoom && !criteria.Exclude[s.ID] && criteria.allowsVersion(s.SoftwareVersion) {
+			n++
+		}
+	}
+	return n
+}
+
 // HoldSlot keeps a slot of a target that has room for a request, so that the requests of this
 // daemon that look for room at the same time don't take the same one. It returns false if the
 // target has no room or is unknown. The returned function ends the hold and may be called
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -253,6 +253,7 @@
 
 	stopper runStopper
 	starts  recent.Durations // from the send of a stream to its first event, see startKind
+	late    lateTargets
 }
 
 // placementInterval is the minimum time between two placements of long prompts by one
--- a/forward/room.go
+++ b/forward/room.go
@@ -60,6 +60,21 @@
 	return &heldSlot{target: t, release: release}, nil
 }
 
+// findTimelyRoom is findRoom, but if the daemon stops, targets at which runs have just begun late are used
+// only if no other one has room.
+func (f *Forwarder) findTimelyRoom(now time.Time, criteria fleet.Criteria, standby *standbyCopy, c *succession, stopping bool) (*heldSlot, error) {
+	if !stopping {
+		return f.findRoom(now, criteria, standby, c)
+	}
+	inTime := criteria
+	inTime.Exclude = f.late.addTo(now, criteria.Exclude)
+	slot, err := f.findRoom(now, inTime, standby, c)
+	if err != nil && len(inTime.Exclude) > len(criteria.Exclude) {
+		return f.findRoom(now, criteria, standby, c)
+	}
+	return slot, err
+}
+
 // isUsable reports whether t is ready and its registered incarnation.
 func (f *Forwarder) isUsable(now time.Time, t fleet.Target) bool {
 	return f.Fleet.IsCurrent(t) && f.Fleet.State(now, t.ID) == fleet.Ready
--- a/forward/run.go
+++ b/forward/run.go
@@ -46,6 +46,7 @@
 	progressed   bool     // the run's progress was reported
 	kept         bool     // the attempt goes on although its stream is silent, see keep
 	noSuccessor  string   // the latest reason; empty if the stream isn't silent
+	overdue      bool     // the run has not begun in time, see startLimit
 	keptFor      []string // the reasons that were logged since the latest event
 	stopped      bool     // the target has stopped the run, or knows of none
 	unnumbered   []byte   // events without an id that were not passed on yet
@@ -97,7 +98,7 @@
 // relay passes the answer on to the caller until the answer ends, the target is lost,
 // or ctx is done.
 func (a *streamAttempt) relay(ctx context.Context) attemptEnd {
-	timer := time.NewTimer(prefillProbeInterval)
+	timer := time.NewTimer(a.detector.startInterval)
 	defer timer.Stop()
 	headReceived := false
 	for {
@@ -373,6 +374,8 @@
 	if !a.detector.firstEventSeen {
 		a.firstEventAt = now
 		s.forwarder.starts.Record(startKind(s.request.Service, a.attempt.Resume != (Copy{})), now.Sub(s.request.SentAt))
+		s.forwarder.late.forget(a.attempt.Target.ID)
+		s.wasOverdue = false
 		a.active.MarkFirstEvent(now)
 		a.observed.respond(now)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -46,6 +46,8 @@
 
 	failureMemory *membudget.Share // of targetFailure; nil for none
 
+	wasOverdue bool // while the daemon stops, a run has not begun in time since the latest event
+
 	needsRoomFirst bool   // the first attempt is for a target with room, see admit
 	admitted       func() // ends the hold of the stream by admit; nil if there was none
 }
@@ -195,6 +197,9 @@
 		probeResults: make(chan ProbeResult, 1), parts: make(chan answerPart, 1), moveResults: make(chan copyResult, 1), copier: newCopier(s, a),
 		reservations: make(chan reservation),
 	}
+	if s.isStopping() { // a probe shows in time whether the target answers
+		attempt.detector.startInterval = min(prefillProbeInterval, attempt.startLimit(now)/2)
+	}
 	defer func() {
 		s.forwarder.releasePermit(s.request.ID, a.Target, attempt.refused)
 		if attempt.moveSlot != nil {
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -120,7 +120,7 @@
 	if criteria.MemoryTokens > 0 {
 		roomCriteria := criteria
 		roomCriteria.Exclude = c.withRefusals(criteria.Exclude)
-		slot, err := f.findRoom(now, roomCriteria, standby, c)
+		slot, err := f.findTimelyRoom(now, roomCriteria, standby, c, mayLeave != nil)
 		if err != nil && silence < maxRoomWait {
 			return err
 		}
@@ -361,10 +361,14 @@
 	}
 	if a.stream.isStopping() {
 		switch {
-		case a.detector.isStalled(now, late):
+		case a.detector.isStalled(now, late), a.isStalledAtEnd(now, late):
 			action = stallAbandon // also without a copy
-		case a.isOverdue(now, late):
-			action, evidence = stallAbandon, isLost
+		case !a.detector.firstEventSeen:
+			left := a.untilOverdue(now, late)
+			if wait = min(wait, left); left == 0 {
+				action, evidence = stallAbandon, isLost
+				a.markOverdue(now)
+			}
 		}
 	}
 	switch {
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -46,15 +46,16 @@
 	resumed        bool          // the run resumes from a copy
 	hasCopy        bool          // another target holds a standby copy and can continue without another prefill
 	firstEventSeen bool
-	lastProgress   time.Time // time of the send or of the last event
-	lastProbe      time.Time // time of the last probe
+	startInterval  time.Duration // between two probes before the first event
+	lastProgress   time.Time     // time of the send or of the last event
+	lastProbe      time.Time     // time of the last probe
 }
 
 func newStallDetector(now time.Time, maxGap time.Duration, resumed, hasCopy bool) *stallDetector {
 	if maxGap <= 0 {
 		maxGap = defaultMaxGap
 	}
-	return &stallDetector{maxGap: maxGap, resumed: resumed, hasCopy: hasCopy, lastProgress: now}
+	return &stallDetector{maxGap: maxGap, resumed: resumed, hasCopy: hasCopy, startInterval: prefillProbeInterval, lastProgress: now}
 }
 
 // recordEvent records an event of the stream.
@@ -88,7 +89,7 @@
 	if d.resumed && silence >= resumeTimeout {
 		return stallAbandon, 0
 	}
-	return d.probeOrWait(now, prefillProbeInterval, prefillProbeInterval)
+	return d.probeOrWait(now, d.startInterval, d.startInterval)
 }
 
 // probeOrWait requests a probe if neither an event nor a probe occurred for interval.
