--- a/forward/forward.go
+++ b/forward/forward.go
@@ -257,6 +257,7 @@
 	// copySearches bounds the searches for targets of copies.
 	copySearches copySearches
 	starts       recent.Durations // from the send of a stream to its first event, see startKind
+	late         lateTargets
 }
 
 // placementInterval is the minimum time between two placements of long prompts by one
