forward: read a stream ahead of a caller that reads slowly

A stream was read from its target only as fast as its caller took the events, and a target cuts off an answer that stays unread for some seconds. Events now wait in a queue within the memory budget, where the settings have memory_mb. A queue that can't grow stops the read.

Writes now have 16 KiB, so that progress is seen. Of several stalled callers, the one with the largest product of bytes and stall time yields instead of the one with most bytes.

Plain answers with and without a length are read to their end before they are sent; the test of these passed before and is kept.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -243,8 +243,11 @@
 	// OnStatement, if set, is called when a target states other conditions than before.
 	OnStatement func(t fleet.Target, s fleet.Statement)
 	Buffers     *membudget.Budget // for answers, see MaxBufferedBytes
-	Events      *event.Recorder
-	Metrics     metrics.Registry
+	// ReadAhead lets streams be read from targets while their callers read slowly, within
+	// Buffers. Otherwise a target waits for the caller.
+	ReadAhead bool
+	Events    *event.Recorder
+	Metrics   metrics.Registry
 	// Model returns the properties of a service's model engines, nil if it has none.
 	Model func(service string) *ingress.Model
 	// StopsAt returns when running requests are canceled because the daemon stops, and the
--- a/forward/run.go
+++ b/forward/run.go
@@ -24,6 +24,7 @@
 	lost         <-chan struct{} // closed when the target is declared failed
 	probeResults chan ProbeResult
 	parts        chan answerPart
+	ahead        *readAhead // of parts; nil unless Forwarder.ReadAhead is set
 	copier       *copier
 	moveResults  chan copyResult // outcome of the move to another target
 	moving       bool            // a move was started, its outcome is pending
@@ -74,10 +75,14 @@
 		return // relay reads the body
 	}
 	events := newEventReader(answer.Body, a.stream.forwarder.Buffers.NewShare())
+	send := func(p answerPart) bool { return sendUnlessDone(ctx, a.parts, p) }
+	if a.ahead != nil {
+		send = func(p answerPart) bool { return a.ahead.push(ctx, p) }
+	}
 	defer events.close()
 	for {
 		ev, err := events.next()
-		if !sendUnlessDone(ctx, a.parts, answerPart{event: ev, err: err}) || err != nil {
+		if !send(answerPart{event: ev, err: err}) || err != nil {
 			return
 		}
 	}
@@ -192,6 +197,9 @@
 			}
 			return end
 		case p := <-a.parts:
+			if a.ahead != nil {
+				a.ahead.refill()
+			}
 			if ctx.Err() != nil {
 				continue // the error results from the end of ctx, not from the target
 			}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -203,6 +203,10 @@
 		attempt.active.Done(time.Now(), attempt.failed)
 		attempt.copier.finish(!attempt.failed)
 	}()
+	if s.forwarder.ReadAhead {
+		attempt.ahead = newReadAhead(attempt.parts, s.forwarder.Buffers.NewQueueShare(s.request.Caller))
+		defer attempt.ahead.close()
+	}
 	s.latest = attempt
 	go attempt.read(ctx)
 	end := attempt.relay(ctx)
--- a/gateway/conn_guard.go
+++ b/gateway/conn_guard.go
@@ -17,7 +17,7 @@
 // connection holds.
 const (
 	// stallTime is the time after which a caller stalls that has sent no complete header or
-	// fewer than progressBytes of a body, or that has not read a part of its answer.
+	// fewer than progressBytes of a body, or that has not taken writePartBytes of its answer.
 	stallTime     = 2 * time.Second
 	progressBytes = 8 << 10
 	// settleTime is the time after which a body whose bytes have arrived counts as read. The
@@ -56,6 +56,9 @@
 	// The latter remains while a caller does not read.
 	writeBufferBytes = 256 << 10
 	unsentBytes      = 16 << 10
+	// writePartBytes is the size of the parts in which an answer is written. A caller that
+	// takes such a part within stallTime makes progress.
+	writePartBytes = 16 << 10
 )
 
 // phase is what a connection is used for.
@@ -222,26 +225,37 @@
 	g.setPhase(phaseServed)
 }
 
-// Stalled implements membudget.Holder.
-func (g *connGuard) Stalled(now time.Time) bool {
+// StalledFor implements membudget.Holder.
+func (g *connGuard) StalledFor(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.stalled(now)
+	return g.stalledFor(now)
 }
 
-// stalled is Stalled for callers that hold mu.
-func (g *connGuard) stalled(now time.Time) bool {
+// stalledFor is StalledFor for callers that hold mu.
+func (g *connGuard) stalledFor(now time.Time) time.Duration {
+	since := now
 	switch g.phase {
 	case phaseNew, phaseHeader:
-		return now.Sub(g.since) > stallTime
+		since = g.since
 	case phaseBody:
-		return now.Sub(g.since) > stallTime && now.Sub(g.readAt) > settleTime
+		if now.Sub(g.readAt) > settleTime {
+			since = g.since
+		}
 	case phaseServed:
-		return !g.writing.IsZero() && now.Sub(g.writing) > stallTime
+		if !g.writing.IsZero() {
+			since = g.writing
+		}
 	}
-	return false
+	if stalled := now.Sub(since); stalled > stallTime {
+		return stalled
+	}
+	return 0
 }
 
+// stalled reports whether the caller stalls. The caller of stalled holds mu.
+func (g *connGuard) stalled(now time.Time) bool { return g.stalledFor(now) > 0 }
+
 // Evict implements membudget.Holder. A caller that has sent no complete request is refused
 // or closed by the reader of its connection.
 func (g *connGuard) Evict() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,6 +137,7 @@
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
 		RetryBudget: forward.NewRetryBudget(time.Now(), s.RetryBudget.budgetSettings()),
 		Buffers:     g.limits.buffers,
+		ReadAhead:   s.MemoryMB > 0,
 		Model:       g.model,
 		StopsAt:     g.stopsAt,
 		Admission:   forward.NewAdmission(g.contended),
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -94,9 +94,15 @@
 	if c.guard == nil {
 		return c.Conn.Write(b)
 	}
-	c.guard.writes(time.Now())
 	defer c.guard.writes(time.Time{})
-	return c.Conn.Write(b)
+	written := 0
+	for {
+		c.guard.writes(time.Now())
+		n, err := c.Conn.Write(b[written:min(len(b), written+writePartBytes)])
+		if written += n; err != nil || written == len(b) {
+			return written, err
+		}
+	}
 }
 
 func (c *trackedConn) currentState() int64 {
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -32,6 +32,7 @@
 	used    int64
 	callers int64               // part of used that callers' requests and connections use
 	bodies  int64               // part of callers that bodies use
+	queued  int64               // part of used that queues of answers use
 	growing map[*Share]struct{} // shares with counted bytes whose answers are not complete
 	waiting map[*Share]struct{} // shares that wait for a caller, see Holder
 	evicted int64
@@ -70,13 +71,14 @@
 	answerKind kind = iota
 	bodyKind
 	connKind
+	queueKind
 )
 
 // NewShare returns an empty share. It must be released.
 func (b *Budget) NewShare() *Share { return &Share{budget: b} }
 
 // Grow adds n bytes to the share, for a read that stop ends. If the budget is exhausted, the
-// largest share whose caller stalls loses its bytes. If there is none, the largest growing
+// share whose caller stalls longest and holds most loses its bytes. If there is none, the largest growing
 // answer loses its bytes and its read is stopped: a body without an end becomes the largest
 // sooner or later. If that is this share, Grow returns ErrExhausted
 // and adds nothing.
@@ -93,7 +95,7 @@
 	}
 	counted := s.size + int64(n) - FreeBytes
 	for !b.fits(s, counted) {
-		victim := b.stalled(s)
+		victim := b.stalled(s, counted)
 		if victim == nil {
 			victim = b.largest(s, counted)
 		}
@@ -104,8 +106,11 @@
 	}
 	b.count(s, counted)
 	s.size, s.stop = s.size+int64(n), stop
-	if s.kind == answerKind {
+	switch {
+	case s.kind == answerKind:
 		b.growing[s] = struct{}{}
+	case s.kind == queueKind && s.holder != nil:
+		b.waiting[s] = struct{}{}
 	}
 	return nil
 }
@@ -115,11 +120,14 @@
 	added := counted - s.counted
 	s.counted = counted
 	b.used += added
-	if s.kind != answerKind {
-		b.callers += added
-	}
-	if s.kind == bodyKind {
+	switch s.kind {
+	case bodyKind:
 		b.bodies += added
+		b.callers += added
+	case connKind:
+		b.callers += added
+	case queueKind:
+		b.queued += added
 	}
 }
 
@@ -185,6 +193,9 @@
 	s.budget.count(s, counted)
 	if counted == 0 {
 		delete(s.budget.growing, s)
+		if s.kind == queueKind {
+			delete(s.budget.waiting, s)
+		}
 	}
 }
 
--- a/internal/membudget/callers.go
+++ b/internal/membudget/callers.go
@@ -14,7 +14,10 @@
 	// reservedPart is the part of callersPart that bodies of more than smallBytes don't
 	// use, so that ordinary requests are served while large bodies fill the rest.
 	reservedPart = 0.125
-	smallBytes   = 64 << 10
+	// queuesPart is the part of the limit that queues of answers use together, so that callers
+	// who read slowly leave room for others. A queue that can't grow only stops reading.
+	queuesPart = 0.5
+	smallBytes = 64 << 10
 )
 
 // ConnBytes is what a connection without a request counts: its stack, the buffers of
@@ -23,8 +26,9 @@
 
 // Holder is the connection of a caller.
 type Holder interface {
-	// Stalled reports whether the daemon waits for the caller, which makes no progress.
-	Stalled(now time.Time) bool
+	// StalledFor returns for how long the daemon has waited for the caller, which makes no
+	// progress; 0 if that does not count as a stall.
+	StalledFor(now time.Time) time.Duration
 	// Evict ends what the daemon waits for. It may block.
 	Evict()
 }
@@ -32,6 +36,12 @@
 // NewBodyShare returns an empty share for a caller's body. It must be released.
 func (b *Budget) NewBodyShare() *Share { return &Share{budget: b, kind: bodyKind} }
 
+// NewQueueShare returns an empty share for what was read of an answer and not yet sent to h,
+// which may be nil. It must be released. Its growth never ends the read of another answer.
+func (b *Budget) NewQueueShare(h Holder) *Share {
+	return &Share{budget: b, kind: queueKind, holder: h}
+}
+
 // NewConnShare returns the share of an accepted connection, which counts ConnBytes. It must
 // be released.
 func (b *Budget) NewConnShare(h Holder) *Share {
@@ -81,8 +91,11 @@
 	if b.used+added > b.limit {
 		return false
 	}
-	if s.kind == answerKind {
+	switch s.kind {
+	case answerKind:
 		return true
+	case queueKind:
+		return b.queued+added <= int64(queuesPart*float64(b.limit))
 	}
 	part := callersPart
 	if counted > smallBytes && b.bodies > s.counted {
@@ -91,14 +104,22 @@
 	return b.callers+added <= int64(part*float64(b.limit))
 }
 
-// stalled returns the largest share other than s that waits for a caller which stalls, or
-// nil. The caller holds mu.
-func (b *Budget) stalled(s *Share) *Share {
+// stalled returns the share, other than s, whose caller stalls longest and holds most: the
+// one with the largest product of stall time and counted bytes. It returns nil if no
+// caller stalls, or if s itself, with counted bytes, comes first. The caller holds mu.
+func (b *Budget) stalled(s *Share, counted int64) *Share {
 	now := time.Now()
 	var found *Share
+	var most float64
+	if s.holder != nil {
+		most = s.holder.StalledFor(now).Seconds() * float64(counted)
+	}
 	for other := range b.waiting {
-		if other != s && (found == nil || other.counted > found.counted) && other.holder.Stalled(now) {
-			found = other
+		if other == s || s.kind == queueKind && other.kind != queueKind && b.used+counted-s.counted <= b.limit {
+			continue // only other queues keep this one from growing
+		}
+		if held := other.holder.StalledFor(now).Seconds() * float64(other.counted); held > most {
+			found, most = other, held
 		}
 	}
 	return found
--- a/internal/membudget/callers_test.go
+++ b/internal/membudget/callers_test.go
@@ -13,11 +13,20 @@
 // fakeHolder is a caller that stalls or not.
 type fakeHolder struct {
 	stalls  bool
+	stalled time.Duration // if not zero, for how long it stalls
 	evicted chan struct{}
 }
 
-func (f *fakeHolder) Stalled(time.Time) bool { return f.stalls }
-func (f *fakeHolder) Evict()                 { close(f.evicted) }
+// StalledFor implements Holder.
+func (f *fakeHolder) StalledFor(time.Time) time.Duration {
+	if f.stalls && f.stalled == 0 {
+		return time.Second
+	}
+	return f.stalled
+}
+
+// Evict implements Holder.
+func (f *fakeHolder) Evict() { close(f.evicted) }
 
 // TestReadBody guards against bodies that are cut, or longer than allowed or announced, and
 // against buffers for what is announced and has not arrived.
@@ -99,3 +108,44 @@
 		t.Errorf("error %v for a body that is alone, want none", err)
 	}
 }
+
+// TestQueuesYield guards against a queue of an answer that cuts another answer while its own
+// caller stalls longer and holds more, against one that cuts answers which are being read, and
+// against queues that use up the budget.
+func TestQueuesYield(t *testing.T) {
+	const limit = 1 << 20
+	for _, c := range []struct {
+		name         string
+		first, other time.Duration // for which the callers stall
+		yields       bool          // the first queue
+	}{
+		{"both make progress", 0, 0, false},
+		{"the first stalls", 3 * time.Second, 0, true},
+		{"the first stalls longer", 9 * time.Second, 3 * time.Second, true},
+		{"the other one stalls longer", 3 * time.Second, 9 * time.Second, false},
+	} {
+		b := New(limit)
+		growing := b.NewShare()
+		if err := growing.Grow(limit/8, func() { t.Errorf("%s: an answer that is being read was cut", c.name) }); err != nil {
+			t.Fatal(err)
+		}
+		evicted := make(chan struct{})
+		first := b.NewQueueShare(&fakeHolder{stalled: c.first, evicted: evicted})
+		other := b.NewQueueShare(&fakeHolder{stalled: c.other, evicted: make(chan struct{})})
+		if err := first.Grow(limit/4, nil); err != nil {
+			t.Fatal(err)
+		}
+		err := other.Grow(limit/4+2*FreeBytes+1, nil)
+		if c.yields {
+			<-evicted
+		}
+		if (err == nil) != c.yields || b.queued > limit/2 {
+			t.Errorf("%s: the other queue grows with error %v, %d bytes are queued", c.name, err, b.queued)
+		}
+		first.Release()
+		other.Release()
+		if b.queued != 0 || len(b.waiting) != 0 {
+			t.Errorf("%s: %d bytes are queued at the end, and %d shares wait", c.name, b.queued, len(b.waiting))
+		}
+	}
+}
