relay: end a relayed connection whose target doesn't read

While a target did not read an upload, the relaying daemon waited in a write to it and did not notice that the other daemon had closed the connection; the connection stayed open, and counted toward the bound of 1,000, until the target ended it. The relaying daemon now checks the state of the connection every 0.5 s during such a write, and the other daemon resets a connection with undelivered bytes, since an orderly end would wait behind them.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -134,8 +134,12 @@
 	return err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. If bytes were not delivered, the connection is reset: the relaying
+// daemon does not read while its target doesn't, and would not learn of an orderly end behind them.
 func (c *conn) Close() error {
 	c.onClose()
+	if undelivered(c.Conn) {
+		reset(c.Conn)
+	}
 	return c.Conn.Close()
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +18,9 @@
 	maxConnections = 1000
 	// connectTimeout bounds the connection to the target, and the check of another one.
 	connectTimeout = 120 * time.Millisecond
+	// callerCheckInterval is the time between two checks whether the daemon that asked for a
+	// connection has closed it, while the target does not read.
+	callerCheckInterval = 500 * time.Millisecond
 	// writeTimeout bounds one write to a daemon that doesn't read.
 	writeTimeout = 20 * time.Second
 )
@@ -115,7 +119,7 @@
 	}
 	_ = c.SetDeadline(time.Time{})
 	go func() {
-		_, _ = io.Copy(writerOnly{target}, readerOnly{c}) // any end cancels what the target does
+		copyToTarget(target, c) // any end cancels what the target does
 		_ = target.Close()
 	}()
 	if copyFrames(c, target) != nil {
@@ -140,6 +144,29 @@
 	return nil, statusUnreachable
 }
 
+// uploadBufferBytes is the size of the buffer for bytes to a target.
+const uploadBufferBytes = 32 << 10
+
+// copyToTarget sends the bytes of a daemon to a target until one of them ends its connection. A
+// target may take any time to read while the daemon waits for it.
+func copyToTarget(target, daemon net.Conn) {
+	buffer := make([]byte, uploadBufferBytes)
+	for {
+		n, readErr := daemon.Read(buffer)
+		for rest := buffer[:n]; len(rest) > 0; {
+			_ = target.SetWriteDeadline(time.Now().Add(callerCheckInterval)) // a closed connection fails below
+			written, err := target.Write(rest)
+			rest = rest[written:]
+			if err != nil && (!errors.Is(err, os.ErrDeadlineExceeded) || isReset(daemon)) {
+				return
+			}
+		}
+		if readErr != nil {
+			return
+		}
+	}
+}
+
 // copyFrames sends the bytes from a target in frames until the connection ends, and a final
 // frame if it ended in order.
 func copyFrames(to io.Writer, target io.Reader) error {
@@ -166,17 +193,3 @@
 		}
 	}
 }
-
-// reset lets the next close break the connection.
-func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-}
-
-// writerOnly and readerOnly hide the methods by which io.Copy would let the kernel move the
-// bytes, which some hosts don't permit.
-type (
-	writerOnly struct{ io.Writer }
-	readerOnly struct{ io.Reader }
-)
