--- a/fleet/work.go
+++ b/fleet/work.go
@@ -47,6 +47,8 @@
 	s.running++
 	s.prefillTokens += d.PrefillTokens
 	s.memoryTokens += d.MemoryTokens
+	s.peakTokens = max(s.peakTokens, s.memoryTokens+s.peerTotal.MemoryTokens)
+	f.recordPlacement(now, s, r)
 	f.signalLoadChanged()
 	return r
 }
@@ -121,6 +123,7 @@
 		return
 	}
 	r.fleet.signalLoadChanged()
+	s.removePlacement(r)
 	s.running = max(0, s.running-1)
 	s.memoryTokens = max(0, s.memoryTokens-r.demand.MemoryTokens)
 	if r.prefillPending {
@@ -205,6 +208,7 @@
 	s.peerTotal.Running += load.Running - old.Running
 	s.peerTotal.PrefillTokens += load.PrefillTokens - old.PrefillTokens
 	s.peerTotal.MemoryTokens += load.MemoryTokens - old.MemoryTokens
+	s.peakTokens = max(s.peakTokens, s.memoryTokens+s.peerTotal.MemoryTokens)
 	if load == (DaemonLoad{}) {
 		delete(s.peerLoads, peer)
 		return
