gateway: refuse a late header with 408

header_timeout_ms of the configuration was read and not applied; net/http closed a connection without an answer 10 s after it began to read a header, also where the configuration allows more. The time now runs from the first byte of a header, and no handler has the request when the caller gets 408. Without the limit, connections are closed after 10 s as before.

--- a/gateway/caller_limits.go
+++ b/gateway/caller_limits.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -98,10 +99,18 @@
 	refused     atomic.Int64
 	lastRefused int64
 	lastClosed  [closedReasons]int64
+	header      *headerLimits
+	lastLate    int64 // header.refused at the previous report
 }
 
 func newCallerLimits(g *Gateway, s Settings) *callerLimits {
-	return &callerLimits{g: g, buffers: membudget.New(buffersLimit(s)), conns: newConnLimits(s), linesLimit: rate.NewLimiter(refusalLinesPerSecond, refusalLinesPerSecond)}
+	header := &headerLimits{timeout: func() time.Duration {
+		if table := g.table.Load(); table != nil {
+			return min(maxHeaderTimeout, table.Limits.HeaderTimeout)
+		}
+		return 0
+	}}
+	return &callerLimits{g: g, header: header, buffers: membudget.New(buffersLimit(s)), conns: newConnLimits(s), linesLimit: rate.NewLimiter(refusalLinesPerSecond, refusalLinesPerSecond)}
 }
 
 // bounded reports whether the settings ask for bounds on callers.
@@ -157,14 +166,14 @@
 			total[i] += n
 		}
 	}
-	refused := l.refused.Load()
-	if total == l.lastClosed && refused == l.lastRefused {
+	refused, late := l.refused.Load(), l.header.refused.Load()
+	if total == l.lastClosed && refused == l.lastRefused && late == l.lastLate {
 		return
 	}
 	since := func(reason closedBy) string { return strconv.FormatInt(total[reason]-l.lastClosed[reason], 10) }
 	l.g.events.Record(event.CallersLimited, "", event.F("refused", strconv.FormatInt(refused-l.lastRefused, 10)), event.F("closed_for_memory", since(closedMemory)),
-		event.F("closed_for_header", since(closedHeader)), event.F("closed_for_number", since(closedMany)), event.F("bytes", strconv.FormatInt(l.buffers.Used(), 10)))
-	l.lastClosed, l.lastRefused = total, refused
+		event.F("closed_for_header", since(closedHeader)), event.F("late_headers", strconv.FormatInt(late-l.lastLate, 10)), event.F("closed_for_number", since(closedMany)), event.F("bytes", strconv.FormatInt(l.buffers.Used(), 10)))
+	l.lastClosed, l.lastRefused, l.lastLate = total, refused, late
 }
 
 // writeMetrics writes the state of the bounds.
@@ -181,6 +190,7 @@
 	exposition.WriteValue(w, "callers_bytes", "gauge", l.buffers.Used())
 	exposition.WriteValue(w, "callers_connections", "gauge", open)
 	exposition.WriteValue(w, "callers_refused", "counter", l.refused.Load())
+	exposition.WriteValue(w, "callers_late_headers", "counter", l.header.refused.Load())
 	peers, rejected := l.g.peers.transport.Inbound()
 	exposition.WriteValue(w, "peer_connections_accepted", "gauge", peers)
 	exposition.WriteValue(w, "peer_connections_rejected", "counter", rejected)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -201,18 +201,17 @@
 }
 
 // Timeouts of HTTP connections. closeIdleConns also enforces Limits.IdleTimeout of the
-// active configuration, which is lower than idleTimeout. Limits.HeaderTimeout of the
-// configuration is not applied.
+// active configuration, which is lower than idleTimeout, and headerLimits its
+// Limits.HeaderTimeout.
 const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 120 * time.Second
+	idleTimeout = 120 * time.Second
 	// shortRequestTimeout bounds a request and its answer at the ports that serve no callers'
 	// requests, which have short ones.
 	shortRequestTimeout = 10 * time.Second
 )
 
 // listen binds the address of a server. timeout bounds its requests and its answers, each; 0
-// for no bound.
+// for no bound but those of the configuration, at the callers' port.
 func (g *Gateway) listen(address string, h http.Handler, maxConns int, timeout time.Duration) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -224,10 +223,14 @@
 			ReadTimeout: timeout, WriteTimeout: timeout,
 			BaseContext: func(net.Listener) context.Context { return g.requestCtx },
 		},
-		listener: trackedListener{l},
 	}
+	tracked := trackedListener{Listener: l}
+	if timeout == 0 {
+		tracked.header, s.ReadHeaderTimeout = g.limits.header, maxHeaderTimeout
+	}
+	s.listener = tracked
 	if bounded(*g.settings.Load()) {
-		s.listener = boundListener{trackedListener{l}, g.limits.newPool(maxConns)}
+		s.listener = boundListener{tracked, g.limits.newPool(maxConns)}
 	}
 	g.servers = append(g.servers, s)
 	return nil
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -31,7 +31,10 @@
 }
 
 // trackedListener accepts connections that an idleTracker can track.
-type trackedListener struct{ net.Listener }
+type trackedListener struct {
+	net.Listener
+	header *headerLimits // see trackedConn
+}
 
 // Accept implements net.Listener.
 func (l trackedListener) Accept() (net.Conn, error) {
@@ -39,17 +42,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return &trackedConn{Conn: c}, nil
+	return &trackedConn{Conn: c, header: l.header}, nil
 }
 
 // trackedConn is a connection whose state is unused, busy, idle or expired. An expired
 // connection is closed by its reader, so that one whose request was read stays open.
 type trackedConn struct {
 	net.Conn
-	guard *connGuard // nil if the connection is not bounded
+	guard  *connGuard    // nil if the connection is not bounded
+	header *headerLimits // nil if net/http bounds the time of headers
 
 	mu    sync.Mutex // held while the state and the read deadline change together
 	state int64      // connBusy, connExpired, connUnused, or since when it is idle in nanoseconds from idleTracker.start, at least 1
+
+	// Guarded by mu, and used only with header.
+	headerTimer  *time.Timer // runs until the header is complete
+	headerOpen   bool        // a header is awaited or being read
+	headerLate   bool        // its time is over
+	headerAnswer bool        // it is then answered
 }
 
 const (
@@ -78,6 +88,9 @@
 		if c.state == connExpired {
 			_ = c.Conn.SetReadDeadline(time.Time{}) // net/http sets its own for each request
 		}
+		if c.state != connBusy {
+			c.beginHeader()
+		}
 		c.state = connBusy
 		c.mu.Unlock() // the guard takes the lock of its pool, under which connections are expired
 		if c.guard != nil {
@@ -86,6 +99,9 @@
 			}
 		}
 	}
+	if n == 0 && err != nil && c.refuseLateHeader() {
+		return 0, readError(errLateHeader)
+	}
 	return n, err
 }
 
@@ -151,6 +167,7 @@
 	switch s {
 	case http.StateNew:
 		conn.setState(connUnused)
+		conn.awaitHeader()
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		i.conns[conn] = struct{}{}
@@ -158,7 +175,9 @@
 		conn.setState(max(1, int64(time.Since(i.start))))
 	case http.StateActive:
 		conn.setState(connBusy) // the request may have been read together with the previous one
+		conn.endHeader()
 	case http.StateClosed, http.StateHijacked:
+		conn.endHeader()
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		delete(i.conns, conn)
--- a/gateway/idle_test.go
+++ b/gateway/idle_test.go
@@ -58,7 +58,7 @@
 		tracker := newIdleTracker()
 		listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
 		server := &http.Server{ConnState: tracker.stateChanged, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
-		go func() { _ = server.Serve(trackedListener{listener}) }()
+		go func() { _ = server.Serve(trackedListener{Listener: listener}) }()
 		defer func() { _ = server.Close() }()
 		caller, accepted := net.Pipe()
 		listener.conns <- accepted
@@ -108,7 +108,7 @@
 		tracker := newIdleTracker()
 		listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
 		server := &http.Server{ConnState: tracker.stateChanged, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
-		go func() { _ = server.Serve(trackedListener{listener}) }()
+		go func() { _ = server.Serve(trackedListener{Listener: listener}) }()
 		defer func() { _ = server.Close() }()
 		caller, pipe := net.Pipe()
 		accepted := &heldConn{pipe, make(chan struct{})}
@@ -155,7 +155,7 @@
 						canceled = r.Context().Err()
 					}
 				})}
-				go func() { _ = server.Serve(trackedListener{listener}) }()
+				go func() { _ = server.Serve(trackedListener{Listener: listener}) }()
 				defer func() { _ = server.Close() }()
 				caller, accepted := net.Pipe()
 				listener.conns <- accepted
@@ -196,7 +196,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = caller.Close() }()
-	accepted, err := trackedListener{listener}.Accept()
+	accepted, err := trackedListener{Listener: listener}.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/open_requests_test.go
+++ b/gateway/open_requests_test.go
@@ -64,7 +64,7 @@
 					},
 				}
 				listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-				s := &server{Server: &http.Server{ConnState: g.idleConns.stateChanged, Handler: handler}, listener: trackedListener{listener}}
+				s := &server{Server: &http.Server{ConnState: g.idleConns.stateChanged, Handler: handler}, listener: trackedListener{Listener: listener}}
 				g.servers = append(g.servers, s)
 				go func() { _ = s.Serve(s.listener) }()
 				caller, accepted := net.Pipe()
--- a/gateway/stop_answers_test.go
+++ b/gateway/stop_answers_test.go
@@ -37,7 +37,7 @@
 				}
 				listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
 				server := &http.Server{ConnState: g.idleConns.stateChanged, Handler: handler}
-				go func() { _ = server.Serve(trackedListener{listener}) }()
+				go func() { _ = server.Serve(trackedListener{Listener: listener}) }()
 				caller, accepted := net.Pipe()
 				listener.conns <- accepted
 				if _, err := io.WriteString(caller, "GET "+path+" HTTP/1.1\r\nHost: h\r\nVanillaroad-Request-Id: r1\r\n\r\n"); err != nil {
