relay: take the bound on relayed connections from the VM

It was 1,000 connections on every VM. With memory_mb or max_fds it follows them like those of the other ports, and the kernel's read buffers of relayed connections are bounded. Without them nothing changes. Rejected connections are counted.

--- a/gateway/caller_limits.go
+++ b/gateway/caller_limits.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaroad/vanillaroad/internal/exposition"
 	"github.com/vanillaroad/vanillaroad/internal/membudget"
 	"github.com/vanillaroad/vanillaroad/platform"
+	"github.com/vanillaroad/vanillaroad/relay"
 )
 
 // Parts of the VM's memory, see docs/design/caller-memory.md.
@@ -32,6 +33,9 @@
 	peersShare    = 1.0 / 6
 	peerConnBytes = 24 << 10
 	framesShare   = 1.0 / 16
+	// relaysShare is the largest part for connections that the daemon relays, of relay.ConnBytes
+	// each.
+	relaysShare = 1.0 / 8
 	// minFramesBytes is the least for frames: a frame of 4 MiB while its buffer is replaced.
 	minFramesBytes = 8 << 20
 	// unreadShare is the part for bytes that callers sent behind a request that is being
@@ -48,6 +52,8 @@
 	peerFDsShare     = 9.0 / 32
 	directoryFDShare = 1.0 / 16
 	otherFDsShare    = 1.0 / 64
+	// relayFDsShare counts relayed connections, which have two descriptors each.
+	relayFDsShare = 1.0 / 32
 	// minConns is the smallest bound of any port.
 	minConns = 16
 )
@@ -55,17 +61,18 @@
 // connLimits are the largest numbers of connections of each kind.
 type connLimits struct {
 	callers, directory, other, peers int
+	relays                           int // 0 for the default of package relay
 }
 
 // newConnLimits returns the limits for a VM. Without memory_mb and max_fds there are none.
 func newConnLimits(s Settings) connLimits {
 	const none = 1 << 30
-	l := connLimits{none, none, none, none}
+	l := connLimits{none, none, none, none, 0}
 	if s.MemoryMB > 0 {
 		memory := float64(s.MemoryMB << 20)
 		buffers := buffersShare * memory
 		other := int(otherConnsShare * buffers / membudget.ConnBytes)
-		l = connLimits{int(connsShare * buffers / membudget.ConnBytes), 2 * other, other, int(peersShare * memory / peerConnBytes)}
+		l = connLimits{int(connsShare * buffers / membudget.ConnBytes), 2 * other, other, int(peersShare * memory / peerConnBytes), int(relaysShare * memory / relay.ConnBytes)}
 	}
 	if s.MaxFDs > 0 {
 		fds := float64(max(0, s.MaxFDs-reservedFDs))
@@ -73,8 +80,16 @@
 		l.directory = min(l.directory, int(directoryFDShare*fds))
 		l.other = min(l.other, int(otherFDsShare*fds))
 		l.peers = min(l.peers, int(peerFDsShare*fds))
+		relays := int(relayFDsShare * fds)
+		if l.relays > 0 {
+			relays = min(relays, l.relays)
+		}
+		l.relays = max(1, relays)
+	}
+	if l.relays > 0 {
+		l.relays = max(minConns, l.relays)
 	}
-	return connLimits{max(minConns, l.callers), max(minConns, l.directory), max(minConns, l.other), max(minConns, l.peers)}
+	return connLimits{max(minConns, l.callers), max(minConns, l.directory), max(minConns, l.other), max(minConns, l.peers), l.relays}
 }
 
 // buffersLimit returns the size of the budget for requests, answers and connections.
@@ -191,6 +206,8 @@
 	exposition.WriteValue(w, "callers_connections", "gauge", open)
 	exposition.WriteValue(w, "callers_refused", "counter", l.refused.Load())
 	exposition.WriteValue(w, "callers_late_headers", "counter", l.header.refused.Load())
+	exposition.WriteValue(w, "relay_connections_open", "gauge", l.g.links.server.Open())
+	exposition.WriteValue(w, "relay_connections_rejected", "counter", l.g.links.server.Rejected())
 	peers, rejected := l.g.peers.transport.Inbound()
 	exposition.WriteValue(w, "peer_connections_accepted", "gauge", peers)
 	exposition.WriteValue(w, "peer_connections_rejected", "counter", rejected)
--- a/gateway/conn_guard_test.go
+++ b/gateway/conn_guard_test.go
@@ -42,3 +42,19 @@
 		synctest.Wait()
 	})
 }
+
+// TestRelayBound guards against a bound for relayed connections that doesn't follow the VM, or
+// that changes where neither memory_mb nor max_fds is set.
+func TestRelayBound(t *testing.T) {
+	for _, c := range []struct {
+		memoryMB int
+		maxFDs   int
+		want     int
+	}{{0, 0, 0}, {144, 0, 384}, {536, 0, 1429}, {0, 10_250, 314}, {144, 3000, 87}, {536, 10_250, 314}, {1, 0, minConns}, {144, 100, minConns}} {
+		s := DefaultSettings()
+		s.MemoryMB, s.MaxFDs = c.memoryMB, c.maxFDs
+		if got := newConnLimits(s).relays; got != c.want {
+			t.Errorf("%d MB, %d descriptors: %d relayed connections, want %d", c.memoryMB, c.maxFDs, got, c.want)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,7 @@
 	}
 	g.limits = newCallerLimits(g, s)
 	g.links = newLinks(g, dialTarget)
+	g.links.server.MaxConns = g.limits.conns.relays
 	g.targetClient = platform.NewTargetClient(g.links.DialTarget)
 	g.requestCtx, g.cancelRequests = context.WithCancelCause(context.Background())
 	g.settings.Store(&s)
--- a/relay/server.go
+++ b/relay/server.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	// maxConnections bounds the relayed connections of a daemon.
-	maxConnections = 1000
+	// defaultMaxConns bounds the relayed connections of a daemon without other bounds.
+	defaultMaxConns = 1000
 	// connectTimeout bounds the connection to the target, and the check of another one.
 	connectTimeout = 120 * time.Millisecond
+	// unreadBytes is the size of the kernel's read buffer of a relayed connection.
+	unreadBytes = 64 << 10
 	// callerCheckInterval is the time between two checks whether the daemon that asked for a
 	// connection has closed it, while the target does not read.
 	callerCheckInterval = 500 * time.Millisecond
@@ -33,8 +35,12 @@
 	// LinksWork reports whether this daemon reaches another target than t, so that a
 	// refusal doesn't come from its own links.
 	LinksWork func(ctx context.Context, t Target) bool
+	// MaxConns bounds the relayed connections; 0 stands for defaultMaxConns. Further ones are
+	// closed at once, and the other daemon tries the next one.
+	MaxConns int
 
 	mu       sync.Mutex
+	rejected int64 // connections beyond the bound
 	conns    map[net.Conn]struct{}
 	stopping bool
 }
@@ -63,7 +69,15 @@
 	if s.conns == nil {
 		s.conns = make(map[net.Conn]struct{})
 	}
-	if s.stopping || len(s.conns) >= maxConnections {
+	limit := s.MaxConns
+	if limit <= 0 {
+		limit = defaultMaxConns
+	}
+	if s.stopping {
+		return false
+	}
+	if len(s.conns) >= limit {
+		s.rejected++
 		return false
 	}
 	s.conns[c] = struct{}{}
@@ -84,6 +98,13 @@
 	return len(s.conns)
 }
 
+// Rejected returns how many connections were closed because there were too many.
+func (s *Server) Rejected() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected
+}
+
 // Stop accepts no further connections. Those that are open go on.
 func (s *Server) Stop() {
 	s.mu.Lock()
@@ -105,6 +126,7 @@
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(keepAlive) // fails if the connection is closed already
 	}
+	s.limitUnread(c)
 	_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
 	t, err := readRequest(c)
 	if err != nil {
@@ -113,6 +135,7 @@
 	target, answer := s.connect(t)
 	if target != nil {
 		defer func() { _ = target.Close() }()
+		s.limitUnread(target)
 	}
 	if _, err := c.Write([]byte{byte(answer)}); err != nil || target == nil {
 		return
@@ -127,6 +150,14 @@
 	}
 }
 
+// limitUnread bounds what waits in the kernel while the other end doesn't read, if the memory is
+// bounded.
+func (s *Server) limitUnread(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok && s.MaxConns > 0 {
+		_ = tcp.SetReadBuffer(unreadBytes) // fails if the connection is closed already
+	}
+}
+
 // connect connects to a target. A refusal counts only if this daemon reaches another
 // target at the same time.
 func (s *Server) connect(t Target) (net.Conn, status) {
@@ -145,7 +176,10 @@
 }
 
 // uploadBufferBytes is the size of the buffer for bytes to a target.
-const uploadBufferBytes = 32 << 10
+const uploadBufferBytes = 16 << 10
+
+// ConnBytes is what a relayed connection uses: the buffers of both directions and two stacks.
+const ConnBytes = uploadBufferBytes + maxFrameBytes + 16<<10
 
 // copyToTarget sends the bytes of a daemon to a target until one of them ends its connection. A
 // target may take any time to read while the daemon waits for it.
--- a/relay/slow_test.go
+++ b/relay/slow_test.go
@@ -68,3 +68,39 @@
 		}
 	}
 }
+
+// TestRelayedConnectionsAreBounded guards against relayed connections that use more memory or
+// descriptors than the VM has for them, and against a bound that doesn't free its places.
+func TestRelayedConnectionsAreBounded(t *testing.T) {
+	const bound = 2
+	server, address := relayThrough(t, func(context.Context, Target) (net.Conn, error) {
+		conn, _ := targetPair(t)
+		return conn, nil
+	}, true)
+	server.mu.Lock()
+	server.MaxConns = bound
+	server.mu.Unlock()
+	dial := func() (net.Conn, error) {
+		return Dial(t.Context(), address, Target{ID: "i-1"}, func() {})
+	}
+	for range 2 {
+		var conns []net.Conn
+		for range bound {
+			conn, err := dial()
+			if err != nil {
+				t.Fatal(err)
+			}
+			conns = append(conns, conn)
+		}
+		rejected := server.Rejected()
+		if _, err := dial(); err == nil || server.Rejected() != rejected+1 {
+			t.Errorf("error %v at the bound, %d rejected, want one more than %d", err, server.Rejected(), rejected)
+		}
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		for server.Open() > 0 { // the test's own time limit applies
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
