gateway: metrics for each consumer of memory

memory_bodies, memory_answers, memory_connections and memory_peers, in bytes. The budget had one sum, so an operator could not see who uses it.

--- a/gateway/caller_limits.go
+++ b/gateway/caller_limits.go
@@ -191,6 +191,23 @@
 	l.lastClosed, l.lastRefused, l.lastLate = total, refused, late
 }
 
+// usage returns what callers and answers use, and what other daemons use: their connections and
+// frames, and the connections that are relayed for them.
+func (l *callerLimits) usage() (callers membudget.Usage, peers int64) {
+	callers = l.buffers.Usage()
+	for _, p := range l.pools {
+		if p.budget != l.buffers {
+			callers.Connections += p.budget.Usage().Connections
+		}
+	}
+	open, _ := l.g.peers.transport.Inbound()
+	peers = int64(open)*peerConnBytes + int64(l.g.links.server.Open())*relay.ConnBytes
+	if frames := l.g.peers.transport.Buffers; frames != nil {
+		peers += frames.Used()
+	}
+	return callers, peers
+}
+
 // writeMetrics writes the state of the bounds.
 func (l *callerLimits) writeMetrics(w *bytes.Buffer) {
 	var open int
@@ -203,6 +220,11 @@
 		}
 	}
 	exposition.WriteValue(w, "callers_bytes", "gauge", l.buffers.Used())
+	usage, ofPeers := l.usage()
+	exposition.WriteValue(w, "memory_bodies", "gauge", usage.Bodies)
+	exposition.WriteValue(w, "memory_answers", "gauge", usage.Answers)
+	exposition.WriteValue(w, "memory_connections", "gauge", usage.Connections)
+	exposition.WriteValue(w, "memory_peers", "gauge", ofPeers)
 	exposition.WriteValue(w, "callers_connections", "gauge", open)
 	exposition.WriteValue(w, "callers_refused", "counter", l.refused.Load())
 	exposition.WriteValue(w, "callers_late_headers", "counter", l.header.refused.Load())
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -50,6 +50,20 @@
 	return b.used
 }
 
+// Usage is what counts toward a budget now, in bytes.
+type Usage struct {
+	Bodies      int64 // of requests
+	Answers     int64 // buffered ones, and queues of streams
+	Connections int64 // of callers, with their headers
+}
+
+// Usage returns what the shares of each kind use.
+func (b *Budget) Usage() Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Usage{Bodies: b.bodies, Answers: b.used - b.callers, Connections: b.callers - b.bodies}
+}
+
 // Share is the part of a budget that one request uses. Its methods must not be called
 // concurrently.
 type Share struct {
--- a/internal/membudget/callers_test.go
+++ b/internal/membudget/callers_test.go
@@ -149,3 +149,27 @@
 		}
 	}
 }
+
+// TestUsage guards against metrics that count a share for another consumer, or after its release.
+func TestUsage(t *testing.T) {
+	b := New(1 << 20)
+	body, answer, queue := b.NewBodyShare(), b.NewShare(), b.NewQueueShare(nil)
+	if err := body.growBody(FreeBytes+1000, nil); err != nil {
+		t.Fatal(err)
+	}
+	for share, n := range map[*Share]int{answer: 200, queue: 30} {
+		if err := share.Grow(FreeBytes+n, func() {}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	conn := b.NewConnShare(&fakeHolder{})
+	if got, want := b.Usage(), (Usage{Bodies: 1000, Answers: 230, Connections: ConnBytes}); got != want {
+		t.Errorf("usage %+v, want %+v", got, want)
+	}
+	for _, share := range []*Share{body, answer, queue, conn} {
+		share.Release()
+	}
+	if got := b.Usage(); got != (Usage{}) {
+		t.Errorf("usage %+v after the releases, want none", got)
+	}
+}
