--- a/forward/read_ahead.go
+++ b/forward/read_ahead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/internal/membudget"
@@ -23,6 +24,10 @@
 	parts chan answerPart
 	taken chan struct{} // receives a value after a part was taken
 
+	// delivering is set while an event is written to the caller. Only then the queue grows: a
+	// target that sends faster than its events are handled is not read ahead of.
+	delivering atomic.Bool
+
 	mu     sync.Mutex
 	queue  []answerPart // the parts after the one in the channel, which is full if there are any
 	memory *membudget.Share
@@ -33,7 +38,7 @@
 	return &readAhead{parts: parts, taken: make(chan struct{}, 1), memory: memory}
 }
 
-// push adds a part. It waits while there is no memory for it, and returns false if ctx ends
+// push adds a part. It waits while the queue may not grow, and returns false if ctx ends
 // or the queue is closed before.
 func (r *readAhead) push(ctx context.Context, p answerPart) bool {
 	for {
@@ -52,7 +57,7 @@
 	}
 }
 
-// tryPush adds a part if there is memory for it. done is false if there is none.
+// tryPush adds a part if the caller is slow and there is memory for it. done is false otherwise.
 func (r *readAhead) tryPush(p answerPart) (done, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -66,6 +71,9 @@
 		default:
 		}
 	}
+	if !r.delivering.Load() {
+		return false, false
+	}
 	if err := r.memory.Grow(p.queuedBytes(), func() {}); err != nil {
 		return false, false
 	}
@@ -76,6 +84,15 @@
 // queuedBytes returns the memory that a part uses in a queue.
 func (p answerPart) queuedBytes() int { return cap(p.event.Raw) + queuedPartBytes }
 
+// deliver writes an event to the caller.
+func (a *streamAttempt) deliver(raw []byte) error {
+	if a.ahead != nil {
+		a.ahead.delivering.Store(true)
+		defer a.ahead.delivering.Store(false)
+	}
+	return a.stream.responder.Event(raw)
+}
+
 // refill must be called after each receive from the channel. It moves the next part there.
 func (r *readAhead) refill() {
 	r.mu.Lock()
--- a/forward/run.go
+++ b/forward/run.go
@@ -399,7 +399,7 @@
 	if !s.originRecorded {
 		s.beginAt(a.attempt.Target.SoftwareVersion)
 	}
-	if err := s.responder.Event(a.takeUnnumbered(p.event.Raw)); err != nil {
+	if err := a.deliver(a.takeUnnumbered(p.event.Raw)); err != nil {
 		s.lastErr = failure.Wrap(err, failure.Canceled, failure.Unknown, "answer the caller", "")
 		return endCanceled, true
 	}
