--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -32,6 +32,7 @@
 	used    int64
 	callers int64               // part of used that callers' requests and connections use
 	bodies  int64               // part of callers that bodies use
+	queued  int64               // part of used that queues of answers use
 	growing map[*Share]struct{} // shares with counted bytes whose answers are not complete
 	waiting map[*Share]struct{} // shares that wait for a caller, see Holder
 	evicted int64
@@ -58,6 +59,20 @@
 	return max(0, 1-used)
 }
 
+// Usage is what counts toward a budget now, in bytes.
+type Usage struct {
+	Bodies      int64 // of requests
+	Answers     int64 // buffered ones, and queues of streams
+	Connections int64 // of callers, with their headers
+}
+
+// Usage returns what the shares of each kind use.
+func (b *Budget) Usage() Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Usage{Bodies: b.bodies, Answers: b.used - b.callers, Connections: b.callers - b.bodies}
+}
+
 // Share is the part of a budget that one request uses. Its methods must not be called
 // concurrently.
 type Share struct {
@@ -79,13 +94,14 @@
 	answerKind kind = iota
 	bodyKind
 	connKind
+	queueKind
 )
 
 // NewShare returns an empty share. It must be released.
 func (b *Budget) NewShare() *Share { return &Share{budget: b} }
 
 // Grow adds n bytes to the share, for a read that stop ends. If the budget is exhausted, the
-// largest share whose caller stalls loses its bytes. If there is none, the largest growing
+// share whose caller stalls longest and holds most loses its bytes. If there is none, the largest growing
 // answer loses its bytes and its read is stopped: a body without an end becomes the largest
 // sooner or later. If that is this share, Grow returns ErrExhausted
 // and adds nothing.
@@ -102,7 +118,7 @@
 	}
 	counted := s.size + int64(n) - FreeBytes
 	for !b.fits(s, counted) {
-		victim := b.stalled(s)
+		victim := b.stalled(s, counted)
 		if victim == nil {
 			victim = b.largest(s, counted)
 		}
@@ -113,8 +129,11 @@
 	}
 	b.count(s, counted)
 	s.size, s.stop = s.size+int64(n), stop
-	if s.kind == answerKind {
+	switch {
+	case s.kind == answerKind:
 		b.growing[s] = struct{}{}
+	case s.kind == queueKind && s.holder != nil:
+		b.waiting[s] = struct{}{}
 	}
 	return nil
 }
@@ -124,11 +143,14 @@
 	added := counted - s.counted
 	s.counted = counted
 	b.used += added
-	if s.kind != answerKind {
-		b.callers += added
-	}
-	if s.kind == bodyKind {
+	switch s.kind {
+	case bodyKind:
 		b.bodies += added
+		b.callers += added
+	case connKind:
+		b.callers += added
+	case queueKind:
+		b.queued += added
 	}
 }
 
@@ -194,6 +216,9 @@
 	s.budget.count(s, counted)
 	if counted == 0 {
 		delete(s.budget.growing, s)
+		if s.kind == queueKind {
+			delete(s.budget.waiting, s)
+		}
 	}
 }
 
