--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,10 +54,6 @@
 	memoryTokens        int                   // tokens of this daemon's requests and standby copies on it
 	peerLoads           map[string]DaemonLoad // by peer
 	peerTotal           DaemonLoad            // sum of peerLoads
-	recent              []placement           // of this daemon, see Fleet.recentTime
-	peakTokens          int                   // largest number in memory so far
-	crashedTokens       int                   // peakTokens of the previous incarnation; 0 if it was leaving
-	restartSeen         time.Time             // when crashedTokens was first looked at
 	stated              statedLoad
 	slowdown            estimate  // measured time to first event over the expected time
 	failureRate         estimate  // fraction of answers that are the target's own failures
@@ -84,8 +80,6 @@
 	random      *rand.Rand
 	staleness   time.Duration // maximum age of peerLoads
 	reportAge   time.Duration // maximum age of peerLoads with the time at reporters, see SetReportAge
-	daemonIndex int           // see SetDaemons
-	daemons     int           // 0 if not known
 	place       string        // of this daemon
 	targets     map[string]*targetState
 	services    map[string][]*targetState        // sorted by ID
@@ -132,9 +126,6 @@
 		s.markLost()
 		restarted := newTargetState(t)
 		restarted.running, restarted.prefillTokens, restarted.memoryTokens = s.running, s.prefillTokens, s.memoryTokens // each request and copy subtracts its part when it ends
-		if !s.Leaving {
-			restarted.crashedTokens = s.peakTokens
-		}
 		f.removeFromIndexes(s)
 		f.addToIndexes(restarted)
 	default:
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -127,9 +127,6 @@
 	if f.staleness > MaxFreshViewAge && len(criteria.PromptHolders) == 0 {
 		scheduler.Picker = routing.BestOfSample{Size: staleViewSampleSize}
 	}
-	if t, ok := f.pickByMemory(now, &criteria, scheduler, request, candidates); ok {
-		return t, nil
-	}
 	if criteria.MemoryTokens > 0 && !criteria.ForCopy {
 		if free := withFreeSlot(candidates); len(free) < len(candidates) {
 			if c, err := scheduler.Pick(request, free, f.random); err == nil {
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -47,8 +47,6 @@
 	s.running++
 	s.prefillTokens += d.PrefillTokens
 	s.memoryTokens += d.MemoryTokens
-	s.peakTokens = max(s.peakTokens, s.memoryTokens+s.peerTotal.MemoryTokens)
-	f.recordPlacement(now, s, r)
 	f.signalLoadChanged()
 	return r
 }
@@ -123,7 +121,6 @@
 		return
 	}
 	r.fleet.signalLoadChanged()
-	s.removePlacement(r)
 	s.running = max(0, s.running-1)
 	s.memoryTokens = max(0, s.memoryTokens-r.demand.MemoryTokens)
 	if r.prefillPending {
@@ -208,7 +205,6 @@
 	s.peerTotal.Running += load.Running - old.Running
 	s.peerTotal.PrefillTokens += load.PrefillTokens - old.PrefillTokens
 	s.peerTotal.MemoryTokens += load.MemoryTokens - old.MemoryTokens
-	s.peakTokens = max(s.peakTokens, s.memoryTokens+s.peerTotal.MemoryTokens)
 	if load == (DaemonLoad{}) {
 		delete(s.peerLoads, peer)
 		return
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -179,14 +179,7 @@
 func (m *members) applyCount() {
 	m.mu.Lock()
 	n := m.list.Len()
-	index := 0 // of this daemon in the order of ids
-	for _, other := range m.list.Others() {
-		if other.ID < m.self.ID {
-			index++
-		}
-	}
 	m.mu.Unlock()
-	m.g.fleet.SetDaemons(index, n)
 	m.g.forwarder.RetryBudget.SetDaemons(n)
 	m.g.forwarder.Prober.SetDaemons(n)
 	m.g.forwarder.Admission.SetDaemons(n)
