gateway: events of roll-outs are recorded outside the lock

Cause: applyChange, noteTargets, tick and the answers of the store recorded events while rollouts.mu was held. Every request to a service under roll-out takes that lock several times, so a log that blocks held up requests.

Events are noted under the lock and recorded after its release. A second lock, which no request takes, keeps them in their order.

--- a/gateway/rollout_orders.go
+++ b/gateway/rollout_orders.go
@@ -28,7 +28,7 @@
 func (r *rollouts) applyChange(c exchange.Change, origin changeOrigin) {
 	now := time.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlockAndRecord()
 	for _, e := range c.Changed {
 		seen := r.orders[e.Name]
 		if seen.entry.Created != e.Created || !bytes.Equal(seen.entry.Value, e.Value) {
@@ -48,7 +48,7 @@
 		if s == nil || s.order == nil || c.NewEra && (s.order.ended() || s.order.decision.Verdict == rollout.Bad) {
 			continue // a restoration that lost the order does not make a bad version good
 		}
-		r.g.events.Record(event.RolloutEnded, "", event.F("service", name), event.F("target", s.order.target()), event.F("state", "deleted"))
+		r.record(event.RolloutEnded, event.F("service", name), event.F("target", s.order.target()), event.F("state", "deleted"))
 		s.order = nil
 	}
 	r.wakeUp()
@@ -67,7 +67,7 @@
 	decoded, duration, err := r.check(e)
 	if err != "" {
 		if r.refused[e.Name] != err && err != errNoConfiguration {
-			r.g.events.Record(event.RolloutInvalid, "", event.F("service", e.Name), event.F("error", err))
+			r.record(event.RolloutInvalid, event.F("service", e.Name), event.F("error", err))
 		}
 		r.refused[e.Name] = err
 		if s := r.services[e.Name]; s != nil {
@@ -81,7 +81,7 @@
 	current := s.order
 	if current == nil || current.target() != order.Target || current.machine.Order().Instance != order.Instance {
 		current = r.begin(now, s, order, stored.startedBefore)
-		r.g.events.Record(event.RolloutStarted, "", event.F("service", order.Service), event.F("target", order.Target), event.F("duration", order.Duration.String()),
+		r.record(event.RolloutStarted, event.F("service", order.Service), event.F("target", order.Target), event.F("duration", order.Duration.String()),
 			event.F("age", now.Sub(current.machine.Order().Created).Round(time.Millisecond).String()), event.F("state", string(decoded.State)))
 	} else if known := current.machine.Order(); known.Duration != order.Duration {
 		order.Created = known.Created
@@ -157,7 +157,7 @@
 	}
 	now := time.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlockAndRecord()
 	services := make(map[string]bool)
 	for _, e := range c.Changed {
 		if t, err := platform.DecodeTarget(toObject(e)); err == nil {
@@ -219,7 +219,7 @@
 				startedBefore = startedBefore || seen.Before(s.versions[version])
 			}
 			s.presumed[version] = &roll{machine: rollout.NewMachine(r.settings, order, now, startedBefore)}
-			r.g.events.Record(event.RolloutStarted, "", event.F("service", service), event.F("target", version), event.F("duration", "unknown"))
+			r.record(event.RolloutStarted, event.F("service", service), event.F("target", version), event.F("duration", "unknown"))
 		}
 	}
 }
--- a/gateway/rollout_run.go
+++ b/gateway/rollout_run.go
@@ -100,7 +100,7 @@
 	view, position, registered := r.g.members.view(), r.g.members.position(), r.g.members.count()
 	now := time.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlockAndRecord()
 	r.recheck(now)
 	for service, v := range r.verdicts {
 		if now.Sub(v.at) > earlyVerdictTime {
@@ -174,7 +174,7 @@
 	return ranked
 }
 
-// decide takes a decision and records what changed.
+// decide takes a decision and records what changed. The caller holds the lock.
 func (r *rollouts) decide(now time.Time, o *roll) {
 	previous := o.decision
 	o.decision = o.machine.Decide(now)
@@ -195,7 +195,7 @@
 		if source == "" {
 			source = r.g.members.self.ID
 		}
-		r.g.events.Record(event.RolloutJudged, "", append(slices.Clone(about), event.F("verdict", string(d.Verdict)), event.F("reason", d.Reason), event.F("member", source))...)
+		r.record(event.RolloutJudged, append(slices.Clone(about), event.F("verdict", string(d.Verdict)), event.F("reason", d.Reason), event.F("member", source))...)
 	}
 	if d.Phase == previous.Phase {
 		return
@@ -203,7 +203,7 @@
 	about = append(about, event.F("reason", o.reason), event.F("little_evidence", strconv.FormatBool(d.LittleEvidence)),
 		event.F("requests", strconv.Itoa(requests)), event.F("sent", strconv.Itoa(sent)))
 	if !o.ended() {
-		r.g.events.Record(event.RolloutPhase, "", append(about, event.F("phase", string(d.Phase)))...)
+		r.record(event.RolloutPhase, append(about, event.F("phase", string(d.Phase)))...)
 		return
 	}
 	o.oldUntil = now.Add(oldVersionGrace)
@@ -212,7 +212,7 @@
 	if d.Verdict == rollout.Bad {
 		state = rollout.RolledBack
 	}
-	r.g.events.Record(event.RolloutEnded, "", append(about, event.F("state", string(state)))...)
+	r.record(event.RolloutEnded, append(about, event.F("state", string(state)))...)
 }
 
 // tell broadcasts a verdict of this daemon against a version.
--- a/gateway/rollout_status.go
+++ b/gateway/rollout_status.go
@@ -22,7 +22,7 @@
 		object, err := r.makeCall(ctx, service, action)
 		now := time.Now()
 		r.mu.Lock()
-		defer r.mu.Unlock()
+		defer r.unlockAndRecord()
 		switch {
 		case err == nil:
 			r.applyObject(now, o, object)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/fleet"
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/rollout"
@@ -31,6 +32,15 @@
 	refused  map[string]string      // why an order is invalid, by name
 	services map[string]*serviceRollouts
 	verdicts map[string]earlyVerdict // on orders that this daemon doesn't know yet, by service
+	events   []rolloutEvent          // to be recorded by unlockAndRecord
+
+	recording sync.Mutex // held while events are recorded, so that they keep their order
+}
+
+// rolloutEvent is an event that is recorded once the lock is released.
+type rolloutEvent struct {
+	number event.Number
+	fields []event.Field
 }
 
 // serviceRollouts is what is rolled out of one service.
@@ -254,6 +264,30 @@
 	}
 }
 
+// record notes an event for unlockAndRecord. The caller holds the lock.
+func (r *rollouts) record(n event.Number, fields ...event.Field) {
+	r.events = append(r.events, rolloutEvent{n, fields})
+}
+
+// unlockAndRecord releases the lock, then records the noted events. Recording writes to the log and
+// may block, and every request to a service needs the lock.
+func (r *rollouts) unlockAndRecord() {
+	noted := len(r.events) > 0
+	r.mu.Unlock()
+	if !noted {
+		return
+	}
+	r.recording.Lock()
+	defer r.recording.Unlock()
+	r.mu.Lock()
+	events := r.events
+	r.events = nil
+	r.mu.Unlock()
+	for _, e := range events {
+		r.g.events.Record(e.number, "", e.fields...)
+	}
+}
+
 // wakeUp lets run look at the roll-outs.
 func (r *rollouts) wakeUp() {
 	select {
