--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -22,13 +22,22 @@
 // rolloutEnv is a test environment with targets of two versions and callers.
 type rolloutEnv struct {
 	*testEnv
-	served [2]atomic.Int64 // requests that reached targets of v1 and of v2
+	served [3]atomic.Int64 // requests that reached targets of v1, v2 and v3
 	total  atomic.Int64    // requests that callers sent
 	failed atomic.Int64    // of them, without a 200
 	bad    atomic.Int64    // part of v2's responses that fail, in percent
+	delay  atomic.Int64    // of v2's responses, in milliseconds
 	stops  map[string]func()
+
+	sentAt    sync.Map                  // when a caller sent a request, by its id
+	responses atomic.Int64              // bad ones of v2
+	fiftieth  atomic.Pointer[time.Time] // when v2 had given 50 bad responses
+	late      atomic.Int64              // requests that reached v2 and were sent too late after that
 }
 
+// usualDelay is the time that a target of another version than v2 takes.
+const usualDelay = 10 * time.Millisecond
+
 func newRolloutEnv(t *testing.T, block *Rollout) *rolloutEnv {
 	e := &rolloutEnv{testEnv: newTestEnv(t), stops: make(map[string]func())}
 	e.change = func(s *Settings) { s.Rollout = block }
@@ -38,6 +47,9 @@
 
 var rolloutBlock = &Rollout{Share: 0.1, Slack: 50, RollbackWithin: jsontime.Duration(5 * time.Second)}
 
+// badResponses of a version are enough for the time within which it gets no request any more to count.
+const badResponses = 50
+
 // startTargets registers n targets of a version.
 func (e *rolloutEnv) startTargets(version, n int) {
 	for i := range n {
@@ -48,9 +60,23 @@
 				return
 			}
 			e.served[version-1].Add(1)
-			if version == 2 && requests.Add(1)*e.bad.Load()%100 < e.bad.Load() {
+			if version != 2 {
+				time.Sleep(usualDelay)
+				return
+			}
+			fiftieth, delay := e.fiftieth.Load(), time.Duration(e.delay.Load())*time.Millisecond
+			if sent, ok := e.sentAt.Load(r.Header.Get("Vanillaroad-Request-Id")); ok && fiftieth != nil && sent.(time.Time).Sub(*fiftieth) > time.Duration(rolloutBlock.RollbackWithin) {
+				e.late.Add(1)
+			}
+			time.Sleep(max(delay, usualDelay))
+			fails := requests.Add(1)*e.bad.Load()%100 < e.bad.Load()
+			if fails {
 				rw.WriteHeader(http.StatusInternalServerError)
 			}
+			if (fails || delay > 2*usualDelay) && e.responses.Add(1) == badResponses {
+				now := time.Now()
+				e.fiftieth.Store(&now)
+			}
 		}))
 		e.t.Cleanup(s.Close)
 		e.put(platform.TargetKind, fmt.Sprintf("i-%d-%d", version, i), map[string]any{
@@ -68,7 +94,7 @@
 			for ctx.Err() == nil {
 				wg.Go(func() {
 					e.total.Add(1)
-					if status, _ := get(s.Callers, "/a/x"); status != http.StatusOK {
+					if e.call(s) != http.StatusOK {
 						e.failed.Add(1)
 					}
 				})
@@ -79,6 +105,25 @@
 	return sync.OnceFunc(func() { cancel(); wg.Wait() })
 }
 
+// call sends a request to a daemon and notes when. It returns the status, 0 without one.
+func (e *rolloutEnv) call(s Settings) int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Callers+"/a/x", nil)
+	if err != nil {
+		e.t.Error(err)
+		return 0
+	}
+	id := fmt.Sprint("r", requestCount.Add(1))
+	req.Host = "h"
+	req.Header.Set("Vanillaroad-Request-Id", id)
+	e.sentAt.Store(id, time.Now())
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 // order writes an order and starts the targets of its version.
 func (e *rolloutEnv) order(seconds any) {
 	e.put(platform.RolloutKind, "s", map[string]any{"service": "s", "target": "v2", "duration_s": seconds})
@@ -95,12 +140,18 @@
 
 // state returns the state of the order, also while the store refuses calls.
 func (e *rolloutEnv) state() string {
+	state, _ := e.status()
+	return state
+}
+
+// status returns the state of the order and the version that it is about.
+func (e *rolloutEnv) status() (state, target string) {
 	o, err := e.storeClient.Get(context.Background(), platform.RolloutKind, "s")
 	var status struct{ State, Target string }
 	if err != nil || json.Unmarshal(o.Status, &status) != nil {
-		return ""
+		return "", ""
 	}
-	return status.State
+	return status.State, status.Target
 }
 
 func (e *rolloutEnv) start(n int) (daemons []Settings) {
