gateway: a replaced target of a roll-out gets no more requests

Cause: when another order replaced a running one, the first target counted as an old version of the new roll-out. It had no limit and its responses were the standard for the new target, although it may be bad. Likewise, a version that was judged bad was equal to the others once its order was deleted.

The target of a replaced order is barred until an order names it or no target has it; so is a deleted one after a verdict, and the old versions if the replaced order was completed. Nothing is barred if the service has no other targets. The end of a replaced order is recorded, as rollout_ended with the state replaced.

--- a/gateway/rollout_change_test.go
+++ b/gateway/rollout_change_test.go
@@ -91,6 +91,47 @@
 	e.checkRolledBack()
 }
 
+// TestRolloutThatIsReplaced guards against an order for another target that is not followed, or takes
+// over the verdict on the one that it replaces, and against requests to a replaced target: it is
+// neither an old version nor the one under roll-out, and may be bad.
+func TestRolloutThatIsReplaced(t *testing.T) {
+	for name, bad := range map[string]bool{"a good version": false, "a bad version": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e, _ := newLoadedRollout(t, 30, 20*time.Millisecond)
+			if bad {
+				e.bad.Store(60)
+				e.awaitEverywhere(func(v RolloutView) bool { return v.Verdict == "bad" })
+			} else {
+				eventually(func() bool { return e.served[1].Load() > 10 })
+			}
+			e.put(platform.RolloutKind, "s", map[string]any{"service": "s", "target": "v3", "duration_s": 12})
+			e.startTargets(3, 2)
+			e.awaitEverywhere(func(v RolloutView) bool { return v.Target == "v3" })
+			for _, g := range e.gateways {
+				eventually(func() bool { return g.fleet.Len() == 6 })
+			}
+			settle()
+			if n := e.served1s(2); n > 0 {
+				t.Errorf("the replaced target got %d requests in a second", n)
+			}
+			failed := e.failed.Load()
+			eventually(func() bool { return e.state() == "completed" || e.state() == "rolled_back" })
+			if state, target := e.status(); state != "completed" || target != "v3" {
+				t.Errorf("the status is %s of %s, want completed of v3", state, target)
+			}
+			e.awaitEverywhere(func(v RolloutView) bool { return v.Phase == "ended" })
+			settle()
+			if old, replaced := e.served1s(1), e.served1s(2); old+replaced > 0 {
+				t.Errorf("after completed, v1 got %d requests and v2 %d", old, replaced)
+			}
+			if n := e.failed.Load() - failed; n > 0 {
+				t.Errorf("%d requests failed", n)
+			}
+		})
+	}
+}
+
 // delete deletes the order.
 func (e *rolloutEnv) delete() {
 	e.t.Helper()
@@ -105,7 +146,7 @@
 }
 
 // TestRolloutThatIsDeletedAndRestored guards against a version that stays limited after its order
-// was deleted, and against an order that is written again and gets the verdict, the status or the
+// was deleted without a verdict, or gets requests in spite of one, and against an order that is written again and gets the verdict, the status or the
 // age of the deleted one.
 func TestRolloutThatIsDeletedAndRestored(t *testing.T) {
 	t.Parallel()
@@ -127,6 +168,10 @@
 	eventually(func() bool { return e.state() == "rolled_back" })
 	e.awaitEverywhere(func(v RolloutView) bool { return v.Phase == "ended" })
 	e.delete()
+	settle()
+	if n := e.served1s(2); n > 0 {
+		t.Errorf("after the order was deleted, the version that was judged bad got %d requests in a second", n)
+	}
 	e.bad.Store(0)
 	e.put(platform.RolloutKind, "s", map[string]any{"service": "s", "target": "v2", "duration_s": 12})
 	e.awaitEverywhere(func(v RolloutView) bool { return v.AgeSeconds > 1 })
--- a/gateway/rollout_orders.go
+++ b/gateway/rollout_orders.go
@@ -49,6 +49,9 @@
 			continue // a restoration that lost the order does not make a bad version good
 		}
 		r.record(event.RolloutEnded, event.F("service", name), event.F("target", s.order.target()), event.F("state", "deleted"))
+		if target := s.order.target(); !s.order.machine.Allows(target) {
+			s.setBarred(true, target)
+		}
 		s.order = nil
 	}
 	r.wakeUp()
@@ -106,6 +109,13 @@
 		v.apply(o)
 	}
 	delete(r.verdicts, order.Service)
+	if replaced := s.order; replaced != nil && replaced.target() != order.Target {
+		s.barReplaced()
+		if !replaced.ended() {
+			r.record(event.RolloutEnded, event.F("service", order.Service), event.F("target", replaced.target()), event.F("state", "replaced"))
+		}
+	}
+	s.setBarred(false, order.Target)
 	s.order = o
 	return o
 }
@@ -176,7 +186,9 @@
 				s.versions[version] = now
 			}
 		}
-		maps.DeleteFunc(s.versions, func(version string, _ time.Time) bool { return !slices.Contains(registered, version) })
+		gone := func(version string) bool { return !slices.Contains(registered, version) }
+		maps.DeleteFunc(s.versions, func(version string, _ time.Time) bool { return gone(version) })
+		s.setBarred(false, slices.DeleteFunc(slices.Collect(maps.Keys(s.barred)), func(version string) bool { return !gone(version) })...)
 		r.presume(now, name, s)
 	}
 	r.recheck(now)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -48,6 +48,52 @@
 	versions map[string]time.Time // of the registered targets, and when this daemon saw them first
 	order    *roll                // nil without a valid order
 	presumed map[string]*roll     // by version, see rollouts.presume
+	// barred are versions that get no request, because an order was about them and another one
+	// has replaced it, or it was deleted after a verdict against them. The map is replaced, never
+	// modified: rules refer to it.
+	barred map[string]bool
+}
+
+// setBarred bars versions, or lifts that for a version that a new order is about.
+func (s *serviceRollouts) setBarred(barred bool, versions ...string) {
+	s.barred = maps.Clone(s.barred)
+	if s.barred == nil {
+		s.barred = make(map[string]bool)
+	}
+	for _, version := range versions {
+		if s.barred[version] = barred; !barred {
+			delete(s.barred, version)
+		}
+	}
+}
+
+// barReplaced bars the versions that a replaced order allows no request: its target, or the old
+// versions if it was completed.
+func (s *serviceRollouts) barReplaced() {
+	if allowsOld := s.order.machine.Allows(""); allowsOld {
+		s.setBarred(true, s.order.target())
+		return
+	}
+	for version := range s.versions {
+		if version != s.order.target() && !s.isLater(version) {
+			s.setBarred(true, version)
+		}
+	}
+}
+
+// isLater reports whether a version appeared after the end of the order, so that it is no old one.
+func (s *serviceRollouts) isLater(version string) bool {
+	return s.versions[version].After(s.order.oldUntil) && !s.order.oldUntil.IsZero()
+}
+
+// effectiveBars returns the barred versions; none if the service has no other targets.
+func (s *serviceRollouts) effectiveBars() map[string]bool {
+	for version := range s.versions {
+		if !s.barred[version] {
+			return s.barred
+		}
+	}
+	return nil
 }
 
 // roll is one roll-out.
@@ -134,7 +180,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.services[service]
-	if s == nil || s.order == nil && len(s.presumed) == 0 {
+	if s == nil {
+		return nil
+	}
+	barred := s.effectiveBars()
+	if s.order == nil && len(s.presumed) == 0 && len(barred) == 0 {
 		return nil
 	}
 	rule := &forward.VersionRule{}
@@ -143,7 +193,10 @@
 		presumed[version] = p.machine.Allows(version)
 	}
 	if s.order == nil {
-		rule.Allows = func(version string) bool { allowed, isPresumed := presumed[version]; return !isPresumed || allowed }
+		rule.Allows = func(version string) bool {
+			allowed, isPresumed := presumed[version]
+			return !barred[version] && (!isPresumed || allowed)
+		}
 		rule.Limits = func(version string) bool { _, isPresumed := presumed[version]; return isPresumed }
 		return rule
 	}
@@ -152,14 +205,17 @@
 	var later map[string]bool // versions that appeared after the end
 	if !allowsOthers {
 		later = make(map[string]bool)
-		for version, seen := range s.versions {
-			later[version] = seen.After(o.oldUntil) && !o.oldUntil.IsZero()
+		for version := range s.versions {
+			later[version] = s.isLater(version)
 		}
 	}
 	rule.Allows = func(version string) bool {
 		if version == target {
 			return allowsTarget
 		}
+		if barred[version] {
+			return false
+		}
 		if allowed, isPresumed := presumed[version]; isPresumed {
 			return allowed
 		}
@@ -203,11 +259,13 @@
 func (r *rollouts) BeginRun(now time.Time, t fleet.Target, route string) forward.ObservedRun {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	s := r.services[t.Service]
 	var begun []begunRun
-	for _, o := range r.services[t.Service].all() {
-		if !o.ended() {
+	for _, o := range s.all() {
+		// A barred version is no old one to compare with: it may be bad.
+		if isTarget := o.target() == t.SoftwareVersion; !o.ended() && (isTarget || !s.barred[t.SoftwareVersion]) {
 			begun = append(begun, begunRun{o, o.machine.Begin(now, t.SoftwareVersion, route)})
-			if o.target() == t.SoftwareVersion {
+			if isTarget {
 				metrics.GetOrRegisterCounter(metricRolloutSent, r.g.metrics).Inc(1)
 			}
 		}
