--- a/internal/crowd/site_test.go
+++ b/internal/crowd/site_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -94,29 +95,50 @@
 }
 
 func startSite(t *testing.T) *site {
+	store := startServer(t, standin.NewPlatform().Handler())
+	service := startServer(t, http.HandlerFunc(target))
+	fillStore(t, store.URL, []object{
+		{platform.TargetKind, "i-1", map[string]any{"service": "calls", "address": service.Listener.Addr().String(), "zone": "p", "version": "v1", "slots": 1000, "state": "ready", "cold_left_ms": 0, "seq": 1}},
+		configuration(map[string]any{
+			"name": "calls", "host": "h.example", "path_prefix": "/c/", "kind": "non_idempotent", "service": "calls", "public": true,
+			"timeout_ms": 600_000, "slo_ms": 1000, "max_attempts": 1,
+		}),
+	})
+	s := startProcess(t, "vm-1", network()+".1", store, nil)
+	s.awaitReady()
+	s.ordinaryRequest()
+	s.measure()
+	return s
+}
+
+// network returns the first three numbers of the addresses of a site. Other tests use networks
+// below 127.251.
+func network() string { return fmt.Sprintf("127.%d.%d", 251+rand.IntN(4), rand.IntN(250)) }
+
+func startServer(t *testing.T, handler http.Handler) *httptest.Server {
+	s := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s
+}
+
+// startProcess starts a gateway process with further settings.
+func startProcess(t *testing.T, id, ip string, store *httptest.Server, further map[string]any) *site {
 	program, err := buildGateway()
 	if err != nil {
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
-	// Other tests use networks below 127.251.
-	s := &site{t: t, ip: fmt.Sprintf("127.%d.%d.1", 251+rand.IntN(4), rand.IntN(250)), ended: make(chan struct{}), logPath: filepath.Join(dir, "log")}
-	store := httptest.NewServer(standin.NewPlatform().Handler())
-	t.Cleanup(func() {
-		store.CloseClientConnections()
-		store.Close()
-	})
-	service := httptest.NewServer(http.HandlerFunc(target))
-	t.Cleanup(func() {
-		service.CloseClientConnections()
-		service.Close()
-	})
-	s.fillStore(store.URL, service.Listener.Addr().String())
-	settings, err := json.Marshal(map[string]any{
-		"id": "vm-1", "place": "p", "region": "r", "callers": s.callers(), "directory": s.directory(), "readiness": s.readiness(),
+	s := &site{t: t, ip: ip, ended: make(chan struct{}), logPath: filepath.Join(dir, "log")}
+	values := map[string]any{
+		"id": id, "place": "p", "region": "r", "callers": s.callers(), "directory": s.directory(), "readiness": s.readiness(),
 		"peers": s.peers(), "operations": s.operations(), "store": store.Listener.Addr().String(), "memory_mb": memoryMB, "max_fds": maxFDs,
 		"retry_budget": map[string]any{"ratio": 0.8, "slack": 150, "window": "10s"}, "grace": "1s",
-	})
+	}
+	maps.Copy(values, further)
+	settings, err := json.Marshal(values)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -125,36 +147,39 @@
 		t.Fatal(err)
 	}
 	s.start(program, path)
+	return s
+}
+
+// awaitReady waits until the daemon is ready and its directory answers.
+func (s *site) awaitReady() {
 	s.await("http://"+s.readiness()+"/-/readiness", nil)
 	s.await("http://"+s.directory()+"/-/resolve?name=h.example", nil)
-	s.ordinaryRequest()
-	s.measure()
-	return s
 }
 
-func (s *site) fillStore(store, target string) {
+// object is an object of the store.
+type object struct {
+	kind, name string
+	value      any
+}
+
+// configuration returns a configuration with one route, to the service calls.
+func configuration(route map[string]any) object {
+	return object{platform.ConfigurationKind, platform.ConfigurationName, map[string]any{
+		"version": 1, "services": []any{map[string]any{"name": "calls"}}, "routes": []any{route},
+		"limits": map[string]any{"max_header_bytes": maxHeader, "max_body_bytes": maxBody, "header_timeout_ms": 60_000, "idle_timeout_ms": 60_000},
+	}}
+}
+
+func fillStore(t *testing.T, store string, objects []object) {
 	client := platform.NewClient(store, metrics.NewRegistry())
-	s.t.Cleanup(client.Close)
-	for _, o := range []struct {
-		kind, name string
-		value      any
-	}{
-		{platform.TargetKind, "i-1", map[string]any{"service": "calls", "address": target, "zone": "p", "version": "v1", "slots": 1000, "state": "ready", "cold_left_ms": 0, "seq": 1}},
-		{platform.ConfigurationKind, platform.ConfigurationName, map[string]any{
-			"version": 1, "services": []any{map[string]any{"name": "calls"}},
-			"routes": []any{map[string]any{
-				"name": "calls", "host": "h.example", "path_prefix": "/c/", "kind": "non_idempotent", "service": "calls", "public": true,
-				"timeout_ms": 600_000, "slo_ms": 1000, "max_attempts": 1,
-			}},
-			"limits": map[string]any{"max_header_bytes": maxHeader, "max_body_bytes": maxBody, "header_timeout_ms": 60_000, "idle_timeout_ms": 60_000},
-		}},
-	} {
+	t.Cleanup(client.Close)
+	for _, o := range objects {
 		b, err := json.Marshal(o.value)
 		if err != nil {
-			s.t.Fatal(err)
+			t.Fatal(err)
 		}
 		if _, err := client.Put(context.Background(), o.kind, o.name, b, 0); err != nil {
-			s.t.Fatal(err)
+			t.Fatal(err)
 		}
 	}
 }
