rollout: in the second half, a third as many targets get the canary requests

Cause: 15 % of the new targets were used before the switch phase. Once the slack is used, the version gets 4 % of the requests, so that each of these targets has a quarter of the load that it would have after the switch, and a version that is bad only under load is found in the switch phase, which is short.

5 % are used from half of the duration on.

--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -96,6 +96,12 @@
 			}
 			return 0.004, 1
 		}, RolledBack, time.Minute, 2, 23, 0, 60},
+		{"bad under the load of a target", good, func(_ string, _ float64, load int) (float64, float64) {
+			if load > 600 {
+				return 0.3, 1
+			}
+			return 0.004, 1
+		}, RolledBack, 12 * time.Second, 1000, 0, 20, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/rollout/send.go
+++ b/rollout/send.go
@@ -28,8 +28,11 @@
 	// left to compare with.
 	watchPace = 1.0 / 3
 	// focusFraction is the part of the new version's targets that are used before the switch
-	// phase. The version gets between 4 % and a third of the requests then.
+	// phase while the slack is used. The version gets between 4 % and a third of the requests then.
 	focusFraction = 0.15
+	// lateFocusFraction is that part afterwards, when the version gets 4 % of the requests. With 0.15,
+	// a target of it would have a quarter of its usual load.
+	lateFocusFraction = 0.05
 	// controlInterval is the number of requests of the switch phase of which one goes to the old
 	// version, for comparison.
 	controlInterval = 5
@@ -127,7 +130,11 @@
 		return targets
 	}
 	ranked := slices.Sorted(slices.Values(targets))
-	n := int(math.Ceil(focusFraction * float64(len(ranked))))
+	fraction := focusFraction
+	if !m.order.Presumed() && m.age(now) >= m.part(slackPeriod) {
+		fraction = lateFocusFraction
+	}
+	n := int(math.Ceil(fraction * float64(len(ranked))))
 	first := m.slice(now) * n % len(ranked)
 	return append(ranked[first:], ranked[:first]...)[:n]
 }
