soak: roll-outs among the faults

TestSoakRollouts orders a roll-out of the engines of calls at a random time, of a good version in even seeds and of a bad one in odd seeds, while daemons are stopped, killed and get other settings. TestSoakTrouble does so in two of eight seeds (not in seed 1), among held and reset links, suspended daemons and cuts.

Checked are the share at the engines, that no request sent 5 s after the 50th bad response reaches the bad version, that no request goes to a version that is not allowed 2 s after the final state, that a final state stays, and that it is the right one within the time limit; all but the share and the last state only for times in which the daemons were in contact.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -94,6 +94,7 @@
 		broken = append(broken, e.checkLimits()...)
 	}
 	broken = append(broken, s.checkCuts()...)
+	broken = append(broken, s.checkRollout()...)
 	for _, d := range s.daemons {
 		d.mu.Lock()
 		for _, end := range d.ownEnds {
--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -53,6 +53,7 @@
 	program     string
 	store       string
 	seeds       []string
+	rollsOut    bool // the settings have a block for roll-outs
 
 	mu      sync.Mutex
 	process *os.Process // nil while there is none
@@ -72,12 +73,16 @@
 
 // writeSettings writes the settings file, as from deploy/gateway.json.tmpl.
 func (d *daemon) writeSettings(logLevel string) error {
-	b, err := json.Marshal(map[string]any{
+	values := map[string]any{
 		"id": d.id, "place": "p", "region": "r", "callers": d.callers(), "directory": d.directory(), "readiness": d.readiness(),
 		"peers": d.peers(), "seeds": d.seeds, "operations": d.address(7200), "relay": d.address(7201), "source": d.ip, "store": d.store, "memory_mb": 284, "log_level": logLevel,
 		"retry_budget": map[string]any{"ratio": 0.8, "slack": 150, "window": budgetWindow.String()}, "grace": grace.String(),
 		"first_start": len(d.starts) == 0,
-	})
+	}
+	if d.rollsOut {
+		values["rollout"] = map[string]any{"share": rolloutShare, "slack": rolloutSlack, "rollback_within": rollbackWithin.String()}
+	}
+	b, err := json.Marshal(values)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -128,8 +128,9 @@
 // engine serves streams and calls as the platform's engines do.
 type engine struct {
 	id, service, address string
-	faulty               bool // breaks some answers off
-	goesOn               bool // works on when a connection has closed, and where it breaks an answer off
+	version              string // of its software
+	faulty               bool   // breaks some answers off
+	goesOn               bool   // works on when a connection has closed, and where it breaks an answer off
 	ledger               *ledger
 	site                 *site
 	silentUntil          atomic.Int64 // Unix nanoseconds
@@ -163,7 +164,7 @@
 
 // entry is the object by which the engine registers itself.
 func (e *engine) entry() any {
-	return map[string]any{"service": e.service, "address": e.address, "zone": "p", "version": "v1", "slots": e.slots, "state": "ready", "cold_left_ms": 0, "seq": 1}
+	return map[string]any{"service": e.service, "address": e.address, "zone": "p", "version": e.version, "slots": e.slots, "state": "ready", "cold_left_ms": 0, "seq": 1}
 }
 
 // silence makes the engine send nothing for d.
@@ -256,9 +257,13 @@
 	w.Header().Set("Vanillaroad-Upstream-Stamp", e.id+"/"+id)
 	this, end := e.ledger.begin(id, e.id), runCanceled
 	defer func() { e.ledger.end(this, end) }()
-	if work.events == 0 {
+	switch {
+	case e.version == "v2" && e.site.rollout.fails():
+		w.WriteHeader(http.StatusInternalServerError)
+		end = runComplete
+	case work.events == 0:
 		end = e.call(w, r, work, m)
-	} else {
+	default:
 		end = e.stream(w, r, work, m, id, this)
 	}
 }
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -45,6 +45,7 @@
 	// reserves means that engines reserve slots.
 	reserves bool
 	waits    bool     // engines let runs wait
+	rollout  *rollout // nil without one
 	again    sync.Map // how long runs wait once they have begun at another engine, by request id
 	// idleTimeout is the limit of the configuration in force, in nanoseconds.
 	idleTimeout atomic.Int64
@@ -81,6 +82,9 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 0)), ledger: &ledger{runs: make(map[string][]*run)},
 		record: &record{outcomes: make(map[string]int)}, busy: make(map[string]bool), copies: o.copies, reserves: o.copies && seed%3 > 0, waits: o.waits,
 	}
+	if o.rollsOut != nil && o.rollsOut(seed) {
+		s.rollout = newRollout(seed)
+	}
 	dir := t.TempDir()
 	if *keepLogs != "" {
 		dir = filepath.Join(*keepLogs, t.Name())
@@ -102,21 +106,25 @@
 	for i := range o.engines {
 		service := modelService
 		if i%3 == 0 {
-			service = "booking"
+			service = callService
 		}
 		e := startEngine(t, s.ledger, fmt.Sprint("i-", i), service, fmt.Sprintf("%s.%d:8686", prefix, 100+i), i%2 == 1)
 		if o.slots != nil {
 			e.slots = o.slots(i)
 		}
-		e.goesOn, e.site = o.copies && i%4 == 1 && e.slots == manySlots, s
+		e.version, e.site = "v1", s
+		e.goesOn = o.copies && i%4 == 1 && e.slots == manySlots
 		e.preemption.report = waitReportOf(i)
 		s.links = append(s.links, startProxy(t, fmt.Sprintf("%s.%d:8687", prefix, 100+i), e.address))
 		e.address = fmt.Sprintf("%s.%d:8687", prefix, 100+i)
 		s.engines = append(s.engines, e)
 		s.put(platform.TargetKind, e.id, e.entry())
 	}
+	if s.rollout != nil {
+		s.addNewEngines(prefix)
+	}
 	for i := range o.daemons {
-		s.daemons = append(s.daemons, &daemon{id: fmt.Sprint("vm-", i), ip: fmt.Sprintf("%s.%d", prefix, 1+i), dir: dir, program: program, store: storeAddress})
+		s.daemons = append(s.daemons, &daemon{id: fmt.Sprint("vm-", i), ip: fmt.Sprintf("%s.%d", prefix, 1+i), dir: dir, program: program, store: storeAddress, rollsOut: s.rollout != nil})
 	}
 	for i, d := range s.daemons {
 		for j := range min(3, len(s.daemons)) {
@@ -198,8 +206,11 @@
 // in time.
 const storeTries = 5
 
-// modelService is the service of the engines that serve streams.
-const modelService = "model"
+// Services of the engines that serve streams and calls.
+const (
+	modelService = "model"
+	callService  = "booking"
+)
 
 // streamAttempts is the number of engines to which the routes of streams allow a request
 // to be sent.
@@ -217,11 +228,11 @@
 	callTimeout := callDeadline - upTo(s.rng, 1500*time.Millisecond)
 	routes := []map[string]any{
 		route(kindStream, "streaming", modelService, streamDeadline, 4500*time.Millisecond, streamAttempts),
-		route(kindBook, "non_idempotent", "booking", callTimeout, time.Second, 1),
-		route(kindRead, "idempotent", "booking", callTimeout, 4*time.Second, 2),
+		route(kindBook, "non_idempotent", callService, callTimeout, time.Second, 1),
+		route(kindRead, "idempotent", callService, callTimeout, 4*time.Second, 2),
 	}
 	for i := range s.rng.IntN(20) {
-		routes = append(routes, route(fmt.Sprint("other-", i), "idempotent", "booking", callTimeout, time.Second, 2))
+		routes = append(routes, route(fmt.Sprint("other-", i), "idempotent", callService, callTimeout, time.Second, 2))
 	}
 	model := map[string]any{"name": modelService}
 	if s.copies {
@@ -233,7 +244,7 @@
 	}
 	idle := []time.Duration{time.Second, 3 * time.Second, 15 * time.Second}[s.rng.IntN(3)]
 	s.put(platform.ConfigurationKind, platform.ConfigurationName, map[string]any{
-		"version": s.version, "routes": routes, "services": []any{model, map[string]any{"name": "booking"}},
+		"version": s.version, "routes": routes, "services": []any{model, map[string]any{"name": callService}},
 		"limits": map[string]any{"max_header_bytes": 16 << 10, "max_body_bytes": 1 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": idle.Milliseconds()},
 	})
 	s.idleTimeout.Store(int64(idle))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,9 +33,10 @@
 	daemons, engines, clients int
 	length                    time.Duration
 	planned, unplanned        []fault
-	copies, waits             bool          // see site
-	slots                     func(int) int // of the engine with a number; nil for many
-	also                      []uint64      // seeds, unless flags choose them
+	copies, waits             bool                   // see site
+	slots                     func(int) int          // of the engine with a number; nil for many
+	also                      []uint64               // seeds, unless flags choose them
+	rollsOut                  func(seed uint64) bool // whether a version is rolled out; nil for never
 }
 
 // seedsOf returns the seeds of a test.
@@ -98,6 +99,9 @@
 	if o.waits {
 		faults.Go(func() { s.inject(faultsDone, seed+2<<32, []fault{preempt}, time.Second) })
 	}
+	if s.rollout != nil {
+		faults.Go(func() { s.rollOut(faultsDone, seed) })
+	}
 	if len(o.unplanned) > 0 {
 		faults.Go(func() { s.inject(faultsDone, seed+1<<32, o.unplanned, 8*time.Second) })
 	}
@@ -146,7 +150,7 @@
 }
 
 // TestSoakTrouble guards against broken rules while daemons are killed and suspended,
-// and links are held up and reset.
+// and links are held up and reset. In one of four seeds, a version is rolled out meanwhile.
 func TestSoakTrouble(t *testing.T) {
-	soak(t, options{planned: plannedFaults, unplanned: unplannedFaults})
+	soak(t, options{planned: plannedFaults, unplanned: unplannedFaults, rollsOut: func(seed uint64) bool { return seed%8 == 3 || seed%8 == 6 }})
 }
