--- a/gateway/rollout_orders.go
+++ b/gateway/rollout_orders.go
@@ -49,10 +49,7 @@
 			continue // a restoration that lost the order does not make a bad version good
 		}
 		r.record(event.RolloutEnded, event.F("service", name), event.F("target", s.order.target()), event.F("state", "deleted"))
-		if target := s.order.target(); !s.order.machine.Allows(target) {
-			s.setBarred(true, target)
-		}
-		s.order = nil
+		s.order, s.barred = nil, nil
 	}
 	r.wakeUp()
 }
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -49,8 +49,7 @@
 	order    *roll                // nil without a valid order
 	presumed map[string]*roll     // by version, see rollouts.presume
 	// barred are versions that get no request, because an order was about them and another one
-	// has replaced it, or it was deleted after a verdict against them. The map is replaced, never
-	// modified: rules refer to it.
+	// has replaced it. The map is replaced, never modified: rules refer to it.
 	barred map[string]bool
 }
 
