gateway: a daemon that starts after a replaced order learns which versions are barred

Cause: the bar on a replaced target was known only to daemons that had seen the first order. One that started later took that target for an old version; with an order for the old version in place, it would send nearly all requests to it.

Evidence for the judges and their answers name the barred versions of the order that they are about. Old builds ignore the field.

--- a/gateway/rollout_change_test.go
+++ b/gateway/rollout_change_test.go
@@ -143,6 +143,27 @@
 	}
 }
 
+// TestDaemonThatStartsAfterAReplacement guards against a daemon that takes a replaced target for an
+// old version, because it started after the order that was about it.
+func TestDaemonThatStartsAfterAReplacement(t *testing.T) {
+	t.Parallel()
+	e, _ := newLoadedRollout(t, 30, 20*time.Millisecond)
+	e.put(platform.RolloutKind, "s", map[string]any{"service": "s", "target": "v1", "duration_s": 20})
+	e.awaitEverywhere(func(v RolloutView) bool { return v.Target == "v1" })
+	_, _ = e.startDaemon("vm-9", e.store.Listener.Addr().String())
+	barred := func() bool {
+		r := e.gateways["vm-9"].rollouts
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		s := r.services["s"]
+		return s != nil && s.effectiveBars()["v2"]
+	}
+	eventually(func() bool { return barred() || e.state() == "completed" || e.state() == "rolled_back" })
+	if !barred() {
+		t.Errorf("the daemon does not bar v2 until the state is %s", e.state())
+	}
+}
+
 // delete deletes the order.
 func (e *rolloutEnv) delete() {
 	e.t.Helper()
--- a/gateway/rollout_run.go
+++ b/gateway/rollout_run.go
@@ -34,6 +34,7 @@
 type rolloutEvidence struct {
 	Service  string           `msgpack:"s"`
 	Evidence rollout.Evidence `msgpack:"e"`
+	Barred   []string         `msgpack:"b,omitempty"` // versions, see serviceRollouts
 }
 
 // rolloutReply is what a judge knows of the order; its zero value if it doesn't know the order.
@@ -41,6 +42,7 @@
 	Known   bool           `msgpack:"k,omitempty"`
 	Age     time.Duration  `msgpack:"a,omitempty"` // of the order
 	Verdict rolloutVerdict `msgpack:"v,omitempty"`
+	Barred  []string       `msgpack:"b,omitempty"` // versions, see serviceRollouts
 }
 
 // rolloutVerdict is a verdict against a version under roll-out, or the final state of its order that
@@ -272,7 +274,7 @@
 		return
 	}
 	o.judges, o.calledAt, o.reportFailed = names, now, false
-	message := rolloutEvidence{Service: service, Evidence: o.machine.Own()}
+	message := rolloutEvidence{Service: service, Evidence: o.machine.Own(), Barred: r.services[service].barredVersions()}
 	for judge, address := range addresses {
 		go r.send(ctx, judge, address, message, o)
 	}
@@ -298,6 +300,7 @@
 		order.Created = created
 		o.machine.UpdateOrder(order)
 	}
+	r.services[order.Service].addBarred(o, reply.Barred)
 	if reply.Verdict.Target != "" {
 		r.applyVerdict(judge, reply.Verdict)
 	}
@@ -313,7 +316,9 @@
 		return rolloutReply{}
 	}
 	o.machine.Merge(now, from.ID, from.Incarnation, message.Evidence)
-	reply := rolloutReply{Known: true, Age: now.Sub(o.machine.Order().Created)}
+	s := r.services[message.Service]
+	s.addBarred(o, message.Barred)
+	reply := rolloutReply{Known: true, Age: now.Sub(o.machine.Order().Created), Barred: s.barredVersions()}
 	if o.decision.Verdict == rollout.Bad || o.ended() {
 		reply.Verdict = o.verdict()
 		reply.Verdict.State = o.storedState()
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +81,19 @@
 	}
 }
 
+// barredVersions returns the barred versions, sorted.
+func (s *serviceRollouts) barredVersions() []string { return slices.Sorted(maps.Keys(s.barred)) }
+
+// addBarred bars the versions that another daemon with the same order bars: this one may have started
+// after the order that was about them.
+func (s *serviceRollouts) addBarred(o *roll, versions []string) {
+	for _, version := range versions {
+		if s.order == o && version != o.target() && !s.barred[version] {
+			s.setBarred(true, version)
+		}
+	}
+}
+
 // isLater reports whether a version appeared after the end of the order, so that it is no old one.
 func (s *serviceRollouts) isLater(version string) bool {
 	return s.versions[version].After(s.order.oldUntil) && !s.order.oldUntil.IsZero()
