--- a/gateway/rollout_run.go
+++ b/gateway/rollout_run.go
@@ -34,6 +34,7 @@
 type rolloutEvidence struct {
 	Service  string           `msgpack:"s"`
 	Evidence rollout.Evidence `msgpack:"e"`
+	Barred   []string         `msgpack:"b,omitempty"` // versions, see serviceRollouts
 }
 
 // rolloutReply is what a judge knows of the order; its zero value if it doesn't know the order.
@@ -41,6 +42,7 @@
 	Known   bool           `msgpack:"k,omitempty"`
 	Age     time.Duration  `msgpack:"a,omitempty"` // of the order
 	Verdict rolloutVerdict `msgpack:"v,omitempty"`
+	Barred  []string       `msgpack:"b,omitempty"` // versions, see serviceRollouts
 }
 
 // rolloutVerdict is a verdict against a version under roll-out, or the final state of its order that
@@ -100,7 +102,7 @@
 	view, position, registered := r.g.members.view(), r.g.members.position(), r.g.members.count()
 	now := time.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlockAndRecord()
 	r.recheck(now)
 	for service, v := range r.verdicts {
 		if now.Sub(v.at) > earlyVerdictTime {
@@ -174,7 +176,7 @@
 	return ranked
 }
 
-// decide takes a decision and records what changed.
+// decide takes a decision and records what changed. The caller holds the lock.
 func (r *rollouts) decide(now time.Time, o *roll) {
 	previous := o.decision
 	o.decision = o.machine.Decide(now)
@@ -195,7 +197,7 @@
 		if source == "" {
 			source = r.g.members.self.ID
 		}
-		r.g.events.Record(event.RolloutJudged, "", append(slices.Clone(about), event.F("verdict", string(d.Verdict)), event.F("reason", d.Reason), event.F("member", source))...)
+		r.record(event.RolloutJudged, append(slices.Clone(about), event.F("verdict", string(d.Verdict)), event.F("reason", d.Reason), event.F("member", source))...)
 	}
 	if d.Phase == previous.Phase {
 		return
@@ -203,7 +205,7 @@
 	about = append(about, event.F("reason", o.reason), event.F("little_evidence", strconv.FormatBool(d.LittleEvidence)),
 		event.F("requests", strconv.Itoa(requests)), event.F("sent", strconv.Itoa(sent)))
 	if !o.ended() {
-		r.g.events.Record(event.RolloutPhase, "", append(about, event.F("phase", string(d.Phase)))...)
+		r.record(event.RolloutPhase, append(about, event.F("phase", string(d.Phase)))...)
 		return
 	}
 	o.oldUntil = now.Add(oldVersionGrace)
@@ -212,7 +214,7 @@
 	if d.Verdict == rollout.Bad {
 		state = rollout.RolledBack
 	}
-	r.g.events.Record(event.RolloutEnded, "", append(about, event.F("state", string(state)))...)
+	r.record(event.RolloutEnded, append(about, event.F("state", string(state)))...)
 }
 
 // tell broadcasts a verdict of this daemon against a version.
@@ -272,7 +274,7 @@
 		return
 	}
 	o.judges, o.calledAt, o.reportFailed = names, now, false
-	message := rolloutEvidence{Service: service, Evidence: o.machine.Own()}
+	message := rolloutEvidence{Service: service, Evidence: o.machine.Own(), Barred: r.services[service].barredVersions()}
 	for judge, address := range addresses {
 		go r.send(ctx, judge, address, message, o)
 	}
@@ -298,6 +300,7 @@
 		order.Created = created
 		o.machine.UpdateOrder(order)
 	}
+	r.services[order.Service].addBarred(o, reply.Barred)
 	if reply.Verdict.Target != "" {
 		r.applyVerdict(judge, reply.Verdict)
 	}
@@ -313,7 +316,9 @@
 		return rolloutReply{}
 	}
 	o.machine.Merge(now, from.ID, from.Incarnation, message.Evidence)
-	reply := rolloutReply{Known: true, Age: now.Sub(o.machine.Order().Created)}
+	s := r.services[message.Service]
+	s.addBarred(o, message.Barred)
+	reply := rolloutReply{Known: true, Age: now.Sub(o.machine.Order().Created), Barred: s.barredVersions()}
 	if o.decision.Verdict == rollout.Bad || o.ended() {
 		reply.Verdict = o.verdict()
 		reply.Verdict.State = o.storedState()
