exchange: a daemon that stops doesn't count as one that could carry callers

Directory answers leave out daemons that are short of capacity if at least half of the daemons are not. A daemon that stops counted itself among these, and was removed from the answer only afterwards. If the others were short, a stopping daemon of two answered without any address, and one of four listed a single other daemon for all callers.

The daemon is now removed before the rule is applied. TestDirectoryOfLeavingDaemon fails with the former order: no daemon instead of 1, and 1 instead of 3.

--- a/exchange/capacity.go
+++ b/exchange/capacity.go
@@ -64,9 +64,13 @@
 }
 
 // DirectoryForCallers is Directory without the daemons that are short of capacity, see WithoutShort.
-// leftOut is their number.
-func (l *MemberList) DirectoryForCallers(now time.Time) (list []Member, leftOut int) {
+// leftOut is their number. If leaving is set, this daemon is not listed, and is none of those that
+// could carry the callers of others.
+func (l *MemberList) DirectoryForCallers(now time.Time, leaving bool) (list []Member, leftOut int) {
 	all := l.Directory(now)
+	if leaving {
+		all = slices.DeleteFunc(all, func(m Member) bool { return m.ID == l.self })
+	}
 	if len(l.short) == 0 {
 		return all, 0
 	}
--- a/exchange/capacity_test.go
+++ b/exchange/capacity_test.go
@@ -149,7 +149,7 @@
 	}
 	want := l.Directory(now)
 	check := func(when string, left int) {
-		if got, leftOut := l.DirectoryForCallers(now); left == 0 && !reflect.DeepEqual(got, want) || leftOut != left || len(got) != len(want)-left {
+		if got, leftOut := l.DirectoryForCallers(now, false); left == 0 && !reflect.DeepEqual(got, want) || leftOut != left || len(got) != len(want)-left {
 			t.Errorf("%s: %v, %d left out", when, got, leftOut)
 		}
 	}
@@ -164,3 +164,22 @@
 	l.RecordHeartbeat(now, "b", 2, false)
 	check("b has started again", 0)
 }
+
+// TestDirectoryOfLeavingDaemon guards against empty answers of a daemon that stops, and against too few
+// daemons in them: it counted as one that could carry callers, and was then removed.
+func TestDirectoryOfLeavingDaemon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for others, want := range map[int]int{1: 1, 2: 1, 3: 3} { // all others but one are short, or the only one
+		l := NewMemberList("a", 1)
+		for i := range others + 1 {
+			id := string(rune('a' + i))
+			l.Put(now, Member{ID: id})
+			l.RecordHeartbeat(now, id, 1, false)
+			l.MarkShort(id, i == 1 || i > 2)
+		}
+		got, leftOut := l.DirectoryForCallers(now, true)
+		if len(got) != want || leftOut != others-want || len(got) > 0 && got[0].ID == "a" {
+			t.Errorf("%d others: %v, %d left out; want %d", others, got, leftOut, want)
+		}
+	}
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -355,23 +355,19 @@
 // number of daemons that were left out because they are short of capacity.
 func (m *members) directoryFor(q platform.DirectoryQuery) (addresses []string, leftOut int) {
 	m.mu.Lock()
-	list, leftOut := m.list.DirectoryForCallers(time.Now())
+	list, leftOut := m.list.DirectoryForCallers(time.Now(), m.g.draining.Load())
 	m.mu.Unlock()
-	return addressesOf(exchange.SelectForCaller(m.withoutDraining(list), q.Caller, q.Place, platform.MaxDirectoryAddresses)), leftOut
+	return addressesOf(exchange.SelectForCaller(list, q.Caller, q.Place, platform.MaxDirectoryAddresses)), leftOut
 }
 
 func (m *members) directoryMembers() []exchange.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.withoutDraining(m.list.Directory(time.Now()))
-}
-
-// withoutDraining removes this daemon from a list if it is draining.
-func (m *members) withoutDraining(list []exchange.Member) []exchange.Member {
-	if !m.g.draining.Load() {
-		return list
+	out := m.list.Directory(time.Now())
+	if m.g.draining.Load() {
+		out = slices.DeleteFunc(out, func(o exchange.Member) bool { return o.ID == m.self.ID })
 	}
-	return slices.DeleteFunc(list, func(o exchange.Member) bool { return o.ID == m.self.ID })
+	return out
 }
 
 // markShort records whether a daemon is short of capacity.
