forward: no memory stays reserved at targets that refuse a copy

While a copy in the place of its run is replaced, each target that was chosen for the next one had memory reserved until the run ended, also after it had refused the copy. The same held for an explicit copy that was released.

The reservation at the target of the next copy is now apart from that of the current one, and ends when the copy fails. The holder of a replaced explicit copy is released with it; that of a continuous one stays reserved, since its target goes on with it.

--- a/forward/copier.go
+++ b/forward/copier.go
@@ -82,11 +82,12 @@
 	previous           *standbyCopy
 	previousUntil      time.Time
 	explicit           bool   // current is an explicit copy and must be released
-	releaseReservation func() // ends the reservation of the copy's memory
+	releaseReservation func() // ends the reservation of the memory of current
+	releaseTarget      func() // ends that at explicitTarget, until its first copy is complete
 }
 
 func newCopier(s *stream, a Attempt) *copier {
-	c := &copier{stream: s, source: a.Target, results: make(chan copyResult, 1), failedAt: make(map[string]time.Time), retryDelay: copyRetryDelay, releaseReservation: func() {}}
+	c := &copier{stream: s, source: a.Target, results: make(chan copyResult, 1), failedAt: make(map[string]time.Time), retryDelay: copyRetryDelay, releaseReservation: func() {}, releaseTarget: func() {}}
 	if a.CopyTo != nil {
 		c.releaseReservation = s.forwarder.Fleet.ReserveCopy(a.CopyTo.ID, s.memoryTokens())
 		c.current = &standbyCopy{*a.CopyTo, Copy{a.CopyTo.Address, s.request.ID}, byBackup}
@@ -139,6 +140,7 @@
 		c.previousUntil = now.Add(c.stream.copyRetention() - maxCopyAge)
 	}
 	c.releaseReservation()
+	c.releaseTarget()
 	c.failure = errHolderLost
 	c.current, c.explicit, c.explicitTarget, c.unusable = nil, false, nil, nil
 }
@@ -158,13 +160,10 @@
 		searches.record(now, search, tokens)
 		return false
 	}
-	release, other := c.stream.forwarder.Fleet.ReserveCopy(t.ID, c.stream.memoryTokens()), c.releaseReservation
+	c.releaseTarget()
+	c.releaseTarget = c.stream.forwarder.Fleet.ReserveCopy(t.ID, c.stream.memoryTokens())
 	if c.current == nil {
-		other()
-		c.releaseReservation = release
 		c.unusable = c.stream.forwarder.Fleet.Unusable(now, t.ID)
-	} else {
-		c.releaseReservation = func() { release(); other() } // the current copy keeps its memory
 	}
 	c.explicitTarget = &t
 	return true
@@ -260,6 +259,7 @@
 // ends with an intact run. After a loss, the copy stays for the next attempt.
 func (c *copier) finish(intact bool) {
 	c.releaseReservation()
+	c.releaseTarget()
 	if !intact || !c.explicit || c.current == nil {
 		return
 	}
@@ -284,11 +284,8 @@
 	case c.explicitTarget == nil || r.holder.ID != c.explicitTarget.ID:
 		// another target was picked after this copy started
 	case r.err == nil:
-		// A target may give the copies of a run at several others the same name.
-		if old := c.current; c.explicit && old.holder.ID != r.holder.ID && old.copy != r.copy {
-			go c.stream.forwarder.releaseCopy(c.stream.request.ID, c.source, *old)
-		}
-		c.current, c.explicit, c.retryDelay = &r.standbyCopy, true, copyRetryDelay
+		c.replaceCurrent(r.standbyCopy)
+		c.explicit, c.retryDelay = true, copyRetryDelay
 		c.unusable = c.stream.forwarder.Fleet.Unusable(now, r.holder.ID)
 		c.schedule(copyInterval)
 		if c.isMisplaced() {
@@ -301,7 +298,27 @@
 		if c.current == nil || c.current.holder.ID == r.holder.ID {
 			c.dropCurrent(now)
 		}
+		c.releaseTarget()
 		c.explicitTarget, c.failure = nil, r.err
 		c.retryLater()
 	}
 }
+
+// replaceCurrent sets the current copy to an explicit one that is complete.
+func (c *copier) replaceCurrent(latest standbyCopy) {
+	old := c.current
+	c.current = &latest
+	if old != nil && old.holder.ID == latest.holder.ID {
+		return // an update of it
+	}
+	before, release := c.releaseReservation, c.releaseTarget
+	c.releaseReservation, c.releaseTarget = release, func() {}
+	switch {
+	case old == nil:
+	case c.explicit && old.copy != latest.copy:
+		before()
+		go c.stream.forwarder.releaseCopy(c.stream.request.ID, c.source, *old)
+	default: // A continuous copy stays at its holder, as does one with the same name, which targets may reuse.
+		c.releaseReservation = func() { release(); before() }
+	}
+}
