overload: a stream is expected to end by its deadline

Until 8 streams have ended, their expected time follows from the number of output tokens that callers allow, which is any number. A caller that allowed 1,000,000 made the daemon expect 28 minutes for a stream, and all callers of the service were refused with room expected after 10 to 31 s, though it was 0.1 s. Above 9.2e11 tokens the time overflowed.

The expected time is at most that until the deadline, or 10 minutes without one.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -108,7 +108,7 @@
 	c.prompts.add(float64(r.Prompt))
 	c.memory.add(float64(r.Memory))
 	if r.Output > 0 {
-		c.assumed.add((prefillTime(r.Prompt) + time.Duration(r.Output)*assumedTokenTime).Seconds())
+		c.assumed.add(r.assumedRunTime().Seconds())
 	}
 	t := &Ticket{request: r, waited: r.waited()}
 	t.rank = float64(r.Priority) - min(maxAging, t.waited)
--- a/overload/ticket.go
+++ b/overload/ticket.go
@@ -42,6 +42,18 @@
 	return limit
 }
 
+// assumedRunTime returns the time that a stream is expected to take at a target if it writes as many
+// tokens as its caller allows. The stream ends by its deadline, whatever a caller allows.
+func (r *Request) assumedRunTime() time.Duration {
+	longest := maxAhead
+	if !r.Deadline.IsZero() {
+		longest = min(longest, max(0, r.Deadline.Sub(r.Received)))
+	}
+	// Calculated in floating point, since the number of a header may be any.
+	seconds := float64(r.Prompt)/prefillTokensPerMilli/1000 + float64(r.Output)*assumedTokenTime.Seconds()
+	return time.Duration(min(longest.Seconds(), seconds) * float64(time.Second))
+}
+
 // usefulByDeadline is useful without the objective.
 func (t *Ticket) usefulByDeadline(now time.Time, run time.Duration) time.Duration {
 	if t.request.Deadline.IsZero() {
