gateway: the loads and held streams of daemons that have ended expire

Both were dropped only for silent daemons that are still registered. If a daemon's entry was removed before it was silent, or a report relayed for it came later, its loads counted at targets, and the streams that it held counted in estimates, for as long as this daemon ran. Since copies yield to held streams, one such daemon also meant that no standby copy of the service was made any more.

--- a/fleet/work.go
+++ b/fleet/work.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -199,6 +201,18 @@
 	f.peerLoads[peer] = loads
 }
 
+// ForgetPeers removes the loads of the peers that keep reports false for.
+func (f *Fleet) ForgetPeers(keep func(peer string) bool) {
+	f.mu.Lock()
+	peers := slices.Collect(maps.Keys(f.peerLoads))
+	f.mu.Unlock()
+	for _, peer := range peers {
+		if !keep(peer) {
+			f.SetPeerLoads(peer, nil)
+		}
+	}
+}
+
 // setPeerLoad replaces the load of a peer on the target. A zero load removes it.
 func (s *targetState) setPeerLoad(peer string, load DaemonLoad) {
 	old := s.peerLoads[peer]
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -95,6 +97,19 @@
 	a.peersHeld[peer] = held
 }
 
+// ForgetPeers drops what the daemons hold that keep reports false for. A daemon that has ended reports
+// nothing more, and what it held would count for good.
+func (a *Admission) ForgetPeers(keep func(peer string) bool) {
+	a.mu.Lock()
+	peers := slices.Collect(maps.Keys(a.peersHeld))
+	a.mu.Unlock()
+	for _, peer := range peers {
+		if !keep(peer) {
+			a.SetPeerHeld(peer, nil)
+		}
+	}
+}
+
 // controller returns the controller of a service. a.mu is held.
 func (a *Admission) controller(service string) *overload.Controller {
 	c := a.controllers[service]
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -184,3 +184,15 @@
 		})
 	}
 }
+
+// TestEndedPeersHoldNothing guards against copies that are never made again, and against estimates that
+// are too long for good, because a daemon has ended while it held streams.
+func TestEndedPeersHoldNothing(t *testing.T) {
+	a := NewAdmission(func(string) bool { return true })
+	a.SetPeerHeld("vm-2", map[string][]int{"svc": {1}})
+	a.SetPeerHeld("vm-3", map[string][]int{"other": {0, 1}})
+	a.ForgetPeers(func(peer string) bool { return peer == "vm-3" })
+	if a.holds("svc") || !a.holds("other") {
+		t.Errorf("held by a daemon that has ended: %v, by one that has not: %v", a.holds("svc"), a.holds("other"))
+	}
+}
