gateway: only daemons that are also silent count as ended

The first reports of a daemon may come before its entry. With the former rule its loads would have been dropped and set again until the entry came.

--- a/fleet/work.go
+++ b/fleet/work.go
@@ -201,13 +201,13 @@
 	f.peerLoads[peer] = loads
 }
 
-// ForgetPeers removes the loads of the peers that keep reports false for.
-func (f *Fleet) ForgetPeers(keep func(peer string) bool) {
+// ForgetPeers removes the loads of the peers that have ended.
+func (f *Fleet) ForgetPeers(hasEnded func(peer string) bool) {
 	f.mu.Lock()
 	peers := slices.Collect(maps.Keys(f.peerLoads))
 	f.mu.Unlock()
 	for _, peer := range peers {
-		if !keep(peer) {
+		if hasEnded(peer) {
 			f.SetPeerLoads(peer, nil)
 		}
 	}
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -97,14 +97,14 @@
 	a.peersHeld[peer] = held
 }
 
-// ForgetPeers drops what the daemons hold that keep reports false for. A daemon that has ended reports
-// nothing more, and what it held would count for good.
-func (a *Admission) ForgetPeers(keep func(peer string) bool) {
+// ForgetPeers drops what the daemons hold that have ended. They report nothing more, and what they
+// held would count for good.
+func (a *Admission) ForgetPeers(hasEnded func(peer string) bool) {
 	a.mu.Lock()
 	peers := slices.Collect(maps.Keys(a.peersHeld))
 	a.mu.Unlock()
 	for _, peer := range peers {
-		if !keep(peer) {
+		if hasEnded(peer) {
 			a.SetPeerHeld(peer, nil)
 		}
 	}
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -191,7 +191,7 @@
 	a := NewAdmission(func(string) bool { return true })
 	a.SetPeerHeld("vm-2", map[string][]int{"svc": {1}})
 	a.SetPeerHeld("vm-3", map[string][]int{"other": {0, 1}})
-	a.ForgetPeers(func(peer string) bool { return peer == "vm-3" })
+	a.ForgetPeers(func(peer string) bool { return peer != "vm-3" })
 	if a.holds("svc") || !a.holds("other") {
 		t.Errorf("held by a daemon that has ended: %v, by one that has not: %v", a.holds("svc"), a.holds("other"))
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -324,6 +324,15 @@
 	return ok
 }
 
+// hasEnded reports whether a daemon is neither registered nor live. The entry of a live one may come
+// later than its first reports.
+func (m *members) hasEnded(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, registered := m.list.Member(id)
+	return !registered && !m.list.Live(time.Now(), id)
+}
+
 // activeOthers returns the other daemons that are live and don't leave.
 func (m *members) activeOthers() (out []exchange.Member) {
 	m.mu.Lock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -279,8 +279,8 @@
 		p.g.fleet.SetPeerLoads(m.ID, nil)
 		p.g.forwarder.Admission.SetPeerHeld(m.ID, nil)
 	}
-	p.g.fleet.ForgetPeers(p.g.members.registered)
-	p.g.forwarder.Admission.ForgetPeers(p.g.members.registered)
+	p.g.fleet.ForgetPeers(p.g.members.hasEnded)
+	p.g.forwarder.Admission.ForgetPeers(p.g.members.hasEnded)
 	p.digests.forget(p.g.members.registered)
 }
 
