forward: an explicit copy that could not be updated is released with its run

Since a copy is given up once an update fails, an intact run no longer released it at its end. The holder kept the memory, which no daemon counts, until it discarded the copy.

The run's end releases the previous copy, too, if it is an explicit one that may still exist and its holder is usable. TestCopyThatIsNotUpdatedIsReleased fails before.

--- a/forward/copier.go
+++ b/forward/copier.go
@@ -269,11 +269,17 @@
 func (c *copier) finish(intact bool) {
 	c.releaseReservation()
 	c.releaseTarget()
-	if !intact || !c.explicit || c.current == nil {
+	if !intact {
 		return
 	}
-	current := *c.current
-	go c.stream.forwarder.releaseCopy(c.stream.request.ID, c.source, current)
+	f, now := c.stream.forwarder, time.Now()
+	// A copy that could not be updated may still be there.
+	if p := c.previous; p != nil && p.origin == byCopy && now.Before(c.previousUntil) && f.isUsable(now, p.holder) && (c.current == nil || p.copy != c.current.copy) {
+		go f.releaseCopy(c.stream.request.ID, c.source, *p)
+	}
+	if c.explicit && c.current != nil {
+		go f.releaseCopy(c.stream.request.ID, c.source, *c.current)
+	}
 }
 
 // releaseCopy releases a copy that the target source has made of a run's KV cache.
--- a/forward/copy_reservation_test.go
+++ b/forward/copy_reservation_test.go
@@ -86,3 +86,30 @@
 		}
 	})
 }
+
+// TestCopyThatIsNotUpdatedIsReleased guards against memory at a holder that no daemon counts: a copy that
+// could not be updated stayed there after its run had ended, until the holder discarded it.
+func TestCopyThatIsNotUpdatedIsReleased(t *testing.T) {
+	for _, intact := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s, w := newCopyTargets(1, 2, 200_000, 10)
+			request := s.request("r0", 0, nil)
+			c := newCopier(newStream(s.Forwarder, request, &fakeResponder{}), Attempt{Request: request, Target: w.targets["a0:1"]})
+			c.start()
+			if !c.chooseTarget(time.Now()) {
+				t.Fatal("no target for a copy")
+			}
+			holder := *c.explicitTarget
+			name := c.source.Address + "/copy"
+			w.store(holder.Address, name, heldCopy{tokens: 6_000, until: time.Now().Add(time.Minute)})
+			c.handleResult(copyResult{standbyCopy: standbyCopy{holder, Copy{c.source.Address, "copy"}, byCopy}})
+			c.handleResult(copyResult{standbyCopy: standbyCopy{holder: holder}, err: errors.New("no memory")})
+			c.finish(intact)
+			synctest.Wait()
+			time.Sleep(time.Second)
+			if w.has(holder.Address, name) == intact {
+				t.Errorf("intact %v: the copy is still there: %v", intact, !intact)
+			}
+		})
+	}
+}
