--- a/forward/admission.go
+++ b/forward/admission.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -95,6 +97,19 @@
 	a.peersHeld[peer] = held
 }
 
+// ForgetPeers drops what the daemons hold that have ended. They report nothing more, and what they
+// held would count for good.
+func (a *Admission) ForgetPeers(hasEnded func(peer string) bool) {
+	a.mu.Lock()
+	peers := slices.Collect(maps.Keys(a.peersHeld))
+	a.mu.Unlock()
+	for _, peer := range peers {
+		if hasEnded(peer) {
+			a.SetPeerHeld(peer, nil)
+		}
+	}
+}
+
 // controller returns the controller of a service. a.mu is held.
 func (a *Admission) controller(service string) *overload.Controller {
 	c := a.controllers[service]
--- a/forward/copier.go
+++ b/forward/copier.go
@@ -82,11 +82,12 @@
 	previous           *standbyCopy
 	previousUntil      time.Time
 	explicit           bool   // current is an explicit copy and must be released
-	releaseReservation func() // ends the reservation of the copy's memory
+	releaseReservation func() // ends the reservation of the memory of current
+	releaseTarget      func() // ends that at explicitTarget, until its first copy is complete
 }
 
 func newCopier(s *stream, a Attempt) *copier {
-	c := &copier{stream: s, source: a.Target, results: make(chan copyResult, 1), failedAt: make(map[string]time.Time), retryDelay: copyRetryDelay, releaseReservation: func() {}}
+	c := &copier{stream: s, source: a.Target, results: make(chan copyResult, 1), failedAt: make(map[string]time.Time), retryDelay: copyRetryDelay, releaseReservation: func() {}, releaseTarget: func() {}}
 	if a.CopyTo != nil {
 		c.releaseReservation = s.forwarder.Fleet.ReserveCopy(a.CopyTo.ID, s.memoryTokens())
 		c.current = &standbyCopy{*a.CopyTo, Copy{a.CopyTo.Address, s.request.ID}, byBackup}
@@ -139,6 +140,7 @@
 		c.previousUntil = now.Add(c.stream.copyRetention() - maxCopyAge)
 	}
 	c.releaseReservation()
+	c.releaseTarget()
 	c.failure = errHolderLost
 	c.current, c.explicit, c.explicitTarget, c.unusable = nil, false, nil, nil
 }
@@ -146,25 +148,30 @@
 // chooseTarget picks the target for explicit copies. It returns false if there is none, or none in a
 // better place than the current copy or target.
 func (c *copier) chooseTarget(now time.Time) bool {
-	search := copySearch{c.stream.request.Service, c.source.SoftwareVersion, c.source.Place, c.current != nil || c.explicitTarget != nil}
-	searches, tokens := &c.stream.forwarder.copySearches, c.stream.memoryTokens()
+	f, tokens, failed := c.stream.forwarder, c.stream.memoryTokens(), c.failedTargets(now)
+	search := copySearch{service: c.stream.request.Service, version: c.source.SoftwareVersion, place: c.source.Place, replaces: c.current != nil || c.explicitTarget != nil}
+	if f.Fleet.ServiceSize(search.service) < minSharedTargets {
+		search.excluded = joinIDs(c.stream.tried, failed, map[string]bool{c.source.ID: true})
+	}
+	searches := &f.copySearches
+	if f.Admission.holds(search.service) {
+		c.failure = errStreamsHeld
+		return false
+	}
 	if searches.isFutile(now, search, tokens) {
 		c.failure = errNoCopyTarget
 		return false
 	}
-	t, ok := c.stream.pickCopyTarget(now, c.source, c.failedTargets(now), copyMemory, false)
+	t, ok := c.stream.pickCopyTarget(now, c.source, failed, copyMemory, false)
 	if !ok || search.replaces && t.Place == c.source.Place {
 		c.failure = errNoCopyTarget
 		searches.record(now, search, tokens)
 		return false
 	}
-	release, other := c.stream.forwarder.Fleet.ReserveCopy(t.ID, c.stream.memoryTokens()), c.releaseReservation
+	c.releaseTarget()
+	c.releaseTarget = f.Fleet.ReserveCopy(t.ID, tokens)
 	if c.current == nil {
-		other()
-		c.releaseReservation = release
-		c.unusable = c.stream.forwarder.Fleet.Unusable(now, t.ID)
-	} else {
-		c.releaseReservation = func() { release(); other() } // the current copy keeps its memory
+		c.unusable = f.Fleet.Unusable(now, t.ID)
 	}
 	c.explicitTarget = &t
 	return true
@@ -196,6 +203,7 @@
 // Reasons why a run has no copy.
 var (
 	errNoCopyTarget = errors.New("no other target has memory for it")
+	errStreamsHeld  = errors.New("streams wait for its memory")
 	errHolderLost   = errors.New("its holder was lost")
 )
 
@@ -260,11 +268,18 @@
 // ends with an intact run. After a loss, the copy stays for the next attempt.
 func (c *copier) finish(intact bool) {
 	c.releaseReservation()
-	if !intact || !c.explicit || c.current == nil {
+	c.releaseTarget()
+	if !intact {
 		return
 	}
-	current := *c.current
-	go c.stream.forwarder.releaseCopy(c.stream.request.ID, c.source, current)
+	f, now := c.stream.forwarder, time.Now()
+	// A copy that could not be updated may still be there.
+	if p := c.previous; p != nil && p.origin == byCopy && now.Before(c.previousUntil) && f.isUsable(now, p.holder) && (c.current == nil || p.copy != c.current.copy) {
+		go f.releaseCopy(c.stream.request.ID, c.source, *p)
+	}
+	if c.explicit && c.current != nil {
+		go f.releaseCopy(c.stream.request.ID, c.source, *c.current)
+	}
 }
 
 // releaseCopy releases a copy that the target source has made of a run's KV cache.
@@ -284,11 +299,8 @@
 	case c.explicitTarget == nil || r.holder.ID != c.explicitTarget.ID:
 		// another target was picked after this copy started
 	case r.err == nil:
-		// A target may give the copies of a run at several others the same name.
-		if old := c.current; c.explicit && old.holder.ID != r.holder.ID && old.copy != r.copy {
-			go c.stream.forwarder.releaseCopy(c.stream.request.ID, c.source, *old)
-		}
-		c.current, c.explicit, c.retryDelay = &r.standbyCopy, true, copyRetryDelay
+		c.replaceCurrent(r.standbyCopy)
+		c.explicit, c.retryDelay = true, copyRetryDelay
 		c.unusable = c.stream.forwarder.Fleet.Unusable(now, r.holder.ID)
 		c.schedule(copyInterval)
 		if c.isMisplaced() {
@@ -301,7 +313,27 @@
 		if c.current == nil || c.current.holder.ID == r.holder.ID {
 			c.dropCurrent(now)
 		}
+		c.releaseTarget()
 		c.explicitTarget, c.failure = nil, r.err
 		c.retryLater()
 	}
 }
+
+// replaceCurrent sets the current copy to an explicit one that is complete.
+func (c *copier) replaceCurrent(latest standbyCopy) {
+	old := c.current
+	c.current = &latest
+	if old != nil && old.holder.ID == latest.holder.ID {
+		return // an update of it
+	}
+	before, release := c.releaseReservation, c.releaseTarget
+	c.releaseReservation, c.releaseTarget = release, func() {}
+	switch {
+	case old == nil:
+	case c.explicit && old.copy != latest.copy:
+		before()
+		go c.stream.forwarder.releaseCopy(c.stream.request.ID, c.source, *old)
+	default: // A continuous copy stays at its holder, as does one with the same name, which targets may reuse.
+		c.releaseReservation = func() { release(); before() }
+	}
+}
