--- a/internal/soak/rollout_test.go
+++ b/internal/soak/rollout_test.go
@@ -36,10 +36,10 @@
 // rollout is the roll-out of a version during a soak.
 type rollout struct {
 	bad     bool
-	failing float64       // part of the new version's answers that fail
-	badFrom time.Duration // age of the order from which on they do
+	failing float64                   // part of the new version's answers that fail
+	badFrom time.Duration             // age of the order from which on they do
 	ordered atomic.Pointer[time.Time] // nil before the order
-	engines map[string]bool // of the new version, by id
+	engines map[string]bool           // of the new version, by id
 
 	failed   atomic.Int64
 	fiftieth atomic.Pointer[time.Time] // when that many had failed
