--- a/forward/late_targets.go
+++ b/forward/late_targets.go
@@ -42,7 +42,8 @@
 	if len(l.at) == 0 {
 		return ids
 	}
-	out := maps.Clone(ids)
+	out := make(map[string]bool, len(ids)+len(l.at))
+	maps.Copy(out, ids)
 	for id := range l.at {
 		out[id] = true
 	}
