--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -17,6 +17,7 @@
 // without the disruption.
 var cases = map[string]func(root, record string, trouble bool) int{
 	"drill":  drill,
+	"joined": joined,
 	"relay":  relayedReset,
 	"takeup": takeUp,
 }
--- a/review/harness-2/takeup.go
+++ b/review/harness-2/takeup.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -126,14 +127,15 @@
 	sentAt              time.Time
 	status              int
 	events              int
-	last                int // id of the last event that the client has
+	last                int             // id of the last event that the client has
+	versions            map[string]bool // that the events name
 	end                 string
 }
 
 // requestStream sends one request for a stream and reads events until the stream ends, breaks off or
 // pauses for streamGap.
 func (s *site) requestStream(d *daemon, p *path, resumes string, last int) attempt {
-	a := attempt{id: newID(), daemon: d.id, resumes: resumes, sentAt: time.Now(), last: last}
+	a := attempt{id: newID(), daemon: d.id, resumes: resumes, sentAt: time.Now(), last: last, versions: make(map[string]bool)}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	gap := time.AfterFunc(streamGap, cancel)
@@ -164,6 +166,9 @@
 				a.last, _ = strconv.Atoi(n)
 				a.events++
 			}
+			if _, version, ok := strings.Cut(lines.Text(), " at "); ok {
+				a.versions[version] = true
+			}
 		}
 		_ = resp.Body.Close()
 		a.end = "broken off"
@@ -175,116 +180,130 @@
 	return a
 }
 
-// takeUp plays the loss of power of all machines at once; later, a server of another software
-// version joins. The clients then take up the streams that had begun before the loss, when all
-// servers had one version.
-func takeUp(root, record string, trouble bool) int {
-	s, _, err := startSite(root, record, 4, 4, 24, 15*time.Millisecond)
-	if s != nil {
-		defer s.close()
-	}
-	if err != nil {
-		fmt.Println(err)
-		return failed
-	}
-	var paths []*path
+// streamClients begin streams at all machines in turn. Each takes its stream up once, at the next
+// machine, if it broke off or fell silent.
+type streamClients struct {
+	site  *site
+	paths []*path
+	stop  chan struct{}
+
+	mu      sync.Mutex
+	clients sync.WaitGroup
+	streams [][]attempt // of each client, one or two
+}
+
+// startStreams starts clients that begin perSecond streams a second.
+func (s *site) startStreams(perSecond int) (*streamClients, error) {
+	c := &streamClients{site: s, stop: make(chan struct{})}
 	for _, d := range s.daemons {
 		p, err := newPath(d.front)
 		if err != nil {
-			fmt.Println(err)
-			return failed
+			return nil, err
 		}
-		paths = append(paths, p)
-	}
-	var (
-		mu            sync.Mutex
-		first, second []attempt
-		clients       sync.WaitGroup
-	)
-	client := func(i int) {
-		defer clients.Done()
-		a := s.requestStream(s.daemons[i%4], paths[i%4], "", -1)
-		mu.Lock()
-		first = append(first, a)
-		mu.Unlock()
-		if a.events == 0 || a.end == "complete" {
-			return
-		}
-		b := s.requestStream(s.daemons[(i+1)%4], paths[(i+1)%4], a.id, a.last)
-		mu.Lock()
-		second = append(second, b)
-		mu.Unlock()
+		c.paths = append(c.paths, p)
 	}
-	stop := make(chan struct{})
-	go func() {
-		tick := time.NewTicker(time.Second / streamsPerSecond)
+	c.clients.Go(func() {
+		tick := time.NewTicker(time.Second / time.Duration(perSecond))
 		defer tick.Stop()
 		for i := 0; ; i++ {
 			select {
-			case <-stop:
+			case <-c.stop:
 				return
 			case <-tick.C:
-				clients.Add(1)
-				go client(i)
+				c.clients.Go(func() { c.client(i) })
 			}
 		}
-	}()
-	time.Sleep(8 * time.Second)
-	lostAt := time.Now()
-	s.record("the channels of all clients go silent")
-	for i, d := range s.daemons {
-		paths[i].setDark(true)
-		if trouble {
-			s.record("%s loses power", d.id)
+	})
+	return c, nil
+}
+
+func (c *streamClients) client(i int) {
+	at, next := i%len(c.paths), (i+1)%len(c.paths)
+	stream := []attempt{c.site.requestStream(c.site.daemons[at], c.paths[at], "", -1)}
+	if a := stream[0]; a.events > 0 && a.end != "complete" {
+		stream = append(stream, c.site.requestStream(c.site.daemons[next], c.paths[next], a.id, a.last))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams = append(c.streams, stream)
+}
+
+// losePower makes the clients' channels to all machines silent for 2 s. With kill, the machines'
+// processes end at once, and start again after it. It returns when all are ready.
+func (c *streamClients) losePower(kill bool) error {
+	c.site.record("the channels of all clients go silent")
+	for i, d := range c.site.daemons {
+		c.paths[i].setDark(true)
+		if kill {
+			c.site.record("%s loses power", d.id)
 			_ = d.process.Process.Signal(syscall.SIGKILL)
 		}
 	}
 	time.Sleep(2 * time.Second)
-	for i, d := range s.daemons {
-		paths[i].setDark(false)
-		if trouble {
+	for i, d := range c.site.daemons {
+		c.paths[i].setDark(false)
+		if kill {
 			_ = d.process.Wait()
-			if err := s.startDaemon(d, false); err != nil {
-				fmt.Println(err)
-				return failed
+			if err := c.site.startDaemon(d, false); err != nil {
+				return err
 			}
 		}
 	}
-	if !s.awaitReady() {
-		fmt.Println("the daemons are not ready again")
+	if !c.site.awaitReady() {
+		return errors.New("the daemons are not ready again")
+	}
+	c.site.record("all machines are ready")
+	return nil
+}
+
+// takeUp plays the loss of power of all machines at once; later, a server of another software
+// version joins. The clients then take up the streams that had begun before the loss, when all
+// servers had one version.
+func takeUp(root, record string, trouble bool) int {
+	s, _, err := startSite(root, record, 4, 4, 24, 15*time.Millisecond)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		fmt.Println(err)
+		return failed
+	}
+	clients, err := s.startStreams(streamsPerSecond)
+	if err != nil {
+		fmt.Println(err)
+		return failed
+	}
+	time.Sleep(8 * time.Second)
+	lostAt := time.Now()
+	if err := clients.losePower(trouble); err != nil {
+		fmt.Println(err)
 		return failed
 	}
 	backAt := time.Now()
-	s.record("all machines are ready, %.1f s after the loss", backAt.Sub(lostAt).Seconds())
 	time.Sleep(6 * time.Second)
-	joining := &engine{id: "i-9", service: "booking", zone: "zone-1", version: "v2", slots: 24, workTime: 15 * time.Millisecond, site: s}
-	if err := joining.start("127.0.0.1:0"); err != nil {
+	if _, err := s.join("i-9", "zone-1", "v2", 24); err != nil {
 		fmt.Println(err)
 		return failed
 	}
-	s.record("engine i-9 of version v2 joins; those of v1 go on to serve")
 	time.Sleep(14 * time.Second)
-	close(stop)
-	time.Sleep(100 * time.Millisecond)
-	clients.Wait()
+	close(clients.stop)
+	clients.clients.Wait()
 
 	inTouch := func(at time.Time) bool { return at.Before(lostAt) || at.After(backAt.Add(contact)) }
 	taken, wentOn, begun, began := 0, 0, 0, 0
-	for _, a := range second {
-		if inTouch(a.sentAt) {
-			taken++
-			if a.events > 0 {
-				wentOn++
-			}
-		}
-	}
-	for _, a := range first {
-		if inTouch(a.sentAt) {
+	for _, stream := range clients.streams {
+		if inTouch(stream[0].sentAt) {
 			begun++
-			if a.events > 0 {
+			if stream[0].events > 0 {
 				began++
 			}
 		}
+		if len(stream) == 2 && inTouch(stream[1].sentAt) {
+			taken++
+			if stream[1].events > 0 {
+				wentOn++
+			}
+		}
 	}
 	line := fmt.Sprintf("of %d streams that clients took up again at machines in touch, %d went on; of %d new ones, %d began", taken, wentOn, begun, began)
 	s.record("%s", line)
@@ -298,3 +317,103 @@
 	}
 	return held
 }
+
+// join starts a server that joins the service.
+func (s *site) join(id, zone, version string, slots int) (*engine, error) {
+	e := &engine{id: id, service: "booking", zone: zone, version: version, slots: slots, workTime: 15 * time.Millisecond, site: s}
+	if err := e.start("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	s.record("engine %s of version %s joins", id, version)
+	return e, nil
+}
+
+// joined plays a drill, after which two servers of a new version leave again, and the loss of power
+// of all machines. The clients then take up the streams that had begun at the new version.
+func joined(root, record string, trouble bool) int {
+	s, _, err := startSite(root, record, 4, 1, 24, 15*time.Millisecond)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		fmt.Println(err)
+		return failed
+	}
+	clients, err := s.startStreams(2 * streamsPerSecond)
+	if err != nil {
+		fmt.Println(err)
+		return failed
+	}
+	time.Sleep(2 * time.Second)
+	copyAt := time.Now()
+	time.Sleep(500 * time.Millisecond)
+	var joining []*engine
+	for _, id := range []string{"i-8", "i-9"} {
+		e, err := s.join(id, "zone-1", "v2", 24)
+		if err != nil {
+			fmt.Println(err)
+			return failed
+		}
+		joining = append(joining, e)
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		s.record("the store is away")
+		s.store.setAway(true)
+		time.Sleep(time.Second)
+		s.store.restore(copyAt)
+		s.record("the store is back, from a copy that is %.1f s old", time.Since(copyAt).Seconds())
+	} else {
+		time.Sleep(time.Second)
+	}
+	time.Sleep(5 * time.Second)
+	for _, e := range joining {
+		e.leave()
+	}
+	time.Sleep(2 * time.Second)
+	if err := clients.losePower(trouble); err != nil {
+		fmt.Println(err)
+		return failed
+	}
+	time.Sleep(8 * time.Second)
+	for _, e := range joining {
+		s.record("engine %s exits", e.id)
+		_ = e.server.Close()
+	}
+	time.Sleep(6 * time.Second)
+	close(clients.stop)
+	clients.clients.Wait()
+
+	taken, refused, mixed, began := 0, 0, 0, 0
+	for _, stream := range clients.streams {
+		versions := make(map[string]bool)
+		for _, a := range stream {
+			for v := range a.versions {
+				versions[v] = true
+			}
+		}
+		if stream[0].events > 0 {
+			began++
+		}
+		if len(versions) > 1 {
+			mixed++
+			s.record("ORDER broken: stream %s has events of two versions, until event %d and after it", stream[0].id, stream[0].last)
+		}
+		if len(stream) == 2 && stream[0].versions["v2"] {
+			taken++
+			if stream[1].events == 0 {
+				refused++
+			}
+		}
+	}
+	line := fmt.Sprintf("%d streams began; of %d that had begun at v2 and were taken up, %d got no events; %d streams have events of two versions", began, taken, refused, mixed)
+	s.record("%s", line)
+	fmt.Println(line)
+	switch {
+	case taken < 3:
+		return failed
+	case mixed > 2:
+		return broken
+	}
+	return held
+}
