--- a/review/harness-2/engine.go
+++ b/review/harness-2/engine.go
@@ -24,7 +24,6 @@
 	born     int64
 
 	mu      sync.Mutex
-	seq     int64
 	leaving bool            // says so in all its answers
 	gone    bool            // its entry is removed, and stays so
 	faulty  bool            // breaks off some of its answers to uploads, at most brokenShare of all its answers
@@ -40,7 +39,7 @@
 func (e *engine) entry() map[string]any {
 	return map[string]any{
 		"service": e.service, "address": e.listener.Addr().String(), "zone": e.zone, "version": e.version, "slots": e.slots,
-		"state": "ready", "cold_left_ms": 0, "seq": e.seq, "born": e.born,
+		"state": "ready", "cold_left_ms": 0, "seq": 1, "born": e.born,
 	}
 }
 
@@ -55,7 +54,6 @@
 		e.site.store.remove("servers", e.id)
 		return
 	}
-	e.seq++
 	e.site.store.put("servers", e.id, e.entry())
 }
 
@@ -191,9 +189,25 @@
 	e.site.record("engine %s begins to leave, and removes its entry at its next beat", e.id)
 }
 
+// health answers a health probe. A server that leaves isn't ready, though it goes on to serve.
+func (e *engine) health(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.Header().Set("Vanillaroad-Instance-Id", e.id)
+	w.Header().Set("Vanillaroad-Instance-Load", fmt.Sprintf("%d,0,%d", e.running, e.slots))
+	if e.leaving {
+		w.Header().Set("Server-Leaving", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	at, id := time.Now(), r.Header.Get("Vanillaroad-Request-Id")
+	if r.URL.Path == "/healthz" && id == "" {
+		e.health(w)
+		return
+	}
 	if expect := r.Header.Get("Vanillaroad-Expect-Instance"); id != "" && (expect == "" || expect == e.id) && e.isToBreakOff(r) {
 		e.site.arrived(arrival{engine: e.id, id: id, at: at, ran: true})
 		e.breakOff(w, id)
@@ -233,6 +247,11 @@
 	e.site.arrived(arrival{engine: e.id, id: id, at: at, ran: true})
 	h.Set("Vanillaroad-Upstream-Stamp", e.id+"."+id)
 	if strings.HasPrefix(r.URL.Path, "/plan/") {
+		e.mu.Lock()
+		if e.leaving {
+			h.Set("Server-Leaving", "1")
+		}
+		e.mu.Unlock()
 		e.stream(w, r)
 		e.mu.Lock()
 		e.running--
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -27,12 +29,17 @@
 		fmt.Fprintln(os.Stderr, "usage: harness-2 CASE ROOT RECORD")
 		os.Exit(failed)
 	}
-	status := make(chan int, 1)
+	status, ended := make(chan int, 1), make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
 	go func() { status <- cases[os.Args[1]](os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0") }()
 	select {
 	case code := <-status:
 		os.Exit(code)
 	case <-time.After(110 * time.Second):
+		endProcesses()
+		os.Exit(failed)
+	case <-ended:
+		endProcesses()
 		os.Exit(failed)
 	}
 }
--- a/review/harness-2/relay.go
+++ b/review/harness-2/relay.go
@@ -40,8 +40,10 @@
 	// uploadBytes is the size of the body of an upload, below max_body_bytes.
 	uploadBytes = 4_000_000
 	uploads     = 80
+	// cutTime is for_s of node_cut in the site file.
+	cutTime = 5500 * time.Millisecond
 	// uploaders is how many clients send them, one after the other each.
-	uploaders = 4
+	uploaders = 16
 	// loadPerDaemon is the usual requests a second at each daemon.
 	loadPerDaemon = 100
 )
@@ -50,7 +52,7 @@
 // requests are relayed by others, while some answers of half of the servers break off: the server
 // answers a long upload before it has read it, without a length, and resets the channel halfway.
 func relayedReset(root, record string, trouble bool) int {
-	s, engines, err := startSite(root, record, 4, 4, 6, 15*time.Millisecond)
+	s, engines, err := startSite(root, record, 4, 1, 6, 15*time.Millisecond)
 	if s != nil {
 		defer s.close()
 	}
@@ -64,13 +66,18 @@
 		l.run(s, d, loadPerDaemon, stop)
 	}
 	time.Sleep(3 * time.Second)
-	cutAt := time.Now()
 	if trouble {
 		s.record("%s is cut off from all engines", s.daemons[0].id)
 		for _, e := range engines {
 			e.cut(s.daemons[0].source)
 		}
 	}
+	time.AfterFunc(cutTime, func() {
+		for _, e := range engines {
+			e.cut("")
+		}
+		s.record("the cut ends")
+	})
 	time.Sleep(time.Second)
 	body := strings.Repeat("0123456789", uploadBytes/10)
 	var (
@@ -102,11 +109,6 @@
 		})
 	}
 	clients.Wait()
-	cutFor := time.Since(cutAt)
-	for _, e := range engines {
-		e.cut("")
-	}
-	s.record("the cut has ended after %.1f s", cutFor.Seconds())
 	time.Sleep(2 * time.Second)
 	close(stop)
 	l.wg.Wait()
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -139,7 +139,28 @@
 	d.process = exec.Command(filepath.Join(s.root, "target", "vanillaroad-gateway"), "-settings", d.file)
 	d.process.Stdout, d.process.Stderr, d.process.Dir = log, log, s.root
 	s.record("daemon %s starts", d.id)
-	return d.process.Start()
+	if err := d.process.Start(); err != nil {
+		return err
+	}
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	started = append(started, d.process)
+	return nil
+}
+
+// started are the processes of all daemons.
+var (
+	startedMu sync.Mutex
+	started   []*exec.Cmd
+)
+
+// endProcesses ends the daemons of a case that didn't come to its end.
+func endProcesses() {
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	for _, p := range started {
+		_ = p.Process.Kill()
+	}
 }
 
 // isReady reports whether a daemon is ready.
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -31,18 +31,32 @@
 	rev     int64
 }
 
+// changed is one change of an object, for those who watch its kind.
+type changed struct {
+	rev int64
+	key string
+	event
+}
+
+// event is a change as a watch reports it.
+type event struct {
+	Deleted bool   `json:"deleted"`
+	Object  object `json:"object"`
+}
+
 // store is a stand-in of the platform's store, form "objects". It loses what it has acknowledged
 // only by restore.
 type store struct {
 	mu   sync.Mutex
 	now  state
 	past []state
+	log  []changed // all changes that led to now
 	era  int64
 	away bool
 }
 
 func newStore() *store {
-	return &store{now: state{objects: make(map[string]object), rev: 100}, era: 1}
+	return &store{now: state{objects: make(map[string]object), rev: firstRevision}, era: 1}
 }
 
 // change applies one change. mu is held.
@@ -53,6 +67,9 @@
 		next.objects[k] = v
 	}
 	if o == nil {
+		gone := next.objects[key]
+		gone.Metadata.Revision = next.rev
+		s.log = append(s.log, changed{next.rev, key, event{true, gone}})
 		delete(next.objects, key)
 	} else {
 		o.Metadata.Revision = next.rev
@@ -60,6 +77,7 @@
 			o.Metadata.Created = next.rev
 		}
 		next.objects[key] = *o
+		s.log = append(s.log, changed{next.rev, key, event{false, *o}})
 	}
 	s.now = next
 }
@@ -109,12 +127,60 @@
 	for len(s.past) > 0 && s.now.at.After(copyAt) {
 		s.now, s.past = s.past[len(s.past)-1], s.past[:len(s.past)-1]
 	}
+	for len(s.log) > 0 && s.log[len(s.log)-1].rev > s.now.rev {
+		s.log = s.log[:len(s.log)-1]
+	}
 	s.era++
 	s.away = false
 }
 
+// firstRevision is the revision of the empty store.
+const firstRevision = 100
+
+// watch answers with the changes of a kind after a revision, as soon as there is one or the wait is
+// over. It answers 410 for a revision that the store doesn't have.
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, after int64) {
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	end := time.Now().Add(time.Duration(min(wait, 30_000)) * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		events := []event{}
+		for _, c := range s.log {
+			if c.rev > after && strings.HasPrefix(c.key, kind+"/") {
+				events = append(events, c.event)
+			}
+		}
+		switch {
+		case s.away:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case after > s.now.rev || after < firstRevision:
+			w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0 || !time.Now().Before(end) || r.Context().Err() != nil:
+			w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+			reply(w, http.StatusOK, map[string]any{"events": events, "at": s.now.rev})
+			return
+		}
+		s.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+		s.mu.Lock()
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if kind, ok := strings.CutPrefix(r.URL.Path, "/-/objects/"); ok && r.Method == http.MethodGet && !strings.Contains(kind, "/") && r.URL.Query().Has("watch") {
+		after, err := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		s.watch(w, r, kind, after)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	body, _ := io.ReadAll(r.Body)
@@ -163,12 +229,15 @@
 		s.change(key, nil)
 		reply(w, http.StatusOK, found)
 	case r.Method == http.MethodPut:
+		before, _ := json.Marshal(found)
 		if isStatus {
 			found.Status = sent.Status
 		} else {
-			found.Spec = sent.Spec
+			found.Spec, found.Metadata.Finalizers = sent.Spec, sent.Metadata.Finalizers
+		}
+		if after, _ := json.Marshal(found); string(after) != string(before) {
+			s.change(key, &found)
 		}
-		s.change(key, &found)
 		reply(w, http.StatusOK, s.now.objects[key])
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
