callers: bounds on what callers hold, in a package of their own

The bounds of connections, heads and memory were files of package gateway, so that the other daemon, vanillaroadd, could not mount them. They move to package callers without a change of what they do; gateway keeps the ports that only it has.

Two things are new. callers_limited names the host with most of the connections that were closed or whose body was refused within the second, their number and what was read of their requests: the line said how many, and not who. And the state of the bounds follows the limits with which the daemon has started: a reload that set memory_mb for the first time ended the process, since the pool of connections that check reads (pools[0]) did not exist. That was read in the code, not run.

--- a/gateway/conn_guard.go
+++ b/callers/guard.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"context"
@@ -33,8 +33,6 @@
 	// headerSlack is added to twice the configured limit to get the size of a header that
 	// is not read any further. Up to there, the caller gets the answer of its route.
 	headerSlack = 4 << 10
-	// maxHeaderBytes bounds a header if the configuration sets no limit, as net/http does.
-	maxHeaderBytes = http.DefaultMaxHeaderBytes
 	// freeHeaderBytes is the part of a header that counts with its connection, and
 	// headerFactor the memory in bytes for each further one. A line of five bytes takes about
 	// 100 in the maps of net/http and of the request to the target, usual ones far less.
@@ -72,10 +70,10 @@
 	phaseIdle
 )
 
-// connGuard bounds what one connection holds. It implements platform.CallerConn.
-type connGuard struct {
+// Guard bounds what one connection holds. It implements membudget.Holder.
+type Guard struct {
 	conn  net.Conn
-	pool  *connPool
+	pool  *Pool
 	share *membudget.Share // used by the reader of the connection only
 	// enlarged means that the read buffer has bodyReadBufferBytes. It is used by the
 	// handler only.
@@ -87,11 +85,13 @@
 	progress int       // bytes of a body since then
 	readAt   time.Time // of the latest bytes of a body
 	header   int       // bytes of the header
+	body     int64     // bytes of the body
 	writing  time.Time // start of a write that has not ended; zero for none
+	evicted  bool      // the body that is being read has lost its memory
 }
 
-func newConnGuard(conn net.Conn, p *connPool, now time.Time) *connGuard {
-	g := &connGuard{conn: conn, pool: p, since: now}
+func newGuard(conn net.Conn, p *Pool, now time.Time) *Guard {
+	g := &Guard{conn: conn, pool: p, since: now}
 	g.share = p.budget.NewConnShare(g)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// A connection without these limits works, and errors mean that it is closed.
@@ -114,7 +114,7 @@
 }
 
 // unread returns the number of bytes that wait in the kernel while a request is served.
-func (g *connGuard) unread() (n int) {
+func (g *Guard) unread() (n int) {
 	g.mu.Lock()
 	served := g.phase == phaseServed
 	g.mu.Unlock()
@@ -132,13 +132,14 @@
 
 // arrived counts n bytes that were read. It returns an error if the header is too long, or
 // no memory is left for it.
-func (g *connGuard) arrived(n int) error {
+func (g *Guard) arrived(n int) error {
 	g.mu.Lock()
 	switch g.phase {
 	case phaseNew, phaseIdle:
 		g.phase, g.since, g.header = phaseHeader, time.Now(), 0
 	case phaseBody:
 		g.readAt = time.Now()
+		g.body += int64(n)
 		if g.progress += n; g.progress >= progressBytes {
 			g.progress, g.since = 0, time.Now()
 		}
@@ -152,13 +153,13 @@
 	cost, tooLong := headerCost(g.header)-before, g.header > g.pool.headerLimit()
 	g.mu.Unlock()
 	if tooLong {
-		g.pool.countClosed(closedHeader, 1)
+		g.pool.countClosed(closedHeader, g.conn.RemoteAddr(), g.held())
 		g.refuse("431 Request Header Fields Too Large\r\n")
 		return readError(errors.New("the header is too long"))
 	}
 	if cost > 0 {
 		if err := g.share.Grow(cost, func() {}); err != nil {
-			g.pool.countClosed(closedMemory, 1)
+			g.pool.countClosed(closedMemory, g.conn.RemoteAddr(), g.held())
 			g.refuse("503 Service Unavailable\r\nRetry-After: 1\r\n")
 			return readError(err)
 		}
@@ -168,32 +169,41 @@
 
 // refuse answers a request whose header is not read to its end, so that no handler has run. An
 // error of the write doesn't matter, since the connection is closed.
-func (g *connGuard) refuse(status string) {
+func (g *Guard) refuse(status string) {
 	_ = g.conn.SetWriteDeadline(time.Now().Add(time.Second))
 	_, _ = g.conn.Write([]byte("HTTP/1.1 " + status + "Connection: close\r\nContent-Length: 0\r\n\r\n"))
 }
 
+// HeaderReadLimit returns the size of a header that is not read any further, for a limit of the
+// configuration; 0 for none. net/http has the same bound then.
+func HeaderReadLimit(limit int) int {
+	if limit <= 0 {
+		return http.DefaultMaxHeaderBytes
+	}
+	return 2*limit + headerSlack
+}
+
 func headerCost(header int) int { return headerFactor * max(0, header-freeHeaderBytes) }
 
 // readError returns an error after which net/http closes a connection without an answer.
 func readError(err error) error { return &net.OpError{Op: "read", Net: "tcp", Err: err} }
 
 // writes records the start of a write, or its end by the zero time.
-func (g *connGuard) writes(start time.Time) {
+func (g *Guard) writes(start time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.writing = start
 }
 
 // stateChanged is called for each change of the state of the connection in net/http.
-func (g *connGuard) stateChanged(s http.ConnState) {
+func (g *Guard) stateChanged(s http.ConnState) {
 	switch s {
 	case http.StateActive:
 		g.setPhase(phaseServed)
 	case http.StateIdle:
 		g.mu.Lock()
 		header := g.header
-		g.header = 0
+		g.header, g.body = 0, 0
 		g.mu.Unlock()
 		if cost := headerCost(header); cost > 0 {
 			g.share.Shrink(cost)
@@ -206,34 +216,51 @@
 	}
 }
 
-func (g *connGuard) setPhase(p phase) {
+func (g *Guard) setPhase(p phase) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.phase, g.since, g.progress, g.evicted = p, time.Now(), 0, false
+}
+
+// held returns what was read of the request.
+func (g *Guard) held() int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.phase, g.since, g.progress = p, time.Now(), 0
+	return int64(g.header) + g.body
 }
 
-// BodyBegins implements platform.CallerConn.
-func (g *connGuard) BodyBegins(length int64) {
+// BodyBegins is called before a body of length bytes is read, -1 if unknown.
+func (g *Guard) BodyBegins(length int64) {
 	g.setPhase(phaseBody)
 	if tcp, ok := g.conn.(*net.TCPConn); ok && !g.enlarged && (length < 0 || length > readBufferBytes) {
 		g.enlarged = tcp.SetReadBuffer(bodyReadBufferBytes) == nil
 	}
 }
 
-// BodyEnds implements platform.CallerConn.
-func (g *connGuard) BodyEnds() {
+// BodyRefused is called if a body was refused for want of memory.
+func (g *Guard) BodyRefused() { g.pool.tally.add(g.conn.RemoteAddr(), g.held()) }
+
+// Evicted reports whether the body that is being read has lost its memory.
+func (g *Guard) Evicted() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evicted
+}
+
+// BodyEnds is called when a body was read or refused.
+func (g *Guard) BodyEnds() {
 	g.setPhase(phaseServed)
 }
 
 // StalledFor implements membudget.Holder.
-func (g *connGuard) StalledFor(now time.Time) time.Duration {
+func (g *Guard) StalledFor(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.stalledFor(now)
 }
 
 // stalledFor is StalledFor for callers that hold mu.
-func (g *connGuard) stalledFor(now time.Time) time.Duration {
+func (g *Guard) stalledFor(now time.Time) time.Duration {
 	since := now
 	switch g.phase {
 	case phaseNew, phaseHeader:
@@ -254,19 +281,19 @@
 }
 
 // stalled reports whether the caller stalls. The caller of stalled holds mu.
-func (g *connGuard) stalled(now time.Time) bool { return g.stalledFor(now) > 0 }
+func (g *Guard) stalled(now time.Time) bool { return g.stalledFor(now) > 0 }
 
 // Evict implements membudget.Holder. A caller that has sent no complete request is refused
 // or closed by the reader of its connection.
-func (g *connGuard) Evict() {
+func (g *Guard) Evict() {
 	if g.evict(time.Now()) {
-		g.pool.countClosed(closedMemory, 1)
+		g.pool.countClosed(closedMemory, g.conn.RemoteAddr(), g.held())
 	}
 }
 
 // evict is Evict unless the caller has made progress meanwhile. It holds mu, so that a body
 // doesn't end before its deadline is set, which would hit the request that is served then.
-func (g *connGuard) evict(now time.Time) bool {
+func (g *Guard) evict(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
@@ -275,6 +302,7 @@
 	case g.phase == phaseServed:
 		_ = g.conn.Close() // it may be closed already
 	default:
+		g.evicted = true
 		_ = g.conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed already
 	}
 	return true
@@ -283,7 +311,7 @@
 // closeRank returns how early a connection is closed when there are too many: the lowest
 // rank first, and within a rank the one that is in it for longest. It returns false if the
 // connection must stay.
-func (g *connGuard) closeRank(now time.Time) (rank int, since time.Time, ok bool) {
+func (g *Guard) closeRank(now time.Time) (rank int, since time.Time, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
@@ -299,10 +327,16 @@
 
 type guardKey struct{}
 
-// withGuard is the ConnContext of an http.Server whose connections are bounded.
-func withGuard(ctx context.Context, c net.Conn) context.Context {
-	if t, ok := c.(*trackedConn); ok && t.guard != nil {
+// ConnContext is the ConnContext of an http.Server with a Listener.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*Conn); ok && t.guard != nil {
 		return context.WithValue(ctx, guardKey{}, t.guard)
 	}
 	return ctx
 }
+
+// GuardOf returns the guard of a request's connection by its context, or nil.
+func GuardOf(ctx context.Context) *Guard {
+	g, _ := ctx.Value(guardKey{}).(*Guard)
+	return g
+}
--- a/gateway/header_time.go
+++ b/callers/header_time.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"sync/atomic"
@@ -7,13 +7,13 @@
 	"github.com/pkg/errors"
 )
 
-// Times for headers at the callers' port.
+// Times for headers.
 const (
-	// headerTimeout is the time for a header if the configuration sets none, and for the first
+	// HeaderTimeout is the time for a header if the configuration sets none, and for the first
 	// bytes on a new connection.
-	headerTimeout = 10 * time.Second
-	// maxHeaderTimeout bounds a configured time. net/http closes the connection then.
-	maxHeaderTimeout = 2 * time.Minute
+	HeaderTimeout = 10 * time.Second
+	// MaxHeaderTimeout bounds a configured time. net/http closes the connection then.
+	MaxHeaderTimeout = 2 * time.Minute
 	// lateHeaderTime is added, so that a header is read that arrived in time while the daemon
 	// was late itself.
 	lateHeaderTime = 100 * time.Millisecond
@@ -21,38 +21,42 @@
 
 var errLateHeader = errors.New("the header is not complete in time")
 
-// headerLimits bounds the time from the first byte of a header to its end.
-type headerLimits struct {
-	// timeout returns the configured time; 0 if there is none.
-	timeout func() time.Duration
-	refused atomic.Int64 // headers that were answered with 408
+// HeaderLimits bounds the time from the first byte of a header to its end.
+type HeaderLimits struct {
+	// Timeout returns the configured time; 0 if there is none.
+	Timeout func() time.Duration
+
+	refused atomic.Int64
 }
 
+// Refused returns the number of headers that were answered with 408.
+func (h *HeaderLimits) Refused() int64 { return h.refused.Load() }
+
 // awaitHeader starts the time for the first byte on a new connection. A connection without one
 // gets no answer, since its caller has no request to be answered.
-func (c *trackedConn) awaitHeader() {
+func (c *Conn) awaitHeader() {
 	if c.header == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.startHeaderTimer(max(headerTimeout, c.header.timeout()), false)
+	c.startHeaderTimer(max(HeaderTimeout, c.header.Timeout()), false)
 }
 
 // beginHeader starts the time for a header whose first bytes were read. The caller holds mu.
-func (c *trackedConn) beginHeader() {
+func (c *Conn) beginHeader() {
 	if c.header == nil {
 		return
 	}
-	if limit := c.header.timeout(); limit > 0 {
+	if limit := c.header.Timeout(); limit > 0 {
 		c.startHeaderTimer(limit, true)
 	} else {
-		c.startHeaderTimer(headerTimeout, false)
+		c.startHeaderTimer(HeaderTimeout, false)
 	}
 }
 
 // startHeaderTimer replaces the timer of the header. The caller holds mu.
-func (c *trackedConn) startHeaderTimer(limit time.Duration, answer bool) {
+func (c *Conn) startHeaderTimer(limit time.Duration, answer bool) {
 	if c.headerTimer != nil {
 		c.headerTimer.Stop()
 	}
@@ -71,7 +75,7 @@
 
 // SetReadDeadline implements net.Conn. net/http sets its own deadline within a header, which must
 // not replace that of a late one.
-func (c *trackedConn) SetReadDeadline(t time.Time) error {
+func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.headerLate && c.headerOpen {
@@ -81,7 +85,7 @@
 }
 
 // endHeader ends the time for a header, since it is complete or the connection is closed.
-func (c *trackedConn) endHeader() {
+func (c *Conn) endHeader() {
 	if c.header == nil {
 		return
 	}
@@ -100,7 +104,7 @@
 // refuseLateHeader reports whether a read failed because the time of the header is over, and
 // answers it with 408 if that is configured. Nothing was passed to a handler, and the
 // connection is closed, so the request has not run and never will.
-func (c *trackedConn) refuseLateHeader() bool {
+func (c *Conn) refuseLateHeader() bool {
 	c.mu.Lock()
 	late, answer := c.headerLate && c.headerOpen, c.headerAnswer
 	c.headerOpen = c.headerOpen && !late
--- a/gateway/header_time_test.go
+++ b/callers/header_time_test.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"bufio"
@@ -8,27 +8,29 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/vanillaroad/vanillaroad/internal/pipelistener"
 )
 
 // headerPort is a callers' port of one connection, without a network.
 type headerPort struct {
 	caller net.Conn
 	served int // requests that reached the handler
-	limits *headerLimits
+	limits *HeaderLimits
 	stop   func()
 }
 
 func newHeaderPort(timeout time.Duration) *headerPort {
-	p := &headerPort{limits: &headerLimits{timeout: func() time.Duration { return timeout }}}
-	tracker := newIdleTracker()
-	listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-	server := &http.Server{ConnState: tracker.stateChanged, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: idleTimeout, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	p := &headerPort{limits: &HeaderLimits{Timeout: func() time.Duration { return timeout }}}
+	tracker := NewTracker()
+	listener := pipelistener.New()
+	server := &http.Server{ConnState: tracker.ConnState, ReadHeaderTimeout: MaxHeaderTimeout, IdleTimeout: 2 * time.Minute, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		p.served++
 		_, _ = io.Copy(io.Discard, r.Body)
 	})}
-	go func() { _ = server.Serve(trackedListener{listener, p.limits}) }()
+	go func() { _ = server.Serve(Listener{Listener: listener, Header: p.limits}) }()
 	caller, accepted := net.Pipe()
-	listener.conns <- accepted
+	listener.Conns <- accepted
 	p.caller, p.stop = caller, func() {
 		_ = caller.Close()
 		_ = server.Close()
@@ -73,8 +75,8 @@
 			}
 			<-ended // the writer gets an error
 			synctest.Wait()
-			if p.served != before || p.limits.refused.Load() != 1 {
-				t.Errorf("%d requests ran and %d were refused, want %d and 1", p.served, p.limits.refused.Load(), before)
+			if p.served != before || p.limits.Refused() != 1 {
+				t.Errorf("%d requests ran and %d were refused, want %d and 1", p.served, p.limits.Refused(), before)
 			}
 		})
 	}
@@ -108,14 +110,14 @@
 			}
 			time.Sleep(30 * time.Second)
 		}
-		if p.served != 3 || p.limits.refused.Load() != 0 {
-			t.Errorf("%d requests ran and %d were refused, want 3 and none", p.served, p.limits.refused.Load())
+		if p.served != 3 || p.limits.Refused() != 0 {
+			t.Errorf("%d requests ran and %d were refused, want 3 and none", p.served, p.limits.Refused())
 		}
 	})
 }
 
 // TestHeadersWithoutALimit guards against an answer of 408 where none is configured, and for
-// connections that send nothing; both are closed after headerTimeout, as before.
+// connections that send nothing; both are closed after HeaderTimeout, as before.
 func TestHeadersWithoutALimit(t *testing.T) {
 	for timeout, sent := range map[time.Duration]string{0: "GET / HTTP/1.1\r\n", time.Second: ""} {
 		synctest.Test(t, func(t *testing.T) {
@@ -124,8 +126,8 @@
 			start := time.Now()
 			go func() { _, _ = io.WriteString(p.caller, sent) }()
 			got, err := io.ReadAll(p.caller)
-			if after := time.Since(start); len(got) > 0 || err != nil || after < headerTimeout || after > headerTimeout+2*lateHeaderTime {
-				t.Errorf("%q and error %v after %v, want the end of the connection after %v", got, err, after, headerTimeout)
+			if after := time.Since(start); len(got) > 0 || err != nil || after < HeaderTimeout || after > HeaderTimeout+2*lateHeaderTime {
+				t.Errorf("%q and error %v after %v, want the end of the connection after %v", got, err, after, HeaderTimeout)
 			}
 		})
 	}
--- a/gateway/conn_pool.go
+++ b/callers/pool.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"cmp"
@@ -24,60 +24,42 @@
 // every accepted connection compares all others.
 const closeBatch = 1.0 / 32
 
-// connPool bounds the number of connections of one or several listeners.
-type connPool struct {
+// Pool bounds the number of connections of one or several listeners.
+type Pool struct {
 	max         int
 	budget      *membudget.Budget
 	headerLimit func() int // size of a header that is not read any further
+	tally       *tally
 
 	mu     sync.Mutex
-	conns  map[*connGuard]*trackedConn // without those that are being closed
+	conns  map[*Guard]*Conn // without those that are being closed
 	closed [closedReasons]int64
 }
 
-func newConnPool(size int, budget *membudget.Budget, headerLimit func() int) *connPool {
-	return &connPool{max: max(1, size), budget: budget, headerLimit: headerLimit, conns: make(map[*connGuard]*trackedConn)}
-}
-
-// boundListener accepts connections that a pool bounds.
-type boundListener struct {
-	trackedListener
-	pool *connPool
-}
-
-// Accept implements net.Listener.
-func (l boundListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.trackedListener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if conn, ok := c.(*trackedConn); ok && l.pool.admit(conn, time.Now()) {
-			return c, nil
-		}
-		_ = c.Close() // nothing was read
-	}
+func newPool(size int, budget *membudget.Budget, headerLimit func() int, tally *tally) *Pool {
+	return &Pool{max: max(1, size), budget: budget, headerLimit: headerLimit, tally: tally, conns: make(map[*Guard]*Conn)}
 }
 
 // admit adds a connection. If there are too many, others are closed; it returns false if all
 // of them must stay.
-func (p *connPool) admit(c *trackedConn, now time.Time) bool {
+func (p *Pool) admit(c *Conn, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.conns) >= p.max && !p.closeSome(now) {
 		p.closed[closedMany]++
+		p.tally.add(c.RemoteAddr(), 0)
 		return false
 	}
-	c.guard = newConnGuard(c.Conn, p, now)
+	c.guard = newGuard(c.Conn, p, now)
 	p.conns[c.guard] = c
 	return true
 }
 
 // closeSome closes the connections that matter least, and reports whether there are any. The
 // caller holds mu.
-func (p *connPool) closeSome(now time.Time) bool {
+func (p *Pool) closeSome(now time.Time) bool {
 	type candidate struct {
-		guard *connGuard
+		guard *Guard
 		rank  int
 		since time.Time
 	}
@@ -102,15 +84,16 @@
 		}
 		delete(p.conns, c.guard)
 		p.closed[closedMany]++
+		p.tally.add(conn.RemoteAddr(), c.guard.held())
 	}
 	return len(p.conns) < p.max
 }
 
 // closeUnread closes connections on which the most bytes wait behind a request that is being
 // served, until at most limit bytes of all connections wait.
-func (p *connPool) closeUnread(limit int) {
+func (p *Pool) closeUnread(limit int) {
 	type queue struct {
-		conn  *trackedConn
+		conn  *Conn
 		bytes int
 	}
 	var queues []queue
@@ -129,25 +112,34 @@
 			return
 		}
 		sum -= q.bytes
-		p.countClosed(closedMemory, 1)
+		p.countClosed(closedMemory, q.conn.RemoteAddr(), int64(q.bytes))
 		_ = q.conn.Conn.Close() // it may be closed already
 	}
 }
 
-func (p *connPool) remove(g *connGuard) {
+func (p *Pool) remove(g *Guard) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.conns, g)
 }
 
-func (p *connPool) countClosed(reason closedBy, n int64) {
+// countClosed counts a connection that is closed for a reason and held some bytes of a request.
+func (p *Pool) countClosed(reason closedBy, remote net.Addr, bytes int64) {
+	p.mu.Lock()
+	p.closed[reason]++
+	p.mu.Unlock()
+	p.tally.add(remote, bytes)
+}
+
+// Open returns the number of open connections.
+func (p *Pool) Open() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed[reason] += n
+	return len(p.conns)
 }
 
 // counts returns the number of open connections and, by reason, those closed since the start.
-func (p *connPool) counts() (open int, closed [closedReasons]int64) {
+func (p *Pool) counts() (open int, closed [closedReasons]int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.conns), p.closed
--- a/gateway/idle_test.go
+++ b/callers/tracker_test.go
@@ -1,67 +1,50 @@
-package gateway
+package callers
 
 import (
 	"bufio"
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/vanillaroad/vanillaroad/internal/pipelistener"
 )
 
 func TestIdleConnectionsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tracker := newIdleTracker()
+		tracker := NewTracker()
 		pipeA, pipeB := net.Pipe()
-		a, b := &trackedConn{Conn: pipeA}, &trackedConn{Conn: pipeB}
-		tracker.stateChanged(a, http.StateNew)
-		tracker.stateChanged(b, http.StateNew)
-		tracker.stateChanged(a, http.StateIdle)
+		a, b := &Conn{Conn: pipeA}, &Conn{Conn: pipeB}
+		tracker.ConnState(a, http.StateNew)
+		tracker.ConnState(b, http.StateNew)
+		tracker.ConnState(a, http.StateIdle)
 		time.Sleep(10 * time.Second)
-		tracker.stateChanged(b, http.StateIdle)
-		if got := tracker.expire(time.Now(), 15*time.Second); len(got) != 0 {
+		tracker.ConnState(b, http.StateIdle)
+		if got := tracker.Expire(time.Now(), 15*time.Second); len(got) != 0 {
 			t.Fatal("a connection expired before it was idle for the limit")
 		}
-		tracker.stateChanged(a, http.StateActive)
+		tracker.ConnState(a, http.StateActive)
 		time.Sleep(15 * time.Second)
-		if got := tracker.expire(time.Now(), 15*time.Second); len(got) != 1 || got[0] != net.Conn(b) {
+		if got := tracker.Expire(time.Now(), 15*time.Second); len(got) != 1 || got[0] != net.Conn(b) {
 			t.Fatalf("expired connections %v, want only the one that stayed idle", got)
 		}
 	})
 }
 
-// pipeListener accepts one connection, without a network.
-type pipeListener struct {
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // TestRequestsOnIdleConnectionsAreAnswered guards against requests that are lost because
 // their connection was closed as idle while they arrived: net/http reports a connection
 // as active only once it has the complete header.
 func TestRequestsOnIdleConnectionsAreAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tracker := newIdleTracker()
-		listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		server := &http.Server{ConnState: tracker.stateChanged, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
-		go func() { _ = server.Serve(trackedListener{Listener: listener}) }()
+		tracker := NewTracker()
+		listener := pipelistener.New()
+		server := &http.Server{ConnState: tracker.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
+		go func() { _ = server.Serve(Listener{Listener: listener}) }()
 		defer func() { _ = server.Close() }()
 		caller, accepted := net.Pipe()
-		listener.conns <- accepted
+		listener.Conns <- accepted
 		answers := bufio.NewReader(caller)
 		request := func(parts ...string) error {
 			for _, p := range parts {
@@ -69,7 +52,7 @@
 					return err
 				}
 				synctest.Wait()
-				for _, c := range tracker.expire(time.Now(), 15*time.Second) {
+				for _, c := range tracker.Expire(time.Now(), 15*time.Second) {
 					_ = c.Close()
 				}
 			}
@@ -105,15 +88,15 @@
 // at the moment at which it expired as idle, and were dropped.
 func TestReadRequestsOutliveExpiry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tracker := newIdleTracker()
-		listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		server := &http.Server{ConnState: tracker.stateChanged, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
-		go func() { _ = server.Serve(trackedListener{Listener: listener}) }()
+		tracker := NewTracker()
+		listener := pipelistener.New()
+		server := &http.Server{ConnState: tracker.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
+		go func() { _ = server.Serve(Listener{Listener: listener}) }()
 		defer func() { _ = server.Close() }()
 		caller, pipe := net.Pipe()
 		accepted := &heldConn{pipe, make(chan struct{})}
 		close(accepted.release)
-		listener.conns <- accepted
+		listener.Conns <- accepted
 		answers := bufio.NewReader(caller)
 		if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 			t.Fatal(err)
@@ -128,7 +111,7 @@
 			t.Fatal(err)
 		}
 		synctest.Wait()
-		tracker.expire(time.Now(), 15*time.Second)
+		tracker.Expire(time.Now(), 15*time.Second)
 		close(accepted.release)
 		if _, err := http.ReadResponse(answers, nil); err != nil {
 			t.Error("a request that was read when its connection expired:", err)
@@ -140,25 +123,25 @@
 // were idle, or not waited for by a stop: nothing is read from the connection for a
 // request that was read together with the previous one.
 func TestPipelinedRequestsAreBusy(t *testing.T) {
-	for name, end := range map[string]func(tracker *idleTracker){
-		"the idle timeout passes": func(tracker *idleTracker) { tracker.expire(time.Now(), 15*time.Second) },
-		"the daemon stops":        func(tracker *idleTracker) { tracker.retire() },
+	for name, end := range map[string]func(tracker *Tracker){
+		"the idle timeout passes": func(tracker *Tracker) { tracker.Expire(time.Now(), 15*time.Second) },
+		"the daemon stops":        func(tracker *Tracker) { tracker.Retire() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				tracker := newIdleTracker()
-				listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+				tracker := NewTracker()
+				listener := pipelistener.New()
 				var canceled error
-				server := &http.Server{ConnState: tracker.stateChanged, IdleTimeout: idleTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				server := &http.Server{ConnState: tracker.ConnState, IdleTimeout: 2 * time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					if r.URL.Path == "/slow" {
 						time.Sleep(30 * time.Second)
 						canceled = r.Context().Err()
 					}
 				})}
-				go func() { _ = server.Serve(trackedListener{Listener: listener}) }()
+				go func() { _ = server.Serve(Listener{Listener: listener}) }()
 				defer func() { _ = server.Close() }()
 				caller, accepted := net.Pipe()
-				listener.conns <- accepted
+				listener.Conns <- accepted
 				answers := bufio.NewReader(caller)
 				if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"+"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 					t.Fatal(err)
@@ -167,7 +150,7 @@
 					t.Fatal("first request:", err)
 				}
 				time.Sleep(20 * time.Second)
-				if n := tracker.busy(); n != 1 {
+				if n := tracker.Busy(); n != 1 {
 					t.Errorf("%d busy connections while a request is served, want 1", n)
 				}
 				end(tracker)
@@ -196,26 +179,26 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = caller.Close() }()
-	accepted, err := trackedListener{Listener: listener}.Accept()
+	accepted, err := Listener{Listener: listener}.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = accepted.Close() }()
-	tracker := newIdleTracker()
-	tracker.stateChanged(accepted, http.StateNew)
+	tracker := NewTracker()
+	tracker.ConnState(accepted, http.StateNew)
 	if _, err := io.WriteString(caller, "GET /"); err != nil {
 		t.Fatal(err)
 	}
-	tracker.retire()
+	tracker.Retire()
 	got := make([]byte, 5)
 	if n, err := accepted.Read(got); err != nil || string(got[:n]) != "GET /" {
 		t.Errorf("read %q and error %v of an expired connection, want the request that had arrived", got[:n], err)
 	}
-	if n := tracker.busy(); n != 1 {
+	if n := tracker.Busy(); n != 1 {
 		t.Errorf("%d busy connections, want the one with the request", n)
 	}
-	tracker.stateChanged(accepted, http.StateIdle)
-	tracker.retire()
+	tracker.ConnState(accepted, http.StateIdle)
+	tracker.Retire()
 	if n, err := accepted.Read(got); err == nil {
 		t.Errorf("read %q of an expired connection without a request, want an error", got[:n])
 	}
--- a/event/numbers_forward.go
+++ b/event/numbers_forward.go
@@ -58,7 +58,7 @@
 	{LinksRestored, "links_restored", Info, "Targets answer on direct connections again.", ""},
 	{CallerLeft, "caller_left", Info, "The connection of a request ended before its answer began.", ""},
 	{IdleClosed, "idle_connections_closed", Info, "Connections of callers were closed that had been idle for longer than the configuration allows.", ""},
-	{CallersLimited, "callers_limited", Warn, "Callers were refused for want of memory, or their connections closed: others needed their memory, their header was far over the limit or not complete in time, or there were too many; bytes is what requests, answers and connections hold.", "See docs/operators/metrics.md."},
+	{CallersLimited, "callers_limited", Warn, "Callers were refused for want of memory, or their connections closed: others needed their memory, their header was far over the limit or not complete in time, or there were too many; bytes is what requests, answers and connections hold, and caller the host with most of the connections that were closed or whose body was refused, with their number and what was read of their requests.", "See the section on a crowd of callers in docs/OPERATIONS.md."},
 	{RequestUnfinished, "request_unfinished", Warn, "The daemon ended before the answer of a request did, or its handler failed, see error; the caller's connection was closed.", "Without error: compare after with the grace period, the daemon may have had too little processor time. With error: report a bug, with the stack on standard error."},
 	{LogLinesLost, "log_lines_lost", Warn, "Log lines were dropped because the log reader is slow.", "Check the process that reads the log."},
 }
--- a/gateway/conn_guard_test.go
+++ b/gateway/caller_limits_test.go
@@ -7,45 +7,11 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
-	"time"
 
+	"github.com/vanillaroad/vanillaroad/callers"
 	"github.com/vanillaroad/vanillaroad/internal/membudget"
 )
 
-// TestSlowReadersDoNotStall guards against a caller that loses its answer because it reads
-// one part of 64 KiB in more than stallTime, and against one that reads nothing and does not
-// count as stalled.
-func TestSlowReadersDoNotStall(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		pool := newConnPool(1, membudget.New(1<<20), func() int { return maxHeaderBytes })
-		caller, accepted := net.Pipe()
-		conn := &trackedConn{Conn: accepted}
-		if !pool.admit(conn, time.Now()) {
-			t.Fatal("the connection is not admitted")
-		}
-		conn.guard.setPhase(phaseServed)
-		go func() { _, _ = conn.Write(make([]byte, 64<<10)) }()
-		for range 4 {
-			time.Sleep(stallTime * 3 / 4)
-			if d := conn.guard.StalledFor(time.Now()); d != 0 {
-				t.Errorf("a caller that reads 16 KiB each %v stalls for %v", stallTime*3/4, d)
-			}
-			if _, err := io.ReadFull(caller, make([]byte, writePartBytes)); err != nil {
-				t.Fatal(err)
-			}
-		}
-		synctest.Wait()
-		go func() { _, _ = conn.Write([]byte("a")) }()
-		time.Sleep(5 * time.Second)
-		if d := conn.guard.StalledFor(time.Now()); d != 5*time.Second {
-			t.Errorf("a caller that reads nothing for 5s stalls for %v", d)
-		}
-		_ = caller.Close()
-		synctest.Wait()
-	})
-}
-
 // TestRelayBound guards against a bound for relayed connections that doesn't follow the VM, or
 // that changes where neither memory_mb nor max_fds is set.
 func TestRelayBound(t *testing.T) {
@@ -53,7 +19,7 @@
 		memoryMB int
 		maxFDs   int
 		want     int
-	}{{0, 0, 0}, {144, 0, 384}, {536, 0, 1429}, {0, 10_250, 314}, {144, 3000, 87}, {536, 10_250, 314}, {1, 0, minConns}, {144, 100, minConns}} {
+	}{{0, 0, 0}, {144, 0, 384}, {536, 0, 1429}, {0, 10_250, 314}, {144, 3000, 87}, {536, 10_250, 314}, {1, 0, callers.MinConns}, {144, 100, callers.MinConns}} {
 		s := DefaultSettings()
 		s.MemoryMB, s.MaxFDs = c.memoryMB, c.maxFDs
 		if got := newConnLimits(s).relays; got != c.want {
@@ -73,9 +39,9 @@
 	}
 	defer func() { _ = conn.Close() }()
 	g := e.gateways["d1"]
-	answer := g.limits.buffers.NewShare()
+	answer := g.limits.Budget.NewShare()
 	defer answer.Release()
-	body := g.limits.buffers.NewBodyShare()
+	body := g.limits.Budget.NewBodyShare()
 	defer body.Release()
 	for share, n := range map[*membudget.Share]int{answer: 700, body: 30} {
 		if err := share.Grow(membudget.FreeBytes+n, func() {}); err != nil {
--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -39,13 +39,11 @@
 			left, bound = max(0, remaining), name
 		}
 	}
-	settings := c.g.settings.Load()
-	if settings.MemoryMB > 0 {
-		use("memory", c.g.limits.buffers.Left())
+	if c.g.limits.Resources.MemoryBytes > 0 {
+		use("memory", c.g.limits.Budget.Left())
 	}
-	if bounded(*settings) {
-		open, _ := c.g.limits.pools[0].counts()
-		use("connections", 1-float64(open)/float64(c.g.limits.conns.callers))
+	if pool := c.g.limits.callers; pool != nil {
+		use("connections", 1-float64(pool.Open())/float64(c.g.limits.conns.callers))
 	}
 	if late, ok := c.late(now); ok {
 		use("processor", 1-float64(late)/float64(c.objective))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -22,6 +21,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/vanillaroad/vanillaroad/callers"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/fleet"
@@ -67,7 +67,7 @@
 	requests  openRequests // callers' requests being served
 	// cancelAnswerTime is cancelAnswerTime, longer in tests on slow machines.
 	cancelAnswerTime time.Duration
-	idleConns        *idleTracker
+	idleConns        *callers.Tracker
 	limits           *callerLimits
 	capacity         *capacity
 
@@ -84,10 +84,6 @@
 	listener net.Listener
 }
 
-// heapMemoryShare is the fraction of the VM's memory that is set as the soft memory
-// limit of the garbage collector. The rest is left for stacks, sockets and the runtime.
-const heapMemoryShare = 0.6
-
 // routineLinesPerSecond limits the log lines about successful requests. It is ten
 // times the request rate of a daemon at the current sites.
 const routineLinesPerSecond = 200
@@ -100,13 +96,10 @@
 
 // newGateway is New with a function that opens this daemon's own connections to targets.
 func newGateway(s Settings, logOutput io.Writer, dialTarget platform.DialFunc) (*Gateway, error) {
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.MemoryMB<<20)))
-	}
 	logger := level.NewFilter(log.With(log.NewJSONLogger(logOutput), "ts", log.DefaultTimestampUTC, "node", s.ID),
 		level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
 	g := &Gateway{
-		metrics: metrics.NewRegistry(), idleConns: newIdleTracker(), cancelAnswerTime: cancelAnswerTime,
+		metrics: metrics.NewRegistry(), idleConns: callers.NewTracker(), cancelAnswerTime: cancelAnswerTime,
 		events: event.NewRecorder(s.ID, event.NewClock(time.Now), logger, s.EventRing),
 		fleet:  fleet.New(s.Place, rand.Uint64()),
 	}
@@ -139,7 +132,7 @@
 		TargetClient: g.targetClient, Reserver: g.targetClient, Fleet: g.fleet, Events: g.events, Metrics: g.metrics, CrashTracker: g.crashTracker, Origins: g.origins, PlacementLimiter: forward.NewPlacementLimiter(),
 		Prober: forward.NewProber(g.targetClient, g.fleet, g.events), CacheLocator: forward.NewCacheLocator(g.targetClient),
 		RetryBudget: forward.NewRetryBudget(time.Now(), s.RetryBudget.budgetSettings()),
-		Buffers:     g.limits.buffers,
+		Buffers:     g.limits.Budget,
 		ReadAhead:   s.MemoryMB > 0,
 		Model:       g.model,
 		StopsAt:     g.stopsAt,
@@ -181,7 +174,7 @@
 		PickService: func(r *ingress.Route) string { return r.PickService(rand.Float64()) }, Conn: connOf,
 	}
 	if s.MemoryMB > 0 {
-		callerHandler.Buffers = g.limits.buffers
+		callerHandler.Buffers = g.limits.Budget
 	}
 	for _, l := range []struct {
 		address  string
@@ -204,7 +197,7 @@
 }
 
 // Timeouts of HTTP connections. closeIdleConns also enforces Limits.IdleTimeout of the
-// active configuration, which is lower than idleTimeout, and headerLimits its
+// active configuration, which is lower than idleTimeout, and callers.HeaderLimits its
 // Limits.HeaderTimeout.
 const (
 	idleTimeout = 120 * time.Second
@@ -222,19 +215,17 @@
 	}
 	s := &server{
 		Server: &http.Server{
-			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: g.idleConns.stateChanged, ConnContext: withGuard,
+			Handler: h, ReadHeaderTimeout: callers.HeaderTimeout, IdleTimeout: idleTimeout, ConnState: g.idleConns.ConnState, ConnContext: callers.ConnContext,
 			ReadTimeout: timeout, WriteTimeout: timeout,
 			BaseContext: func(net.Listener) context.Context { return g.requestCtx },
 		},
 	}
-	tracked := trackedListener{Listener: l}
+	listener := callers.Listener{Listener: l, Pool: g.limits.NewPool(maxConns, g.limits.headerLimit)}
 	if timeout == 0 {
-		tracked.header, s.ReadHeaderTimeout = g.limits.header, maxHeaderTimeout
-	}
-	s.listener = tracked
-	if bounded(*g.settings.Load()) {
-		s.listener = boundListener{tracked, g.limits.newPool(maxConns)}
+		listener.Header, s.ReadHeaderTimeout = g.limits.Header, callers.MaxHeaderTimeout
+		g.limits.callers = listener.Pool
 	}
+	s.listener = listener
 	g.servers = append(g.servers, s)
 	return nil
 }
--- a/gateway/open_requests_test.go
+++ b/gateway/open_requests_test.go
@@ -11,10 +11,12 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/vanillaroad/vanillaroad/callers"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/forward"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/pipelistener"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
@@ -46,7 +48,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := &Gateway{events: event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 16), idleConns: newIdleTracker(), cancelAnswerTime: cancelAnswerTime}
+				g := &Gateway{events: event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 16), idleConns: callers.NewTracker(), cancelAnswerTime: cancelAnswerTime}
 				g.requestCtx, g.cancelRequests = context.WithCancelCause(context.Background())
 				table := ingress.NewTable(ingress.Document{Version: 1, Routes: []ingress.Route{{
 					Name: "a", Host: "h", Prefix: "/a/", Kind: ingress.Streaming, Services: []ingress.WeightedService{{Service: "svc", Weight: 1}},
@@ -63,12 +65,12 @@
 						g.events.Record(event.AnswerTruncated, req.ID)
 					},
 				}
-				listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-				s := &server{Server: &http.Server{ConnState: g.idleConns.stateChanged, Handler: handler}, listener: trackedListener{Listener: listener}}
+				listener := pipelistener.New()
+				s := &server{Server: &http.Server{ConnState: g.idleConns.ConnState, Handler: handler}, listener: callers.Listener{Listener: listener}}
 				g.servers = append(g.servers, s)
 				go func() { _ = s.Serve(s.listener) }()
 				caller, accepted := net.Pipe()
-				listener.conns <- accepted
+				listener.Conns <- accepted
 				if _, err := io.WriteString(caller, "GET /a/x HTTP/1.1\r\nHost: h\r\nVanillaroad-Request-Id: r1\r\n\r\n"); err != nil {
 					t.Fatal(err)
 				}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,7 +12,6 @@
 
 	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/fleet"
-	"github.com/vanillaroad/vanillaroad/internal/membudget"
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/origin"
 	"github.com/vanillaroad/vanillaroad/peer"
@@ -111,12 +110,7 @@
 		return nil, err
 	}
 	t.Lateness = g.lag.Since
-	if bounded(*s) {
-		t.MaxInbound = g.limits.conns.peers
-	}
-	if s.MemoryMB > 0 {
-		t.Buffers = membudget.New(max(minFramesBytes, int64(framesShare*float64(s.MemoryMB<<20))))
-	}
+	t.MaxInbound, t.Buffers = g.limits.conns.peers, g.limits.Resources.FrameBudget()
 	p := &peers{g: g, transport: t, ctx: context.Background(), suspectedAt: make(map[string]time.Time)}
 	p.digests = newDigests(p)
 	g.origins.store.onStored = func(v storedVersions) { p.broadcast(kindVersions, v) }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -107,7 +107,7 @@
 // awaitRequests waits until no request is read or answered and no connection is relayed, or
 // until deadline.
 func (g *Gateway) awaitRequests(deadline time.Time) {
-	for (g.idleConns.busy() > 0 || g.links.server.Open() > 0) && time.Now().Before(deadline) {
+	for (g.idleConns.Busy() > 0 || g.links.server.Open() > 0) && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
 }
@@ -130,8 +130,8 @@
 func (g *Gateway) closeConns(deadline time.Time) {
 	g.closeListeners()
 	for {
-		g.idleConns.retire()
-		if g.idleConns.open() == 0 || !time.Now().Before(deadline) {
+		g.idleConns.Retire()
+		if g.idleConns.Open() == 0 || !time.Now().Before(deadline) {
 			break
 		}
 		time.Sleep(drainPollInterval)
--- a/gateway/stop_answers_test.go
+++ b/gateway/stop_answers_test.go
@@ -12,9 +12,11 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/vanillaroad/vanillaroad/callers"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/failure"
 	"github.com/vanillaroad/vanillaroad/ingress"
+	"github.com/vanillaroad/vanillaroad/internal/pipelistener"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
@@ -24,7 +26,7 @@
 	for name, path := range map[string]string{"served": "/a/x", "refused before it is forwarded": "/none/"} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := &Gateway{events: event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 16), idleConns: newIdleTracker(), links: newLinks(nil, nil)}
+				g := &Gateway{events: event.NewRecorder("vm", event.NewClock(time.Now), log.NewNopLogger(), 16), idleConns: callers.NewTracker(), links: newLinks(nil, nil)}
 				g.requestCtx, g.cancelRequests = context.WithCancelCause(context.Background())
 				g.stopping.Store(&stopPlan{}) // refuses all requests
 				table := ingress.NewTable(ingress.Document{Version: 1, Routes: []ingress.Route{{
@@ -35,11 +37,11 @@
 					OnRefused:   func(string, *failure.Error) {},
 					PickService: func(r *ingress.Route) string { return r.PickService(0) },
 				}
-				listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-				server := &http.Server{ConnState: g.idleConns.stateChanged, Handler: handler}
-				go func() { _ = server.Serve(trackedListener{Listener: listener}) }()
+				listener := pipelistener.New()
+				server := &http.Server{ConnState: g.idleConns.ConnState, Handler: handler}
+				go func() { _ = server.Serve(callers.Listener{Listener: listener}) }()
 				caller, accepted := net.Pipe()
-				listener.conns <- accepted
+				listener.Conns <- accepted
 				if _, err := io.WriteString(caller, "GET "+path+" HTTP/1.1\r\nHost: h\r\nVanillaroad-Request-Id: r1\r\n\r\n"); err != nil {
 					t.Fatal(err)
 				}
--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -115,7 +115,7 @@
 				if resp.StatusCode != want {
 					t.Errorf("status %d, want %d", resp.StatusCode, want)
 				}
-				eventually(func() bool { return g.limits.buffers.Used() <= membudget.ConnBytes })
+				eventually(func() bool { return g.limits.Budget.Used() <= membudget.ConnBytes })
 			})
 		}
 	}
