--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -1,12 +1,9 @@
 package crowd
 
 import (
-	"bufio"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -194,29 +191,7 @@
 // while nothing else goes on.
 func TestSlowUpload(t *testing.T) {
 	s := startSite(t)
-	conn, err := net.Dial("tcp", s.callers())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	m := member{conn, 0}
-	request := head(m, "/c/call", contentLength(maxBody)) + legalBody
-	sent := 0
-	for _, end := range []int{10, 100_000, 1 << 20, 2 << 20, len(request) - 100_000, len(request) - 1, len(request)} {
-		if !m.write(request[sent:end]) {
-			t.Fatalf("the connection is closed after %d bytes", sent)
-		}
-		sent = end
-		time.Sleep(2 * silence)
-	}
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		t.Errorf("status %d, want 200", answer.StatusCode)
-	}
+	testSlowUpload(t, s.callers(), head(member{}, "/c/call", contentLength(maxBody))+legalBody, maxBody)
 	s.check()
 }
 
@@ -239,7 +214,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := startSite(t)
 			press(t, address(s), c.size, c.first, nil)
-			s.await("http://"+address(s)+path, nil)
+			s.await("http://" + address(s) + path)
 			s.check()
 		})
 	}
@@ -255,40 +230,9 @@
 
 func TestOperationsPort(t *testing.T) { testPort(t, (*site).operations, "/metrics") }
 
-// frame returns a frame of the protocol of daemons with a body, of which a part is sent.
-func frame(body string, sent int) string {
-	return string(binary.BigEndian.AppendUint32(nil, uint32(len(body)))) + body[:sent]
-}
-
-// greet takes up a connection to the port of the daemons: it returns the daemon's own hello.
-func greet(m member) bool {
-	_ = m.SetReadDeadline(time.Now().Add(silence))
-	var prefix [4]byte
-	if _, err := io.ReadFull(m, prefix[:]); err != nil {
-		return false
-	}
-	hello := make([]byte, min(binary.BigEndian.Uint32(prefix[:]), 4<<10))
-	if _, err := io.ReadFull(m, hello); err != nil {
-		return false
-	}
-	return m.write(string(prefix[:]) + string(hello))
-}
-
 // TestPeerPort guards against crowds at the port of the other daemons.
 func TestPeerPort(t *testing.T) {
-	largest := strings.Repeat("f", 4<<20)
-	// A call without a handler, whose responses are not read: {"k": 999, "i": 1}.
-	call := frame("\x82\xa1k\xcd\x03\xe7\xa1i\x01", 9)
-	for _, c := range []struct {
-		name  string
-		size  int
-		first func(m member) bool
-	}{
-		{"silent connections", manyConns, func(member) bool { return true }},
-		{"connections after their hello", manyConns, greet},
-		{"frames without their last byte", crowdSize, func(m member) bool { return greet(m) && m.write(frame(largest, len(largest)-1)) }},
-		{"unread answers", crowdSize, func(m member) bool { return greet(m) && m.write(strings.Repeat(call, 200_000)) }},
-	} {
+	for _, c := range peerCrowds() {
 		t.Run(c.name, func(t *testing.T) {
 			s := startSite(t)
 			press(t, s.peers(), c.size, c.first, nil)
--- a/internal/crowd/site_test.go
+++ b/internal/crowd/site_test.go
@@ -8,62 +8,27 @@
 	"io"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 
-	_ "github.com/vanillaroad/vanillaroad/gateway" // so that go test doesn't reuse results of another daemon
 	"github.com/vanillaroad/vanillaroad/internal/standin"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
 
-// buildGateway builds the gateway once and returns the path of the program.
-var buildGateway = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "crowd")
-	if err != nil {
-		return "", err
-	}
-	program := filepath.Join(dir, "vanillaroad-gateway")
-	output, err := exec.Command("go", "build", "-o", program, "github.com/vanillaroad/vanillaroad/cmd/vanillaroad-gateway").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, output)
-	}
-	return program, nil
-})
-
-// Limits that the tests lower, so that a small crowd shows the fault.
-const (
-	memoryMB  = 96
-	maxFDs    = 450
-	maxBody   = 4 << 20
-	maxHeader = 16 << 10
-)
-
 // answerBytes is the size of the target's answer to requests for /c/large.
 const answerBytes = 8 << 20
 
 // site is one gateway process with a store and a target.
 type site struct {
-	t           *testing.T
-	ip          string
-	logPath     string
-	process     *os.Process
-	ended       chan struct{}
-	stopMeasure func()
-
-	peakMemory atomic.Int64 // resident memory and unread or unsent bytes of the sockets
-	peakFDs    atomic.Int64
+	*daemon
+	settingsPath string
 }
 
 func (s *site) callers() string    { return s.ip + ":8740" }
@@ -95,20 +60,39 @@
 }
 
 func startSite(t *testing.T) *site {
-	store := startServer(t, standin.NewPlatform().Handler())
-	service := startServer(t, http.HandlerFunc(target))
+	s, _ := startSiteWith(t, nil)
+	return s
+}
+
+// startSiteWith starts a site with further settings, and returns the address of its target.
+func startSiteWith(t *testing.T, further map[string]any) (s *site, target string) {
+	store, target := startOutside(t)
+	s = startProcess(t, "vm-1", network()+".1", store, further)
+	s.awaitServing()
+	return s, target
+}
+
+// startOutside starts a store and a target, and returns the target's address.
+func startOutside(t *testing.T) (store *httptest.Server, address string) {
+	store = startServer(t, standin.NewPlatform().Handler())
+	address = startServer(t, http.HandlerFunc(target)).Listener.Addr().String()
 	fillStore(t, store.URL, []object{
-		{platform.TargetKind, "i-1", map[string]any{"service": "calls", "address": service.Listener.Addr().String(), "zone": "p", "version": "v1", "slots": 1000, "state": "ready", "cold_left_ms": 0, "seq": 1}},
+		{platform.TargetKind, targetID, map[string]any{"service": "calls", "address": address, "zone": "p", "version": "v1", "slots": 1000, "state": "ready", "cold_left_ms": 0, "seq": 1}},
 		configuration(map[string]any{
 			"name": "calls", "host": "h.example", "path_prefix": "/c/", "kind": "non_idempotent", "service": "calls", "public": true,
 			"timeout_ms": 600_000, "slo_ms": 1000, "max_attempts": 1,
 		}),
 	})
-	s := startProcess(t, "vm-1", network()+".1", store, nil)
+	return store, address
+}
+
+const targetID = "i-1"
+
+// awaitServing waits until the daemon has served an ordinary request and starts to measure.
+func (s *site) awaitServing() {
 	s.awaitReady()
 	s.ordinaryRequest()
 	s.measure()
-	return s
 }
 
 // network returns the first three numbers of the addresses of a site. Other tests use networks
@@ -124,36 +108,46 @@
 	return s
 }
 
-// startProcess starts a gateway process with further settings.
+// startProcess starts a gateway process with further settings. A setting that is nil is left out.
 func startProcess(t *testing.T, id, ip string, store *httptest.Server, further map[string]any) *site {
-	program, err := buildGateway()
-	if err != nil {
-		t.Fatal(err)
+	s := newSite(t, id, ip, store, further)
+	s.start("vanillaroad-gateway", s.settingsPath)
+	return s
+}
+
+// newSite is startProcess without the start.
+func newSite(t *testing.T, id, ip string, store *httptest.Server, further map[string]any) *site {
+	s := &site{daemon: newDaemon(t, ip)}
+	s.ordinary = func(ctx context.Context, n int) bool {
+		return requestServed(ctx, "http://"+s.callers()+"/c/call", n, bytes.Repeat([]byte("a"), 60_000))
 	}
-	dir := t.TempDir()
-	s := &site{t: t, ip: ip, ended: make(chan struct{}), logPath: filepath.Join(dir, "log")}
-	values := map[string]any{
+	s.settingsPath = writeSettings(t, map[string]any{
 		"id": id, "place": "p", "region": "r", "callers": s.callers(), "directory": s.directory(), "readiness": s.readiness(),
 		"peers": s.peers(), "operations": s.operations(), "store": store.Listener.Addr().String(), "memory_mb": memoryMB, "max_fds": maxFDs,
 		"retry_budget": map[string]any{"ratio": 0.8, "slack": 150, "window": "10s"}, "grace": "1s",
-	}
+	}, further)
+	return s
+}
+
+// writeSettings writes a settings file and returns its path.
+func writeSettings(t *testing.T, values, further map[string]any) string {
 	maps.Copy(values, further)
+	maps.DeleteFunc(values, func(_ string, v any) bool { return v == nil })
 	settings, err := json.Marshal(values)
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(dir, "settings.json")
+	path := filepath.Join(t.TempDir(), "settings.json")
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s.start(program, path)
-	return s
+	return path
 }
 
 // awaitReady waits until the daemon is ready and its directory answers.
 func (s *site) awaitReady() {
-	s.await("http://"+s.readiness()+"/-/readiness", nil)
-	s.await("http://"+s.directory()+"/-/resolve?name=h.example", nil)
+	s.await("http://" + s.readiness() + "/-/readiness")
+	s.await("http://" + s.directory() + "/-/resolve?name=h.example")
 }
 
 // object is an object of the store.
@@ -184,140 +178,32 @@
 	}
 }
 
-func (s *site) start(program, settings string) {
-	logFile, err := os.Create(s.logPath)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	defer func() { _ = logFile.Close() }()
-	command := exec.Command(program, "-settings", settings)
-	command.Stdout, command.Stderr = logFile, logFile
-	if err := command.Start(); err != nil {
-		s.t.Fatal(err)
-	}
-	s.process = command.Process
-	go func() {
-		_ = command.Wait()
-		close(s.ended)
-	}()
-	s.t.Cleanup(func() {
-		_ = s.process.Kill()
-		<-s.ended
-	})
+// await repeats a request as an ordinary caller does, until it is answered with status 200.
+func (s *site) await(url string) {
+	s.t.Helper()
+	s.attempt(func(ctx context.Context, n int) bool { return requestServed(ctx, url, n, nil) })
 }
 
-// await repeats a request as an ordinary caller does, until it is answered with status 200 or
-// the process has ended. The test's own time limit applies.
-func (s *site) await(url string, body []byte) {
+// requestServed sends a request, with POST if it has a body, and reports whether it is answered
+// with status 200.
+func requestServed(ctx context.Context, url string, n int, body []byte) bool {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	defer client.CloseIdleConnections()
-	for i := 0; ; i++ {
-		method := http.MethodGet
-		if body != nil {
-			method = http.MethodPost
-		}
-		// A caller gives an attempt up after some time. The test fails only if none succeeds.
-		ctx, cancel := context.WithTimeout(s.t.Context(), 10*time.Second)
-		req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		req.Host = "h.example"
-		req.Header.Set("Vanillaroad-Request-Id", "ordinary-"+strconv.Itoa(i))
-		resp, err := client.Do(req)
-		if err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-			if err == nil && resp.StatusCode == http.StatusOK {
-				cancel()
-				return
-			}
-		}
-		cancel()
-		select {
-		case <-s.ended:
-			b, _ := os.ReadFile(s.logPath)
-			s.t.Fatalf("the daemon ended: %s", b[max(0, len(b)-2000):])
-		case <-time.After(20 * time.Millisecond):
-		}
+	method := http.MethodGet
+	if body != nil {
+		method = http.MethodPost
 	}
-}
-
-// ordinaryRequest sends one ordinary call until it is answered.
-func (s *site) ordinaryRequest() {
-	s.await("http://"+s.callers()+"/c/call", bytes.Repeat([]byte("a"), 60_000))
-}
-
-// measure samples the memory and the descriptors of the process until stopMeasure is called.
-func (s *site) measure() {
-	done, stopped := make(chan struct{}), make(chan struct{})
-	s.stopMeasure = sync.OnceFunc(func() {
-		close(done)
-		<-stopped
-	})
-	s.t.Cleanup(s.stopMeasure)
-	go func() {
-		defer close(stopped)
-		for {
-			s.peakMemory.Store(max(s.peakMemory.Load(), s.residentBytes()+s.queuedBytes()))
-			files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.process.Pid))
-			s.peakFDs.Store(max(s.peakFDs.Load(), int64(len(files))))
-			select {
-			case <-done:
-				return
-			case <-time.After(10 * time.Millisecond):
-			}
-		}
-	}()
-}
-
-func (s *site) residentBytes() int64 {
-	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", s.process.Pid))
-	fields := strings.Fields(string(b))
-	if len(fields) < 2 {
-		return 0 // the process has ended
-	}
-	pages, _ := strconv.ParseInt(fields[1], 10, 64)
-	return pages * int64(os.Getpagesize())
-}
-
-// queuedBytes returns what the kernel holds for the daemon's connections: bytes that it has
-// not read, or that its peers have not read. They count on a VM as the process does.
-func (s *site) queuedBytes() (sum int64) {
-	ip := net.ParseIP(s.ip).To4()
-	prefix := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0]) // both platforms are little-endian
-	b, _ := os.ReadFile("/proc/net/tcp")
-	for _, line := range strings.Split(string(b), "\n") {
-		fields := strings.Fields(line)
-		const local, state, queues = 1, 3, 4
-		if len(fields) <= queues || !strings.HasPrefix(fields[local], prefix) || fields[state] == "0A" {
-			continue // another process's, or a listener
-		}
-		sent, received, _ := strings.Cut(fields[queues], ":")
-		for _, text := range []string{sent, received} {
-			n, _ := strconv.ParseInt(text, 16, 64)
-			sum += n
-		}
-	}
-	return sum
-}
-
-// check reports whether the daemon lives, answers an ordinary request and has kept the bounds.
-func (s *site) check() {
-	s.t.Helper()
-	s.ordinaryRequest()
-	s.stopMeasure()
-	select {
-	case <-s.ended:
-		s.t.Error("the daemon ended")
-	default:
-	}
-	memory, fds := s.peakMemory.Load(), s.peakFDs.Load()
-	s.t.Logf("peak: %.1f MB, %d descriptors", float64(memory)/(1<<20), fds)
-	if memory > memoryMB<<20 {
-		s.t.Errorf("the daemon used %d MB, the VM has %d MB", memory>>20, memoryMB)
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return false
 	}
-	if fds > maxFDs {
-		s.t.Errorf("the daemon used %d descriptors, the VM allows %d", fds, maxFDs)
+	req.Host = "h.example"
+	req.Header.Set("Vanillaroad-Request-Id", "ordinary-"+strconv.Itoa(n))
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
 	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
 }
