node: what callers of vanillaroadd send is bounded by its memory and descriptors

Cause: a limit for each body and none for the sum, no bound on connections, and a body was held up to four times: in the decoder, as a string, as the JSON for the target, and for a confirmation in its digest. A run kept its prompt after its caller had left. A body that decodes to many small elements takes many times its size.

Now the API has the bounds of package callers, on one budget (memory_mb / 3). A body is read completely under that budget before it is decoded, and then counts twice its size and 128 bytes an element until the request and its run have ended. A body that can't fit at all is refused at once with 413, one without room now with 429, Retry-After and the outcome not_run. Only JSON bodies are decoded: gob and XML were accepted by the library's default. A daemon that stops or starts refuses generations and confirmations before it reads their bodies, and a stop waits only for requests that were read: callers with endless bodies held it until drain_limit.

--- a/confirmation/pairs_route.go
+++ b/confirmation/pairs_route.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -219,13 +216,3 @@
 	defer cancel()
 	return p.askLocal(ctx, m)
 }
-
-// requestDigest returns a digest of the request that a key was used for.
-func requestDigest(r Request) string {
-	b, err := json.Marshal([]any{r.Workspace, r.Service, r.Body, r.Labels})
-	if err != nil {
-		return ""
-	}
-	sum := sha256.Sum256(b)
-	return hex.EncodeToString(sum[:16])
-}
--- a/generation/hub.go
+++ b/generation/hub.go
@@ -133,7 +133,12 @@
 func (h *Hub) start(r Request, position int64) Reader {
 	tracked := &trackedRun{answer: NewAnswer(r.Held, r.Cursor), fingerprint: r.Fingerprint(), commands: make(chan Input, 1), registrar: h.deps.Peers.Registrar(r.ID)}
 	h.runs[r.ID] = tracked
+	release := func() {}
+	if r.Retain != nil {
+		release = r.Retain()
+	}
 	h.spawn(func(ctx context.Context) {
+		defer release()
 		h.execute(ctx, r, tracked)
 		h.mu.Lock()
 		defer h.mu.Unlock()
--- a/generation/settings.go
+++ b/generation/settings.go
@@ -83,4 +83,7 @@
 	Held      []string // tokens that the caller already holds
 	Cursor    Cursor   // source of the last event that the caller received
 	Objective configuration.Objective
+	// Retain keeps the memory that the request uses counted until release is called; nil if it
+	// is not counted.
+	Retain func() (release func())
 }
--- a/internal/membudget/callers.go
+++ b/internal/membudget/callers.go
@@ -84,6 +84,12 @@
 	return b.evicted
 }
 
+// BodyLimit returns the most that one body may count.
+func (b *Budget) BodyLimit() int64 { return int64(callersPart * float64(b.limit)) }
+
+// AnswersLimit returns the most that queues of answers may count together.
+func (b *Budget) AnswersLimit() int64 { return int64(queuesPart * float64(b.limit)) }
+
 // fits reports whether s may count so many bytes. A body that is alone may use all of the
 // callers' part. The caller holds mu.
 func (b *Budget) fits(s *Share, counted int64) bool {
@@ -95,7 +101,7 @@
 	case answerKind:
 		return true
 	case queueKind:
-		return b.queued+added <= int64(queuesPart*float64(b.limit))
+		return b.queued+added <= b.AnswersLimit()
 	}
 	part := callersPart
 	if counted > smallBytes && b.bodies > s.counted {
@@ -169,7 +175,11 @@
 			return nil, errors.Wrapf(ErrTooLong, "more than %d bytes", most)
 		}
 		if full := cap(buf); len(buf) == full {
-			larger := int(min(2*int64(full), most))
+			// Both buffers count while the body is copied.
+			larger := int(min(2*int64(full), most, s.budget.BodyLimit()+FreeBytes-int64(full)))
+			if larger <= full {
+				return nil, errors.Wrapf(ErrTooLong, "more than %d bytes, which the memory for requests doesn't hold", full)
+			}
 			if err := s.growBody(larger, h); err != nil {
 				return nil, err
 			}
--- a/node/api.go
+++ b/node/api.go
@@ -6,6 +6,7 @@
 
 	goahttp "goa.design/goa/v3/http"
 
+	"github.com/vanillaroad/vanillaroad/callers"
 	genconfirmations "github.com/vanillaroad/vanillaroad/gen/confirmations"
 	gendirectory "github.com/vanillaroad/vanillaroad/gen/directory"
 	gengenerations "github.com/vanillaroad/vanillaroad/gen/generations"
@@ -28,23 +29,24 @@
 // newServer returns an HTTP server with the goa services and the metrics endpoint.
 func (n *Node) newServer() *http.Server {
 	mux := goahttp.NewMuxer()
-	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
+	dec, enc := requestDecoder, goahttp.ResponseEncoder
 	directoryserver.Mount(mux, directoryserver.New(gendirectory.NewEndpoints(&directoryAPI{n}), mux, dec, enc, nil, nil))
 	generationsserver.Mount(mux, generationsserver.New(gengenerations.NewEndpoints(&generationsAPI{n}), mux, dec, enc, nil, nil))
 	confirmationsserver.Mount(mux, confirmationsserver.New(genconfirmations.NewEndpoints(&confirmationsAPI{n}), mux, dec, enc, nil, nil))
 	operationsserver.Mount(mux, operationsserver.New(genoperations.NewEndpoints(&operationsAPI{n}), mux, dec, enc, nil, nil))
 	mux.Handle(http.MethodGet, "/metrics", n.serveMetrics)
-	return &http.Server{Handler: n.withLimits(mux), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{
+		Handler: n.withBody(n.withLimits(mux)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: n.conns.ConnState, ConnContext: callers.ConnContext,
+	}
 }
 
-// withLimits counts running requests, limits the size of request bodies and sets
-// deadlines for reads of the body and writes of the response.
+// withLimits counts the requests that were read and are being served, for which a planned stop
+// waits, and sets deadlines for writes of the response.
 func (n *Node) withLimits(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.requests.Add(1)
 		defer n.requests.Add(-1)
-		body := deadlineBody{r.Body, http.NewResponseController(w)}
-		r.Body = http.MaxBytesReader(w, body, maxBodyBytes)
 		writer := newDeadlineWriter(w)
 		next.ServeHTTP(writer, r.WithContext(withWriter(r.Context(), writer)))
 	})
--- a/node/api_failure.go
+++ b/node/api_failure.go
@@ -18,7 +18,7 @@
 // errorClass returns the name in the goa design for the code of e.
 func errorClass(e *failure.Error) string {
 	switch e.Code {
-	case failure.BadRequest:
+	case failure.BadRequest, failure.TooLarge:
 		return classBadRequest
 	case failure.NotFound:
 		return classNotFound
--- a/node/api_generations.go
+++ b/node/api_generations.go
@@ -35,7 +35,7 @@
 	r := generation.Request{
 		ID: p.ID, Workspace: p.Workspace, Service: p.Service, Prompt: p.Prompt, MaxTokens: p.MaxTokens,
 		Seed: deref(p.Seed), Priority: priorities[p.Priority], Labels: p.Labels, Held: p.Held, Cursor: cursor,
-		Deadline: time.Duration(deref(p.DeadlineMs)) * time.Millisecond,
+		Deadline: time.Duration(deref(p.DeadlineMs)) * time.Millisecond, Retain: retainMemory(ctx),
 	}
 	if svc, ok := a.n.snapshot.Load().Service(p.Service); ok {
 		r.Objective = svc.Objective
--- a/node/api_writer.go
+++ b/node/api_writer.go
@@ -4,9 +4,12 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/vanillaroad/vanillaroad/callers"
 )
 
 // callerWriteTimeout bounds one write to a caller, which blocks while the caller
@@ -98,11 +101,15 @@
 type deadlineBody struct {
 	io.ReadCloser
 	control *http.ResponseController
+	guard   *callers.Guard // of the connection; nil if it is not bounded
 }
 
 // Read implements io.Reader.
 func (b deadlineBody) Read(p []byte) (int, error) {
 	_ = b.control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if b.guard != nil && b.guard.Evicted() {
+		return 0, os.ErrDeadlineExceeded // the deadline above may have replaced that of the eviction
+	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		_ = b.control.SetReadDeadline(time.Time{})
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -14,6 +14,7 @@
 	w.Header().Set("Content-Type", exposition.ContentType)
 	var out bytes.Buffer
 	n.writeGauges(&out)
+	n.writeLimits(&out)
 	exposition.WriteEvents(&out, n.events.Counts())
 	n.writePeerTraffic(&out)
 	exposition.WriteRegistry(&out, n.metrics)
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/vanillaroad/vanillaroad/callers"
 	"github.com/vanillaroad/vanillaroad/configuration"
 	"github.com/vanillaroad/vanillaroad/control"
 	"github.com/vanillaroad/vanillaroad/event"
@@ -63,6 +64,8 @@
 	admission  *admitter       // owned by the control loop
 	background context.Context // done when the daemon stops; set before it serves
 
+	limits      *callers.Limits  // bounds on what callers hold
+	conns       *callers.Tracker // callers' connections
 	listener    net.Listener
 	server      *http.Server
 	wg          sync.WaitGroup
@@ -78,6 +81,7 @@
 		APIAddress: s.APIAddress, PeerAddress: s.PeerAddress,
 	}
 	events := event.NewRecorder(s.ID, event.NewClock(time.Now), newLogger(logOutput, s), s.EventRing)
+	limits := newCallerLimits(s)
 	transport, err := peer.Listen(self, events)
 	if err != nil {
 		return nil, err
@@ -88,9 +92,11 @@
 		return nil, errors.Wrapf(err, "listen for callers at %s", s.APIAddress)
 	}
 	n := &Node{
+		limits: limits, conns: callers.NewTracker(),
 		settings: s, self: self, events: events, metrics: metrics.NewRegistry(), loop: control.NewLoop(),
-		transport: transport, listener: listener, refusalStarted: make(chan struct{}),
+		transport: transport, refusalStarted: make(chan struct{}),
 	}
+	n.listener = n.limitCallers(listener)
 	if err := n.openTrace(s.TraceFile); err != nil {
 		transport.Close()
 		_ = listener.Close()
@@ -135,6 +141,7 @@
 	n.background = background
 	n.spawn(func() { n.loop.Run(background) })
 	n.spawn(n.transport.Serve)
+	n.spawn(func() { n.checkCallers(background) })
 	n.runMembership(background)
 	n.runConfiguration(background)
 	n.runConfirmations(background)
--- a/target/client.go
+++ b/target/client.go
@@ -70,13 +70,22 @@
 
 // Generate implements Engine.
 func (c *Client) Generate(ctx context.Context, req GenerateRequest) (Stream, error) {
-	body, err := json.Marshal(req)
+	body, err := generateBody(req)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, err
 	}
 	return c.stream(ctx, http.MethodPost, "/generate", body)
 }
 
+// generateBody returns the body of a request that starts an attempt.
+func generateBody(req GenerateRequest) (*requestBody, error) {
+	return newRequestBody(struct {
+		GenerateRequest
+		Prompt *struct{} `json:"prompt,omitempty"` // replaced by text fields
+		Forced *struct{} `json:"forced,omitempty"`
+	}{GenerateRequest: req}, textField{name: "prompt", texts: []string{req.Prompt}}, textField{name: "forced", texts: req.Forced, array: true})
+}
+
 // Attach implements Engine.
 func (c *Client) Attach(ctx context.Context, id StreamID, from int64) (Stream, error) {
 	return c.stream(ctx, http.MethodGet, fmt.Sprintf("%s?from=%d", streamPath(id), from), nil)
@@ -86,9 +95,9 @@
 	return fmt.Sprintf("/streams/%s/%d", url.PathEscape(id.Request), id.Attempt)
 }
 
-func (c *Client) stream(ctx context.Context, method, path string, body []byte) (Stream, error) {
+func (c *Client) stream(ctx context.Context, method, path string, body *requestBody) (Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := c.send(ctx, method, path, body)
+	resp, err := c.sendBody(ctx, method, path, body)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -103,9 +112,17 @@
 	return &stream{body: resp.Body, scanner: sc, cancel: cancel}, nil
 }
 
-// send sends one request. An error is ErrNotSent if the target can't have received the
-// request, and ErrLost once a connection was obtained for it.
-func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+// sendBody is send with a body that may be nil.
+func (c *Client) sendBody(ctx context.Context, method, path string, body *requestBody) (*http.Response, error) {
+	if body == nil {
+		return c.send(ctx, method, path, nil, 0)
+	}
+	return c.send(ctx, method, path, body, body.length)
+}
+
+// send sends one request with a body of the given length. An error is ErrNotSent if the target can't
+// have received the request, and ErrLost once a connection was obtained for it.
+func (c *Client) send(ctx context.Context, method, path string, body io.Reader, length int64) (*http.Response, error) {
 	var gotConn atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) },
@@ -114,13 +131,13 @@
 	if body != nil {
 		// For a reader of this type net/http sets no GetBody, so it can't resend the
 		// request on another connection.
-		content = struct{ io.Reader }{bytes.NewReader(body)}
+		content = struct{ io.Reader }{body}
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, content)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	req.ContentLength = int64(len(body))
+	req.ContentLength = length
 	resp, err := c.http.Do(req)
 	if err != nil && gotConn.Load() {
 		return nil, errors.Wrap(ErrLost, err.Error())
@@ -228,7 +245,11 @@
 }
 
 func (c *Client) sendAndDecode(ctx context.Context, method, path string, body []byte, out any) error {
-	resp, err := c.send(ctx, method, path, body)
+	var content io.Reader
+	if body != nil {
+		content = bytes.NewReader(body)
+	}
+	resp, err := c.send(ctx, method, path, content, int64(len(body)))
 	if err != nil {
 		return err
 	}
@@ -245,13 +266,21 @@
 	return nil
 }
 
+// callBody returns the body of a call.
+func callBody(call Call) (*requestBody, error) {
+	return newRequestBody(struct {
+		Call
+		Body *struct{} `json:"body,omitempty"` // replaced by a text field
+	}{Call: call}, textField{name: "body", texts: []string{call.Body}})
+}
+
 // Call implements PlainService. Only ctx limits how long it waits.
 func (c *Client) Call(ctx context.Context, call Call) (Reply, error) {
-	body, err := json.Marshal(call)
+	body, err := callBody(call)
 	if err != nil {
 		return Reply{}, errors.Wrap(ErrNotSent, err.Error())
 	}
-	resp, err := c.send(ctx, http.MethodPost, "/call", body)
+	resp, err := c.sendBody(ctx, http.MethodPost, "/call", body)
 	if err != nil {
 		return Reply{}, err
 	}
