node: bounds at the port of vanillaroadd for other daemons

600 connections to the peer port, silent or after their hello, used 616 and 617 descriptors where 450 are allowed, and 120 frames of 4 MiB without their last byte 686 MB where the VM has 96 (TestNodePeerPort at, one run each, all three failed; unread answers, 71 MB, passed).

Cause: package peer has bounds for accepted connections and frames, which only the gateway set. The daemon of the API now sets them from the same resources. After: 21, 21, 40 and 49 MB, at most 87 descriptors, one run each.

--- a/internal/crowd/node_test.go
+++ b/internal/crowd/node_test.go
@@ -177,6 +177,17 @@
 	}
 }
 
+// TestNodePeerPort guards against crowds at the port of the other daemons.
+func TestNodePeerPort(t *testing.T) {
+	for _, c := range peerCrowds() {
+		t.Run(c.name, func(t *testing.T) {
+			s := startNode(t)
+			press(t, s.peers(), c.size, c.first, nil)
+			s.check()
+		})
+	}
+}
+
 // TestNodeMixedCrowd guards against several kinds of misbehaviour at once.
 func TestNodeMixedCrowd(t *testing.T) {
 	s := startNode(t)
--- a/node/caller_limits.go
+++ b/node/caller_limits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanillaroad/vanillaroad/callers"
+	"github.com/vanillaroad/vanillaroad/internal/exposition"
 	"github.com/vanillaroad/vanillaroad/settings"
 )
 
@@ -44,4 +45,7 @@
 // writeLimits writes the state of the bounds.
 func (n *Node) writeLimits(out *bytes.Buffer) {
 	n.limits.WriteMetrics(out)
+	peers, rejected := n.transport.Inbound()
+	exposition.WriteValue(out, "peer_connections_accepted", "gauge", peers)
+	exposition.WriteValue(out, "peer_connections_rejected", "counter", rejected)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,9 @@
 		transport.Close()
 		return nil, errors.Wrapf(err, "listen for callers at %s", s.APIAddress)
 	}
+	if limits.Resources.Known() {
+		transport.MaxInbound, transport.Buffers = limits.Resources.PeerConns(), limits.Resources.FrameBudget()
+	}
 	n := &Node{
 		limits: limits, conns: callers.NewTracker(),
 		settings: s, self: self, events: events, metrics: metrics.NewRegistry(), loop: control.NewLoop(),
