node: answers that nobody reads count in the memory for callers

Cause: events, configuration, status and metrics are encoded as a whole, and what is not sent yet is held for each connection until the write times out.

Such an answer now counts as a queue of the budget before it is encoded, by the most that it may use.

--- a/internal/crowd/node_test.go
+++ b/internal/crowd/node_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"syscall"
@@ -177,6 +178,25 @@
 	}
 }
 
+// TestNodeUnreadEvents guards against long answers for operators that very many callers ask for and
+// don't read.
+func TestNodeUnreadEvents(t *testing.T) {
+	s := newNode(t)
+	s.maxFDs = 4100
+	s.start("vanillaroadd", s.writeNodeSettings(map[string]any{"max_fds": s.maxFDs}))
+	s.awaitServing()
+	for range 1000 { // fill the list of events
+		s.ordinaryRequest()
+	}
+	press(t, s.api(), manyConns, func(m member) bool {
+		return m.write(strings.Repeat("GET /v1/events HTTP/1.1\r\nHost: h\r\n\r\n", 1000))
+	}, nil)
+	s.attempt(func(ctx context.Context, n int) bool {
+		return requestServed(ctx, "http://"+s.api()+"/v1/events", n, nil)
+	})
+	s.check()
+}
+
 // TestNodePeerPort guards against crowds at the port of the other daemons.
 func TestNodePeerPort(t *testing.T) {
 	for _, c := range peerCrowds() {
--- a/node/api.go
+++ b/node/api.go
@@ -36,7 +36,7 @@
 	operationsserver.Mount(mux, operationsserver.New(genoperations.NewEndpoints(&operationsAPI{n}), mux, dec, enc, nil, nil))
 	mux.Handle(http.MethodGet, "/metrics", n.serveMetrics)
 	return &http.Server{
-		Handler: n.withBody(n.withLimits(mux)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: n.withBody(n.withAnswer(n.withLimits(mux))), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: n.conns.ConnState, ConnContext: callers.ConnContext,
 	}
 }
