generation: all memory of final answers counts in max_retained_bytes, at once

Cause: generation.max_retained_bytes counted the text of the tokens only, not the 24 bytes that the answer holds of each, and it was enforced once a second.

--- a/generation/answer.go
+++ b/generation/answer.go
@@ -158,11 +158,14 @@
 	return a.tokens, a.done, a.err
 }
 
-// size returns the size of all tokens in bytes.
+// tokenBytes is what an answer holds of each token, apart from its text: the string and the hash.
+const tokenBytes = 16 + 8
+
+// size returns the memory of all tokens in bytes.
 func (a *Answer) size() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.bytes
+	return a.bytes + tokenBytes*int64(len(a.tokens))
 }
 
 // AddReader counts a reader. The returned function removes it.
--- a/generation/hub.go
+++ b/generation/hub.go
@@ -107,7 +107,7 @@
 		tokens, done, err := existing.answer.snapshot()
 		if !done || err == nil {
 			h.deps.Events.Record(event.GenerationJoined, r.ID)
-			return Reader{existing.answer, position, existing.answer.AddReader()}, nil
+			return h.addReader(existing.answer, position), nil
 		}
 		// The run failed: start a new one from all tokens that it produced.
 		c := existing.answer.CursorAt(int64(len(tokens)))
@@ -143,8 +143,11 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		tracked.endedAt = time.Now()
+		if tracked.answer.size() >= largeAnswerBytes {
+			h.limitRetained()
+		}
 	})
-	return Reader{tracked.answer, position, tracked.answer.AddReader()}
+	return h.addReader(tracked.answer, position)
 }
 
 // execute runs the request to its end. It continues from the run of another
@@ -212,15 +215,11 @@
 }
 
 // Sweep stops runs that no caller has read for Settings.Unwatched and removes
-// final answers that no caller reads once their retention has expired. While the hub
-// has more than MaxRetained answers, running ones included, or its final answers
-// without a reader exceed MaxRetainedBytes, Sweep removes such final answers, oldest
-// first.
+// final answers that no caller reads once their retention has expired, or before if
+// there is too much of them, see limitRetained.
 func (h *Hub) Sweep(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var retained []string
-	var bytes int64
 	for id, tracked := range h.runs {
 		switch {
 		case tracked.endedAt.IsZero():
@@ -229,7 +228,19 @@
 		case tracked.answer.HasReader():
 		case now.Sub(tracked.endedAt) > h.settings.Retention.Std():
 			delete(h.runs, id)
-		default:
+		}
+	}
+	h.limitRetained()
+}
+
+// limitRetained removes final answers without a reader, oldest first, while the hub
+// has more than MaxRetained answers, running ones included, or such answers exceed
+// MaxRetainedBytes. The caller holds mu.
+func (h *Hub) limitRetained() {
+	var retained []string
+	var bytes int64
+	for id, tracked := range h.runs {
+		if !tracked.endedAt.IsZero() && !tracked.answer.HasReader() {
 			retained = append(retained, id)
 			bytes += tracked.answer.size()
 		}
@@ -244,6 +255,24 @@
 	}
 }
 
+// largeAnswerBytes is the size from which an answer counts as soon as it has no reader, and not
+// only at the next sweep.
+const largeAnswerBytes = 64 << 10
+
+// addReader returns a reader of an answer.
+func (h *Hub) addReader(answer *Answer, position int64) Reader {
+	remove := answer.AddReader()
+	return Reader{answer, position, func() {
+		remove()
+		if answer.size() < largeAnswerBytes {
+			return
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.limitRetained()
+	}}
+}
+
 func (h *Hub) stopUnread(now time.Time, tracked *trackedRun) {
 	if limit := h.settings.Unwatched.Std(); tracked.answer.unreadFor(now) > limit {
 		tracked.stop(failure.New(failure.Canceled, failure.Ran, "generate", "", "no caller read the answer for %s", limit))
--- a/internal/crowd/node_test.go
+++ b/internal/crowd/node_test.go
@@ -122,6 +122,19 @@
 	s.check()
 }
 
+// TestNodeRetainedAnswers guards against final answers of very many empty tokens that are kept for
+// callers who could reconnect: each caller holds all tokens of its answer already, so that it ends
+// at once.
+func TestNodeRetainedAnswers(t *testing.T) {
+	s := startNode(t)
+	held := strings.Repeat(`"",`, 100_000) + `""`
+	for n := range 3 * crowdSize { // one after the other, so that none is refused
+		body := fmt.Sprintf(`{"id":"held-%d","workspace":"fair","service":"pisar","max_tokens":1,"prompt":"p","held":[`, n) + held + "]}"
+		s.attempt(func(ctx context.Context, _ int) bool { return s.generate(ctx, body) })
+	}
+	s.check()
+}
+
 // TestNodeHeadersWithoutEnd guards against heads that never end: long or many header fields,
 // empty lines before a request, and a long request line.
 func TestNodeHeadersWithoutEnd(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,7 @@
 	}
 	events := event.NewRecorder(s.ID, event.NewClock(time.Now), newLogger(logOutput, s), s.EventRing)
 	limits := newCallerLimits(s)
+	limitRetained(&s)
 	transport, err := peer.Listen(self, events)
 	if err != nil {
 		return nil, err
