settings: without memory_mb and max_fds a daemon takes what the system states

Cause: 0 stood for no bound. It now stands for what the system states: the machine's memory, or the limit of the control group if that is less, and the soft limit of descriptors.

--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -33,11 +33,12 @@
 
 	LogLevel  string `json:"log_level" validate:"oneof=debug info warn error"` // minimum severity of logged events
 	EventRing int    `json:"event_ring" validate:"min=16,max=1000000"`         // number of recent events kept in memory for the timeline
-	// MemoryMB is the memory of the VM; 0 if unknown, and then bodies and connections of
-	// callers are not bounded by memory.
+	// MemoryMB is the memory of the VM in MiB, which bounds what callers hold; what the system
+	// states if 0, see LoadSettings. Changes take effect at the next start.
 	MemoryMB int `json:"memory_mb" validate:"min=0"`
 	// MaxFDs is the number of file descriptors that the process may use, of which 200 are
-	// reserved for files; 0 if unknown, and then connections are not bounded by descriptors.
+	// reserved for files; what the system allows if 0, see LoadSettings. Changes take effect at
+	// the next start.
 	MaxFDs int `json:"max_fds,omitempty" validate:"min=0"`
 
 	// ReportersAbove is the number of daemons above which they don't send their load to each
@@ -115,9 +116,12 @@
 }
 
 // LoadSettings reads and validates a settings file. The error lists all invalid
-// settings.
+// settings. Limits that the file doesn't set are those of the system.
 func LoadSettings(path string) (Settings, error) {
 	s, unknown, err := settings.Read(path, DefaultSettings())
 	s.Unknown = unknown
+	if err == nil {
+		settings.SystemLimits(&s.MemoryMB, &s.MaxFDs)
+	}
 	return s, err
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaroad/vanillaroad/admission"
 	"github.com/vanillaroad/vanillaroad/confirmation"
 	"github.com/vanillaroad/vanillaroad/generation"
+	"github.com/vanillaroad/vanillaroad/internal/machine"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/placement"
 	"github.com/vanillaroad/vanillaroad/quarantine"
@@ -34,8 +35,8 @@
 	LogLevel    string `json:"log_level" validate:"oneof=debug info warn error"` // lowest severity of the events that are logged
 	EventRing   int    `json:"event_ring" validate:"min=16,max=1000000"`         // number of events kept in memory for the timeline
 	TraceFile   string `json:"trace_file,omitempty"`                             // file that records the inputs of decisions for replay; no recording if empty
-	MemoryMB    int    `json:"memory_mb" validate:"omitempty,min=64"`            // memory of the process in MiB, which bounds what callers hold; no bound if 0
-	MaxFDs      int    `json:"max_fds" validate:"omitempty,min=256"`             // number of file descriptors of the process, which bounds connections; no bound if 0
+	MemoryMB    int    `json:"memory_mb" validate:"omitempty,min=64"`            // memory of the process in MiB, which bounds what callers hold; what the system states if 0
+	MaxFDs      int    `json:"max_fds" validate:"omitempty,min=256"`             // number of file descriptors of the process, which bounds connections; what the system allows if 0
 
 	Membership   membership.Settings   `json:"membership"`
 	Admission    admission.Settings    `json:"admission"`
@@ -66,13 +67,28 @@
 // Error implements error.
 func (f ValidationErrors) Error() string { return "bad settings: " + strings.Join(f, "; ") }
 
-// Load reads and validates the settings file of a daemon.
+// Load reads and validates the settings file of a daemon. Limits that it doesn't set are those of
+// the system.
 func Load(path string) (Settings, error) {
 	s, unknown, err := Read(path, Default())
 	s.Unknown = unknown
+	if err == nil {
+		SystemLimits(&s.MemoryMB, &s.MaxFDs)
+	}
 	return s, err
 }
 
+// SystemLimits replaces limits of 0, in MiB and in file descriptors, by those that the system
+// states for the process.
+func SystemLimits(memoryMB, maxFDs *int) {
+	if *memoryMB == 0 {
+		*memoryMB = machine.MemoryMB()
+	}
+	if *maxFDs == 0 {
+		*maxFDs = machine.Descriptors()
+	}
+}
+
 // Parse decodes b over the defaults and validates the result.
 func Parse(b []byte) (Settings, error) {
 	s, unknown, err := decode(b, Default())
