--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,7 +35,7 @@
 	LogLevel    string `json:"log_level" validate:"oneof=debug info warn error"` // lowest severity of the events that are logged
 	EventRing   int    `json:"event_ring" validate:"min=16,max=1000000"`         // number of events kept in memory for the timeline
 	TraceFile   string `json:"trace_file,omitempty"`                             // file that records the inputs of decisions for replay; no recording if empty
-	MemoryMB    int    `json:"memory_mb" validate:"omitempty,min=64"`            // memory of the process in MiB, which bounds what callers hold; what the system states if 0
+	MemoryMB    int    `json:"memory_mb" validate:"omitempty,min=80"`            // memory of the process in MiB, which bounds what callers hold; what the system states if 0
 	MaxFDs      int    `json:"max_fds" validate:"omitempty,min=256"`             // number of file descriptors of the process, which bounds connections; what the system allows if 0
 
 	Membership   membership.Settings   `json:"membership"`
