--- a/internal/crowd/process_test.go
+++ b/internal/crowd/process_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,6 +79,8 @@
 	}
 	defer func() { _ = logFile.Close() }()
 	command.Stdout, command.Stderr = logFile, logFile
+	// No cleanup runs when a test ends by its time limit.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		d.t.Fatal(err)
 	}
