gateway: log when origins of streams are written to the store and read from it

The log of a stream that goes on at the wrong software version said only origin_assumed. It could not tell a version that was never written from one that was written and lost, one that was written again too late, and one that was read and not used.

Two events name what was written or read, and the era of the store: origins_written and origins_read.

--- a/event/numbers_platform.go
+++ b/event/numbers_platform.go
@@ -11,6 +11,8 @@
 	StoreRestored     Number = 906
 	EraInvalid        Number = 907
 	EntryWrittenAgain Number = 908
+	OriginsWritten    Number = 909
+	OriginsRead       Number = 910
 )
 
 var platformEntries = []Entry{
@@ -23,4 +25,6 @@
 	{StoreRestored, "store_restored", Warn, "The store was restored from an older copy: kind now has the entries of a newer era. changed and removed are the entries that differ from what this daemon had.", "Ask the platform's operators what was lost; this daemon keeps its configuration and writes its own entries again."},
 	{EraInvalid, "store_era_invalid", Warn, "An answer of the store does not state its era, states no number, or states an era below the latest. The last is that of an answer from before a restoration.", "Check the platform if it persists."},
 	{EntryWrittenAgain, "entry_written_again", Info, "This daemon's entry was missing from the store and was written again.", ""},
+	{OriginsWritten, "origins_written", Info, "This daemon wrote to the store at which software versions streams of a service may have begun; era is that of the store.", ""},
+	{OriginsRead, "origins_read", Info, "This daemon read from the store, for a stream that no daemon knows, which software versions may have begun streams of a service, or the origins of single streams; era is that of the store.", ""},
 }
--- a/gateway/origin_store.go
+++ b/gateway/origin_store.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -213,7 +215,7 @@
 // readRecords reads the records of all daemons. It deletes obsolete objects.
 func (s *originStore) readRecords(ctx context.Context) (map[string]origin.Origin, error) {
 	now := time.Now()
-	objects, _, err := s.store.List(ctx, originsKind)
+	objects, position, err := s.store.List(ctx, originsKind)
 	if err != nil {
 		return nil, err
 	}
@@ -227,6 +229,7 @@
 			records[r.RequestID] = r.Record().Origin
 		}
 	}
+	s.events.Record(event.OriginsRead, "", event.F("records", strconv.Itoa(len(records))), event.F("era", strconv.FormatInt(position.Era, 10)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.records, s.readAt = records, now
@@ -243,8 +246,9 @@
 		var err error
 		versions, err = shareRead(ctx, s, versionsKind+"/"+service, func(ctx context.Context) (origin.Versions, error) {
 			readAt := time.Now()
-			versions, _, err := s.readVersions(ctx, service)
+			versions, at, err := s.readVersions(ctx, service)
 			if err == nil {
+				s.recordVersions(event.OriginsRead, service, versions, at)
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.versions[service] = readVersions{versions, readAt}
@@ -277,27 +281,33 @@
 	}
 }
 
-// readVersions reads the stored versions of a service and the version of their object,
-// which is 0 if there is none.
-func (s *originStore) readVersions(ctx context.Context, service string) (origin.Versions, int64, error) {
+// readVersions reads the stored versions of a service and their object, whose version is 0
+// if there is none.
+func (s *originStore) readVersions(ctx context.Context, service string) (origin.Versions, objectstore.Object, error) {
 	object, err := s.store.Get(ctx, versionsKind, service)
 	if errors.Is(err, objectstore.ErrNotFound) {
-		return make(origin.Versions), 0, nil
+		return make(origin.Versions), object, nil
 	}
 	if err != nil {
-		return nil, 0, err
+		return nil, objectstore.Object{}, err
 	}
 	versions := make(origin.Versions)
 	if err := json.Unmarshal(object.Value, &versions); err != nil {
 		s.events.Record(event.EntryRefused, "", event.F("software_versions", service), event.F("error", err.Error()))
 		versions = make(origin.Versions) // the next write replaces it
 	}
-	return versions, object.Version, nil
+	return versions, object, nil
+}
+
+// recordVersions records that the stored versions of a service were read or written.
+func (s *originStore) recordVersions(number event.Number, service string, versions origin.Versions, at objectstore.Object) {
+	s.events.Record(number, "", event.F("service", service),
+		event.F("versions", strings.Join(versions.Recent(time.Now()), ",")), event.F("era", strconv.FormatInt(at.Era, 10)))
 }
 
 // writeVersion stores that streams begin at a version, unless the store has it.
 func (s *originStore) writeVersion(ctx context.Context, where origin.Origin) error {
-	versions, objectVersion, err := s.readVersions(ctx, where.Service)
+	versions, object, err := s.readVersions(ctx, where.Service)
 	if err != nil || versions.Fresh(time.Now(), where.SoftwareVersion) {
 		return err
 	}
@@ -306,7 +316,10 @@
 	if err != nil {
 		return errors.Wrap(err, "encode software versions")
 	}
-	_, err = s.store.Put(ctx, versionsKind, where.Service, value, objectVersion)
+	_, err = s.store.Put(ctx, versionsKind, where.Service, value, object.Version)
+	if err == nil {
+		s.recordVersions(event.OriginsWritten, where.Service, versions, object)
+	}
 	return err
 }
 
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -37,12 +37,15 @@
 // Revision increases with each write to the store. A store may use the same number for
 // both.
 type Object struct {
-	Kind     string          `json:"kind"`
-	Name     string          `json:"name"`
-	Version  int64           `json:"version"`
-	Revision int64           `json:"revision"`
-	Deleted  bool            `json:"deleted,omitempty"`
-	Value    json.RawMessage `json:"value,omitempty"`
+	Kind     string `json:"kind"`
+	Name     string `json:"name"`
+	Version  int64  `json:"version"`
+	Revision int64  `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+	// Era is that of the answer of Get that brought the object, also of ErrNotFound; see
+	// Position. Other calls leave it 0.
+	Era   int64           `json:"-"`
+	Value json.RawMessage `json:"value,omitempty"`
 	// Status is what the daemons report on the object, and Created the number that the store
 	// gave the object at its creation. Both are set only for kinds that have a status.
 	Status  json.RawMessage `json:"status,omitempty"`
