gateway: software versions that a restoration of the store loses are noted again

Cause: a version at which streams begin is noted in the store once, and again after four minutes. A store that comes back from an older copy has lost the note; members, crash reports and states of roll-outs were written again then, versions and the origins of streams were not. After a restart of all daemons, a single version that is noted counted as the only one there ever was. Evidence, by the log lines of: v1,v2 written in era 1, nothing in era 2, v1 read in era 2 by all four daemons and assumed. Excluded: never written, written again too late, read and not used.

Change: package durable declares the kinds that daemons write, with how each is written again; undeclared ones aren't written. Daemons note their versions again 1 to 2 s after they read a new era, then the era in which the notes are complete. Only daemons that know all versions state that: since the first start of the fleet, or after ten minutes. Without the statement for the era of a read, a single version isn't assumed: a stream goes on by its own stored record, or is refused. The same holds for answers of other daemons while the store is away. Stored records are written again.

Why this works: a version in the notes of the present era was never lost, or was noted again; where that isn't known, nothing is concluded from it. A stream whose record is known or stored is served as before, and so is one of unknown origin in an era whose notes are complete.

--- a/event/numbers_platform.go
+++ b/event/numbers_platform.go
@@ -13,6 +13,7 @@
 	EntryWrittenAgain Number = 908
 	OriginsWritten    Number = 909
 	OriginsRead       Number = 910
+	CoverageWritten   Number = 911
 )
 
 var platformEntries = []Entry{
@@ -26,5 +27,6 @@
 	{EraInvalid, "store_era_invalid", Warn, "An answer of the store does not state its era, states no number, or states an era below the latest. The last is that of an answer from before a restoration.", "Check the platform if it persists."},
 	{EntryWrittenAgain, "entry_written_again", Info, "This daemon's entry was missing from the store and was written again.", ""},
 	{OriginsWritten, "origins_written", Info, "This daemon wrote to the store at which software versions streams of a service may have begun; era is that of the store.", ""},
+	{CoverageWritten, "coverage_written", Info, "This daemon wrote to the store that in era no software version is missing at which streams may have begun; with complete=false it only noted the era, and streams that no daemon knows don't go on at an assumed version for ten minutes.", ""},
 	{OriginsRead, "origins_read", Info, "This daemon read from the store, for a stream that no daemon knows, which software versions may have begun streams of a service, or the origins of single streams; era is that of the store.", ""},
 }
--- a/gateway/datasets.go
+++ b/gateway/datasets.go
@@ -295,9 +295,7 @@
 		}
 	}
 	d.mu.Unlock()
-	if kind == memberKind { // once a restoration, not for each kind
-		d.g.verdicts.saveAgain()
-	}
+	d.g.store.HandleRestoration(era)
 }
 
 // wakeReader lets refresh look at the time of the next read again. It is not called for
@@ -367,9 +365,7 @@
 	case platform.TargetKind:
 		d.g.applyTargetChange(c, d.entriesMayReturn(time.Now()))
 		d.g.rollouts.noteTargets(c)
-		if origin.source == sourceStore {
-			d.g.noteVersions(c)
-		}
+		d.g.noteVersions(c, origin.source == sourceStore)
 	case memberKind:
 		d.g.members.applyChange(c, d.entriesMayReturn(time.Now()))
 	case platform.RolloutKind:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/vanillaroad/vanillaroad/callers"
+	"github.com/vanillaroad/vanillaroad/durable"
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/exchange"
 	"github.com/vanillaroad/vanillaroad/fleet"
@@ -29,7 +30,6 @@
 	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/internal/lag"
 	"github.com/vanillaroad/vanillaroad/internal/recent"
-	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
 	"github.com/vanillaroad/vanillaroad/quarantine"
 )
@@ -39,7 +39,7 @@
 	settings     atomic.Pointer[Settings] // replaced, never modified, on each reload
 	events       *event.Recorder
 	metrics      metrics.Registry
-	store        objectstore.Store
+	store        *durable.Store
 	targetClient *platform.TargetClient
 	fleet        *fleet.Fleet
 	forwarder    *forward.Forwarder
@@ -53,7 +53,6 @@
 	permits      *permits
 	credits      *credits
 	links        *links
-	statuses     objectstore.StatusWriter
 	rollouts     *rollouts // nil if the deployment has no roll-outs
 
 	table     atomic.Pointer[ingress.Table]  // active configuration; nil until the first one is activated
@@ -116,7 +115,7 @@
 	store.OnInvalidEra = func(stated string, latest int64) {
 		g.events.Record(event.EraInvalid, "", event.F("stated", stated), event.F("latest", strconv.FormatInt(latest, 10)))
 	}
-	g.store, g.statuses = store, store
+	g.store = durable.NewStore(store, store)
 	if s.Rollout != nil {
 		g.rollouts = newRollouts(g, *s.Rollout)
 	}
@@ -126,6 +125,7 @@
 		func(request quarantine.RequestKey) { g.verdicts.save(request) })
 	g.newer = &newerVersions{g: g}
 	g.verdicts = newVerdicts(g.store, g.events, g.crashTracker)
+	g.declareKinds()
 	g.crashTracker.saveParts, g.crashTracker.runsTrials = g.verdicts.saveParts, g.members.runsTrials
 	g.crashTracker.sendSound = func(parts soundParts) { g.peers.sendEverywhere(kindSoundParts, parts) }
 	g.forwarder = &forward.Forwarder{
--- a/gateway/origin_store.go
+++ b/gateway/origin_store.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,7 +16,6 @@
 	"github.com/vanillaroad/vanillaroad/internal/pause"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/origin"
-	"github.com/vanillaroad/vanillaroad/peer"
 )
 
 // Kinds of the store objects about streams. They outlive a restart of all daemons.
@@ -39,103 +38,54 @@
 	originWriteInterval = 2 * time.Second
 )
 
-// originStore keeps in the store what is needed after a restart of all daemons to continue
-// streams at their software version.
+// originStore keeps the origins of single streams in the store, for callers who take them up
+// after a restart of all daemons.
 type originStore struct {
 	self   string // id of this daemon
 	store  objectstore.Store
 	events *event.Recorder
-	failed func() bool // reports whether the store is known to be away
-	// onStored, if set, is called when this daemon has found that a version is stored.
-	onStored func(storedVersions)
 
-	reads   singleflight.Group
+	reads   *sharedReads
 	changed chan struct{} // receives a value when there are records to write
 
-	mu       sync.Mutex
-	noted    map[string]origin.Versions // that are stored, or being stored, by service
-	versions map[string]readVersions    // as read last, by service
-	records  map[string]origin.Origin   // as read last, by request id
-	readAt   time.Time                  // of records
-	own      origin.StoredRecords
+	mu      sync.Mutex
+	records map[string]origin.Origin // as read last, by request id
+	readAt  time.Time                // of records
+	own     origin.StoredRecords
+	written bool // by this process
+	loaded  bool // version is that of this daemon's object
 
 	// Used by run only.
-	loaded  bool  // own has the records of the previous incarnation
 	version int64 // of this daemon's object
 }
 
-type readVersions struct {
-	versions origin.Versions // not modified
-	readAt   time.Time
-}
-
-func newOriginStore(self string, store objectstore.Store, events *event.Recorder, failed func() bool) *originStore {
-	return &originStore{
-		self: self, store: store, events: events, failed: failed, changed: make(chan struct{}, 1),
-		noted: make(map[string]origin.Versions), versions: make(map[string]readVersions),
-	}
+func newOriginStore(self string, store objectstore.Store, events *event.Recorder, reads *sharedReads) *originStore {
+	return &originStore{self: self, store: store, events: events, reads: reads, changed: make(chan struct{}, 1)}
 }
 
 // add adds the record of a stream that begins at this daemon. It is written soon if write
-// is set, otherwise with the next one that is. It also stores the stream's version, unless
-// that was done lately. It does not block; writes end with ctx.
-func (s *originStore) add(ctx context.Context, now time.Time, r origin.Record, write bool) {
+// is set, otherwise with the next one that is.
+func (s *originStore) add(now time.Time, r origin.Record, write bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.own.Add(now, r)
 	if write {
 		s.requestWrite()
 	}
-	s.note(ctx, now, r.Origin)
 }
 
-// noteRegistered stores the versions of registered targets before streams begin there, unless
-// that was done lately: the store may be away when they do. It does not block.
-func (s *originStore) noteRegistered(ctx context.Context, now time.Time, service string, versions []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, v := range versions {
-		s.note(ctx, now, origin.Origin{Service: service, SoftwareVersion: v})
-	}
-}
-
-// note stores a version, unless that was done lately. s.mu is held.
-func (s *originStore) note(ctx context.Context, now time.Time, where origin.Origin) {
-	if s.noted[where.Service] == nil {
-		s.noted[where.Service] = make(origin.Versions)
-	}
-	noted := s.noted[where.Service]
-	if noted.Fresh(now, where.SoftwareVersion) {
+// restore writes this daemon's records again, if it has written some, because the store was
+// restored from an older copy. The delay keeps many daemons from writing at once.
+func (s *originStore) restore(ctx context.Context) {
+	if !pause.For(ctx, rand.N(originWriteInterval)) {
 		return
 	}
-	noted.Note(now, where.SoftwareVersion)
-	go retryStore(ctx, func(ctx context.Context) error {
-		err := s.writeVersion(ctx, where)
-		if err == nil && s.onStored != nil {
-			s.onStored(storedVersions{where.Service, origin.Versions{where.SoftwareVersion: now}})
-		}
-		return err
-	})
-}
-
-// storedVersions reports to all daemons that software versions of a service are stored, so
-// that they don't check it themselves.
-type storedVersions struct {
-	Service  string          `msgpack:"s"`
-	Versions origin.Versions `msgpack:"v"`
-}
-
-func (s *originStore) handleVersions(_ context.Context, _ peer.Identity, stored storedVersions) (any, error) {
-	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.noted[stored.Service] == nil {
-		s.noted[stored.Service] = make(origin.Versions)
-	}
-	for version := range stored.Versions {
-		s.noted[stored.Service].Note(now, version)
+	if s.written {
+		s.loaded = false
+		s.requestWrite()
 	}
-	return nil, nil
 }
 
 func (s *originStore) requestWrite() {
@@ -162,19 +112,24 @@
 
 // writeRecords writes this daemon's object. The records of its previous incarnation stay.
 func (s *originStore) writeRecords(ctx context.Context) error {
-	if !s.loaded {
+	s.mu.Lock()
+	loaded := s.loaded
+	s.mu.Unlock()
+	if !loaded {
 		object, err := s.store.Get(ctx, originsKind, s.self)
 		if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 			return err
 		}
 		s.mu.Lock()
-		if err == nil && s.version == 0 {
+		if err == nil && !s.written {
 			s.own.Prepend(time.Now(), s.decodeRecords(object))
 		}
+		s.loaded = true
 		s.mu.Unlock()
-		s.version, s.loaded = object.Version, true
+		s.version = object.Version
 	}
 	s.mu.Lock()
+	s.written = true
 	value, err := json.Marshal(s.own)
 	s.mu.Unlock()
 	if err != nil {
@@ -182,6 +137,8 @@
 	}
 	written, err := s.store.Put(ctx, originsKind, s.self, value, s.version)
 	if err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.loaded = false // the object's version has to be read
 		return err
 	}
@@ -204,7 +161,7 @@
 	s.mu.Unlock()
 	if time.Since(readAt) >= originReadTTL {
 		var err error
-		if records, err = shareRead(ctx, s, originsKind, s.readRecords); err != nil {
+		if records, err = share(ctx, s.reads, originsKind, s.readRecords); err != nil {
 			return origin.Origin{}, false, errors.Wrap(err, "read stream origins")
 		}
 	}
@@ -236,39 +193,19 @@
 	return records, nil
 }
 
-// recentVersions returns the stored versions of a service.
-func (s *originStore) recentVersions(ctx context.Context, service string) ([]string, error) {
-	s.mu.Lock()
-	latest, ok := s.versions[service]
-	s.mu.Unlock()
-	versions := latest.versions
-	if !ok || time.Since(latest.readAt) >= originReadTTL {
-		var err error
-		versions, err = shareRead(ctx, s, versionsKind+"/"+service, func(ctx context.Context) (origin.Versions, error) {
-			readAt := time.Now()
-			versions, at, err := s.readVersions(ctx, service)
-			if err == nil {
-				s.recordVersions(event.OriginsRead, service, versions, at)
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				s.versions[service] = readVersions{versions, readAt}
-			}
-			return versions, err
-		})
-		if err != nil {
-			return nil, errors.Wrap(err, "read software versions")
-		}
-	}
-	return versions.Recent(time.Now()), nil
+// sharedReads makes reads of the store for callers, one for all that need the same.
+type sharedReads struct {
+	failed func() bool // reports whether the store is known to be away
+	group  singleflight.Group
 }
 
-// shareRead makes a read of the store, one for all concurrent callers with the same key.
-// It fails at once while the store is away.
-func shareRead[T any](ctx context.Context, s *originStore, key string, read func(context.Context) (T, error)) (value T, err error) {
+// share makes a read of the store, one for all concurrent callers with the same key. It fails
+// at once while the store is away.
+func share[T any](ctx context.Context, s *sharedReads, key string, read func(context.Context) (T, error)) (value T, err error) {
 	if s.failed() {
 		return value, objectstore.ErrUnavailable
 	}
-	result := s.reads.DoChan(key, func() (any, error) {
+	result := s.group.DoChan(key, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), originReadTimeout)
 		defer cancel()
 		return read(ctx)
@@ -281,48 +218,6 @@
 	}
 }
 
-// readVersions reads the stored versions of a service and their object, whose version is 0
-// if there is none.
-func (s *originStore) readVersions(ctx context.Context, service string) (origin.Versions, objectstore.Object, error) {
-	object, err := s.store.Get(ctx, versionsKind, service)
-	if errors.Is(err, objectstore.ErrNotFound) {
-		return make(origin.Versions), object, nil
-	}
-	if err != nil {
-		return nil, objectstore.Object{}, err
-	}
-	versions := make(origin.Versions)
-	if err := json.Unmarshal(object.Value, &versions); err != nil {
-		s.events.Record(event.EntryRefused, "", event.F("software_versions", service), event.F("error", err.Error()))
-		versions = make(origin.Versions) // the next write replaces it
-	}
-	return versions, object, nil
-}
-
-// recordVersions records that the stored versions of a service were read or written.
-func (s *originStore) recordVersions(number event.Number, service string, versions origin.Versions, at objectstore.Object) {
-	s.events.Record(number, "", event.F("service", service),
-		event.F("versions", strings.Join(versions.Recent(time.Now()), ",")), event.F("era", strconv.FormatInt(at.Era, 10)))
-}
-
-// writeVersion stores that streams begin at a version, unless the store has it.
-func (s *originStore) writeVersion(ctx context.Context, where origin.Origin) error {
-	versions, object, err := s.readVersions(ctx, where.Service)
-	if err != nil || versions.Fresh(time.Now(), where.SoftwareVersion) {
-		return err
-	}
-	versions.Note(time.Now(), where.SoftwareVersion)
-	value, err := json.Marshal(versions)
-	if err != nil {
-		return errors.Wrap(err, "encode software versions")
-	}
-	_, err = s.store.Put(ctx, versionsKind, where.Service, value, object.Version)
-	if err == nil {
-		s.recordVersions(event.OriginsWritten, where.Service, versions, object)
-	}
-	return err
-}
-
 // union returns the distinct values of lists, sorted.
 func union(lists ...[]string) []string {
 	all := slices.Concat(lists...)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -23,23 +23,38 @@
 // streams are sent to all daemons with the next load report; a daemon that misses one
 // queries the others, and the store.
 type origins struct {
-	g     *Gateway
-	store *originStore
-	added chan struct{} // receives a value when there are records to send
+	g        *Gateway
+	store    *originStore
+	versions *versionStore
+	added    chan struct{} // receives a value when there are records to send
 
 	mu     sync.Mutex
 	ledger *origin.Ledger
 	unsent []origin.Record
-	seen   map[string]origin.Versions // at which streams began, as far as this daemon knows, by service
 }
 
 func newOrigins(g *Gateway) *origins {
+	s, started := g.settings.Load(), time.Now()
+	// Without an earlier process, or after as long as versions are kept, this daemon has heard
+	// of all versions since it started.
+	knowsAll := func() bool { return s.FirstStart || time.Since(started) > origin.VersionRetention }
+	reads := &sharedReads{failed: g.datasets.storeFailed}
 	return &origins{
-		g: g, store: newOriginStore(g.settings.Load().ID, g.store, g.events, g.datasets.storeFailed), added: make(chan struct{}, 1),
-		ledger: origin.NewLedger(), seen: make(map[string]origin.Versions),
+		g: g, store: newOriginStore(s.ID, g.store, g.events, reads), versions: newVersionStore(g.store, g.events, reads, knowsAll),
+		added: make(chan struct{}, 1), ledger: origin.NewLedger(),
 	}
 }
 
+// restore writes again what this daemon knows of origins, because the store was restored from
+// an older copy.
+func (o *origins) restore(ctx context.Context, era int64) {
+	now := time.Now()
+	for _, service := range o.versions.services() {
+		o.versions.learn(now, service, o.g.fleet.SoftwareVersions(service)...)
+	}
+	o.versions.restore(ctx, era)
+}
+
 // Record implements forward.OriginTracker.
 func (o *origins) Record(requestID string, where origin.Origin) {
 	now, record := time.Now(), origin.Record{RequestID: requestID, Origin: where}
@@ -54,7 +69,8 @@
 		case o.added <- struct{}{}:
 		default:
 		}
-		o.store.add(o.g.peers.ctx, now, record, len(o.versionsHere(where.Service)) > 1)
+		o.versions.note(o.g.peers.ctx, now, where.Service, where.SoftwareVersion)
+		o.store.add(now, record, len(o.versionsHere(where.Service)) > 1)
 	}
 }
 
@@ -62,10 +78,7 @@
 func (o *origins) add(now time.Time, r origin.Record) bool {
 	added := o.ledger.Add(now, r)
 	if added {
-		if o.seen[r.Service] == nil {
-			o.seen[r.Service] = make(origin.Versions)
-		}
-		o.seen[r.Service].Note(now, r.SoftwareVersion)
+		o.versions.learn(now, r.Service, r.SoftwareVersion)
 	}
 	return added
 }
@@ -98,16 +111,16 @@
 			return found, false, nil
 		}
 	}
-	versions, err := o.versions(ctx, service)
+	versions, complete, err := o.versionsOf(ctx, service)
 	if err != nil {
 		return origin.Origin{}, false, err
 	}
-	if len(versions) == 1 {
+	if len(versions) == 1 && complete {
 		return origin.Origin{Service: service, SoftwareVersion: versions[0]}, true, nil
 	}
 	found, known, err := o.store.find(ctx, requestID)
 	if err == nil && !known {
-		err = errors.Errorf("no daemon knows request %q, and any of the software versions %q may have begun its stream", requestID, versions)
+		err = errors.Errorf("no daemon knows request %q, and any of the software versions %q may have begun its stream (all are known: %t)", requestID, versions, complete)
 	}
 	if err != nil {
 		return origin.Origin{}, false, err
@@ -138,44 +151,44 @@
 	return o.ledger.Find(requestID)
 }
 
-// versions returns the software versions that may have begun streams of a service: those
+// versionsOf returns the software versions that may have begun streams of a service: those
 // that are stored, those that this daemon knows of and those of the registered targets.
 // While the store can't be read, the other daemons are asked; a daemon that hears less than
-// half of them returns an error, because it may have missed a version.
-func (o *origins) versions(ctx context.Context, service string) ([]string, error) {
-	others, err := o.store.recentVersions(ctx, service)
+// half of them returns an error, because it may have missed a version. complete is false if
+// others may have begun streams, too.
+func (o *origins) versionsOf(ctx context.Context, service string) (versions []string, complete bool, err error) {
+	others, complete, err := o.versions.find(ctx, service)
 	if err != nil {
 		var ok bool
-		if others, ok = o.peerVersions(ctx, service); !ok {
-			return nil, err
+		if others, complete, ok = o.peerVersions(ctx, service); !ok {
+			return nil, false, err
 		}
 	}
-	return union(o.versionsHere(service), others), nil
+	return union(o.versionsHere(service), others), complete, nil
 }
 
 // versionsHere returns the software versions of a service that this daemon knows of.
 func (o *origins) versionsHere(service string) []string {
-	registered := o.g.fleet.SoftwareVersions(service)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return union(registered, o.seen[service].Recent(time.Now()))
+	return union(o.g.fleet.SoftwareVersions(service), o.versions.here(service))
 }
 
-// peerVersions returns the software versions of a service that the other daemons know of.
-// It returns false if this daemon doesn't hear most of them, or none answers.
-func (o *origins) peerVersions(ctx context.Context, service string) (versions []string, ok bool) {
+// peerVersions returns the software versions of a service that the other daemons know of, and
+// whether one of them or this daemon knows all. It returns false if this daemon doesn't hear
+// most of them, or none answers.
+func (o *origins) peerVersions(ctx context.Context, service string) (versions []string, complete, ok bool) {
 	if !o.g.members.hearsMost() {
-		return nil, false
+		return nil, false, false
 	}
 	answers, n, cancel := o.queryPeers(ctx, originQuery{Service: service})
 	defer cancel()
-	ok = n == 0
+	complete, ok = o.versions.isComplete(service), n == 0
 	for range n {
 		answer := <-answers
 		ok = ok || answer.Known
+		complete = complete || answer.Complete
 		versions = append(versions, answer.Versions...)
 	}
-	return versions, ok
+	return versions, complete, ok
 }
 
 // originQuery requests from a peer the origin of the stream of a request, or if that is
@@ -190,11 +203,12 @@
 	Known    bool          `msgpack:"k"`
 	Origin   origin.Origin `msgpack:"o"`
 	Versions []string      `msgpack:"v,omitempty"`
+	Complete bool          `msgpack:"a,omitempty"` // no other version may have begun streams; false in answers of older builds
 }
 
 func (o *origins) handleQuery(_ context.Context, _ peer.Identity, q originQuery) (any, error) {
 	if q.RequestID == "" {
-		return originAnswer{Known: true, Versions: o.versionsHere(q.Service)}, nil
+		return originAnswer{Known: true, Versions: o.versionsHere(q.Service), Complete: o.versions.isComplete(q.Service)}, nil
 	}
 	found, known := o.findHere(q.RequestID)
 	return originAnswer{Known: known, Origin: found}, nil
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -113,7 +113,7 @@
 	t.MaxInbound, t.Buffers = g.limits.conns.peers, g.limits.Resources.FrameBudget()
 	p := &peers{g: g, transport: t, ctx: context.Background(), suspectedAt: make(map[string]time.Time)}
 	p.digests = newDigests(p)
-	g.origins.store.onStored = func(v storedVersions) { p.broadcast(kindVersions, v) }
+	g.origins.versions.onStored = func(v storedVersions) { p.broadcast(kindVersions, v) }
 	p.crashNews = newCrashNews(g.crashTracker.reportsOn, func(reports []quarantine.CrashReport) { p.broadcast(kindCrashReports, reports) })
 	p.crashReports = newCrashReportSender(g.members.others, g.members.live, g.crashTracker.reportsOn, p.callCrashReports)
 	peer.HandleTyped(t, kindUpdate, p.handleUpdate)
@@ -132,7 +132,7 @@
 	peer.HandleTyped(t, kindDigest, p.digests.handleDigest)
 	peer.HandleTyped(t, kindReports, p.digests.handleQuery)
 	peer.HandleTyped(t, kindStart, g.startup.handleQuery)
-	peer.HandleTyped(t, kindVersions, g.origins.store.handleVersions)
+	peer.HandleTyped(t, kindVersions, g.origins.versions.handleStored)
 	g.credits.handleMessages(t)
 	if g.rollouts != nil {
 		peer.HandleTyped(t, kindRolloutEvidence, p.handleRolloutEvidence)
--- a/gateway/rollout_status.go
+++ b/gateway/rollout_status.go
@@ -43,7 +43,7 @@
 		if err != nil {
 			return objectstore.Object{}, err
 		}
-		written, err := r.g.statuses.PutStatus(ctx, platform.RolloutKind, service, status, action.Revision)
+		written, err := r.g.store.PutStatus(ctx, platform.RolloutKind, service, status, action.Revision)
 		if !errors.Is(err, objectstore.ErrConflict) {
 			return written, err
 		}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -74,9 +74,9 @@
 	}
 }
 
-// noteVersions stores the software versions of changed targets. The daemon that read the change
-// does, as it reaches the store.
-func (g *Gateway) noteVersions(c exchange.Change) {
+// noteVersions records the software versions of changed targets. A daemon that read the change
+// from the store also stores them, before streams begin there: the store may be away when they do.
+func (g *Gateway) noteVersions(c exchange.Change, read bool) {
 	services := make(map[string]bool)
 	for _, e := range c.Changed {
 		if t, err := platform.DecodeTarget(toObject(e)); err == nil {
@@ -84,7 +84,12 @@
 		}
 	}
 	for service := range services {
-		g.origins.store.noteRegistered(g.peers.ctx, time.Now(), service, g.fleet.SoftwareVersions(service))
+		versions := g.fleet.SoftwareVersions(service)
+		if read {
+			g.origins.versions.note(g.peers.ctx, time.Now(), service, versions...)
+			continue
+		}
+		g.origins.versions.learn(time.Now(), service, versions...)
 	}
 }
 
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -42,8 +42,8 @@
 	Version  int64  `json:"version"`
 	Revision int64  `json:"revision"`
 	Deleted  bool   `json:"deleted,omitempty"`
-	// Era is that of the answer of Get that brought the object, also of ErrNotFound; see
-	// Position. Other calls leave it 0.
+	// Era is that of the answer of Get, also of ErrNotFound, or Put; see Position. Other calls
+	// leave it 0.
 	Era   int64           `json:"-"`
 	Value json.RawMessage `json:"value,omitempty"`
 	// Status is what the daemons report on the object, and Created the number that the store
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -42,9 +42,32 @@
 		v.Note(start.Add(time.Minute), "v2")
 		So(v.Fresh(start.Add(renewInterval-1), "v1"), ShouldBeTrue)
 		So(v.Fresh(start.Add(renewInterval), "v1"), ShouldBeFalse)
-		So(v.Recent(start.Add(versionRetention)), ShouldResemble, []string{"v1", "v2"})
-		So(v.Recent(start.Add(versionRetention+1)), ShouldResemble, []string{"v2"})
-		v.Note(start.Add(versionRetention+1), "v2")
+		So(v.Recent(start.Add(VersionRetention)), ShouldResemble, []string{"v1", "v2"})
+		So(v.Recent(start.Add(VersionRetention+1)), ShouldResemble, []string{"v2"})
+		v.Note(start.Add(VersionRetention+1), "v2")
 		So(v, ShouldHaveLength, 1)
 	})
 }
+
+func TestMergedVersions(t *testing.T) {
+	Convey("Merging adds versions and renews old notes, and leaves out those out of use", t, func() {
+		now := start.Add(VersionRetention)
+		v := Versions{"v1": now.Add(-renewInterval), "v2": now.Add(-time.Second)}
+		So(v.Merge(now, Versions{"v1": now.Add(-1), "v2": now, "v4": start.Add(-1)}), ShouldBeFalse)
+		So(v.Merge(now, Versions{"v1": now, "v3": start}), ShouldBeTrue)
+		So(v, ShouldResemble, Versions{"v1": now, "v2": now.Add(-time.Second), "v3": start})
+	})
+}
+
+func TestCoverage(t *testing.T) {
+	Convey("Notes are complete in the era in which all were noted, or in which none has begun streams for long", t, func() {
+		complete, seen := Coverage{Era: 2, Complete: true, Since: start}, Coverage{Era: 2, Since: start}
+		So(complete.Covers(start, 2), ShouldBeTrue)
+		So(complete.Covers(start.Add(time.Hour), 3), ShouldBeFalse)
+		So(complete.Covers(start, 1), ShouldBeFalse)
+		So(seen.Covers(start.Add(VersionRetention), 2), ShouldBeFalse)
+		So(seen.Covers(start.Add(VersionRetention+1), 2), ShouldBeTrue)
+		So(Coverage{}.Covers(start, 1), ShouldBeFalse)
+		So(Coverage{}.Covers(start, 0), ShouldBeTrue) // a store without eras
+	})
+}
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -8,9 +8,9 @@
 // Timing of Versions. Both are long against the seconds by which the clocks of daemons
 // may differ.
 const (
-	// versionRetention is how long after the last note a version may have begun streams
+	// VersionRetention is how long after the last note a version may have begun streams
 	// that callers still take up.
-	versionRetention = 10 * time.Minute
+	VersionRetention = 10 * time.Minute
 	// renewInterval is the age at which the note of a version in use is renewed.
 	renewInterval = 4 * time.Minute
 )
@@ -29,18 +29,38 @@
 // Note adds or renews a version and drops those that are out of use.
 func (v Versions) Note(now time.Time, version string) {
 	v[version] = now
-	for other, noted := range v {
-		if now.Sub(noted) > versionRetention {
-			delete(v, other)
+	v.expire(now)
+}
+
+// expire drops the versions that are out of use.
+func (v Versions) expire(now time.Time) {
+	for version, noted := range v {
+		if now.Sub(noted) > VersionRetention {
+			delete(v, version)
+		}
+	}
+}
+
+// Merge adds the versions of other that are not out of use and that v lacks, or whose note
+// in v needs a renewal by that in other. It reports whether v has changed.
+func (v Versions) Merge(now time.Time, other Versions) (changed bool) {
+	for version, noted := range other {
+		if now.Sub(noted) > VersionRetention {
+			continue
+		}
+		if old, ok := v[version]; !ok || noted.Sub(old) >= renewInterval {
+			v[version], changed = noted, true
 		}
 	}
+	v.expire(now)
+	return changed
 }
 
 // Recent returns the versions that are not out of use, sorted.
 func (v Versions) Recent(now time.Time) []string {
 	var out []string
 	for version, noted := range v {
-		if now.Sub(noted) <= versionRetention {
+		if now.Sub(noted) <= VersionRetention {
 			out = append(out, version)
 		}
 	}
