--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaroad/vanillaroad/admission"
 	"github.com/vanillaroad/vanillaroad/confirmation"
 	"github.com/vanillaroad/vanillaroad/generation"
+	"github.com/vanillaroad/vanillaroad/internal/jsonnumber"
 	"github.com/vanillaroad/vanillaroad/internal/machine"
 	"github.com/vanillaroad/vanillaroad/membership"
 	"github.com/vanillaroad/vanillaroad/placement"
@@ -110,7 +111,7 @@
 }
 
 func decode[T any](b []byte, s T) (T, []string, error) {
-	dec := json.NewDecoder(bytes.NewReader(b))
+	dec := json.NewDecoder(bytes.NewReader(jsonnumber.Normalize(b))) // templates fill in numbers of others
 	if err := dec.Decode(&s); err != nil {
 		var none T
 		return none, nil, ValidationErrors{err.Error()}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -34,6 +34,13 @@
 			So(s.Unknown, ShouldResemble, []string{"generation.silences", "relays"})
 			So(CheckUnknown(s.Unknown).Error(), ShouldContainSubstring, "generation.silences: unknown setting")
 		})
+		Convey("with a number in another form of JSON is read, with a fraction it is not", func() {
+			s, err := Parse([]byte(strings.TrimSuffix(valid, "}") + `,"event_ring":2e3}`))
+			So(err, ShouldBeNil)
+			So(s.EventRing, ShouldEqual, 2000)
+			_, err = Parse([]byte(strings.TrimSuffix(valid, "}") + `,"event_ring":2000.5}`))
+			So(err.Error(), ShouldContainSubstring, "event_ring")
+		})
 		Convey("without unknown keys passes the check", func() {
 			s, err := Parse([]byte(strings.TrimSuffix(valid, "}") + `,"Log_Level":"debug","generation":{"silence":"2s"}}`))
 			So(err, ShouldBeNil)
