gateway: a version that the store accepted and a daemon can't use is reported

What operators saw of such a version: one line in the log of each daemon, and a configuration that doesn't take effect. A daemon that restarts or fetches it from a peer logged it again each time.

Change: metrics configuration_version and configuration_refused, and GET /configuration at the operations address with the version, its errors and the time. The event is recorded once for each content and names the version. An older version than the active one isn't reported. A later version that is activated ends it. Readiness stays: all daemons refuse the same version.

TestRefusedVersionIsReported and TestRefusalAgreesWithTheCheck pass; they use the new view, so they don't compile before. The second one compares the daemon with the check of configurations in six cases, by processes that run.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,7 +57,8 @@
 
 	table     atomic.Pointer[ingress.Table]  // active configuration; nil until the first one is activated
 	document  atomic.Pointer[exchange.Entry] // of which table was made
-	tableMu   sync.Mutex                     // held while a table is activated
+	refused   atomic.Pointer[refusedConfiguration]
+	tableMu   sync.Mutex // held while a table is activated, or a configuration refused
 	newer     *newerVersions
 	draining  atomic.Bool              // a planned stop has started
 	stopping  atomic.Pointer[stopPlan] // nil until a planned stop has started
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -9,7 +9,8 @@
 	"github.com/vanillaroad/vanillaroad/internal/exposition"
 )
 
-// operationsHandler serves the metrics and the state of the targets and the roll-outs for operators.
+// operationsHandler serves the metrics and the state of the configuration, the targets and the
+// roll-outs for operators.
 func (g *Gateway) operationsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -17,6 +18,7 @@
 		var out bytes.Buffer
 		exposition.WriteValue(&out, "requests_in_flight", "gauge", g.requests.len())
 		exposition.WriteValue(&out, "targets", "gauge", g.fleet.Len())
+		g.writeConfigurationMetrics(&out)
 		if spreads := g.fleet.LoadSpreads(time.Now()); len(spreads) > 0 {
 			exposition.WriteLabeled(&out, "fleet_load_spread", "gauge", "service", spreads)
 		}
@@ -30,6 +32,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(g.fleet.Describe(time.Now())) // a client that disconnected repeats the request
 	})
+	mux.HandleFunc("GET /configuration", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(g.describeConfiguration()) // a client that disconnected repeats the request
+	})
 	mux.HandleFunc("GET /rollouts", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(g.rollouts.describe(g.members.self.ID)) // a client that disconnected repeats the request
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -6,7 +6,6 @@
 
 	"github.com/vanillaroad/vanillaroad/event"
 	"github.com/vanillaroad/vanillaroad/exchange"
-	"github.com/vanillaroad/vanillaroad/ingress"
 	"github.com/vanillaroad/vanillaroad/objectstore"
 	"github.com/vanillaroad/vanillaroad/platform"
 )
@@ -15,36 +14,6 @@
 	return objectstore.Object{Name: e.Name, Revision: e.Revision, Version: e.Revision, Value: e.Value, Status: e.Status, Created: e.Created}
 }
 
-// applyConfigurationChange activates a changed configuration.
-func (g *Gateway) applyConfigurationChange(c exchange.Change, origin changeOrigin) {
-	for _, e := range c.Changed {
-		if e.Name == platform.ConfigurationName {
-			g.applyConfiguration(e, origin.fields(len(e.Value)))
-		}
-	}
-}
-
-// applyConfiguration activates a configuration, unless the active one has the same or a
-// later version, as after a restoration of the store from an older copy. One that can't be
-// decoded is ignored. originFields are the fields of the log line about its origin.
-func (g *Gateway) applyConfiguration(e exchange.Entry, originFields []event.Field) {
-	decodeFrom := time.Now()
-	d, err := platform.DecodeDocument(toObject(e))
-	if err != nil {
-		g.events.Record(event.ConfigurationRefused, "", append(originFields, event.F("error", err.Error()))...)
-		return
-	}
-	g.tableMu.Lock()
-	defer g.tableMu.Unlock()
-	if current := g.table.Load(); current != nil && current.Version >= d.Version {
-		return
-	}
-	g.document.Store(&e)
-	g.table.Store(ingress.NewTable(d))
-	g.events.Record(event.ConfigurationActivated, "", append(originFields, event.F("version", strconv.FormatInt(d.Version, 10)),
-		event.F("decoding", time.Since(decodeFrom).Round(time.Millisecond).String()))...)
-}
-
 // applyTargetChange applies changed and removed entries of targets. mayReturn is true if
 // entries may be missing only because of an outage of the store. An entry that can't be
 // decoded removes its own target and does not affect others.
