gateway: keys that a refused version takes away are refused

What callers saw: while the newest version can't be used for an error in one of its values, a key that it takes away still works, at all daemons and for as long as nobody writes another version.

Cause: a version counts as a whole, and with it the revocation.

Change: the version and the lists of keys of a refused version are read by themselves. If both can be read, and the version is newer than the active one, keys of the active version that it doesn't have are refused, also at a daemon that starts and gets the active version from a peer. Keys that it adds aren't accepted.

Why this works: a revocation takes effect with the acknowledgement of the version, whatever else is wrong with it; a list that can't be read takes no key away, so that an error can't lock out callers.

TestRefusedVersionDropsItsKeys failed on: at both daemons k1 got 200 where 401 is due, for one key and for all.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -18,6 +18,9 @@
 	version int64 // 0 if it can't be decoded either
 	reason  string
 	at      time.Time
+	// keys are the API keys that the configuration has. They are nil if it can't be read that far;
+	// then none counts as taken away.
+	keys map[string]bool
 }
 
 // applyConfigurationChange activates a changed configuration.
@@ -48,25 +51,40 @@
 		g.refused.Store(nil)
 	}
 	g.document.Store(&e)
-	g.table.Store(ingress.NewTable(d))
+	g.table.Store(ingress.NewTable(g.withoutDroppedKeys(d)))
 	g.events.Record(event.ConfigurationActivated, "", append(originFields, event.F("version", strconv.FormatInt(d.Version, 10)),
 		event.F("decoding", time.Since(decodeFrom).Round(time.Millisecond).String()))...)
 }
 
 // refuseConfiguration records a configuration that can't be decoded, once while it doesn't
-// change. g.tableMu is held.
+// change, and drops the API keys that it takes away. g.tableMu is held.
 func (g *Gateway) refuseConfiguration(e exchange.Entry, err error, originFields []event.Field) {
 	if before := g.refused.Load(); before != nil && bytes.Equal(before.value, e.Value) {
 		return
 	}
 	refused := &refusedConfiguration{value: e.Value, reason: err.Error(), at: time.Now()}
-	refused.version = platform.DecodeVersion(e.Value)
+	refused.version, refused.keys = platform.DecodeKeys(e.Value)
 	current := g.table.Load()
 	if current != nil && refused.version != 0 && refused.version <= current.Version {
 		return // an older one, which would not be activated
 	}
 	g.refused.Store(refused)
 	g.events.Record(event.ConfigurationRefused, "", append(originFields, event.F("error", refused.reason), event.F("version", strconv.FormatInt(refused.version, 10)))...)
+	if document := g.document.Load(); document != nil {
+		if d, err := platform.DecodeDocument(toObject(*document)); err == nil {
+			g.table.Store(ingress.NewTable(g.withoutDroppedKeys(d)))
+		}
+	}
+}
+
+// withoutDroppedKeys returns a configuration without the API keys that a refused newer one
+// doesn't have. Keys that are taken away must not work longer because of an error elsewhere.
+func (g *Gateway) withoutDroppedKeys(d ingress.Document) ingress.Document {
+	refused := g.refused.Load()
+	if refused == nil || refused.keys == nil || refused.version <= d.Version {
+		return d
+	}
+	return d.WithKeys(func(key string) bool { return refused.keys[key] })
 }
 
 // configurationView is the state of the configuration for operators.
@@ -79,6 +97,8 @@
 	Version int64     `json:"version,omitempty"` // 0 if it can't be decoded either
 	Error   string    `json:"error"`
 	At      time.Time `json:"at"`
+	// KeysDropped means that API keys which the refused version doesn't have are refused.
+	KeysDropped bool `json:"keys_dropped"`
 }
 
 func (g *Gateway) describeConfiguration() (view configurationView) {
@@ -86,7 +106,7 @@
 		view.Version = table.Version
 	}
 	if refused := g.refused.Load(); refused != nil {
-		view.Refused = &refusalView{Version: refused.version, Error: refused.reason, At: refused.at.UTC()}
+		view.Refused = &refusalView{Version: refused.version, Error: refused.reason, At: refused.at.UTC(), KeysDropped: refused.keys != nil && refused.version > view.Version}
 	}
 	return view
 }
--- a/gateway/refused_configuration_test.go
+++ b/gateway/refused_configuration_test.go
@@ -32,15 +32,17 @@
 	return view.Refused
 }
 
-// TestRefusedVersionIsReported guards against a refusal that operators can't see, or that fills the log.
-func TestRefusedVersionIsReported(t *testing.T) {
+// TestRefusedVersionDropsItsKeys guards against keys that still work because the version that takes
+// them away has an error elsewhere, against keys that are dropped by a version whose keys can't be
+// read, and against a refusal that operators can't see.
+func TestRefusedVersionDropsItsKeys(t *testing.T) {
 	for _, c := range []struct {
 		name, timeout, keys string
 		statuses            [2]int // of requests with k1 and k2
 	}{
-		{"a key that is dropped", "1200.5", `["k2"]`, [2]int{200, 200}},
+		{"a key that is dropped", "1200.5", `["k2"]`, [2]int{401, 200}},
 		{"a key that is added", "1200.5", `["k1","k2","k3"]`, [2]int{200, 200}},
-		{"all keys that are dropped", "1200.5", `[]`, [2]int{200, 200}},
+		{"all keys that are dropped", "1200.5", `[]`, [2]int{401, 401}},
 		{"keys that can't be read", "1200", `"k2"`, [2]int{200, 200}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -4,6 +4,7 @@
 package ingress
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -152,6 +153,16 @@
 	contended      map[string]bool // see Contended
 }
 
+// WithKeys returns the document with those of its API keys for which keep returns true. d is not
+// modified.
+func (d Document) WithKeys(keep func(key string) bool) Document {
+	d.Workspaces = slices.Clone(d.Workspaces)
+	for i, w := range d.Workspaces {
+		d.Workspaces[i].Keys = slices.DeleteFunc(slices.Clone(w.Keys), func(key string) bool { return !keep(key) })
+	}
+	return d
+}
+
 // NewTable returns the table of a document, which must not be modified afterwards.
 func NewTable(d Document) *Table {
 	t := &Table{
