gateway: the tests of the version store are free of data races

Cause: both races are in the test. The goroutine of the test and the callback of a store drew from one generator of random numbers, and the second test read the store's counters while a write could still be counted.

Change: steps and messages have a generator each, the second one used under the fleet's lock; the counters are read under the store's lock. The checks are the same.

--- a/gateway/version_store_test.go
+++ b/gateway/version_store_test.go
@@ -94,6 +94,13 @@
 	return o, nil
 }
 
+// cost returns the calls and the bytes written up to now.
+func (s *eraStore) cost() (calls, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls, s.bytes
+}
+
 // restore restores the store from a copy of a given age, in the next era.
 func (s *eraStore) restore(age time.Duration) int64 {
 	s.mu.Lock()
@@ -111,9 +118,9 @@
 // run learn of all targets; the other messages are late or lost.
 type versionFleet struct {
 	store *eraStore
-	rng   *rand.Rand
 
 	mu      sync.Mutex
+	rng     *rand.Rand // chooses readers and what becomes of messages
 	daemons []*versionDaemon
 }
 
@@ -154,7 +161,9 @@
 
 // register has all daemons learn of a target of a version, and one of them store it.
 func (f *versionFleet) register(version string) {
+	f.mu.Lock()
 	reader := f.rng.IntN(len(f.daemons))
+	f.mu.Unlock()
 	for i, d := range f.daemons {
 		if i == reader {
 			d.note(d.ctx, time.Now(), versionService, version)
@@ -205,7 +214,7 @@
 	for seed := range *versionSeeds {
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 0))
-			f := &versionFleet{store: newEraStore(), rng: rng, daemons: make([]*versionDaemon, 4)}
+			f := &versionFleet{store: newEraStore(), rng: rand.New(rand.NewPCG(seed, 1)), daemons: make([]*versionDaemon, 4)}
 			for i := range f.daemons {
 				f.start(i, true)
 			}
@@ -266,11 +275,12 @@
 		time.Sleep(time.Minute)
 		f.register("v2")
 		time.Sleep(time.Minute)
-		calls, bytes := f.store.calls, f.store.bytes
+		calls, bytes := f.store.cost()
 		t.Logf("start and a second version: %d calls, %d bytes written", calls, bytes)
 		f.restore(90 * time.Second)
 		time.Sleep(time.Minute)
-		calls, bytes = f.store.calls-calls, f.store.bytes-bytes
+		totalCalls, totalBytes := f.store.cost()
+		calls, bytes = totalCalls-calls, totalBytes-bytes
 		t.Logf("restoration: %d calls, %d bytes written", calls, bytes)
 		if calls > 2*daemons {
 			t.Errorf("%d calls of %d daemons after a restoration", calls, daemons)
