gateway: first_start is ignored by a daemon that has run before

What callers would see: a text of two software versions, if first_start is left in the settings after the first start of a fleet, the store loses that a version began streams, and all daemons end.

Cause: a daemon whose settings say first_start took the versions that it had heard of for all there were, at each start. OPERATIONS.md says that the setting does nothing later; the retry budget checks that the daemon has no entry in the store, the versions did not.

Change: the versions use the same check. The coverage is written again as complete once the daemon's entry has been created.

TestFirstStartSettingLeftInPlace failed before: "a stream that v2 began: status 200 (want 503), continued by v1" at both daemons.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -62,6 +62,7 @@
 	if m.g.datasets.isLoaded(memberKind) && m.createEntry(ctx) == nil {
 		if m.g.settings.Load().FirstStart {
 			m.g.forwarder.RetryBudget.MarkFirstStart(membersKnownWithin)
+			m.g.origins.markFirstStart(ctx)
 		}
 		return
 	}
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,9 @@
 	store    *originStore
 	versions *versionStore
 	added    chan struct{} // receives a value when there are records to send
+	// firstStart is set once the store has shown that no process of this daemon ran before, and
+	// the settings say that none of any daemon did.
+	firstStart atomic.Bool
 
 	mu     sync.Mutex
 	ledger *origin.Ledger
@@ -34,15 +38,23 @@
 }
 
 func newOrigins(g *Gateway) *origins {
-	s, started := g.settings.Load(), time.Now()
-	// Without an earlier process, or after as long as versions are kept, this daemon has heard
-	// of all versions since it started.
-	knowsAll := func() bool { return s.FirstStart || time.Since(started) > origin.VersionRetention }
+	id, started := g.settings.Load().ID, time.Now()
 	reads := &sharedReads{failed: g.datasets.storeFailed}
-	return &origins{
-		g: g, store: newOriginStore(s.ID, g.store, g.events, reads), versions: newVersionStore(g.store, g.events, reads, knowsAll),
+	o := &origins{
+		g: g, store: newOriginStore(id, g.store, g.events, reads),
 		added: make(chan struct{}, 1), ledger: origin.NewLedger(),
 	}
+	// Without an earlier process, or after as long as versions are kept, this daemon has heard
+	// of all versions since it started.
+	knowsAll := func() bool { return o.firstStart.Load() || time.Since(started) > origin.VersionRetention }
+	o.versions = newVersionStore(g.store, g.events, reads, knowsAll)
+	return o
+}
+
+// markFirstStart records that no process of any daemon has run before those that start now.
+func (o *origins) markFirstStart(ctx context.Context) {
+	o.firstStart.Store(true)
+	retryStore(ctx, o.versions.saveCoverage)
 }
 
 // restore writes again what this daemon knows of origins, because the store was restored from
--- a/gateway/restored_origins_test.go
+++ b/gateway/restored_origins_test.go
@@ -17,6 +17,7 @@
 	first, second Settings
 	stops         []func()
 	restore       func()
+	leftSetting   bool              // first_start is left in place
 	began         map[string]string // a stream of each version, by version
 }
 
@@ -61,7 +62,9 @@
 	}
 	_ = s.storeClient.Delete(context.Background(), platform.TargetKind, "i-2", objectstore.AnyVersion) // the copy lacks it
 	delete(s.versions, "i-2")
-	s.change = nil
+	if !s.leftSetting {
+		s.change = nil
+	}
 	s.start()
 	s.ready(s.first)
 	s.ready(s.second)
@@ -116,6 +119,22 @@
 	s.checkNotJoined()
 }
 
+// TestFirstStartSettingLeftInPlace guards against text that is joined from two software versions
+// because a setting that was not removed has daemons believe that no process ran before them.
+func TestFirstStartSettingLeftInPlace(t *testing.T) {
+	s := newRestoredSite(t)
+	s.leftSetting = true
+	for _, stop := range s.stops {
+		stop()
+	}
+	for _, g := range s.gateways {
+		eventually(g.stopped)
+	}
+	s.restore()
+	s.restart()
+	s.checkNotJoined()
+}
+
 // TestStreamIsNotJoinedDuringAnOutage guards against text that is joined from two software
 // versions: after a restart of all daemons the store is away, and each knows a single version.
 func TestStreamIsNotJoinedDuringAnOutage(t *testing.T) {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -47,7 +47,8 @@
 
 	RetryBudget RetryBudget `json:"retry_budget"`
 	// FirstStart means that the whole fleet starts for the first time: no earlier process of any
-	// daemon has used retry budget.
+	// daemon has used retry budget or begun streams. A daemon with an entry in the store ignores
+	// it.
 	FirstStart bool `json:"first_start,omitempty"`
 	// Rollout bounds the requests that reach a version under roll-out. Without it, the daemon
 	// takes no part in roll-outs. Changes take effect at the next start.
