soak: versions come and go among restorations and losses of power

TestSoakRestorations releases one version of a service after the other and takes it back, restores the store from copies that are up to 5 s old, and kills all daemons at once, among stops, reloads and changes. A stream that holds events of two versions breaks ORDER. Events now state the version that made them, clients name in Resumes the attempt that brought the first event, and a daemon that is started again has no first_start in its settings.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -108,6 +108,9 @@
 	s.t.Logf("%s: %d attempts, %d SIGTERM; unread %d, timed out %d, excused %d, begun nowhere %d, lost %d, cut at other times %d, broken off by engines %d of %d; %d broken rules", s.t.Name(), len(s.record.attempts),
 		s.countPlanned("SIGTERM"), counts[unread], counts[timedOut], counts[excused], counts[noneBegan], counts[lost], counts[cut], counts[brokenOff], breaks, len(broken))
 	s.t.Logf("attempts %v; requests %v", statuses, s.record.outcomes)
+	if s.backup != nil {
+		s.t.Log(s.describeTakenUp())
+	}
 	if s.waits {
 		s.t.Log(s.describeAllWaits())
 	}
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -35,6 +35,15 @@
 	reset            bool   // the daemon closed the connection with bytes that it had not read
 	violation        string // what the client itself found wrong
 	events           int    // received
+	resumes          string // attempt that brought the first event of the stream; empty if none has
+	beganAt          string // version of that event
+}
+
+// progress is what a client has received of a stream over its attempts.
+type progress struct {
+	lastEvent int
+	version   string // of the software that made the events; empty before the first
+	began     string // attempt that brought the first event
 }
 
 // refused reports whether the answer promises that the request was not run.
@@ -90,6 +99,8 @@
 	// have been idle for up to four fifths of it.
 	idleTimeout *atomic.Int64
 	ledger      *ledger
+	// persistent clients wait longer and try more often while no daemon accepts connections.
+	persistent bool
 
 	addresses []string
 	expires   time.Time
@@ -111,6 +122,9 @@
 	streamDeadline   = 25 * time.Second
 	callDeadline     = 6 * time.Second
 	maxTries         = 4
+
+	persistentTries = 12
+	persistentWait  = time.Second
 )
 
 // run sends requests until done is closed.
@@ -142,12 +156,16 @@
 		work, deadline = drawStream(c.rng, key), time.Now().Add(streamDeadline)
 	}
 	failed := make(map[string]bool)
-	lastEvent := 0
-	for try := range maxTries {
+	var received progress
+	tries, unconnectedWait := maxTries, 50*time.Millisecond
+	if c.persistent {
+		tries, unconnectedWait = persistentTries, persistentWait
+	}
+	for try := range tries {
 		conn, reused, err := c.connect(try == 0, failed)
 		if err != nil {
 			c.record.count(kind, "unconnected")
-			if !c.wait(50*time.Millisecond, deadline) {
+			if !c.wait(unconnectedWait, deadline) {
 				break
 			}
 			continue
@@ -156,8 +174,8 @@
 			_ = conn.Close() // the time was used up by the directory or the connection
 			break
 		}
-		a := &attempt{id: fmt.Sprintf("%s.%d", key, try), kind: kind, daemon: conn.address, work: work, reused: reused, deadline: deadline}
-		retryAfter := c.exchange(conn, a, &lastEvent)
+		a := &attempt{id: fmt.Sprintf("%s.%d", key, try), kind: kind, daemon: conn.address, work: work, reused: reused, deadline: deadline, resumes: received.began, beganAt: received.version}
+		retryAfter := c.exchange(conn, a, &received)
 		a.ended = time.Now()
 		c.record.add(a)
 		if a.complete && a.status == http.StatusOK {
@@ -280,7 +298,7 @@
 
 // exchange sends a request and reads its answer. It keeps the connection if it may be
 // used again, and returns the time to wait before a retry.
-func (c *client) exchange(conn *clientConn, a *attempt, lastEvent *int) (retryAfter time.Duration) {
+func (c *client) exchange(conn *clientConn, a *attempt, received *progress) (retryAfter time.Duration) {
 	keep := false
 	defer func() {
 		if keep {
@@ -293,7 +311,7 @@
 	defer func() { a.reset = a.err != nil && conn.wasReset() }()
 	a.begun = time.Now()
 	_ = conn.SetDeadline(a.deadline.Add(time.Second))
-	if a.err = c.send(conn, a, *lastEvent); a.err != nil {
+	if a.err = c.send(conn, a, received.lastEvent); a.err != nil {
 		return 0
 	}
 	a.sent = time.Now()
@@ -310,7 +328,7 @@
 		a.violation = fmt.Sprintf("MIXED: stamp %q", stamp)
 	}
 	if a.kind == kindStream && a.status == http.StatusOK {
-		a.err = readStream(resp.Body, a, lastEvent)
+		a.err = readStream(resp.Body, a, received)
 	} else {
 		var body []byte
 		body, a.err = io.ReadAll(resp.Body)
@@ -340,7 +358,7 @@
 	a.deadline = now.Add(left) // as the daemon gets it
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: h.example\r\nVanillaroad-Request-Id: %s\r\nVanillaroad-Deadline-Ms: %d\r\n", method, path, a.id, left.Milliseconds())
 	if lastEvent > 0 {
-		fmt.Fprintf(&head, "Last-Event-Id: %d\r\n", lastEvent)
+		fmt.Fprintf(&head, "Resumes: %s\r\nLast-Event-Id: %d\r\n", a.resumes, lastEvent)
 	}
 	data := body.Bytes()
 	switch {
@@ -365,9 +383,9 @@
 	return err
 }
 
-// readStream reads the events of a stream and checks that they follow lastEvent, which
-// it advances.
-func readStream(body io.Reader, a *attempt, lastEvent *int) error {
+// readStream reads the events of a stream and checks that they follow those received, which
+// it advances, and come from the same version.
+func readStream(body io.Reader, a *attempt, received *progress) error {
 	reader := bufio.NewReader(body)
 	for {
 		var event strings.Builder
@@ -379,18 +397,27 @@
 				}
 				if line != "" || event.Len() > 0 {
 					a.violation = "MIXED: a stream that looks complete ends within an event"
-				} else if *lastEvent != a.work.events {
-					a.violation = fmt.Sprintf("ORDER: a stream that looks complete ends after event %d of %d", *lastEvent, a.work.events)
+				} else if received.lastEvent != a.work.events {
+					a.violation = fmt.Sprintf("ORDER: a stream that looks complete ends after event %d of %d", received.lastEvent, a.work.events)
 				}
 				return nil
 			}
 			event.WriteString(line)
 		}
-		if want := a.work.event(*lastEvent + 1); event.String() != want {
-			a.violation = fmt.Sprintf("ORDER: event %q where %q is due", event.String(), want)
+		text := event.String()
+		version := text[strings.LastIndex(text, " ")+1 : len(text)-2]
+		if want := a.work.event(received.lastEvent+1, version); text != want {
+			a.violation = fmt.Sprintf("ORDER: event %q where %q is due", text, want)
 			return errors.New("wrong event")
 		}
-		*lastEvent++
+		if received.lastEvent == 0 {
+			received.began, received.version = a.id, version
+		}
+		if version != received.version {
+			a.violation = fmt.Sprintf("ORDER: event %q of a stream that %s began at %s", text, received.began, received.version)
+			return errors.New("event of another version")
+		}
+		received.lastEvent++
 		a.events++
 	}
 }
--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -53,7 +53,10 @@
 	program     string
 	store       string
 	seeds       []string
-	rollsOut    bool // the settings have a block for roll-outs
+	rollsOut    bool          // the settings have a block for roll-outs
+	power       *sync.RWMutex // held while the machines of all daemons are without power
+
+	starting sync.Mutex
 
 	mu      sync.Mutex
 	process *os.Process // nil while there is none
@@ -77,7 +80,7 @@
 		"id": d.id, "place": "p", "region": "r", "callers": d.callers(), "directory": d.directory(), "readiness": d.readiness(),
 		"peers": d.peers(), "seeds": d.seeds, "operations": d.address(7200), "relay": d.address(7201), "source": d.ip, "store": d.store, "memory_mb": 284, "log_level": logLevel,
 		"retry_budget": map[string]any{"ratio": 0.8, "slack": 150, "window": budgetWindow.String()}, "grace": grace.String(),
-		"first_start": len(d.starts) == 0,
+		"first_start": d.isFirstStart(),
 	}
 	if d.rollsOut {
 		values["rollout"] = map[string]any{"share": rolloutShare, "slack": rolloutSlack, "rollback_within": rollbackWithin.String()}
@@ -93,8 +96,20 @@
 	return os.Rename(temporary, d.settingsPath())
 }
 
-// start starts the process. Its end closes ended.
+// start starts the process unless there is one, once its machine has power. Its end closes ended.
 func (d *daemon) start() error {
+	d.power.RLock()
+	defer d.power.RUnlock()
+	d.starting.Lock()
+	defer d.starting.Unlock()
+	if d.runs() {
+		return nil
+	}
+	if !d.isFirstStart() {
+		if err := d.writeSettings("info"); err != nil {
+			return err
+		}
+	}
 	logFile, err := os.OpenFile(d.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -122,6 +137,20 @@
 	return nil
 }
 
+// runs reports whether there is a process.
+func (d *daemon) runs() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.process != nil
+}
+
+// isFirstStart reports whether the daemon has never been started.
+func (d *daemon) isFirstStart() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.starts) == 0
+}
+
 // startedWithin reports whether a process started in a time before t.
 func (d *daemon) startedWithin(before time.Duration, t time.Time) bool {
 	d.mu.Lock()
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -44,8 +44,10 @@
 	return task{fields[0], numbers[0], time.Duration(numbers[1]) * time.Millisecond, time.Duration(numbers[2]) * time.Millisecond}, nil
 }
 
-// event returns event i of a stream, counted from 1.
-func (w task) event(i int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, w.key, i) }
+// event returns event i of a stream, counted from 1, as engines of a version write it.
+func (w task) event(i int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", i, w.key, i, version)
+}
 
 // answerBytes is the size of the answer to a call.
 const answerBytes = 800
@@ -258,7 +260,7 @@
 	this, end := e.ledger.begin(id, e.id), runCanceled
 	defer func() { e.ledger.end(this, end) }()
 	switch {
-	case e.version == "v2" && e.site.rollout.fails():
+	case e.site.rollout != nil && e.site.rollout.engines[e.id] && e.site.rollout.fails():
 		w.WriteHeader(http.StatusInternalServerError)
 		end = runComplete
 	case work.events == 0:
@@ -290,7 +292,7 @@
 		}
 		e.ledger.start(this)
 		if m.breakOff && i == breakAt {
-			if m.inside && writePart(w, work.event(i)) != nil && !e.goesOn {
+			if m.inside && writePart(w, work.event(i, e.version)) != nil && !e.goesOn {
 				return runCanceled
 			}
 			breakOff(w, m.reset)
@@ -301,7 +303,7 @@
 			w = closedWriter{w}
 		}
 		wait = work.gap
-		if _, err := io.WriteString(w, work.event(i)); err != nil && !e.goesOn {
+		if _, err := io.WriteString(w, work.event(i, e.version)); err != nil && !e.goesOn {
 			return runCanceled
 		}
 		if http.NewResponseController(w).Flush() != nil && !e.goesOn {
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -44,9 +44,11 @@
 	copies  bool // engines hold copies of each other's runs, and move runs
 	// reserves means that engines reserve slots.
 	reserves bool
-	waits    bool     // engines let runs wait
-	rollout  *rollout // nil without one
-	again    sync.Map // how long runs wait once they have begun at another engine, by request id
+	waits    bool         // engines let runs wait
+	rollout  *rollout     // nil without one
+	backup   *backup      // nil without restorations of the store
+	power    sync.RWMutex // see daemon
+	again    sync.Map     // how long runs wait once they have begun at another engine, by request id
 	// idleTimeout is the limit of the configuration in force, in nanoseconds.
 	idleTimeout atomic.Int64
 	start       time.Time
@@ -93,7 +95,11 @@
 		}
 	}
 	prefix := loopbackNet(t, rand.New(rand.NewPCG(rand.Uint64(), 0)))
-	store := httptest.NewServer(standin.NewPlatform().Handler())
+	objects := standin.NewPlatform()
+	if o.restores {
+		s.backup = newBackup(objects)
+	}
+	store := httptest.NewServer(objects.Handler())
 	t.Cleanup(func() {
 		store.CloseClientConnections()
 		store.Close()
@@ -108,7 +114,7 @@
 		if i%3 == 0 {
 			service = callService
 		}
-		e := startEngine(t, s.ledger, fmt.Sprint("i-", i), service, fmt.Sprintf("%s.%d:8686", prefix, 100+i), i%2 == 1)
+		e := startEngine(t, s.ledger, fmt.Sprint("i-", i), service, fmt.Sprintf("%s.%d:8686", prefix, 100+i), i%2 == 1 && !o.restores)
 		if o.slots != nil {
 			e.slots = o.slots(i)
 		}
@@ -123,8 +129,11 @@
 	if s.rollout != nil {
 		s.addNewEngines(prefix)
 	}
+	if s.backup != nil {
+		s.addReleases(prefix)
+	}
 	for i := range o.daemons {
-		s.daemons = append(s.daemons, &daemon{id: fmt.Sprint("vm-", i), ip: fmt.Sprintf("%s.%d", prefix, 1+i), dir: dir, program: program, store: storeAddress, rollsOut: s.rollout != nil})
+		s.daemons = append(s.daemons, &daemon{id: fmt.Sprint("vm-", i), ip: fmt.Sprintf("%s.%d", prefix, 1+i), dir: dir, program: program, store: storeAddress, rollsOut: s.rollout != nil, power: &s.power})
 	}
 	for i, d := range s.daemons {
 		for j := range min(3, len(s.daemons)) {
@@ -189,6 +198,10 @@
 }
 
 func (s *site) put(kind, name string, value any) {
+	if s.backup != nil {
+		s.backup.restoring.RLock()
+		defer s.backup.restoring.RUnlock()
+	}
 	b, err := json.Marshal(value)
 	if err != nil {
 		s.t.Fatal(err)
@@ -243,10 +256,16 @@
 		model["engine"] = engine
 	}
 	idle := []time.Duration{time.Second, 3 * time.Second, 15 * time.Second}[s.rng.IntN(3)]
-	s.put(platform.ConfigurationKind, platform.ConfigurationName, map[string]any{
+	configuration := map[string]any{
 		"version": s.version, "routes": routes, "services": []any{model, map[string]any{"name": callService}},
 		"limits": map[string]any{"max_header_bytes": 16 << 10, "max_body_bytes": 1 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": idle.Milliseconds()},
-	})
+	}
+	if s.backup != nil {
+		s.backup.mu.Lock()
+		defer s.backup.mu.Unlock()
+		s.backup.configuration = configuration
+	}
+	s.put(platform.ConfigurationKind, platform.ConfigurationName, configuration)
 	s.idleTimeout.Store(int64(idle))
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,6 +34,7 @@
 	length                    time.Duration
 	planned, unplanned        []fault
 	copies, waits             bool                   // see site
+	restores                  bool                   // the store is restored, and streams have engines of two versions
 	slots                     func(int) int          // of the engine with a number; nil for many
 	also                      []uint64               // seeds, unless flags choose them
 	rollsOut                  func(seed uint64) bool // whether a version is rolled out; nil for never
@@ -87,7 +88,7 @@
 	clientsDone, faultsDone := make(chan struct{}), make(chan struct{})
 	for i := range o.clients {
 		c := s.newClient(fmt.Sprint("c", i), seed<<16+uint64(i))
-		c.patience, c.stubborn = []int{1, 1, 3}[i%3], i%4 == 3
+		c.patience, c.stubborn, c.persistent = []int{1, 1, 3}[i%3], i%4 == 3, o.restores
 		kinds := []string{kindStream}
 		if i%2 == 1 {
 			kinds = []string{kindBook, kindRead}
@@ -99,6 +100,9 @@
 	if o.waits {
 		faults.Go(func() { s.inject(faultsDone, seed+2<<32, []fault{preempt}, time.Second) })
 	}
+	if s.backup != nil {
+		faults.Go(func() { s.releaseVersions(faultsDone, seed) })
+	}
 	if s.rollout != nil {
 		faults.Go(func() { s.rollOut(faultsDone, seed) })
 	}
