soak: restorations bring the entries of all engines back

Cause: in the test. A copy can be older than the entries that engines write when the site starts. After a restoration only the engines of released versions wrote their entries again; on the platform all engines do.

Change: all engines do.

--- a/internal/soak/restoration_test.go
+++ b/internal/soak/restoration_test.go
@@ -43,7 +43,7 @@
 	mu            sync.Mutex
 	configuration any             // last written
 	released      []*engine       // those of one version follow each other
-	registered    map[string]bool // whether a released engine has an entry, by id
+	registered    map[string]bool // whether an engine has an entry, by id
 }
 
 // newBackup returns the backup of a store that has never been restored, but counts its eras.
@@ -84,7 +84,7 @@
 	s.backup.mu.Lock()
 	defer s.backup.mu.Unlock()
 	s.put(platform.ConfigurationKind, platform.ConfigurationName, s.backup.configuration)
-	for _, e := range s.backup.released {
+	for _, e := range s.engines {
 		s.writeEntry(e)
 	}
 }
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -124,7 +124,11 @@
 		s.links = append(s.links, startProxy(t, fmt.Sprintf("%s.%d:8687", prefix, 100+i), e.address))
 		e.address = fmt.Sprintf("%s.%d:8687", prefix, 100+i)
 		s.engines = append(s.engines, e)
-		s.put(platform.TargetKind, e.id, e.entry())
+		if s.backup == nil {
+			s.put(platform.TargetKind, e.id, e.entry())
+		} else {
+			s.register(e, true)
+		}
 	}
 	if s.rollout != nil {
 		s.addNewEngines(prefix)
