--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds what the scripts of the cases 11 to 15 start, besides the build of the deploy file.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p bin/review-3
+go build -o bin/review-3/ ./cmd/standin ./review/harness-3
