--- a/review/harness-3/engine.go
+++ b/review/harness-3/engine.go
@@ -37,7 +37,6 @@
 // run is one run of a request.
 type run struct {
 	engine, id, path string
-	from             string // the machine, by its request; empty if unknown
 	began, ended     time.Time
 	stopped          chan struct{}
 	events           int
