--- a/review/harness-3/taken_up.go
+++ b/review/harness-3/taken_up.go
@@ -10,6 +10,7 @@
 
 // Sizes and times of the case.
 const (
+	copyAge      = 6 * time.Second // the age of the copy
 	takenUp      = 24              // streams that clients take up again
 	beforeKill   = 3 * time.Second // from the first stream to the end of all daemons
 	storeAway    = 200 * time.Millisecond
