--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the scripts of the cases 11 to 13 start, besides the build of the deploy file.
+# Builds what the scripts of the cases 11 to 14 start, besides the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin/review-3
--- a/review/harness-3/copied_entry.go
+++ b/review/harness-3/copied_entry.go
@@ -31,6 +31,34 @@
 // copiedEntry: another writer puts entries of a service that the configuration doesn't name, with
 // the addresses of two engines that are up.
 func copiedEntry(trouble bool) (broken []string) {
+	return foreignEntries(trouble, func(s *site, engines []*engine) {
+		engines[0].awaitBeat()
+		time.Sleep(heartbeat / 2) // half-way between two heartbeats: entries that come with one are undone by it
+		for _, e := range engines[:2] {
+			entry := e.entry(1)
+			entry["service"] = "archive"
+			status := s.put("servers", "copy-of-"+e.id, entry)
+			s.note("another writer puts copy-of-%s, of the service archive, at the address of %s: %d", e.id, e.id, status)
+		}
+	})
+}
+
+// overwrittenEntry: another writer replaces the entries of two engines that are up by ones without
+// the field born. The engines write theirs again with their next heartbeats.
+func overwrittenEntry(trouble bool) (broken []string) {
+	return foreignEntries(trouble, func(s *site, engines []*engine) {
+		for _, e := range engines[:2] {
+			e.awaitBeat()
+			entry := e.entry(1)
+			delete(entry, "born")
+			status := s.put("servers", e.id, entry)
+			s.note("another writer replaces the entry of %s by one without born: %d", e.id, status)
+		}
+	})
+}
+
+// foreignEntries runs streams at four engines while another writer writes entries.
+func foreignEntries(trouble bool, write func(*site, []*engine)) (broken []string) {
 	s := newSite()
 	s.configure([]map[string]any{streamRoute("haul-plan", "/haul/", "plan-llm", true), streamRoute("fixed-plan", "/fixed/", "plan-llm", false)}, []map[string]any{modelService("plan-llm")})
 	var engines []*engine
@@ -60,14 +88,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	if trouble {
-		engines[0].awaitBeat()
-		time.Sleep(heartbeat / 2) // half-way between two heartbeats: entries that come with one are undone by it
-		for _, e := range engines[:2] {
-			entry := e.entry(1)
-			entry["service"] = "archive"
-			status := s.put("servers", "copy-of-"+e.id, entry)
-			s.note("another writer puts copy-of-%s, of the service archive, at the address of %s: %d", e.id, e.id, status)
-		}
+		write(s, engines)
 	}
 	wg.Wait()
 	time.Sleep(time.Second)
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -7,9 +7,10 @@
 
 // A case returns how the rule was broken, or nothing if it held.
 var cases = map[string]func(trouble bool) []string{
-	"copied-entry": copiedEntry,
-	"taken-up":     takenUpStreams,
-	"doors":        doors,
+	"copied-entry":      copiedEntry,
+	"overwritten-entry": overwrittenEntry,
+	"taken-up":          takenUpStreams,
+	"doors":             doors,
 }
 
 func main() {
--- a/review/harness-3/site.go
+++ b/review/harness-3/site.go
@@ -1,4 +1,4 @@
-// Command harness-3 runs the scripts of the review cases 11 to 13. It starts the store's
+// Command harness-3 runs the scripts of the review cases 11 to 14. It starts the store's
 // stand-in and gateway daemons as separate processes and plays engines, callers and the
 // operator itself, all on loopback addresses.
 package main
