--- a/review/harness-3/copied_entry.go
+++ b/review/harness-3/copied_entry.go
@@ -57,19 +57,20 @@
 	})
 }
 
-// foreignEntries runs streams at four engines while another writer writes entries.
+// foreignEntries runs streams at six engines while another writer writes entries. Most engines drop
+// a request when its channel closes; the first two, whose entries are meant, don't.
 func foreignEntries(trouble bool, write func(*site, []*engine)) (broken []string) {
 	s := newSite()
 	s.configure([]map[string]any{streamRoute("haul-plan", "/haul/", "plan-llm", true), streamRoute("fixed-plan", "/fixed/", "plan-llm", false)}, []map[string]any{modelService("plan-llm")})
 	var engines []*engine
-	for i := range 4 {
-		e := &engine{id: fmt.Sprintf("i-%d", i+1), service: "plan-llm", zone: "bloem-a", slots: 64, events: 140, interval: 100 * time.Millisecond, keepsRuns: true}
+	for i := range 6 {
+		e := &engine{id: fmt.Sprintf("i-%d", i+1), service: "plan-llm", zone: "bloem-a", slots: 64, events: 140, interval: 100 * time.Millisecond, keepsRuns: i < 2}
 		e.start(s)
 		engines = append(engines, e)
 	}
 	s.startDaemons(8)
 	time.Sleep(2*contact + time.Second) // in touch, also by the entries of the others
-	const streams = 40
+	const streams = 60
 	outcomes := make([]outcome, streams)
 	var wg sync.WaitGroup
 	for i := range streams {
