--- a/review/harness-3/site.go
+++ b/review/harness-3/site.go
@@ -82,17 +82,23 @@
 }
 
 // freeAddress returns a loopback address with a free port, which is not one that the system gives
-// to outgoing connections.
+// to outgoing connections. It is in a block of ports that no other harness uses at the same time.
 func freeAddress() string {
-	const first, number = 20000, 10000
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(number))
-		if taken[address] {
-			continue
+	const first, size, blocks = 20000, 100, 100
+	for range blocks {
+		if blockLock != nil {
+			break
 		}
+		start := first + size*rand.IntN(blocks)
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", start)); err == nil {
+			blockLock, nextPort, endPort = l, start+1, start+size
+		}
+	}
+	for ; blockLock != nil && nextPort < endPort; nextPort++ {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
 		if l, err := net.Listen("tcp", address); err == nil {
 			_ = l.Close()
-			taken[address] = true
+			nextPort++
 			return address
 		}
 	}
@@ -100,8 +106,10 @@
 	return ""
 }
 
-// taken has the addresses that freeAddress returned.
-var taken = make(map[string]bool)
+var (
+	blockLock         net.Listener // at the first port of the block, until this process ends
+	nextPort, endPort int
+)
 
 // unable is the exit status if a case couldn't run.
 const unable = 2
